--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+# Every target sets up what it needs; a fresh machine needs only make and Python 3.11.
+PYTHON ?= python3
+VENV ?= .venv
+BIN := $(VENV)/bin
+BASE_PORT ?= 8700
+TEST_WORKERS ?= 4
+TEST_ARGS ?=
+
+.PHONY: setup demo serve test format lint types check benchmarks
+
+setup: $(VENV)/.installed
+
+$(VENV)/.installed: requirements.txt pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check -r requirements.txt
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check --no-deps --editable .
+	touch $@
+
+demo: setup
+	$(BIN)/python examples/demo/run_demo.py --base-port $(BASE_PORT)
+
+serve: setup
+	$(BIN)/python examples/demo/run_demo.py --base-port $(BASE_PORT) --stay
+
+test: setup
+	$(BIN)/python -m pytest -n $(TEST_WORKERS) $(TEST_ARGS)
+
+format: setup
+	$(BIN)/ruff format .
+
+lint: setup
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+types: setup
+	$(BIN)/mypy
+
+check: lint types test
--- /dev/null
+++ b/lagoonring/audit/__init__.py
@@ -0,0 +1,1 @@
+"""Audit trail of changes."""
--- /dev/null
+++ b/lagoonring/claims/__init__.py
@@ -0,0 +1,1 @@
+"""At-most-once execution of keyed requests."""
--- /dev/null
+++ b/lagoonring/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command lines of the programs."""
--- /dev/null
+++ b/lagoonring/endpoints/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of model engines and plain services."""
--- /dev/null
+++ b/lagoonring/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Capacity, prices and reclaims of instances."""
--- /dev/null
+++ b/lagoonring/kernel/clock.py
@@ -0,0 +1,79 @@
+"""Clocks: the system's, and one that tests advance by hand."""
+
+from __future__ import annotations
+
+import asyncio
+import heapq
+import itertools
+import time
+
+
+class Clock:
+    """The machine's clock.
+
+    Passed to every part that reads the time or waits, so that tests can
+    replace it by :class:`ManualClock`.
+    """
+
+    def monotonic(self) -> float:
+        """Return seconds from an arbitrary start; never goes back."""
+        return time.monotonic()
+
+    def time(self) -> float:
+        """Return seconds since the epoch."""
+        return time.time()
+
+    async def sleep(self, delay_s: float) -> None:
+        """Wait for ``delay_s`` seconds."""
+        await asyncio.sleep(delay_s)
+
+
+class ManualClock(Clock):
+    """A clock that stands still until :meth:`advance` is called.
+
+    Parameters
+    ----------
+    start_s : float
+        First reading, in seconds, of both clocks.
+    """
+
+    def __init__(self, start_s: float = 1_000_000.0) -> None:
+        self.now_s = start_s
+        self.sleepers: list[tuple[float, int, asyncio.Future[None]]] = []
+        self.sequence = itertools.count()
+
+    def monotonic(self) -> float:
+        """Return the current reading in seconds."""
+        return self.now_s
+
+    def time(self) -> float:
+        """Return the current reading in seconds."""
+        return self.now_s
+
+    async def sleep(self, delay_s: float) -> None:
+        """Wait until the clock has been advanced by ``delay_s`` seconds."""
+        if delay_s <= 0:
+            await asyncio.sleep(0)
+            return
+        future = asyncio.get_running_loop().create_future()
+        due_s = self.now_s + delay_s
+        heapq.heappush(self.sleepers, (due_s, next(self.sequence), future))
+        await future
+
+    async def advance(self, delay_s: float) -> None:
+        """Move on by ``delay_s`` seconds, waking sleepers in order."""
+        end_s = self.now_s + delay_s
+        await _settle()
+        while self.sleepers and self.sleepers[0][0] <= end_s:
+            due_s, _, future = heapq.heappop(self.sleepers)
+            self.now_s = due_s
+            if not future.done():
+                future.set_result(None)
+            await _settle()
+        self.now_s = end_s
+
+
+async def _settle() -> None:
+    """Let ready tasks run until they wait again."""
+    for _ in range(20):
+        await asyncio.sleep(0)
--- /dev/null
+++ b/lagoonring/leases/__init__.py
@@ -0,0 +1,1 @@
+"""Leases kept in the platform's log, with fencing numbers."""
--- /dev/null
+++ b/lagoonring/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Limits, fair queue and shedding."""
--- /dev/null
+++ b/lagoonring/load/__init__.py
@@ -0,0 +1,1 @@
+"""Load and experiment tool."""
--- /dev/null
+++ b/lagoonring/logs/__init__.py
@@ -0,0 +1,7 @@
+"""Structured logs."""
+
+from __future__ import annotations
+
+from lagoonring.logs.logger import JsonLinesHandler, PartLogger, make_logger
+
+__all__ = ["JsonLinesHandler", "PartLogger", "make_logger"]
--- /dev/null
+++ b/lagoonring/metrics/__init__.py
@@ -0,0 +1,1 @@
+"""Metrics of a process."""
--- /dev/null
+++ b/lagoonring/moves/__init__.py
@@ -0,0 +1,1 @@
+"""Version moves: start beside, judge, ramp, finish or undo."""
--- /dev/null
+++ b/lagoonring/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Membership and gossip between entry instances."""
--- /dev/null
+++ b/lagoonring/retries/__init__.py
@@ -0,0 +1,1 @@
+"""Retry budgets, hedging and quarantine."""
--- /dev/null
+++ b/lagoonring/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of an endpoint."""
--- /dev/null
+++ b/lagoonring/settings/__init__.py
@@ -0,0 +1,22 @@
+"""Checked JSON settings."""
+
+from __future__ import annotations
+
+from lagoonring.settings.checker import (
+    Fault,
+    FaultyDocumentError,
+    convert,
+    find_faults,
+    to_plain,
+)
+from lagoonring.settings.loader import UnreadableSettingsError, load_settings
+
+__all__ = [
+    "Fault",
+    "FaultyDocumentError",
+    "UnreadableSettingsError",
+    "convert",
+    "find_faults",
+    "load_settings",
+    "to_plain",
+]
--- /dev/null
+++ b/lagoonring/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the systems outside lagoonring."""
--- /dev/null
+++ b/lagoonring/standins/log_standin.py
@@ -0,0 +1,140 @@
+"""The platform's log in memory, with faults on command.
+
+:class:`LogStandin` satisfies :class:`lagoonring.platform.log.Log`, so focused
+tests use it directly; the stand-in server puts it behind HTTP.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+import attrs
+
+from lagoonring.kernel.clock import Clock
+from lagoonring.platform.log import (
+    READ_LIMIT,
+    LogAnswerLostError,
+    LogTruncatedError,
+    LogUnavailableError,
+    Page,
+    Record,
+)
+
+
+@attrs.define
+class LogFaults:
+    """Faults in force; counts are used up, flags stay until changed.
+
+    ``n_lost_answers`` appends take effect and then lose their answer,
+    ``delay_s`` is added before every answer.
+    """
+
+    is_out: bool = False
+    n_lost_answers: int = 0
+    n_refused_appends: int = 0
+    delay_s: float = 0.0
+
+
+@attrs.define
+class StreamState:
+    """Records kept of a stream; ``first_offset`` is that of ``records[0]``."""
+
+    records: list[Record] = attrs.field(factory=list)
+    first_offset: int = 0
+    grown: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    @property
+    def next_offset(self) -> int:
+        """Offset that the next record will get."""
+        return self.first_offset + len(self.records)
+
+
+class LogStandin:
+    """An append-only log with offsets, limited retention and faults.
+
+    Parameters
+    ----------
+    clock : Clock
+        Stamps the records.
+    n_kept : int or None
+        Records kept per stream; None keeps all.
+    """
+
+    def __init__(self, clock: Clock | None = None, *, n_kept: int | None = None):
+        self.clock = clock or Clock()
+        self.n_kept = n_kept
+        self.streams: dict[str, StreamState] = {}
+        self.faults = LogFaults()
+        self.n_appends = 0
+        self.n_reads = 0
+
+    async def append(self, stream: str, data: str) -> int:
+        """Append a record and return its offset."""
+        await self._wait_and_check(stream)
+        if self.faults.n_refused_appends > 0:
+            self.faults.n_refused_appends -= 1
+            raise _out(stream)
+        state = self.streams.setdefault(stream, StreamState())
+        offset = state.next_offset
+        state.records.append(Record(offset, self.clock.time(), data))
+        self.n_appends += 1
+        if self.n_kept is not None:
+            self.forget(stream, before=state.next_offset - self.n_kept)
+        state.grown.set()
+        state.grown = asyncio.Event()
+        if self.faults.n_lost_answers > 0:
+            self.faults.n_lost_answers -= 1
+            raise LogAnswerLostError(
+                f"Got no answer to an append to stream {stream}.",
+                remedy="Read the stream for the record before appending again.",
+            )
+        return offset
+
+    async def read(
+        self,
+        stream: str,
+        from_offset: int,
+        *,
+        limit: int = READ_LIMIT,
+        wait_s: float = 0.0,
+    ) -> Page:
+        """Return records from an offset, waiting for the first if asked to."""
+        await self._wait_and_check(stream)
+        self.n_reads += 1
+        state = self.streams.setdefault(stream, StreamState())
+        if wait_s > 0 and from_offset >= state.next_offset:
+            await _wait_for(state.grown, wait_s)
+            await self._wait_and_check(stream)
+        if from_offset < state.first_offset:
+            raise LogTruncatedError(stream, from_offset, state.first_offset)
+        start = from_offset - state.first_offset
+        records = state.records[start : start + limit]
+        return Page(records, state.first_offset, state.next_offset)
+
+    def forget(self, stream: str, *, before: int) -> None:
+        """Drop the records of a stream with offsets lower than ``before``."""
+        state = self.streams.setdefault(stream, StreamState())
+        n_dropped = min(max(0, before - state.first_offset), len(state.records))
+        del state.records[:n_dropped]
+        state.first_offset += n_dropped
+
+    async def _wait_and_check(self, stream: str) -> None:
+        if self.faults.delay_s > 0:
+            await self.clock.sleep(self.faults.delay_s)
+        if self.faults.is_out:
+            raise _out(stream)
+
+
+async def _wait_for(event: asyncio.Event, wait_s: float) -> None:
+    try:
+        await asyncio.wait_for(event.wait(), wait_s)
+    except TimeoutError:
+        return
+
+
+def _out(stream: str) -> LogUnavailableError:
+    return LogUnavailableError(
+        f"Got an outage for stream {stream}, expected an answer of the log.",
+        remedy="Try again when the platform's log is back.",
+        retry_after_s=1.0,
+    )
--- /dev/null
+++ b/lagoonring/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of lagoonring."""
--- /dev/null
+++ b/lagoonring/tests/builders/__init__.py
@@ -0,0 +1,1 @@
+"""Builders of test data, a module per concern."""
