--- /dev/null
+++ b/lagoonring/limits/messages.py
@@ -0,0 +1,69 @@
+"""What limits are asked and what they answer."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from lagoonring.errors import LagoonringError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
+@attrs.frozen(kw_only=True)
+class AdmitRequest:
+    """A request that asks to be dispatched.
+
+    ``deadline_s`` is the reading of ``app.clock.monotonic()`` by which the
+    whole answer is due.
+    """
+
+    organisation: str
+    entry: str
+    service_class: str
+    n_tokens_most: int = 0
+    deadline_s: float
+
+
+class RefusedError(LagoonringError):
+    """A request is refused and was not run."""
+
+    code = "refused"
+    status = 503
+
+
+class LimitRefusedError(RefusedError):
+    """A limit of the organisation, class or entry is used up."""
+
+    code = "limit_reached"
+    status = 429
+
+
+class OverloadRefusedError(RefusedError):
+    """The queue is full, or the request can't meet its deadline."""
+
+    code = "overloaded"
+    status = 503
+
+
+@attrs.define(kw_only=True, eq=False)
+class Permit:
+    """Leave to dispatch one request; must be released exactly once.
+
+    Later calls of :meth:`release` have no effect.
+    """
+
+    request: AdmitRequest
+    granted_s: float
+    waited_s: float
+    on_release: Callable[[Permit, int], None] = attrs.field(repr=False)
+    is_released: bool = False
+
+    def release(self, n_tokens: int = 0) -> None:
+        """Give the place back and settle the tokens really used."""
+        if self.is_released:
+            return
+        self.is_released = True
+        self.on_release(self, n_tokens)
