Add the model engine stand-in

Cause: routing, resume and moves need an engine that answers with known tokens and fails on command. Change: an engine over HTTP with slots, priorities, prefix cache, KV copies, late cache events, lagging load reports, fenced orders and faults per version.

--- /dev/null
+++ b/lagoonring/standins/engine_core.py
@@ -0,0 +1,259 @@
+"""The engine stand-in's batch: slots, prefill, pace of tokens, faults."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from contextlib import aclosing
+from typing import TYPE_CHECKING
+
+import attrs
+
+from lagoonring.standins.engine_cache import PrefixCache
+from lagoonring.standins.engine_faults import EngineFaults, find_version_faults
+from lagoonring.standins.engine_kv import KvStore
+from lagoonring.standins.engine_slots import Slots
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncGenerator, Callable
+
+    from lagoonring.kernel import Clock
+    from lagoonring.standins.engine_requests import Job
+    from lagoonring.standins.options import EngineOptions
+
+N_BURST_TOKENS = 64
+CROSSING_TIMEOUT_S = 5.0
+
+
+class StreamCutError(ConnectionResetError):
+    """A fault on command ends the stream without its end marker."""
+
+
+class EngineError(RuntimeError):
+    """A fault on command makes the request fail."""
+
+
+@attrs.define
+class Counts:
+    """What the engine did since its start."""
+
+    n_requests: int = 0
+    n_tokens: int = 0
+    n_tokens_recomputed: int = 0
+    n_blocks_prefilled: int = 0
+    n_blocks_cached: int = 0
+    n_crashes: int = 0
+    n_requests_while_leaving: int = 0
+
+
+class Batch:
+    """Runs jobs; yields how many tokens each has.
+
+    Parameters
+    ----------
+    options : EngineOptions
+        Speeds and sizes.
+    clock : Clock
+        Paces the tokens.
+    crash : callable
+        Called without arguments when a prompt crashes the engine.
+    """
+
+    def __init__(
+        self, options: EngineOptions, *, clock: Clock, crash: Callable[[], None]
+    ) -> None:
+        self.options = options
+        self.clock = clock
+        self.crash = crash
+        self.rng = random.Random(options.seed)
+        self.faults = EngineFaults()
+        self.counts = Counts()
+        self.slots = Slots(options.n_slots)
+        self.cache = PrefixCache(options, clock=clock, rng=self.rng)
+        self.kv = KvStore(options, clock=clock)
+        self.n_requests_by_version: dict[str, int] = {}
+        self.jobs: dict[str, Job] = {}
+        self.n_held = 0
+        self.held_changed = asyncio.Event()
+        self.faults_changed = asyncio.Event()
+        self.crossing: tuple[Job, asyncio.Future[Job]] | None = None
+
+    def set_faults(self, faults: EngineFaults) -> None:
+        """Put faults in force and wake what waits for a change."""
+        self.faults = faults
+        self.faults_changed.set()
+        self.faults_changed = asyncio.Event()
+
+    async def cross(self, job: Job) -> Job:
+        """Return the job to answer instead, that of another request if crossed."""
+        if not self.faults.use("n_crossed"):
+            return job
+        if self.crossing is not None:
+            other, partner = self.crossing
+            self.crossing = None
+            partner.set_result(job)
+            return other
+        future: asyncio.Future[Job] = asyncio.get_running_loop().create_future()
+        self.crossing = (job, future)
+        try:
+            return await asyncio.wait_for(future, CROSSING_TIMEOUT_S)
+        except TimeoutError:
+            return job
+        finally:
+            if self.crossing is not None and self.crossing[1] is future:
+                self.crossing = None
+
+    async def run(self, job: Job) -> AsyncGenerator[tuple[int, int], None]:
+        """Yield the ranges of tokens that are due, from ``start`` to ``stop``.
+
+        Raises
+        ------
+        EngineError, StreamCutError
+            By faults on command.
+        """
+        self.counts.n_requests += 1
+        self.jobs[job.attempt_id] = job
+        try:
+            await self.slots.take(job.priority)
+            try:
+                async with aclosing(self._run_in_slot(job)) as ranges:
+                    async for item in ranges:
+                        yield item
+            finally:
+                self.slots.free()
+        finally:
+            job.ended.set()
+            if self.jobs.get(job.attempt_id) is job:
+                del self.jobs[job.attempt_id]
+
+    async def wait_until_held(self, n: int) -> None:
+        """Return once at least ``n`` streams wait at the token to hold at."""
+        while self.n_held < n:
+            await self.held_changed.wait()
+
+    async def _run_in_slot(self, job: Job) -> AsyncGenerator[tuple[int, int], None]:
+        self._arm(job)
+        job.n_sent = job.resume.n_tokens if job.resume else 0
+        await self._prefill(job)
+        due_s = self.clock.monotonic()
+        while job.n_sent < job.n_tokens:
+            if await self._pass_checkpoint(job):
+                due_s = self.clock.monotonic()
+            step_s = self._step_s(job)
+            n_due, due_s = await self._wait_for_tokens(step_s, due_s)
+            if job.is_frozen:
+                continue
+            start = job.n_sent
+            job.n_sent = min(start + n_due, job.n_tokens, self._checkpoint(job))
+            self.counts.n_tokens += job.n_sent - start
+            yield start, job.n_sent
+        await self._pass_checkpoint(job)
+
+    def _arm(self, job: Job) -> None:
+        """Decide which faults will hit the job."""
+        faults = self.faults
+        n_requests = self.n_requests_by_version.get(job.version, 0) + 1
+        self.n_requests_by_version[job.version] = n_requests
+        found = find_version_faults(
+            faults,
+            job.version,
+            n_requests=n_requests,
+            n_running=self.slots.n_running,
+            prompt=job.prompt,
+        )
+        job.slow_factor = found.slow_factor
+        if found.crash or any(text in job.prompt for text in faults.crash_on):
+            job.crash_at = faults.crash_at_token
+        if faults.use("n_errors") or self.rng.random() < found.error_share:
+            raise EngineError("Got a fault on command.")
+        if faults.use("n_stalled"):
+            job.stall_at = faults.stall_at_token
+        if faults.use("n_cut"):
+            job.cut_at = faults.cut_at_token
+
+    async def _prefill(self, job: Job) -> None:
+        blocks = hash_prompt(job.prompt)
+        n_recomputed = job.n_sent
+        n_cached = self.cache.count_cached(blocks)
+        if job.resume and job.resume.kv:
+            n_kept = self.kv.count_tokens(job.resume.kv, job.prompt)
+            if n_kept is not None:
+                n_cached = len(blocks)
+                n_recomputed = max(0, job.n_sent - n_kept)
+        n_blocks = len(blocks) - n_cached
+        self.counts.n_blocks_prefilled += n_blocks
+        self.counts.n_blocks_cached += n_cached
+        self.counts.n_tokens_recomputed += n_recomputed
+        n_blocks += -(-n_recomputed // self.options.n_tokens_per_block)
+        await self._wait(n_blocks * self.options.prefill_block_s * self._slow(job))
+        self.cache.store(blocks)
+
+    async def _wait(self, delay_s: float) -> None:
+        if delay_s > 0:
+            await self.clock.sleep(delay_s)
+
+    def _slow(self, job: Job) -> float:
+        return self.faults.slow_factor * job.slow_factor
+
+    def _step_s(self, job: Job) -> float:
+        growth = self.options.batch_growth * (self.slots.n_running - 1)
+        return self.options.token_s * (1 + growth) * self._slow(job)
+
+    async def _wait_for_tokens(self, step_s: float, due_s: float) -> tuple[int, float]:
+        """Wait for the next token; return how many are due and the last's time."""
+        if step_s <= 0:
+            await asyncio.sleep(0)
+            return N_BURST_TOKENS, due_s
+        due_s += step_s
+        await self._wait(due_s - self.clock.monotonic())
+        n_late = max(0, int((self.clock.monotonic() - due_s) / step_s))
+        return 1 + n_late, due_s + n_late * step_s
+
+    def _checkpoint(self, job: Job) -> int:
+        """Return the next number of tokens at which a fault may wait."""
+        points = (job.stall_at, job.cut_at, job.crash_at, self.faults.hold_at_token)
+        later = [n for n in points if n is not None and n > job.n_sent]
+        return min(later, default=job.n_tokens)
+
+    async def _pass_checkpoint(self, job: Job) -> bool:
+        """Apply the faults due at this token; True if that took time."""
+        if _is_due(job.crash_at, job):
+            self.crash()
+            await _wait_for_ever()
+        if _is_due(job.cut_at, job):
+            raise StreamCutError("Got a cut on command.")
+        if _is_due(job.stall_at, job) or job.is_frozen:
+            await _wait_for_ever()
+        if job.n_sent != self.faults.hold_at_token:
+            return False
+        await self._hold(job)
+        return True
+
+    async def _hold(self, job: Job) -> None:
+        self._count_held(1)
+        try:
+            while job.n_sent == self.faults.hold_at_token:
+                await self.faults_changed.wait()
+        finally:
+            self._count_held(-1)
+
+    def _count_held(self, change: int) -> None:
+        self.n_held += change
+        self.held_changed.set()
+        self.held_changed = asyncio.Event()
+
+
+def _is_due(token: int | None, job: Job) -> bool:
+    return token is not None and job.n_sent >= token
+
+
+async def _wait_for_ever() -> None:
+    """Wait until the connection is closed, which cancels the request."""
+    await asyncio.get_running_loop().create_future()
+
+
+def hash_prompt(prompt: str) -> tuple[int, ...]:
+    """Return the chained block hashes of a canonical prompt."""
+    from lagoonring.routing.prefixes import hash_blocks
+
+    return hash_blocks(prompt.encode(errors="replace"))
--- /dev/null
+++ b/lagoonring/standins/engine_faults.py
@@ -0,0 +1,83 @@
+"""Faults of the engine stand-in, set by ``POST /faults``."""
+
+from __future__ import annotations
+
+import attrs
+
+from lagoonring.settings.validators import between, optional
+
+MANY = 1_000_000_000
+
+
+@attrs.frozen(kw_only=True)
+class VersionFaults:
+    """Faults of one version.
+
+    They apply after ``after_n_requests`` requests of the version, while more
+    than ``above_n_running`` requests run, to prompts with ``prompt_contains``.
+    """
+
+    error_share: float = attrs.field(default=0.0, validator=between(0, 1))
+    slow_factor: float = attrs.field(default=1.0, validator=between(0.01, 1000))
+    crash: bool = False
+    after_n_requests: int = attrs.field(default=0, validator=between(0, MANY))
+    above_n_running: int = attrs.field(default=0, validator=between(0, MANY))
+    prompt_contains: str = ""
+
+
+@attrs.define(kw_only=True)
+class EngineFaults:
+    """Faults in force.
+
+    Counts (``n_...``) are of requests still to be hit and are used up, all
+    else stays until changed. Token numbers are of tokens sent.
+
+    ``crash_on`` lists texts: a prompt with one of them crashes the engine once
+    ``crash_at_token`` tokens were sent; it is back after ``restart_s``.
+    ``n_crossed`` requests swap answers in pairs. ``hold_at_token`` makes all
+    streams wait there until it is set to null.
+    """
+
+    crash_on: list[str] = attrs.field(factory=list)
+    crash_at_token: int = attrs.field(default=0, validator=between(0, MANY))
+    restart_s: float = attrs.field(default=1.0, validator=between(0, 3600))
+    crash_now: bool = False
+    refuse_s: float = attrs.field(default=0.0, validator=between(0, 3600))
+    slow_factor: float = attrs.field(default=1.0, validator=between(0.01, 1000))
+    hold_at_token: int | None = attrs.field(
+        default=None, validator=optional(between(0, MANY))
+    )
+    stall_at_token: int = attrs.field(default=1, validator=between(0, MANY))
+    n_stalled: int = attrs.field(default=0, validator=between(0, MANY))
+    cut_at_token: int = attrs.field(default=1, validator=between(0, MANY))
+    n_cut: int = attrs.field(default=0, validator=between(0, MANY))
+    late_s: float = attrs.field(default=0.0, validator=between(0, 3600))
+    n_late: int = attrs.field(default=0, validator=between(0, MANY))
+    n_errors: int = attrs.field(default=0, validator=between(0, MANY))
+    n_refused: int = attrs.field(default=0, validator=between(0, MANY))
+    n_crossed: int = attrs.field(default=0, validator=between(0, MANY))
+    versions: dict[str, VersionFaults] = attrs.field(factory=dict)
+
+    def use(self, count: str) -> bool:
+        """Use up one of a count; False if none is left."""
+        n_left = getattr(self, count)
+        if n_left == 0:
+            return False
+        setattr(self, count, n_left - 1)
+        return True
+
+
+NO_VERSION_FAULTS = VersionFaults()
+
+
+def find_version_faults(
+    faults: EngineFaults, version: str, *, n_requests: int, n_running: int, prompt: str
+) -> VersionFaults:
+    """Return the faults of a version that apply to a request now."""
+    found = faults.versions.get(version, NO_VERSION_FAULTS)
+    applies = (
+        n_requests > found.after_n_requests
+        and n_running > found.above_n_running
+        and found.prompt_contains in prompt
+    )
+    return found if applies else NO_VERSION_FAULTS
--- /dev/null
+++ b/lagoonring/standins/engine_orders.py
@@ -0,0 +1,111 @@
+"""Orders to the engine stand-in: versions, adapters, role, leaving."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import aiohttp
+import attrs
+
+from lagoonring.settings.validators import one_of
+
+if TYPE_CHECKING:
+    from lagoonring.kernel import Clock
+    from lagoonring.standins.options import EngineOptions
+
+ORDER_KINDS = ("load_version", "unload_version", "load_adapter", "set_role", "leave")
+FETCH_POLL_S = 0.05
+
+
+@attrs.frozen(kw_only=True)
+class EngineOrder:
+    """An order with the fencing number of who gives it."""
+
+    kind: str = attrs.field(validator=one_of(ORDER_KINDS))
+    name: str = ""
+    fencing: int = -1
+
+
+class OldFencingNumberError(ValueError):
+    """An order is older than one already obeyed."""
+
+
+@attrs.define
+class EngineState:
+    """What orders have made of the engine."""
+
+    versions: list[str]
+    loading: list[str] = attrs.field(factory=list)
+    adapters: list[str] = attrs.field(factory=list)
+    role: str = "both"
+    fencing: int = -1
+    leaving: bool = False
+
+
+class Orders:
+    """Obeys orders; loading takes time and may go through a weight store.
+
+    Parameters
+    ----------
+    options : EngineOptions
+        Whether fencing numbers are checked, and how loading goes.
+    clock : Clock
+        Takes the time of loading.
+    """
+
+    def __init__(self, options: EngineOptions, *, clock: Clock) -> None:
+        self.options = options
+        self.clock = clock
+        self.state = EngineState(list(options.versions))
+        self.obeyed: list[EngineOrder] = []
+
+    def check(self, order: EngineOrder) -> None:
+        """Note the order's fencing number; old ones are refused if checked."""
+        if self.options.checks_fencing and order.fencing < self.state.fencing:
+            raise OldFencingNumberError(
+                f"Got fencing number {order.fencing}, "
+                f"expected {self.state.fencing} or later."
+            )
+        self.state.fencing = order.fencing
+        self.obeyed.append(order)
+        del self.obeyed[:-1000]
+
+    async def obey(self, order: EngineOrder) -> None:
+        """Carry out a checked order; returns when it has taken effect."""
+        state = self.state
+        if order.kind == "load_version":
+            await self._load(order.name)
+        elif order.kind == "unload_version":
+            state.versions = [name for name in state.versions if name != order.name]
+        elif order.kind == "load_adapter":
+            state.adapters = sorted({*state.adapters, order.name})
+        elif order.kind == "set_role":
+            state.role = order.name
+        else:
+            state.leaving = True
+
+    async def _load(self, name: str) -> None:
+        state = self.state
+        if name in state.versions or name in state.loading:
+            return
+        state.loading.append(name)
+        try:
+            if self.options.weight_store_url:
+                await self._fetch(name)
+            else:
+                await self.clock.sleep(self.options.load_version_s)
+            state.versions = [*state.versions, name]
+        finally:
+            state.loading.remove(name)
+
+    async def _fetch(self, name: str) -> None:
+        root = self.options.weight_store_url
+        async with aiohttp.ClientSession(raise_for_status=True) as session:
+            body = {"weights": name}
+            async with session.post(f"{root}/fetches", json=body) as answer:
+                fetch = (await answer.json())["fetch"]
+            while True:
+                async with session.get(f"{root}/fetches/{fetch}") as answer:
+                    if (await answer.json())["state"] == "done":
+                        return
+                await self.clock.sleep(FETCH_POLL_S)
--- /dev/null
+++ b/lagoonring/standins/engine_standin.py
@@ -0,0 +1,317 @@
+"""A model engine over HTTP that answers with known tokens and fails on command.
+
+The interface is that of ``docs/design/parts.md``; the faults are those of
+:class:`lagoonring.standins.engine_faults.EngineFaults`.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import aclosing
+from typing import Any
+
+import aiohttp
+import attrs
+import msgspec
+from aiohttp import web
+
+from lagoonring.kernel import Clock
+from lagoonring.standins import engine_answers as answers
+from lagoonring.standins.engine_core import Batch, EngineError, StreamCutError
+from lagoonring.standins.engine_kv import KvCopy
+from lagoonring.standins.engine_load import LoadReports
+from lagoonring.standins.engine_orders import (
+    EngineOrder,
+    OldFencingNumberError,
+    Orders,
+)
+from lagoonring.standins.engine_requests import (
+    FaultyRequestError,
+    Job,
+    answer_faulty,
+    parse_job,
+)
+from lagoonring.standins.http_server import (
+    BODY_LIMIT_BYTES,
+    StandinServer,
+    answer_error,
+    answer_json,
+    answer_not_run,
+    merge_faults,
+    read_json,
+)
+from lagoonring.standins.options import EngineOptions
+
+HELD_TIMEOUT_S = 10.0
+CANCEL_TIMEOUT_S = 1.0
+
+
+@attrs.frozen(kw_only=True)
+class KvImport:
+    """Where to import a KV cache from."""
+
+    source_url: str
+    handle: str
+
+
+class EngineStandin:
+    """A model engine on a port.
+
+    Parameters
+    ----------
+    options : EngineOptions or None
+        Speeds, sizes and manners.
+    host, port : str, int
+        Where to listen; port 0 lets the system choose.
+    clock : Clock or None
+        Paces the tokens.
+    """
+
+    def __init__(
+        self,
+        options: EngineOptions | None = None,
+        *,
+        host: str = "127.0.0.1",
+        port: int = 0,
+        clock: Clock | None = None,
+    ) -> None:
+        self.options = options or EngineOptions()
+        self.clock = clock or Clock()
+        self.batch = Batch(self.options, clock=self.clock, crash=self.crash)
+        self.orders = Orders(self.options, clock=self.clock)
+        self.load = LoadReports(self.batch, self.orders.state, clock=self.clock)
+        app = web.Application(client_max_size=BODY_LIMIT_BYTES)
+        app.add_routes(
+            [
+                web.post("/v1/chat/completions", self._chat),
+                web.get("/v1/models", self._models),
+                web.post("/requests/{attempt}/cancel", self._cancel),
+                web.post("/requests/{attempt}/export", self._export),
+                web.post("/kv/import", self._import),
+                web.get("/kv/{handle}", self._kv),
+                web.get("/load", self._load),
+                web.get("/cache/events", self._cache_events),
+                web.post("/orders", self._orders),
+                web.get("/state", self._state),
+                web.get("/counts", self._counts),
+                web.get("/held", self._held),
+                web.get("/faults", self._faults),
+                web.post("/faults", self._set_faults),
+            ]
+        )
+        self.server = StandinServer(app, host=host, port=port)
+
+    @property
+    def url(self) -> str:
+        """Root URL, without a trailing slash."""
+        return self.server.url
+
+    async def start(self) -> None:
+        """Listen and begin to sample the load."""
+        await self.server.start()
+        self.server.spawn(self.load.run())
+
+    async def stop(self) -> None:
+        """Stop listening and close all connections."""
+        await self.server.stop()
+
+    def crash(self) -> None:
+        """Lose everything in memory, reset connections, refuse for a while."""
+        self.batch.counts.n_crashes += 1
+        self.batch.cache.clear()
+        self.batch.kv.copies.clear()
+        self.server.spawn(self.server.crash(self.batch.faults.restart_s))
+
+    async def _chat(self, request: web.Request) -> web.StreamResponse:
+        body = await request.read()
+        versions = self.orders.state.versions
+        default_version = versions[0] if versions else ""
+        try:
+            job = parse_job(body, request.headers, default_version=default_version)
+        except FaultyRequestError as error:
+            return answer_faulty(error)
+        refusal = self._refuse(job)
+        if refusal is not None:
+            return refusal
+        job.transport = request.transport
+        if self.batch.faults.use("n_late"):
+            await self.clock.sleep(self.batch.faults.late_s)
+        job = await self.batch.cross(job)
+        if job.is_streamed:
+            return await self._stream(request, job)
+        return await self._answer_whole(request, job)
+
+    def _refuse(self, job: Job) -> web.Response | None:
+        state = self.orders.state
+        if state.leaving:
+            self.batch.counts.n_requests_while_leaving += 1
+        if job.version not in state.versions:
+            known = ", ".join(state.versions)
+            text = f"Got version {job.version!r}, expected one of: {known}."
+            return answer_not_run("version_not_loaded", text)
+        if self.batch.faults.use("n_refused"):
+            return answer_not_run("refused", "Got a fault on command.")
+        if self.batch.slots.n_waiting >= self.options.n_waiting_most:
+            return answer_not_run("queue_full", "Got a full queue.")
+        return None
+
+    async def _stream(self, request: web.Request, job: Job) -> web.StreamResponse:
+        response = web.StreamResponse(headers=_echo(job))
+        response.content_type = "text/event-stream"
+        make_events = answers.event_maker(job)
+        try:
+            async with aclosing(self.batch.run(job)) as ranges:
+                async for start, stop in ranges:
+                    if not response.prepared:
+                        await response.prepare(request)
+                    await response.write(make_events(start, stop))
+        except EngineError as error:
+            return answer_error("engine_error", str(error), status=500)
+        except StreamCutError:
+            return await _cut(request, response)
+        if not response.prepared:
+            await response.prepare(request)
+        await response.write(answers.end_events(job))
+        await response.write_eof()
+        return response
+
+    async def _answer_whole(self, request: web.Request, job: Job) -> web.Response:
+        try:
+            async with aclosing(self.batch.run(job)) as ranges:
+                async for _ in ranges:
+                    pass
+        except EngineError as error:
+            return answer_error("engine_error", str(error), status=500)
+        except StreamCutError:
+            _close(request)
+        return web.Response(
+            body=answers.whole_answer(job),
+            content_type="application/json",
+            headers=_echo(job),
+        )
+
+    async def _models(self, request: web.Request) -> web.Response:
+        models = [
+            {"id": name, "object": "model", "created": 0, "owned_by": "standin"}
+            for name in self.orders.state.versions
+        ]
+        return answer_json({"object": "list", "data": models})
+
+    async def _cancel(self, request: web.Request) -> web.Response:
+        job = self._find(request)
+        if job.transport is not None:
+            job.transport.close()
+        await asyncio.wait_for(job.ended.wait(), CANCEL_TIMEOUT_S)
+        return answer_json({"cancelled": True, "n_tokens": job.n_sent})
+
+    async def _export(self, request: web.Request) -> web.Response:
+        copy = self.batch.kv.export(self._find(request))
+        await self.clock.sleep(0)
+        return answer_json(copy)
+
+    async def _import(self, request: web.Request) -> web.Response:
+        wanted = await read_json(request, KvImport)
+        url = f"{wanted.source_url.rstrip('/')}/kv/{wanted.handle}"
+        try:
+            async with (
+                aiohttp.ClientSession(raise_for_status=True) as session,
+                session.get(url) as answer,
+            ):
+                copy = msgspec.json.decode(await answer.read(), type=KvCopy)
+        except (aiohttp.ClientError, msgspec.MsgspecError, ValueError) as error:
+            return answer_error("source_failed", repr(error), status=502)
+        kept = await self.batch.kv.take_in(copy)
+        return answer_json({"handle": kept.handle, "n_tokens": kept.n_tokens})
+
+    async def _kv(self, request: web.Request) -> web.Response:
+        copy = self.batch.kv.copies.get(request.match_info["handle"])
+        if copy is None:
+            return answer_error("unknown_handle", "Got no such handle.", status=404)
+        return answer_json(copy)
+
+    async def _load(self, request: web.Request) -> web.Response:
+        return answer_json(self.load.read())
+
+    async def _cache_events(self, request: web.Request) -> web.Response:
+        from_seq = _read_number(request, "from", 0)
+        return answer_json(self.batch.cache.read_events(from_seq))
+
+    async def _orders(self, request: web.Request) -> web.Response:
+        order = await read_json(request, EngineOrder)
+        try:
+            self.orders.check(order)
+        except OldFencingNumberError as error:
+            return answer_error("fenced", str(error), status=409)
+        self.server.spawn(self.orders.obey(order))
+        await asyncio.sleep(0)
+        return answer_json({"accepted": True})
+
+    async def _state(self, request: web.Request) -> web.Response:
+        return answer_json(self.orders.state)
+
+    async def _counts(self, request: web.Request) -> web.Response:
+        return answer_json(self.batch.counts)
+
+    async def _held(self, request: web.Request) -> web.Response:
+        n = _read_number(request, "n", 1)
+        try:
+            await asyncio.wait_for(self.batch.wait_until_held(n), HELD_TIMEOUT_S)
+        except TimeoutError:
+            return answer_error("not_held", "Got too few streams held.", status=408)
+        return answer_json({"n_held": self.batch.n_held})
+
+    async def _faults(self, request: web.Request) -> web.Response:
+        return answer_json(self.batch.faults)
+
+    async def _set_faults(self, request: web.Request) -> web.Response:
+        faults = await merge_faults(request, self.batch.faults)
+        self.batch.set_faults(faults)
+        if faults.crash_now:
+            faults.crash_now = False
+            self.server.spawn(self._crash_soon())
+        if faults.refuse_s > 0:
+            duration_s, faults.refuse_s = faults.refuse_s, 0.0
+            await self.server.refuse(duration_s)
+        return answer_json(faults)
+
+    async def _crash_soon(self) -> None:
+        """Crash once the order to do so has been answered."""
+        await asyncio.sleep(0.01)
+        self.crash()
+
+    def _find(self, request: web.Request) -> Job:
+        job = self.batch.jobs.get(request.match_info["attempt"])
+        if job is None:
+            raise web.HTTPNotFound(text="Got no such attempt in progress.")
+        return job
+
+
+def _echo(job: Job) -> dict[str, str]:
+    return {
+        "X-Request-Id": job.request_id,
+        "X-Attempt-Id": job.attempt_id,
+        "X-Version": job.version,
+    }
+
+
+async def _cut(request: web.Request, response: web.StreamResponse) -> Any:
+    if not response.prepared:
+        await response.prepare(request)
+    _close(request)
+    return response
+
+
+def _close(request: web.Request) -> None:
+    """Close the connection after what has been written."""
+    if request.transport is not None:
+        request.transport.close()
+
+
+def _read_number(request: web.Request, name: str, default: int) -> int:
+    text = request.query.get(name, str(default))
+    try:
+        return int(text)
+    except ValueError:
+        raise web.HTTPBadRequest(
+            text=f"Got {name}={text}, expected a number."
+        ) from None
