--- /dev/null
+++ b/lagoonring/platform/service.py
@@ -0,0 +1,75 @@
+"""The platform's log as a service of the application."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import aiohttp
+
+from lagoonring.kernel import BaseService
+from lagoonring.platform.log import READ_LIMIT, LogClient
+
+if TYPE_CHECKING:
+    from lagoonring.platform.log import Log, Page
+
+N_CONNECTIONS = 16
+
+
+class LogService(BaseService):
+    """Gives all parts one log; satisfies :class:`lagoonring.platform.log.Log`.
+
+    Parameters
+    ----------
+    log : Log or None
+        A log made by the caller, such as a stand-in.
+    url : str
+        Root URL of the log; the service then makes the client at start.
+    """
+
+    name = "log"
+
+    def __init__(self, log: Log | None = None, *, url: str = "") -> None:
+        if (log is None) == (not url):
+            raise ValueError(
+                f"Got log {log!r} and url {url!r}, expected exactly one. "
+                "Pass either a log or its URL."
+            )
+        self.log = log
+        self.url = url
+        self.session: aiohttp.ClientSession | None = None
+
+    async def start(self) -> None:
+        """Open the session; connections are made when needed."""
+        if self.url:
+            connector = aiohttp.TCPConnector(limit=N_CONNECTIONS)
+            self.session = aiohttp.ClientSession(connector=connector)
+            self.log = LogClient(self.url, self.session)
+
+    async def stop(self) -> None:
+        """Close the session."""
+        if self.session is not None:
+            await self.session.close()
+            self.session = None
+
+    async def append(self, stream: str, data: str) -> int:
+        """Append a record and return its offset; errors as in ``LogClient``."""
+        return await self._opened().append(stream, data)
+
+    async def read(
+        self,
+        stream: str,
+        from_offset: int,
+        *,
+        limit: int = READ_LIMIT,
+        wait_s: float = 0.0,
+    ) -> Page:
+        """Return records from an offset; errors as in ``LogClient``."""
+        log = self._opened()
+        return await log.read(stream, from_offset, limit=limit, wait_s=wait_s)
+
+    def _opened(self) -> Log:
+        if self.log is None:
+            raise RuntimeError(
+                "Got a call before start, expected one after. Start the application."
+            )
+        return self.log
--- a/lagoonring/standins/engine_core.py
+++ b/lagoonring/standins/engine_core.py
@@ -9,6 +9,7 @@
 
 import attrs
 
+from lagoonring.routing.prefixes import BLOCK_BYTES, hash_blocks
 from lagoonring.standins.engine_cache import PrefixCache
 from lagoonring.standins.engine_faults import EngineFaults, find_version_faults
 from lagoonring.standins.engine_kv import KvStore
@@ -172,15 +173,17 @@
             job.cut_at = faults.cut_at_token
 
     async def _prefill(self, job: Job) -> None:
-        blocks = hash_prompt(job.prompt)
+        prompt = job.prompt.encode(errors="replace")
+        blocks = hash_blocks(prompt)
+        n_blocks_all = -(-len(prompt) // BLOCK_BYTES)
         n_recomputed = job.n_sent
         n_cached = self.cache.count_cached(blocks)
         if job.resume and job.resume.kv:
             n_kept = self.kv.count_tokens(job.resume.kv, job.prompt)
             if n_kept is not None:
-                n_cached = len(blocks)
+                n_cached = n_blocks_all
                 n_recomputed = max(0, job.n_sent - n_kept)
-        n_blocks = len(blocks) - n_cached
+        n_blocks = n_blocks_all - n_cached
         self.counts.n_blocks_prefilled += n_blocks
         self.counts.n_blocks_cached += n_cached
         self.counts.n_tokens_recomputed += n_recomputed
@@ -250,10 +253,3 @@
 async def _wait_for_ever() -> None:
     """Wait until the connection is closed, which cancels the request."""
     await asyncio.get_running_loop().create_future()
-
-
-def hash_prompt(prompt: str) -> tuple[int, ...]:
-    """Return the chained block hashes of a canonical prompt."""
-    from lagoonring.routing.prefixes import hash_blocks
-
-    return hash_blocks(prompt.encode(errors="replace"))
--- /dev/null
+++ b/lagoonring/standins/kinds.py
@@ -0,0 +1,98 @@
+"""Builds stand-ins from settings and runs them in one process."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any, Protocol
+
+import attrs
+
+from lagoonring.logs import make_logger
+from lagoonring.settings import Fault, FaultyDocumentError, convert, find_faults
+from lagoonring.standins.engine_standin import EngineStandin
+from lagoonring.standins.log_server import LogServer
+from lagoonring.standins.options import EngineOptions, LogOptions
+
+if TYPE_CHECKING:
+    from lagoonring.standins.options import Standin, StandinSettings
+
+logger = make_logger("standins")
+
+
+class RunningStandin(Protocol):
+    """A stand-in that can be started and stopped."""
+
+    async def start(self) -> None:
+        """Listen."""
+
+    async def stop(self) -> None:
+        """Stop listening and close all connections."""
+
+    @property
+    def url(self) -> str:
+        """Root URL, without a trailing slash."""
+        return ""
+
+
+@attrs.frozen
+class Kind:
+    """A kind of stand-in: the class of its options and how to build it."""
+
+    options: type
+    build: Callable[..., RunningStandin]
+
+
+KINDS = {
+    "engine": Kind(EngineOptions, EngineStandin),
+    "log": Kind(LogOptions, LogServer),
+}
+
+
+def find_option_faults(settings: StandinSettings) -> list[Fault]:
+    """Return the faults of all stand-ins' options, by path."""
+    faults = []
+    for index, standin in enumerate(settings.standins):
+        for fault in find_faults(standin.options, KINDS[standin.kind].options):
+            path = f"standins[{index}].options.{fault.path}"
+            faults.append(attrs.evolve(fault, path=path))
+    return faults
+
+
+def build(standin: Standin) -> RunningStandin:
+    """Return the stand-in that settings describe, not yet started."""
+    kind = KINDS[standin.kind]
+    options: Any = convert(standin.options, kind.options, name="options")
+    return kind.build(options, host=standin.host, port=standin.port)
+
+
+def build_all(settings: StandinSettings) -> list[RunningStandin]:
+    """Return all stand-ins of a process, not yet started.
+
+    Raises
+    ------
+    FaultyDocumentError
+        With every fault of every stand-in's options.
+    """
+    faults = find_option_faults(settings)
+    if faults:
+        raise FaultyDocumentError("settings", faults)
+    return [build(standin) for standin in settings.standins]
+
+
+async def start_all(standins: list[RunningStandin]) -> None:
+    """Start stand-ins; if one fails, those started are stopped."""
+    started: list[RunningStandin] = []
+    try:
+        for standin in standins:
+            await standin.start()
+            started.append(standin)
+            logger.info("{} serves on {}.", type(standin).__name__, standin.url)
+    except BaseException:
+        await stop_all(started)
+        raise
+
+
+async def stop_all(standins: list[RunningStandin]) -> None:
+    """Stop stand-ins, the last first."""
+    for standin in reversed(standins):
+        await standin.stop()
--- /dev/null
+++ b/lagoonring/standins/log_server.py
@@ -0,0 +1,191 @@
+"""The log stand-in behind HTTP, with a rate limit and faults on command.
+
+The interface is that of :mod:`lagoonring.platform.log`. ``POST /faults`` takes
+the keys of :class:`lagoonring.standins.log_standin.LogFaults` and ``forget``,
+a map from a stream to the first offset to keep.
+"""
+
+from __future__ import annotations
+
+import attrs
+from aiohttp import web
+
+from lagoonring.kernel import Clock
+from lagoonring.platform.log import (
+    READ_LIMIT,
+    RECORD_LIMIT_BYTES,
+    LogAnswerLostError,
+    LogTruncatedError,
+    LogUnavailableError,
+    Page,
+)
+from lagoonring.standins.http_server import (
+    StandinServer,
+    answer_error,
+    answer_json,
+    merge_faults,
+)
+from lagoonring.standins.log_standin import LogFaults, LogStandin
+from lagoonring.standins.options import LogOptions
+
+WAIT_LIMIT_MS = 30_000
+RETRY_AFTER_S = 1
+BURST_S = 0.25
+
+
+@attrs.define(kw_only=True)
+class ServerFaults(LogFaults):
+    """Faults of the log and ``forget``: stream to first offset to keep."""
+
+    forget: dict[str, int] = attrs.field(factory=dict)
+
+
+class RateLimit:
+    """Token bucket with a burst of a quarter of a second.
+
+    Parameters
+    ----------
+    per_s : float
+        Average rate; 0 means no limit.
+    clock : Clock
+        Refills the bucket.
+    """
+
+    def __init__(self, per_s: float, *, clock: Clock) -> None:
+        self.per_s = per_s
+        self.clock = clock
+        self.n_most = max(1.0, per_s * BURST_S)
+        self.n_left = self.n_most
+        self.last_s = clock.monotonic()
+
+    def take(self) -> bool:
+        """Take one; False if the rate is exceeded."""
+        if self.per_s == 0:
+            return True
+        now_s = self.clock.monotonic()
+        refilled = self.n_left + (now_s - self.last_s) * self.per_s
+        self.n_left = min(self.n_most, refilled)
+        self.last_s = now_s
+        if self.n_left < 1:
+            return False
+        self.n_left -= 1
+        return True
+
+
+class LogServer:
+    """The log on a port.
+
+    Parameters
+    ----------
+    options : LogOptions or None
+        Rate limit and retention.
+    host, port : str, int
+        Where to listen; port 0 lets the system choose.
+    clock : Clock or None
+        Stamps records and refills the rate limit.
+    """
+
+    def __init__(
+        self,
+        options: LogOptions | None = None,
+        *,
+        host: str = "127.0.0.1",
+        port: int = 0,
+        clock: Clock | None = None,
+    ) -> None:
+        self.options = options or LogOptions()
+        clock = clock or Clock()
+        self.log = LogStandin(clock, n_kept=self.options.n_kept)
+        self.log.faults = ServerFaults()
+        self.rate = RateLimit(self.options.appends_per_s, clock=clock)
+        app = web.Application(client_max_size=2 * RECORD_LIMIT_BYTES)
+        app.add_routes(
+            [
+                web.post("/streams/{stream:.+}", self._append),
+                web.get("/streams/{stream:.+}", self._read),
+                web.get("/streams", self._streams),
+                web.get("/faults", self._faults),
+                web.post("/faults", self._set_faults),
+            ]
+        )
+        self.server = StandinServer(app, host=host, port=port)
+
+    @property
+    def url(self) -> str:
+        """Root URL, without a trailing slash."""
+        return self.server.url
+
+    async def start(self) -> None:
+        """Listen."""
+        await self.server.start()
+
+    async def stop(self) -> None:
+        """Stop listening and close all connections."""
+        await self.server.stop()
+
+    async def _append(self, request: web.Request) -> web.Response:
+        body = await request.read()
+        if len(body) > RECORD_LIMIT_BYTES:
+            return answer_error("too_large", "Got too large a record.", status=413)
+        try:
+            data = body.decode()
+        except UnicodeDecodeError:
+            return answer_error("not_utf8", "Got a record not UTF-8.", status=400)
+        if not self.rate.take():
+            return _answer_out("Got too many appends.")
+        try:
+            offset = await self.log.append(request.match_info["stream"], data)
+        except LogUnavailableError as error:
+            return _answer_out(str(error))
+        except LogAnswerLostError as error:
+            return _lose_answer(request, error)
+        return answer_json({"offset": offset})
+
+    async def _read(self, request: web.Request) -> web.Response:
+        stream = request.match_info["stream"]
+        try:
+            from_offset = int(request.query.get("from", "0"))
+            limit = int(request.query.get("limit", str(READ_LIMIT)))
+            wait_ms = int(request.query.get("wait_ms", "0"))
+        except ValueError as error:
+            return answer_error("faulty_query", str(error), status=400)
+        if min(from_offset, limit, wait_ms) < 0:
+            return answer_error("faulty_query", "Got a negative number.", status=400)
+        wait_s = min(wait_ms, WAIT_LIMIT_MS) / 1000
+        try:
+            page = await self.log.read(stream, from_offset, limit=limit, wait_s=wait_s)
+        except LogTruncatedError as error:
+            next_offset = self.log.streams[stream].next_offset
+            return answer_json(Page([], error.first_offset, next_offset), status=410)
+        except LogUnavailableError as error:
+            return _answer_out(str(error))
+        return answer_json(page)
+
+    async def _streams(self, request: web.Request) -> web.Response:
+        streams = self.log.streams.items()
+        return answer_json({name: state.next_offset for name, state in streams})
+
+    async def _faults(self, request: web.Request) -> web.Response:
+        return answer_json(self.log.faults)
+
+    async def _set_faults(self, request: web.Request) -> web.Response:
+        faults = await merge_faults(request, self.log.faults)
+        assert isinstance(faults, ServerFaults)
+        for stream, first_offset in faults.forget.items():
+            self.log.forget(stream, before=first_offset)
+        faults.forget = {}
+        self.log.faults = faults
+        return answer_json(faults)
+
+
+def _answer_out(message: str) -> web.Response:
+    answer = answer_error("unavailable", message, status=503)
+    answer.headers["Retry-After"] = str(RETRY_AFTER_S)
+    return answer
+
+
+def _lose_answer(request: web.Request, error: LogAnswerLostError) -> web.Response:
+    """Close the connection instead of answering."""
+    if request.transport is not None:
+        request.transport.abort()
+    return _answer_out(str(error))
