Add the routing service

Cause: requests need an endpoint per attempt. Change: load estimates from late reports plus own sends, prefix index by endpoint bits, rendezvous homes with bounded load, policies as functions, health with ejection, probe and ramp, leaving endpoints.

--- a/lagoonring/limits/messages.py
+++ b/lagoonring/limits/messages.py
@@ -2,15 +2,12 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from collections.abc import Callable
 
 import attrs
 
 from lagoonring.errors import LagoonringError
 
-if TYPE_CHECKING:
-    from collections.abc import Callable
-
 
 @attrs.frozen(kw_only=True)
 class AdmitRequest:
--- /dev/null
+++ b/lagoonring/routing/service.py
@@ -0,0 +1,483 @@
+"""Chooses the endpoint of each attempt and learns from the results."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from lagoonring.kernel import BaseService
+from lagoonring.logs import make_logger
+from lagoonring.routing import health as health_rules
+from lagoonring.routing.cached import ConversationMap, PrefixIndex
+from lagoonring.routing.capacity import CapacityGauge
+from lagoonring.routing.messages import (
+    CAUSE_CALLER,
+    AttemptResult,
+    EndpointLoad,
+    FailingEndpoint,
+    LeavingEndpoint,
+    NoEndpointError,
+    Route,
+    RouteRequest,
+)
+from lagoonring.routing.metrics import RoutingMetrics, find_registry
+from lagoonring.routing.options import RoutingOptions
+from lagoonring.routing.policies import Choice, Context, get_policy
+from lagoonring.routing.prefixes import affinity_key_of
+from lagoonring.routing.state import change_own, drop_report, refresh, take_report
+from lagoonring.routing.table import EndpointTable
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from lagoonring.catalogue import CatalogueContent
+    from lagoonring.kernel import Application
+    from lagoonring.routing.state import EndpointState
+    from lagoonring.routing.table import Group
+
+RETRY_AFTER_S = 1.0
+REFRESH_S = 1.0
+DEFAULT_TARGET_S = 1.0
+WORK_BASE_BLOCKS = 8
+
+logger = make_logger("routing")
+
+
+class RoutingService(BaseService):
+    """Routing as a service of the application.
+
+    Parameters
+    ----------
+    app : Application
+        Finds ``catalogue`` and ``peers`` at start and ``moves`` when asked.
+    options : RoutingOptions
+        Options of routing.
+    data_centre : str
+        Where this instance is; empty takes it from the peers at start.
+    """
+
+    name = "routing"
+
+    def __init__(
+        self,
+        app: Application,
+        options: RoutingOptions | None = None,
+        *,
+        data_centre: str = "",
+    ) -> None:
+        self.app = app
+        self.options = options or RoutingOptions()
+        self.data_centre = data_centre
+        self.index = PrefixIndex(self.options.n_blocks_known)
+        self.conversations = ConversationMap(self.options.n_conversations_known)
+        self.table = EndpointTable(data_centre, self.options, self.index)
+        self.policy = get_policy(self.options.policy)
+        self.gauge = CapacityGauge()
+        self.metrics = RoutingMetrics(find_registry(app))
+        self.content: CatalogueContent | None = None
+        self.peers: Any = None
+        self.n_choices = 0
+
+    async def start(self) -> None:
+        """Follow the catalogue and the peers' rows."""
+        self.peers = self.app.services.get("peers")
+        if self.peers is not None and not self.data_centre:
+            self.data_centre = self.peers.me.data_centre
+            self.table.data_centre = self.data_centre
+        self.app.find("catalogue").subscribe(self.take_catalogue)
+        if self.peers is not None:
+            self.peers.subscribe("endpoint_load", EndpointLoad, self._take_load)
+            self.peers.subscribe("leaving", LeavingEndpoint, self._take_leaving)
+            self.peers.subscribe("failing", FailingEndpoint, self._take_failing)
+            self._take_present_rows()
+        self.app.spawn("routing-refresh", self._refresh)
+
+    def choose(
+        self, request: RouteRequest, *, exclude: frozenset[str] = frozenset()
+    ) -> Route:
+        """Return the endpoint for an attempt.
+
+        Parameters
+        ----------
+        request : RouteRequest
+            What the choice depends on.
+        exclude : frozenset of str
+            Endpoints not to use, for example those tried before.
+
+        Raises
+        ------
+        NoEndpointError
+            If no endpoint of the version takes work, or all are excluded.
+        """
+        version = self._version_of(request)
+        now_s = self.app.clock.monotonic()
+        group = self.table.group(request.entry, version, now_s)
+        if group.probing:
+            probed = self._take_probe(group, request, exclude, now_s)
+            if probed is not None:
+                return self._route(Choice(probed, "probe", 0, probed.cost_s), version)
+        choice = self._choose_in(group, request, exclude, now_s)
+        if choice is None:
+            raise _no_endpoint(request.entry, version)
+        self.metrics.note_choice(
+            choice.reason, choice.n_cached, len(request.prefix_blocks)
+        )
+        return self._route(choice, version)
+
+    def route_to(self, endpoint: str, request: RouteRequest) -> Route | None:
+        """Return the route to a given endpoint, None if it takes no work."""
+        state = self.table.states.get(endpoint)
+        version = self._version_of(request)
+        if state is None or state.is_leaving or state.entry != request.entry:
+            return None
+        if not state.runs(version) or state.health.state == health_rules.EJECTED:
+            return None
+        depth = self.index.match(request.prefix_blocks).get(state.bit, 0)
+        return self._route(Choice(state, "pinned", depth, state.cost_s), version)
+
+    def started(self, route: Route | str, request: RouteRequest) -> None:
+        """Note that an attempt is sent to an endpoint."""
+        state = self._state_of(route)
+        if state is None:
+            return
+        change_own(state, 1, self.app.clock.time())
+        if request.prefix_blocks:
+            self.index.store(request.prefix_blocks, state.bit)
+        key = affinity_key_of(request.affinity_key, request.prefix_blocks)
+        if key:
+            self.conversations.note(key, state.name)
+
+    def ended(
+        self, route: Route | str, request: RouteRequest, result: AttemptResult
+    ) -> None:
+        """Learn from the result of an attempt."""
+        state = self._state_of(route)
+        if state is None:
+            return
+        change_own(state, -1, self.app.clock.time())
+        now_s = self.app.clock.monotonic()
+        if result.ok and not result.kind:
+            self._learn(state, route, request, result)
+        if result.cause != CAUSE_CALLER:
+            self._judge(state, result, now_s)
+
+    def leaving(self, endpoint: str) -> None:
+        """Give an endpoint no new work from now on, and tell the peers."""
+        state = self.table.states.get(endpoint)
+        if state is None or state.is_leaving:
+            return
+        row = LeavingEndpoint(
+            instance=state.instance, url=state.url, since_s=self.app.clock.time()
+        )
+        self.table.note_leaving(endpoint, row)
+        self._publish("leaving", endpoint, row, urgent=True)
+        logger.info("Endpoint {} leaves, it gets no new work.", endpoint)
+
+    def capacity(self, entry: str) -> int:
+        """Return how many requests the entry's endpoints here take at once.
+
+        Endpoints of this data centre, or of all if it has none.
+        """
+        states = self.table.by_entry.get(entry, ())
+        usable = [state for state in states if _takes_work(state)]
+        local = [state for state in usable if state.is_local]
+        n_slots = sum(state.n_slots for state in local or usable)
+        return self.gauge.scaled(entry, n_slots)
+
+    def take_catalogue(self, content: CatalogueContent, revision: int) -> None:
+        """Use a new catalogue."""
+        self.content = content
+        self.table.take_catalogue(content)
+        own = self.peers.rows("leaving", LeavingEndpoint) if self.peers else {}
+        for origin, name in own:
+            if origin == self.peers.me.instance and name not in self.table.states:
+                self._publish("leaving", name, None)
+
+    def _choose_in(
+        self,
+        group: Group,
+        request: RouteRequest,
+        exclude: frozenset[str],
+        now_s: float,
+    ) -> Choice | None:
+        context = self._context(request)
+        local = self._filtered(group.local, group, exclude, now_s)
+        best = self.policy(local, context) if local else None
+        if best is not None and not self._is_crossing_worth(best, context):
+            return best
+        remote = self._remote_sample(group, exclude, context, now_s)
+        if remote:
+            other = self.policy(remote, context)
+            if best is None or other.cost_s < best.cost_s:
+                other.reason = "crossing"
+                return other
+        if best is not None:
+            return best
+        return self._choose_ejected(group, exclude, context)
+
+    def _context(self, request: RouteRequest) -> Context:
+        blocks = request.prefix_blocks
+        key = affinity_key_of(request.affinity_key, blocks)
+        self.n_choices += 1
+        return Context(
+            key=key,
+            n_blocks=len(blocks),
+            depths=self.index.match(blocks) if blocks else {},
+            placed=self.conversations.get(key) if key else "",
+            target_s=self._target_s(request.service_class),
+            options=self.options,
+            rng=self.app.rng,
+            counter=self.n_choices,
+        )
+
+    def _is_crossing_worth(self, best: Choice, context: Context) -> bool:
+        if self.options.policy != "affinity_load":
+            return False
+        crossing_s = self.options.crossing_s
+        return best.state.wait_s > crossing_s or best.cost_s > context.target_s
+
+    def _remote_sample(
+        self,
+        group: Group,
+        exclude: frozenset[str],
+        context: Context,
+        now_s: float,
+    ) -> Sequence[EndpointState]:
+        remote = group.remote
+        n_most = self.options.n_remote_most
+        if len(remote) > n_most:
+            remote = self.app.rng.sample(remote, n_most)
+        return self._filtered(remote, group, exclude, now_s)
+
+    def _filtered(
+        self,
+        states: list[EndpointState],
+        group: Group,
+        exclude: frozenset[str],
+        now_s: float,
+    ) -> list[EndpointState]:
+        if exclude:
+            states = [state for state in states if state.name not in exclude]
+        if not group.ramping:
+            return states
+        draw = self.app.rng.random
+        kept = [
+            state
+            for state in states
+            if state.health.state != health_rules.RAMPING
+            or draw() < health_rules.ramp_share(state.health, now_s, self.options)
+        ]
+        return kept or states
+
+    def _choose_ejected(
+        self, group: Group, exclude: frozenset[str], context: Context
+    ) -> Choice | None:
+        """Use ejected endpoints rather than none at all."""
+        others = [state for state in group.others if state.name not in exclude]
+        local = [state for state in others if state.is_local]
+        if not others:
+            return None
+        choice = self.policy(local or others, context)
+        choice.reason = "all_ejected"
+        return choice
+
+    def _take_probe(
+        self,
+        group: Group,
+        request: RouteRequest,
+        exclude: frozenset[str],
+        now_s: float,
+    ) -> EndpointState | None:
+        """Return an endpoint that this request may test, if it may be repeated."""
+        if not self._is_repeatable(request):
+            return None
+        for state in group.probing:
+            if not state.health.is_probed and state.name not in exclude:
+                health_rules.begin_probe(state.health, now_s)
+                self.table.next_change_s = min(
+                    self.table.next_change_s, state.health.until_s
+                )
+                return state
+        return None
+
+    def _is_repeatable(self, request: RouteRequest) -> bool:
+        entry = self.content.entries.get(request.entry) if self.content else None
+        if entry is None:
+            return False
+        if entry.kind == "model" or entry.idempotent:
+            return True
+        return request.method in entry.idempotent_methods
+
+    def _learn(
+        self,
+        state: EndpointState,
+        route: Route | str,
+        request: RouteRequest,
+        result: AttemptResult,
+    ) -> None:
+        if result.first_token_s is None:
+            return
+        expected_s = route.expected_wait_s if isinstance(route, Route) else 0.0
+        n_cached = route.n_cached_blocks if isinstance(route, Route) else 0
+        n_uncached = max(0, len(request.prefix_blocks) - n_cached)
+        served_s = max(0.0, result.first_token_s - expected_s)
+        state.speeds.note_first_token(n_uncached, served_s)
+        between_s = result.between_tokens_s or 0.0
+        state.speeds.note_service(
+            served_s + between_s * result.n_tokens, result.between_tokens_s
+        )
+        health_rules.note_latency(
+            state.health,
+            served_s / (WORK_BASE_BLOCKS + n_uncached),
+            result.between_tokens_s,
+        )
+        self.gauge.note(
+            state.entry,
+            waited_s=result.first_token_s - state.speeds.base_s,
+            target_s=self._target_s(request.service_class),
+        )
+        refresh(state)
+
+    def _judge(self, state: EndpointState, result: AttemptResult, now_s: float) -> None:
+        health = state.health
+        if health.state == health_rules.PROBING and health.is_probed:
+            health_rules.end_probe(health, result, now_s, self.options)
+            self._health_changed(state)
+            return
+        health_rules.note_result(health, result)
+        if health.state not in (health_rules.UP, health_rules.RAMPING):
+            return
+        if result.cause and result.kind == "cut":
+            health_rules.pause(health, now_s, self.options)
+            self._health_changed(state)
+            return
+        if result.ok and health.n_results % health_rules.N_SAMPLES_LEAST:
+            return
+        others = [other.health for other in self.table.peers_of(state)]
+        fault = health_rules.find_fault(
+            health, others, is_hinted=state.is_hinted, options=self.options
+        )
+        if fault:
+            health_rules.eject(health, fault, now_s, self.options)
+            self._health_changed(state)
+
+    def _health_changed(self, state: EndpointState) -> None:
+        health = state.health
+        self.table.regroup()
+        if health.state == health_rules.EJECTED:
+            self.metrics.ejections.labels(health.reason).inc()
+            logger.warning("Endpoint {} is ejected: {}.", state.name, health.reason)
+            if health.reason == "brought_down":
+                return
+            row = FailingEndpoint(reason=health.reason, since_s=self.app.clock.time())
+            self._publish("failing", state.name, row)
+        elif health.state == health_rules.RAMPING:
+            logger.info("Endpoint {} returns.", state.name)
+            self._publish("failing", state.name, None)
+
+    def _target_s(self, service_class: str) -> float:
+        known = self.content.classes.get(service_class) if self.content else None
+        return known.first_token_ms / 1000 if known else DEFAULT_TARGET_S
+
+    def _version_of(self, request: RouteRequest) -> str:
+        if request.version:
+            return request.version
+        moves = self.app.services.get("moves")
+        if moves is not None:
+            return moves.choose_version(request.entry, request.request_id)
+        entry = self.content.entries.get(request.entry) if self.content else None
+        return entry.version if entry else ""
+
+    def _state_of(self, route: Route | str) -> EndpointState | None:
+        name = route.endpoint if isinstance(route, Route) else route
+        return self.table.states.get(name)
+
+    def _route(self, choice: Choice, version: str) -> Route:
+        state = choice.state
+        return Route(
+            endpoint=state.name,
+            url=state.url,
+            version=version,
+            reason=choice.reason,
+            n_cached_blocks=choice.n_cached,
+            expected_wait_s=state.wait_s,
+        )
+
+    def _publish(
+        self, kind: str, name: str, value: object, *, urgent: bool = False
+    ) -> None:
+        if self.peers is not None:
+            self.peers.publish(kind, name, value, urgent=urgent)
+
+    def _take_present_rows(self) -> None:
+        for (origin, name), load in self.peers.rows(
+            "endpoint_load", EndpointLoad
+        ).items():
+            self._take_load(origin, name, load)
+        for (origin, name), row in self.peers.rows("leaving", LeavingEndpoint).items():
+            self._take_leaving(origin, name, row)
+        for (origin, name), hint in self.peers.rows("failing", FailingEndpoint).items():
+            self._take_failing(origin, name, hint)
+
+    def _take_load(self, origin: str, name: str, load: EndpointLoad | None) -> None:
+        state = self.table.states.get(name)
+        if state is None or load is None:
+            return
+        versions = state.versions
+        if take_report(state, load) and state.versions != versions:
+            self.table.regroup()
+
+    def _take_leaving(
+        self, origin: str, name: str, row: LeavingEndpoint | None
+    ) -> None:
+        if row is not None:
+            self.table.note_leaving(name, row)
+
+    def _take_failing(
+        self, origin: str, name: str, row: FailingEndpoint | None
+    ) -> None:
+        state = self.table.states.get(name)
+        if state is None or (self.peers and origin == self.peers.me.instance):
+            return
+        state.is_hinted = row is not None
+        refresh(state)
+
+    async def _refresh(self) -> None:
+        """Drop old reports and follow the number of instances."""
+        while True:
+            await self.app.clock.sleep(REFRESH_S)
+            self.refresh_all()
+
+    def refresh_all(self) -> None:
+        """Bring all estimates up to date."""
+        now_s = self.app.clock.time()
+        n_peers = self._count_local_members()
+        n_ejected = 0
+        for state in self.table.states.values():
+            state.n_peers = n_peers
+            n_ejected += state.health.state == health_rules.EJECTED
+            report = state.report
+            if report and now_s - report.time_s > self.options.report_age_most_s:
+                drop_report(state)
+            else:
+                refresh(state)
+        self.metrics.ejected.set(n_ejected)
+
+    def _count_local_members(self) -> int:
+        if self.peers is None:
+            return 1
+        n_local = sum(
+            member.data_centre == self.data_centre for member in self.peers.members()
+        )
+        return max(1, n_local)
+
+
+def _takes_work(state: EndpointState) -> bool:
+    return not state.is_leaving and state.health.state != health_rules.EJECTED
+
+
+def _no_endpoint(entry: str, version: str) -> NoEndpointError:
+    return NoEndpointError(
+        f"Got no endpoint of entry {entry} with version {version}, expected one.",
+        remedy="Send the request again after Retry-After.",
+        retry_after_s=RETRY_AFTER_S,
+    )
