--- a/lagoonring/catalogue/__init__.py
+++ b/lagoonring/catalogue/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from lagoonring.catalogue.edits import Change, Edit, EditTooLargeError, Snapshot
 from lagoonring.catalogue.entries import (
     CatalogueContent,
     Endpoint,
@@ -14,9 +15,26 @@
     ServiceClass,
     Version,
 )
+from lagoonring.catalogue.errors import (
+    CatalogueBehindError,
+    CatalogueNotReadyError,
+    ConflictError,
+    EditAnswerLostError,
+)
+from lagoonring.catalogue.options import CatalogueOptions
+from lagoonring.catalogue.service import CatalogueService
 
 __all__ = [
+    "CatalogueBehindError",
     "CatalogueContent",
+    "CatalogueNotReadyError",
+    "CatalogueOptions",
+    "CatalogueService",
+    "Change",
+    "ConflictError",
+    "Edit",
+    "EditAnswerLostError",
+    "EditTooLargeError",
     "Endpoint",
     "Entry",
     "FleetGoal",
@@ -25,5 +43,6 @@
     "Operator",
     "Organisation",
     "ServiceClass",
+    "Snapshot",
     "Version",
 ]
--- /dev/null
+++ b/lagoonring/catalogue/follower.py
@@ -0,0 +1,202 @@
+"""Follows the stream ``config`` and folds it by the rule."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+from prometheus_client import Counter, Gauge
+
+from lagoonring.catalogue.edits import STREAM, ConfigRecord, Snapshot, decode_record
+from lagoonring.catalogue.rule import RuleState, Verdict, fold, restore_snapshot
+from lagoonring.errors import LagoonringError
+from lagoonring.logs import make_logger
+from lagoonring.platform.log import LogTruncatedError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from lagoonring.platform.log import Log, Page, Record
+
+    OnVerdict = Callable[[ConfigRecord, Verdict], None]
+
+logger = make_logger("catalogue")
+
+N_EDITS = Counter(
+    "lagoonring_catalogue_edits_total", "Edits read from the log.", ["status"]
+)
+N_SKIPPED = Counter(
+    "lagoonring_catalogue_skipped_records_total", "Records that could not be read."
+)
+REVISION = Gauge("lagoonring_catalogue_revision", "Revision in force.")
+
+
+class NoSnapshotError(LagoonringError, LookupError):
+    """The log kept neither its first record nor a usable snapshot."""
+
+    code = "no_snapshot"
+    status = 503
+
+
+class ConfigFollower:
+    """Reads the stream and keeps the state of the rule.
+
+    Parameters
+    ----------
+    log : Log
+        The platform's log.
+    on_verdict : callable
+        Called with every record that could be read and its verdict.
+
+    Attributes
+    ----------
+    state : RuleState
+        State before the record at ``state.next_offset``.
+    is_started : bool
+        Whether the state is that of the log's at some offset; before that it
+        is empty and must not be used.
+    snapshot_offset : int
+        The newest ``next_offset`` of a snapshot that was read; -1 if none.
+    """
+
+    def __init__(self, log: Log, on_verdict: OnVerdict) -> None:
+        self.log = log
+        self.on_verdict = on_verdict
+        self.state = RuleState()
+        self.is_started = False
+        self.snapshot_offset = -1
+        self.first_offset = 0
+        self.is_log_short = False
+
+    async def read_on(self, wait_s: float) -> int:
+        """Read and fold the next records; return how many were read.
+
+        Raises
+        ------
+        LogUnavailableError
+            If the log does not answer.
+        NoSnapshotError
+            If the log has forgotten the next record and has no newer snapshot.
+        """
+        try:
+            page = await self._read_next(wait_s)
+        except LogTruncatedError:
+            await self._start_at_snapshot()
+            return 1
+        self._note_bounds(page)
+        self.is_started = True
+        for record in page.records:
+            self._fold(record)
+        return len(page.records)
+
+    def restore(self, snapshot: Snapshot) -> bool:
+        """Take a snapshot if it is newer than the state; return whether it was.
+
+        Raises
+        ------
+        FaultyDocumentError
+            If this version can't read its content.
+        """
+        if self.is_started and snapshot.next_offset <= self.state.next_offset:
+            return False
+        self.state = restore_snapshot(snapshot)
+        self.is_started = True
+        REVISION.set(self.state.revision)
+        return True
+
+    async def _read_next(self, wait_s: float) -> Page:
+        from_offset = self.state.next_offset
+        page = await self.log.read(STREAM, from_offset, wait_s=wait_s)
+        # A log may answer from its first record in place of an error.
+        if page.first_offset > from_offset:
+            raise LogTruncatedError(STREAM, from_offset, page.first_offset)
+        return page
+
+    async def _start_at_snapshot(self) -> None:
+        newest = await self._find_snapshot()
+        if newest is None or not self.restore(newest):
+            raise NoSnapshotError(
+                f"Got first offset {self.first_offset} of stream {STREAM} without a "
+                f"usable snapshot, expected offset {self.state.next_offset} or a "
+                "snapshot.",
+                remedy="Wait for a peer that has the content; if none is left, "
+                "append the content as a new edit.",
+            )
+        logger.info("Started at the snapshot of offset {}.", newest.next_offset)
+
+    async def _find_snapshot(self) -> Snapshot | None:
+        page = await self._read_first()
+        newest: Snapshot | None = None
+        while page.records:
+            for record in page.records:
+                snapshot = _read_snapshot(record)
+                if snapshot is not None and _is_newer(snapshot, newest):
+                    newest = snapshot
+            page = await self.log.read(STREAM, page.records[-1].offset + 1)
+        self._note_bounds(page)
+        if newest is None or newest.next_offset < self.first_offset:
+            return None
+        self.snapshot_offset = max(self.snapshot_offset, newest.next_offset)
+        return newest
+
+    async def _read_first(self) -> Page:
+        try:
+            return await self.log.read(STREAM, 0)
+        except LogTruncatedError as error:
+            self.first_offset = error.first_offset
+            return await self.log.read(STREAM, error.first_offset)
+
+    def _note_bounds(self, page: Page) -> None:
+        self.first_offset = page.first_offset
+        is_short = page.next_offset < self.state.next_offset
+        if is_short and not self.is_log_short:
+            logger.error(
+                "The log ends at offset {} before the {} that was read.",
+                page.next_offset,
+                self.state.next_offset,
+            )
+        self.is_log_short = is_short
+
+    def _fold(self, record: Record) -> None:
+        if record.offset < self.state.next_offset:
+            return
+        decoded = decode_record(record.data)
+        if decoded is None:
+            self._skip(record, "it can't be read")
+            return
+        snapshot = decoded.snapshot
+        if snapshot is not None and snapshot.next_offset <= record.offset:
+            self.snapshot_offset = max(self.snapshot_offset, snapshot.next_offset)
+        try:
+            self.state, verdict = fold(self.state, decoded, record.offset)
+        except Exception as error:
+            self._skip(record, repr(error))
+            return
+        REVISION.set(self.state.revision)
+        if decoded.edit is not None:
+            N_EDITS.labels(verdict.status).inc()
+        self.on_verdict(decoded, verdict)
+
+    def _skip(self, record: Record, reason: str) -> None:
+        N_SKIPPED.inc()
+        logger.warning("Skipped the record at {}: {}.", record.offset, reason)
+        self.state = attrs.evolve(self.state, next_offset=record.offset + 1)
+
+
+def _read_snapshot(record: Record) -> Snapshot | None:
+    decoded = decode_record(record.data)
+    if decoded is None or decoded.snapshot is None:
+        return None
+    snapshot = decoded.snapshot
+    if snapshot.next_offset > record.offset:
+        return None
+    try:
+        restore_snapshot(snapshot)
+    except LagoonringError as error:
+        logger.warning("Passed over the snapshot at {}: {}.", record.offset, error)
+        return None
+    return snapshot
+
+
+def _is_newer(snapshot: Snapshot, other: Snapshot | None) -> bool:
+    return other is None or snapshot.next_offset > other.next_offset
--- /dev/null
+++ b/lagoonring/catalogue/options.py
@@ -0,0 +1,47 @@
+"""Options of the catalogue service."""
+
+from __future__ import annotations
+
+import attrs
+
+from lagoonring.settings.validators import between
+
+DAY_S = 86_400.0
+
+
+@attrs.frozen(kw_only=True)
+class CatalogueOptions:
+    """How the catalogue follows the log.
+
+    Attributes
+    ----------
+    poll_s : float
+        Longest wait of one read for a new record, in seconds.
+    retry_s : float
+        Pause after a failed read, in seconds.
+    apply_timeout_s : float
+        Time for an edit to be found in the log, in seconds.
+    cut_off_after_s : float
+        Time without an answer of the log after which newer content is taken
+        from peers, in seconds.
+    snapshot_every : int
+        Records after which a new snapshot is written.
+    snapshot_interval_s : float
+        Age at which the newest snapshot is renewed, in seconds; a quarter of the
+        log's retention or less.
+    snapshot_jitter_s : float
+        Longest random delay before a snapshot is written, in seconds.
+    peer_timeout_s : float
+        Time for a peer to send its content, in seconds.
+    """
+
+    poll_s: float = attrs.field(default=10.0, validator=between(0.01, 60))
+    retry_s: float = attrs.field(default=0.5, validator=between(0.01, 60))
+    apply_timeout_s: float = attrs.field(default=10.0, validator=between(0.01, 600))
+    cut_off_after_s: float = attrs.field(default=3.0, validator=between(0, 600))
+    snapshot_every: int = attrs.field(default=100, validator=between(1, 100_000))
+    snapshot_interval_s: float = attrs.field(
+        default=900.0, validator=between(0.01, 30 * DAY_S)
+    )
+    snapshot_jitter_s: float = attrs.field(default=20.0, validator=between(0, 3600))
+    peer_timeout_s: float = attrs.field(default=2.0, validator=between(0.01, 60))
--- /dev/null
+++ b/lagoonring/catalogue/service.py
@@ -0,0 +1,415 @@
+"""The service ``catalogue``: the content in force, and edits of it.
+
+Every instance follows the stream ``config`` of the log and applies the rule of
+:mod:`lagoonring.catalogue.rule`, so that they agree without talking to each
+other. While the log can't be reached, newer content is taken from peers.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+import attrs
+import msgspec
+
+from lagoonring.catalogue.checks import find_deadline_faults
+from lagoonring.catalogue.edits import (
+    STREAM,
+    ConfigRecord,
+    Edit,
+    Snapshot,
+    decode_record,
+    digest_changes,
+    encode_edit,
+    encode_snapshot,
+)
+from lagoonring.catalogue.errors import (
+    CatalogueBehindError,
+    CatalogueNotReadyError,
+    ConflictError,
+    EditAnswerLostError,
+)
+from lagoonring.catalogue.follower import ConfigFollower, NoSnapshotError
+from lagoonring.catalogue.options import CatalogueOptions
+from lagoonring.catalogue.rule import Verdict, judge, take_snapshot
+from lagoonring.errors import LagoonringError
+from lagoonring.kernel.application import BaseService
+from lagoonring.logs import make_logger
+from lagoonring.platform.log import (
+    LogAnswerLostError,
+    LogTruncatedError,
+    LogUnavailableError,
+)
+from lagoonring.settings.checker import Fault, FaultyDocumentError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from lagoonring.catalogue.entries import CatalogueContent
+    from lagoonring.kernel import Application
+    from lagoonring.platform.log import Log
+
+    OnContent = Callable[[CatalogueContent, int], None]
+
+ROW_KIND = "config"
+ROW_NAME = "revision"
+FETCH_METHOD = "catalogue.fetch"
+SNAPSHOT_CHECK_S = 1.0
+
+logger = make_logger("catalogue")
+
+
+@attrs.frozen
+class ConfigRow:
+    """What an instance tells its peers about the content that it has."""
+
+    revision: int
+    next_offset: int
+
+
+class CatalogueService(BaseService):
+    """Follows the catalogue and appends edits to it.
+
+    Parameters
+    ----------
+    app : Application
+        Finds the log and, where there is one, the service ``peers``.
+    options : CatalogueOptions
+        How the log is followed.
+    log : Log or None
+        In place of the service ``log``.
+    """
+
+    name = "catalogue"
+
+    def __init__(
+        self,
+        app: Application,
+        options: CatalogueOptions | None = None,
+        *,
+        log: Log | None = None,
+    ) -> None:
+        self.app = app
+        self.options = options or CatalogueOptions()
+        self.given_log = log
+        self.ready = asyncio.Event()
+        self.subscribers: list[OnContent] = []
+        self.waiters: dict[tuple[str, str], list[asyncio.Future[Verdict]]] = {}
+        self.folded = asyncio.Event()
+        self.told_revision: int | None = None
+        self.failing_since_s: float | None = None
+        self.snapshot_s = app.clock.monotonic()
+        self.snapshot_seen = -1
+        self.row_is_newer = asyncio.Event()
+
+    @property
+    def content(self) -> CatalogueContent:
+        """The content in force at this instance."""
+        return self.follower.state.content
+
+    @property
+    def revision(self) -> int:
+        """Offset of the last edit in force here; -1 before the first."""
+        return self.follower.state.revision
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the content was read from the log or a peer."""
+        return self.ready.is_set()
+
+    @property
+    def log(self) -> Log:
+        """The log that is followed."""
+        return self.given_log or self.app.find("log")
+
+    async def start(self) -> None:
+        """Begin to follow the log; :attr:`ready` is set once it was read."""
+        self.follower = ConfigFollower(self.log, self._on_verdict)
+        self.peers = self.app.services.get("peers")
+        if self.peers is not None:
+            self.peers.serve(FETCH_METHOD, self._serve_fetch)
+            self.peers.subscribe(
+                ROW_KIND, ConfigRow, lambda *row: self.row_is_newer.set()
+            )
+            self.app.spawn("catalogue.peers", self._follow_peers)
+        self.app.spawn("catalogue.log", self._follow_log)
+        self.app.spawn("catalogue.snapshots", self._keep_snapshot)
+
+    def subscribe(self, callback: OnContent) -> None:
+        """Call ``callback(content, revision)`` now and after each change."""
+        self.subscribers.append(callback)
+        callback(self.content, self.revision)
+
+    async def apply(self, edit: Edit, *, timeout_s: float | None = None) -> int:
+        """Append an edit and return its revision once it is in force here.
+
+        The same edit with the same ``edit_id`` may be applied again: it takes
+        effect at most once.
+
+        Raises
+        ------
+        ConflictError
+            If an item changed after the edit's base revision.
+        FaultyDocumentError
+            If the edit has faults; all are listed.
+        LogUnavailableError
+            If the log did not take the edit; nothing was changed.
+        EditAnswerLostError
+            If the log may have taken the edit; ask again with the same id.
+        """
+        if not self.is_ready:
+            raise CatalogueNotReadyError
+        timeout_s = timeout_s or self.options.apply_timeout_s
+        data = encode_edit(edit)
+        if decode_record(data) is None:
+            raise _unreadable()
+        attempt = _Attempt()
+        future: asyncio.Future[Verdict] = asyncio.get_running_loop().create_future()
+        waiters = self.waiters.setdefault(_waiter_key(edit), [])
+        waiters.append(future)
+        task = asyncio.create_task(self._append(edit, data, future, attempt))
+        try:
+            verdict = await self._wait_for(future, task, timeout_s)
+        finally:
+            task.cancel()
+            waiters.remove(future)
+            if not waiters:
+                self.waiters.pop(_waiter_key(edit), None)
+        if verdict is not None:
+            return _to_revision(verdict)
+        if attempt.may_be_appended:
+            raise EditAnswerLostError(edit.edit_id, timeout_s)
+        raise attempt.refusal or CatalogueBehindError(edit.base_revision, self.revision)
+
+    async def _append(
+        self, edit: Edit, data: str, future: asyncio.Future[Verdict], attempt: _Attempt
+    ) -> None:
+        await self._read_to(edit.base_revision + 1)
+        verdict = self._judge(edit)
+        if verdict is not None:
+            future.set_result(verdict)
+            return
+        while not future.done():
+            was_appended = attempt.may_be_appended
+            try:
+                attempt.may_be_appended = True
+                offset = await self.log.append(STREAM, data)
+                await self._read_to(offset + 1)
+                return
+            except LogAnswerLostError:
+                attempt.may_be_appended = True
+            except LogUnavailableError as error:
+                attempt.refusal = error
+                attempt.may_be_appended = was_appended
+            # Appending again is harmless: the rule knows the edit by its id.
+            await self.app.clock.sleep(self.options.retry_s)
+
+    def _judge(self, edit: Edit) -> Verdict | None:
+        state = self.follower.state
+        _, verdict = judge(state, edit, state.next_offset)
+        if verdict.status != "applied":
+            return verdict
+        faults = find_deadline_faults(edit, self.app.clock.time())
+        return Verdict("invalid", faults=tuple(faults)) if faults else None
+
+    async def _wait_for(
+        self,
+        future: asyncio.Future[Verdict],
+        task: asyncio.Task[None],
+        timeout_s: float,
+    ) -> Verdict | None:
+        timer = asyncio.create_task(self.app.clock.sleep(timeout_s))
+        try:
+            waited: set[asyncio.Future[Any]] = {future, timer, task}
+            await asyncio.wait(waited, return_when=asyncio.FIRST_COMPLETED)
+            if task.done() and not future.done():
+                task.result()
+                waited.remove(task)
+                await asyncio.wait(waited, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            timer.cancel()
+        return future.result() if future.done() else None
+
+    def _on_verdict(self, record: ConfigRecord, verdict: Verdict) -> None:
+        if record.edit is not None:
+            self._settle(_waiter_key(record.edit), verdict)
+
+    def _settle(self, key: tuple[str, str], verdict: Verdict) -> None:
+        for future in self.waiters.get(key, []):
+            if not future.done():
+                future.set_result(verdict)
+
+    def _settle_by_marks(self) -> None:
+        for edit_id, digest in list(self.waiters):
+            mark = self.follower.state.marks.get(edit_id)
+            if mark is not None and mark.digest == digest:
+                verdict = Verdict("duplicate", mark.revision, mark.author, first=mark)
+                self._settle((edit_id, digest), verdict)
+
+    async def _read_to(self, next_offset: int) -> None:
+        while self.follower.state.next_offset < next_offset:
+            await self.folded.wait()
+
+    async def _follow_log(self) -> None:
+        wait_s = 0.0
+        while True:
+            try:
+                await self.follower.read_on(wait_s)
+            except NoSnapshotError as error:
+                logger.error("The catalogue can't be read: {}", error)
+                await self.app.clock.sleep(self.options.retry_s)
+                continue
+            except (LogUnavailableError, LogAnswerLostError, LogTruncatedError):
+                wait_s = 0.0
+                if self.failing_since_s is None:
+                    self.failing_since_s = self.app.clock.monotonic()
+                await self.app.clock.sleep(self.options.retry_s)
+                continue
+            self.failing_since_s = None
+            wait_s = self.options.poll_s
+            self._tell()
+
+    def _tell(self) -> None:
+        folded = self.folded
+        self.folded = asyncio.Event()
+        folded.set()
+        if not self.is_ready:
+            self.ready.set()
+            logger.info("Ready at revision {}.", self.revision)
+        if self.revision == self.told_revision:
+            return
+        self.told_revision = self.revision
+        if self.peers is not None:
+            row = ConfigRow(self.revision, self.follower.state.next_offset)
+            self.peers.publish(ROW_KIND, ROW_NAME, row)
+        for callback in list(self.subscribers):
+            try:
+                callback(self.content, self.revision)
+            except Exception:
+                logger.exception("A subscriber failed at revision {}.", self.revision)
+
+    async def _follow_peers(self) -> None:
+        while True:
+            if not self._is_cut_off():
+                self.row_is_newer.clear()
+                await self._wait_for_row()
+                continue
+            origin = self._find_newer_peer()
+            if origin is None or not await self._fetch(origin):
+                await self.app.clock.sleep(self.options.retry_s)
+
+    async def _wait_for_row(self) -> None:
+        await self.row_is_newer.wait()
+        while not self._is_cut_off() and self._find_newer_peer() is not None:
+            await self.app.clock.sleep(self.options.retry_s)
+
+    def _find_newer_peer(self) -> str | None:
+        assert self.peers is not None
+        floor = self.revision if self.is_ready else -2
+        rows = self.peers.rows(ROW_KIND, ConfigRow)
+        newer = [origin for (origin, _), row in rows.items() if row.revision > floor]
+        return self.app.rng.choice(sorted(newer)) if newer else None
+
+    def _is_cut_off(self) -> bool:
+        if not self.is_ready:
+            return True
+        if self.failing_since_s is None:
+            return False
+        failing_s = self.app.clock.monotonic() - self.failing_since_s
+        return failing_s >= self.options.cut_off_after_s
+
+    async def _fetch(self, origin: str) -> bool:
+        assert self.peers is not None
+        try:
+            payload = await self.peers.call(
+                origin, FETCH_METHOD, b"", timeout_s=self.options.peer_timeout_s
+            )
+            snapshot = msgspec.json.decode(payload, type=Snapshot)
+            is_newer = self.follower.restore(snapshot)
+        except (LagoonringError, OSError, TimeoutError, msgspec.MsgspecError) as error:
+            logger.warning("Got no catalogue from {}: {!r}.", origin, error)
+            return False
+        if is_newer:
+            logger.info("Took revision {} from {}.", self.revision, origin)
+            self._settle_by_marks()
+            self._tell()
+        return is_newer
+
+    async def _serve_fetch(self, sender: str, payload: bytes) -> bytes:
+        if not self.is_ready:
+            raise CatalogueNotReadyError
+        return msgspec.json.encode(take_snapshot(self.follower.state))
+
+    async def _keep_snapshot(self) -> None:
+        await self.ready.wait()
+        check_s = min(SNAPSHOT_CHECK_S, self.options.snapshot_interval_s)
+        while True:
+            await self.app.clock.sleep(check_s)
+            if not self._needs_snapshot():
+                continue
+            jitter_s = self.app.rng.uniform(0, self.options.snapshot_jitter_s)
+            await self.app.clock.sleep(jitter_s)
+            if self._needs_snapshot() and not self._is_cut_off():
+                await self._write_snapshot()
+
+    def _needs_snapshot(self) -> bool:
+        follower = self.follower
+        if follower.snapshot_offset > self.snapshot_seen:
+            self.snapshot_seen = follower.snapshot_offset
+            self.snapshot_s = self.app.clock.monotonic()
+        if self.revision < 0:
+            return False
+        n_since = follower.state.next_offset - max(0, follower.snapshot_offset)
+        age_s = self.app.clock.monotonic() - self.snapshot_s
+        return (
+            n_since > self.options.snapshot_every
+            or age_s > self.options.snapshot_interval_s
+            or follower.first_offset > max(0, follower.snapshot_offset)
+        )
+
+    async def _write_snapshot(self) -> None:
+        data = encode_snapshot(take_snapshot(self.follower.state))
+        try:
+            await self.log.append(STREAM, data)
+        except (LogUnavailableError, LogAnswerLostError) as error:
+            logger.warning("No snapshot was written: {}", error)
+
+
+@attrs.define
+class _Attempt:
+    """What is known of the appends of one edit."""
+
+    may_be_appended: bool = False
+    refusal: LogUnavailableError | None = None
+
+
+def _waiter_key(edit: Edit) -> tuple[str, str]:
+    return edit.edit_id, digest_changes(edit)
+
+
+def _to_revision(verdict: Verdict) -> int:
+    status = verdict.first.status if verdict.first else verdict.status
+    if verdict.faults or status == "invalid":
+        faults = list(verdict.faults) or [_refused_before(verdict)]
+        raise FaultyDocumentError("edit", faults)
+    if status == "conflict":
+        raise ConflictError(verdict.revision, verdict.author, verdict.path)
+    return verdict.revision
+
+
+def _refused_before(verdict: Verdict) -> Fault:
+    offset = verdict.first.offset if verdict.first else -1
+    got = f"an edit that was refused at offset {offset}"
+    remedy = "Correct its faults and send it with a new edit_id."
+    return Fault("edit_id", got, "an edit without faults", remedy)
+
+
+def _unreadable() -> FaultyDocumentError:
+    fault = Fault(
+        "changes",
+        "items that can't be read back",
+        "plain JSON of 16 levels at most",
+        "Correct the items.",
+    )
+    return FaultyDocumentError("edit", [fault])
--- a/lagoonring/tests/builders/catalogues.py
+++ b/lagoonring/tests/builders/catalogues.py
@@ -4,8 +4,8 @@
 
 from typing import Any
 
-from lagoonring.catalogue import CatalogueContent
-from lagoonring.settings import convert
+from lagoonring.catalogue import CatalogueContent, Change, Edit
+from lagoonring.settings import convert, to_plain
 
 
 def make_catalogue(**sections: Any) -> CatalogueContent:
@@ -27,3 +27,26 @@
     }
     plain.update(sections)
     return convert(plain, CatalogueContent)
+
+
+def make_edit(edit_id: str, *changes: Change, base: int = -1, **fields: Any) -> Edit:
+    """Return an edit by ``ana`` unless ``author`` is given."""
+    fields = {"author": "ana", **fields}
+    return Edit(edit_id=edit_id, base_revision=base, changes=list(changes), **fields)
+
+
+def set_class(name: str, priority: int = 0) -> Change:
+    """Return a change that sets a service class; it refers to nothing."""
+    return Change(section="classes", name=name, item={"priority": priority})
+
+
+def make_first_edit(edit_id: str = "first") -> Edit:
+    """Return an edit that makes a whole small catalogue."""
+    plain = to_plain(make_catalogue())
+    plain["organisations"]["asso"] = {}
+    changes = [
+        Change(section=section, name=name, item=item)
+        for section, items in plain.items()
+        for name, item in items.items()
+    ]
+    return make_edit(edit_id, *changes)
--- /dev/null
+++ b/lagoonring/tests/builders/claims.py
@@ -0,0 +1,161 @@
+"""Peers in memory for tests of parts that agree through the log."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+import attrs
+
+from lagoonring.errors import UnavailableError
+
+if TYPE_CHECKING:
+    import random
+
+
+@attrs.define
+class MemberDouble:
+    """What ``peers.members()`` tells of an instance."""
+
+    instance: str
+    data_centre: str = "plateau"
+    region: str = "dakar"
+    address: str = ""
+    incarnation: int = 0
+    state: str = "live"
+
+
+class PeerNetwork:
+    """Carries rows and calls between :class:`PeersDouble` objects.
+
+    ``n_lost_calls`` calls are lost before, ``n_lost_answers`` after they were
+    served. Instances in ``cut_off`` neither reach others nor are reached, those
+    in ``stopped`` do not answer until they leave it.
+    """
+
+    def __init__(self, rng: random.Random | None = None) -> None:
+        self.rng = rng
+        self.peers: dict[str, PeersDouble] = {}
+        self.cut_off: set[str] = set()
+        self.gates: dict[str, asyncio.Event] = {}
+        self.lost_share = 0.0
+        self.delay_s = 0.0
+
+    def join(self, instance: str, data_centre: str = "plateau") -> PeersDouble:
+        """Return the peers of a new instance."""
+        double = PeersDouble(self, MemberDouble(instance, data_centre))
+        self.peers[instance] = double
+        return double
+
+    def leave(self, instance: str) -> None:
+        """Remove an instance as if it had died."""
+        self.peers.pop(instance, None)
+        self.cut_off.discard(instance)
+
+    def reaches(self, sender: str, receiver: str) -> bool:
+        """Whether a message gets through."""
+        if sender == receiver:
+            return True
+        cut = sender in self.cut_off or receiver in self.cut_off
+        return not cut and receiver in self.peers
+
+    async def disturb(self, receiver: str) -> None:
+        """Delay or lose one message."""
+        gate = self.gates.get(receiver)
+        if gate is not None:
+            await gate.wait()
+        if self.rng is None:
+            return
+        if self.delay_s:
+            await asyncio.sleep(self.rng.uniform(0, self.delay_s))
+        if self.rng.random() < self.lost_share:
+            await asyncio.get_running_loop().create_future()
+
+
+class PeersDouble:
+    """The interface of the service ``peers`` in memory."""
+
+    name = "peers"
+
+    def __init__(self, network: PeerNetwork, me: MemberDouble) -> None:
+        self.network = network
+        self.me = me
+        self.handlers: dict[str, Any] = {}
+        self.subscribers: list[tuple[str, Any]] = []
+        self.own: dict[tuple[str, str], Any] = {}
+
+    async def start(self) -> None:
+        """Tell the rows of the others to this instance's subscribers."""
+        for peer in list(self.network.peers.values()):
+            for (kind, name), value in peer.own.items():
+                self._deliver(peer.me.instance, kind, name, value)
+
+    async def drain(self, grace_s: float) -> None:
+        """Do nothing."""
+
+    async def stop(self) -> None:
+        """Do nothing."""
+
+    def members(self) -> list[MemberDouble]:
+        """Return the instances that can be reached."""
+        me = self.me.instance
+        return [
+            peer.me
+            for instance, peer in self.network.peers.items()
+            if self.network.reaches(me, instance)
+        ]
+
+    def publish(
+        self, kind: str, name: str, value: Any, *, urgent: bool = False
+    ) -> None:
+        """Set a row and tell the others at once."""
+        self.own[kind, name] = value
+        me = self.me.instance
+        for instance, peer in self.network.peers.items():
+            if instance != me and self.network.reaches(me, instance):
+                peer._deliver(me, kind, name, value)
+
+    def rows(self, kind: str, cls: type) -> dict[tuple[str, str], Any]:
+        """Return all rows of a kind."""
+        return {
+            (instance, name): value
+            for instance, peer in self.network.peers.items()
+            for (row_kind, name), value in peer.own.items()
+            if row_kind == kind and value is not None
+        }
+
+    def subscribe(self, kind: str, cls: type, callback: Any) -> None:
+        """Call back with every row of a kind that another instance sets."""
+        self.subscribers.append((kind, callback))
+
+    def serve(self, method: str, handler: Any) -> None:
+        """Serve a method."""
+        self.handlers[method] = handler
+
+    async def call(
+        self, instance: str, method: str, payload: bytes, *, timeout_s: float
+    ) -> bytes:
+        """Call a method of another instance."""
+        try:
+            return await asyncio.wait_for(
+                self._call(instance, method, payload), timeout_s
+            )
+        except TimeoutError:
+            raise UnavailableError(f"Got no answer of {instance}.") from None
+
+    async def _call(self, instance: str, method: str, payload: bytes) -> bytes:
+        me = self.me.instance
+        await self.network.disturb(instance)
+        if not self.network.reaches(me, instance):
+            raise UnavailableError(f"Got no connection to {instance}.")
+        peer = self.network.peers[instance]
+        answer = await peer.handlers[method](me, payload)
+        await self.network.disturb(me)
+        if not self.network.reaches(instance, me):
+            await asyncio.get_running_loop().create_future()
+        return answer
+
+    def _deliver(self, origin: str, kind: str, name: str, value: Any) -> None:
+        for row_kind, callback in self.subscribers:
+            if row_kind == kind:
+                callback(origin, name, value)
