Add peers: membership, gossip and calls over pynng

Cause: entry instances share loads, notices and verdicts and call each other. Change: PeersService with authenticated frames over Push/Pull sockets, tables of versioned rows compared by digest, urgent pushes, members by tick, calls.

--- a/lagoonring/peers/__init__.py
+++ b/lagoonring/peers/__init__.py
@@ -1,1 +1,27 @@
-"""Membership and gossip between entry instances."""
+"""Membership, gossip and calls between entry instances."""
+
+from __future__ import annotations
+
+from lagoonring.peers.errors import (
+    PeerAnswerLostError,
+    PeerCallError,
+    PeerUnreachableError,
+    RowTooLargeError,
+    UnknownKindError,
+)
+from lagoonring.peers.messages import Member, MemberState
+from lagoonring.peers.options import PeersOptions, SeedMember
+from lagoonring.peers.service import PeersService
+
+__all__ = [
+    "Member",
+    "MemberState",
+    "PeerAnswerLostError",
+    "PeerCallError",
+    "PeerUnreachableError",
+    "PeersOptions",
+    "PeersService",
+    "RowTooLargeError",
+    "SeedMember",
+    "UnknownKindError",
+]
--- /dev/null
+++ b/lagoonring/peers/channel.py
@@ -0,0 +1,148 @@
+"""Sends and receives authenticated messages by instance name."""
+
+from __future__ import annotations
+
+import itertools
+from collections import OrderedDict
+from typing import TYPE_CHECKING, Any
+
+from lagoonring.errors import InvalidInputError
+from lagoonring.peers import metrics
+from lagoonring.peers.drops import DropCounter
+from lagoonring.peers.frames import (
+    DropReason,
+    Envelope,
+    FrameDroppedError,
+    ReplayFilter,
+    decode_message,
+    seal,
+    unseal,
+)
+from lagoonring.peers.messages import CODECS, MessageKind
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from lagoonring.kernel import Clock
+    from lagoonring.peers.messages import MemberRecord
+    from lagoonring.peers.options import PeersOptions
+    from lagoonring.peers.transport import Transport
+
+    Allow = Callable[[str, str], bool]
+    Handler = Callable[[Envelope, Any], None]
+
+N_CALLERS_MOST = 1024
+ENVELOPE_ROOM_BYTES = 512
+
+
+class MessageTooLargeError(InvalidInputError):
+    """A message does not fit into a frame."""
+
+    code = "message_too_large"
+
+
+class Channel:
+    """Messages between this instance and others, checked on receipt.
+
+    Parameters
+    ----------
+    transport : Transport
+        Carries the frames.
+    allow : callable or None
+        ``allow(sender, receiver)`` is False for pairs that are cut off from each
+        other; their frames vanish. For tests.
+
+    Attributes
+    ----------
+    me : MemberRecord
+        This instance's present life.
+    handlers : dict
+        What is called with an envelope and its message, by kind.
+    """
+
+    def __init__(
+        self,
+        me: MemberRecord,
+        transport: Transport,
+        clock: Clock,
+        options: PeersOptions,
+        *,
+        allow: Allow | None = None,
+    ) -> None:
+        self.me = me
+        self.transport = transport
+        self.options = options
+        self.allow = allow
+        self.keys = [key.encode() for key in options.keys]
+        self.handlers: dict[MessageKind, Handler] = {}
+        self.drops = DropCounter(clock)
+        self.replays = ReplayFilter()
+        self.sequence = itertools.count()
+        self.addresses: OrderedDict[str, str] = OrderedDict()
+
+    def note_address(self, instance: str, address: str) -> None:
+        """Remember where the sender of a message can be answered."""
+        self.addresses[instance] = address
+        self.addresses.move_to_end(instance)
+        if len(self.addresses) > N_CALLERS_MOST:
+            self.addresses.popitem(last=False)
+
+    def encode(self, kind: MessageKind, message: Any) -> bytes:
+        """Return the payload of a message.
+
+        Raises
+        ------
+        MessageTooLargeError
+            If it does not fit into a frame.
+        """
+        payload = CODECS[kind].encode(message)
+        limit_bytes = self.options.frame_limit_bytes - ENVELOPE_ROOM_BYTES
+        if len(payload) > limit_bytes:
+            raise MessageTooLargeError(
+                f"Got a message of {len(payload)} bytes, expected at most "
+                f"{limit_bytes}.",
+                remedy="Send it in parts, or raise peers.frame_limit_bytes.",
+            )
+        return payload
+
+    def post(
+        self,
+        instance: str,
+        address: str,
+        kind: MessageKind,
+        payload: bytes,
+        on_unsent: Callable[[], None] | None = None,
+    ) -> None:
+        """Send a payload to an instance at an address."""
+        envelope = Envelope(
+            self.me.instance,
+            self.me.incarnation,
+            instance,
+            next(self.sequence),
+            int(kind),
+            payload,
+        )
+        frame = seal(envelope, self.keys)
+        if self.allow is not None and not self.allow(self.me.instance, instance):
+            return
+        self.transport.post(address, frame, on_unsent)
+
+    def receive(self, frame: bytes) -> None:
+        """Check a frame and hand its message over; never raises."""
+        try:
+            envelope = unseal(
+                frame, self.keys, limit_bytes=self.options.frame_limit_bytes
+            )
+            self._check_parties(envelope)
+            self.replays.check(envelope.sender, envelope.incarnation, envelope.sequence)
+            message = decode_message(envelope)
+        except FrameDroppedError as error:
+            self.drops.count(error.reason)
+            return
+        metrics.frames_received.inc()
+        self.handlers[MessageKind(envelope.kind)](envelope, message)
+
+    def _check_parties(self, envelope: Envelope) -> None:
+        me = self.me.instance
+        if envelope.receiver != me or envelope.sender == me:
+            raise FrameDroppedError(DropReason.MISDIRECTED)
--- /dev/null
+++ b/lagoonring/peers/gossip.py
@@ -0,0 +1,293 @@
+"""Gossip rounds: comparison of tables with partners, and urgent pushes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from lagoonring.logs.logger import make_logger
+from lagoonring.peers.contacts import record_of_seed
+from lagoonring.peers.messages import MessageKind, Push, Sync, TableSync
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable, Iterable
+
+    from lagoonring.kernel import Clock
+    from lagoonring.peers.channel import Channel
+    from lagoonring.peers.contacts import RemoteMembers
+    from lagoonring.peers.frames import Envelope
+    from lagoonring.peers.members import LocalMembers
+    from lagoonring.peers.messages import MemberRecord, RowUpdate
+    from lagoonring.peers.options import PeersOptions, SeedMember
+    from lagoonring.peers.tables import Table
+
+ROUND_JITTER = 0.2
+SILENT_PARTNER_SHARE = 0.2
+N_SAMPLED = 3
+NEW_LIFE_INTERVAL_S = 1.0
+
+logger = make_logger("peers")
+
+
+class Gossip:
+    """Keeps the tables of this instance and its peers alike.
+
+    Parameters
+    ----------
+    local, fleet : Table
+        Rows that stay in the data centre, and those that go everywhere.
+    begin_life : callable
+        Called with the least incarnation to take when this instance must appear
+        as a new one.
+    """
+
+    def __init__(
+        self,
+        channel: Channel,
+        local: Table,
+        fleet: Table,
+        members: LocalMembers,
+        remote: RemoteMembers,
+        *,
+        clock: Clock,
+        rng: random.Random,
+        options: PeersOptions,
+        begin_life: Callable[[int], None],
+    ) -> None:
+        self.channel = channel
+        self.local = local
+        self.fleet = fleet
+        self.members = members
+        self.remote = remote
+        self.clock = clock
+        self.rng = rng
+        self.options = options
+        self.begin_life = begin_life
+        self.seeds: dict[str, MemberRecord] = {}
+        self.new_life_s = clock.monotonic()
+        self.remote_due_s = clock.monotonic()
+        self.fleet_due_s = clock.monotonic()
+        self.refresh_due_s = clock.monotonic()
+        channel.handlers[MessageKind.SYNC] = self.receive_sync
+        channel.handlers[MessageKind.PUSH] = self.receive_push
+
+    @property
+    def me(self) -> MemberRecord:
+        """This instance's present life."""
+        return self.channel.me
+
+    def note_seeds(self, seeds: Iterable[SeedMember]) -> None:
+        """Take in the seeds of this and of other data centres."""
+        seeds = list(seeds)
+        self.seeds = {
+            seed.instance: record_of_seed(seed)
+            for seed in seeds
+            if seed.data_centre == self.me.data_centre
+            and seed.instance != self.me.instance
+        }
+        self.remote.note_list(seeds)
+
+    async def run(self) -> None:
+        """Hold rounds without end."""
+        last_s = self.clock.monotonic()
+        last_time_s = self.clock.time()
+        while True:
+            jitter = self.rng.uniform(1 - ROUND_JITTER, 1 + ROUND_JITTER)
+            await self.clock.sleep(self.options.round_s * jitter)
+            now_s = self.clock.monotonic()
+            time_s = self.clock.time()
+            self._check_pause(now_s - last_s, time_s - last_time_s)
+            last_s = now_s
+            last_time_s = time_s
+            self.hold_round()
+
+    def hold_round(self) -> None:
+        """Judge members and begin the comparisons of one round."""
+        self.local.beat()
+        self.members.sweep()
+        self.remote.sweep()
+        self._refresh()
+        self._expire()
+        for record in self._choose_partners():
+            self._sync_local(record)
+        self._sync_remote()
+
+    def receive_sync(self, envelope: Envelope, sync: Sync) -> None:
+        """Merge a step of a comparison and send the next one."""
+        sender = envelope.sender
+        self.remote.note_heard(sender, envelope.incarnation)
+        is_dead = self._learn_sender(envelope, sync)
+        for record in sync.sample:
+            self.remote.learn(record)
+        self._check_own_life(sync)
+        is_local = sender in self.local.origins or (
+            sync.member is not None and sync.member.data_centre == self.me.data_centre
+        )
+        reply = Sync(
+            local=self._reply(self.local, sync.local if is_local else None),
+            fleet=self._reply(self.fleet, sync.fleet),
+            sample=self._sample() if sync.member and not is_local else [],
+            receiver_incarnation=envelope.incarnation if is_dead else 0,
+            is_receiver_dead=is_dead,
+        )
+        is_asked = sync.member is not None and not is_local
+        if reply.local or reply.fleet or is_dead or is_asked:
+            self._post(sender, reply)
+
+    def push(self, row: RowUpdate, *, is_fleet: bool) -> None:
+        """Send a row of this instance to all peers at once."""
+        records = self.members.partners()
+        if is_fleet:
+            records += [contact.record for contact in self.remote.all_contacts()]
+        self._push_to(records, Push(self.me, is_fleet, row))
+
+    def receive_push(self, envelope: Envelope, push: Push) -> None:
+        """Keep a pushed row; one from another data centre is sent on in this one."""
+        origin = push.record
+        table = self.fleet if push.is_fleet else self.local
+        if not push.is_fleet and origin.data_centre != self.me.data_centre:
+            return
+        self.remote.note_heard(envelope.sender, envelope.incarnation)
+        is_new = table.put(origin, push.row)
+        is_direct = envelope.sender == origin.instance
+        if is_new and is_direct and origin.data_centre != self.me.data_centre:
+            self._push_to(self.members.partners(), push)
+
+    def address_of(self, instance: str) -> str | None:
+        """Return where an instance listens, if that is known."""
+        record = self.find(instance)
+        if record is not None:
+            return record.address
+        return self.channel.addresses.get(instance)
+
+    def find(self, instance: str) -> MemberRecord | None:
+        """Return the record of an instance of any data centre, if it is known."""
+        origin = self.local.origins.get(instance)
+        if origin is not None:
+            return origin.record
+        return self.remote.find(instance) or self.seeds.get(instance)
+
+    def _check_pause(self, gap_s: float, wall_gap_s: float) -> None:
+        paused_s = max(gap_s, wall_gap_s) - self.options.round_s
+        if paused_s <= self.options.pause_s:
+            return
+        logger.warning("This process stood still for {:.1f} s.", paused_s)
+        self.members.note_pause(gap_s)
+        self.remote.note_pause(gap_s)
+        self.begin_life(0)
+
+    def _choose_partners(self) -> list[MemberRecord]:
+        partners = self.members.partners()
+        n_chosen = min(self.options.n_partners, len(partners))
+        chosen = self.rng.sample(partners, n_chosen)
+        silent = self.members.unreachable() + [
+            record
+            for instance, record in self.seeds.items()
+            if instance not in self.local.origins
+        ]
+        if silent and (not chosen or self.rng.random() < SILENT_PARTNER_SHARE):
+            chosen.append(self.rng.choice(silent))
+        return chosen
+
+    def _sync_local(self, record: MemberRecord) -> None:
+        now_s = self.clock.monotonic()
+        fleet = None
+        if now_s >= self.fleet_due_s:
+            self.fleet_due_s = now_s + self.options.fleet_round_s
+            fleet = self.fleet.start_hashed()
+        sync = Sync(
+            member=self.me,
+            local=self.local.start_local(),
+            fleet=fleet,
+            receiver_incarnation=record.incarnation,
+        )
+        self._post(record.instance, sync, record.address)
+
+    def _sync_remote(self) -> None:
+        now_s = self.clock.monotonic()
+        names = self.remote.data_centres()
+        if now_s < self.remote_due_s or not names:
+            return
+        self.remote_due_s = now_s + self.options.remote_round_s
+        contact = self.rng.choice(self.remote.contacts(self.rng.choice(names))).record
+        self.remote.note_asked(contact.instance, contact.data_centre)
+        sync = Sync(
+            member=self.me,
+            fleet=self.fleet.start_hashed(),
+            sample=self._sample(),
+            receiver_incarnation=contact.incarnation,
+        )
+        self._post(contact.instance, sync, contact.address)
+
+    def _sample(self) -> list[MemberRecord]:
+        """Return a few members of this data centre, this instance included."""
+        records = [*self.members.partners(), self.me]
+        return self.rng.sample(records, min(N_SAMPLED, len(records)))
+
+    def _learn_sender(self, envelope: Envelope, sync: Sync) -> bool:
+        """Take in the sender's record; return whether its life is held dead."""
+        record = sync.member
+        if record is None or record.instance != envelope.sender:
+            return False
+        self.channel.note_address(record.instance, record.address)
+        if record.data_centre != self.me.data_centre:
+            self.remote.learn(record)
+            return False
+        buried = self.local.buried.get(record.instance)
+        self.local.admit(record)
+        return buried is not None and buried.incarnation == record.incarnation
+
+    def _check_own_life(self, sync: Sync) -> None:
+        now_s = self.clock.monotonic()
+        is_newer = sync.receiver_incarnation > self.me.incarnation
+        is_dead = (
+            sync.is_receiver_dead and sync.receiver_incarnation == self.me.incarnation
+        )
+        if not (is_newer or is_dead) or now_s < self.new_life_s:
+            return
+        self.new_life_s = now_s + NEW_LIFE_INTERVAL_S
+        logger.warning("Peers hold this instance dead or newer, taking a new life.")
+        self.begin_life(sync.receiver_incarnation + 1)
+
+    def _reply(self, table: Table, sync: TableSync | None) -> TableSync | None:
+        if sync is None:
+            return None
+        reply = table.reply(sync)
+        return None if reply.is_empty() else reply
+
+    def _refresh(self) -> None:
+        now_s = self.clock.monotonic()
+        if self.fleet.own is not None and now_s >= self.refresh_due_s:
+            self.refresh_due_s = now_s + self.options.refresh_s
+            self.fleet.beat()
+
+    def _expire(self) -> None:
+        """Drop fleet rows of origins that have not been refreshed for long."""
+        oldest_s = self.clock.monotonic() - self.options.expire_s
+        kept_s = self.clock.monotonic() - self.options.unreachable_keep_s
+        for instance, origin in list(self.fleet.origins.items()):
+            if origin is self.fleet.own or origin.advanced_s > oldest_s:
+                continue
+            if origin.advanced_s > kept_s and self._may_live(origin.record):
+                continue
+            self.fleet.remove(instance, bury=True)
+
+    def _may_live(self, record: MemberRecord) -> bool:
+        if record.data_centre == self.me.data_centre:
+            return record.instance in self.local.origins
+        return self.remote.is_unreachable(record.data_centre)
+
+    def _push_to(self, records: Iterable[MemberRecord], push: Push) -> None:
+        payload = self.channel.encode(MessageKind.PUSH, push)
+        for record in records:
+            if record.instance != push.record.instance:
+                self.channel.post(
+                    record.instance, record.address, MessageKind.PUSH, payload
+                )
+
+    def _post(self, instance: str, sync: Sync, address: str | None = None) -> None:
+        address = address or self.address_of(instance)
+        if address is None:
+            return
+        payload = self.channel.encode(MessageKind.SYNC, sync)
+        self.channel.post(instance, address, MessageKind.SYNC, payload)
--- /dev/null
+++ b/lagoonring/peers/kinds.py
@@ -0,0 +1,64 @@
+"""Kinds of rows: how far they spread and how fast."""
+
+from __future__ import annotations
+
+import enum
+
+import attrs
+
+from lagoonring.peers.errors import UnknownKindError
+
+
+class Scope(enum.Enum):
+    """How far rows of a kind spread."""
+
+    DATA_CENTRE = "data_centre"
+    FLEET = "fleet"
+
+
+@attrs.frozen(kw_only=True)
+class RowKind:
+    """A kind of rows.
+
+    ``code`` stands for it in frames. ``is_urgent`` rows are pushed at once;
+    ``is_coalesced`` ones get a new version only every ``coalesce_s``.
+    """
+
+    code: int
+    name: str
+    scope: Scope = Scope.FLEET
+    is_urgent: bool = False
+    is_coalesced: bool = False
+
+
+ALL_KINDS = (
+    RowKind(code=1, name="endpoint_load", scope=Scope.DATA_CENTRE, is_coalesced=True),
+    RowKind(code=2, name="demand", scope=Scope.DATA_CENTRE, is_coalesced=True),
+    RowKind(code=3, name="failing", scope=Scope.DATA_CENTRE),
+    RowKind(code=4, name="leaving", is_urgent=True),
+    RowKind(code=5, name="verdict", is_urgent=True),
+    RowKind(code=6, name="quarantine", is_urgent=True),
+    RowKind(code=7, name="config"),
+    RowKind(code=8, name="summary", is_coalesced=True),
+    RowKind(code=9, name="member_leaving", is_urgent=True),
+)
+KINDS_BY_NAME = {kind.name: kind for kind in ALL_KINDS}
+KINDS_BY_CODE = {kind.code: kind for kind in ALL_KINDS}
+
+
+def find_kind(name: str) -> RowKind:
+    """Return the kind of that name.
+
+    Raises
+    ------
+    UnknownKindError
+        If there is none.
+    """
+    try:
+        return KINDS_BY_NAME[name]
+    except KeyError:
+        known = ", ".join(sorted(KINDS_BY_NAME))
+        raise UnknownKindError(
+            f"Got row kind {name!r}, expected one of: {known}.",
+            remedy="Use a known kind, or add one to lagoonring/peers/kinds.py.",
+        ) from None
--- /dev/null
+++ b/lagoonring/peers/options.py
@@ -0,0 +1,107 @@
+"""Options of membership, gossip and calls between entry instances."""
+
+from __future__ import annotations
+
+import re
+from typing import TYPE_CHECKING, Any
+
+import attrs
+
+from lagoonring.settings.validators import between, is_name, matches
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+ADDRESS_PATTERN = re.compile(r"(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-f:]+\]):\d{1,5}")
+KEY_LENGTH_LEAST = 16
+KEY_LENGTH_MOST = 32
+MEBIBYTE = 1 << 20
+
+
+def is_address() -> Callable[[Any, Any, Any], None]:
+    """Accept an IP number and port, such as ``127.0.0.1:8701``."""
+    return matches(ADDRESS_PATTERN, "IP:port such as 127.0.0.1:8701")
+
+
+def are_keys() -> Callable[[Any, Any, Any], None]:
+    """Accept a list of one or more keys of 16 to 32 bytes."""
+
+    def validate(instance: Any, attribute: Any, value: Any) -> None:
+        sizes = [len(key.encode()) for key in value]
+        fit = [KEY_LENGTH_LEAST <= size <= KEY_LENGTH_MOST for size in sizes]
+        if not fit or not all(fit):
+            raise ValueError(
+                f"got {len(sizes)} keys of {sizes} bytes, expected at least one, "
+                f"each of {KEY_LENGTH_LEAST} to {KEY_LENGTH_MOST} bytes"
+            )
+
+    return validate
+
+
+@attrs.frozen(kw_only=True)
+class SeedMember:
+    """An entry instance named by the settings or the platform's list.
+
+    ``address`` is where it listens for peers, ``http_address`` for callers;
+    both are IP:port.
+    """
+
+    instance: str = attrs.field(validator=is_name())
+    data_centre: str = attrs.field(validator=is_name())
+    address: str = attrs.field(validator=is_address())
+    region: str = ""
+    http_address: str = ""
+
+
+@attrs.frozen(kw_only=True)
+class PeersOptions:
+    """How an instance talks to its peers; times in seconds.
+
+    Attributes
+    ----------
+    address : str
+        IP:port to listen on and to be reached at; port 0 lets the system choose.
+    keys : list of str
+        Shared secrets. The first signs, all are accepted, so that keys rotate by
+        adding the new one last everywhere, then moving it to the front.
+    round_s : float
+        Mean time between two gossip rounds.
+    suspect_after_s, dead_after_s : float
+        Silence after which a member is suspect, and dead or unreachable.
+    unreachable_keep_s : float
+        How long the members of a silent data centre are kept.
+    pause_s : float
+        A gap between two rounds that counts as a pause of the process.
+    """
+
+    address: str = attrs.field(default="127.0.0.1:0", validator=is_address())
+    keys: list[str] = attrs.field(validator=are_keys(), repr=False)
+    seeds: list[SeedMember] = attrs.field(factory=list)
+    round_s: float = attrs.field(default=0.5, validator=between(0.01, 60))
+    n_partners: int = attrs.field(default=1, validator=between(1, 4))
+    n_contacts: int = attrs.field(default=3, validator=between(1, 16))
+    remote_round_s: float = attrs.field(default=2.0, validator=between(0.01, 600))
+    fleet_round_s: float = attrs.field(default=2.0, validator=between(0.01, 600))
+    seeds_interval_s: float = attrs.field(default=10.0, validator=between(0.01, 600))
+    suspect_after_s: float = attrs.field(default=6.0, validator=between(0.05, 600))
+    dead_after_s: float = attrs.field(default=30.0, validator=between(0.1, 3600))
+    unreachable_keep_s: float = attrs.field(default=3600.0, validator=between(1, 86400))
+    pause_s: float = attrs.field(default=4.0, validator=between(0.05, 600))
+    coalesce_s: float = attrs.field(default=2.0, validator=between(0, 60))
+    refresh_s: float = attrs.field(default=120.0, validator=between(0.1, 3600))
+    expire_s: float = attrs.field(default=900.0, validator=between(0.5, 86400))
+    connect_timeout_s: float = attrs.field(default=2.0, validator=between(0.01, 60))
+    idle_link_s: float = attrs.field(default=120.0, validator=between(1, 3600))
+    frame_limit_bytes: int = attrs.field(
+        default=MEBIBYTE, validator=between(4096, 16 * MEBIBYTE)
+    )
+    row_limit_bytes: int = attrs.field(
+        default=64 * 1024, validator=between(64, MEBIBYTE)
+    )
+    table_limit_bytes: int = attrs.field(
+        default=2 * MEBIBYTE, validator=between(4096, 256 * MEBIBYTE)
+    )
+    table_limit_rows: int = attrs.field(
+        default=20_000, validator=between(16, 1_000_000)
+    )
+    n_calls_most: int = attrs.field(default=256, validator=between(1, 65_536))
--- /dev/null
+++ b/lagoonring/peers/origins.py
@@ -0,0 +1,133 @@
+"""The rows of one origin and the rule by which two copies are merged."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from lagoonring.peers.messages import MemberRecord, OriginUpdate, RowUpdate
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+ROW_OVERHEAD_BYTES = 160
+N_REMOVED_MOST = 64
+
+
+@attrs.define
+class Row:
+    """A row as it is kept; a value of None marks a removed one."""
+
+    version: int
+    value: bytes | None
+
+
+@attrs.define
+class Origin:
+    """The copy of an origin's rows that an instance keeps.
+
+    Attributes
+    ----------
+    tick : int
+        The copy holds all changes up to this count of the origin.
+    floor : int
+        Removals up to this tick may have been forgotten, so that a copy older
+        than that needs the full set of rows.
+    advanced_s : float
+        When ``tick`` last rose, by this process's monotonic clock.
+    """
+
+    record: MemberRecord
+    origin_id: bytes
+    tick: int = 0
+    floor: int = 0
+    advanced_s: float = 0.0
+    n_bytes: int = 0
+    rows: dict[tuple[int, str], Row] = attrs.field(factory=dict)
+
+    def put(self, update: RowUpdate) -> bool:
+        """Keep a row unless a newer version is here; return whether it was new."""
+        key = (update.kind, update.name)
+        old = self.rows.get(key)
+        if old is not None and old.version >= update.version:
+            return False
+        if old is None and update.version <= self.floor:
+            return False
+        self.n_bytes += row_bytes(update)
+        if old is not None:
+            self.n_bytes -= row_bytes(RowUpdate(*key, old.version, old.value))
+        self.rows[key] = Row(update.version, update.value)
+        return True
+
+    def merge(self, update: OriginUpdate) -> list[RowUpdate]:
+        """Merge rows from another copy of this origin; return those changed."""
+        changed = [row for row in update.rows if self.put(row)]
+        if update.is_full:
+            changed += self._remove_absent(update)
+            self.floor = max(self.floor, update.floor)
+        if (update.is_full or update.from_tick <= self.tick) and (
+            update.to_tick > self.tick
+        ):
+            self.tick = update.to_tick
+        self._forget_removed()
+        return changed
+
+    def changes_since(self, tick: int, *, with_record: bool) -> OriginUpdate:
+        """Return what a copy at ``tick`` lacks."""
+        is_full = tick < self.floor
+        rows = [
+            RowUpdate(kind, name, row.version, row.value)
+            for (kind, name), row in self.rows.items()
+            if is_full or row.version > tick
+        ]
+        record = self.record if with_record else None
+        return OriginUpdate(self.origin_id, tick, self.tick, self.floor, record, rows)
+
+    def _remove_absent(self, update: OriginUpdate) -> list[RowUpdate]:
+        present = {(row.kind, row.name) for row in update.rows}
+        removed = [
+            RowUpdate(kind, name, update.to_tick, None)
+            for (kind, name), row in self.rows.items()
+            if (kind, name) not in present
+            and row.version <= update.to_tick
+            and row.value is not None
+        ]
+        for row in removed:
+            self.put(row)
+        return removed
+
+    def _forget_removed(self) -> None:
+        removed = [
+            (row.version, key) for key, row in self.rows.items() if row.value is None
+        ]
+        if len(removed) <= N_REMOVED_MOST:
+            return
+        removed.sort()
+        for version, key in removed[: len(removed) // 2]:
+            if version > self.tick:
+                break
+            self.floor = max(self.floor, version)
+            del self.rows[key]
+            self.n_bytes -= row_bytes(RowUpdate(*key, version, None))
+
+
+def row_bytes(row: RowUpdate) -> int:
+    """Return about how much memory a row takes."""
+    return ROW_OVERHEAD_BYTES + len(row.name) + len(row.value or b"")
+
+
+def split_updates(
+    updates: Iterable[OriginUpdate], limit_bytes: int
+) -> Iterable[OriginUpdate]:
+    """Yield updates until their rows reach the limit; the rest waits.
+
+    At least one update is yielded, so that every round makes headway.
+    """
+    n_bytes = 0
+    for update in updates:
+        size = sum(row_bytes(row) for row in update.rows)
+        if n_bytes > 0 and n_bytes + size > limit_bytes:
+            return
+        n_bytes += size
+        yield update
--- /dev/null
+++ b/lagoonring/peers/service.py
@@ -0,0 +1,292 @@
+"""The service ``peers``: members, rows and calls for the other parts."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+import attrs
+
+from lagoonring.kernel import Application, BaseService
+from lagoonring.logs.logger import make_logger
+from lagoonring.peers import metrics
+from lagoonring.peers.calls import Calls
+from lagoonring.peers.channel import Channel
+from lagoonring.peers.contacts import RemoteMembers
+from lagoonring.peers.errors import unreachable
+from lagoonring.peers.gossip import Gossip
+from lagoonring.peers.kinds import KINDS_BY_NAME, find_kind
+from lagoonring.peers.members import LocalMembers, make_member
+from lagoonring.peers.messages import Member, MemberRecord, MemberState, RowUpdate
+from lagoonring.peers.own_rows import OwnRows
+from lagoonring.peers.subscriptions import UNDECODABLE, Subscription, Subscriptions
+from lagoonring.peers.tables import Table, TableLimits
+from lagoonring.peers.transport import NngTransport, Transport
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable, Iterator
+
+    from lagoonring.peers.calls import CallHandler
+    from lagoonring.peers.channel import Allow
+    from lagoonring.peers.options import PeersOptions, SeedMember
+    from lagoonring.peers.origins import Origin
+    from lagoonring.peers.subscriptions import RowCallback
+
+    ListSeeds = Callable[[], Awaitable[list[SeedMember]]]
+
+MEMBER_LEAVING = KINDS_BY_NAME["member_leaving"]
+FRAME_ROWS_SHARE = 4
+
+logger = make_logger("peers")
+
+
+class PeersService(BaseService):
+    """Membership, gossip and calls between entry instances.
+
+    Parameters
+    ----------
+    app : Application
+        Gives the clock, the random source and the supervision of tasks.
+    options : PeersOptions
+        Checked options.
+    instance, data_centre, region : str
+        Who this instance is and where.
+    http_address : str
+        IP:port for callers, told to peers.
+    list_seeds : callable or None
+        Async function that returns the platform's list of entry instances; it
+        may raise, the last answer then stays in force.
+    allow : callable or None
+        ``allow(sender, receiver)``; frames of pairs for which it returns False
+        vanish. For tests.
+    transport : Transport or None
+        Carries frames; pynng by default.
+    """
+
+    name = "peers"
+
+    def __init__(
+        self,
+        app: Application,
+        options: PeersOptions,
+        *,
+        instance: str,
+        data_centre: str,
+        region: str = "",
+        http_address: str = "",
+        list_seeds: ListSeeds | None = None,
+        allow: Allow | None = None,
+        transport: Transport | None = None,
+    ) -> None:
+        self.app = app
+        self.options = options
+        self.list_seeds = list_seeds
+        self.transport = transport or NngTransport(app.clock, options)
+        self.subscriptions = Subscriptions()
+        record = MemberRecord(
+            instance,
+            data_centre,
+            region,
+            options.address,
+            http_address,
+            int(app.clock.time() * 1000),
+        )
+        self.channel = Channel(record, self.transport, app.clock, options, allow=allow)
+        limits = TableLimits(
+            n_bytes=options.table_limit_bytes,
+            n_rows=options.table_limit_rows,
+            n_frame_bytes=options.frame_limit_bytes // FRAME_ROWS_SHARE,
+        )
+        self.local = Table(record, app.clock, limits, on_row=self._row_changed)
+        self.fleet = Table(record, app.clock, limits, on_row=self._row_changed)
+        self.local_members = LocalMembers(self.local, self.fleet, app.clock, options)
+        self.remote_members = RemoteMembers(instance, data_centre, app.clock, options)
+        self.calls = Calls(self.channel, n_most=options.n_calls_most)
+        self.gossip = Gossip(
+            self.channel,
+            self.local,
+            self.fleet,
+            self.local_members,
+            self.remote_members,
+            clock=app.clock,
+            rng=app.rng,
+            options=options,
+            begin_life=self._begin_life,
+        )
+        self.own_rows = OwnRows(
+            self.local, self.fleet, app.clock, options, self.gossip.push
+        )
+        self.tasks: list[asyncio.Task[None]] = []
+
+    @property
+    def me(self) -> Member:
+        """This instance as a member."""
+        is_leaving = self.local_members.is_leaving(self.channel.me.instance)
+        state = MemberState.LEAVING if is_leaving else MemberState.ALIVE
+        return make_member(self.channel.me, state)
+
+    def members(self) -> list[Member]:
+        """Return this data centre's other members and the contacts in the others."""
+        return self.local_members.list_members() + self.remote_members.list_members()
+
+    def publish(
+        self, kind: str, name: str, value: Any, *, urgent: bool = False
+    ) -> None:
+        """Change a row of this instance; a value of None removes it.
+
+        Rows of kinds that change all the time are written at most every
+        ``coalesce_s``; the newest value wins.
+
+        Raises
+        ------
+        UnknownKindError
+            If there is no such kind.
+        RowTooLargeError
+            If the row or all rows of this instance exceed their limits.
+        """
+        self.own_rows.publish(kind, name, value, urgent=urgent)
+
+    def rows(self, kind: str, value_type: Any) -> dict[tuple[str, str], Any]:
+        """Return the rows of a kind, this instance's included.
+
+        Returns
+        -------
+        dict
+            Values by (origin instance, name). Those that are not of
+            ``value_type`` are left out.
+        """
+        found = {}
+        for origin, name, value in self._stored(kind):
+            content = self.subscriptions.decode(value, value_type)
+            if content is not UNDECODABLE:
+                found[origin, name] = content
+        return found
+
+    def subscribe(self, kind: str, value_type: Any, callback: RowCallback) -> None:
+        """Call ``callback(origin, name, value or None)`` for others' rows.
+
+        Called at once for the rows that are there, then for every change.
+        """
+        subscription = Subscription(find_kind(kind).code, value_type, callback)
+        self.subscriptions.add(subscription)
+        for origin, name, value in self._stored(kind):
+            if origin != self.channel.me.instance:
+                self.subscriptions.notify_one(subscription, origin, name, value)
+
+    async def call(
+        self, instance: str, method: str, payload: bytes, *, timeout_s: float
+    ) -> bytes:
+        """Run a method on another instance and return its answer.
+
+        Raises
+        ------
+        PeerUnreachableError
+            If the method was provably not run.
+        PeerAnswerLostError
+            If it may have been run.
+        PeerCallError
+            If the method raised an error there.
+        MessageTooLargeError
+            If the payload does not fit into a frame.
+        """
+        if instance == self.channel.me.instance:
+            return await self.calls.run_here(instance, method, payload)
+        record = self.gossip.find(instance)
+        if record is None:
+            raise unreachable(instance, "no address")
+        return await self.calls.call(record, method, payload, timeout_s=timeout_s)
+
+    def serve(self, method: str, handler: CallHandler) -> None:
+        """Let others call ``async handler(sender, payload) -> bytes``."""
+        self.calls.handlers[method] = handler
+
+    async def start(self) -> None:
+        """Listen and begin to gossip."""
+        await self.transport.start(self.channel.receive)
+        record = attrs.evolve(self.channel.me, address=self.transport.address)
+        self._set_life(record)
+        self.gossip.note_seeds(self.options.seeds)
+        self.tasks = [
+            self.app.spawn("peers rounds", self.gossip.run),
+            self.app.spawn("peers upkeep", self._keep_up),
+        ]
+        if self.list_seeds is not None:
+            self.tasks.append(self.app.spawn("peers seeds", self._follow_seeds))
+        logger.info("Listening for peers on {}.", record.address)
+
+    async def drain(self, grace_s: float) -> None:
+        """Tell the peers that this instance leaves."""
+        self.publish(MEMBER_LEAVING.name, self.channel.me.instance, True)
+
+    async def stop(self) -> None:
+        """Stop all tasks and close the sockets."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.calls.stop()
+        await self.transport.stop()
+
+    async def _keep_up(self) -> None:
+        while True:
+            await self.app.clock.sleep(self.options.round_s)
+            self.own_rows.flush()
+            self._set_gauges()
+
+    async def _follow_seeds(self) -> None:
+        assert self.list_seeds is not None
+        while True:
+            try:
+                seeds = await self.list_seeds()
+            except Exception as error:
+                logger.warning("Reading the instance list failed: {!r}.", error)
+            else:
+                self._note_list(seeds)
+            await self.app.clock.sleep(self.options.seeds_interval_s)
+
+    def _note_list(self, seeds: list[SeedMember]) -> None:
+        if seeds:
+            self.local_members.note_list({seed.instance for seed in seeds})
+        self.gossip.note_seeds([*self.options.seeds, *seeds])
+
+    def _begin_life(self, least_incarnation: int) -> None:
+        me = self.channel.me
+        now = int(self.app.clock.time() * 1000)
+        incarnation = max(now, me.incarnation + 1, least_incarnation)
+        self._set_life(attrs.evolve(me, incarnation=incarnation))
+
+    def _set_life(self, record: MemberRecord) -> None:
+        self.channel.me = record
+        self.local.set_own(record)
+        if self.fleet.own is None:
+            self.fleet.me = record
+        else:
+            self.fleet.set_own(record)
+
+    def _stored(self, kind: str) -> Iterator[tuple[str, str, bytes]]:
+        row_kind = find_kind(kind)
+        for instance, origin in self.own_rows.table_of(row_kind).origins.items():
+            for name, value in _values(origin, row_kind.code):
+                yield instance, name, value
+
+    def _row_changed(self, instance: str, row: RowUpdate) -> None:
+        if row.kind == MEMBER_LEAVING.code:
+            self.remote_members.note_leaving(instance, row.value is not None)
+        self.subscriptions.notify(row.kind, instance, row.name, row.value)
+
+    def _set_gauges(self) -> None:
+        counts = dict.fromkeys(MemberState, 0)
+        for member in self.members():
+            counts[member.state] += 1
+        for state, n_members in counts.items():
+            metrics.members_by_state.labels(state.value).set(n_members)
+        for name, table in (("local", self.local), ("fleet", self.fleet)):
+            metrics.rows_kept.labels(name).set(table.n_rows)
+            metrics.rows_refused.labels(name).set(table.n_refused)
+
+
+def _values(origin: Origin, kind: int) -> list[tuple[str, bytes]]:
+    return [
+        (name, row.value)
+        for (row_kind, name), row in origin.rows.items()
+        if row_kind == kind and row.value is not None
+    ]
--- /dev/null
+++ b/lagoonring/peers/transport.py
@@ -0,0 +1,237 @@
+"""Carries frames between addresses: the pynng sockets of an instance.
+
+Each instance listens with one Pull socket and sends through one Push socket per
+peer, which a task of its own feeds. Sockets are read and written without
+blocking when their descriptors say so; this takes about a third of the
+processor time of pynng's own coroutines.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Protocol
+
+import attrs
+import pynng
+
+from lagoonring.logs.logger import make_logger
+from lagoonring.peers import metrics
+
+if TYPE_CHECKING:
+    from lagoonring.kernel import Clock
+    from lagoonring.peers.options import PeersOptions
+
+    Receive = Callable[[bytes], None]
+
+N_QUEUED_MOST = 256
+N_READ_AT_ONCE = 64
+RECEIVE_BUFFER_FRAMES = 64
+SEND_BUFFER_FRAMES = 8
+RECONNECT_LEAST_MS = 100
+RECONNECT_MOST_MS = 2000
+POLL_LEAST_S = 0.002
+POLL_MOST_S = 0.05
+
+logger = make_logger("peers")
+
+
+class Transport(Protocol):
+    """What the service needs of its network; tests pass one in memory."""
+
+    address: str
+
+    async def start(self, receive: Receive) -> None:
+        """Listen, and give every frame that comes to ``receive``."""
+
+    def post(
+        self, address: str, frame: bytes, on_unsent: Callable[[], None] | None = None
+    ) -> None:
+        """Send a frame; ``on_unsent`` is called if it provably was not sent."""
+
+    async def stop(self) -> None:
+        """Close all sockets."""
+
+
+@attrs.define
+class Posted:
+    """A frame that waits for its peer."""
+
+    frame: bytes
+    due_s: float
+    on_unsent: Callable[[], None] | None
+
+    def give_up(self) -> None:
+        """Report that the frame was not sent."""
+        metrics.frames_unsent.inc()
+        if self.on_unsent is not None:
+            self.on_unsent()
+
+
+class PeerLink:
+    """The connection to one peer and the frames that wait for it."""
+
+    def __init__(self, address: str, clock: Clock, options: PeersOptions) -> None:
+        self.address = address
+        self.clock = clock
+        self.options = options
+        self.waiting: deque[Posted] = deque()
+        self.wakened = asyncio.Event()
+        self.socket = pynng.Push0(
+            send_buffer_size=SEND_BUFFER_FRAMES,
+            reconnect_time_min=RECONNECT_LEAST_MS,
+            reconnect_time_max=RECONNECT_MOST_MS,
+        )
+
+    def post(self, posted: Posted) -> None:
+        """Queue a frame; the one that waited longest gives way when full."""
+        if len(self.waiting) >= N_QUEUED_MOST:
+            self.waiting.popleft().give_up()
+        self.waiting.append(posted)
+        self.wakened.set()
+
+    async def run(self) -> None:
+        """Send queued frames until the link has been idle for long."""
+        try:
+            self.socket.dial(f"tcp://{self.address}", block=False)
+            while await self._wait_for_frame():
+                await self._send_first()
+        except pynng.NNGException as error:
+            logger.warning("Link to {} failed: {}.", self.address, error)
+        finally:
+            self.close()
+
+    def close(self) -> None:
+        """Close the socket and give up what waits."""
+        self.socket.close()
+        while self.waiting:
+            self.waiting.popleft().give_up()
+
+    async def _wait_for_frame(self) -> bool:
+        while not self.waiting:
+            self.wakened.clear()
+            try:
+                await asyncio.wait_for(self.wakened.wait(), self.options.idle_link_s)
+            except TimeoutError:
+                return False
+        return True
+
+    async def _send_first(self) -> None:
+        delay_s = POLL_LEAST_S
+        while self.waiting:
+            posted = self.waiting[0]
+            if self._try_send(posted.frame):
+                self.waiting.popleft()
+                return
+            if self.clock.monotonic() >= posted.due_s:
+                self.waiting.popleft()
+                posted.give_up()
+                return
+            await asyncio.sleep(delay_s)
+            delay_s = min(2 * delay_s, POLL_MOST_S)
+
+    def _try_send(self, frame: bytes) -> bool:
+        if not self.socket.pipes:
+            return False
+        try:
+            self.socket.send(frame, block=False)
+        except pynng.TryAgain:
+            return False
+        metrics.frames_sent.inc()
+        metrics.bytes_sent.inc(len(frame))
+        return True
+
+
+class NngTransport:
+    """Frames over TCP by pynng.
+
+    Parameters
+    ----------
+    clock : Clock
+        Times how long frames wait for a connection.
+    options : PeersOptions
+        ``address`` is listened on; after :meth:`start` the attribute ``address``
+        has the port in use.
+    """
+
+    def __init__(self, clock: Clock, options: PeersOptions) -> None:
+        self.clock = clock
+        self.options = options
+        self.address = options.address
+        self.links: dict[str, PeerLink] = {}
+        self.tasks: dict[str, asyncio.Task[None]] = {}
+        self.socket: pynng.Pull0 | None = None
+        self.descriptor = -1
+        self.receive: Receive | None = None
+
+    async def start(self, receive: Receive) -> None:
+        """Listen, and give every frame that comes to ``receive``."""
+        self.receive = receive
+        self.socket = pynng.Pull0(
+            recv_buffer_size=RECEIVE_BUFFER_FRAMES,
+            recv_max_size=self.options.frame_limit_bytes + 1,
+        )
+        listener = self.socket.listen(f"tcp://{self.options.address}")
+        self.address = str(listener.local_address).removeprefix("tcp://")
+        self.descriptor = self.socket.recv_fd
+        asyncio.get_running_loop().add_reader(self.descriptor, self._read)
+
+    def post(
+        self, address: str, frame: bytes, on_unsent: Callable[[], None] | None = None
+    ) -> None:
+        """Send a frame, dialling the peer if there is no link to it yet."""
+        due_s = self.clock.monotonic() + self.options.connect_timeout_s
+        posted = Posted(frame, due_s, on_unsent)
+        if self.socket is None:
+            posted.give_up()
+            return
+        link = self.links.get(address)
+        if link is None:
+            link = self._open(address)
+        link.post(posted)
+
+    async def stop(self) -> None:
+        """Close all sockets."""
+        socket = self.socket
+        self.socket = None
+        if socket is not None:
+            asyncio.get_running_loop().remove_reader(self.descriptor)
+        tasks = list(self.tasks.values())
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        for link in self.links.values():
+            link.close()
+        if socket is not None:
+            socket.close()
+
+    def _open(self, address: str) -> PeerLink:
+        link = PeerLink(address, self.clock, self.options)
+        self.links[address] = link
+        task = asyncio.create_task(self._run(link), name=f"peer {address}")
+        self.tasks[address] = task
+        return link
+
+    async def _run(self, link: PeerLink) -> None:
+        try:
+            await link.run()
+        finally:
+            link.close()
+            if self.links.get(link.address) is link:
+                del self.links[link.address]
+                del self.tasks[link.address]
+
+    def _read(self) -> None:
+        for _ in range(N_READ_AT_ONCE):
+            if self.socket is None or self.receive is None:
+                return
+            try:
+                frame = self.socket.recv(block=False)
+            except pynng.TryAgain:
+                return
+            except pynng.NNGException as error:
+                logger.warning("Reading from peers failed: {}.", error)
+                return
+            metrics.bytes_received.inc(len(frame))
+            self.receive(frame)
