Add endpoint clients and the plain service stand-in

Cause: requests need streams, calls and control of endpoints with errors that say whether a request ran. Change: model engine client (streams, KV moves, cache events, fenced orders), plain service client, plain stand-in that counts runs by key.

--- a/lagoonring/endpoints/__init__.py
+++ b/lagoonring/endpoints/__init__.py
@@ -1,1 +1,69 @@
 """Clients of model engines and plain services."""
+
+from __future__ import annotations
+
+from lagoonring.endpoints.engine_control import (
+    cancel,
+    export_kv,
+    follow_cache_events,
+    import_kv,
+    order,
+    read_cache_events,
+    read_load,
+    read_state,
+)
+from lagoonring.endpoints.errors import (
+    EndpointConnectError,
+    EndpointCrossedError,
+    EndpointCutError,
+    EndpointError,
+    EndpointFailedError,
+    EndpointRefusedError,
+    EndpointRejectedError,
+    EndpointTimeoutError,
+    FencedError,
+)
+from lagoonring.endpoints.messages import (
+    CacheEvent,
+    CacheEventPage,
+    CacheUpdate,
+    EngineOrder,
+    EngineState,
+    KvExport,
+    LoadReport,
+)
+from lagoonring.endpoints.model_engine import open_stream, whole_answer
+from lagoonring.endpoints.plain_service import OpenAnswer, WholeAnswer, call, open_call
+
+__all__ = [
+    "CacheEvent",
+    "CacheEventPage",
+    "CacheUpdate",
+    "EndpointConnectError",
+    "EndpointCrossedError",
+    "EndpointCutError",
+    "EndpointError",
+    "EndpointFailedError",
+    "EndpointRefusedError",
+    "EndpointRejectedError",
+    "EndpointTimeoutError",
+    "EngineOrder",
+    "EngineState",
+    "FencedError",
+    "KvExport",
+    "LoadReport",
+    "OpenAnswer",
+    "WholeAnswer",
+    "call",
+    "cancel",
+    "export_kv",
+    "follow_cache_events",
+    "import_kv",
+    "open_call",
+    "open_stream",
+    "order",
+    "read_cache_events",
+    "read_load",
+    "read_state",
+    "whole_answer",
+]
--- /dev/null
+++ b/lagoonring/endpoints/engine_control.py
@@ -0,0 +1,177 @@
+"""Control of model engines: cancel, KV cache, load, cache events, orders.
+
+All functions take the session, which the caller owns, and the engine's root
+URL without a trailing slash. Errors are those of
+:mod:`lagoonring.endpoints.errors`.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any, TypeVar
+
+import attrs
+import msgspec
+
+from lagoonring.endpoints.errors import (
+    EndpointFailedError,
+    EndpointRejectedError,
+    FencedError,
+)
+from lagoonring.endpoints.messages import (
+    CacheEventPage,
+    CacheUpdate,
+    EngineOrder,
+    EngineState,
+    KvExport,
+    LoadReport,
+)
+from lagoonring.endpoints.transport import raise_unless_ok, read_body, send
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncGenerator
+
+    import aiohttp
+
+    from lagoonring.kernel import Clock
+
+T = TypeVar("T")
+
+CONTROL_TIMEOUT_S = 3.0
+KV_TIMEOUT_S = 30.0
+POLL_S = 0.25
+
+
+@attrs.frozen
+class ImportedKv:
+    """Answer to an import: the handle to resume with."""
+
+    handle: str
+
+
+async def cancel(session: aiohttp.ClientSession, url: str, attempt_id: str) -> bool:
+    """Stop an attempt and free its slot; False if it was not in progress."""
+    try:
+        await _ask(session, "POST", f"{url}/requests/{attempt_id}/cancel", Any)
+    except EndpointRejectedError as error:
+        if error.status == 404:
+            return False
+        raise
+    return True
+
+
+async def export_kv(
+    session: aiohttp.ClientSession,
+    url: str,
+    attempt_id: str,
+    *,
+    timeout_s: float = KV_TIMEOUT_S,
+) -> KvExport:
+    """Freeze an attempt's KV cache and return its handle and extent."""
+    path = f"{url}/requests/{attempt_id}/export"
+    return await _ask(session, "POST", path, KvExport, timeout_s=timeout_s)
+
+
+async def import_kv(
+    session: aiohttp.ClientSession,
+    url: str,
+    source_url: str,
+    handle: str,
+    *,
+    timeout_s: float = KV_TIMEOUT_S,
+) -> str:
+    """Let an engine fetch another's export; return the handle to resume with."""
+    wanted = {"source_url": source_url, "handle": handle}
+    imported: ImportedKv = await _ask(
+        session, "POST", f"{url}/kv/import", ImportedKv, wanted, timeout_s=timeout_s
+    )
+    return imported.handle
+
+
+async def read_load(
+    session: aiohttp.ClientSession, url: str, *, timeout_s: float = CONTROL_TIMEOUT_S
+) -> LoadReport:
+    """Return the load that an engine or a plain service reports."""
+    return await _ask(session, "GET", f"{url}/load", LoadReport, timeout_s=timeout_s)
+
+
+async def read_state(session: aiohttp.ClientSession, url: str) -> EngineState:
+    """Return what orders have made of the engine."""
+    return await _ask(session, "GET", f"{url}/state", EngineState)
+
+
+async def order(session: aiohttp.ClientSession, url: str, wanted: EngineOrder) -> None:
+    """Give an order; it has been accepted when this returns, not yet obeyed.
+
+    Raises
+    ------
+    FencedError
+        If the engine has seen a later fencing number.
+    """
+    try:
+        await _ask(session, "POST", f"{url}/orders", Any, wanted)
+    except EndpointRejectedError as error:
+        if error.status != 409:
+            raise
+        raise FencedError(
+            f"Got an order with fencing number {wanted.fencing} refused by {url}.",
+            remedy="Stop giving orders: another instance holds the lease.",
+        ) from error
+
+
+async def read_cache_events(
+    session: aiohttp.ClientSession, url: str, from_seq: int
+) -> CacheEventPage:
+    """Return the cache events that show now, from a sequence number on."""
+    path = f"{url}/cache/events?from={from_seq}"
+    return await _ask(session, "GET", path, CacheEventPage)
+
+
+async def follow_cache_events(
+    session: aiohttp.ClientSession,
+    url: str,
+    *,
+    clock: Clock,
+    from_seq: int = 0,
+    poll_s: float = POLL_S,
+) -> AsyncGenerator[CacheUpdate, None]:
+    """Yield cache events as they show, and tell how many were lost.
+
+    Ends only by an error of the exchange; follow again from the last number
+    seen plus one.
+    """
+    while True:
+        page = await read_cache_events(session, url, from_seq)
+        if page.next_seq < from_seq:
+            yield CacheUpdate([], is_restarted=True)
+            from_seq = 0
+            continue
+        n_missing = page.next_seq - from_seq - len(page.events)
+        if page.events or n_missing:
+            yield CacheUpdate(page.events, n_missing=n_missing)
+        from_seq = page.next_seq
+        await clock.sleep(poll_s)
+
+
+async def _ask(
+    session: aiohttp.ClientSession,
+    method: str,
+    url: str,
+    kind: type[T] | Any,
+    content: Any = None,
+    *,
+    timeout_s: float = CONTROL_TIMEOUT_S,
+) -> T:
+    body = None if content is None else msgspec.json.encode(content)
+    headers = None if content is None else {"Content-Type": "application/json"}
+    response = await send(
+        session, method, url, body=body, headers=headers, timeout_s=timeout_s
+    )
+    async with response:
+        await raise_unless_ok(response)
+        answer = await read_body(response)
+    try:
+        return msgspec.json.decode(answer, type=kind)
+    except msgspec.MsgspecError as error:
+        raise EndpointFailedError(
+            f"Got a faulty answer of {url}: {error}.", remedy="Use another endpoint."
+        ) from error
--- /dev/null
+++ b/lagoonring/endpoints/plain_service.py
@@ -0,0 +1,174 @@
+"""Client of plain services: any method and path, the body streamed or whole."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING
+
+import aiohttp
+import attrs
+
+from lagoonring.endpoints.errors import EndpointFailedError, EndpointRefusedError
+from lagoonring.endpoints.transport import (
+    CONNECT_TIMEOUT_S,
+    check_echo,
+    send,
+    typed_errors,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncGenerator, AsyncIterator
+
+NOT_RUN_HEADER = "X-Not-Run"
+ANSWER_LIMIT_BYTES = 4 << 20
+CONNECTION_HEADERS = frozenset(
+    {
+        "connection",
+        "content-encoding",
+        "content-length",
+        "host",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+
+@attrs.frozen
+class OpenAnswer:
+    """An answer whose body is still to be read.
+
+    ``status`` is the service's, also of its own errors.
+    """
+
+    status: int
+    headers: Mapping[str, str]
+    response: aiohttp.ClientResponse
+
+    async def chunks(self) -> AsyncGenerator[bytes, None]:
+        """Yield the body as it comes; ``EndpointCutError`` if it's not whole."""
+        while True:
+            with typed_errors(str(self.response.url)):
+                chunk = await self.response.content.readany()
+            if not chunk:
+                return
+            yield chunk
+
+
+@attrs.frozen
+class WholeAnswer:
+    """An answer that has been read; ``headers`` lacks the connection's own."""
+
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
+
+
+@asynccontextmanager
+async def open_call(
+    session: aiohttp.ClientSession,
+    url: str,
+    method: str,
+    path: str,
+    body: bytes | None,
+    *,
+    headers: Mapping[str, str],
+    request_id: str,
+    attempt_id: str,
+    timeout_s: float,
+    connect_timeout_s: float = CONNECT_TIMEOUT_S,
+) -> AsyncIterator[OpenAnswer]:
+    """Call a plain service and give its answer, closed when the block ends.
+
+    Parameters
+    ----------
+    url, path : str
+        Root URL without a trailing slash, and the path with its slash and query.
+    headers : mapping of str to str
+        The caller's; those of its connection are left out.
+    timeout_s : float
+        Limit of the whole call, the body included.
+
+    Raises
+    ------
+    EndpointRefusedError
+        If the call was provably not run: there was no connection, or the
+        service answered 503 with ``X-Not-Run: 1``.
+    EndpointTimeoutError, EndpointCutError, EndpointCrossedError
+        If it may have been run.
+    """
+    ids = {"X-Request-Id": request_id, "X-Attempt-Id": attempt_id}
+    response = await send(
+        session,
+        method,
+        url + path,
+        body=body,
+        headers={**_end_to_end(headers, but=ids), **ids},
+        timeout_s=timeout_s,
+        connect_timeout_s=connect_timeout_s,
+    )
+    async with response:
+        check_echo(ids, response, is_strict=False)
+        if response.status == 503 and response.headers.get(NOT_RUN_HEADER) == "1":
+            raise EndpointRefusedError(
+                f"Got a refusal of {url}, expected an answer.",
+                remedy="Use another endpoint; the request was not run.",
+            )
+        yield OpenAnswer(response.status, _end_to_end(response.headers), response)
+
+
+async def call(
+    session: aiohttp.ClientSession,
+    url: str,
+    method: str,
+    path: str,
+    body: bytes | None,
+    *,
+    headers: Mapping[str, str],
+    request_id: str,
+    attempt_id: str,
+    timeout_s: float,
+    limit_bytes: int = ANSWER_LIMIT_BYTES,
+) -> WholeAnswer:
+    """Call a plain service and return its whole answer; see :func:`open_call`.
+
+    Raises
+    ------
+    EndpointFailedError
+        Also if the body exceeds ``limit_bytes``; the call has been run.
+    """
+    async with open_call(
+        session,
+        url,
+        method,
+        path,
+        body,
+        headers=headers,
+        request_id=request_id,
+        attempt_id=attempt_id,
+        timeout_s=timeout_s,
+    ) as answer:
+        content = bytearray()
+        async for chunk in answer.chunks():
+            content += chunk
+            if len(content) > limit_bytes:
+                raise EndpointFailedError(
+                    f"Got an answer of {url} over {limit_bytes} bytes.",
+                    remedy="Raise the limit of answers, or make them smaller.",
+                )
+        return WholeAnswer(answer.status, answer.headers, bytes(content))
+
+
+def _end_to_end(
+    headers: Mapping[str, str], *, but: Mapping[str, str] | None = None
+) -> dict[str, str]:
+    """Return the headers that are not a connection's own."""
+    dropped = CONNECTION_HEADERS | {name.lower() for name in but or ()}
+    return {
+        name: value for name, value in headers.items() if name.lower() not in dropped
+    }
--- /dev/null
+++ b/lagoonring/endpoints/transport.py
@@ -0,0 +1,126 @@
+"""HTTP exchange with an endpoint, with errors that say whether it ran."""
+
+from __future__ import annotations
+
+from contextlib import contextmanager
+from typing import TYPE_CHECKING
+
+import aiohttp
+
+from lagoonring.endpoints.errors import (
+    EndpointConnectError,
+    EndpointCrossedError,
+    EndpointCutError,
+    EndpointError,
+    EndpointFailedError,
+    EndpointRefusedError,
+    EndpointRejectedError,
+    EndpointTimeoutError,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator, Mapping
+
+ECHOED_HEADERS = ("X-Request-Id", "X-Attempt-Id")
+CONNECT_TIMEOUT_S = 1.0
+SHOWN_BYTES = 200
+
+
+@contextmanager
+def typed_errors(url: str) -> Iterator[None]:
+    """Turn errors of an exchange with ``url`` into those of this package.
+
+    Nothing but the exchange may run inside, so that no other connection's
+    errors are taken for the endpoint's.
+    """
+    try:
+        yield
+    except EndpointError:
+        raise
+    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+        raise EndpointConnectError(
+            f"Got no connection to {url} ({error!r}), expected one.",
+            remedy="Use another endpoint; the request was not run.",
+        ) from error
+    except TimeoutError as error:
+        raise EndpointTimeoutError(
+            f"Got no answer of {url} in time, expected one.",
+            remedy="Repeat the request only if it is idempotent.",
+        ) from error
+    except (aiohttp.ClientError, ConnectionError) as error:
+        raise EndpointCutError(
+            f"Got the connection to {url} cut ({error!r}), expected a whole answer.",
+            remedy="Repeat the request only if it is idempotent.",
+        ) from error
+
+
+async def send(
+    session: aiohttp.ClientSession,
+    method: str,
+    url: str,
+    *,
+    body: bytes | None = None,
+    headers: Mapping[str, str] | None = None,
+    timeout_s: float | None,
+    connect_timeout_s: float = CONNECT_TIMEOUT_S,
+) -> aiohttp.ClientResponse:
+    """Send a request and return the response, to be closed by the caller.
+
+    ``timeout_s`` limits the exchange including the reading of the body.
+
+    Raises
+    ------
+    EndpointRefusedError
+        If no connection was made: the request has not been run.
+    EndpointTimeoutError, EndpointCutError
+        If the answer did not come: the request may have been run.
+    """
+    timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=connect_timeout_s)
+    with typed_errors(url):
+        return await session.request(
+            method,
+            url,
+            data=body,
+            headers=headers,
+            timeout=timeout,
+            allow_redirects=False,
+        )
+
+
+async def read_body(response: aiohttp.ClientResponse) -> bytes:
+    """Return the whole body; raises as :func:`send` does."""
+    with typed_errors(str(response.url)):
+        return await response.read()
+
+
+def check_echo(
+    sent: Mapping[str, str], response: aiohttp.ClientResponse, *, is_strict: bool
+) -> None:
+    """Raise ``EndpointCrossedError`` if an answer names another request.
+
+    ``is_strict`` also refuses answers that name none.
+    """
+    for name in ECHOED_HEADERS:
+        expected = sent.get(name)
+        got = response.headers.get(name)
+        if expected is None or got == expected or (got is None and not is_strict):
+            continue
+        raise EndpointCrossedError(
+            f"Got an answer with {name} {got!r}, expected {expected!r}.",
+            remedy="Drop the answer and repeat the request if it is idempotent.",
+        )
+
+
+async def raise_unless_ok(response: aiohttp.ClientResponse) -> None:
+    """Raise the error that an engine's status stands for."""
+    status = response.status
+    if status < 300:
+        return
+    body = await read_body(response)
+    shown = body[:SHOWN_BYTES].decode(errors="replace")
+    text = f"Got status {status} of {response.url} ({shown}), expected 200."
+    if status in (429, 503):
+        raise EndpointRefusedError(text, remedy="Use another endpoint.")
+    if status >= 500 or status < 400:
+        raise EndpointFailedError(text, remedy="Use another endpoint.")
+    raise EndpointRejectedError(text, status=status, body=body)
--- a/lagoonring/standins/engine_cache.py
+++ b/lagoonring/standins/engine_cache.py
@@ -5,7 +5,7 @@
 from collections import OrderedDict, deque
 from typing import TYPE_CHECKING
 
-import attrs
+from lagoonring.endpoints.messages import CacheEvent, CacheEventPage
 
 if TYPE_CHECKING:
     import random
@@ -14,23 +14,6 @@
     from lagoonring.standins.options import EngineOptions
 
 
-@attrs.frozen
-class CacheEvent:
-    """Blocks that the cache stored or evicted."""
-
-    seq: int
-    kind: str
-    blocks: list[int]
-
-
-@attrs.frozen
-class CacheEventPage:
-    """Events from a sequence number; what is missing between is lost."""
-
-    events: list[CacheEvent]
-    next_seq: int
-
-
 class PrefixCache:
     """The least recently used blocks of prompts, up to a limit.
 
@@ -76,11 +59,18 @@
         self._publish("evicted", evicted)
 
     def clear(self) -> None:
-        """Forget everything, as a crash does; no events tell it."""
+        """Forget everything, as a crash does; sequence numbers begin anew."""
         self.blocks.clear()
+        self.events.clear()
+        self.next_seq = 0
 
     def read_events(self, from_seq: int) -> CacheEventPage:
-        """Return the events from a number on that are old enough to show."""
+        """Return the events from a number on that are old enough to show.
+
+        A ``next_seq`` below ``from_seq`` says that the engine began anew.
+        """
+        if from_seq > self.next_seq:
+            return CacheEventPage([], 0)
         shown_s = self.clock.monotonic() - self.options.event_delay_s
         events = []
         next_seq = from_seq
--- a/lagoonring/standins/engine_core.py
+++ b/lagoonring/standins/engine_core.py
@@ -10,6 +10,7 @@
 import attrs
 
 from lagoonring.routing.prefixes import BLOCK_BYTES, hash_blocks
+from lagoonring.standins.crossing import Crossing
 from lagoonring.standins.engine_cache import PrefixCache
 from lagoonring.standins.engine_faults import EngineFaults, find_version_faults
 from lagoonring.standins.engine_kv import KvStore
@@ -23,7 +24,6 @@
     from lagoonring.standins.options import EngineOptions
 
 N_BURST_TOKENS = 64
-CROSSING_TIMEOUT_S = 5.0
 
 
 class StreamCutError(ConnectionResetError):
@@ -77,7 +77,7 @@
         self.n_held = 0
         self.held_changed = asyncio.Event()
         self.faults_changed = asyncio.Event()
-        self.crossing: tuple[Job, asyncio.Future[Job]] | None = None
+        self.crossing: Crossing[Job] = Crossing()
 
     def set_faults(self, faults: EngineFaults) -> None:
         """Put faults in force and wake what waits for a change."""
@@ -89,20 +89,7 @@
         """Return the job to answer instead, that of another request if crossed."""
         if not self.faults.use("n_crossed"):
             return job
-        if self.crossing is not None:
-            other, partner = self.crossing
-            self.crossing = None
-            partner.set_result(job)
-            return other
-        future: asyncio.Future[Job] = asyncio.get_running_loop().create_future()
-        self.crossing = (job, future)
-        try:
-            return await asyncio.wait_for(future, CROSSING_TIMEOUT_S)
-        except TimeoutError:
-            return job
-        finally:
-            if self.crossing is not None and self.crossing[1] is future:
-                self.crossing = None
+        return await self.crossing.swap(job)
 
     async def run(self, job: Job) -> AsyncGenerator[tuple[int, int], None]:
         """Yield the ranges of tokens that are due, from ``start`` to ``stop``.
--- a/lagoonring/standins/engine_load.py
+++ b/lagoonring/standins/engine_load.py
@@ -5,29 +5,16 @@
 from collections import deque
 from typing import TYPE_CHECKING
 
-import attrs
+from lagoonring.endpoints.messages import LoadReport
 
 if TYPE_CHECKING:
+    from lagoonring.endpoints.messages import EngineState
     from lagoonring.kernel import Clock
     from lagoonring.standins.engine_core import Batch
-    from lagoonring.standins.engine_orders import EngineState
 
 N_SAMPLES = 3
 
 
-@attrs.frozen
-class LoadReport:
-    """Load as it was at ``time_s`` (epoch seconds)."""
-
-    n_running: int
-    n_waiting: int
-    n_slots: int
-    kv_used_share: float
-    versions: list[str]
-    tokens_per_s: float
-    time_s: float
-
-
 class LoadReports:
     """Samples the load twice per lag and shows the oldest of three samples.
 
--- a/lagoonring/standins/engine_orders.py
+++ b/lagoonring/standins/engine_orders.py
@@ -5,43 +5,21 @@
 from typing import TYPE_CHECKING
 
 import aiohttp
-import attrs
 
-from lagoonring.settings.validators import one_of
+from lagoonring.endpoints.messages import EngineState
 
 if TYPE_CHECKING:
+    from lagoonring.endpoints.messages import EngineOrder
     from lagoonring.kernel import Clock
     from lagoonring.standins.options import EngineOptions
 
-ORDER_KINDS = ("load_version", "unload_version", "load_adapter", "set_role", "leave")
 FETCH_POLL_S = 0.05
 
 
-@attrs.frozen(kw_only=True)
-class EngineOrder:
-    """An order with the fencing number of who gives it."""
-
-    kind: str = attrs.field(validator=one_of(ORDER_KINDS))
-    name: str = ""
-    fencing: int = -1
-
-
 class OldFencingNumberError(ValueError):
     """An order is older than one already obeyed."""
 
 
-@attrs.define
-class EngineState:
-    """What orders have made of the engine."""
-
-    versions: list[str]
-    loading: list[str] = attrs.field(factory=list)
-    adapters: list[str] = attrs.field(factory=list)
-    role: str = "both"
-    fencing: int = -1
-    leaving: bool = False
-
-
 class Orders:
     """Obeys orders; loading takes time and may go through a weight store.
 
@@ -56,7 +34,7 @@
     def __init__(self, options: EngineOptions, *, clock: Clock) -> None:
         self.options = options
         self.clock = clock
-        self.state = EngineState(list(options.versions))
+        self.state = EngineState(list(options.versions), role="both")
         self.obeyed: list[EngineOrder] = []
 
     def check(self, order: EngineOrder) -> None:
--- a/lagoonring/standins/engine_standin.py
+++ b/lagoonring/standins/engine_standin.py
@@ -15,16 +15,13 @@
 import msgspec
 from aiohttp import web
 
+from lagoonring.endpoints.messages import EngineOrder
 from lagoonring.kernel import Clock
 from lagoonring.standins import engine_answers as answers
 from lagoonring.standins.engine_core import Batch, EngineError, StreamCutError
 from lagoonring.standins.engine_kv import KvCopy
 from lagoonring.standins.engine_load import LoadReports
-from lagoonring.standins.engine_orders import (
-    EngineOrder,
-    OldFencingNumberError,
-    Orders,
-)
+from lagoonring.standins.engine_orders import OldFencingNumberError, Orders
 from lagoonring.standins.engine_requests import (
     FaultyRequestError,
     Job,
--- a/lagoonring/standins/kinds.py
+++ b/lagoonring/standins/kinds.py
@@ -11,7 +11,8 @@
 from lagoonring.settings import Fault, FaultyDocumentError, convert, find_faults
 from lagoonring.standins.engine_standin import EngineStandin
 from lagoonring.standins.log_server import LogServer
-from lagoonring.standins.options import EngineOptions, LogOptions
+from lagoonring.standins.options import EngineOptions, LogOptions, PlainOptions
+from lagoonring.standins.plain_standin import PlainStandin
 
 if TYPE_CHECKING:
     from lagoonring.standins.options import Standin, StandinSettings
@@ -45,6 +46,7 @@
 KINDS = {
     "engine": Kind(EngineOptions, EngineStandin),
     "log": Kind(LogOptions, LogServer),
+    "plain": Kind(PlainOptions, PlainStandin),
 }
 
 
