Add leases by log order, and duties that run while one is held

Cause: version moves, fleets and claim slots need one holder each, whose leases lapse while it is paused, in a log that loses answers and forgets records. Change: lease records share the stream of what they guard; a take names the epoch and renewal that it saw expire; takes and renewals carry the folded state, so that readers find it after retention; an own take that counts late is adopted.

--- a/lagoonring/leases/__init__.py
+++ b/lagoonring/leases/__init__.py
@@ -1,1 +1,20 @@
-"""Leases kept in the platform's log, with fencing numbers."""
+"""Leases by log order, and duties of one instance at a time."""
+
+from __future__ import annotations
+
+from lagoonring.leases.duties import Duty, is_among_first, rank
+from lagoonring.leases.errors import LeaseLostError
+from lagoonring.leases.lease import Lease
+from lagoonring.leases.options import LeaseOptions
+from lagoonring.leases.stream import GuardedData, LeaseStream
+
+__all__ = [
+    "Duty",
+    "GuardedData",
+    "Lease",
+    "LeaseLostError",
+    "LeaseOptions",
+    "LeaseStream",
+    "is_among_first",
+    "rank",
+]
--- /dev/null
+++ b/lagoonring/leases/errors.py
@@ -0,0 +1,19 @@
+"""Errors of leases."""
+
+from __future__ import annotations
+
+from lagoonring.errors import LagoonringError
+
+
+class LeaseLostError(LagoonringError, RuntimeError):
+    """The lease is not held any more; what was asked for did not count."""
+
+    code = "lease_lost"
+    status = 409
+
+    def __init__(self, stream: str, holder: str, epoch: int) -> None:
+        super().__init__(
+            f"Got epoch {epoch} of lease {stream} held by {holder or 'nobody'}, "
+            "expected the own epoch.",
+            remedy="Stop the work that the lease guards, and acquire it again.",
+        )
