--- a/lagoonring/peers/kinds.py
+++ b/lagoonring/peers/kinds.py
@@ -42,6 +42,7 @@
     RowKind(code=8, name="summary", is_coalesced=True),
     RowKind(code=9, name="member_leaving", is_urgent=True),
     RowKind(code=10, name="adopted", is_urgent=True),
+    RowKind(code=10, name="adopted", is_urgent=True),
     RowKind(code=11, name="version_counts", is_coalesced=True),
 )
 KINDS_BY_NAME = {kind.name: kind for kind in ALL_KINDS}
--- a/lagoonring/peers/options.py
+++ b/lagoonring/peers/options.py
@@ -72,6 +72,16 @@
         How long the members of a silent data centre are kept.
     pause_s : float
         A gap between two rounds that counts as a pause of the process.
+    coalesce_s : float
+        Least time between two versions of a row that changes all the time.
+    refresh_s, expire_s : float
+        How often an origin refreshes its fleet rows, and after how long without
+        that they are dropped.
+    n_contacts : int
+        Contacts in each other data centre.
+    remote_round_s, fleet_round_s : float
+        Time between two comparisons of fleet rows with another data centre, and
+        within this one.
     """
 
     address: str = attrs.field(default="127.0.0.1:0", validator=is_address())
@@ -80,16 +90,16 @@
     round_s: float = attrs.field(default=0.5, validator=between(0.01, 60))
     n_partners: int = attrs.field(default=1, validator=between(1, 4))
     n_contacts: int = attrs.field(default=3, validator=between(1, 16))
-    remote_round_s: float = attrs.field(default=2.0, validator=between(0.01, 600))
-    fleet_round_s: float = attrs.field(default=2.0, validator=between(0.01, 600))
+    remote_round_s: float = attrs.field(default=4.0, validator=between(0.01, 600))
+    fleet_round_s: float = attrs.field(default=4.0, validator=between(0.01, 600))
     seeds_interval_s: float = attrs.field(default=10.0, validator=between(0.01, 600))
     suspect_after_s: float = attrs.field(default=6.0, validator=between(0.05, 600))
     dead_after_s: float = attrs.field(default=30.0, validator=between(0.1, 3600))
     unreachable_keep_s: float = attrs.field(default=3600.0, validator=between(1, 86400))
     pause_s: float = attrs.field(default=4.0, validator=between(0.05, 600))
     coalesce_s: float = attrs.field(default=2.0, validator=between(0, 60))
-    refresh_s: float = attrs.field(default=120.0, validator=between(0.1, 3600))
-    expire_s: float = attrs.field(default=900.0, validator=between(0.5, 86400))
+    refresh_s: float = attrs.field(default=300.0, validator=between(0.1, 3600))
+    expire_s: float = attrs.field(default=1800.0, validator=between(0.5, 86400))
     connect_timeout_s: float = attrs.field(default=2.0, validator=between(0.01, 60))
     idle_link_s: float = attrs.field(default=120.0, validator=between(1, 3600))
     frame_limit_bytes: int = attrs.field(
--- a/lagoonring/peers/service.py
+++ b/lagoonring/peers/service.py
@@ -49,10 +49,9 @@
         Gives the clock, the random source and the supervision of tasks.
     options : PeersOptions
         Checked options.
-    instance, data_centre, region : str
-        Who this instance is and where.
-    http_address : str
-        IP:port for callers, told to peers.
+    instance, data_centre, region, http_address : str or None
+        Who this instance is, where, and its IP:port for callers; taken from
+        ``app.settings`` where None.
     list_seeds : callable or None
         Async function that returns the platform's list of entry instances; it
         may raise, the last answer then stays in force.
@@ -70,10 +69,10 @@
         app: Application,
         options: PeersOptions,
         *,
-        instance: str,
-        data_centre: str,
-        region: str = "",
-        http_address: str = "",
+        instance: str | None = None,
+        data_centre: str | None = None,
+        region: str | None = None,
+        http_address: str | None = None,
         list_seeds: ListSeeds | None = None,
         allow: Allow | None = None,
         transport: Transport | None = None,
@@ -83,10 +82,13 @@
         self.list_seeds = list_seeds
         self.transport = transport or NngTransport(app.clock, options)
         self.subscriptions = Subscriptions()
+        settings = app.settings
+        if http_address is None:
+            http_address = f"{settings.host}:{settings.port}" if settings else ""
         record = MemberRecord(
-            instance,
-            data_centre,
-            region,
+            instance or settings.instance,
+            data_centre or settings.data_centre,
+            region if region is not None else getattr(settings, "region", ""),
             options.address,
             http_address,
             int(app.clock.time() * 1000),
@@ -100,7 +102,9 @@
         self.local = Table(record, app.clock, limits, on_row=self._row_changed)
         self.fleet = Table(record, app.clock, limits, on_row=self._row_changed)
         self.local_members = LocalMembers(self.local, self.fleet, app.clock, options)
-        self.remote_members = RemoteMembers(instance, data_centre, app.clock, options)
+        self.remote_members = RemoteMembers(
+            record.instance, record.data_centre, app.clock, options
+        )
         self.calls = Calls(self.channel, n_most=options.n_calls_most)
         self.gossip = Gossip(
             self.channel,
--- a/lagoonring/peers/tables.py
+++ b/lagoonring/peers/tables.py
@@ -10,7 +10,7 @@
 import xxhash
 
 from lagoonring.peers.messages import ORIGIN_ID_BYTES, RowUpdate, TableSync
-from lagoonring.peers.origins import ROW_OVERHEAD_BYTES, Origin, split_updates
+from lagoonring.peers.origins import Origin, row_bytes, split_updates
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Iterator
@@ -21,7 +21,7 @@
     RowListener = Callable[[str, RowUpdate], None]
     OriginListener = Callable[[Origin], None]
 
-N_BUCKETS = 16
+N_BUCKETS = 64
 ALL_BUCKETS = (1 << N_BUCKETS) - 1
 N_ORIGINS_MOST = 2048
 N_BURIED_MOST = 4096
@@ -191,7 +191,7 @@
     def put(self, record: MemberRecord, row: RowUpdate) -> bool:
         """Keep one row ahead of its origin's tick; return whether it was new."""
         origin = self.admit(record, tick=row.version)
-        if origin is None or not self._has_room(origin, row):
+        if origin is None or not self._fitting(origin, [row]):
             return False
         with self._counted(origin):
             is_new = origin.put(row)
@@ -254,7 +254,7 @@
         if origin is None:
             return
         tick = origin.tick
-        rows = [row for row in update.rows if self._has_room(origin, row)]
+        rows = self._fitting(origin, update.rows)
         if len(rows) < len(update.rows):
             update = attrs.evolve(update, rows=rows)
         with self._counted(origin):
@@ -278,17 +278,21 @@
         if self.on_origin is not None:
             self.on_origin(origin)
 
-    def _has_room(self, origin: Origin, row: RowUpdate) -> bool:
-        if (row.kind, row.name) in origin.rows:
-            return True
-        size = ROW_OVERHEAD_BYTES + len(row.value or b"")
-        if (
-            self.n_bytes + size <= self.limits.n_bytes
-            and self.n_rows < self.limits.n_rows
-        ):
-            return True
-        self.n_refused += 1
-        return False
+    def _fitting(self, origin: Origin, rows: list[RowUpdate]) -> list[RowUpdate]:
+        """Return the rows for which there is room; the rest is counted."""
+        n_rows = self.n_rows
+        n_bytes = self.n_bytes
+        fitting = []
+        for row in rows:
+            if (row.kind, row.name) not in origin.rows:
+                size = row_bytes(row)
+                if n_rows >= self.limits.n_rows or n_bytes + size > self.limits.n_bytes:
+                    self.n_refused += 1
+                    continue
+                n_rows += 1
+                n_bytes += size
+            fitting.append(row)
+        return fitting
 
     def _differing(self, hashes: bytes) -> int:
         own = self.hashes() if hashes else b""
