--- a/lagoonring/routing/service.py
+++ b/lagoonring/routing/service.py
@@ -175,10 +175,12 @@
     def capacity(self, entry: str) -> int:
         """Return how many requests the entry's endpoints here take at once.
 
-        Endpoints of this data centre, or of all if it has none.
+        Endpoints of this data centre, or of all if it has none; ejected ones
+        count only if there are no others.
         """
         states = self.table.by_entry.get(entry, ())
-        usable = [state for state in states if _takes_work(state)]
+        staying = [state for state in states if not state.is_leaving]
+        usable = [state for state in staying if _takes_work(state)] or staying
         local = [state for state in usable if state.is_local]
         n_slots = sum(state.n_slots for state in local or usable)
         return self.gauge.scaled(entry, n_slots)
@@ -472,7 +474,7 @@
 
 
 def _takes_work(state: EndpointState) -> bool:
-    return not state.is_leaving and state.health.state != health_rules.EJECTED
+    return state.health.state != health_rules.EJECTED
 
 
 def _no_endpoint(entry: str, version: str) -> NoEndpointError:
