--- /dev/null
+++ b/lagoonring/administration/__init__.py
@@ -0,0 +1,8 @@
+"""The administration API over HTTP."""
+
+from __future__ import annotations
+
+from lagoonring.administration.operators import make_authorise
+from lagoonring.administration.service import AdministrationService
+
+__all__ = ["AdministrationService", "make_authorise"]
--- /dev/null
+++ b/lagoonring/administration/history.py
@@ -0,0 +1,67 @@
+"""The history of the catalogue: every edit that the log still keeps."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING
+
+from lagoonring.administration.messages import ShownEdit
+from lagoonring.catalogue.edits import STREAM, decode_record
+from lagoonring.catalogue.rule import RuleState, fold, restore_snapshot
+from lagoonring.platform import LogTruncatedError
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from lagoonring.catalogue.edits import ConfigRecord
+    from lagoonring.platform import Log, Record
+
+
+async def read_history(log: Log, *, n_most: int) -> list[ShownEdit]:
+    """Return the newest edits, oldest first, with what became of each.
+
+    Where the log has forgotten its beginning, the first snapshot kept gives the
+    state from which later edits are judged.
+    """
+    shown: deque[ShownEdit] = deque(maxlen=n_most)
+    state = RuleState()
+    async for record in _read_all(log):
+        content = decode_record(record.data)
+        if content is None:
+            continue
+        if content.snapshot and content.snapshot.next_offset > state.next_offset:
+            state = restore_snapshot(content.snapshot)
+        if record.offset < state.next_offset:
+            continue
+        state, verdict = fold(state, content, record.offset)
+        if content.edit is not None:
+            shown.append(_show(record, content, verdict.status))
+    return list(shown)
+
+
+async def _read_all(log: Log) -> AsyncIterator[Record]:
+    offset = 0
+    while True:
+        try:
+            page = await log.read(STREAM, offset)
+        except LogTruncatedError as error:
+            offset = error.first_offset
+            continue
+        for record in page.records:
+            yield record
+        offset += len(page.records)
+        if not page.records or offset >= page.next_offset:
+            return
+
+
+def _show(record: Record, content: ConfigRecord, status: str) -> ShownEdit:
+    edit = content.edit
+    assert edit is not None
+    return ShownEdit(
+        revision=record.offset,
+        time_s=record.time_s,
+        author=edit.author,
+        status=status,
+        items=[change.path for change in edit.changes],
+        note=edit.note,
+    )
--- /dev/null
+++ b/lagoonring/administration/operators.py
@@ -0,0 +1,82 @@
+"""Operators' tokens and roles."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from lagoonring.catalogue.entries import ROLES
+from lagoonring.errors import LagoonringError
+from lagoonring.requests.authentication import hash_key, key_from_headers
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
+    from lagoonring.catalogue import CatalogueContent
+
+ADMIN_SECTIONS = frozenset({"operators", "organisations"})
+
+
+class WrongTokenError(LagoonringError, PermissionError):
+    """No operator has the token."""
+
+    code = "wrong_token"
+    status = 401
+
+
+class WrongRoleError(LagoonringError, PermissionError):
+    """The operator's role does not allow the action."""
+
+    code = "wrong_role"
+    status = 403
+
+
+@attrs.frozen
+class Caller:
+    """An authenticated operator."""
+
+    name: str
+    role: str
+
+
+def make_authorise(
+    content: Callable[[], CatalogueContent],
+    refused: Callable[[str, str, str], None],
+) -> Callable[[Mapping[str, str], str, str], Caller]:
+    """Return a function from headers, needed role and action to an operator.
+
+    Parameters
+    ----------
+    content : callable
+        Returns the catalogue in force.
+    refused : callable
+        Told the operator's name, the action and the reason of each refusal.
+    """
+
+    def authorise(headers: Mapping[str, str], role: str, action: str) -> Caller:
+        token_hash = hash_key(key_from_headers(headers))
+        for name, operator in content().operators.items():
+            if operator.token_hash == token_hash:
+                caller = Caller(name, operator.role)
+                break
+        else:
+            refused("unknown", action, "wrong token")
+            raise WrongTokenError(
+                "Got a token of no operator, expected one in the catalogue.",
+                remedy="Check the token, or ask an admin for a new one.",
+            )
+        if ROLES.index(caller.role) < ROLES.index(role):
+            refused(caller.name, action, f"role {caller.role}")
+            raise WrongRoleError(
+                f"Got role {caller.role!r} for {action}, expected {role!r} or higher.",
+                remedy="Ask an operator with that role.",
+            )
+        return caller
+
+    return authorise
+
+
+def role_for_sections(sections: set[str]) -> str:
+    """Return the role that an edit of these sections needs."""
+    return "admin" if sections & ADMIN_SECTIONS else "operator"
--- a/lagoonring/audit/__init__.py
+++ b/lagoonring/audit/__init__.py
@@ -1,1 +1,8 @@
 """Audit trail of changes."""
+
+from __future__ import annotations
+
+from lagoonring.audit.messages import AuditRecord
+from lagoonring.audit.service import AuditService
+
+__all__ = ["AuditRecord", "AuditService"]
--- /dev/null
+++ b/lagoonring/cli/tables.py
@@ -0,0 +1,47 @@
+"""Readable tables on the terminal."""
+
+from __future__ import annotations
+
+import datetime
+import json
+from typing import Any
+
+import typer
+
+GAP = "  "
+
+
+def show(rows: list[dict[str, Any]], columns: list[str], *, as_json: bool) -> None:
+    """Print rows as a table of some columns, or all of them as JSON."""
+    if as_json:
+        show_json(rows)
+        return
+    if not rows:
+        typer.echo("none")
+        return
+    lines = [columns, *([_cell(row.get(name)) for name in columns] for row in rows)]
+    widths = [max(len(line[index]) for line in lines) for index in range(len(columns))]
+    for line in lines:
+        cells = [cell.ljust(width) for cell, width in zip(line, widths, strict=True)]
+        typer.echo(GAP.join(cells).rstrip())
+
+
+def show_json(content: Any) -> None:
+    """Print JSON, indented."""
+    typer.echo(json.dumps(content, indent=2, sort_keys=True))
+
+
+def show_time(time_s: float) -> str:
+    """Return epoch seconds as a UTC time to the second."""
+    moment = datetime.datetime.fromtimestamp(time_s, tz=datetime.UTC)
+    return moment.strftime("%Y-%m-%d %H:%M:%S")
+
+
+def _cell(value: Any) -> str:
+    if value is None:
+        return "-"
+    if isinstance(value, float):
+        return f"{value:.3f}"
+    if isinstance(value, list):
+        return ",".join(_cell(item) for item in value)
+    return str(value)
--- /dev/null
+++ b/lagoonring/entry/application.py
@@ -0,0 +1,170 @@
+"""Puts the services of an entry instance together."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import aiohttp
+
+from lagoonring.administration import AdministrationService
+from lagoonring.audit import AuditService
+from lagoonring.catalogue.service import CatalogueService
+from lagoonring.kernel import Application, BaseService, Clock
+from lagoonring.limits.service import LimitsService
+from lagoonring.metrics import MetricsService
+from lagoonring.peers.service import PeersService
+from lagoonring.platform.service import LogService
+from lagoonring.requests.authentication import make_authenticate
+from lagoonring.requests.charges import ChargesService
+from lagoonring.requests.handover import HandoverService
+from lagoonring.requests.http_server import HttpService
+from lagoonring.requests.parts import RequestMetrics, RequestParts
+from lagoonring.requests.service import RequestsService
+from lagoonring.retries.service import RetriesService
+from lagoonring.routing.service import RoutingService
+
+if TYPE_CHECKING:
+    import random
+
+    from lagoonring.peers.service import Allow
+    from lagoonring.platform import Log
+    from lagoonring.requests.messages import PlainAnswer
+    from lagoonring.settings.entry_settings import EntrySettings
+
+ENDPOINT_CONNECTIONS = 0
+
+
+class SessionService(BaseService):
+    """Owns the HTTP client session towards endpoints."""
+
+    name = "session"
+
+    def __init__(self) -> None:
+        self.session: aiohttp.ClientSession | None = None
+
+    async def start(self) -> None:
+        """Open the session; the number of connections is not limited."""
+        connector = aiohttp.TCPConnector(limit=ENDPOINT_CONNECTIONS)
+        self.session = aiohttp.ClientSession(
+            connector=connector, timeout=aiohttp.ClientTimeout(total=None)
+        )
+
+    async def stop(self) -> None:
+        """Close the session and its connections."""
+        if self.session is not None:
+            await self.session.close()
+
+
+class CallersService(BaseService):
+    """Makes the request path once everything that it uses has started."""
+
+    name = "callers"
+
+    def __init__(self, app: Application, settings: EntrySettings) -> None:
+        self.app = app
+        self.settings = settings
+        self.parts_started: list[BaseService] = []
+
+    async def start(self) -> None:
+        """Make and start the request path, then listen."""
+        settings = self.settings
+        app = self.app
+        parts = make_request_parts(app, settings)
+        authenticate, update = make_authenticate()
+        parts.catalogue.subscribe(update)
+        requests = app.add(RequestsService(parts, instance=settings.instance))
+        url = f"http://{settings.host}:{settings.port}"
+        handover = app.add(HandoverService(app, requests, url=url))
+        registry = app.find("metrics").registry
+        http = app.add(
+            HttpService(
+                requests, authenticate, registry, host=settings.host, port=settings.port
+            )
+        )
+        administration = app.add(AdministrationService(app, http))
+        for service in (requests, handover, administration, http):
+            self.parts_started.append(service)
+            await service.start()
+
+    async def drain(self, grace_s: float) -> None:
+        """Let the request path finish, the listener last."""
+        for service in reversed(self.parts_started):
+            await service.drain(grace_s)
+
+    async def stop(self) -> None:
+        """Stop the request path."""
+        for service in reversed(self.parts_started):
+            await service.stop()
+
+
+def make_entry_application(
+    settings: EntrySettings,
+    *,
+    clock: Clock | None = None,
+    rng: random.Random | None = None,
+    log: Log | None = None,
+    allow: Allow | None = None,
+) -> Application:
+    """Return the application of an entry instance, not yet started.
+
+    Parameters
+    ----------
+    settings : EntrySettings
+        Checked settings.
+    clock, rng : Clock, random.Random
+        Sources of time and randomness; the machine's by default.
+    log : Log or None
+        In place of the log at ``settings.log_url``.
+    allow : callable or None
+        Which peers may reach each other; for tests of partitions.
+    """
+    app = Application(settings, clock=clock, rng=rng)
+    app.add(MetricsService())
+    app.add(LogService(log) if log else LogService(url=settings.log_url))
+    app.add(SessionService())
+    app.add(make_peers(app, settings, allow=allow))
+    app.add(CatalogueService(app, settings.catalogue))
+    app.add(RetriesService(app, settings.retries))
+    app.add(RoutingService(app, settings.routing, data_centre=settings.data_centre))
+    app.add(LimitsService(app, settings.limits))
+    app.add(AuditService(app, settings.instance))
+    app.add(ChargesService(app, settings.instance))
+    app.add(CallersService(app, settings))
+    return app
+
+
+def make_peers(
+    app: Application, settings: EntrySettings, *, allow: Allow | None = None
+) -> PeersService:
+    """Return the service of membership and gossip."""
+    return PeersService(
+        app,
+        settings.peers,
+        instance=settings.instance,
+        data_centre=settings.data_centre,
+        region=settings.region,
+        http_address=f"{settings.host}:{settings.port}",
+        allow=allow,
+    )
+
+
+def make_request_parts(app: Application, settings: EntrySettings) -> RequestParts:
+    """Return what the request path uses, from the started services."""
+    return RequestParts(
+        app=app,
+        options=settings.requests,
+        session=app.find("session").session,
+        catalogue=app.find("catalogue"),
+        routing=app.find("routing"),
+        limits=app.find("limits"),
+        retries=app.find("retries"),
+        claims=app.services.get("claims"),
+        charges=app.find("charges"),
+        moves=app.services.get("moves"),
+        metrics=RequestMetrics(app.find("metrics").registry),
+        make_stored_answer=make_stored_answer,
+    )
+
+
+def make_stored_answer(answer: PlainAnswer) -> None:
+    """Return a plain service's answer as the claims keep it."""
--- /dev/null
+++ b/lagoonring/entry/process.py
@@ -0,0 +1,61 @@
+"""Runs an entry instance until it is told to stop."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from typing import TYPE_CHECKING
+
+from lagoonring.entry.application import make_entry_application
+from lagoonring.logs import JsonLinesHandler, make_logger
+
+if TYPE_CHECKING:
+    from lagoonring.settings.entry_settings import EntrySettings
+
+logger = make_logger("entry")
+
+
+async def run_entry(settings: EntrySettings) -> None:
+    """Serve until SIGTERM or SIGINT, then drain and stop.
+
+    A second signal ends the drain at once.
+    """
+    app = make_entry_application(settings)
+    stopping = asyncio.Event()
+    hurried = asyncio.Event()
+
+    def on_signal() -> None:
+        if stopping.is_set():
+            hurried.set()
+        stopping.set()
+
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, on_signal)
+    await app.start()
+    http = app.find("http")
+    print(
+        f"ready http://{settings.host}:{http.port} "
+        f"data_centre={settings.data_centre} instance={settings.instance}",
+        flush=True,
+    )
+    await stopping.wait()
+    logger.info("Draining for at most {} s.", settings.grace_s)
+    await _drain(app.drain(settings.grace_s), hurried)
+    await app.stop()
+    logger.info("Stopped.")
+
+
+async def _drain(drain, hurried: asyncio.Event) -> None:
+    drained = asyncio.ensure_future(drain)
+    hurry = asyncio.ensure_future(hurried.wait())
+    await asyncio.wait({drained, hurry}, return_when=asyncio.FIRST_COMPLETED)
+    for task in (drained, hurry):
+        task.cancel()
+    await asyncio.gather(drained, hurry, return_exceptions=True)
+
+
+def run_logged(settings: EntrySettings) -> None:
+    """Run an entry instance with structured logs on standard error."""
+    with JsonLinesHandler(level=settings.log_level).applicationbound():
+        asyncio.run(run_entry(settings))
--- /dev/null
+++ b/lagoonring/requests/authentication.py
@@ -0,0 +1,65 @@
+"""Organisations' keys: hashes in the catalogue, looked up per request."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import TYPE_CHECKING
+
+from lagoonring.requests.errors import MissingKeyError, WrongKeyError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
+    from lagoonring.catalogue import CatalogueContent
+
+SCHEME = "bearer "
+
+
+def hash_key(key: str) -> str:
+    """Return the form of a key that the catalogue stores."""
+    digest = hashlib.sha256(key.encode("utf-8", "surrogateescape")).hexdigest()
+    return f"sha256:{digest}"
+
+
+def key_from_headers(headers: Mapping[str, str]) -> str:
+    """Return the key of an ``Authorization: Bearer`` header.
+
+    Raises
+    ------
+    MissingKeyError
+        If there is none.
+    """
+    value = headers.get("Authorization", "")
+    if not value.lower().startswith(SCHEME):
+        raise MissingKeyError(
+            "Got no bearer key, expected the header 'Authorization: Bearer KEY'.",
+            remedy="Send the organisation's key.",
+        )
+    return value[len(SCHEME) :].strip()
+
+
+def make_authenticate() -> tuple[
+    Callable[[Mapping[str, str]], str], Callable[[CatalogueContent, int], None]
+]:
+    """Return a function from headers to an organisation, and its updater.
+
+    The updater is subscribed to the catalogue.
+    """
+    organisations: dict[str, str] = {}
+
+    def update(content: CatalogueContent, revision: int) -> None:
+        organisations.clear()
+        for name, organisation in content.organisations.items():
+            for key_hash in organisation.key_hashes:
+                organisations[key_hash] = name
+
+    def authenticate(headers: Mapping[str, str]) -> str:
+        organisation = organisations.get(hash_key(key_from_headers(headers)))
+        if organisation is None:
+            raise WrongKeyError(
+                "Got a key of no organisation, expected one in the catalogue.",
+                remedy="Check the key, or ask the operators for a new one.",
+            )
+        return organisation
+
+    return authenticate, update
--- /dev/null
+++ b/lagoonring/requests/checking.py
@@ -0,0 +1,114 @@
+"""Checks each event of an endpoint's stream before it goes on to the caller.
+
+A token event is ``id: N`` and its data; it must belong to the request and carry
+the next token. Events without ``id`` announce the role, the end and the usage.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from lagoonring.endpoints.errors import EndpointCrossedError, EndpointCutError
+from lagoonring.endpoints.events import END_EVENT
+from lagoonring.requests.journal import parse_event
+from lagoonring.requests.messages import REQUEST_PREFIX
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Callable
+
+    from lagoonring.requests.streams import Stream
+
+ID_FIELD = b"id: "
+USAGE_MARK = b'"choices":[]'
+
+
+async def checked_events(
+    stream: Stream, batches: AsyncIterator[list[bytes]]
+) -> AsyncIterator[list[bytes]]:
+    """Yield batches of events as the caller gets them.
+
+    Tokens that the journal already holds are dropped.
+
+    Raises
+    ------
+    EndpointCrossedError
+        If an event belongs to another request.
+    EndpointCutError
+        If a token is missing.
+    """
+    check = _make_check(stream)
+    async for batch in batches:
+        events = []
+        for event in batch:
+            checked = check(event)
+            if checked is not None:
+                events.append(checked)
+        if events:
+            yield events
+
+
+def _make_check(stream: Stream) -> Callable[[bytes], bytes | None]:
+    """Return the function that checks one event of an attempt."""
+    request = stream.request
+    journal = stream.journal
+    own_data = REQUEST_PREFIX + request.request_id.encode() + b'"'
+    own_id = b"id: " + request.request_id.encode() + b":"
+    is_resumed = journal.n_events > 0
+
+    def check(event: bytes) -> bytes | None:
+        if event.startswith(ID_FIELD):
+            end = event.find(b"\n")
+            _check_owner(event, end + 1, own_data, request.request_id)
+            n_tokens = int(event[4:end])
+            expected = journal.n_tokens + 1
+            if n_tokens < expected:
+                return None
+            if n_tokens > expected:
+                raise _missing(n_tokens, expected)
+            journal.n_tokens = n_tokens
+            return own_id + event[4:]
+        if event == END_EVENT:
+            return event
+        if not event.startswith(b"data: "):
+            return None
+        _check_owner(event, 0, own_data, request.request_id)
+        if USAGE_MARK in event:
+            return _usage_event(event, stream)
+        if is_resumed and b'"role":' in event:
+            return None
+        return event
+
+    return check
+
+
+def _check_owner(event: bytes, start: int, own_data: bytes, request_id: str) -> None:
+    if event.startswith(own_data, start):
+        return
+    chunk = parse_event(event)
+    if chunk.get("id") == f"chatcmpl-{request_id}":
+        return
+    raise EndpointCrossedError(
+        f"Got an event of {chunk.get('id')!r}, expected chatcmpl-{request_id}.",
+        remedy="The request is resumed at another endpoint.",
+    )
+
+
+def _usage_event(event: bytes, stream: Stream) -> bytes | None:
+    """Return the usage with the tokens counted here, if the caller wants it."""
+    if not stream.request.wants_usage and stream.request.is_streamed:
+        return None
+    chunk = parse_event(event)
+    usage = chunk.get("usage") or {}
+    usage["completion_tokens"] = stream.journal.n_tokens
+    usage["total_tokens"] = usage.get("prompt_tokens", 0) + stream.journal.n_tokens
+    chunk["usage"] = usage
+    return b"data: " + msgspec.json.encode(chunk)
+
+
+def _missing(got: int, expected: int) -> EndpointCutError:
+    return EndpointCutError(
+        f"Got token {got}, expected token {expected}.",
+        remedy="The request is resumed at another endpoint.",
+    )
--- /dev/null
+++ b/lagoonring/requests/handover.py
@@ -0,0 +1,235 @@
+"""Hands streams to instances in other data centres, and finds them again."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+import attrs
+import xxhash
+from aiohttp import web
+
+from lagoonring.errors import LagoonringError
+from lagoonring.kernel import BaseService
+from lagoonring.logs import make_logger
+from lagoonring.peers.messages import MemberState
+from lagoonring.requests.errors import HandedOverError, UnknownRequestError
+from lagoonring.requests.messages import Handover, decode_handover, encode_handover
+from lagoonring.requests.streams import Stream
+
+if TYPE_CHECKING:
+    from lagoonring.kernel import Application
+    from lagoonring.requests.service import RequestsService
+
+ADOPT_METHOD = "requests.adopt"
+ADOPTED_KIND = "adopted"
+CALL_TIMEOUT_S = 2.0
+RELAY_TIMEOUT_S = 600.0
+RELAYED_HEADER = "X-Relayed"
+N_TARGETS_MOST = 3
+COPY_BYTES = 1 << 16
+
+logger = make_logger("handover")
+
+
+@attrs.frozen(kw_only=True)
+class Adopted:
+    """Row ``adopted``, named after the origin: where its streams go on."""
+
+    url: str
+
+
+class HandoverService(BaseService):
+    """Gives streams away when this instance leaves; takes those of others.
+
+    Parameters
+    ----------
+    app : Application
+        Finds ``peers``.
+    requests : RequestsService
+        Holds the streams.
+    url : str
+        Root of this instance's HTTP interface, as peers reach it.
+    """
+
+    name = "handover"
+
+    def __init__(
+        self, app: Application, requests: RequestsService, *, url: str
+    ) -> None:
+        self.app = app
+        self.requests = requests
+        self.url = url
+        self.peers: Any = None
+
+    async def start(self) -> None:
+        """Begin to take streams of peers."""
+        self.peers = self.app.find("peers")
+        self.peers.serve(ADOPT_METHOD, self.adopt)
+
+    async def drain(self, grace_s: float) -> None:
+        """Wait for requests to finish, hand over those that will not."""
+        self.requests.is_leaving = True
+        margin_s = self.requests.parts.options.handover_margin_s
+        try:
+            async with asyncio.timeout(max(0.0, grace_s - margin_s)):
+                await self.requests.idle.wait()
+        except TimeoutError:
+            streams = list(self.requests.streams.values())
+            logger.info("Handing over {} streams.", len(streams))
+            await asyncio.gather(*(self.hand_over(stream) for stream in streams))
+
+    async def hand_over(self, stream: Stream) -> bool:
+        """Give a stream to another instance; go on here if none takes it."""
+        await self.requests.pause_stream(stream)
+        if stream.is_done:
+            return True
+        payload = encode_handover(self._make_handover(stream))
+        for target in self._targets(stream.request.request_id):
+            try:
+                await self.peers.call(
+                    target, ADOPT_METHOD, payload, timeout_s=CALL_TIMEOUT_S
+                )
+            except LagoonringError as error:
+                logger.warn("Instance {} did not take a stream: {}.", target, error)
+                continue
+            self._release(stream, target)
+            return True
+        self.requests.resume_stream(stream)
+        return False
+
+    async def adopt(self, sender: str, payload: bytes) -> bytes:
+        """Go on with a stream of a peer; adopting it twice has no effect."""
+        handover = decode_handover(payload)
+        if self.requests.find_stream(handover.request_id) is None:
+            self.requests.check_ready()
+            request = self.requests.make_chat_request(
+                handover.body,
+                organisation=handover.organisation,
+                deadline_s=handover.grace_s,
+                request_id=handover.request_id,
+            )
+            stream = Stream(request=request)
+            stream.journal.append(handover.events)
+            stream.journal.n_tokens = handover.n_tokens
+            stream.n_tokens_recomputed = handover.n_tokens_recomputed
+            if handover.events:
+                stream.changed.set()
+            self.requests.run_stream(stream)
+            self.requests.parts.metrics.adopted.inc()
+        origin = handover.request_id.partition(".")[0]
+        self.peers.publish(ADOPTED_KIND, origin, Adopted(url=self.url), urgent=True)
+        return b""
+
+    async def relay(
+        self, request: web.Request, request_id: str, n_tokens: int
+    ) -> web.StreamResponse:
+        """Pass a stream on from the instance that holds it.
+
+        Raises
+        ------
+        UnknownRequestError
+            If no reachable instance holds it.
+        """
+        if RELAYED_HEADER not in request.headers:
+            for url in self._holders(request_id):
+                response = await self._relay_from(request, url, request_id, n_tokens)
+                if response is not None:
+                    return response
+        raise UnknownRequestError(
+            f"Got request id {request_id[:80]!r}, expected one in progress or kept.",
+            remedy="Finished answers are kept for a short time; "
+            "send the request again.",
+        )
+
+    async def _relay_from(
+        self, request: web.Request, url: str, request_id: str, n_tokens: int
+    ) -> web.StreamResponse | None:
+        headers = {
+            RELAYED_HEADER: "1",
+            "Last-Event-ID": f"{request_id}:{n_tokens}",
+            "Authorization": request.headers.get("Authorization", ""),
+        }
+        session = self.requests.parts.session
+        timeout = aiohttp.ClientTimeout(
+            total=RELAY_TIMEOUT_S, sock_connect=CALL_TIMEOUT_S
+        )
+        try:
+            async with session.get(
+                f"{url}/v1/streams/{request_id}", headers=headers, timeout=timeout
+            ) as answer:
+                if answer.status == 404:
+                    return None
+                return await _copy(request, answer)
+        except (aiohttp.ClientConnectorError, TimeoutError):
+            return None
+
+    def _holders(self, request_id: str) -> list[str]:
+        """Return the HTTP roots of instances that may hold a request."""
+        origin = request_id.partition(".")[0]
+        members = {member.instance: member for member in self.peers.members()}
+        urls = []
+        if origin in members and members[origin].http_address:
+            urls.append(f"http://{members[origin].http_address}")
+        for (_, name), row in self.peers.rows(ADOPTED_KIND, Adopted).items():
+            if name == origin and row.url not in urls:
+                urls.append(row.url)
+        return urls
+
+    def _targets(self, request_id: str) -> list[str]:
+        """Return instances to hand a stream to, other data centres first."""
+        me = self.peers.me
+
+        def rank(member: Any) -> tuple[bool, int]:
+            digest = xxhash.xxh3_64_intdigest(
+                f"{request_id}/{member.instance}".encode()
+            )
+            return member.data_centre == me.data_centre, digest
+
+        alive = [
+            member
+            for member in self.peers.members()
+            if member.instance != me.instance and member.state is MemberState.ALIVE
+        ]
+        return [member.instance for member in sorted(alive, key=rank)][:N_TARGETS_MOST]
+
+    def _make_handover(self, stream: Stream) -> Handover:
+        request = stream.request
+        return Handover(
+            request_id=request.request_id,
+            organisation=request.organisation,
+            entry=request.entry,
+            body=request.body,
+            events=stream.journal.events(),
+            n_tokens=stream.journal.n_tokens,
+            grace_s=request.deadline_s - self.app.clock.monotonic(),
+            n_tokens_recomputed=stream.n_tokens_recomputed,
+        )
+
+    def _release(self, stream: Stream, target: str) -> None:
+        """End a stream here; its caller is told to re-attach."""
+        request_id = stream.request.request_id
+        stream.handed_to = target
+        stream.end(
+            HandedOverError(
+                f"Got a leaving instance; {target} goes on with the request.",
+                remedy=f"Fetch the answer from /v1/streams/{request_id}.",
+                retry_after_s=1.0,
+            )
+        )
+        self.requests.parts.metrics.handed_over.inc()
+        self.requests.finish_stream(stream)
+
+
+async def _copy(
+    request: web.Request, answer: aiohttp.ClientResponse
+) -> web.StreamResponse:
+    """Pass an answer through as it is read."""
+    names = ("Content-Type", "X-Request-Id", "X-Cost", "X-Outcome", "Retry-After")
+    headers = {name: answer.headers[name] for name in names if name in answer.headers}
+    response = web.StreamResponse(status=answer.status, headers=headers)
+    await response.prepare(request)
+    async for chunk in answer.content.iter_any():
+        await response.write(chunk)
+    return response
--- /dev/null
+++ b/lagoonring/requests/http_server.py
@@ -0,0 +1,298 @@
+"""The callers' HTTP interface."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+from aiohttp import web
+from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
+
+from lagoonring.errors import LagoonringError
+from lagoonring.kernel import BaseService
+from lagoonring.logs import make_logger
+from lagoonring.requests.answers import (
+    error_response,
+    json_response,
+    plain_response,
+    send_stream,
+    whole_response,
+)
+from lagoonring.requests.errors import InternalFaultError, UnknownRequestError
+from lagoonring.requests.reading import read_body, read_deadline_s, read_key
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
+    from prometheus_client import CollectorRegistry
+
+    from lagoonring.requests.service import RequestsService
+    from lagoonring.requests.streams import Stream
+
+LAST_EVENT_HEADER = "Last-Event-ID"
+HEADER_LIMIT_BYTES = 16 << 10
+SHUTDOWN_TIMEOUT_S = 2.0
+HOP_HEADERS = frozenset(
+    {
+        "authorization",
+        "connection",
+        "content-length",
+        "host",
+        "idempotency-key",
+        "keep-alive",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "x-deadline-ms",
+        "x-request-id",
+    }
+)
+
+REQUEST_ID = web.RequestKey("request_id", str)
+
+logger = make_logger("http")
+
+
+class HttpService(BaseService):
+    """Serves callers, probes and the parts that add routes of their own.
+
+    Parameters
+    ----------
+    requests : RequestsService
+        Runs the requests.
+    authenticate : callable
+        From headers to an organisation; raises if there is none.
+    registry : CollectorRegistry
+        Shown under ``/metrics``.
+    """
+
+    name = "http"
+
+    def __init__(
+        self,
+        requests: RequestsService,
+        authenticate: Callable[[Mapping[str, str]], str],
+        registry: CollectorRegistry,
+        *,
+        host: str,
+        port: int,
+    ) -> None:
+        self.requests = requests
+        self.authenticate = authenticate
+        self.registry = registry
+        self.host = host
+        self.port = port
+        self.web_app = web.Application(middlewares=[_answer_errors])
+        self.runner: web.AppRunner | None = None
+        self.web_app.add_routes(
+            [
+                web.post("/v1/chat/completions", self.post_chat),
+                web.get("/v1/streams/{request_id}", self.get_stream),
+                web.get("/v1/streams", self.get_stream),
+                web.get("/v1/requests/{request_id}", self.get_trace),
+                web.get("/v1/models", self.get_models),
+                web.get("/v1/models/{name}", self.get_model),
+                web.route("*", "/services/{entry}{tail:(/.*)?}", self.call_service),
+                web.get("/healthz", self.get_health),
+                web.get("/readyz", self.get_ready),
+                web.get("/metrics", self.get_metrics),
+            ]
+        )
+
+    async def start(self) -> None:
+        """Listen for callers."""
+        self.runner = web.AppRunner(
+            self.web_app,
+            access_log=None,
+            shutdown_timeout=SHUTDOWN_TIMEOUT_S,
+            max_line_size=HEADER_LIMIT_BYTES,
+            max_field_size=HEADER_LIMIT_BYTES,
+        )
+        await self.runner.setup()
+        site = web.TCPSite(self.runner, self.host, self.port)
+        await site.start()
+        self.port = self.runner.addresses[0][1]
+        logger.info("Listening on {}:{}.", self.host, self.port)
+
+    async def stop(self) -> None:
+        """Close the listening socket and all connections."""
+        if self.runner is not None:
+            await self.runner.cleanup()
+
+    async def post_chat(self, request: web.Request) -> web.StreamResponse:
+        """Answer a chat completion, streamed or whole."""
+        organisation = self.authenticate(request.headers)
+        if LAST_EVENT_HEADER in request.headers:
+            return await self.get_stream(request)
+        self.requests.check_ready()
+        body = await read_body(request, self.requests.parts.options)
+        allowed_s = None
+        if "X-Deadline-Ms" in request.headers:
+            allowed_s = read_deadline_s(request, 0)
+        chat = self.requests.make_chat_request(
+            body, organisation=organisation, deadline_s=allowed_s
+        )
+        request[REQUEST_ID] = chat.request_id
+        stream = await self.requests.start_stream(chat)
+        return await self.answer_stream(request, stream, 0)
+
+    async def get_stream(self, request: web.Request) -> web.StreamResponse:
+        """Re-attach a caller to a stream, wherever it goes on."""
+        organisation = self.authenticate(request.headers)
+        request_id, n_tokens = _position(request)
+        request[REQUEST_ID] = request_id
+        stream = self.requests.find_stream(request_id)
+        if stream is None:
+            relay = self.requests.app.services.get("handover")
+            if relay is None:
+                raise _unknown_request(request_id)
+            return await relay.relay(request, request_id, n_tokens)
+        if stream.request.organisation != organisation:
+            raise _unknown_request(request_id)
+        return await self.answer_stream(request, stream, n_tokens)
+
+    async def answer_stream(
+        self, request: web.Request, stream: Stream, n_tokens: int
+    ) -> web.StreamResponse:
+        """Send a stream's answer in the form that was asked for."""
+        if not stream.request.is_streamed:
+            await stream.finished.wait()
+            return whole_response(stream)
+        response = await send_stream(request, stream, n_tokens)
+        if stream.sink is None and not stream.is_done:
+            self.requests.abandon_later(stream)
+        return response
+
+    async def call_service(self, request: web.Request) -> web.StreamResponse:
+        """Pass a call through to a plain service."""
+        organisation = self.authenticate(request.headers)
+        self.requests.check_ready()
+        entry = request.match_info["entry"]
+        service = self.requests.find_entry(entry, "plain")
+        classes = self.requests.parts.catalogue.content.classes
+        default_ms = classes[service.service_class].deadline_ms
+        allowed_s = read_deadline_s(request, default_ms)
+        key = read_key(request)
+        body = await read_body(request, self.requests.parts.options)
+        path = request.match_info["tail"] or "/"
+        if request.query_string:
+            path = f"{path}?{request.query_string}"
+        call = self.requests.make_plain_request(
+            entry,
+            organisation=organisation,
+            method=request.method,
+            path=path,
+            headers=_passed_headers(request.headers),
+            body=body,
+            key=key,
+            deadline_s=allowed_s,
+        )
+        request[REQUEST_ID] = call.request_id
+        answer = await self.requests.call_plain(call)
+        trace = self.requests.traces.get(call.request_id)
+        return plain_response(answer, call.request_id, trace.cost if trace else 0.0)
+
+    async def get_trace(self, request: web.Request) -> web.StreamResponse:
+        """Tell what was decided about one of the organisation's requests."""
+        organisation = self.authenticate(request.headers)
+        request_id = request.match_info["request_id"]
+        trace = self.requests.traces.get(request_id)
+        if trace is None or trace.organisation != organisation:
+            raise _unknown_request(request_id)
+        return json_response(trace)
+
+    async def get_models(self, request: web.Request) -> web.StreamResponse:
+        """List the model entries in the shape of the models list."""
+        self.authenticate(request.headers)
+        entries = self.requests.parts.catalogue.content.entries
+        models = [
+            _model(name, entry.owner)
+            for name, entry in sorted(entries.items())
+            if entry.kind == "model"
+        ]
+        return json_response({"object": "list", "data": models})
+
+    async def get_model(self, request: web.Request) -> web.StreamResponse:
+        """Describe one model entry."""
+        self.authenticate(request.headers)
+        name = request.match_info["name"]
+        entry = self.requests.find_entry(name, "model")
+        return json_response(_model(name, entry.owner))
+
+    async def get_health(self, request: web.Request) -> web.StreamResponse:
+        """Answer as long as the process runs."""
+        return json_response({"status": "alive"})
+
+    async def get_ready(self, request: web.Request) -> web.StreamResponse:
+        """Answer 200 while new requests are taken."""
+        self.requests.check_ready()
+        revision = self.requests.parts.catalogue.revision
+        return json_response({"status": "ready", "revision": revision})
+
+    async def get_metrics(self, request: web.Request) -> web.StreamResponse:
+        """Return the metrics in Prometheus' text format."""
+        body = generate_latest(self.registry)
+        return web.Response(body=body, headers={"Content-Type": CONTENT_TYPE_LATEST})
+
+
+@web.middleware
+async def _answer_errors(
+    request: web.Request, handler: Callable[[web.Request], Any]
+) -> web.StreamResponse:
+    """Turn typed errors into answers that say what became of the request."""
+    try:
+        return await handler(request)
+    except LagoonringError as error:
+        return error_response(error, request.get(REQUEST_ID, ""))
+    except web.HTTPException as error:
+        if error.status < 400:
+            raise
+        known = LagoonringError(
+            f"Got {request.method} {request.path[:80]} with status {error.status}, "
+            "expected a known path and method.",
+            remedy="See the reference of the callers' interface.",
+        )
+        known.code = error.reason.lower().replace(" ", "_")
+        known.status = error.status
+        return error_response(known, "")
+    except ConnectionError:
+        raise
+    except Exception:
+        logger.exception("Request failed.")
+        return error_response(InternalFaultError(), request.get(REQUEST_ID, ""))
+
+
+def _position(request: web.Request) -> tuple[str, int]:
+    """Return the request id and the last token that the caller has."""
+    last_event = request.headers.get(LAST_EVENT_HEADER, "")
+    event_request, _, number = last_event.rpartition(":")
+    request_id = request.match_info.get("request_id") or event_request
+    if not request_id:
+        raise UnknownRequestError(
+            f"Got {LAST_EVENT_HEADER} {last_event[:80]!r}, expected REQUEST_ID:N.",
+            remedy="Name the request id in the path or in Last-Event-ID.",
+        )
+    is_number = number.isascii() and number.isdigit()
+    return request_id, int(number[:9]) if is_number else 0
+
+
+def _unknown_request(request_id: str) -> UnknownRequestError:
+    return UnknownRequestError(
+        f"Got request id {request_id[:80]!r}, expected one in progress or kept.",
+        remedy="Finished answers are kept for a short time; send the request again.",
+    )
+
+
+def _passed_headers(headers: Mapping[str, str]) -> dict[str, str]:
+    return {
+        name: value
+        for name, value in headers.items()
+        if name.lower() not in HOP_HEADERS
+    }
+
+
+def _model(name: str, owner: str) -> dict[str, Any]:
+    return msgspec.to_builtins(
+        {"id": name, "object": "model", "created": 0, "owned_by": owner}
+    )
--- /dev/null
+++ b/lagoonring/requests/messages.py
@@ -0,0 +1,90 @@
+"""A request as the pipeline sees it."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import attrs
+import msgspec
+
+REQUEST_PREFIX = b'data: {"id":"chatcmpl-'
+
+
+@attrs.define(kw_only=True)
+class CallerRequest:
+    """An authenticated, checked request.
+
+    ``deadline_s`` is on the process's monotonic clock. ``fingerprint`` stands
+    for organisation, entry and body in the quarantine and claims.
+    """
+
+    request_id: str
+    organisation: str
+    entry: str
+    service_class: str
+    body: bytes
+    fingerprint: str
+    deadline_s: float
+    priority: int = 0
+    key: str = ""
+
+
+@attrs.define(kw_only=True)
+class ChatRequest(CallerRequest):
+    """A request to a model assistant; ``document`` is its parsed body."""
+
+    document: dict[str, Any]
+    prefix_blocks: tuple[int, ...] = ()
+    n_prompt_bytes: int = 0
+    n_tokens_most: int = 0
+    is_streamed: bool = False
+    wants_usage: bool = False
+
+
+@attrs.define(kw_only=True)
+class PlainRequest(CallerRequest):
+    """A call of a plain service."""
+
+    method: str
+    path: str
+    headers: dict[str, str]
+    is_idempotent: bool
+
+
+@attrs.define(kw_only=True)
+class PlainAnswer:
+    """An answer of a plain service, read whole."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    endpoint: str = ""
+    replayed: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class Handover:
+    """What another instance needs to go on with a stream.
+
+    ``events`` are the caller's events so far; ``grace_s`` is the time left
+    until the request's deadline.
+    """
+
+    request_id: str
+    organisation: str
+    entry: str
+    body: bytes
+    events: list[bytes]
+    n_tokens: int
+    grace_s: float
+    n_tokens_recomputed: int = 0
+
+
+def encode_handover(handover: Handover) -> bytes:
+    """Return the handover as msgpack."""
+    return msgspec.msgpack.encode(handover)
+
+
+def decode_handover(payload: bytes) -> Handover:
+    """Return the handover in a msgpack payload."""
+    return msgspec.msgpack.decode(payload, type=Handover)
--- /dev/null
+++ b/lagoonring/requests/moving.py
@@ -0,0 +1,71 @@
+"""Moves streams off endpoints that are going away.
+
+Where the context is long and the notice allows, the KV cache goes along;
+otherwise the stream resumes from its text, which is computed again.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import aiohttp
+
+from lagoonring.endpoints import export_kv, import_kv
+from lagoonring.errors import LagoonringError
+from lagoonring.logs import make_logger
+from lagoonring.requests.producer import make_route_request
+
+if TYPE_CHECKING:
+    from lagoonring.requests.parts import RequestParts
+    from lagoonring.requests.streams import Stream
+
+BYTES_PER_TOKEN = 4
+KV_SHARE_OF_NOTICE = 0.5
+
+logger = make_logger("moving")
+
+
+async def move_stream(parts: RequestParts, stream: Stream, seconds_left: float) -> None:
+    """End a stream's attempt so that it goes on at another endpoint."""
+    if stream.is_moving or stream.is_done or stream.task is None:
+        return
+    stream.is_moving = True
+    stream.move_ready.clear()
+    try:
+        if _is_worth_kv(parts, stream, seconds_left):
+            async with asyncio.timeout(seconds_left * KV_SHARE_OF_NOTICE):
+                await _carry_kv(parts, stream)
+    except (TimeoutError, OSError, LagoonringError, aiohttp.ClientError) as error:
+        stream.kv = None
+        stream.next_endpoint = ""
+        logger.info(
+            "KV cache was not moved: {!r}.",
+            type(error).__name__,
+            extra={"request_id": stream.request.request_id},
+        )
+    finally:
+        stream.move_ready.set()
+        if not stream.is_done and stream.task is not None:
+            stream.task.cancel()
+
+
+def _is_worth_kv(parts: RequestParts, stream: Stream, seconds_left: float) -> bool:
+    n_context = stream.request.n_prompt_bytes // BYTES_PER_TOKEN
+    n_context += stream.journal.n_tokens
+    options = parts.options
+    return n_context >= options.kv_tokens_least and seconds_left >= options.kv_notice_s
+
+
+async def _carry_kv(parts: RequestParts, stream: Stream) -> None:
+    """Export the KV cache and import it at the endpoint that goes on."""
+    endpoints = parts.catalogue.content.endpoints
+    source_url = endpoints[stream.endpoint].url
+    request = make_route_request(parts, stream)
+    route = parts.routing.choose(request, exclude=frozenset({stream.endpoint}))
+    exported = await export_kv(parts.session, source_url, stream.attempt_id)
+    handle = await import_kv(parts.session, route.url, source_url, exported.handle)
+    stream.kv = handle
+    stream.next_endpoint = route.endpoint
+    stream.decisions.append(f"KV cache moved to {route.endpoint}")
+    parts.metrics.kv_moved.inc()
--- /dev/null
+++ b/lagoonring/requests/parts.py
@@ -0,0 +1,172 @@
+"""What the request path uses of the rest of the system, looked up once."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+import attrs
+from prometheus_client import Counter, Gauge, Histogram
+
+from lagoonring.endpoints import call, cancel, open_stream
+from lagoonring.errors import LagoonringError
+from lagoonring.kernel import Application
+from lagoonring.logs import make_logger
+from lagoonring.requests.options import RequestsOptions
+from lagoonring.routing.messages import NoEndpointError
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
+    from prometheus_client import CollectorRegistry
+
+    from lagoonring.requests.messages import CallerRequest
+    from lagoonring.routing.messages import AttemptResult, Route, RouteRequest
+
+PROBE_TIMEOUT_S = 0.5
+CANCEL_TIMEOUT_S = 2.0
+FIRST_TOKEN_BUCKETS_S = (0.05, 0.1, 0.2, 0.35, 0.5, 1, 2, 5, 10)
+
+logger = make_logger("requests")
+
+
+class RequestMetrics:
+    """Metrics of the request path."""
+
+    def __init__(self, registry: CollectorRegistry) -> None:
+        self.requests = Counter(
+            "lagoonring_requests",
+            "Requests answered, by entry and outcome code.",
+            ["entry", "code"],
+            registry=registry,
+        )
+        self.tokens = Counter(
+            "lagoonring_tokens", "Tokens relayed.", ["entry"], registry=registry
+        )
+        self.tokens_recomputed = Counter(
+            "lagoonring_tokens_recomputed",
+            "Tokens that another endpoint had to compute again.",
+            registry=registry,
+        )
+        self.kv_moved = Counter(
+            "lagoonring_kv_moved",
+            "Streams whose KV cache was moved.",
+            registry=registry,
+        )
+        self.handed_over = Counter(
+            "lagoonring_handed_over",
+            "Streams handed to another instance.",
+            registry=registry,
+        )
+        self.adopted = Counter(
+            "lagoonring_adopted",
+            "Streams taken over from another instance.",
+            registry=registry,
+        )
+        self.attempts_failed = Counter(
+            "lagoonring_attempts_failed",
+            "Attempts at endpoints that failed, by kind.",
+            ["kind"],
+            registry=registry,
+        )
+        self.streams = Gauge(
+            "lagoonring_streams", "Streams in progress.", registry=registry
+        )
+        self.first_token = Histogram(
+            "lagoonring_first_token_seconds",
+            "Time to the first token.",
+            ["entry"],
+            buckets=FIRST_TOKEN_BUCKETS_S,
+            registry=registry,
+        )
+
+
+@attrs.define(kw_only=True)
+class RequestParts:
+    """The services and functions that a request meets."""
+
+    app: Application
+    options: RequestsOptions
+    session: aiohttp.ClientSession
+    catalogue: Any
+    routing: Any
+    limits: Any
+    retries: Any
+    claims: Any
+    charges: Any
+    moves: Any
+    metrics: RequestMetrics
+    make_stored_answer: Callable[..., Any]
+    open_stream: Callable[..., Any] = open_stream
+    call_plain: Callable[..., Any] = call
+    background: set[asyncio.Task[None]] = attrs.field(factory=set)
+
+    async def begin_attempt(
+        self, request: CallerRequest, route: Route, route_request: RouteRequest
+    ) -> Route:
+        """Get leave for an attempt; the route may change to another endpoint."""
+        endpoint = await self.retries.attempt(
+            request.fingerprint, route.endpoint, entry=request.entry
+        )
+        if endpoint == route.endpoint:
+            return route
+        other = self.routing.route_to(endpoint, route_request)
+        if other is not None:
+            return other
+        self.retries.ended(request.fingerprint, endpoint, ok=False)
+        raise NoEndpointError(
+            f"Got endpoint {endpoint} that takes no work, expected it free.",
+            remedy="Send the request again after Retry-After.",
+            retry_after_s=1.0,
+        )
+
+    async def blame(self, request: CallerRequest, route: Route, kind: str) -> str:
+        """Return the cause of a failed attempt and tell the quarantine."""
+        if kind == "cut" and not await self.is_alive(route.url):
+            return self.retries.crashed(request.fingerprint, route.endpoint)
+        self.retries.ended(request.fingerprint, route.endpoint, ok=False)
+        return ""
+
+    def observe(self, entry: str, route: Route, result: AttemptResult) -> None:
+        """Give the result of an attempt to the judge of versions."""
+        if self.moves is not None:
+            self.moves.observe(entry, route.version, "", result)
+
+    def cancel_attempt(self, route: Route, attempt_id: str) -> None:
+        """Have the endpoint stop an attempt, without waiting for it."""
+        self.in_background(self._cancel(route.url, attempt_id))
+
+    def in_background(self, work: Coroutine[Any, Any, Any]) -> None:
+        """Run work that the caller need not wait for; drain waits for it."""
+        task = asyncio.create_task(_logged(work))
+        self.background.add(task)
+        task.add_done_callback(self.background.discard)
+
+    async def is_alive(self, url: str) -> bool:
+        """Return whether an endpoint still accepts connections."""
+        timeout = aiohttp.ClientTimeout(total=PROBE_TIMEOUT_S)
+        try:
+            async with self.session.get(f"{url}/load", timeout=timeout):
+                return True
+        except TimeoutError:
+            return True
+        except aiohttp.ClientError:
+            return False
+
+    async def _cancel(self, url: str, attempt_id: str) -> None:
+        try:
+            async with asyncio.timeout(CANCEL_TIMEOUT_S):
+                await cancel(self.session, url, attempt_id)
+        except (OSError, aiohttp.ClientError):
+            logger.debug("Cancel of an attempt was not answered.")
+
+
+async def _logged(work: Coroutine[Any, Any, Any]) -> None:
+    try:
+        await work
+    except LagoonringError as error:
+        logger.warn("Background work failed: {}.", error.code)
+    except Exception:
+        logger.exception("Background work failed.")
--- /dev/null
+++ b/lagoonring/requests/producer.py
@@ -0,0 +1,252 @@
+"""Produces a stream: attempts at endpoints until the answer is whole."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import attrs
+
+from lagoonring.endpoints.errors import EndpointError
+from lagoonring.errors import LagoonringError
+from lagoonring.logs import make_logger
+from lagoonring.requests.chat import endpoint_body
+from lagoonring.requests.checking import checked_events
+from lagoonring.requests.errors import (
+    GIVE_UP_RETRY_AFTER_S,
+    AttemptsExhaustedError,
+    DeadlineError,
+    InternalFaultError,
+)
+from lagoonring.routing.messages import (
+    CAUSE_CALLER,
+    AttemptResult,
+    NoEndpointError,
+    RouteRequest,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from lagoonring.requests.parts import RequestParts
+    from lagoonring.requests.streams import Stream
+    from lagoonring.routing.messages import Route
+
+MOVED = "moved"
+
+logger = make_logger("requests")
+
+
+async def produce(parts: RequestParts, stream: Stream) -> None:
+    """Run attempts until the stream has ended; never raises."""
+    clock = parts.app.clock
+    try:
+        async with asyncio.timeout(stream.request.deadline_s - clock.monotonic()):
+            await _attempt_until_whole(parts, stream)
+    except TimeoutError:
+        stream.end(
+            DeadlineError(
+                f"Got {stream.journal.n_tokens} tokens by the deadline, "
+                "expected a whole answer.",
+                remedy="Ask for fewer tokens or allow more time in X-Deadline-Ms.",
+            )
+        )
+    except LagoonringError as error:
+        stream.end(error)
+    except Exception:
+        logger.exception("Stream failed.", extra={"request_id": _id(stream)})
+        stream.end(InternalFaultError())
+    else:
+        stream.end()
+    stream.ended_s = clock.monotonic()
+
+
+async def _attempt_until_whole(parts: RequestParts, stream: Stream) -> None:
+    excluded: set[str] = set()
+    last_error: EndpointError | None = None
+    while stream.n_attempts < parts.options.n_attempts_most:
+        route_request = make_route_request(parts, stream)
+        route = _choose(parts, stream, route_request, excluded)
+        route = await parts.begin_attempt(stream.request, route, route_request)
+        stream.n_attempts += 1
+        error = await _attempt(parts, stream, route, route_request)
+        if error is None:
+            return
+        stream.decisions.append(f"attempt at {route.endpoint} ended: {error.kind}")
+        if not stream.is_moving:
+            excluded.add(route.endpoint)
+            last_error = error
+            if not parts.retries.may_retry(stream.request.entry):
+                break
+        stream.is_moving = False
+    raise AttemptsExhaustedError(
+        f"Got {stream.n_attempts} failed attempts, the last one {last_error}",
+        remedy="Send the request again after Retry-After.",
+        retry_after_s=GIVE_UP_RETRY_AFTER_S,
+    )
+
+
+def make_route_request(parts: RequestParts, stream: Stream) -> RouteRequest:
+    """Return what routing needs to know of a stream's next attempt."""
+    request = stream.request
+    return RouteRequest(
+        entry=request.entry,
+        service_class=request.service_class,
+        request_id=request.request_id,
+        prefix_blocks=request.prefix_blocks,
+        n_prompt_bytes=request.n_prompt_bytes,
+        n_tokens_most=request.n_tokens_most - stream.journal.n_tokens,
+        version=stream.version if stream.journal.n_tokens else "",
+    )
+
+
+def _choose(
+    parts: RequestParts, stream: Stream, request: RouteRequest, excluded: set[str]
+) -> Route:
+    wanted = stream.next_endpoint
+    stream.next_endpoint = ""
+    if wanted:
+        route = parts.routing.route_to(wanted, request)
+        if route is not None:
+            return route
+    try:
+        return parts.routing.choose(request, exclude=frozenset(excluded))
+    except NoEndpointError:
+        excluded.clear()
+        return parts.routing.choose(attrs.evolve(request, version=""))
+
+
+async def _attempt(
+    parts: RequestParts, stream: Stream, route: Route, route_request: RouteRequest
+) -> EndpointError | None:
+    """Make one attempt; return the error that ended it, None if whole."""
+    clock = parts.app.clock
+    n_tokens_before = stream.journal.n_tokens
+    started_s = clock.monotonic()
+    _begin(parts, stream, route)
+    parts.routing.started(route, route_request)
+    first_token_s = None
+    error: EndpointError | None = None
+    try:
+        async for events in checked_events(stream, _open(parts, stream, route)):
+            if first_token_s is None:
+                first_token_s = clock.monotonic() - started_s
+                if stream.first_token_s is None:
+                    stream.first_token_s = clock.monotonic() - stream.started_s
+            await stream.deliver(events)
+    except EndpointError as caught:
+        error = caught
+        if stream.is_moving:
+            await _wait_for_move(stream)
+            error.kind = MOVED
+    except asyncio.CancelledError:
+        if not stream.is_moving or stream.is_paused:
+            _settle(parts, stream, route, route_request)
+            parts.cancel_attempt(route, stream.attempt_id)
+            raise
+        asyncio.current_task().uncancel()  # type: ignore[union-attr]
+        error = EndpointError("Got a notice, the stream moves on.")
+        error.kind = MOVED
+    n_tokens = stream.journal.n_tokens - n_tokens_before
+    elapsed_s = clock.monotonic() - started_s
+    result = AttemptResult(
+        ok=error is None,
+        kind=error.kind if error else "",
+        n_tokens=n_tokens,
+        first_token_s=first_token_s,
+        between_tokens_s=_between_tokens_s(elapsed_s, first_token_s, n_tokens),
+        cause=await _find_cause(parts, stream, route, error),
+    )
+    parts.routing.ended(route, route_request, result)
+    if not stream.is_moving:
+        parts.observe(stream.request.entry, route, result)
+    if error is not None and error.kind != "connect":
+        parts.cancel_attempt(route, stream.attempt_id)
+    return error
+
+
+def _begin(parts: RequestParts, stream: Stream, route: Route) -> None:
+    stream.endpoint = route.endpoint
+    stream.version = route.version
+    stream.attempt_id = f"{_id(stream)}-{stream.n_attempts}"
+    stream.decisions.append(f"{route.endpoint} chosen: {route.reason}")
+    if stream.journal.n_tokens and stream.kv is None:
+        n_recomputed = stream.journal.n_tokens + stream.request.n_prompt_bytes // 4
+        stream.n_tokens_recomputed += n_recomputed
+        parts.metrics.tokens_recomputed.inc(n_recomputed)
+
+
+def _open(
+    parts: RequestParts, stream: Stream, route: Route
+) -> AsyncIterator[list[bytes]]:
+    kv, stream.kv = stream.kv, None
+    request = stream.request
+    left_s = request.deadline_s - parts.app.clock.monotonic()
+    return parts.open_stream(
+        parts.session,
+        route.url,
+        endpoint_body(request, stream.journal, kv=kv),
+        request_id=request.request_id,
+        attempt_id=stream.attempt_id,
+        version=route.version,
+        priority=request.priority,
+        deadline_ms=max(1, int(left_s * 1000)),
+        first_timeout_s=min(left_s, parts.options.first_token_timeout_s),
+        next_timeout_s=parts.options.between_tokens_timeout_s,
+    )
+
+
+async def _wait_for_move(stream: Stream) -> None:
+    """Wait until the move is prepared; its cancellation may come meanwhile."""
+    try:
+        await stream.move_ready.wait()
+        await asyncio.sleep(0)
+    except asyncio.CancelledError:
+        if stream.is_paused or not stream.move_ready.is_set():
+            raise
+        asyncio.current_task().uncancel()  # type: ignore[union-attr]
+
+
+def _settle(
+    parts: RequestParts, stream: Stream, route: Route, request: RouteRequest
+) -> None:
+    """Note that an attempt ended through no doing of its endpoint."""
+    result = AttemptResult(ok=True, cause=CAUSE_CALLER)
+    parts.routing.ended(route, request, result)
+    parts.retries.ended(stream.request.fingerprint, route.endpoint, ok=False)
+
+
+async def _find_cause(
+    parts: RequestParts, stream: Stream, route: Route, error: EndpointError | None
+) -> str:
+    """Return who is to blame for a failed attempt; tell the quarantine."""
+    fingerprint = stream.request.fingerprint
+    if error is None:
+        parts.retries.ended(fingerprint, route.endpoint, ok=True)
+        return ""
+    if error.kind == MOVED:
+        parts.retries.ended(fingerprint, route.endpoint, ok=False)
+        return CAUSE_CALLER
+    parts.metrics.attempts_failed.labels(error.kind).inc()
+    logger.info(
+        "Attempt at {} failed: {}.",
+        route.endpoint,
+        error.kind,
+        extra={"request_id": _id(stream)},
+    )
+    cause = await parts.blame(stream.request, route, error.kind)
+    if cause:
+        stream.decisions.append(f"{route.endpoint} crashed, cause: {cause}")
+    return cause
+
+
+def _between_tokens_s(
+    elapsed_s: float, first_token_s: float | None, n_tokens: int
+) -> float | None:
+    if first_token_s is None or n_tokens < 2:
+        return None
+    return (elapsed_s - first_token_s) / (n_tokens - 1)
+
+
+def _id(stream: Stream) -> str:
+    return stream.request.request_id
--- /dev/null
+++ b/lagoonring/requests/service.py
@@ -0,0 +1,360 @@
+"""The request path as a service: accepts requests, keeps their streams."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import OrderedDict
+from typing import TYPE_CHECKING
+
+from lagoonring.errors import LagoonringError
+from lagoonring.kernel import BaseService
+from lagoonring.limits.messages import AdmitRequest
+from lagoonring.logs import make_logger
+from lagoonring.requests.chat import canonical_prompt, n_tokens_most, parse_chat_body
+from lagoonring.requests.errors import NotReadyError, UnknownEntryError
+from lagoonring.requests.messages import ChatRequest, PlainAnswer, PlainRequest
+from lagoonring.requests.moving import move_stream
+from lagoonring.requests.plain import run_plain
+from lagoonring.requests.producer import produce
+from lagoonring.requests.streams import Stream
+from lagoonring.requests.traces import Trace, Traces
+from lagoonring.retries.messages import make_fingerprint
+from lagoonring.routing.prefixes import hash_blocks
+
+if TYPE_CHECKING:
+    from lagoonring.catalogue import Entry
+    from lagoonring.requests.parts import RequestParts
+
+NOT_READY_RETRY_AFTER_S = 1.0
+
+logger = make_logger("requests")
+
+
+class RequestsService(BaseService):
+    """Runs requests and keeps streams by request id.
+
+    Parameters
+    ----------
+    parts : RequestParts
+        What the path uses.
+    instance : str
+        Name of this instance; request ids begin with it.
+    """
+
+    name = "requests"
+
+    def __init__(self, parts: RequestParts, *, instance: str) -> None:
+        self.parts = parts
+        self.app = parts.app
+        self.instance = instance
+        self.streams: dict[str, Stream] = {}
+        self.kept: OrderedDict[str, Stream] = OrderedDict()
+        self.n_kept_bytes = 0
+        self.traces = Traces(parts.options.n_traces)
+        self.n_in_progress = 0
+        self.idle = asyncio.Event()
+        self.idle.set()
+        self.is_leaving = False
+
+    def new_request_id(self) -> str:
+        """Return an id that names the instance where the request came in."""
+        return f"{self.instance}.{self.app.rng.getrandbits(64):016x}"
+
+    def check_ready(self) -> None:
+        """Raise NotReadyError unless new requests are taken here."""
+        if self.is_leaving or self.parts.catalogue.revision < 0:
+            state = "leaving" if self.is_leaving else "without a catalogue"
+            raise NotReadyError(
+                f"Got an instance that is {state}, expected a ready one.",
+                remedy="Send the request again; another instance takes it.",
+                retry_after_s=NOT_READY_RETRY_AFTER_S,
+            )
+
+    def find_entry(self, name: str, kind: str) -> Entry:
+        """Return an entry of the catalogue.
+
+        Raises
+        ------
+        UnknownEntryError
+            If there is none of that name and kind.
+        """
+        entries = self.parts.catalogue.content.entries
+        entry = entries.get(name)
+        if entry is None or entry.kind != kind:
+            known = sorted(n for n, e in entries.items() if e.kind == kind)
+            raise UnknownEntryError(
+                f"Got entry {name[:80]!r}, expected one of: {', '.join(known)}.",
+                remedy="Correct the name, or add the entry to the catalogue.",
+            )
+        return entry
+
+    def make_chat_request(
+        self,
+        body: bytes,
+        *,
+        organisation: str,
+        deadline_s: float | None,
+        request_id: str = "",
+    ) -> ChatRequest:
+        """Return a checked request for a model assistant.
+
+        ``deadline_s`` is the time allowed; None takes the class's.
+        """
+        document = parse_chat_body(body)
+        entry = self.find_entry(document["model"], "model")
+        service_class = self.parts.catalogue.content.classes[entry.service_class]
+        allowed_s = deadline_s or service_class.deadline_ms / 1000
+        prompt = canonical_prompt(document["messages"])
+        stream_options = document.get("stream_options")
+        wants_usage = isinstance(stream_options, dict) and bool(
+            stream_options.get("include_usage")
+        )
+        return ChatRequest(
+            request_id=request_id or self.new_request_id(),
+            organisation=organisation,
+            entry=document["model"],
+            service_class=entry.service_class,
+            body=body,
+            fingerprint=make_fingerprint(organisation, document["model"], body),
+            deadline_s=self.app.clock.monotonic() + allowed_s,
+            priority=service_class.priority,
+            document=document,
+            prefix_blocks=hash_blocks(prompt),
+            n_prompt_bytes=len(prompt),
+            n_tokens_most=n_tokens_most(document, self.parts.options.n_tokens_default),
+            is_streamed=bool(document.get("stream")),
+            wants_usage=wants_usage,
+        )
+
+    def make_plain_request(
+        self,
+        name: str,
+        *,
+        organisation: str,
+        method: str,
+        path: str,
+        headers: dict[str, str],
+        body: bytes,
+        key: str,
+        deadline_s: float | None,
+    ) -> PlainRequest:
+        """Return a checked call of a plain service."""
+        entry = self.find_entry(name, "plain")
+        service_class = self.parts.catalogue.content.classes[entry.service_class]
+        allowed_s = deadline_s or service_class.deadline_ms / 1000
+        call = b" ".join((method.encode(), path.encode(), body))
+        return PlainRequest(
+            request_id=self.new_request_id(),
+            organisation=organisation,
+            entry=name,
+            service_class=entry.service_class,
+            body=body,
+            fingerprint=make_fingerprint(organisation, name, call),
+            deadline_s=self.app.clock.monotonic() + allowed_s,
+            priority=service_class.priority,
+            key=key,
+            method=method,
+            path=path,
+            headers=headers,
+            is_idempotent=entry.idempotent or method in entry.idempotent_methods,
+        )
+
+    async def start_stream(self, request: ChatRequest) -> Stream:
+        """Admit a request and begin to produce its answer."""
+        self.check_ready()
+        self.parts.retries.check(request.fingerprint)
+        permit = await self.parts.limits.admit(_admit_request(request))
+        self.parts.metrics.streams.inc()
+        return self.run_stream(Stream(request=request, permit=permit))
+
+    def run_stream(self, stream: Stream) -> Stream:
+        """Produce a stream in a task of its own."""
+        stream.started_s = self.app.clock.monotonic()
+        self.streams[stream.request.request_id] = stream
+        self._begin()
+        stream.task = asyncio.create_task(self._produce(stream))
+        return stream
+
+    async def pause_stream(self, stream: Stream) -> None:
+        """Stop a stream's attempt and keep its journal, to hand it over."""
+        stream.is_paused = True
+        if stream.task is not None:
+            stream.task.cancel()
+            await asyncio.gather(stream.task, return_exceptions=True)
+
+    def resume_stream(self, stream: Stream) -> None:
+        """Go on with a paused stream here."""
+        stream.is_paused = False
+        stream.is_moving = False
+        stream.task = asyncio.create_task(self._produce(stream))
+
+    def abandon_later(self, stream: Stream) -> None:
+        """End a stream whose caller has gone, unless one attaches in time."""
+        loop = asyncio.get_running_loop()
+        grace_s = self.parts.options.detached_grace_s
+        loop.call_later(grace_s, self._abandon, stream)
+
+    async def call_plain(self, request: PlainRequest) -> PlainAnswer:
+        """Admit and run a call of a plain service."""
+        self.check_ready()
+        self.parts.retries.check(request.fingerprint)
+        permit = await self.parts.limits.admit(_admit_request(request))
+        decisions: list[str] = []
+        started_s = self.app.clock.monotonic()
+        outcome = "internal"
+        answer = None
+        self._begin()
+        try:
+            answer = await run_plain(self.parts, request, decisions)
+            outcome = "replayed" if answer.replayed else "ok"
+            return answer
+        except LagoonringError as error:
+            outcome = error.code
+            raise
+        finally:
+            self._end()
+            permit.release(0)
+            cost = self._charge_plain(request, outcome)
+            self.parts.metrics.requests.labels(request.entry, outcome).inc()
+            self.traces.add(
+                Trace(
+                    request_id=request.request_id,
+                    organisation=request.organisation,
+                    entry=request.entry,
+                    outcome=outcome,
+                    endpoint=answer.endpoint if answer else "",
+                    elapsed_s=self.app.clock.monotonic() - started_s,
+                    cost=cost,
+                    decisions=decisions,
+                )
+            )
+
+    def find_stream(self, request_id: str) -> Stream | None:
+        """Return a stream in progress or kept."""
+        return self.streams.get(request_id) or self.kept.get(request_id)
+
+    def endpoint_leaving(self, endpoint: str, seconds_left: float) -> None:
+        """Move every stream off an endpoint that is going away."""
+        for stream in list(self.streams.values()):
+            if stream.endpoint == endpoint and not stream.is_moving:
+                move = move_stream(self.parts, stream, seconds_left)
+                self.parts.in_background(move)
+
+    async def drain(self, grace_s: float) -> None:
+        """Take no new request and let those in progress finish."""
+        self.is_leaving = True
+        try:
+            async with asyncio.timeout(grace_s):
+                await self.idle.wait()
+                await asyncio.gather(*self.parts.background, return_exceptions=True)
+        except TimeoutError:
+            logger.warn("Requests in progress after the grace: {}.", self.n_in_progress)
+
+    async def stop(self) -> None:
+        """Cancel what is still running."""
+        tasks = [stream.task for stream in self.streams.values() if stream.task]
+        for task in [*tasks, *self.parts.background]:
+            task.cancel()
+        await asyncio.gather(*tasks, *self.parts.background, return_exceptions=True)
+
+    async def _produce(self, stream: Stream) -> None:
+        try:
+            await produce(self.parts, stream)
+        finally:
+            if not stream.is_paused:
+                self.finish_stream(stream)
+
+    def _abandon(self, stream: Stream) -> None:
+        if stream.sink is None and not stream.is_done and stream.task is not None:
+            stream.task.cancel()
+
+    def finish_stream(self, stream: Stream) -> None:
+        """Settle a stream that has ended: charge, keep, trace."""
+        request = stream.request
+        if not stream.is_done:
+            stream.end(NotReadyError("Got a stop, expected an answer."))
+        self.streams.pop(request.request_id, None)
+        self._end()
+        if stream.permit is not None:
+            stream.permit.release(stream.journal.n_tokens)
+            self.parts.metrics.streams.dec()
+        code = stream.error.code if stream.error else "ok"
+        if not stream.handed_to:
+            self._charge_stream(stream)
+        self._keep(stream)
+        self.parts.metrics.requests.labels(request.entry, code).inc()
+        self.parts.metrics.tokens.labels(request.entry).inc(stream.journal.n_tokens)
+        if stream.first_token_s is not None:
+            first_token = self.parts.metrics.first_token.labels(request.entry)
+            first_token.observe(stream.first_token_s)
+        self.traces.add(
+            Trace(
+                request_id=request.request_id,
+                organisation=request.organisation,
+                entry=request.entry,
+                outcome=code,
+                endpoint=stream.endpoint,
+                version=stream.version,
+                n_attempts=stream.n_attempts,
+                n_tokens=stream.journal.n_tokens,
+                n_tokens_recomputed=stream.n_tokens_recomputed,
+                first_token_s=stream.first_token_s,
+                elapsed_s=self.app.clock.monotonic() - stream.started_s,
+                cost=stream.cost,
+                decisions=stream.decisions,
+            )
+        )
+
+    def _keep(self, stream: Stream) -> None:
+        """Keep a finished stream for callers that lost their connection."""
+        options = self.parts.options
+        self.kept[stream.request.request_id] = stream
+        self.n_kept_bytes += stream.journal.n_bytes
+        oldest_s = self.app.clock.monotonic() - options.keep_answers_s
+        while self.kept:
+            first = next(iter(self.kept.values()))
+            is_old = first.ended_s < oldest_s
+            if not is_old and self.n_kept_bytes <= options.kept_answers_bytes:
+                return
+            self.kept.popitem(last=False)
+            self.n_kept_bytes -= first.journal.n_bytes
+
+    def _charge_stream(self, stream: Stream) -> None:
+        """Charge a whole answer; a failed one costs nothing."""
+        request = stream.request
+        entry = self.parts.catalogue.content.entries.get(request.entry)
+        if stream.error is not None or entry is None:
+            return
+        n_tokens = stream.journal.n_tokens
+        stream.cost = n_tokens * entry.price_per_1000_tokens / 1000
+        stream.cost += entry.price_per_request
+        self.parts.charges.add(
+            request.organisation, request.entry, n_tokens, stream.cost
+        )
+
+    def _charge_plain(self, request: PlainRequest, outcome: str) -> float:
+        entry = self.parts.catalogue.content.entries.get(request.entry)
+        if outcome != "ok" or entry is None:
+            return 0.0
+        cost = entry.price_per_request
+        self.parts.charges.add(request.organisation, request.entry, 0, cost)
+        return cost
+
+    def _begin(self) -> None:
+        self.n_in_progress += 1
+        self.idle.clear()
+
+    def _end(self) -> None:
+        self.n_in_progress -= 1
+        if self.n_in_progress == 0:
+            self.idle.set()
+
+
+def _admit_request(request: ChatRequest | PlainRequest) -> AdmitRequest:
+    return AdmitRequest(
+        organisation=request.organisation,
+        entry=request.entry,
+        service_class=request.service_class,
+        n_tokens_most=getattr(request, "n_tokens_most", 0),
+        deadline_s=request.deadline_s,
+    )
--- /dev/null
+++ b/lagoonring/requests/streams.py
@@ -0,0 +1,89 @@
+"""A streamed answer in progress: its journal, its caller, its endpoint."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import attrs
+from aiohttp import web
+
+from lagoonring.endpoints.events import SEPARATOR
+from lagoonring.errors import LagoonringError
+from lagoonring.requests.journal import Journal
+from lagoonring.requests.messages import ChatRequest
+
+
+@attrs.define(kw_only=True, eq=False)
+class Stream:
+    """State of one request to a model assistant.
+
+    ``sink`` is the caller's connection while one is attached; events go to the
+    journal first, so a caller may be replaced at any time. ``changed`` is set
+    when the first event is there, and when the stream has ended. While
+    ``is_moving`` the attempt is being moved, and ``move_ready`` is set once the
+    next one may begin; while ``is_paused`` the stream is being handed over.
+    """
+
+    request: ChatRequest
+    journal: Journal = attrs.field(factory=Journal)
+    sink: web.StreamResponse | None = None
+    sink_lost: asyncio.Event = attrs.field(factory=asyncio.Event)
+    changed: asyncio.Event = attrs.field(factory=asyncio.Event)
+    finished: asyncio.Event = attrs.field(factory=asyncio.Event)
+    error: LagoonringError | None = None
+    task: asyncio.Task[None] | None = None
+    endpoint: str = ""
+    version: str = ""
+    attempt_id: str = ""
+    n_attempts: int = 0
+    is_moving: bool = False
+    is_paused: bool = False
+    move_ready: asyncio.Event = attrs.field(factory=asyncio.Event)
+    permit: Any = None
+    kv: str | None = None
+    next_endpoint: str = ""
+    n_tokens_recomputed: int = 0
+    started_s: float = 0.0
+    first_token_s: float | None = None
+    ended_s: float = 0.0
+    cost: float = 0.0
+    handed_to: str = ""
+    decisions: list[str] = attrs.field(factory=list)
+
+    @property
+    def is_done(self) -> bool:
+        """Whether no more events will come."""
+        return self.finished.is_set()
+
+    def attach(self, sink: web.StreamResponse) -> None:
+        """Make a connection the receiver of all further events."""
+        self.detach()
+        self.sink = sink
+        self.sink_lost = asyncio.Event()
+
+    def detach(self) -> None:
+        """Let go of the caller's connection and wake its handler."""
+        self.sink = None
+        self.sink_lost.set()
+
+    async def deliver(self, events: list[bytes]) -> None:
+        """Journal events and pass them to the caller, if one is attached."""
+        self.journal.append(events)
+        if not self.changed.is_set():
+            self.changed.set()
+        sink = self.sink
+        if sink is None:
+            return
+        try:
+            await sink.write(SEPARATOR.join(events) + SEPARATOR)
+        except ConnectionError:
+            if self.sink is sink:
+                self.detach()
+
+    def end(self, error: LagoonringError | None = None) -> None:
+        """Mark the stream as ended, with an error or whole."""
+        self.error = error
+        self.journal.compact()
+        self.finished.set()
+        self.changed.set()
--- /dev/null
+++ b/lagoonring/requests/traces.py
@@ -0,0 +1,44 @@
+"""Decisions of recent requests, for ``lagoonring why``."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+
+import attrs
+
+
+@attrs.frozen(kw_only=True)
+class Trace:
+    """What was decided about one request, in order."""
+
+    request_id: str
+    organisation: str
+    entry: str
+    outcome: str
+    endpoint: str = ""
+    version: str = ""
+    n_attempts: int = 0
+    n_tokens: int = 0
+    n_tokens_recomputed: int = 0
+    first_token_s: float | None = None
+    elapsed_s: float = 0.0
+    cost: float = 0.0
+    decisions: list[str] = attrs.field(factory=list)
+
+
+class Traces:
+    """The newest traces, at most ``n_most``."""
+
+    def __init__(self, n_most: int) -> None:
+        self.n_most = n_most
+        self.by_id: OrderedDict[str, Trace] = OrderedDict()
+
+    def add(self, trace: Trace) -> None:
+        """Keep a trace, dropping the oldest one if need be."""
+        self.by_id[trace.request_id] = trace
+        while len(self.by_id) > self.n_most:
+            self.by_id.popitem(last=False)
+
+    def get(self, request_id: str) -> Trace | None:
+        """Return the trace of a request, if it is still kept."""
+        return self.by_id.get(request_id)
--- /dev/null
+++ b/lagoonring/tests/builders/deployments.py
@@ -0,0 +1,207 @@
+"""Whole deployments in one process: stand-ins and entry instances."""
+
+from __future__ import annotations
+
+import contextlib
+import random
+import socket
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+import attrs
+
+from lagoonring.catalogue.edits import Change, Edit, encode_edit
+from lagoonring.entry.application import make_entry_application
+from lagoonring.kernel import Application
+from lagoonring.requests.authentication import hash_key
+from lagoonring.settings import convert
+from lagoonring.settings.entry_settings import EntrySettings
+from lagoonring.standins.engine_standin import EngineStandin
+from lagoonring.standins.log_standin import LogStandin
+from lagoonring.standins.options import EngineOptions, PlainOptions
+from lagoonring.standins.plain_standin import PlainStandin
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+
+HOST = "127.0.0.1"
+KEYS = {"hann": "hann-key", "ngor": "ngor-key"}
+OPERATOR_TOKEN = "awa-token"
+DATA_CENTRES = ("plateau", "almadies", "rufisque")
+PEER_KEY = "a-key-for-tests-only"
+
+
+@attrs.define(kw_only=True)
+class Deployment:
+    """A running deployment; ``cut`` holds pairs of instances that are cut off."""
+
+    log: LogStandin
+    entries: list[Application] = attrs.field(factory=list)
+    engines: dict[str, EngineStandin] = attrs.field(factory=dict)
+    services: dict[str, PlainStandin] = attrs.field(factory=dict)
+    cut: set[frozenset[str]] = attrs.field(factory=set)
+    session: aiohttp.ClientSession
+
+    def url(self, index: int) -> str:
+        """Return the root URL of an entry instance."""
+        return f"http://{HOST}:{self.entries[index].find('http').port}"
+
+    def allows(self, sender: str, receiver: str) -> bool:
+        """Return whether two instances can reach each other."""
+        return frozenset({sender, receiver}) not in self.cut
+
+
+def headers_of(organisation: str = "hann", **more: str) -> dict[str, str]:
+    """Return the headers that name an organisation."""
+    return {"Authorization": f"Bearer {KEYS[organisation]}", **more}
+
+
+def chat_body(question: str = "feeding", n_tokens: int = 8, **more: Any) -> dict:
+    """Return a chat completion body for the entry ``guide``."""
+    messages = [{"role": "user", "content": question}]
+    return {"model": "guide", "messages": messages, "max_tokens": n_tokens, **more}
+
+
+@contextlib.asynccontextmanager
+async def run_deployment(
+    *,
+    n_entries: int = 1,
+    n_engines: int = 2,
+    n_services: int = 1,
+    engine: dict[str, Any] | None = None,
+    plain: dict[str, Any] | None = None,
+    entry: dict[str, Any] | None = None,
+    sections: dict[str, Any] | None = None,
+) -> AsyncIterator[Deployment]:
+    """Run a deployment until the block ends.
+
+    ``engine`` and ``plain`` are options of the stand-ins, ``entry`` settings of
+    every instance, ``sections`` replace items of the catalogue.
+    """
+    async with contextlib.AsyncExitStack() as stack:
+        session = await stack.enter_async_context(aiohttp.ClientSession())
+        deployment = Deployment(log=LogStandin(), session=session)
+        for index in range(n_engines):
+            options = EngineOptions(**{"token_s": 0.0, **(engine or {})})
+            name = f"guide-{index}"
+            deployment.engines[name] = await _start(
+                stack, EngineStandin(options, host=HOST, port=0)
+            )
+        for index in range(n_services):
+            options = PlainOptions(**(plain or {}))
+            deployment.services[f"booking-{index}"] = await _start(
+                stack, PlainStandin(options, host=HOST, port=0)
+            )
+        await publish(deployment, make_catalogue(deployment, sections or {}))
+        for settings in make_settings(n_entries, entry or {}):
+            app = make_entry_application(
+                settings,
+                rng=random.Random(settings.instance),
+                log=deployment.log,
+                allow=deployment.allows,
+            )
+            deployment.entries.append(app)
+            await app.start()
+            stack.push_async_callback(app.stop)
+        for app in deployment.entries:
+            await app.find("catalogue").ready.wait()
+        yield deployment
+
+
+def make_settings(n_entries: int, more: dict[str, Any]) -> list[EntrySettings]:
+    """Return the settings of all instances, one data centre each in turn."""
+    ports = free_ports(2 * n_entries)
+    rows = [
+        {
+            "instance": f"entry-{index}",
+            "data_centre": DATA_CENTRES[index % len(DATA_CENTRES)],
+            "address": f"{HOST}:{ports[2 * index]}",
+            "http_address": f"{HOST}:{ports[2 * index + 1]}",
+        }
+        for index in range(n_entries)
+    ]
+    return [
+        convert(
+            {
+                "instance": row["instance"],
+                "data_centre": row["data_centre"],
+                "port": ports[2 * index + 1],
+                "log_url": "http://127.0.0.1:1",
+                "peers": {
+                    "address": row["address"],
+                    "keys": [PEER_KEY],
+                    "seeds": [other for other in rows if other is not row],
+                    "round_s": 0.05,
+                },
+                **more,
+            },
+            EntrySettings,
+        )
+        for index, row in enumerate(rows)
+    ]
+
+
+def make_catalogue(
+    deployment: Deployment, sections: dict[str, Any]
+) -> dict[str, dict[str, Any]]:
+    """Return the catalogue's plain sections for the stand-ins that run."""
+    catalogue: dict[str, dict[str, Any]] = {
+        "organisations": {
+            name: {"key_hashes": [hash_key(key)]} for name, key in KEYS.items()
+        },
+        "operators": {"awa": {"token_hash": hash_key(OPERATOR_TOKEN), "role": "admin"}},
+        "classes": {"assistant": {}, "desk": {"deadline_ms": 5000}},
+        "entries": {
+            "guide": {
+                "kind": "model",
+                "owner": "hann",
+                "service_class": "assistant",
+                "price_per_1000_tokens": 1.0,
+            },
+            "booking": {
+                "kind": "plain",
+                "owner": "hann",
+                "service_class": "desk",
+                "price_per_request": 0.01,
+            },
+        },
+        "endpoints": {},
+    }
+    running = {"guide": deployment.engines, "booking": deployment.services}
+    for entry, endpoints in running.items():
+        for index, (name, standin) in enumerate(endpoints.items()):
+            catalogue["endpoints"][name] = {
+                "entry": entry,
+                "data_centre": DATA_CENTRES[index % len(DATA_CENTRES)],
+                "url": standin.url,
+            }
+    for section, items in sections.items():
+        catalogue.setdefault(section, {}).update(items)
+    return catalogue
+
+
+async def publish(deployment: Deployment, catalogue: dict[str, Any]) -> None:
+    """Append a catalogue to the log as one edit."""
+    changes = [
+        Change(section=section, name=name, item=item)
+        for section, items in catalogue.items()
+        for name, item in items.items()
+    ]
+    edit = Edit(edit_id="first", author="awa", base_revision=-1, changes=changes)
+    await deployment.log.append("config", encode_edit(edit))
+
+
+def free_ports(n_ports: int) -> list[int]:
+    """Return ports that were free a moment ago."""
+    with contextlib.ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in range(n_ports)]
+        for one in sockets:
+            one.bind((HOST, 0))
+        return [one.getsockname()[1] for one in sockets]
+
+
+async def _start(stack: contextlib.AsyncExitStack, standin: Any) -> Any:
+    await standin.start()
+    stack.push_async_callback(standin.stop)
+    return standin
