--- a/lagoonring/standins/engine_core.py
+++ b/lagoonring/standins/engine_core.py
@@ -15,6 +15,7 @@
 from lagoonring.standins.engine_faults import EngineFaults, find_version_faults
 from lagoonring.standins.engine_kv import KvStore
 from lagoonring.standins.engine_slots import Slots
+from lagoonring.standins.http_server import wait_for_ever
 
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator, Callable
@@ -209,11 +210,11 @@
         """Apply the faults due at this token; True if that took time."""
         if _is_due(job.crash_at, job):
             self.crash()
-            await _wait_for_ever()
+            await wait_for_ever()
         if _is_due(job.cut_at, job):
             raise StreamCutError("Got a cut on command.")
         if _is_due(job.stall_at, job) or job.is_frozen:
-            await _wait_for_ever()
+            await wait_for_ever()
         if job.n_sent != self.faults.hold_at_token:
             return False
         await self._hold(job)
@@ -235,8 +236,3 @@
 
 def _is_due(token: int | None, job: Job) -> bool:
     return token is not None and job.n_sent >= token
-
-
-async def _wait_for_ever() -> None:
-    """Wait until the connection is closed, which cancels the request."""
-    await asyncio.get_running_loop().create_future()
--- a/lagoonring/standins/http_server.py
+++ b/lagoonring/standins/http_server.py
@@ -92,6 +92,11 @@
             if connection.transport is not None:
                 connection.transport.abort()
 
+    async def accept(self) -> None:
+        """Accept connections again, if they are refused."""
+        if self.site is None:
+            await self._listen()
+
     async def _listen(self) -> None:
         self.site = web.TCPSite(self.runner, self.host, self.port, reuse_address=True)
         await self.site.start()
@@ -99,7 +104,7 @@
 
     async def _listen_later(self, delay_s: float) -> None:
         await asyncio.sleep(delay_s)
-        await self._listen()
+        await self.accept()
 
 
 def answer_json(value: Any, *, status: int = 200, **headers: str) -> web.Response:
@@ -153,3 +158,8 @@
         return convert(merged, type(current), name="faults")
     except (msgspec.MsgspecError, InvalidInputError) as error:
         raise web.HTTPBadRequest(text=str(error)) from error
+
+
+async def wait_for_ever() -> None:
+    """Wait until the connection is closed, which cancels the request."""
+    await asyncio.get_running_loop().create_future()
--- a/lagoonring/standins/plain_standin.py
+++ b/lagoonring/standins/plain_standin.py
@@ -24,6 +24,7 @@
     answer_json,
     answer_not_run,
     merge_faults,
+    wait_for_ever,
 )
 from lagoonring.standins.options import PlainOptions
 
@@ -161,6 +162,7 @@
         body = await request.read()
         if any(text.encode() in body for text in self.faults.crash_on):
             await self.server.crash(self.faults.restart_s)
+            await wait_for_ever()
         if self.faults.use("n_refused"):
             return answer_not_run("refused", "Got a fault on command.")
         if request.method in READ_METHODS:
--- a/lagoonring/tests/test_model_engine.py
+++ b/lagoonring/tests/test_model_engine.py
@@ -40,6 +40,7 @@
 )
 
 LIMIT_S = 5.0
+SHORT_S = 1.0
 
 
 @pytest.fixture
@@ -123,7 +124,8 @@
     async with running_engine() as engine:
         await set_faults(engine, **faults)
         events = []
-        limits = {"first_timeout_s": 0.3, "next_timeout_s": 0.3}
+        limit_s = SHORT_S if error is EndpointTimeoutError else LIMIT_S
+        limits = {"first_timeout_s": limit_s, "next_timeout_s": limit_s}
         with pytest.raises(error) as caught:
             await collect(stream_from(session, engine, **limits), events)
         assert type(caught.value) is error
@@ -135,14 +137,12 @@
 
 async def test_refused_connection_is_not_run_and_engine_returns(session):
     async with running_engine() as engine:
-        await set_faults(engine, refuse_s=0.2)
+        await set_faults(engine, refuse_s=60)
         with pytest.raises(EndpointConnectError) as caught:
             await collect(stream_from(session, engine))
         assert caught.value.outcome is Outcome.NOT_RUN
         assert caught.value.kind == "connect"
-        async with asyncio.timeout(LIMIT_S):
-            while engine.server.site is None:
-                await asyncio.sleep(0.01)
+        await engine.server.accept()
         events = await collect(stream_from(session, engine))
     assert read_text(events) == text_of(PROMPT, 0, 20)
 
