Add version moves: split, sequential judge, schedule, holder and service

Cause: a new version has to be tried on few requests, taken back soon after a fault shows, and finished by its deadline. Change: the share is held low for most of the time and each later share only so long that the new version never has had more than 5% of all requests; results are compared by mixed likelihood ratios by route, load band and respect.

--- /dev/null
+++ b/benchmarks/moves_seeds.py
@@ -0,0 +1,374 @@
+"""Measures the judges of version moves over seeds of good and bad versions.
+
+Results of attempts are drawn from distributions and given to the real counters
+and judges of 3 to 9 instances, which exchange their totals each second. Printed
+per kind of version: moves judged, versions missed, the share of all requests
+since the trial began that the bad version got, seconds from first fault to
+verdict, requests begun on it later than 2 s after the verdict, and good
+versions condemned.
+
+    python benchmarks/moves_seeds.py --n-seeds 200 --n-processes 4
+"""
+
+from __future__ import annotations
+
+import argparse
+import concurrent.futures
+import heapq
+import math
+import random
+
+import attrs
+
+from lagoonring.moves.counts import Counter, Sample, VersionCounts
+from lagoonring.moves.judge import Judge
+from lagoonring.moves.options import MovesOptions
+from lagoonring.moves.schedule import Step, plan_steps, share_at
+
+KINDS = ("at_once", "later", "under_load", "one_route", "slow", "crash", "good")
+ROUTES = ("chat/short", "chat/long", "plan", "seats")
+ROUTE_WEIGHTS = (0.5, 0.25, 0.15, 0.1)
+TARGETS_S = (0.35, 0.058)
+MOVE_S = 1200.0
+FAILURE_SHARE = 0.003
+COLD_S = 60.0
+CRASH_DOWN_S = 20.0
+STOP_LIMIT_S = 2.0
+DAY_S = 700.0
+BOUND_SHARE = 0.05
+
+
+@attrs.frozen(kw_only=True)
+class Fault:
+    """What is wrong with a version."""
+
+    kind: str
+    chance: float
+    start_s: float
+    route: str
+    slow_first: float
+    slow_between: float
+
+
+@attrs.define(kw_only=True)
+class Outcome:
+    """What one move came to."""
+
+    kind: str
+    seed: int
+    condemned: bool = False
+    finding: str = ""
+    n_all: int = 0
+    n_new: int = 0
+    n_late: int = 0
+    verdict_s: float = math.inf
+    shown_s: float = math.inf
+    n_first_instances: int = 0
+
+
+@attrs.define(kw_only=True)
+class Attempt:
+    """An attempt in progress."""
+
+    started_s: float
+    instance: int
+    endpoint: int
+    sample: Sample
+    cut: bool = False
+
+
+class Move:
+    """One move of one seed."""
+
+    def __init__(self, kind: str, seed: int, rate_per_s: float) -> None:
+        self.rng = random.Random(f"{kind}-{seed}")
+        self.options = MovesOptions()
+        self.rate_per_s = rate_per_s
+        self.steps = plan_steps(MOVE_S, self.options)
+        self.total_s = sum(step.hold_s for step in self.steps)
+        self.fault = make_fault(kind, self.rng, self.total_s)
+        self.outcome = Outcome(kind=kind, seed=seed)
+        self.n_endpoints = self.rng.choice((3, 5))
+        self.n_instances = self.rng.randint(3, 9)
+        self.phase = self.rng.uniform(0, DAY_S)
+        options = self.options.judge
+        rows = [VersionCounts(move="m", started_s=0.0) for _ in self._instances()]
+        self.counters = [
+            Counter(
+                row,
+                targets_s=TARGETS_S,
+                n_routes=options.n_routes,
+                n_reference=options.n_reference,
+            )
+            for row in rows
+        ]
+        self.judges = [Judge("m", options) for _ in rows]
+        self.stopped_s = [math.inf] * self.n_instances
+        self.down_until_s = [0.0] * self.n_endpoints
+        self.in_progress: list[tuple[float, int, Attempt]] = []
+        self.n_started = 0
+        self.crash_seen: dict[tuple[int, int], float] = {}
+        self.reclaims_s = sorted(self.rng.uniform(0, self.total_s) for _ in range(2))
+        self.cut_seen: dict[tuple[int, int, bool], float] = {}
+
+    def run(self) -> Outcome:
+        """Run to the verdict's end or to the end of the ramp."""
+        now_s = -60.0
+        next_tick_s = now_s
+        while now_s < self.total_s:
+            now_s += self.rng.expovariate(self.rate_per_s)
+            while next_tick_s <= now_s:
+                self._tick(next_tick_s)
+                next_tick_s += 1.0
+            self._finish_until(now_s)
+            if self.reclaims_s and now_s > self.reclaims_s[0]:
+                self.reclaims_s.pop(0)
+                self._crash(self.rng.randrange(self.n_endpoints), now_s)
+            self._start(now_s)
+            if now_s > min(self.stopped_s) + 2 * STOP_LIMIT_S:
+                break
+        return self.outcome
+
+    def _instances(self) -> range:
+        return range(self.n_instances)
+
+    def _share(self, now_s: float) -> float:
+        if now_s < 0:
+            return 0.0
+        return share_at(self.steps, now_s) or self.steps[-1].share
+
+    def _hosts(self, share: float) -> int:
+        if share <= 0:
+            return 0
+        return n_hosts(share, self.n_endpoints)
+
+    def _load(self, endpoint: int, now_s: float) -> float:
+        wave = 0.6 + 0.35 * math.sin(2 * math.pi * (now_s + self.phase) / DAY_S)
+        return min(1.0, max(0.0, wave + self.rng.gauss(0, 0.08)))
+
+    def _start(self, now_s: float) -> None:
+        instance = self.rng.randrange(self.n_instances)
+        share = self._share(now_s)
+        is_new = self.rng.random() < share and now_s < self.stopped_s[instance]
+        n_choices = self._hosts(share) if is_new else self.n_endpoints
+        up = [i for i in range(n_choices) if self.down_until_s[i] < now_s]
+        endpoint = self.rng.choice(up or range(n_choices))
+        if now_s >= 0 and now_s < min(self.stopped_s):
+            self.outcome.n_all += 1
+        if is_new:
+            self.outcome.n_new += 1
+            if now_s > min(self.stopped_s) + STOP_LIMIT_S:
+                self.outcome.n_late += 1
+        sample, duration_s = self._draw(is_new, endpoint, now_s)
+        attempt = Attempt(
+            started_s=now_s, instance=instance, endpoint=endpoint, sample=sample
+        )
+        self.n_started += 1
+        heapq.heappush(self.in_progress, (now_s + duration_s, self.n_started, attempt))
+        crashes = is_new and self.fault.kind == "crash"
+        if crashes and self.rng.random() < self.fault.chance:
+            self._crash(endpoint, now_s)
+
+    def _draw(self, is_new: bool, endpoint: int, now_s: float) -> tuple[Sample, float]:
+        rng = self.rng
+        load = self._load(endpoint, now_s)
+        route = rng.choices(ROUTES, ROUTE_WEIGHTS)[0]
+        first_s = 0.12 * (1 + 1.5 * load**2) * rng.lognormvariate(0, 0.35)
+        between_s = 0.03 * (1 + 0.6 * load) * rng.lognormvariate(0, 0.15)
+        ok = rng.random() >= FAILURE_SHARE
+        if is_new:
+            if now_s < COLD_S:
+                first_s *= 1.15
+            ok, first_s, between_s = self._spoil(
+                ok, first_s, between_s, route, load, now_s
+            )
+        n_tokens = rng.randint(40, 300)
+        duration_s = first_s + between_s * n_tokens if ok else 0.1
+        sample = Sample(
+            is_new=is_new,
+            route=route,
+            load_share=load,
+            ok=ok,
+            first_token_s=first_s,
+            between_tokens_s=between_s,
+        )
+        return sample, duration_s
+
+    def _spoil(
+        self,
+        ok: bool,
+        first_s: float,
+        between_s: float,
+        route: str,
+        load: float,
+        now_s: float,
+    ) -> tuple[bool, float, float]:
+        fault = self.fault
+        if fault.kind == "good":
+            return ok, first_s * fault.slow_first, between_s * fault.slow_between
+        hits = now_s >= fault.start_s
+        hits = hits and (fault.kind != "under_load" or load > 0.8)
+        hits = hits and (fault.kind != "one_route" or route == fault.route)
+        if not hits:
+            return ok, first_s, between_s
+        self.outcome.shown_s = min(self.outcome.shown_s, now_s)
+        if fault.kind == "slow":
+            return ok, first_s * fault.slow_first, between_s * fault.slow_between
+        if fault.kind == "crash":
+            return ok, first_s, between_s
+        return ok and self.rng.random() >= fault.chance, first_s, between_s
+
+    def _crash(self, endpoint: int, now_s: float) -> None:
+        self.down_until_s[endpoint] = now_s + CRASH_DOWN_S
+        kept = []
+        for end_s, number, attempt in self.in_progress:
+            if attempt.endpoint == endpoint:
+                attempt.cut = True
+                end_s = now_s
+            kept.append((end_s, number, attempt))
+        heapq.heapify(kept)
+        self.in_progress = kept
+
+    def _finish_until(self, now_s: float) -> None:
+        while self.in_progress and self.in_progress[0][0] <= now_s:
+            end_s, _, attempt = heapq.heappop(self.in_progress)
+            sample = attempt.sample
+            if attempt.cut:
+                sample = attrs.evolve(sample, ok=False)
+                if self._is_known_cut(attempt, end_s):
+                    continue
+            self.counters[attempt.instance].add(sample)
+
+    def _is_known_cut(self, attempt: Attempt, now_s: float) -> bool:
+        crash = (attempt.instance, attempt.endpoint)
+        if now_s - self.crash_seen.get(crash, -math.inf) > self.options.cut_window_s:
+            self.crash_seen[crash] = now_s
+            crashes = self.counters[attempt.instance].counts.crashes
+            name = str(attempt.endpoint)
+            crashes[name] = crashes.get(name, 0) + 1
+        cut = (attempt.instance, attempt.endpoint, attempt.sample.is_new)
+        if now_s - self.cut_seen.get(cut, -math.inf) <= self.options.cut_window_s:
+            return True
+        self.cut_seen[cut] = now_s
+        return False
+
+    def _tick(self, now_s: float) -> None:
+        share = self._share(now_s)
+        hosts = frozenset(str(i) for i in range(self._hosts(share)))
+        for counter in self.counters:
+            counter.counts.share = share
+        for reader in self._instances():
+            judge = self.judges[reader]
+            for origin in self._instances():
+                row = self.counters[origin].counts
+                judge.merge(str(origin), row)
+                if row.crashes and hosts:
+                    judge.merge_crashes(row, hosts, self.n_endpoints)
+            if judge.finding is not None and self.stopped_s[reader] == math.inf:
+                self._condemn(reader, now_s)
+
+    def _condemn(self, reader: int, now_s: float) -> None:
+        outcome = self.outcome
+        if not outcome.condemned:
+            outcome.condemned = True
+            outcome.verdict_s = now_s
+            outcome.finding = str(self.judges[reader].finding)
+        self.stopped_s[reader] = now_s
+        for other in self._instances():
+            told_s = now_s + self.rng.uniform(0.005, 0.5)
+            self.stopped_s[other] = min(self.stopped_s[other], told_s)
+
+
+def n_hosts(share: float, n_endpoints: int) -> int:
+    """Return how many endpoints host the new version at a share."""
+    return min(n_endpoints, max(1, math.ceil(share * n_endpoints)))
+
+
+def make_fault(kind: str, rng: random.Random, total_s: float) -> Fault:
+    """Draw a fault of a kind."""
+    is_good = kind == "good"
+    low, high = (0.95, 1.05) if is_good else (1.5, 3.0)
+    slow = [rng.uniform(low, high), rng.uniform(low, high)]
+    if kind == "slow" and rng.random() < 0.67:
+        slow[rng.randrange(2)] = 1.0
+    chance = rng.uniform(0.05, 0.5) if kind == "crash" else rng.uniform(0.1, 1.0)
+    start_s = rng.uniform(0.05, 0.95) * total_s if kind == "later" else 0.0
+    return Fault(
+        kind=kind,
+        chance=chance,
+        start_s=start_s,
+        route=rng.choice(ROUTES),
+        slow_first=slow[0],
+        slow_between=slow[1],
+    )
+
+
+def run_one(job: tuple[str, int, float]) -> Outcome:
+    """Run one move."""
+    kind, seed, rate_per_s = job
+    return Move(kind, seed, rate_per_s).run()
+
+
+def describe(kind: str, outcomes: list[Outcome]) -> str:
+    """Return one line of the table."""
+    n_all = len(outcomes)
+    condemned = [outcome for outcome in outcomes if outcome.condemned]
+    n_late = sum(outcome.n_late for outcome in outcomes)
+    if kind == "good":
+        return f"{kind:<11} moves={n_all} condemned={len(condemned)}"
+    shares = sorted(o.n_new / max(1, o.n_all) for o in outcomes)
+    delays = sorted(max(0.0, o.verdict_s - o.shown_s) for o in condemned)
+    n_over = sum(share > BOUND_SHARE for share in shares)
+    return (
+        f"{kind:<11} moves={n_all} missed={n_all - len(condemned)} "
+        f"share mean={sum(shares) / n_all:.4f} "
+        f"p95={shares[int(0.95 * n_all)]:.4f} max={shares[-1]:.4f} "
+        f"over_5%={n_over} "
+        f"delay_s p50={_middle(delays):.1f} max={delays[-1] if delays else 0:.1f} "
+        f"late={n_late}"
+    )
+
+
+def _middle(values: list[float]) -> float:
+    return values[len(values) // 2] if values else math.nan
+
+
+def main() -> None:
+    """Run all seeds and print the table."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--n-seeds", type=int, default=200)
+    parser.add_argument("--n-good", type=int, default=200)
+    parser.add_argument("--first-seed", type=int, default=0)
+    parser.add_argument("--n-processes", type=int, default=4)
+    parser.add_argument("--rate", type=float, default=20.0)
+    parser.add_argument("--kinds", default=",".join(KINDS))
+    parser.add_argument("--verbose", action="store_true")
+    options = parser.parse_args()
+    kinds = options.kinds.split(",")
+    jobs = []
+    bad = [kind for kind in kinds if kind != "good"]
+    first = options.first_seed
+    for seed in range(first, first + options.n_seeds):
+        if bad:
+            jobs.append((bad[seed % len(bad)], seed, options.rate))
+    if "good" in kinds:
+        jobs += [("good", first + i, options.rate) for i in range(options.n_good)]
+    with concurrent.futures.ProcessPoolExecutor(options.n_processes) as pool:
+        outcomes = list(pool.map(run_one, jobs))
+    for kind in kinds:
+        chosen = [outcome for outcome in outcomes if outcome.kind == kind]
+        if chosen:
+            print(describe(kind, chosen))
+    if options.verbose:
+        for outcome in outcomes:
+            if outcome.condemned != (outcome.kind != "good"):
+                print(outcome)
+
+
+def steps_of(options: MovesOptions) -> list[Step]:
+    """Return the planned steps, for a look at the schedule."""
+    return plan_steps(MOVE_S, options)
+
+
+if __name__ == "__main__":
+    main()
--- a/lagoonring/moves/__init__.py
+++ b/lagoonring/moves/__init__.py
@@ -1,1 +1,16 @@
 """Version moves: start beside, judge, ramp, finish or undo."""
+
+from __future__ import annotations
+
+from lagoonring.moves.messages import MoveNotice, MoveRecord, MoveStatus
+from lagoonring.moves.options import JudgeOptions, MovesOptions
+from lagoonring.moves.split import is_on_new
+
+__all__ = [
+    "JudgeOptions",
+    "MoveNotice",
+    "MoveRecord",
+    "MoveStatus",
+    "MovesOptions",
+    "is_on_new",
+]
--- /dev/null
+++ b/lagoonring/moves/comparison.py
@@ -0,0 +1,78 @@
+"""The comparison of one move at one instance: own totals and the judge."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from lagoonring.moves.counts import Counter, Sample, VersionCounts
+from lagoonring.moves.judge import Judge
+
+if TYPE_CHECKING:
+    from lagoonring.moves.messages import MoveRecord
+    from lagoonring.moves.options import JudgeOptions
+
+
+class Comparison:
+    """Counts own results and judges by those of all instances.
+
+    Parameters
+    ----------
+    record : MoveRecord
+        The move; replaced as its phase changes.
+    targets_s : tuple of float
+        Class targets of first token and between tokens, in seconds.
+    started_s : float
+        Epoch seconds; tells these totals from those of an earlier process.
+    options : JudgeOptions
+        Margins and limits.
+    """
+
+    def __init__(
+        self,
+        record: MoveRecord,
+        *,
+        targets_s: tuple[float, float],
+        started_s: float,
+        options: JudgeOptions,
+    ) -> None:
+        self.record = record
+        self.counts = VersionCounts(move=record.key, started_s=started_s)
+        self.counter = Counter(
+            self.counts,
+            targets_s=targets_s,
+            n_routes=options.n_routes,
+            n_reference=options.n_reference,
+        )
+        self.judge = Judge(record.key, options)
+        self.published = b""
+
+    def compares(self, version: str) -> bool:
+        """Return whether results of a version are of use."""
+        return version in (self.record.from_version, self.record.to_version)
+
+    def add(self, sample: Sample) -> None:
+        """Count an own result."""
+        self.counter.add(sample)
+
+    def merge(self, origin: str, counts: VersionCounts) -> None:
+        """Take an instance's totals in."""
+        self.judge.merge(origin, counts)
+
+    def has_changed(self) -> bool:
+        """Return whether there is something to tell since the last copy."""
+        return msgspec.msgpack.encode(self.counts) != self.published
+
+    def take_copy(self) -> VersionCounts:
+        """Return the totals for publishing."""
+        self.published = msgspec.msgpack.encode(self.counts)
+        return msgspec.msgpack.decode(self.published, type=VersionCounts)
+
+    def count_results(self) -> tuple[int, int]:
+        """Return the results of old and new version, over all instances heard."""
+        n_old = n_new = 0
+        for _, cells in self.judge.seen.values():
+            n_old += sum(cell.n_old for cell in cells.values())
+            n_new += sum(cell.n_new for cell in cells.values())
+        return n_old, n_new
--- /dev/null
+++ b/lagoonring/moves/counts.py
@@ -0,0 +1,173 @@
+"""Counts of good and bad results by version, route and load band.
+
+A result is bad in up to three respects: it failed, its first token was slow, or
+the time between its tokens was slow. Slow means beyond the 95th percentile of
+the old version's recent results on the same route and band at this instance,
+or beyond the class target while there are too few of those.
+"""
+
+from __future__ import annotations
+
+import bisect
+import itertools
+
+import attrs
+
+RESPECTS = ("failure", "first_token", "between_tokens")
+BAND_EDGES = (0.5, 0.85)
+BUCKET_GROWTH = 1.1
+BUCKET_FIRST_S = 0.001
+N_BUCKETS = 130
+BUCKETS_S = tuple(
+    itertools.accumulate(
+        range(N_BUCKETS - 1),
+        lambda edge_s, _: edge_s * BUCKET_GROWTH,
+        initial=BUCKET_FIRST_S,
+    )
+)
+SLOW_QUANTILE = 0.95
+N_DECAY = 1000
+OTHER_ROUTE = "other"
+
+
+def load_band(load_share: float) -> int:
+    """Return the band, from 0 (light) to 2 (heavy), of a share of busy slots."""
+    return bisect.bisect_right(BAND_EDGES, load_share)
+
+
+@attrs.define
+class Histogram:
+    """Latencies in fixed logarithmic buckets; old samples fade out."""
+
+    counts: list[float] = attrs.field(factory=lambda: [0.0] * N_BUCKETS)
+    n_samples: float = 0.0
+
+    def add(self, value_s: float) -> None:
+        """Count a latency; halve all counts when there are many."""
+        index = min(bisect.bisect_left(BUCKETS_S, value_s), N_BUCKETS - 1)
+        self.counts[index] += 1
+        self.n_samples += 1
+        if self.n_samples >= N_DECAY:
+            self.counts = [count / 2 for count in self.counts]
+            self.n_samples /= 2
+
+    def quantile(self, quantile: float) -> float:
+        """Return the upper edge, in seconds, of the bucket of a quantile."""
+        rest = quantile * self.n_samples
+        for index, count in enumerate(self.counts):
+            rest -= count
+            if rest <= 0:
+                return BUCKETS_S[index]
+        return BUCKETS_S[-1]
+
+
+@attrs.define(kw_only=True)
+class CellCounts:
+    """Counts of one route and load band; lists follow :data:`RESPECTS`."""
+
+    n_old: int = 0
+    n_new: int = 0
+    bad_old: list[int] = attrs.field(factory=lambda: [0, 0, 0])
+    bad_new: list[int] = attrs.field(factory=lambda: [0, 0, 0])
+
+
+@attrs.define(kw_only=True)
+class VersionCounts:
+    """A row of kind ``version_counts``: the totals of one instance.
+
+    ``started_s`` tells totals that began anew from those before. ``share`` is
+    the share in force at the instance. ``crashes`` counts the crashes that the
+    instance saw of each endpoint.
+    """
+
+    move: str
+    started_s: float
+    share: float = 0.0
+    cells: dict[str, CellCounts] = attrs.field(factory=dict)
+    crashes: dict[str, int] = attrs.field(factory=dict)
+
+
+@attrs.frozen(kw_only=True)
+class Sample:
+    """What the comparison needs of one attempt; times in seconds or None."""
+
+    is_new: bool
+    route: str
+    load_share: float
+    ok: bool
+    first_token_s: float | None = None
+    between_tokens_s: float | None = None
+
+
+class Counter:
+    """Keeps the totals of this instance for one move.
+
+    Parameters
+    ----------
+    counts : VersionCounts
+        The totals, published as they are.
+    targets_s : tuple of float
+        Class targets of first token and between tokens, in seconds.
+    n_routes : int
+        Routes beyond this number share one cell.
+    n_reference : int
+        Samples of the old version before its percentile replaces the target.
+    """
+
+    def __init__(
+        self,
+        counts: VersionCounts,
+        *,
+        targets_s: tuple[float, float],
+        n_routes: int,
+        n_reference: int,
+    ) -> None:
+        self.counts = counts
+        self.targets_s = targets_s
+        self.n_routes = n_routes
+        self.n_reference = n_reference
+        self.routes: set[str] = set()
+        self.references: dict[tuple[str, int], Histogram] = {}
+        self.limits_s: dict[tuple[str, int], float] = {}
+
+    def add(self, sample: Sample) -> None:
+        """Count one attempt."""
+        name = self._cell_name(sample)
+        cell = self.counts.cells.setdefault(name, CellCounts())
+        bad = cell.bad_new if sample.is_new else cell.bad_old
+        if sample.is_new:
+            cell.n_new += 1
+        else:
+            cell.n_old += 1
+        if not sample.ok:
+            bad[0] += 1
+            return
+        latencies = (sample.first_token_s, sample.between_tokens_s)
+        for index, latency_s in enumerate(latencies):
+            if latency_s is None:
+                continue
+            if latency_s > self._limit_s(name, index):
+                bad[index + 1] += 1
+            if not sample.is_new:
+                self._refer(name, index, latency_s)
+
+    def _cell_name(self, sample: Sample) -> str:
+        route = sample.route
+        if route not in self.routes:
+            if len(self.routes) >= self.n_routes:
+                route = OTHER_ROUTE
+            self.routes.add(route)
+        return f"{route}|{load_band(sample.load_share)}"
+
+    def _limit_s(self, name: str, index: int) -> float:
+        return self.limits_s.get((name, index), self.targets_s[index])
+
+    def _refer(self, name: str, index: int, latency_s: float) -> None:
+        key = (name, index)
+        histogram = self.references.setdefault(key, Histogram())
+        histogram.add(latency_s)
+        if histogram.n_samples < self.n_reference:
+            return
+        is_first = key not in self.limits_s
+        if is_first or int(histogram.n_samples) % self.n_reference == 0:
+            self.limits_s[key] = histogram.quantile(SLOW_QUANTILE)
--- /dev/null
+++ b/lagoonring/moves/service.py
@@ -0,0 +1,399 @@
+"""The service ``moves``: which version a request runs on, and verdicts.
+
+Every instance splits requests by the share last told, counts results, and
+stops using a new version by its own verdict at once. One instance at a time
+also carries moves on, see :mod:`lagoonring.moves.holder`.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING, Any
+
+from lagoonring.kernel import BaseService
+from lagoonring.leases import Duty, Lease, is_among_first
+from lagoonring.logs import make_logger
+from lagoonring.moves.comparison import Comparison
+from lagoonring.moves.counts import Sample, VersionCounts
+from lagoonring.moves.holder import MovesHolder, find_endpoints
+from lagoonring.moves.ledger import MoveLedger
+from lagoonring.moves.messages import MoveNotice, MoveRecord, MoveStatus
+from lagoonring.moves.metrics import MoveMetrics
+from lagoonring.moves.options import MovesOptions
+from lagoonring.moves.orders import EngineControl, choose_hosts
+from lagoonring.moves.split import is_on_new
+
+if TYPE_CHECKING:
+    from lagoonring.catalogue.entries import CatalogueContent
+    from lagoonring.kernel import Application
+    from lagoonring.leases import LeaseOptions
+    from lagoonring.moves.orders import EndpointControl
+    from lagoonring.routing.messages import AttemptResult
+
+STREAM = "moves"
+NOTICE_KIND = "verdict"
+COUNTS_KIND = "version_counts"
+VERDICT_PREFIX = "bad:"
+CUT_KINDS = ("cut", "connect")
+N_FINDINGS_KEPT = 256
+N_CUTS_KEPT = 1024
+NO_PHASE = "ordered"
+
+logger = make_logger("moves")
+
+
+class MovesService(BaseService):
+    """Chooses versions, compares them, and competes to carry moves on.
+
+    Parameters
+    ----------
+    app : Application
+        Finds ``catalogue``, ``peers``, ``log`` and ``session``.
+    options : MovesOptions
+        Shares, times and limits.
+    lease_options : LeaseOptions or None
+        Times of the lease.
+    control : EndpointControl or None
+        In place of the engines over HTTP.
+    """
+
+    name = "moves"
+
+    def __init__(
+        self,
+        app: Application,
+        options: MovesOptions | None = None,
+        *,
+        lease_options: LeaseOptions | None = None,
+        control: EndpointControl | None = None,
+    ) -> None:
+        self.app = app
+        self.options = options or MovesOptions()
+        self.lease_options = lease_options
+        self.control = control or EngineControl(lambda: app.find("session").session)
+        self.ledger = MoveLedger(self._take_record)
+        self.told: dict[str, MoveNotice] = {}
+        self.findings: dict[str, str] = {}
+        self.comparisons: dict[str, Comparison] = {}
+        self.cuts_s: dict[tuple[str, str], float] = {}
+        self.lease: Lease | None = None
+        self.metrics: MoveMetrics | None = None
+        self.holder = MovesHolder(
+            app,
+            self.ledger,
+            self.options,
+            self.control,
+            find_finding=lambda key: self.findings.get(key, ""),
+            tell=self._tell_records,
+        )
+
+    async def start(self) -> None:
+        """Follow catalogue and peers, and compete for the lease."""
+        self.catalogue = self.app.find("catalogue")
+        self.peers = self.app.find("peers")
+        if "metrics" in self.app.services:
+            self.metrics = MoveMetrics(self.app.find("metrics").registry)
+        self.catalogue.subscribe(self._take_catalogue)
+        self.peers.subscribe(NOTICE_KIND, MoveNotice, self._take_notice)
+        self.peers.subscribe(COUNTS_KIND, VersionCounts, self._take_counts)
+        self.lease = Lease(
+            self.app.find("log"),
+            STREAM,
+            self.peers.me.instance,
+            self.app.clock,
+            self.lease_options,
+            data=self.ledger,
+        )
+        duty = Duty(
+            self.lease,
+            self.holder.run,
+            rng=self.app.rng,
+            is_candidate=self._is_candidate,
+        )
+        self.app.spawn("moves comparison", self._compare)
+        self.app.spawn("moves holder", duty.compete)
+
+    async def drain(self, grace_s: float) -> None:
+        """Give the lease up, so that another instance goes on at once."""
+        if self.lease is not None:
+            await self.lease.release()
+
+    def choose_version(self, entry: str, request_id: str) -> str:
+        """Return the version that a request runs on; equal at every instance."""
+        found = self.catalogue.content.entries.get(entry)
+        version = found.version if found else ""
+        notice = self.told.get(entry)
+        if notice is None:
+            return version
+        record = notice.record
+        if record.key in self.findings:
+            return record.from_version if version == record.to_version else version
+        share = self.share(entry)
+        if share <= 0 or version != record.from_version:
+            return version
+        if is_on_new(entry, record.key, request_id, share):
+            return record.to_version
+        return version
+
+    def share(self, entry: str) -> float:
+        """Return the share of an entry's requests on the new version, here.
+
+        Past the deadline an undecided move takes no requests, whether or not
+        its holder can say so.
+        """
+        notice = self.told.get(entry)
+        if notice is None or notice.record.is_final:
+            return 0.0
+        record = notice.record
+        is_late = self.app.clock.time() >= record.deadline_s
+        return 0.0 if is_late or record.key in self.findings else record.share
+
+    def observe(
+        self,
+        entry: str,
+        version: str,
+        route: str,
+        result: AttemptResult,
+        *,
+        caused_by_request: bool = False,
+        endpoint: str = "",
+        load_share: float = 0.0,
+    ) -> None:
+        """Take the result of an attempt into the comparison.
+
+        Parameters
+        ----------
+        entry, version, route : str
+            What was run; ``route`` is a path or a class of prompts.
+        result : AttemptResult
+            How it ended.
+        caused_by_request : bool
+            Whether the request itself or a reclaim is the cause of a failure;
+            it then says nothing of the version.
+        endpoint : str
+            Where it ran; several cuts at once of one endpoint count as one.
+        load_share : float
+            Share of busy slots there, for the load band.
+        """
+        comparison = self.comparisons.get(entry)
+        if comparison is None or not comparison.compares(version):
+            return
+        if not result.ok and caused_by_request:
+            return
+        if result.kind in CUT_KINDS and endpoint:
+            self._count_crash(comparison, endpoint)
+            if self._is_repeated_cut(endpoint, version):
+                return
+        comparison.add(
+            Sample(
+                is_new=version == comparison.record.to_version,
+                route=route,
+                load_share=load_share,
+                ok=result.ok,
+                first_token_s=result.first_token_s,
+                between_tokens_s=result.between_tokens_s,
+            )
+        )
+
+    def status(self) -> list[MoveStatus]:
+        """Return all moves that are ordered or known, for operators."""
+        records = {kept.record.key: kept.record for kept in self.ledger.kept.values()}
+        for notice in self.told.values():
+            records.setdefault(notice.record.key, notice.record)
+        known = {record.name for record in records.values()}
+        found = [self._describe(record) for record in records.values()]
+        for name, move in self.catalogue.content.moves.items():
+            if name not in known:
+                found.append(_describe_ordered(name, move))
+        return found
+
+    def _is_candidate(self) -> bool:
+        if not self.catalogue.content.moves:
+            return False
+        me = self.peers.me.instance
+        others = [member.instance for member in self.peers.members()]
+        return is_among_first(STREAM, me, [me, *others])
+
+    def _take_catalogue(self, content: CatalogueContent, revision: int) -> None:
+        for entry in [name for name in self.told if name not in content.entries]:
+            del self.told[entry]
+            self.comparisons.pop(entry, None)
+
+    def _take_record(self, offset: int, record: MoveRecord) -> None:
+        if record.phase != "refused":
+            self._take_newest(MoveNotice(record=record, offset=offset))
+
+    def _take_notice(self, origin: str, name: str, notice: MoveNotice | None) -> None:
+        if notice is None:
+            return
+        if notice.finding:
+            self._condemn(notice.record, notice.finding, is_own=False)
+        else:
+            self._take_newest(notice)
+
+    def _take_newest(self, notice: MoveNotice) -> None:
+        record = notice.record
+        before = self.told.get(record.entry)
+        if before is not None and notice.offset <= before.offset:
+            return
+        self.told[record.entry] = notice
+        if self.metrics is not None:
+            self.metrics.note_record(record)
+        if record.is_final:
+            self.comparisons.pop(record.entry, None)
+            self._publish_counts(record.entry)
+            return
+        comparison = self.comparisons.get(record.entry)
+        if comparison is None or comparison.record.key != record.key:
+            self.comparisons[record.entry] = self._make_comparison(record)
+        else:
+            comparison.record = record
+
+    def _make_comparison(self, record: MoveRecord) -> Comparison:
+        content = self.catalogue.content
+        entry = content.entries.get(record.entry)
+        target = content.classes.get(entry.service_class) if entry else None
+        targets_s = (math.inf, math.inf)
+        if target is not None:
+            targets_s = (target.first_token_ms / 1e3, target.between_tokens_ms / 1e3)
+        comparison = Comparison(
+            record,
+            targets_s=targets_s,
+            started_s=self.app.clock.time(),
+            options=self.options.judge,
+        )
+        rows = self.peers.rows(COUNTS_KIND, VersionCounts)
+        for (origin, name), counts in rows.items():
+            if name == record.entry and origin != self.peers.me.instance:
+                comparison.merge(origin, counts)
+        return comparison
+
+    def _take_counts(
+        self, origin: str, name: str, counts: VersionCounts | None
+    ) -> None:
+        comparison = self.comparisons.get(name)
+        if comparison is None:
+            return
+        if counts is None:
+            comparison.judge.forget(origin)
+            return
+        comparison.merge(origin, counts)
+        self._merge_crashes(comparison, counts)
+        self._check(comparison)
+
+    async def _compare(self) -> None:
+        """Take own results in each tick, and tell the totals."""
+        next_publish_s = 0.0
+        me = self.peers.me.instance
+        while True:
+            for entry, comparison in list(self.comparisons.items()):
+                comparison.counts.share = self.share(entry)
+                comparison.merge(me, comparison.counts)
+                self._merge_crashes(comparison, comparison.counts)
+                self._check(comparison)
+            now_s = self.app.clock.monotonic()
+            if now_s >= next_publish_s:
+                next_publish_s = now_s + self.options.publish_s
+                for entry in list(self.comparisons):
+                    self._publish_counts(entry)
+            await self.app.clock.sleep(self.options.tick_s)
+
+    def _publish_counts(self, entry: str) -> None:
+        comparison = self.comparisons.get(entry)
+        if comparison is None:
+            self.peers.publish(COUNTS_KIND, entry, None)
+        elif comparison.has_changed():
+            self.peers.publish(COUNTS_KIND, entry, comparison.take_copy())
+
+    def _merge_crashes(self, comparison: Comparison, counts: VersionCounts) -> None:
+        if not counts.crashes or counts.share <= 0:
+            return
+        content = self.catalogue.content
+        endpoints = find_endpoints(content, comparison.record.entry)
+        hosts = choose_hosts(endpoints, comparison.record.share)
+        comparison.judge.merge_crashes(counts, frozenset(hosts), len(endpoints))
+
+    def _check(self, comparison: Comparison) -> None:
+        finding = comparison.judge.finding
+        if finding is not None:
+            self._condemn(comparison.record, str(finding), is_own=True)
+
+    def _condemn(self, record: MoveRecord, finding: str, *, is_own: bool) -> None:
+        if record.key in self.findings:
+            return
+        self.findings[record.key] = finding
+        while len(self.findings) > N_FINDINGS_KEPT:
+            del self.findings[next(iter(self.findings))]
+        logger.warning(
+            "Version {} of {} is bad: {}.", record.to_version, record.entry, finding
+        )
+        if self.metrics is not None:
+            self.metrics.note_verdict(record)
+        if is_own:
+            notice = MoveNotice(record=record, finding=finding)
+            name = VERDICT_PREFIX + record.key
+            self.peers.publish(NOTICE_KIND, name, notice, urgent=True)
+
+    def _tell_records(self) -> None:
+        for kept in self.ledger.kept.values():
+            notice = MoveNotice(record=kept.record, offset=kept.offset)
+            if kept.record.phase != "refused":
+                self._tell_one(notice)
+
+    def _tell_one(self, notice: MoveNotice) -> None:
+        newest = self.told.get(notice.record.entry)
+        if newest is None or newest.offset <= notice.offset:
+            self.peers.publish(NOTICE_KIND, notice.record.entry, notice, urgent=True)
+
+    def _count_crash(self, comparison: Comparison, endpoint: str) -> None:
+        if not self._is_repeated_cut(endpoint, ""):
+            crashes = comparison.counts.crashes
+            crashes[endpoint] = crashes.get(endpoint, 0) + 1
+
+    def _is_repeated_cut(self, endpoint: str, version: str) -> bool:
+        now_s = self.app.clock.monotonic()
+        key = (endpoint, version)
+        is_repeated = now_s - self.cuts_s.get(key, -math.inf) < (
+            self.options.cut_window_s
+        )
+        if not is_repeated:
+            self.cuts_s.pop(key, None)
+            self.cuts_s[key] = now_s
+            while len(self.cuts_s) > N_CUTS_KEPT:
+                del self.cuts_s[next(iter(self.cuts_s))]
+        return is_repeated
+
+    def _describe(self, record: MoveRecord) -> MoveStatus:
+        comparison = self.comparisons.get(record.entry)
+        n_old = n_new = 0
+        if comparison is not None and comparison.record.key == record.key:
+            n_old, n_new = comparison.count_results()
+        return MoveStatus(
+            name=record.name,
+            entry=record.entry,
+            phase=record.phase,
+            share=record.share,
+            from_version=record.from_version,
+            to_version=record.to_version,
+            deadline_s=record.deadline_s,
+            reason=record.reason,
+            n_old=n_old,
+            n_new=n_new,
+            finding=self.findings.get(record.key, ""),
+        )
+
+
+def _describe_ordered(name: str, move: Any) -> MoveStatus:
+    return MoveStatus(
+        name=name,
+        entry=move.entry,
+        phase=NO_PHASE,
+        share=0.0,
+        from_version=move.from_version,
+        to_version=move.to_version,
+        deadline_s=move.deadline_s,
+        reason="waits for an instance to take it on",
+        n_old=0,
+        n_new=0,
+        finding="",
+    )
