Add stand-ins and clients of cloud, weight store and instance list

Cause: fleet, moves and peers meet the platform through small clients. Change: three clients with errors that tell the effect of a request, and stand-ins with reclaim waves, refused starts, lost answers, costs, a limited transfer rate and a lagging list.

--- a/lagoonring/platform/__init__.py
+++ b/lagoonring/platform/__init__.py
@@ -2,6 +2,26 @@
 
 from __future__ import annotations
 
+from lagoonring.platform.cloud import (
+    Cloud,
+    CloudClient,
+    CloudInstance,
+    CloudPrice,
+    Notice,
+    NoticePage,
+    StartOrder,
+    StartRefusedError,
+)
+from lagoonring.platform.exchange import (
+    PlatformAnswerLostError,
+    PlatformRejectedError,
+    PlatformUnavailableError,
+)
+from lagoonring.platform.instance_list import (
+    InstanceList,
+    InstanceListClient,
+    ListedInstance,
+)
 from lagoonring.platform.log import (
     Log,
     LogAnswerLostError,
@@ -11,13 +31,30 @@
     Page,
     Record,
 )
+from lagoonring.platform.weight_store import Fetch, WeightStoreClient
 
 __all__ = [
+    "Cloud",
+    "CloudClient",
+    "CloudInstance",
+    "CloudPrice",
+    "Fetch",
+    "InstanceList",
+    "InstanceListClient",
+    "ListedInstance",
     "Log",
     "LogAnswerLostError",
     "LogClient",
     "LogTruncatedError",
     "LogUnavailableError",
+    "Notice",
+    "NoticePage",
     "Page",
+    "PlatformAnswerLostError",
+    "PlatformRejectedError",
+    "PlatformUnavailableError",
     "Record",
+    "StartOrder",
+    "StartRefusedError",
+    "WeightStoreClient",
 ]
--- /dev/null
+++ b/lagoonring/standins/cloud_model.py
@@ -0,0 +1,170 @@
+"""Instances, capacity and costs of the cloud stand-in."""
+
+from __future__ import annotations
+
+import itertools
+from typing import TYPE_CHECKING, Any
+
+import attrs
+
+from lagoonring.platform.cloud import MARKETS, RECLAIMABLE, CloudInstance, Notice
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from lagoonring.kernel import Clock
+    from lagoonring.platform.cloud import StartOrder
+    from lagoonring.standins.options import CloudOptions, Price
+
+HOUR_S = 3600.0
+
+
+class UnknownPriceError(LookupError):
+    """No such class and data centre are on offer, or no such market."""
+
+
+class NoCapacityError(RuntimeError):
+    """There is no instance of the kind to give."""
+
+
+@attrs.frozen
+class Costs:
+    """Money spent since the start, by market."""
+
+    reclaimable: float = 0.0
+    on_demand: float = 0.0
+
+
+class CloudModel:
+    """What the cloud knows; time passes by its clock.
+
+    Parameters
+    ----------
+    options : CloudOptions
+        Prices, capacity, times.
+    clock : Clock
+        Times starts, reclaims and costs.
+    attach, detach : callable
+        ``attach(instance) -> url`` when an instance begins to run,
+        ``detach(instance)`` when it is gone.
+    """
+
+    def __init__(
+        self,
+        options: CloudOptions,
+        *,
+        clock: Clock,
+        attach: Callable[[CloudInstance], str] | None = None,
+        detach: Callable[[CloudInstance], None] | None = None,
+    ) -> None:
+        self.options = options
+        self.clock = clock
+        self.attach = attach or _make_attach(options.endpoint_urls)
+        self.detach = detach or _do_nothing
+        self.prices: dict[tuple[str, str], Price] = {
+            (price.data_centre, price.instance_class): price for price in options.prices
+        }
+        self.instances: dict[str, CloudInstance] = {}
+        self.by_token: dict[str, str] = {}
+        self.notices: list[Notice] = []
+        self.ended_s: dict[str, float] = {}
+        self.sequence = itertools.count(1)
+
+    def start(self, order: StartOrder) -> CloudInstance:
+        """Start an instance, or return the one started with this token.
+
+        Raises
+        ------
+        UnknownPriceError, NoCapacityError
+            Nothing was started.
+        """
+        if order.token in self.by_token:
+            return self.instances[self.by_token[order.token]]
+        price = self.prices.get((order.data_centre, order.instance_class))
+        if price is None or order.market not in MARKETS:
+            raise UnknownPriceError(f"Got {order}, expected one of the price list.")
+        if self._count_used(order) >= getattr(price, f"n_{order.market}"):
+            raise NoCapacityError(f"Got no capacity for {order}.")
+        instance = CloudInstance(
+            instance=f"i-{next(self.sequence)}",
+            started_s=self.clock.time(),
+            **attrs.asdict(order),
+        )
+        self.instances[instance.instance] = instance
+        self.by_token[order.token] = instance.instance
+        return instance
+
+    def begin(self, name: str) -> None:
+        """Let a starting instance run."""
+        instance = self.instances[name]
+        if instance.state == "starting":
+            url = self.attach(instance)
+            self._set(instance, state="running", url=url)
+
+    def announce(self, name: str, notice_s: float) -> None:
+        """Give notice that an instance will be reclaimed."""
+        instance = self.instances[name]
+        reclaim_s = self.clock.time() + notice_s
+        self._set(instance, state="leaving")
+        self.notices.append(
+            Notice(
+                seq=len(self.notices),
+                instance=name,
+                data_centre=instance.data_centre,
+                reclaim_s=reclaim_s,
+            )
+        )
+
+    def end(self, name: str) -> CloudInstance:
+        """Stop or reclaim an instance; costs end."""
+        instance = self.instances[name]
+        if instance.state == "gone":
+            return instance
+        self.ended_s[name] = self.clock.time()
+        self.detach(instance)
+        return self._set(instance, state="gone")
+
+    def find_reclaimable(self, data_centre: str, instance_class: str) -> list[str]:
+        """Return the reclaimable instances that a wave may hit; empty means any."""
+        return [
+            name
+            for name, item in self.instances.items()
+            if item.market == RECLAIMABLE
+            and item.state in ("starting", "running")
+            and data_centre in ("", item.data_centre)
+            and instance_class in ("", item.instance_class)
+        ]
+
+    def count_costs(self) -> Costs:
+        """Return the money spent so far."""
+        spent = dict.fromkeys(MARKETS, 0.0)
+        now_s = self.clock.time()
+        for name, item in self.instances.items():
+            price = self.prices[(item.data_centre, item.instance_class)]
+            duration_s = self.ended_s.get(name, now_s) - item.started_s
+            spent[item.market] += getattr(price, item.market) * duration_s / HOUR_S
+        return Costs(**spent)
+
+    def _count_used(self, order: StartOrder) -> int:
+        return sum(
+            item.state != "gone"
+            and item.market == order.market
+            and item.data_centre == order.data_centre
+            and item.instance_class == order.instance_class
+            for item in self.instances.values()
+        )
+
+    def _set(self, instance: CloudInstance, **changes: Any) -> CloudInstance:
+        changed = attrs.evolve(instance, **changes)
+        self.instances[instance.instance] = changed
+        return changed
+
+
+def _make_attach(urls: list[str]) -> Callable[[CloudInstance], str]:
+    """Return the hook that gives out endpoint URLs in turn."""
+    turns = itertools.cycle(urls or [""])
+    return lambda instance: next(turns)
+
+
+def _do_nothing(instance: CloudInstance) -> None:
+    """Leave the endpoint of a gone instance as it is."""
--- a/lagoonring/standins/kinds.py
+++ b/lagoonring/standins/kinds.py
@@ -9,10 +9,20 @@
 
 from lagoonring.logs import make_logger
 from lagoonring.settings import Fault, FaultyDocumentError, convert, find_faults
+from lagoonring.standins.cloud_standin import CloudStandin
 from lagoonring.standins.engine_standin import EngineStandin
+from lagoonring.standins.instance_list_standin import InstanceListStandin
 from lagoonring.standins.log_server import LogServer
-from lagoonring.standins.options import EngineOptions, LogOptions, PlainOptions
+from lagoonring.standins.options import (
+    CloudOptions,
+    EngineOptions,
+    InstanceListOptions,
+    LogOptions,
+    PlainOptions,
+    WeightStoreOptions,
+)
 from lagoonring.standins.plain_standin import PlainStandin
+from lagoonring.standins.weight_store_standin import WeightStoreStandin
 
 if TYPE_CHECKING:
     from lagoonring.standins.options import Standin, StandinSettings
@@ -47,6 +57,9 @@
     "engine": Kind(EngineOptions, EngineStandin),
     "log": Kind(LogOptions, LogServer),
     "plain": Kind(PlainOptions, PlainStandin),
+    "cloud": Kind(CloudOptions, CloudStandin),
+    "weight_store": Kind(WeightStoreOptions, WeightStoreStandin),
+    "instance_list": Kind(InstanceListOptions, InstanceListStandin),
 }
 
 
--- a/lagoonring/standins/options.py
+++ b/lagoonring/standins/options.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from lagoonring.platform.instance_list import ListedInstance
 from lagoonring.settings.validators import between, is_port, one_of
 
 KINDS = ("engine", "plain", "log", "cloud", "weight_store", "instance_list", "link")
@@ -94,25 +95,11 @@
     weights: dict[str, float] = attrs.field(factory=dict)
 
 
-@attrs.frozen(kw_only=True)
-class InstanceRow:
-    """An instance as the platform lists it."""
-
-    instance: str
-    data_centre: str
-    region: str = ""
-    address: str = "127.0.0.1"
-    peer_port: int = attrs.field(default=0, validator=is_port())
-    http_port: int = attrs.field(default=0, validator=is_port())
-    role: str = attrs.field(default="entry", validator=one_of(("entry", "endpoint")))
-    state: str = attrs.field(default="live", validator=one_of(("live", "leaving")))
-
-
 @attrs.frozen(kw_only=True)
 class InstanceListOptions:
     """Behaviour of the instance list; changes show after ``lag_s``."""
 
-    instances: list[InstanceRow] = attrs.field(factory=list)
+    instances: list[ListedInstance] = attrs.field(factory=list)
     lag_s: float = attrs.field(default=1.0, validator=between(0, HOUR_S))
 
 
