Prove that streams stay whole under endpoint failure, moves and handover

Cause: an accepted answer must reach its caller whole when endpoints fail, answers cross, notices come or the entry instance leaves. Change: focused failure tests on a deployment in one process, driven by barriers of the stand-ins (hold at token N), every token compared; generators of a stream are closed as soon as an attempt ends.

--- a/lagoonring/requests/checking.py
+++ b/lagoonring/requests/checking.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from contextlib import aclosing
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -16,7 +17,7 @@
 from lagoonring.requests.messages import REQUEST_PREFIX
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Callable
+    from collections.abc import AsyncGenerator, Callable
 
     from lagoonring.requests.streams import Stream
 
@@ -25,8 +26,8 @@
 
 
 async def checked_events(
-    stream: Stream, batches: AsyncIterator[list[bytes]]
-) -> AsyncIterator[list[bytes]]:
+    stream: Stream, source: AsyncGenerator[list[bytes], None]
+) -> AsyncGenerator[list[bytes], None]:
     """Yield batches of events as the caller gets them.
 
     Tokens that the journal already holds are dropped.
@@ -39,14 +40,11 @@
         If a token is missing.
     """
     check = _make_check(stream)
-    async for batch in batches:
-        events = []
-        for event in batch:
-            checked = check(event)
-            if checked is not None:
-                events.append(checked)
-        if events:
-            yield events
+    async with aclosing(source) as batches:
+        async for batch in batches:
+            events = [checked for checked in map(check, batch) if checked is not None]
+            if events:
+                yield events
 
 
 def _make_check(stream: Stream) -> Callable[[bytes], bytes | None]:
--- a/lagoonring/requests/producer.py
+++ b/lagoonring/requests/producer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import aclosing
 from typing import TYPE_CHECKING
 
 import attrs
@@ -26,7 +27,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncGenerator
 
     from lagoonring.requests.parts import RequestParts
     from lagoonring.requests.streams import Stream
@@ -128,12 +129,13 @@
     first_token_s = None
     error: EndpointError | None = None
     try:
-        async for events in checked_events(stream, _open(parts, stream, route)):
-            if first_token_s is None:
-                first_token_s = clock.monotonic() - started_s
-                if stream.first_token_s is None:
-                    stream.first_token_s = clock.monotonic() - stream.started_s
-            await stream.deliver(events)
+        source = _open(parts, stream, route)
+        async with aclosing(checked_events(stream, source)) as batches:
+            async for events in batches:
+                if first_token_s is None:
+                    first_token_s = clock.monotonic() - started_s
+                    _note_first_token(parts, stream)
+                await stream.deliver(events)
     except EndpointError as caught:
         error = caught
         if stream.is_moving:
@@ -165,6 +167,11 @@
     return error
 
 
+def _note_first_token(parts: RequestParts, stream: Stream) -> None:
+    if stream.first_token_s is None:
+        stream.first_token_s = parts.app.clock.monotonic() - stream.started_s
+
+
 def _begin(parts: RequestParts, stream: Stream, route: Route) -> None:
     stream.endpoint = route.endpoint
     stream.version = route.version
@@ -178,7 +185,7 @@
 
 def _open(
     parts: RequestParts, stream: Stream, route: Route
-) -> AsyncIterator[list[bytes]]:
+) -> AsyncGenerator[list[bytes], None]:
     kv, stream.kv = stream.kv, None
     request = stream.request
     left_s = request.deadline_s - parts.app.clock.monotonic()
--- /dev/null
+++ b/lagoonring/tests/builders/callers.py
@@ -0,0 +1,98 @@
+"""Callers of chat completions, and what their answers should be."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING, Any
+
+import attrs
+
+from lagoonring.requests.chat import canonical_prompt
+from lagoonring.standins.tokens import text_of
+from lagoonring.tests.builders.deployments import chat_body, headers_of
+
+if TYPE_CHECKING:
+    import aiohttp
+
+    from lagoonring.tests.builders.deployments import Deployment
+
+
+@attrs.define
+class Caller:
+    """What one caller has of a streamed answer."""
+
+    request_id: str = ""
+    words: list[str] = attrs.field(factory=list)
+    ids: list[str] = attrs.field(factory=list)
+    is_ended: bool = False
+    errors: list[Any] = attrs.field(factory=list)
+
+    @property
+    def text(self) -> str:
+        """The answer's text so far."""
+        return "".join(self.words)
+
+    def take(self, event: str) -> None:
+        """Take one event in."""
+        lines = dict(line.split(": ", 1) for line in event.split("\n"))
+        data = lines.get("data", "")
+        if data == "[DONE]":
+            self.is_ended = True
+        elif lines.get("event") == "error":
+            self.errors.append(json.loads(data)["error"])
+        elif data:
+            for choice in json.loads(data)["choices"]:
+                self.words.append(choice["delta"].get("content") or "")
+            if "id" in lines:
+                self.ids.append(lines["id"])
+
+    async def read(self, answer: aiohttp.ClientResponse) -> None:
+        """Read a streamed answer until its connection ends."""
+        self.request_id = answer.headers["X-Request-Id"]
+        rest = b""
+        async for chunk in answer.content.iter_any():
+            *events, rest = (rest + chunk).split(b"\n\n")
+            for event in events:
+                self.take(event.decode())
+
+    def assert_whole(self, question: str, n_tokens: int) -> None:
+        """Check that every token came once, in order, and nothing else."""
+        assert not self.errors
+        assert self.is_ended
+        assert self.ids == [f"{self.request_id}:{n + 1}" for n in range(n_tokens)]
+        assert self.text == expected_text(question, n_tokens)
+
+
+def expected_text(question: str, n_tokens: int) -> str:
+    """Return the stand-in's answer to a question."""
+    prompt = canonical_prompt(chat_body(question)["messages"]).decode()
+    return text_of(prompt, 0, n_tokens)
+
+
+async def ask(
+    deployment: Deployment,
+    question: str,
+    n_tokens: int,
+    *,
+    entry: int = 0,
+    caller: Caller | None = None,
+) -> Caller:
+    """Stream an answer from one entry instance and return what came."""
+    caller = caller or Caller()
+    body = chat_body(question, n_tokens, stream=True)
+    url = f"{deployment.url(entry)}/v1/chat/completions"
+    async with deployment.session.post(url, json=body, headers=headers_of()) as answer:
+        assert answer.status == 200, await answer.text()
+        await caller.read(answer)
+    return caller
+
+
+async def attach(deployment: Deployment, caller: Caller, *, entry: int) -> Caller:
+    """Re-attach a caller through another entry instance."""
+    last = caller.ids[-1] if caller.ids else f"{caller.request_id}:0"
+    headers = headers_of(**{"Last-Event-ID": last})
+    url = f"{deployment.url(entry)}/v1/streams/{caller.request_id}"
+    async with deployment.session.get(url, headers=headers) as answer:
+        assert answer.status == 200, await answer.text()
+        await caller.read(answer)
+    return caller
--- a/lagoonring/tests/builders/deployments.py
+++ b/lagoonring/tests/builders/deployments.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import random
 import socket
@@ -25,6 +26,7 @@
     from collections.abc import AsyncIterator
 
 
+HANG_S = 60.0
 HOST = "127.0.0.1"
 KEYS = {"hann": "hann-key", "ngor": "ngor-key"}
 OPERATOR_TOKEN = "awa-token"
@@ -79,7 +81,7 @@
     ``engine`` and ``plain`` are options of the stand-ins, ``entry`` settings of
     every instance, ``sections`` replace items of the catalogue.
     """
-    async with contextlib.AsyncExitStack() as stack:
+    async with asyncio.timeout(HANG_S), contextlib.AsyncExitStack() as stack:
         session = await stack.enter_async_context(aiohttp.ClientSession())
         deployment = Deployment(log=LogStandin(), session=session)
         for index in range(n_engines):
--- /dev/null
+++ b/lagoonring/tests/test_streams_under_failure.py
@@ -0,0 +1,171 @@
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from lagoonring.standins.engine_faults import EngineFaults
+from lagoonring.tests.builders.callers import Caller, ask, attach
+from lagoonring.tests.builders.deployments import Deployment, run_deployment
+
+N_TOKENS = 12
+HOLD = 5
+
+
+def hold_all(deployment: Deployment) -> None:
+    for engine in deployment.engines.values():
+        engine.batch.set_faults(EngineFaults(hold_at_token=HOLD))
+
+
+def release_all(deployment: Deployment) -> None:
+    for engine in deployment.engines.values():
+        engine.batch.set_faults(EngineFaults())
+
+
+async def wait_until_held(deployment: Deployment, n_streams: int = 1) -> str:
+    """Return the engine that holds the streams."""
+    waits = {
+        asyncio.create_task(engine.batch.wait_until_held(n_streams)): name
+        for name, engine in deployment.engines.items()
+    }
+    done, pending = await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+    for task in pending:
+        task.cancel()
+    return waits[done.pop()]
+
+
+@pytest.mark.parametrize(
+    "faults",
+    [
+        {"n_cut": 1, "cut_at_token": 3},
+        {"n_cut": 1, "cut_at_token": 0},
+        {"n_stalled": 1, "stall_at_token": 4},
+        {"n_errors": 1},
+        {"n_refused": 1},
+        {"crash_on": ["turtles"], "crash_at_token": 2, "restart_s": 60},
+    ],
+    ids=["cut", "cut-first", "stall", "error", "refused", "crash"],
+)
+async def test_stream_is_whole_when_its_first_endpoint_fails(faults):
+    timeouts = {"between_tokens_timeout_s": 0.2, "first_token_timeout_s": 1.0}
+    entry = {"requests": timeouts}
+    async with run_deployment(n_engines=3, entry=entry) as deployment:
+        for engine in deployment.engines.values():
+            engine.batch.set_faults(EngineFaults(**faults))
+        hit = asyncio.create_task(ask(deployment, "when do turtles eat", N_TOKENS))
+        if "crash_on" in faults:
+            await _clear_after_crash(deployment)
+        caller = await hit
+        caller.assert_whole("when do turtles eat", N_TOKENS)
+
+
+async def _clear_after_crash(deployment: Deployment) -> None:
+    """Let only the first engine that the request reaches crash."""
+    engines = deployment.engines.values()
+    while not any(engine.batch.counts.n_crashes for engine in engines):
+        await asyncio.sleep(0.01)
+    for engine in engines:
+        engine.batch.set_faults(EngineFaults())
+
+
+async def test_crossed_answers_reach_their_own_callers():
+    async with run_deployment(n_engines=1) as deployment:
+        engine = deployment.engines["guide-0"]
+        engine.batch.set_faults(EngineFaults(n_crossed=2))
+        questions = ["where are the rays", "how deep is the tank"]
+        callers = await asyncio.gather(
+            *(ask(deployment, question, N_TOKENS) for question in questions)
+        )
+        for caller, question in zip(callers, questions, strict=True):
+            caller.assert_whole(question, N_TOKENS)
+        assert engine.batch.counts.n_requests > 2
+
+
+@pytest.mark.parametrize("kv_tokens_least", [0, 10_000], ids=["kv", "recomputed"])
+async def test_stream_moves_off_an_endpoint_with_notice(kv_tokens_least):
+    entry = {"requests": {"kv_tokens_least": kv_tokens_least}}
+    async with run_deployment(n_engines=2, entry=entry) as deployment:
+        hold_all(deployment)
+        asking = asyncio.create_task(ask(deployment, "turtles", N_TOKENS))
+        held = await wait_until_held(deployment)
+        requests = deployment.entries[0].find("requests")
+        deployment.entries[0].find("routing").leaving(held)
+        requests.endpoint_leaving(held, 5.0)
+        stream = next(iter(requests.streams.values()))
+        while stream.endpoint == held:
+            await asyncio.sleep(0.01)
+        release_all(deployment)
+        (await asking).assert_whole("turtles", N_TOKENS)
+        other = next(e for n, e in deployment.engines.items() if n != held)
+        n_recomputed = other.batch.counts.n_tokens_recomputed
+        assert n_recomputed == (0 if kv_tokens_least == 0 else HOLD)
+
+
+async def test_caller_re_attaches_where_its_connection_was_lost():
+    async with run_deployment(n_entries=1) as deployment:
+        hold_all(deployment)
+        caller = Caller()
+        asking = asyncio.create_task(
+            ask(deployment, "turtles", N_TOKENS, caller=caller)
+        )
+        await wait_until_held(deployment)
+        while len(caller.ids) < HOLD:
+            await asyncio.sleep(0.01)
+        asking.cancel()
+        await asyncio.gather(asking, return_exceptions=True)
+        attaching = asyncio.create_task(attach(deployment, caller, entry=0))
+        release_all(deployment)
+        (await attaching).assert_whole("turtles", N_TOKENS)
+
+
+async def test_leaving_instance_hands_its_streams_over():
+    entry = {"requests": {"handover_margin_s": 1.0}}
+    async with run_deployment(n_entries=3, entry=entry) as deployment:
+        await _wait_for_members(deployment)
+        hold_all(deployment)
+        caller = Caller()
+        asking = asyncio.create_task(
+            ask(deployment, "turtles", N_TOKENS, caller=caller)
+        )
+        await wait_until_held(deployment)
+        while len(caller.ids) < HOLD:
+            await asyncio.sleep(0.01)
+        await deployment.entries[0].drain(1.0)
+        await asking
+        assert not caller.is_ended
+        await deployment.entries[0].stop()
+        for entry_index in (1, 2):
+            rows = deployment.entries[entry_index].find("handover")
+            while not rows._holders(caller.request_id):
+                await asyncio.sleep(0.01)
+        release_all(deployment)
+        await attach(deployment, caller, entry=2)
+        caller.assert_whole("turtles", N_TOKENS)
+        n_adopted = sum(
+            len(app.find("requests").kept) for app in deployment.entries[1:]
+        )
+        assert n_adopted == 1
+
+
+async def test_planned_stop_cuts_no_request():
+    async with run_deployment(n_entries=1) as deployment:
+        hold_all(deployment)
+        asking = asyncio.create_task(ask(deployment, "turtles", N_TOKENS))
+        await wait_until_held(deployment)
+        draining = asyncio.create_task(deployment.entries[0].drain(60.0))
+        url = f"{deployment.url(0)}/readyz"
+        while True:
+            async with deployment.session.get(url) as answer:
+                if answer.status == 503:
+                    assert answer.headers["Retry-After"]
+                    break
+        release_all(deployment)
+        (await asking).assert_whole("turtles", N_TOKENS)
+        await draining
+
+
+async def _wait_for_members(deployment: Deployment) -> None:
+    n_others = len(deployment.entries) - 1
+    for app in deployment.entries:
+        while len(app.find("peers").members()) < n_others:
+            await asyncio.sleep(0.01)
