Send each call of an endpoint only once

Cause: the HTTP library repeats PUT, DELETE and GET on its own when a reused connection breaks before an answer, so a hold by PUT ran twice. Change: a middleware per request lets it be sent once; a break is a cut, and whether to repeat is decided by the caller. The new test fails for PUT, DELETE and GET without the middleware.

--- a/lagoonring/endpoints/transport.py
+++ b/lagoonring/endpoints/transport.py
@@ -84,9 +84,30 @@
             headers=headers,
             timeout=timeout,
             allow_redirects=False,
+            middlewares=(_make_once(),),
         )
 
 
+def _make_once() -> aiohttp.ClientMiddlewareType:
+    """Return a middleware that lets one request be sent only once.
+
+    The HTTP library repeats PUT, DELETE and GET on its own when a reused
+    connection breaks, which would run a call twice.
+    """
+    is_sent = False
+
+    async def send_once(
+        request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+    ) -> aiohttp.ClientResponse:
+        nonlocal is_sent
+        if is_sent:
+            raise ConnectionResetError("A reused connection was cut.")
+        is_sent = True
+        return await handler(request)
+
+    return send_once
+
+
 async def read_body(response: aiohttp.ClientResponse) -> bytes:
     """Return the whole body; raises as :func:`send` does."""
     with typed_errors(str(response.url)):
--- a/lagoonring/standins/plain_standin.py
+++ b/lagoonring/standins/plain_standin.py
@@ -120,6 +120,7 @@
         self.faults = PlainFaults()
         self.faults_changed = asyncio.Event()
         self.crossing: Crossing[Reply] = Crossing()
+        self.n_requests = 0
         self.n_runs = 0
         self.n_runs_by_key: OrderedDict[str, int] = OrderedDict()
         self.runs_by_key: OrderedDict[str, Run] = OrderedDict()
@@ -160,6 +161,7 @@
 
     async def _call(self, request: web.Request) -> web.StreamResponse:
         body = await request.read()
+        self.n_requests += 1
         if any(text.encode() in body for text in self.faults.crash_on):
             await self.server.crash(self.faults.restart_s)
             await wait_for_ever()
--- a/lagoonring/tests/test_plain_service.py
+++ b/lagoonring/tests/test_plain_service.py
@@ -30,11 +30,13 @@
         yield session
 
 
-async def hold_seats(session, plain, *, key="k1", timeout_s=LIMIT_S, **options):
+async def hold_seats(
+    session, plain, *, key="k1", method="POST", timeout_s=LIMIT_S, **options
+):
     return await call(
         session,
         plain.url,
-        "POST",
+        method,
         "/shows/sharks",
         b'{"seats": 2}',
         headers={"Idempotency-Key": key, "Host": "elsewhere", "X-Request-Id": "old"},
@@ -88,6 +90,16 @@
         assert plain.n_runs == n_runs
 
 
+@pytest.mark.parametrize("method", ["POST", "PUT", "DELETE", "PATCH", "GET"])
+async def test_no_method_is_sent_twice_on_a_reused_connection(session, method):
+    async with running_plain() as plain:
+        await hold_seats(session, plain, method=method)
+        await set_faults(plain, n_lost=1)
+        with pytest.raises(EndpointCutError):
+            await hold_seats(session, plain, method=method)
+        assert plain.n_requests == 2
+
+
 async def test_errors_of_the_service_pass_through(session):
     async with running_plain() as plain:
         await set_faults(plain, n_errors=1)
