--- a/lagoonring/peers/transport.py
+++ b/lagoonring/peers/transport.py
@@ -26,6 +26,7 @@
     Receive = Callable[[bytes], None]
 
 N_QUEUED_MOST = 256
+QUEUED_LIMIT_BYTES = 4 << 20
 N_READ_AT_ONCE = 64
 RECEIVE_BUFFER_FRAMES = 64
 SEND_BUFFER_FRAMES = 8
@@ -77,6 +78,7 @@
         self.clock = clock
         self.options = options
         self.waiting: deque[Posted] = deque()
+        self.n_waiting_bytes = 0
         self.wakened = asyncio.Event()
         self.socket = pynng.Push0(
             send_buffer_size=SEND_BUFFER_FRAMES,
@@ -85,10 +87,15 @@
         )
 
     def post(self, posted: Posted) -> None:
-        """Queue a frame; the one that waited longest gives way when full."""
-        if len(self.waiting) >= N_QUEUED_MOST:
-            self.waiting.popleft().give_up()
+        """Queue a frame; those that waited longest give way when full."""
+        size = len(posted.frame)
+        while self.waiting and (
+            len(self.waiting) >= N_QUEUED_MOST
+            or self.n_waiting_bytes + size > QUEUED_LIMIT_BYTES
+        ):
+            self._take().give_up()
         self.waiting.append(posted)
+        self.n_waiting_bytes += size
         self.wakened.set()
 
     async def run(self) -> None:
@@ -106,7 +113,12 @@
         """Close the socket and give up what waits."""
         self.socket.close()
         while self.waiting:
-            self.waiting.popleft().give_up()
+            self._take().give_up()
+
+    def _take(self) -> Posted:
+        posted = self.waiting.popleft()
+        self.n_waiting_bytes -= len(posted.frame)
+        return posted
 
     async def _wait_for_frame(self) -> bool:
         while not self.waiting:
@@ -122,11 +134,10 @@
         while self.waiting:
             posted = self.waiting[0]
             if self._try_send(posted.frame):
-                self.waiting.popleft()
+                self._take()
                 return
             if self.clock.monotonic() >= posted.due_s:
-                self.waiting.popleft()
-                posted.give_up()
+                self._take().give_up()
                 return
             await asyncio.sleep(delay_s)
             delay_s = min(2 * delay_s, POLL_MOST_S)
