Measure the relay against a bare aiohttp relay

Cause: the relay may cost at most 1.5 times a bare one per token event. Change: benchmarks/relay_cost.py runs both side by side over the same engines. The time to first token at 120 streams and more is not a fair figure yet: callers and engines share the loaded machine.

--- /dev/null
+++ b/benchmarks/relay_cost.py
@@ -0,0 +1,208 @@
+"""Measures what relaying costs: the entry instance against a bare relay.
+
+Streams of known speed pass through each in turn, in the same run: processor
+time per token event, time to first token, memory, tokens that were carried.
+Prints one JSON object. Run ``python benchmarks/relay_cost.py --help``.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import contextlib
+import json
+import time
+import urllib.request
+import uuid
+from typing import Any
+
+import aiohttp
+import attrs
+from processes import (
+    HOST,
+    cpu_s,
+    free_ports,
+    memory_mb,
+    run_program,
+    run_with_settings,
+    wait_for,
+)
+
+from lagoonring.catalogue.edits import Change, Edit, encode_edit
+from lagoonring.requests.authentication import hash_key
+
+KEY = "benchmark-key"
+TOKEN_S = 0.02
+N_ENGINE_PROCESSES = 3
+RAMP_S = 1.0
+EVENT_MARK = b"\n\n"
+
+
+@attrs.define
+class Tally:
+    """What the callers got."""
+
+    n_events: int = 0
+    first_s: list[float] = attrs.field(factory=list)
+    n_failed: int = 0
+
+
+def main() -> None:
+    """Run all measurements and print them."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--streams", type=int, nargs="+", default=[40, 120, 240])
+    parser.add_argument("--seconds", type=float, default=6.0)
+    options = parser.parse_args()
+    print(json.dumps(measure(options.streams, options.seconds), indent=2))
+
+
+def measure(n_streams: list[int], duration_s: float) -> dict[str, Any]:
+    """Return the figures of direct calls, the bare relay and the entry."""
+    ports = free_ports(N_ENGINE_PROCESSES + 5)
+    engine_ports = ports[:N_ENGINE_PROCESSES]
+    log_port, bare_port, entry_port, peer_port = ports[N_ENGINE_PROCESSES:][:4]
+    urls = [f"http://{HOST}:{port}" for port in engine_ports]
+    with contextlib.ExitStack() as stack:
+        for port in engine_ports:
+            stack.enter_context(run_with_settings("standin_command", _engine(port)))
+        log = {"standins": [{"kind": "log", "port": log_port}]}
+        process = stack.enter_context(run_with_settings("standin_command", log))
+        wait_for(f"http://{HOST}:{log_port}/streams/config?from=0", process)
+        _publish(log_port, urls)
+        settings = _entry(entry_port, peer_port, log_port)
+        entry = stack.enter_context(run_with_settings("entry_command", settings))
+        bare = stack.enter_context(
+            run_program(["benchmarks/relay_server.py", "--port", str(bare_port), *urls])
+        )
+        wait_for(f"http://{HOST}:{entry_port}/readyz", entry)
+        idle_mb = memory_mb(entry.pid)
+        rows = []
+        for n in n_streams:
+            direct = _run(urls, None, n, duration_s)
+            for name, port, pid in (
+                ("bare", bare_port, bare.pid),
+                ("entry", entry_port, entry.pid),
+            ):
+                row = _run([f"http://{HOST}:{port}"], pid, n, duration_s)
+                row["relay"] = name
+                row["added_first_token_p95_ms"] = round(
+                    row["first_token_p95_ms"] - direct["first_token_p95_ms"], 2
+                )
+                rows.append(row)
+    return {"idle_memory_mb": round(idle_mb, 1), "rows": rows}
+
+
+def _engine(port: int) -> dict[str, Any]:
+    options = {
+        "token_s": TOKEN_S,
+        "batch_growth": 0,
+        "n_slots": 1000,
+        "prefill_block_s": 0,
+    }
+    return {"standins": [{"kind": "engine", "port": port, "options": options}]}
+
+
+def _entry(port: int, peer_port: int, log_port: int) -> dict[str, Any]:
+    return {
+        "instance": "entry-1",
+        "data_centre": "plateau",
+        "port": port,
+        "log_url": f"http://{HOST}:{log_port}",
+        "log_level": "WARNING",
+        "peers": {"address": f"{HOST}:{peer_port}", "keys": ["a-benchmark-peer-key"]},
+    }
+
+
+def _publish(log_port: int, urls: list[str]) -> None:
+    items = [
+        ("organisations", "hann", {"key_hashes": [hash_key(KEY)]}),
+        ("classes", "assistant", {"deadline_ms": 600_000}),
+        (
+            "entries",
+            "guide",
+            {"kind": "model", "owner": "hann", "service_class": "assistant"},
+        ),
+    ]
+    for index, url in enumerate(urls):
+        endpoint = {
+            "entry": "guide",
+            "data_centre": "plateau",
+            "url": url,
+            "n_slots": 1000,
+        }
+        items.append(("endpoints", f"guide-{index}", endpoint))
+    changes = [Change(section=s, name=n, item=i) for s, n, i in items]
+    edit = Edit(
+        edit_id=uuid.uuid4().hex, author="bench", base_revision=-1, changes=changes
+    )
+    request = urllib.request.Request(
+        f"http://{HOST}:{log_port}/streams/config", data=encode_edit(edit).encode()
+    )
+    urllib.request.urlopen(request, timeout=5).close()
+
+
+def _run(
+    urls: list[str], pid: int | None, n_streams: int, duration_s: float
+) -> dict[str, Any]:
+    tally = Tally()
+    started_cpu_s = cpu_s(pid) if pid else 0.0
+    started_s = time.monotonic()
+    asyncio.run(_ask_all(urls, n_streams, duration_s, tally))
+    elapsed_s = time.monotonic() - started_s
+    used_s = (cpu_s(pid) if pid else 0.0) - started_cpu_s
+    first_ms = sorted(1000 * s for s in tally.first_s)
+    return {
+        "n_streams": n_streams,
+        "tokens_per_s": round(tally.n_events / elapsed_s),
+        "cpu_us_per_event": round(1e6 * used_s / max(1, tally.n_events), 1),
+        "core_share": round(used_s / elapsed_s, 3),
+        "memory_mb": round(memory_mb(pid), 1) if pid else None,
+        "first_token_p95_ms": round(first_ms[int(0.95 * (len(first_ms) - 1))], 2),
+        "n_failed": tally.n_failed,
+    }
+
+
+async def _ask_all(
+    urls: list[str], n_streams: int, duration_s: float, tally: Tally
+) -> None:
+    n_tokens = int(duration_s / TOKEN_S)
+    connector = aiohttp.TCPConnector(limit=0)
+    async with aiohttp.ClientSession(connector=connector) as session:
+        tasks = []
+        for index in range(n_streams):
+            url = urls[index % len(urls)]
+            tasks.append(
+                asyncio.create_task(_ask(session, url, index, n_tokens, tally))
+            )
+            await asyncio.sleep(RAMP_S / n_streams)
+        await asyncio.gather(*tasks)
+
+
+async def _ask(
+    session: aiohttp.ClientSession, url: str, index: int, n_tokens: int, tally: Tally
+) -> None:
+    body = {
+        "model": "guide",
+        "messages": [{"role": "user", "content": f"question {index}"}],
+        "stream": True,
+        "max_tokens": n_tokens,
+    }
+    headers = {"Authorization": f"Bearer {KEY}", "X-Request-Id": f"b{index}"}
+    started_s = time.monotonic()
+    is_first = True
+    last = b""
+    async with session.post(
+        f"{url}/v1/chat/completions", json=body, headers=headers
+    ) as answer:
+        async for chunk in answer.content.iter_any():
+            if is_first:
+                tally.first_s.append(time.monotonic() - started_s)
+                is_first = False
+            tally.n_events += chunk.count(EVENT_MARK)
+            last = chunk
+    if answer.status != 200 or b"[DONE]" not in last:
+        tally.n_failed += 1
+
+
+if __name__ == "__main__":
+    main()
