Add the link stand-in

Cause: tests cut data centres from each other and from the log. Change: a TCP forwarder with a one-way delay, cut (bytes wait), reset, refusal.

--- a/lagoonring/standins/kinds.py
+++ b/lagoonring/standins/kinds.py
@@ -12,11 +12,13 @@
 from lagoonring.standins.cloud_standin import CloudStandin
 from lagoonring.standins.engine_standin import EngineStandin
 from lagoonring.standins.instance_list_standin import InstanceListStandin
+from lagoonring.standins.link_standin import LinkStandin
 from lagoonring.standins.log_server import LogServer
 from lagoonring.standins.options import (
     CloudOptions,
     EngineOptions,
     InstanceListOptions,
+    LinkOptions,
     LogOptions,
     PlainOptions,
     WeightStoreOptions,
@@ -59,6 +61,7 @@
     "plain": Kind(PlainOptions, PlainStandin),
     "cloud": Kind(CloudOptions, CloudStandin),
     "weight_store": Kind(WeightStoreOptions, WeightStoreStandin),
+    "link": Kind(LinkOptions, LinkStandin),
     "instance_list": Kind(InstanceListOptions, InstanceListStandin),
 }
 
--- /dev/null
+++ b/lagoonring/standins/link_standin.py
@@ -0,0 +1,204 @@
+"""A network link: forwards TCP with a delay, and can be cut.
+
+``POST /faults`` on the control port takes the keys of :class:`LinkFaults`. A
+link that is cut keeps connections open and loses nothing, as a partition does:
+bytes wait until it heals. ``reset`` breaks all connections once.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import suppress
+from typing import TYPE_CHECKING
+
+import attrs
+from aiohttp import web
+
+from lagoonring.kernel import Clock
+from lagoonring.settings.validators import between
+from lagoonring.standins.http_server import StandinServer, answer_json, merge_faults
+
+if TYPE_CHECKING:
+    from lagoonring.standins.options import LinkOptions
+
+PIECE_BYTES = 65_536
+N_PIECES_WAITING = 256
+
+
+@attrs.define(kw_only=True)
+class LinkFaults:
+    """Faults in force; ``delay_s`` is one way, ``reset`` is used up.
+
+    ``refuses`` closes new connections at once.
+    """
+
+    is_cut: bool = False
+    refuses: bool = False
+    reset: bool = False
+    delay_s: float = attrs.field(default=0.0, validator=between(0, 60))
+
+
+class LinkStandin:
+    """A forwarder from a port to a target.
+
+    Parameters
+    ----------
+    options : LinkOptions
+        Target, control port, delay.
+    host, port : str, int
+        Where to listen; port 0 lets the system choose.
+    clock : Clock or None
+        Takes the time of the delay.
+    """
+
+    def __init__(
+        self,
+        options: LinkOptions,
+        *,
+        host: str = "127.0.0.1",
+        port: int = 0,
+        clock: Clock | None = None,
+    ) -> None:
+        self.options = options
+        self.clock = clock or Clock()
+        self.host = host
+        self.port = port
+        self.faults = LinkFaults(delay_s=options.delay_s)
+        self.healed = asyncio.Event()
+        self.healed.set()
+        self.n_held = 0
+        self.listener: asyncio.Server | None = None
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.writers: set[asyncio.StreamWriter] = set()
+        app = web.Application()
+        app.add_routes(
+            [
+                web.get("/faults", self._faults),
+                web.post("/faults", self._set_faults),
+            ]
+        )
+        self.control = StandinServer(app, host=host, port=options.control_port)
+
+    @property
+    def url(self) -> str:
+        """Root URL of the forwarded port, for HTTP targets."""
+        return f"http://{self.host}:{self.port}"
+
+    @property
+    def control_url(self) -> str:
+        """Root URL of the control port."""
+        return self.control.url
+
+    async def start(self) -> None:
+        """Listen on both ports."""
+        await self.control.start()
+        self.listener = await asyncio.start_server(self._accept, self.host, self.port)
+        self.port = self.listener.sockets[0].getsockname()[1]
+
+    async def stop(self) -> None:
+        """Stop listening and close all connections."""
+        if self.listener is not None:
+            self.listener.close()
+        for task in list(self.tasks):
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.control.stop()
+
+    def set_faults(self, faults: LinkFaults) -> None:
+        """Put faults in force."""
+        self.faults = faults
+        if faults.is_cut:
+            self.healed.clear()
+        else:
+            self.healed.set()
+        if faults.reset:
+            faults.reset = False
+            for writer in self.writers:
+                writer.transport.abort()
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self.tasks.add(task)
+        try:
+            await self._join(reader, writer)
+        except (OSError, asyncio.CancelledError):
+            writer.transport.abort()
+        finally:
+            self.tasks.discard(task)
+
+    async def _join(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Forward both ways until both ends have closed or one breaks."""
+        if self.faults.refuses:
+            writer.transport.abort()
+            return
+        await self._wait_until_healed()
+        options = self.options
+        there, back = await asyncio.open_connection(
+            options.target_host, options.target_port
+        )
+        ends = {writer, back}
+        self.writers |= ends
+        forwards = [
+            asyncio.create_task(self._forward(reader, back)),
+            asyncio.create_task(self._forward(there, writer)),
+        ]
+        try:
+            await asyncio.gather(*forwards)
+        finally:
+            for forward in forwards:
+                forward.cancel()
+            for end in ends:
+                end.transport.abort()
+            self.writers -= ends
+
+    async def _forward(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Forward one way: a reader stamps pieces, a sender delays them."""
+        pieces: asyncio.Queue[tuple[float, bytes]] = asyncio.Queue(N_PIECES_WAITING)
+        sender = asyncio.create_task(self._send(pieces, writer))
+        try:
+            while True:
+                piece = await reader.read(PIECE_BYTES)
+                due_s = self.clock.monotonic() + self.faults.delay_s
+                await pieces.put((due_s, piece))
+                if not piece:
+                    break
+            await sender
+        finally:
+            sender.cancel()
+
+    async def _send(
+        self, pieces: asyncio.Queue[tuple[float, bytes]], writer: asyncio.StreamWriter
+    ) -> None:
+        while True:
+            due_s, piece = await pieces.get()
+            wait_s = due_s - self.clock.monotonic()
+            if wait_s > 0:
+                await self.clock.sleep(wait_s)
+            await self._wait_until_healed()
+            if not piece:
+                with suppress(OSError):
+                    writer.write_eof()
+                return
+            writer.write(piece)
+            await writer.drain()
+
+    async def _wait_until_healed(self) -> None:
+        self.n_held += 1
+        try:
+            await self.healed.wait()
+        finally:
+            self.n_held -= 1
+
+    async def _faults(self, request: web.Request) -> web.Response:
+        return answer_json(self.faults)
+
+    async def _set_faults(self, request: web.Request) -> web.Response:
+        self.set_faults(await merge_faults(request, self.faults))
+        return answer_json(self.faults)
