Shorten digests of peers and compress their messages

Change: tables with the same origins compare ticks by place with three bytes each; payloads of 192 bytes to 64 KiB are deflated, inflation is bounded; comparison moved out of the table into a module of its own.

--- a/lagoonring/peers/channel.py
+++ b/lagoonring/peers/channel.py
@@ -15,6 +15,7 @@
     FrameDroppedError,
     ReplayFilter,
     decode_message,
+    deflate,
     seal,
     unseal,
 )
@@ -114,13 +115,15 @@
         on_unsent: Callable[[], None] | None = None,
     ) -> None:
         """Send a payload to an instance at an address."""
+        content, is_deflated = deflate(payload)
         envelope = Envelope(
             self.me.instance,
             self.me.incarnation,
             instance,
             next(self.sequence),
             int(kind),
-            payload,
+            content,
+            is_deflated,
         )
         frame = seal(envelope, self.keys)
         if self.allow is not None and not self.allow(self.me.instance, instance):
--- /dev/null
+++ b/lagoonring/peers/comparison.py
@@ -0,0 +1,182 @@
+"""Comparison of two tables, step by step.
+
+The first step gives a digest of all ticks (within a data centre) or a hash per
+bucket of origins (between data centres). Each reply gives what the other side
+lacks and asks for what this side lacks; an empty one ends the comparison.
+"""
+
+from __future__ import annotations
+
+import struct
+from typing import TYPE_CHECKING
+
+import xxhash
+
+from lagoonring.peers.digests import (
+    N_SHORT_MOST,
+    hash_origins,
+    long_pair,
+    pack_dense,
+    pack_long,
+    pack_short,
+    unpack_dense,
+    unpack_long,
+    unpack_short,
+)
+from lagoonring.peers.messages import TableSync
+from lagoonring.peers.origins import split_updates
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from lagoonring.peers.digests import Pair
+    from lagoonring.peers.messages import OriginUpdate
+    from lagoonring.peers.tables import Table
+
+N_BUCKETS = 64
+ALL_BUCKETS = (1 << N_BUCKETS) - 1
+
+hash_word = struct.Struct(">I")
+
+
+def start_by_digest(table: Table) -> TableSync:
+    """Return the first step of a comparison by digest."""
+    if len(table.origins) > N_SHORT_MOST:
+        return TableSync(buckets=ALL_BUCKETS, digest=pack_digest(table, ALL_BUCKETS))
+    order = table.order()
+    return TableSync(
+        origins_hash=hash_origins(order),
+        buckets=ALL_BUCKETS,
+        digest=pack_dense(table.known_tick(origin_id) for origin_id in order),
+    )
+
+
+def start_by_hashes(table: Table) -> TableSync:
+    """Return the first step of a comparison by hashes of buckets."""
+    return TableSync(hashes=hash_buckets(table))
+
+
+def reply(table: Table, sync: TableSync) -> TableSync:
+    """Merge one step of a comparison and return the next one.
+
+    A short form that this table can't read, because it holds other origins,
+    is answered by a digest in the long one.
+    """
+    if sync.origins_hash:
+        return _reply_short(table, sync)
+    table.merge(sync.updates, unpack_long(sync.ticks))
+    buckets = _differing(table, sync.hashes)
+    wanted = unpack_long(sync.wants)
+    wants: list[Pair] = []
+    if sync.buckets:
+        lacking, wants = _compare(table, sync.buckets, unpack_long(sync.digest))
+        wanted += lacking
+    ticks, updates = _changes(table, wanted)
+    return TableSync(
+        buckets=buckets,
+        digest=pack_digest(table, buckets),
+        wants=pack_long(wants),
+        ticks=pack_long(ticks),
+        updates=updates,
+    )
+
+
+def _reply_short(table: Table, sync: TableSync) -> TableSync:
+    order = table.order()
+    if sync.origins_hash != hash_origins(order):
+        table.merge(sync.updates)
+        if not sync.buckets:
+            return TableSync()
+        return TableSync(buckets=ALL_BUCKETS, digest=pack_digest(table, ALL_BUCKETS))
+    wanted = unpack_short(sync.wants, order, table.known_tick)
+    bare = unpack_short(sync.ticks, order, table.known_tick)
+    digest = unpack_dense(sync.digest, order, table.known_tick)
+    table.merge(sync.updates, bare)
+    wants: list[Pair] = []
+    if sync.buckets:
+        lacking, wants = _compare(table, ALL_BUCKETS, digest)
+        wanted += lacking
+    ticks, updates = _changes(table, wanted)
+    order = table.order()
+    return TableSync(
+        origins_hash=hash_origins(order) if wants or ticks else b"",
+        wants=pack_short(wants, order),
+        ticks=pack_short(ticks, order),
+        updates=updates,
+    )
+
+
+def pack_digest(table: Table, buckets: int) -> bytes:
+    """Return the ticks of the origins in some buckets, in the long form."""
+    if not buckets:
+        return b""
+    return pack_long(
+        (origin.origin_id, origin.tick)
+        for origin in table.origins.values()
+        if buckets >> _bucket(origin.origin_id) & 1
+    )
+
+
+def hash_buckets(table: Table) -> bytes:
+    """Return a hash of each bucket's origins and ticks."""
+    words = [0] * N_BUCKETS
+    for origin in table.origins.values():
+        pair = long_pair.pack(origin.origin_id, origin.tick)
+        words[_bucket(origin.origin_id)] ^= xxhash.xxh32_intdigest(pair)
+    return b"".join(hash_word.pack(word) for word in words)
+
+
+def _differing(table: Table, hashes: bytes) -> int:
+    own = hash_buckets(table) if hashes else b""
+    if len(own) != len(hashes):
+        return ALL_BUCKETS
+    buckets = 0
+    for bucket in range(len(own) // hash_word.size):
+        start = bucket * hash_word.size
+        end = start + hash_word.size
+        if own[start:end] != hashes[start:end]:
+            buckets |= 1 << bucket
+    return buckets
+
+
+def _compare(
+    table: Table, buckets: int, digest: Iterable[Pair]
+) -> tuple[list[Pair], list[Pair]]:
+    """Return what the peer lacks, and what this instance wants."""
+    theirs = dict(digest)
+    lacking = []
+    for origin in table.origins.values():
+        if not buckets >> _bucket(origin.origin_id) & 1:
+            continue
+        tick = theirs.get(origin.origin_id, -1)
+        if tick < origin.tick:
+            lacking.append((origin.origin_id, tick))
+    wants: list[Pair] = []
+    for origin_id, tick in theirs.items():
+        known = table.find(origin_id)
+        if known is table.own and known is not None:
+            continue
+        if known is None or known.tick < tick:
+            wants.append((origin_id, table.known_tick(origin_id)))
+    return lacking, wants
+
+
+def _changes(
+    table: Table, wanted: Iterable[Pair]
+) -> tuple[list[Pair], list[OriginUpdate]]:
+    ticks: list[Pair] = []
+    changed = []
+    for origin_id, tick in wanted:
+        origin = table.find(origin_id)
+        if origin is None:
+            continue
+        update = origin.changes_since(max(tick, 0), with_record=tick <= 0)
+        if update.record is None and not update.rows and not update.is_full:
+            ticks.append((origin_id, origin.tick))
+        else:
+            changed.append(update)
+    return ticks, list(split_updates(changed, table.limits.n_frame_bytes))
+
+
+def _bucket(origin_id: bytes) -> int:
+    return origin_id[0] % N_BUCKETS
--- a/lagoonring/peers/frames.py
+++ b/lagoonring/peers/frames.py
@@ -9,6 +9,7 @@
 import enum
 import hashlib
 import hmac
+import zlib
 from collections import OrderedDict
 from typing import TYPE_CHECKING, Any
 
@@ -28,6 +29,10 @@
 BODY_START = len(HEADER) + TAG_BYTES
 REPLAY_WINDOW = 1024
 N_SENDERS_MOST = 2048
+DEFLATE_LEAST_BYTES = 192
+DEFLATE_MOST_BYTES = 64 * 1024
+DEFLATE_LEVEL = 6
+DEFLATE_WINDOW_BITS = -15
 
 
 class DropReason(enum.Enum):
@@ -53,7 +58,10 @@
 
 @attrs.frozen
 class Envelope:
-    """Who sends what to whom; ``payload`` is a message of ``kind``."""
+    """Who sends what to whom; ``payload`` is a message of ``kind``.
+
+    ``is_deflated`` says that the payload is compressed.
+    """
 
     sender: str
     incarnation: int
@@ -61,11 +69,23 @@
     sequence: int
     kind: int
     payload: bytes
+    is_deflated: bool = False
 
 
 ENVELOPE_CODEC = make_codec(Envelope)
 
 
+def deflate(payload: bytes) -> tuple[bytes, bool]:
+    """Return a payload, compressed if that is worth it, and whether it is."""
+    if not DEFLATE_LEAST_BYTES <= len(payload) <= DEFLATE_MOST_BYTES:
+        return payload, False
+    compressor = zlib.compressobj(DEFLATE_LEVEL, wbits=DEFLATE_WINDOW_BITS)
+    deflated = compressor.compress(payload) + compressor.flush()
+    if len(deflated) >= len(payload):
+        return payload, False
+    return deflated, True
+
+
 def seal(envelope: Envelope, keys: Sequence[bytes]) -> bytes:
     """Return the frame of an envelope, signed with the first key."""
     body = ENVELOPE_CODEC.encode(envelope)
@@ -105,11 +125,22 @@
         If the kind is unknown or the payload is not such a message.
     """
     try:
-        return CODECS[MessageKind(envelope.kind)].decode(envelope.payload)
-    except (msgspec.MsgspecError, ValueError) as error:
+        payload = _inflate(envelope)
+        return CODECS[MessageKind(envelope.kind)].decode(payload)
+    except (msgspec.MsgspecError, ValueError, zlib.error) as error:
         raise FrameDroppedError(DropReason.MALFORMED) from error
 
 
+def _inflate(envelope: Envelope) -> bytes:
+    if not envelope.is_deflated:
+        return envelope.payload
+    inflater = zlib.decompressobj(DEFLATE_WINDOW_BITS)
+    payload = inflater.decompress(envelope.payload, DEFLATE_MOST_BYTES)
+    if not inflater.eof:
+        raise FrameDroppedError(DropReason.OVERSIZED)
+    return payload
+
+
 def _sign(body: bytes, key: bytes) -> bytes:
     return hashlib.blake2s(HEADER + body, key=key, digest_size=TAG_BYTES).digest()
 
--- a/lagoonring/peers/gossip.py
+++ b/lagoonring/peers/gossip.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from lagoonring.logs.logger import make_logger
+from lagoonring.peers.comparison import reply, start_by_digest, start_by_hashes
 from lagoonring.peers.contacts import record_of_seed
 from lagoonring.peers.messages import MessageKind, Push, Sync, TableSync
 
@@ -123,7 +124,7 @@
         is_local = sender in self.local.origins or (
             sync.member is not None and sync.member.data_centre == self.me.data_centre
         )
-        reply = Sync(
+        answer = Sync(
             local=self._reply(self.local, sync.local if is_local else None),
             fleet=self._reply(self.fleet, sync.fleet),
             sample=self._sample() if sync.member and not is_local else [],
@@ -131,8 +132,8 @@
             is_receiver_dead=is_dead,
         )
         is_asked = sync.member is not None and not is_local
-        if reply.local or reply.fleet or is_dead or is_asked:
-            self._post(sender, reply)
+        if answer.local or answer.fleet or is_dead or is_asked:
+            self._post(sender, answer)
 
     def push(self, row: RowUpdate, *, is_fleet: bool) -> None:
         """Send a row of this instance to all peers at once."""
@@ -194,10 +195,10 @@
         fleet = None
         if now_s >= self.fleet_due_s:
             self.fleet_due_s = now_s + self.options.fleet_round_s
-            fleet = self.fleet.start_hashed()
+            fleet = start_by_hashes(self.fleet)
         sync = Sync(
             member=self.me,
-            local=self.local.start_local(),
+            local=start_by_digest(self.local),
             fleet=fleet,
             receiver_incarnation=record.incarnation,
         )
@@ -213,7 +214,7 @@
         self.remote.note_asked(contact.instance, contact.data_centre)
         sync = Sync(
             member=self.me,
-            fleet=self.fleet.start_hashed(),
+            fleet=start_by_hashes(self.fleet),
             sample=self._sample(),
             receiver_incarnation=contact.incarnation,
         )
@@ -252,8 +253,8 @@
     def _reply(self, table: Table, sync: TableSync | None) -> TableSync | None:
         if sync is None:
             return None
-        reply = table.reply(sync)
-        return None if reply.is_empty() else reply
+        step = reply(table, sync)
+        return None if step.is_empty() else step
 
     def _refresh(self) -> None:
         now_s = self.clock.monotonic()
--- a/lagoonring/peers/messages.py
+++ b/lagoonring/peers/messages.py
@@ -112,6 +112,8 @@
 
     Attributes
     ----------
+    origins_hash : bytes
+        A hash of all origins if the pairs are in the short form, else empty.
     hashes : bytes
         A hash per bucket of origins, to be compared; empty if not asked.
     buckets : int
@@ -126,6 +128,7 @@
         Origins with changed rows.
     """
 
+    origins_hash: bytes = b""
     hashes: bytes = b""
     buckets: int = 0
     digest: bytes = b""
--- a/lagoonring/peers/tables.py
+++ b/lagoonring/peers/tables.py
@@ -1,34 +1,28 @@
-"""A table of origins, and its comparison with a peer's copy step by step."""
+"""A table of the rows of many origins, within limits."""
 
 from __future__ import annotations
 
 import contextlib
-import struct
 from typing import TYPE_CHECKING
 
 import attrs
-import xxhash
 
-from lagoonring.peers.messages import ORIGIN_ID_BYTES, RowUpdate, TableSync
-from lagoonring.peers.origins import Origin, row_bytes, split_updates
+from lagoonring.peers.digests import TICK_LIMIT
+from lagoonring.peers.messages import RowUpdate
+from lagoonring.peers.origins import Origin, row_bytes
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Iterator
 
     from lagoonring.kernel import Clock
+    from lagoonring.peers.digests import Pair
     from lagoonring.peers.messages import MemberRecord, OriginUpdate
 
     RowListener = Callable[[str, RowUpdate], None]
-    OriginListener = Callable[[Origin], None]
 
-N_BUCKETS = 64
-ALL_BUCKETS = (1 << N_BUCKETS) - 1
 N_ORIGINS_MOST = 2048
 N_BURIED_MOST = 4096
 
-tick_pair = struct.Struct(f">{ORIGIN_ID_BYTES}sI")
-hash_word = struct.Struct(">I")
-
 
 @attrs.define
 class Buried:
@@ -61,8 +55,6 @@
         Rows beyond them are refused and counted in ``n_refused``.
     on_row : callable
         Called with the instance and each changed row of other origins.
-    on_origin : callable
-        Called with each origin whose tick rose, new ones included.
     """
 
     def __init__(
@@ -72,17 +64,16 @@
         limits: TableLimits,
         *,
         on_row: RowListener,
-        on_origin: OriginListener | None = None,
     ) -> None:
         self.me = me
         self.own: Origin | None = None
         self.clock = clock
         self.limits = limits
         self.on_row = on_row
-        self.on_origin = on_origin
         self.origins: dict[str, Origin] = {}
         self.names: dict[bytes, str] = {}
         self.buried: dict[str, Buried] = {}
+        self.sorted_ids: list[bytes] | None = None
         self.n_refused = 0
         self.n_bytes = 0
         self.n_rows = 0
@@ -121,6 +112,7 @@
         origin = Origin(record, record.origin_id, advanced_s=self.clock.monotonic())
         self.origins[record.instance] = origin
         self.names[origin.origin_id] = record.instance
+        self.sorted_ids = None
         self.buried.pop(record.instance, None)
         return origin
 
@@ -134,6 +126,7 @@
         own.advanced_s = self.clock.monotonic()
         self.origins[record.instance] = own
         self.names[own.origin_id] = record.instance
+        self.sorted_ids = None
         self.own = own
         if last is not None:
             for (kind, name), row in last.rows.items():
@@ -164,6 +157,7 @@
         if origin is None:
             return
         del self.names[origin.origin_id]
+        self.sorted_ids = None
         self.n_bytes -= origin.n_bytes
         self.n_rows -= len(origin.rows)
         if bury:
@@ -176,20 +170,34 @@
             if row.value is not None:
                 self.on_row(instance, RowUpdate(kind, name, row.version, None))
 
-    def merge(self, updates: Iterable[OriginUpdate], ticks: bytes = b"") -> None:
-        """Merge a peer's updates and bare ticks."""
+    def order(self) -> list[bytes]:
+        """Return the sorted identifiers of all origins."""
+        if self.sorted_ids is None:
+            self.sorted_ids = sorted(self.names)
+        return self.sorted_ids
+
+    def merge(
+        self, updates: Iterable[OriginUpdate], ticks: Iterable[Pair] = ()
+    ) -> None:
+        """Merge a peer's updates and bare ticks.
+
+        A bare tick says that the origin's rows have not changed since the tick
+        of this copy, so it means nothing for a copy that has none yet.
+        """
         for update in updates:
             self._merge_origin(update)
-        for origin_id, tick in _pairs(ticks):
+        for origin_id, tick in ticks:
             origin = self.find(origin_id)
-            if origin is None or origin is self.own:
+            if origin is None or origin is self.own or origin.tick == 0:
                 continue
             if tick > origin.tick:
                 origin.tick = tick
-                self._advanced(origin)
+                origin.advanced_s = self.clock.monotonic()
 
     def put(self, record: MemberRecord, row: RowUpdate) -> bool:
         """Keep one row ahead of its origin's tick; return whether it was new."""
+        if not 0 < row.version < TICK_LIMIT:
+            return False
         origin = self.admit(record, tick=row.version)
         if origin is None or not self._fitting(origin, [row]):
             return False
@@ -199,54 +207,17 @@
             self.on_row(record.instance, row)
         return is_new
 
-    def start_local(self) -> TableSync:
-        """Return the first step of a comparison by digest."""
-        return TableSync(buckets=ALL_BUCKETS, digest=self.digest(ALL_BUCKETS))
-
-    def start_hashed(self) -> TableSync:
-        """Return the first step of a comparison by hashes of buckets."""
-        return TableSync(hashes=self.hashes())
-
-    def reply(self, sync: TableSync) -> TableSync:
-        """Merge one step of a comparison and return the next one."""
-        self.merge(sync.updates, sync.ticks)
-        buckets = self._differing(sync.hashes)
-        wanted = list(_pairs(sync.wants))
-        wants: list[bytes] = []
-        if sync.buckets:
-            lacking, wants = self._compare(sync.buckets, sync.digest)
-            wanted += lacking
-        ticks, updates = self._changes(wanted)
-        return TableSync(
-            buckets=buckets,
-            digest=self.digest(buckets),
-            wants=b"".join(wants),
-            ticks=b"".join(ticks),
-            updates=updates,
-        )
-
-    def digest(self, buckets: int) -> bytes:
-        """Return the packed ticks of the origins in some buckets."""
-        if not buckets:
-            return b""
-        return b"".join(
-            tick_pair.pack(origin.origin_id, origin.tick)
-            for origin in self.origins.values()
-            if buckets >> _bucket(origin.origin_id) & 1
-        )
-
-    def hashes(self) -> bytes:
-        """Return a hash of each bucket's origins and ticks."""
-        words = [0] * N_BUCKETS
-        for origin in self.origins.values():
-            pair = tick_pair.pack(origin.origin_id, origin.tick)
-            words[_bucket(origin.origin_id)] ^= xxhash.xxh32_intdigest(pair)
-        return b"".join(hash_word.pack(word) for word in words)
+    def known_tick(self, origin_id: bytes) -> int:
+        """Return the tick of an origin's copy, 0 if there is none."""
+        origin = self.find(origin_id)
+        return 0 if origin is None else origin.tick
 
     def _merge_origin(self, update: OriginUpdate) -> None:
         origin = self.find(update.origin_id)
         if origin is not None and origin is self.own:
             return
+        if not 0 <= update.from_tick <= update.to_tick < TICK_LIMIT:
+            return
         if origin is None and update.record is not None:
             if update.record.origin_id != update.origin_id:
                 return
@@ -262,7 +233,7 @@
         for row in changed:
             self.on_row(origin.record.instance, row)
         if origin.tick > tick:
-            self._advanced(origin)
+            origin.advanced_s = self.clock.monotonic()
 
     @contextlib.contextmanager
     def _counted(self, origin: Origin) -> Iterator[None]:
@@ -273,11 +244,6 @@
         self.n_bytes += origin.n_bytes - n_bytes
         self.n_rows += len(origin.rows) - n_rows
 
-    def _advanced(self, origin: Origin) -> None:
-        origin.advanced_s = self.clock.monotonic()
-        if self.on_origin is not None:
-            self.on_origin(origin)
-
     def _fitting(self, origin: Origin, rows: list[RowUpdate]) -> list[RowUpdate]:
         """Return the rows for which there is room; the rest is counted."""
         n_rows = self.n_rows
@@ -293,62 +259,3 @@
                 n_bytes += size
             fitting.append(row)
         return fitting
-
-    def _differing(self, hashes: bytes) -> int:
-        own = self.hashes() if hashes else b""
-        if len(own) != len(hashes):
-            return ALL_BUCKETS
-        buckets = 0
-        for bucket in range(len(own) // hash_word.size):
-            start = bucket * hash_word.size
-            end = start + hash_word.size
-            if own[start:end] != hashes[start:end]:
-                buckets |= 1 << bucket
-        return buckets
-
-    def _compare(
-        self, buckets: int, digest: bytes
-    ) -> tuple[list[tuple[bytes, int]], list[bytes]]:
-        """Return what the peer lacks, and packed what this instance wants."""
-        theirs = dict(_pairs(digest))
-        lacking = []
-        for origin in self.origins.values():
-            if not buckets >> _bucket(origin.origin_id) & 1:
-                continue
-            tick = theirs.get(origin.origin_id, -1)
-            if tick < origin.tick:
-                lacking.append((origin.origin_id, tick))
-        wants: list[bytes] = []
-        for origin_id, tick in theirs.items():
-            known = self.find(origin_id)
-            if known is self.own and known is not None:
-                continue
-            if known is None or known.tick < tick:
-                own_tick = 0 if known is None else known.tick
-                wants.append(tick_pair.pack(origin_id, own_tick))
-        return lacking, wants
-
-    def _changes(
-        self, wanted: Iterable[tuple[bytes, int]]
-    ) -> tuple[list[bytes], list[OriginUpdate]]:
-        ticks = []
-        changed = []
-        for origin_id, tick in wanted:
-            origin = self.find(origin_id)
-            if origin is None:
-                continue
-            update = origin.changes_since(max(tick, 0), with_record=tick <= 0)
-            if update.record is None and not update.rows and not update.is_full:
-                ticks.append(tick_pair.pack(origin_id, origin.tick))
-            else:
-                changed.append(update)
-        return ticks, list(split_updates(changed, self.limits.n_frame_bytes))
-
-
-def _bucket(origin_id: bytes) -> int:
-    return origin_id[0] % N_BUCKETS
-
-
-def _pairs(packed: bytes) -> Iterator[tuple[bytes, int]]:
-    whole = len(packed) - len(packed) % tick_pair.size
-    return tick_pair.iter_unpack(packed[:whole])  # type: ignore[return-value]
--- a/lagoonring/tests/test_frames.py
+++ b/lagoonring/tests/test_frames.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import zlib
 
 import attrs
 import pytest
@@ -17,6 +18,7 @@
     Envelope,
     FrameDroppedError,
     ReplayFilter,
+    deflate,
     seal,
 )
 from lagoonring.peers.messages import (
@@ -43,7 +45,12 @@
 UPDATE = OriginUpdate(RECORD.origin_id, 0, 5, 0, RECORD, [ROW])
 MESSAGES = {
     MessageKind.SYNC: Sync(
-        RECORD, TableSync(b"", 3, b"d", b"w", b"t", [UPDATE]), None, [RECORD], 7, True
+        RECORD,
+        TableSync(b"o", b"h", 3, b"d", b"w", b"t", [UPDATE]),
+        None,
+        [RECORD],
+        7,
+        True,
     ),
     MessageKind.PUSH: Push(RECORD, True, attrs.evolve(ROW, value=None)),
     MessageKind.CALL: Call(1, 7, "127.0.0.1:1", "claim", b"payload"),
@@ -175,3 +182,29 @@
     assert len(accepted) == len(set(accepted))
     recent = [number for number in sequences if number > max(sequences) - 1024]
     assert set(recent) <= set(accepted)
+
+
+def test_a_payload_that_inflates_without_end_is_dropped():
+    bomb = zlib.compressobj(9, wbits=-15)
+    payload = bomb.compress(bytes(50_000_000)) + bomb.flush()
+    receiver = Receiver()
+    receiver.channel.receive(make_frame(payload=payload, is_deflated=True))
+    assert receiver.reasons() == {DropReason.OVERSIZED: 1}
+
+
+@fuzzed
+@given(st.binary(max_size=300))
+def test_a_payload_that_does_not_inflate_is_dropped(payload):
+    receiver = Receiver()
+    receiver.channel.receive(make_frame(payload=payload, is_deflated=True))
+    assert receiver.accepted == []
+
+
+def test_a_long_message_is_sent_short():
+    call = attrs.evolve(MESSAGES[MessageKind.CALL], payload=b"guide " * 500)
+    payload, is_deflated = deflate(CODECS[MessageKind.CALL].encode(call))
+    assert is_deflated
+    assert len(payload) < 200
+    receiver = Receiver()
+    receiver.channel.receive(make_frame(payload=payload, is_deflated=True))
+    assert receiver.accepted == [call]
--- a/lagoonring/tests/test_gossip.py
+++ b/lagoonring/tests/test_gossip.py
@@ -4,13 +4,15 @@
 
 import random
 
+import attrs
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from lagoonring.kernel import ManualClock
-from lagoonring.peers import RowTooLargeError, UnknownKindError, origins
-from lagoonring.peers.messages import MemberRecord, RowUpdate
+from lagoonring.peers import RowTooLargeError, UnknownKindError, digests, origins
+from lagoonring.peers.comparison import reply, start_by_digest, start_by_hashes
+from lagoonring.peers.messages import MemberRecord, OriginUpdate, RowUpdate
 from lagoonring.peers.origins import Origin
 from lagoonring.peers.tables import Table, TableLimits
 from lagoonring.tests.builders.peers import (
@@ -115,12 +117,12 @@
     return table, changes
 
 
-def exchange(first, second):
+def exchange(first, second, start=start_by_digest):
     """Compare two tables to the end, as a gossip round does."""
-    step = first.start_local()
+    step = start(first)
     sides = [second, first]
     while not step.is_empty():
-        step = sides[0].reply(step)
+        step = reply(sides[0], step)
         sides.reverse()
 
 
@@ -141,6 +143,58 @@
     ]
 
 
+@proved
+@given(st.lists(st.integers(0, 40), min_size=1, max_size=12), st.integers(0, 1 << 25))
+def test_short_pairs_give_the_ticks_back(ahead, base):
+    order = [bytes([place]) * 5 for place in range(len(ahead))]
+    ticks = dict.fromkeys(order, base + 20)
+    pairs = [(origin, base + step) for origin, step in zip(order, ahead, strict=True)]
+    packed = digests.pack_short(pairs, order)
+    assert digests.unpack_short(packed, order, ticks.__getitem__) == pairs
+    dense = digests.pack_dense(tick for _, tick in pairs)
+    assert digests.unpack_dense(dense, order, ticks.__getitem__) == pairs
+    digests.unpack_short(packed[:-1], order[:1], ticks.__getitem__)
+    digests.unpack_dense(dense[:-1], order, ticks.__getitem__)
+
+
+@pytest.mark.parametrize("start", [start_by_digest, start_by_hashes])
+def test_comparison_ends_with_equal_tables_whatever_each_held(start):
+    rng = random.Random(3)
+    tables = [make_table(f"b{index}")[0] for index in range(4)]
+    for table in tables:
+        for _ in range(3):
+            table.put_own(1, f"guide-{rng.randrange(3)}", b"x")
+    for _ in range(12):
+        first, second = rng.sample(tables, 2)
+        exchange(first, second, start)
+        rng.choice(tables).put_own(1, "guide-9", str(rng.random()).encode())
+    for first, second in [(0, 1), (1, 2), (2, 3), (3, 0), (0, 1), (1, 2)]:
+        exchange(tables[first], tables[second], start)
+    expected = {
+        name: (origin.tick, visible(origin))
+        for name, origin in tables[0].origins.items()
+    }
+    assert len(expected) == 4
+    for table in tables[1:]:
+        found = {
+            name: (origin.tick, visible(origin))
+            for name, origin in table.origins.items()
+        }
+        assert found == expected
+    exchange(tables[0], tables[1], start)
+
+
+def test_updates_out_of_range_are_ignored():
+    table, changes = make_table()
+    other, _ = make_table("a1")
+    row = RowUpdate(1, "guide", 1 << 40, b"x")
+    assert not table.put(other.me, row)
+    step = OriginUpdate(other.me.origin_id, 0, 1 << 40, 0, other.me, [row])
+    table.merge([step, attrs.evolve(step, origin_id=b"other", to_tick=5)])
+    assert changes == []
+    start_by_digest(table)
+
+
 def test_a_table_stays_within_its_limits():
     source, _ = make_table("a1")
     for index in range(50):
