Test version moves against stops of the holder, outages and races

Change: instances over one log with gates at every call to the outside; the holder is stopped or paused there and another goes on.

--- a/lagoonring/tests/builders/moves.py
+++ b/lagoonring/tests/builders/moves.py
@@ -2,14 +2,42 @@
 
 from __future__ import annotations
 
-from typing import Any
+import asyncio
+import itertools
+import random
+from typing import TYPE_CHECKING, Any
 
 import attrs
 import msgspec
 
-from lagoonring.catalogue import Move
+from lagoonring.catalogue import (
+    CatalogueOptions,
+    CatalogueService,
+    Change,
+    Edit,
+    Move,
+)
+from lagoonring.endpoints.errors import (
+    EndpointConnectError,
+    EndpointCutError,
+    FencedError,
+)
+from lagoonring.endpoints.messages import EngineOrder, EngineState
+from lagoonring.kernel import Application, Clock, ManualClock
+from lagoonring.leases import LeaseOptions
+from lagoonring.leases.records import LeaseState, decode_record, fold
 from lagoonring.moves.counts import CellCounts, VersionCounts
+from lagoonring.moves.ledger import MoveLedger
 from lagoonring.moves.messages import MoveRecord
+from lagoonring.moves.options import MovesOptions
+from lagoonring.moves.service import MovesService
+from lagoonring.routing.messages import AttemptResult
+from lagoonring.settings import to_plain
+from lagoonring.standins.log_standin import LogStandin
+from lagoonring.tests.builders.claims import PeerNetwork
+
+if TYPE_CHECKING:
+    from lagoonring.platform.log import Page
 
 
 def make_move(**fields: Any) -> Move:
@@ -47,3 +75,371 @@
     return VersionCounts(
         move="m", started_s=started_s, share=share, cells={"plan|0": cell}
     )
+
+
+OPTIONS = MovesOptions(
+    trial_s=20,
+    undo_s=6,
+    order_s=1,
+    drain_s=2,
+    clean_limit_s=10,
+    tick_s=0.5,
+    check_s=1,
+    publish_s=0.5,
+)
+LEASE_OPTIONS = LeaseOptions(duration_s=3, margin_s=0.5, renew_interval_s=1, poll_s=0.5)
+STEP_S = 0.25
+LOAD_S = 2.0
+N_REQUESTS_PER_STEP = 40
+FIRST_TOKEN_S = 0.1
+BETWEEN_TOKENS_S = 0.03
+
+
+@attrs.define
+class Gate:
+    """Stops an instance at its n-th call to the outside, as a pause does.
+
+    From ``stop_at`` on every call waits until :meth:`open`.
+    """
+
+    n_passed: int = 0
+    stop_at: int | None = None
+    stopped: bool = False
+    opened: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    async def wait(self) -> None:
+        """Pass one call, or wait."""
+        self.n_passed += 1
+        if self.n_passed == self.stop_at:
+            self.stopped = True
+        if self.stopped:
+            await self.opened.wait()
+
+    def open(self) -> None:
+        """Let the instance go on."""
+        self.stopped = False
+        self.stop_at = None
+        self.opened.set()
+
+
+class GatedClock(Clock):
+    """A shared manual clock whose sleepers wake through a gate."""
+
+    def __init__(self, clock: ManualClock, gate: Gate) -> None:
+        self.clock = clock
+        self.gate = gate
+
+    def monotonic(self) -> float:
+        """Return the shared clock's reading."""
+        return self.clock.monotonic()
+
+    def time(self) -> float:
+        """Return the shared clock's reading."""
+        return self.clock.time()
+
+    async def sleep(self, delay_s: float) -> None:
+        """Wait, then pass the gate."""
+        await self.clock.sleep(delay_s)
+        await self.gate.wait()
+
+
+class GatedLog:
+    """The log through a gate, before and after each request."""
+
+    name = "log"
+
+    def __init__(self, log: LogStandin, gate: Gate) -> None:
+        self.log = log
+        self.gate = gate
+
+    async def append(self, stream: str, data: str) -> int:
+        """Append through the gate."""
+        await self.gate.wait()
+        offset = await self.log.append(stream, data)
+        await self.gate.wait()
+        return offset
+
+    async def read(
+        self, stream: str, from_offset: int, *, limit: int = 500, wait_s: float = 0.0
+    ) -> Page:
+        """Read through the gate."""
+        await self.gate.wait()
+        page = await self.log.read(stream, from_offset, limit=limit, wait_s=wait_s)
+        await self.gate.wait()
+        return page
+
+    async def start(self) -> None:
+        """Do nothing."""
+
+    async def drain(self, grace_s: float) -> None:
+        """Do nothing."""
+
+    async def stop(self) -> None:
+        """Do nothing."""
+
+
+@attrs.define
+class EngineDouble:
+    """An engine that obeys orders; ``is_out`` and ``n_lost_answers`` are faults."""
+
+    checks_fencing: bool = True
+    versions: list[str] = attrs.field(factory=lambda: ["1"])
+    loading: dict[str, float] = attrs.field(factory=dict)
+    fencing: int = -1
+    is_out: bool = False
+    can_load: bool = True
+    n_lost_answers: int = 0
+    orders: list[EngineOrder] = attrs.field(factory=list)
+
+    def obey(self, wanted: EngineOrder, now_s: float) -> None:
+        """Take an order."""
+        if self.checks_fencing and wanted.fencing < self.fencing:
+            raise FencedError("Got an old order.")
+        self.fencing = max(self.fencing, wanted.fencing)
+        self.orders.append(wanted)
+        if wanted.kind == "load_version":
+            self.loading.setdefault(wanted.name, now_s + LOAD_S)
+        else:
+            self.loading.pop(wanted.name, None)
+            self.versions = [name for name in self.versions if name != wanted.name]
+
+    def settle(self, now_s: float) -> None:
+        """Finish what has been loaded by now."""
+        for name, due_s in list(self.loading.items()):
+            if self.can_load and due_s <= now_s:
+                del self.loading[name]
+                self.versions = sorted({*self.versions, name})
+
+
+class ControlDouble:
+    """Talks to engine doubles by URL, through a gate."""
+
+    def __init__(
+        self, engines: dict[str, EngineDouble], clock: Clock, gate: Gate
+    ) -> None:
+        self.engines = engines
+        self.clock = clock
+        self.gate = gate
+
+    async def order(self, url: str, wanted: EngineOrder) -> None:
+        """Give an order."""
+        await self.gate.wait()
+        engine = self._find(url)
+        engine.obey(wanted, self.clock.time())
+        await self.gate.wait()
+        if engine.n_lost_answers > 0:
+            engine.n_lost_answers -= 1
+            raise EndpointCutError("Got no answer.")
+
+    async def read_state(self, url: str) -> EngineState:
+        """Return the state."""
+        await self.gate.wait()
+        engine = self._find(url)
+        engine.settle(self.clock.time())
+        state = EngineState(
+            versions=list(engine.versions),
+            loading=list(engine.loading),
+            fencing=engine.fencing,
+        )
+        await self.gate.wait()
+        return state
+
+    def _find(self, url: str) -> EngineDouble:
+        engine = self.engines[url]
+        if engine.is_out:
+            raise EndpointConnectError("Got no connection.")
+        return engine
+
+
+@attrs.define(kw_only=True)
+class Instance:
+    """An instance with the parts that moves need."""
+
+    name: str
+    app: Application
+    gate: Gate
+    catalogue: CatalogueService
+    moves: MovesService
+
+
+class MovesFleet:
+    """Instances that carry moves on over one log, with engines and traffic.
+
+    Parameters
+    ----------
+    n_instances, n_engines : int
+        How many there are; engines are spread over three data centres.
+    checks_fencing : bool
+        Whether the engines check fencing numbers.
+    """
+
+    def __init__(
+        self, n_instances: int = 3, n_engines: int = 5, *, checks_fencing: bool = True
+    ) -> None:
+        self.clock = ManualClock()
+        self.log = LogStandin(self.clock)
+        self.network = PeerNetwork()
+        self.n_instances = n_instances
+        self.checks_fencing = checks_fencing
+        self.urls = [f"http://127.0.0.1:{9000 + i}" for i in range(n_engines)]
+        self.engines = {url: EngineDouble(checks_fencing) for url in self.urls}
+        self.instances: list[Instance] = []
+        self.failing_share = 0.0
+        self.rng = random.Random(5)
+        self.n_requests = 0
+        self.new_times_s: list[float] = []
+        self.verdict_s: float | None = None
+
+    async def start(self) -> None:
+        """Start the instances and write the catalogue."""
+        for index in range(self.n_instances):
+            await self.add(f"i{index}", seed=index)
+        await self.edit(*self.make_changes())
+
+    async def add(self, name: str, *, seed: int) -> Instance:
+        """Start one instance."""
+        gate = Gate()
+        clock = GatedClock(self.clock, gate)
+        log = GatedLog(self.log, gate)
+        app = Application(clock=clock, rng=random.Random(seed))
+        app.add(log)
+        peers = app.add(self.network.join(name))
+        catalogue = app.add(
+            CatalogueService(
+                app, CatalogueOptions(retry_s=0.2, cut_off_after_s=1), log=log
+            )
+        )
+        control = ControlDouble(self.engines, self.clock, gate)
+        moves = MovesService(app, OPTIONS, lease_options=LEASE_OPTIONS, control=control)
+        app.add(moves)
+        instance = Instance(
+            name=name, app=app, gate=gate, catalogue=catalogue, moves=moves
+        )
+        self.instances.append(instance)
+        await app.start()
+        await self.clock.advance(STEP_S)
+        await peers.start()
+        return instance
+
+    async def stop(self) -> None:
+        """Stop all instances."""
+        for instance in self.instances:
+            instance.gate.open()
+        for instance in self.instances:
+            await instance.app.stop()
+
+    def make_changes(self) -> list[Change]:
+        """Return the changes of the first catalogue."""
+        entry = {
+            "kind": "model",
+            "owner": "asso",
+            "service_class": "chat",
+            "checks_fencing": self.checks_fencing,
+        }
+        changes = [
+            Change(section="organisations", name="asso", item={}),
+            Change(section="classes", name="chat", item={}),
+            Change(section="entries", name="guide", item=entry),
+        ]
+        for index, url in enumerate(self.urls):
+            item = {"entry": "guide", "data_centre": f"dc{index % 3}", "url": url}
+            changes.append(
+                Change(section="endpoints", name=f"guide-{index}", item=item)
+            )
+        return changes
+
+    async def edit(self, *changes: Change) -> int:
+        """Apply an edit at the first instance that is not stopped."""
+        catalogue = self.live()[0].catalogue
+        edit = Edit(
+            edit_id=f"e{self.rng.random()}",
+            author="ana",
+            base_revision=catalogue.revision,
+            changes=list(changes),
+        )
+        task = asyncio.create_task(catalogue.apply(edit))
+        await self.clock.advance(STEP_S)
+        while not task.done():
+            await self.clock.advance(STEP_S)
+        return task.result()
+
+    async def order(self, name: str = "m", *, in_s: float = 60.0, **fields: Any) -> int:
+        """Order a move of ``guide`` to version 2."""
+        item = to_plain(make_move(deadline_s=self.clock.time() + in_s))
+        return await self.edit(
+            Change(section="moves", name=name, item={**item, **fields})
+        )
+
+    def live(self) -> list[Instance]:
+        """Return the instances that are not stopped."""
+        return [item for item in self.instances if not item.gate.stopped]
+
+    def holder(self) -> Instance | None:
+        """Return the instance that holds the lease."""
+        for instance in self.instances:
+            lease = instance.moves.lease
+            if lease is not None and lease.is_held():
+                return instance
+        return None
+
+    async def run(self, seconds: float, *, until: Any = None) -> bool:
+        """Let time pass under traffic; return whether ``until`` came true."""
+        for _ in range(int(seconds / STEP_S)):
+            if until is not None and until():
+                return True
+            self.send()
+            await self.clock.advance(STEP_S)
+        return until is not None and until()
+
+    def send(self) -> None:
+        """Send requests to all instances that are not stopped."""
+        now_s = self.clock.time()
+        for instance in self.live():
+            for _ in range(N_REQUESTS_PER_STEP):
+                self._send_one(instance, now_s)
+            if instance.moves.findings and self.verdict_s is None:
+                self.verdict_s = now_s
+
+    def _send_one(self, instance: Instance, now_s: float) -> None:
+        self.n_requests += 1
+        moves = instance.moves
+        version = moves.choose_version("guide", f"r{self.n_requests}")
+        is_new = version == "2"
+        if is_new:
+            self.new_times_s.append(now_s)
+        fails = is_new and self.rng.random() < self.failing_share
+        result = AttemptResult(
+            ok=not fails,
+            kind="error" if fails else "",
+            n_tokens=10,
+            first_token_s=FIRST_TOKEN_S * self.rng.lognormvariate(0, 0.2),
+            between_tokens_s=BETWEEN_TOKENS_S * self.rng.lognormvariate(0, 0.1),
+        )
+        moves.observe("guide", version, "plan", result)
+
+    def record(self, name: str = "m") -> MoveRecord | None:
+        """Return the newest record of a move, at any instance that reads on."""
+        found: dict[int, MoveRecord] = {}
+        for instance in self.live():
+            for kept in instance.moves.ledger.kept.values():
+                if kept.record.name == name:
+                    found[kept.offset] = kept.record
+        return found[max(found)] if found else None
+
+    def is_done(self, name: str = "m") -> bool:
+        """Return whether nothing more will be done for a move."""
+        record = self.record(name)
+        return record is not None and record.is_done
+
+    def phases(self) -> list[str]:
+        """Return the phases that counted, in log order, without steps."""
+        seen: list[str] = []
+        ledger = MoveLedger(lambda offset, record: seen.append(record.phase))
+        state = LeaseState()
+        for record in self.log.streams["moves"].records:
+            decoded = decode_record(record.data)
+            assert decoded is not None
+            state, counts = fold(state, decoded, record.offset)
+            if counts and decoded.kind == "data":
+                ledger.on_data(record.offset, record.time_s, decoded.payload)
+        return [phase for phase, _ in itertools.groupby(seen)]
--- /dev/null
+++ b/lagoonring/tests/test_moves_failures.py
@@ -0,0 +1,258 @@
+from __future__ import annotations
+
+import asyncio
+from contextlib import asynccontextmanager
+
+import pytest
+
+from lagoonring.catalogue import Change
+from lagoonring.tests.builders.moves import OPTIONS, MovesFleet
+
+DEADLINE_S = 60.0
+PAUSE_S = 12.0
+STOPS = range(5, 420, 18)
+
+
+@asynccontextmanager
+async def running(**options):
+    fleet = MovesFleet(**options)
+    await fleet.start()
+    try:
+        yield fleet
+    finally:
+        await fleet.stop()
+
+
+def assert_settled(fleet, phase):
+    """One version is in force, at every instance, engine and in the catalogue."""
+    phases = fleet.phases()
+    assert phases[-1] == phase
+    assert sum(name in ("finished", "undone") for name in phases) == 1
+    wanted = "2" if phase == "finished" else "1"
+    for instance in fleet.live():
+        content = instance.catalogue.content
+        assert content.entries["guide"].version == wanted
+        for request in range(50):
+            assert instance.moves.choose_version("guide", f"q{request}") == wanted
+    for engine in fleet.engines.values():
+        if not engine.is_out:
+            engine.settle(fleet.clock.time())
+            assert engine.versions == [wanted]
+
+
+async def test_a_good_version_is_finished_by_its_deadline():
+    async with running() as fleet:
+        await fleet.order(in_s=DEADLINE_S)
+        ordered_s = fleet.clock.time()
+        assert await fleet.run(DEADLINE_S + 20, until=fleet.is_done)
+        assert_settled(fleet, "finished")
+        assert fleet.record().since_s <= ordered_s + DEADLINE_S
+        expected = ["loading", "trial", "ramp", "finishing", "finished"]
+        assert fleet.phases() == expected
+        assert not any(instance.moves.findings for instance in fleet.instances)
+
+
+async def test_a_bad_version_is_stopped_everywhere_and_taken_back():
+    async with running() as fleet:
+        fleet.failing_share = 0.5
+        await fleet.order(in_s=DEADLINE_S)
+        assert await fleet.run(DEADLINE_S + 20, until=fleet.is_done)
+        assert_settled(fleet, "undone")
+        assert fleet.verdict_s is not None
+        assert all(time_s <= fleet.verdict_s + 2 for time_s in fleet.new_times_s)
+        assert len(fleet.new_times_s) <= 0.05 * fleet.n_requests
+
+
+async def test_a_fault_that_shows_in_the_last_step_is_taken_back():
+    async with running() as fleet:
+        await fleet.order(in_s=DEADLINE_S)
+        share = OPTIONS.ramp[-1]
+
+        def is_last_step():
+            record = fleet.record()
+            return record is not None and record.share == share
+
+        assert await fleet.run(DEADLINE_S, until=is_last_step)
+        fleet.failing_share = 0.8
+        assert await fleet.run(DEADLINE_S, until=fleet.is_done)
+        assert_settled(fleet, "undone")
+        assert all(time_s <= fleet.verdict_s + 2 for time_s in fleet.new_times_s)
+
+
+@pytest.mark.parametrize("failing_share", [0.0, 0.6])
+@pytest.mark.parametrize("stop_at", STOPS)
+@pytest.mark.parametrize("is_paused", [False, True])
+async def test_another_holder_goes_on_wherever_one_stops(
+    failing_share, stop_at, is_paused
+):
+    async with running(checks_fencing=stop_at % 2 == 0) as fleet:
+        fleet.failing_share = failing_share
+        await fleet.order(in_s=DEADLINE_S)
+        assert await fleet.run(20, until=lambda: fleet.holder() is not None)
+        holder = fleet.holder()
+        holder.gate.stop_at = holder.gate.n_passed + stop_at
+        await fleet.run(DEADLINE_S, until=lambda: holder.gate.stopped)
+        await fleet.run(PAUSE_S)
+        if is_paused:
+            holder.gate.open()
+        assert await fleet.run(DEADLINE_S + 40, until=fleet.is_done)
+        await fleet.run(5)
+        assert_settled(fleet, "undone" if failing_share else "finished")
+
+
+async def test_a_late_finish_of_an_old_holder_does_not_follow_an_undo():
+    async with running() as fleet:
+        await fleet.order(in_s=DEADLINE_S)
+
+        def is_finishing():
+            record = fleet.record()
+            return record is not None and record.phase == "finishing"
+
+        assert await fleet.run(DEADLINE_S, until=is_finishing)
+        holder = fleet.holder()
+        # The next call of the holder is the append of its edit.
+        holder.gate.stopped = True
+        for instance in fleet.live():
+            instance.moves.findings[fleet.record().key] = "found bad"
+        assert await fleet.run(40, until=fleet.is_done)
+        assert_settled(fleet, "undone")
+        holder.gate.open()
+        await fleet.run(10)
+        assert_settled(fleet, "undone")
+
+
+async def test_with_the_log_out_verdicts_stop_a_bad_version():
+    async with running() as fleet:
+        await fleet.order(in_s=DEADLINE_S)
+
+        def is_in_trial():
+            return any(item.moves.share("guide") > 0 for item in fleet.instances)
+
+        assert await fleet.run(20, until=is_in_trial)
+        fleet.log.faults.is_out = True
+        await fleet.run(3)
+        assert all(item.moves.share("guide") > 0 for item in fleet.instances)
+        fleet.failing_share = 0.8
+        assert await fleet.run(30, until=lambda: fleet.verdict_s is not None)
+        await fleet.run(0.5)
+        assert all(item.moves.share("guide") == 0 for item in fleet.instances)
+        fleet.log.faults.is_out = False
+        assert await fleet.run(60, until=fleet.is_done)
+        assert_settled(fleet, "undone")
+
+
+async def test_with_the_log_out_past_the_deadline_the_old_version_serves():
+    async with running() as fleet:
+        await fleet.order(in_s=DEADLINE_S)
+        assert await fleet.run(
+            20, until=lambda: fleet.instances[0].moves.share("guide") > 0
+        )
+        fleet.log.faults.is_out = True
+        await fleet.run(DEADLINE_S)
+        n_new = len(fleet.new_times_s)
+        await fleet.run(5)
+        assert len(fleet.new_times_s) == n_new
+        fleet.log.faults.is_out = False
+        assert await fleet.run(60, until=fleet.is_done)
+        assert_settled(fleet, "undone")
+
+
+async def test_without_weights_a_move_is_undone_in_time():
+    async with running() as fleet:
+        for engine in fleet.engines.values():
+            engine.can_load = False
+        await fleet.order(in_s=DEADLINE_S)
+        ordered_s = fleet.clock.time()
+        assert await fleet.run(DEADLINE_S + 20, until=fleet.is_done)
+        assert fleet.phases() == ["loading", "undoing", "undone"]
+        assert fleet.record().since_s <= ordered_s + DEADLINE_S
+        assert fleet.new_times_s == []
+
+
+async def test_lost_answers_and_an_endpoint_out_do_not_stop_a_move():
+    async with running() as fleet:
+        engines = list(fleet.engines.values())
+        for engine in engines:
+            engine.n_lost_answers = 2
+        engines[1].is_out = True
+        await fleet.order(in_s=DEADLINE_S)
+        fleet.log.faults.n_lost_answers = 3
+        assert await fleet.run(DEADLINE_S + 40, until=fleet.is_done)
+        assert_settled(fleet, "finished")
+        assert all(len(engine.orders) <= 6 for engine in engines)
+
+
+async def test_of_two_racing_operators_one_wins_and_the_other_is_refused():
+    async with running() as fleet:
+        await asyncio.gather(
+            fleet.order("first", in_s=DEADLINE_S),
+            fleet.order("second", in_s=DEADLINE_S, to_version="3"),
+            return_exceptions=True,
+        )
+        if fleet.instances[0].catalogue.content.moves.keys() != {"first", "second"}:
+            await fleet.order("second", in_s=DEADLINE_S, to_version="3")
+        assert await fleet.run(DEADLINE_S + 20, until=lambda: fleet.is_done("first"))
+        assert fleet.record("first").phase == "finished"
+        assert fleet.record("second").phase == "refused"
+        assert "first" in fleet.record("second").reason
+
+
+async def test_a_cancelled_move_is_taken_back():
+    async with running() as fleet:
+        await fleet.order(in_s=DEADLINE_S)
+        assert await fleet.run(20, until=lambda: fleet.new_times_s)
+        moves = fleet.instances[0].catalogue.content.moves
+        await fleet.order(
+            in_s=moves["m"].deadline_s - fleet.clock.time(), cancelled=True
+        )
+        assert await fleet.run(DEADLINE_S, until=fleet.is_done)
+        assert_settled(fleet, "undone")
+        assert "cancelled" in fleet.record().reason
+
+
+async def test_an_entry_edited_by_an_operator_meanwhile_is_left_alone():
+    async with running() as fleet:
+        await fleet.order(in_s=DEADLINE_S)
+        assert await fleet.run(20, until=lambda: fleet.new_times_s)
+        item = {
+            "kind": "model",
+            "owner": "asso",
+            "service_class": "chat",
+            "version": "7",
+        }
+        await fleet.edit(Change(section="entries", name="guide", item=item))
+        assert await fleet.run(DEADLINE_S, until=fleet.is_done)
+        assert fleet.record().phase == "undone"
+        content = fleet.instances[0].catalogue.content
+        assert content.entries["guide"].version == "7"
+
+
+async def test_a_new_instance_learns_share_and_verdict_from_its_peers():
+    async with running() as fleet:
+        await fleet.order(in_s=DEADLINE_S)
+        assert await fleet.run(20, until=lambda: fleet.new_times_s)
+        fresh = await fleet.add("fresh", seed=9)
+        assert fresh.moves.share("guide") > 0
+        fleet.failing_share = 0.9
+        assert await fleet.run(30, until=lambda: fleet.verdict_s is not None)
+        last = await fleet.add("last", seed=10)
+        assert last.moves.share("guide") == 0
+
+
+async def test_an_old_order_obeyed_late_is_put_right():
+    async with running(checks_fencing=False) as fleet:
+        fleet.failing_share = 0.9
+        await fleet.order(in_s=DEADLINE_S)
+
+        def is_undone():
+            record = fleet.record()
+            return record is not None and record.phase == "undone"
+
+        assert await fleet.run(DEADLINE_S, until=is_undone)
+        url = fleet.urls[0]
+        order = fleet.engines[url].orders[0]
+        assert order.kind == "load_version"
+        await fleet.run(OPTIONS.drain_s + 0.5)
+        fleet.engines[url].obey(order, fleet.clock.time())
+        assert await fleet.run(DEADLINE_S, until=fleet.is_done)
+        assert_settled(fleet, "undone")
