--- a/lagoonring/entry/application.py
+++ b/lagoonring/entry/application.py
@@ -12,6 +12,7 @@
 from lagoonring.kernel import Application, BaseService, Clock
 from lagoonring.limits.service import LimitsService
 from lagoonring.metrics import MetricsService
+from lagoonring.moves.service import MovesService
 from lagoonring.peers.service import PeersService
 from lagoonring.platform.service import LogService
 from lagoonring.requests.authentication import make_authenticate
@@ -127,6 +128,7 @@
     app.add(RetriesService(app, settings.retries))
     app.add(RoutingService(app, settings.routing, data_centre=settings.data_centre))
     app.add(LimitsService(app, settings.limits))
+    app.add(MovesService(app, settings.moves))
     app.add(AuditService(app, settings.instance))
     app.add(ChargesService(app, settings.instance))
     app.add(CallersService(app, settings))
@@ -160,7 +162,7 @@
         retries=app.find("retries"),
         claims=app.services.get("claims"),
         charges=app.find("charges"),
-        moves=app.services.get("moves"),
+        moves=app.find("moves"),
         metrics=RequestMetrics(app.find("metrics").registry),
         make_stored_answer=make_stored_answer,
     )
--- a/lagoonring/requests/chat.py
+++ b/lagoonring/requests/chat.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Any
 
 import msgspec
+import xxhash
 
 from lagoonring.requests.errors import BadJsonError
 from lagoonring.requests.journal import text_of_chunk
@@ -14,6 +15,7 @@
     from lagoonring.requests.messages import ChatRequest
 
 N_TOKENS_LIMIT = 1_000_000
+N_ROUTES = 64
 
 
 def parse_chat_body(body: bytes) -> dict[str, Any]:
@@ -56,6 +58,15 @@
     return limit or default
 
 
+def route_name(messages: list[dict[str, Any]]) -> str:
+    """Return the kind of a request: the system prompt that it begins with."""
+    first = messages[0]
+    if first["role"] != "system":
+        return "chat"
+    digest = xxhash.xxh3_64_intdigest(canonical_prompt([first]))
+    return f"system-{digest % N_ROUTES}"
+
+
 def endpoint_body(
     request: ChatRequest, journal: Journal, *, kv: str | None = None
 ) -> bytes:
--- a/lagoonring/requests/messages.py
+++ b/lagoonring/requests/messages.py
@@ -15,7 +15,8 @@
     """An authenticated, checked request.
 
     ``deadline_s`` is on the process's monotonic clock. ``fingerprint`` stands
-    for organisation, entry and body in the quarantine and claims.
+    for organisation, entry and body in the quarantine and claims, ``route_name``
+    for the kind of request when versions are compared.
     """
 
     request_id: str
@@ -27,6 +28,7 @@
     deadline_s: float
     priority: int = 0
     key: str = ""
+    route_name: str = ""
 
 
 @attrs.define(kw_only=True)
--- a/lagoonring/requests/parts.py
+++ b/lagoonring/requests/parts.py
@@ -129,10 +129,24 @@
         self.retries.ended(request.fingerprint, route.endpoint, ok=False)
         return ""
 
-    def observe(self, entry: str, route: Route, result: AttemptResult) -> None:
+    def observe(
+        self, request: CallerRequest, route: Route, result: AttemptResult
+    ) -> None:
         """Give the result of an attempt to the judge of versions."""
-        if self.moves is not None:
-            self.moves.observe(entry, route.version, "", result)
+        self.moves.observe(
+            request.entry,
+            route.version,
+            request.route_name,
+            result,
+            caused_by_request=bool(result.cause),
+            endpoint=route.endpoint,
+            load_share=self.load_share(route.endpoint),
+        )
+
+    def load_share(self, endpoint: str) -> float:
+        """Return the share of an endpoint's slots that are busy, 0 to 1."""
+        state = self.routing.table.states.get(endpoint)
+        return min(1.0, state.load / state.n_slots) if state is not None else 0.0
 
     def cancel_attempt(self, route: Route, attempt_id: str) -> None:
         """Have the endpoint stop an attempt, without waiting for it."""
--- a/lagoonring/requests/plain.py
+++ b/lagoonring/requests/plain.py
@@ -233,7 +233,7 @@
         if cause == CAUSE_CALLER:
             parts.retries.ended(request.fingerprint, route.endpoint, ok=False)
         else:
-            parts.observe(request.entry, route, result)
+            parts.observe(request, route, result)
     parts.retries.note_latency(request.entry, elapsed_s)
     return answer
 
--- a/lagoonring/requests/producer.py
+++ b/lagoonring/requests/producer.py
@@ -161,7 +161,7 @@
     )
     parts.routing.ended(route, route_request, result)
     if not stream.is_moving:
-        parts.observe(stream.request.entry, route, result)
+        parts.observe(stream.request, route, result)
     if error is not None and error.kind != "connect":
         parts.cancel_attempt(route, stream.attempt_id)
     return error
--- a/lagoonring/requests/service.py
+++ b/lagoonring/requests/service.py
@@ -10,7 +10,12 @@
 from lagoonring.kernel import BaseService
 from lagoonring.limits.messages import AdmitRequest
 from lagoonring.logs import make_logger
-from lagoonring.requests.chat import canonical_prompt, n_tokens_most, parse_chat_body
+from lagoonring.requests.chat import (
+    canonical_prompt,
+    n_tokens_most,
+    parse_chat_body,
+    route_name,
+)
 from lagoonring.requests.errors import NotReadyError, UnknownEntryError
 from lagoonring.requests.messages import ChatRequest, PlainAnswer, PlainRequest
 from lagoonring.requests.moving import move_stream
@@ -118,6 +123,7 @@
             fingerprint=make_fingerprint(organisation, document["model"], body),
             deadline_s=self.app.clock.monotonic() + allowed_s,
             priority=service_class.priority,
+            route_name=route_name(document["messages"]),
             document=document,
             prefix_blocks=hash_blocks(prompt),
             n_prompt_bytes=len(prompt),
@@ -153,6 +159,7 @@
             deadline_s=self.app.clock.monotonic() + allowed_s,
             priority=service_class.priority,
             key=key,
+            route_name=f"{method} {path.partition('?')[0].split('/')[1][:40]}",
             method=method,
             path=path,
             headers=headers,
