--- a/Makefile
+++ b/Makefile
@@ -36,3 +36,7 @@
 	$(BIN)/mypy
 
 check: lint types test
+
+.PHONY: reference
+reference: setup
+	$(BIN)/python -m lagoonring.reference docs
--- a/lagoonring/requests/errors.py
+++ b/lagoonring/requests/errors.py
@@ -133,3 +133,10 @@
             "Got a fault of this program, expected an answer.",
             remedy="Report it with the request id; the log has the details.",
         )
+
+
+def correct_outcome(error: LagoonringError, *, may_have_run: bool) -> LagoonringError:
+    """Return the error; it no longer says "not run" if that is not certain."""
+    if may_have_run and error.outcome is Outcome.NOT_RUN:
+        error.outcome = Outcome.UNKNOWN
+    return error
--- a/lagoonring/requests/plain.py
+++ b/lagoonring/requests/plain.py
@@ -5,6 +5,8 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+import attrs
+
 from lagoonring.endpoints.errors import EndpointError
 from lagoonring.errors import LagoonringError, Outcome
 from lagoonring.requests.errors import (
@@ -14,36 +16,53 @@
     InProgressError,
     OutcomeUnknownError,
 )
-from lagoonring.requests.messages import PlainAnswer
+from lagoonring.requests.messages import PlainAnswer, PlainRequest
 from lagoonring.routing.messages import CAUSE_CALLER, AttemptResult, RouteRequest
 
 if TYPE_CHECKING:
-    from lagoonring.requests.messages import PlainRequest
     from lagoonring.requests.parts import RequestParts
     from lagoonring.routing.messages import Route
 
 IN_PROGRESS_RETRY_AFTER_S = 1.0
 
 
-async def run_plain(
-    parts: RequestParts, request: PlainRequest, decisions: list[str]
-) -> PlainAnswer:
+@attrs.define(kw_only=True, eq=False)
+class PlainRun:
+    """Progress of one call.
+
+    ``n_maybe_run`` counts the attempts that may have run: those in progress and
+    those that did not provably not run. ``used`` are endpoints already tried.
+    """
+
+    request: PlainRequest
+    decisions: list[str] = attrs.field(factory=list)
+    used: set[str] = attrs.field(factory=set)
+    n_attempts: int = 0
+    n_maybe_run: int = 0
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether any attempt may have run."""
+        return self.n_maybe_run > 0
+
+
+async def run_plain(parts: RequestParts, run: PlainRun) -> PlainAnswer:
     """Return the answer to a call of a plain service.
 
     A call that may not be repeated is sent at most once; with a key it is first
     claimed, so that a resend anywhere gets the recorded answer.
     """
+    request = run.request
     left_s = request.deadline_s - parts.app.clock.monotonic()
-    sent = asyncio.Event()
     try:
         async with asyncio.timeout(left_s):
             if request.is_idempotent:
-                return await _hedged(parts, request, decisions)
+                return await _hedged(parts, run)
             if request.key:
-                return await _claimed(parts, request, decisions, sent)
-            return await _send_once(parts, request, decisions, sent)
+                return await _claimed(parts, run)
+            return await _send_once(parts, run)
     except TimeoutError:
-        if sent.is_set():
+        if run.may_have_run:
             raise _unknown("no answer by the deadline") from None
         raise DeadlineError(
             "Got no free endpoint by the deadline, expected one.",
@@ -52,20 +71,17 @@
         ) from None
 
 
-async def _hedged(
-    parts: RequestParts, request: PlainRequest, decisions: list[str]
-) -> PlainAnswer:
+async def _hedged(parts: RequestParts, run: PlainRun) -> PlainAnswer:
     """Try until an answer comes; start a second attempt if the first is slow."""
-    used: set[str] = set()
-    tasks = {asyncio.create_task(_retried(parts, request, decisions, used))}
-    delay_s = parts.retries.hedge_delay_s(request.entry)
+    entry = run.request.entry
+    tasks = {asyncio.create_task(_retried(parts, run))}
+    delay_s = parts.retries.hedge_delay_s(entry)
     try:
         if delay_s is not None:
             done, _ = await asyncio.wait(tasks, timeout=delay_s)
-            if not done and parts.retries.may_retry(request.entry):
-                decisions.append(f"hedged after {delay_s * 1000:.0f} ms")
-                second = _retried(parts, request, decisions, used)
-                tasks.add(asyncio.create_task(second))
+            if not done and parts.retries.may_retry(entry):
+                run.decisions.append(f"hedged after {delay_s * 1000:.0f} ms")
+                tasks.add(asyncio.create_task(_retried(parts, run)))
         error: BaseException | None = None
         pending = tasks
         while pending:
@@ -84,33 +100,21 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
 
-async def _retried(
-    parts: RequestParts,
-    request: PlainRequest,
-    decisions: list[str],
-    used: set[str],
-) -> PlainAnswer:
+async def _retried(parts: RequestParts, run: PlainRun) -> PlainAnswer:
+    """Try again after any failure, within the retry budget."""
     for _ in range(parts.options.n_attempts_most):
         try:
-            return await _attempt(parts, request, decisions, used)
+            return await _attempt(parts, run)
         except EndpointError as error:
             last_error = error
-            if not parts.retries.may_retry(request.entry):
+            if not parts.retries.may_retry(run.request.entry):
                 break
-    raise AttemptsExhaustedError(
-        f"Got only failed attempts, the last one {last_error}",
-        remedy="Send the request again after Retry-After.",
-        retry_after_s=GIVE_UP_RETRY_AFTER_S,
-    )
+    raise _exhausted(last_error)
 
 
-async def _claimed(
-    parts: RequestParts,
-    request: PlainRequest,
-    decisions: list[str],
-    sent: asyncio.Event,
-) -> PlainAnswer:
+async def _claimed(parts: RequestParts, run: PlainRun) -> PlainAnswer:
     """Claim the key, run if it is the first, record the answer."""
+    request = run.request
     entry = parts.catalogue.content.entries[request.entry]
     key = f"{request.organisation}/{request.entry}/{request.key}"
     claim_id = request.request_id
@@ -122,10 +126,10 @@
         if error.outcome is Outcome.NOT_RUN and error.status == 503:
             if not entry.deduplicates:
                 raise
-            decisions.append("claims are out, the endpoint deduplicates")
-            return await _send_once(parts, request, decisions, sent)
+            run.decisions.append("claims are out, the endpoint deduplicates")
+            return await _send_once(parts, run)
         raise
-    decisions.append(f"claim {claim.state}")
+    run.decisions.append(f"claim {claim.state}")
     if claim.state == "finished":
         return _replay(claim.answer)
     if claim.state == "in_progress":
@@ -137,10 +141,9 @@
     if claim.state != "granted":
         raise _unknown("a key whose first request has no recorded answer")
     try:
-        answer = await _send_once(parts, request, decisions, sent)
-    except BaseException as error:
-        is_not_run = getattr(error, "outcome", None) is Outcome.NOT_RUN
-        if is_not_run or not sent.is_set():
+        answer = await _send_once(parts, run)
+    except BaseException:
+        if not run.may_have_run:
             parts.in_background(parts.claims.release(key, claim_id))
         raise
     await _record(parts, key, claim_id, answer)
@@ -165,52 +168,37 @@
     return answer
 
 
-async def _send_once(
-    parts: RequestParts,
-    request: PlainRequest,
-    decisions: list[str],
-    sent: asyncio.Event,
-) -> PlainAnswer:
+async def _send_once(parts: RequestParts, run: PlainRun) -> PlainAnswer:
     """Send until one endpoint may have run it; never twice after that."""
-    used: set[str] = set()
     for _ in range(parts.options.n_attempts_most):
         try:
-            return await _attempt(parts, request, decisions, used, sent)
+            return await _attempt(parts, run)
         except EndpointError as error:
-            if error.outcome is not Outcome.NOT_RUN:
+            if run.may_have_run:
                 raise _unknown(str(error)) from error
-            sent.clear()
             last_error = error
-            if not parts.retries.may_retry(request.entry):
+            if not parts.retries.may_retry(run.request.entry):
                 break
-    raise AttemptsExhaustedError(
-        f"Got only refused attempts, the last one {last_error}",
-        remedy="Send the request again after Retry-After.",
-        retry_after_s=GIVE_UP_RETRY_AFTER_S,
-    )
+    raise _exhausted(last_error)
 
 
-async def _attempt(
-    parts: RequestParts,
-    request: PlainRequest,
-    decisions: list[str],
-    used: set[str],
-    sent: asyncio.Event | None = None,
-) -> PlainAnswer:
+async def _attempt(parts: RequestParts, run: PlainRun) -> PlainAnswer:
+    """Make one attempt and tell routing, quarantine and judge of its end."""
     clock = parts.app.clock
+    request = run.request
     route_request = _route_request(request)
-    route = _choose(parts, route_request, used)
+    route = _choose(parts, route_request, run.used)
     route = await parts.begin_attempt(request, route, route_request)
-    used.add(route.endpoint)
-    decisions.append(f"{route.endpoint} chosen: {route.reason}")
+    run.used.add(route.endpoint)
+    run.n_attempts += 1
+    run.decisions.append(f"{route.endpoint} chosen: {route.reason}")
     parts.routing.started(route, route_request)
     started_s = clock.monotonic()
     kind = ""
     cause = CAUSE_CALLER
-    if sent is not None:
-        sent.set()
+    run.n_maybe_run += 1
     try:
-        answer = await _call(parts, request, route, len(used))
+        answer = await _call(parts, request, route, run.n_attempts)
         kind = "error" if answer.status >= 500 else ""
         cause = ""
         parts.retries.ended(request.fingerprint, route.endpoint, ok=True)
@@ -218,7 +206,9 @@
         kind = error.kind
         cause = ""
         parts.metrics.attempts_failed.labels(kind).inc()
-        decisions.append(f"attempt at {route.endpoint} ended: {kind}")
+        run.decisions.append(f"attempt at {route.endpoint} ended: {kind}")
+        if error.outcome is Outcome.NOT_RUN:
+            run.n_maybe_run -= 1
         cause = await parts.blame(request, route, kind)
         raise
     finally:
@@ -287,6 +277,14 @@
     )
 
 
+def _exhausted(last_error: EndpointError) -> AttemptsExhaustedError:
+    return AttemptsExhaustedError(
+        f"Got only failed attempts, the last one {last_error}",
+        remedy="Send the request again after Retry-After.",
+        retry_after_s=GIVE_UP_RETRY_AFTER_S,
+    )
+
+
 def _unknown(got: str) -> OutcomeUnknownError:
     return OutcomeUnknownError(
         f"Got {got}, expected an answer; the request may have run.",
--- a/lagoonring/requests/producer.py
+++ b/lagoonring/requests/producer.py
@@ -9,7 +9,7 @@
 import attrs
 
 from lagoonring.endpoints.errors import EndpointError
-from lagoonring.errors import LagoonringError
+from lagoonring.errors import LagoonringError, Outcome
 from lagoonring.logs import make_logger
 from lagoonring.requests.chat import endpoint_body
 from lagoonring.requests.checking import checked_events
@@ -128,6 +128,8 @@
     parts.routing.started(route, route_request)
     first_token_s = None
     error: EndpointError | None = None
+    had_run = stream.may_have_run
+    stream.may_have_run = True
     try:
         source = _open(parts, stream, route)
         async with aclosing(checked_events(stream, source)) as batches:
@@ -138,6 +140,8 @@
                 await stream.deliver(events)
     except EndpointError as caught:
         error = caught
+        if caught.outcome is Outcome.NOT_RUN:
+            stream.may_have_run = had_run
         if stream.is_moving:
             await _wait_for_move(stream)
             error.kind = MOVED
--- a/lagoonring/requests/service.py
+++ b/lagoonring/requests/service.py
@@ -16,10 +16,14 @@
     parse_chat_body,
     route_name,
 )
-from lagoonring.requests.errors import NotReadyError, UnknownEntryError
+from lagoonring.requests.errors import (
+    NotReadyError,
+    UnknownEntryError,
+    correct_outcome,
+)
 from lagoonring.requests.messages import ChatRequest, PlainAnswer, PlainRequest
 from lagoonring.requests.moving import move_stream
-from lagoonring.requests.plain import run_plain
+from lagoonring.requests.plain import PlainRun, run_plain
 from lagoonring.requests.producer import produce
 from lagoonring.requests.streams import Stream
 from lagoonring.requests.traces import Trace, Traces
@@ -206,17 +210,18 @@
         self.check_ready()
         self.parts.retries.check(request.fingerprint)
         permit = await self.parts.limits.admit(_admit_request(request))
-        decisions: list[str] = []
+        run = PlainRun(request=request)
         started_s = self.app.clock.monotonic()
         outcome = "internal"
         answer = None
         self._begin()
         try:
-            answer = await run_plain(self.parts, request, decisions)
+            answer = await run_plain(self.parts, run)
             outcome = "replayed" if answer.replayed else "ok"
             return answer
         except LagoonringError as error:
             outcome = error.code
+            correct_outcome(error, may_have_run=run.may_have_run)
             raise
         finally:
             self._end()
@@ -232,7 +237,7 @@
                     endpoint=answer.endpoint if answer else "",
                     elapsed_s=self.app.clock.monotonic() - started_s,
                     cost=cost,
-                    decisions=decisions,
+                    decisions=run.decisions,
                 )
             )
 
--- a/lagoonring/requests/streams.py
+++ b/lagoonring/requests/streams.py
@@ -10,6 +10,7 @@
 
 from lagoonring.endpoints.events import SEPARATOR
 from lagoonring.errors import LagoonringError
+from lagoonring.requests.errors import correct_outcome
 from lagoonring.requests.journal import Journal
 from lagoonring.requests.messages import ChatRequest
 
@@ -23,6 +24,7 @@
     when the first event is there, and when the stream has ended. While
     ``is_moving`` the attempt is being moved, and ``move_ready`` is set once the
     next one may begin; while ``is_paused`` the stream is being handed over.
+    ``may_have_run`` is set unless every attempt provably did not run.
     """
 
     request: ChatRequest
@@ -37,6 +39,7 @@
     version: str = ""
     attempt_id: str = ""
     n_attempts: int = 0
+    may_have_run: bool = False
     is_moving: bool = False
     is_paused: bool = False
     move_ready: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -83,6 +86,8 @@
 
     def end(self, error: LagoonringError | None = None) -> None:
         """Mark the stream as ended, with an error or whole."""
+        if error is not None:
+            correct_outcome(error, may_have_run=self.may_have_run)
         self.error = error
         self.journal.compact()
         self.finished.set()
--- /dev/null
+++ b/lagoonring/tests/test_outcomes.py
@@ -0,0 +1,48 @@
+"""What an error says of the request must be true."""
+
+from __future__ import annotations
+
+import pytest
+
+from lagoonring.standins.engine_faults import EngineFaults
+from lagoonring.tests.builders.deployments import (
+    chat_body,
+    headers_of,
+    run_deployment,
+)
+
+CHAT = "/v1/chat/completions"
+
+
+async def ask_error(deployment) -> dict:
+    """Return the error that a request that can't succeed gets."""
+    async with deployment.session.post(
+        deployment.url(0) + CHAT, json=chat_body("turtles"), headers=headers_of()
+    ) as answer:
+        assert answer.status >= 500
+        return (await answer.json())["error"]
+
+
+@pytest.mark.parametrize(
+    ("faults", "outcome"),
+    [
+        ({"n_refused": 1000}, "not_run"),
+        ({"n_cut": 1000, "cut_at_token": 2}, "unknown"),
+        ({"n_errors": 1000}, "unknown"),
+    ],
+    ids=["refused", "cut", "error"],
+)
+async def test_request_that_may_have_run_is_never_called_not_run(faults, outcome):
+    async with run_deployment(n_engines=2) as deployment:
+        for engine in deployment.engines.values():
+            engine.batch.set_faults(EngineFaults(**faults))
+        error = await ask_error(deployment)
+        assert error["outcome"] == outcome
+        n_run = sum(e.batch.counts.n_requests for e in deployment.engines.values())
+        assert (n_run == 0) == (outcome == "not_run")
+        assert error["retry_after_s"]
+
+
+async def test_request_without_any_endpoint_is_not_run():
+    async with run_deployment(n_engines=0) as deployment:
+        assert (await ask_error(deployment))["outcome"] == "not_run"
