Add golden files of whole sessions

Change: transcripts per actor with ordinals for identifiers and without times, driven by barriers; four sessions: stream cut, endpoint reclaimed, entry instance reclaimed, operators racing. make golden writes them anew.

--- a/Makefile
+++ b/Makefile
@@ -40,3 +40,7 @@
 .PHONY: reference
 reference: setup
 	$(BIN)/python -m lagoonring.reference docs
+
+.PHONY: golden
+golden: setup
+	LAGOONRING_WRITE_GOLDEN=1 $(BIN)/python -m pytest -n 0 lagoonring/tests/test_golden_sessions.py
--- a/lagoonring/requests/handover.py
+++ b/lagoonring/requests/handover.py
@@ -133,7 +133,7 @@
             If no reachable instance holds it.
         """
         if RELAYED_HEADER not in request.headers:
-            for url in self._holders(request_id):
+            for url in self.holders(request_id):
                 response = await self._relay_from(request, url, request_id, n_tokens)
                 if response is not None:
                     return response
@@ -165,7 +165,7 @@
         except (aiohttp.ClientConnectorError, TimeoutError):
             return None
 
-    def _holders(self, request_id: str) -> list[str]:
+    def holders(self, request_id: str) -> list[str]:
         """Return the HTTP roots of instances that may hold a request."""
         origin = request_id.partition(".")[0]
         members = {member.instance: member for member in self.peers.members()}
--- /dev/null
+++ b/lagoonring/tests/test_golden_sessions.py
@@ -0,0 +1,126 @@
+"""Whole sessions against golden files; events are driven by barriers."""
+
+from __future__ import annotations
+
+import asyncio
+
+from lagoonring.standins.engine_faults import EngineFaults
+from lagoonring.tests.builders.barriers import (
+    hold_all,
+    release_all,
+    wait_for_members,
+    wait_for_tokens,
+    wait_until,
+    wait_until_held,
+)
+from lagoonring.tests.builders.callers import Caller, ask, attach
+from lagoonring.tests.builders.deployments import (
+    OPERATOR_TOKEN,
+    Deployment,
+    run_deployment,
+)
+from lagoonring.tests.builders.transcripts import Transcript
+
+N_TOKENS = 12
+HOLD = 5
+QUESTION = "when are the turtles fed"
+
+
+async def test_stream_cut_at_the_third_token():
+    transcript = Transcript()
+    async with run_deployment(n_engines=3) as deployment:
+        transcript.watch_endpoints(deployment)
+        for engine in deployment.engines.values():
+            engine.batch.set_faults(EngineFaults(n_cut=1, cut_at_token=3))
+        caller = await ask(deployment, QUESTION, N_TOKENS)
+        transcript.show_answer("caller", caller)
+    transcript.check("stream-cut")
+
+
+async def test_endpoint_reclaimed_with_notice():
+    transcript = Transcript()
+    entry = {"requests": {"kv_tokens_least": 0}}
+    async with run_deployment(n_engines=2, entry=entry) as deployment:
+        transcript.watch_endpoints(deployment)
+        hold_all(deployment, HOLD)
+        caller = Caller()
+        asking = asyncio.create_task(ask(deployment, QUESTION, N_TOKENS, caller=caller))
+        held = await wait_until_held(deployment)
+        await wait_for_tokens(caller, HOLD)
+        app = deployment.entries[0]
+        app.find("routing").leaving(held)
+        transcript.say("cloud", f"notice for {transcript.name('endpoint', held)}")
+        app.find("requests").endpoint_leaving(held, 5.0)
+        stream = next(iter(app.find("requests").streams.values()))
+        await wait_until(lambda: stream.endpoint != held)
+        release_all(deployment)
+        await asking
+        transcript.show_answer("caller", caller)
+        second = await ask(deployment, QUESTION, 3)
+        transcript.show_answer("caller", second)
+    transcript.check("endpoint-reclaimed")
+
+
+async def test_entry_instance_reclaimed():
+    transcript = Transcript()
+    entry = {"requests": {"handover_margin_s": 1.0}}
+    async with run_deployment(n_entries=3, n_engines=1, entry=entry) as deployment:
+        transcript.watch_endpoints(deployment)
+        await wait_for_members(deployment)
+        hold_all(deployment, HOLD)
+        caller = Caller()
+        asking = asyncio.create_task(ask(deployment, QUESTION, N_TOKENS, caller=caller))
+        await wait_until_held(deployment)
+        await wait_for_tokens(caller, HOLD)
+        await deployment.entries[0].drain(1.0)
+        await asking
+        transcript.show_answer("caller", caller)
+        await deployment.entries[0].stop()
+        handover = deployment.entries[1].find("handover")
+        await wait_until(lambda: handover.holders(caller.request_id))
+        release_all(deployment)
+        await attach(deployment, caller, entry=1)
+        transcript.show_answer("caller", caller)
+    transcript.check("entry-reclaimed")
+
+
+async def test_operators_race_for_one_item():
+    transcript = Transcript()
+    async with run_deployment(n_entries=2) as deployment:
+        await wait_for_members(deployment)
+        revision = deployment.entries[0].find("catalogue").revision
+        for number, weight in enumerate((2.0, 3.0)):
+            change = {
+                "section": "organisations",
+                "name": "ngor",
+                "item": {"weight": weight},
+            }
+            order = {
+                "edit_id": f"edit-{number}",
+                "base_revision": revision,
+                "changes": [change],
+            }
+            status, answer = await operate(deployment, number, "POST", "config", order)
+            line = f"weight {weight} through entry-{number}: {status} {answer}"
+            transcript.say(f"operator {number + 1}", line)
+        for index, app in enumerate(deployment.entries):
+            catalogue = app.find("catalogue")
+            await wait_until(lambda c=catalogue: c.revision == revision + 1)
+            weight = catalogue.content.organisations["ngor"].weight
+            transcript.say(f"entry-{index}", f"weight of ngor: {weight}")
+        transcript.show_log(deployment.log, "config")
+    transcript.check("operators-race")
+
+
+async def operate(
+    deployment: Deployment, entry: int, method: str, path: str, order: dict
+) -> tuple[int, str]:
+    """Send an order to the administration API; return status and code."""
+    headers = {"Authorization": f"Bearer {OPERATOR_TOKEN}"}
+    url = f"{deployment.url(entry)}/admin/{path}"
+    async with deployment.session.request(
+        method, url, json=order, headers=headers
+    ) as answer:
+        document = await answer.json()
+        error = document.get("error", {})
+        return answer.status, error.get("code") or str(document)
--- a/lagoonring/tests/test_streams_under_failure.py
+++ b/lagoonring/tests/test_streams_under_failure.py
@@ -5,6 +5,14 @@
 import pytest
 
 from lagoonring.standins.engine_faults import EngineFaults
+from lagoonring.tests.builders.barriers import (
+    hold_all,
+    release_all,
+    wait_for_members,
+    wait_for_tokens,
+    wait_until,
+    wait_until_held,
+)
 from lagoonring.tests.builders.callers import Caller, ask, attach
 from lagoonring.tests.builders.deployments import Deployment, run_deployment
 
@@ -12,28 +20,6 @@
 HOLD = 5
 
 
-def hold_all(deployment: Deployment) -> None:
-    for engine in deployment.engines.values():
-        engine.batch.set_faults(EngineFaults(hold_at_token=HOLD))
-
-
-def release_all(deployment: Deployment) -> None:
-    for engine in deployment.engines.values():
-        engine.batch.set_faults(EngineFaults())
-
-
-async def wait_until_held(deployment: Deployment, n_streams: int = 1) -> str:
-    """Return the engine that holds the streams."""
-    waits = {
-        asyncio.create_task(engine.batch.wait_until_held(n_streams)): name
-        for name, engine in deployment.engines.items()
-    }
-    done, pending = await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
-    for task in pending:
-        task.cancel()
-    return waits[done.pop()]
-
-
 @pytest.mark.parametrize(
     "faults",
     [
@@ -62,8 +48,7 @@
 async def _clear_after_crash(deployment: Deployment) -> None:
     """Let only the first engine that the request reaches crash."""
     engines = deployment.engines.values()
-    while not any(engine.batch.counts.n_crashes for engine in engines):
-        await asyncio.sleep(0.01)
+    await wait_until(lambda: any(e.batch.counts.n_crashes for e in engines))
     for engine in engines:
         engine.batch.set_faults(EngineFaults())
 
@@ -85,15 +70,14 @@
 async def test_stream_moves_off_an_endpoint_with_notice(kv_tokens_least):
     entry = {"requests": {"kv_tokens_least": kv_tokens_least}}
     async with run_deployment(n_engines=2, entry=entry) as deployment:
-        hold_all(deployment)
+        hold_all(deployment, HOLD)
         asking = asyncio.create_task(ask(deployment, "turtles", N_TOKENS))
         held = await wait_until_held(deployment)
         requests = deployment.entries[0].find("requests")
         deployment.entries[0].find("routing").leaving(held)
         requests.endpoint_leaving(held, 5.0)
         stream = next(iter(requests.streams.values()))
-        while stream.endpoint == held:
-            await asyncio.sleep(0.01)
+        await wait_until(lambda: stream.endpoint != held)
         release_all(deployment)
         (await asking).assert_whole("turtles", N_TOKENS)
         other = next(e for n, e in deployment.engines.items() if n != held)
@@ -103,14 +87,13 @@
 
 async def test_caller_re_attaches_where_its_connection_was_lost():
     async with run_deployment(n_entries=1) as deployment:
-        hold_all(deployment)
+        hold_all(deployment, HOLD)
         caller = Caller()
         asking = asyncio.create_task(
             ask(deployment, "turtles", N_TOKENS, caller=caller)
         )
         await wait_until_held(deployment)
-        while len(caller.ids) < HOLD:
-            await asyncio.sleep(0.01)
+        await wait_for_tokens(caller, HOLD)
         asking.cancel()
         await asyncio.gather(asking, return_exceptions=True)
         attaching = asyncio.create_task(attach(deployment, caller, entry=0))
@@ -121,23 +104,21 @@
 async def test_leaving_instance_hands_its_streams_over():
     entry = {"requests": {"handover_margin_s": 1.0}}
     async with run_deployment(n_entries=3, entry=entry) as deployment:
-        await _wait_for_members(deployment)
-        hold_all(deployment)
+        await wait_for_members(deployment)
+        hold_all(deployment, HOLD)
         caller = Caller()
         asking = asyncio.create_task(
             ask(deployment, "turtles", N_TOKENS, caller=caller)
         )
         await wait_until_held(deployment)
-        while len(caller.ids) < HOLD:
-            await asyncio.sleep(0.01)
+        await wait_for_tokens(caller, HOLD)
         await deployment.entries[0].drain(1.0)
         await asking
         assert not caller.is_ended
         await deployment.entries[0].stop()
         for entry_index in (1, 2):
-            rows = deployment.entries[entry_index].find("handover")
-            while not rows._holders(caller.request_id):
-                await asyncio.sleep(0.01)
+            handover = deployment.entries[entry_index].find("handover")
+            await wait_until(lambda h=handover: h.holders(caller.request_id))
         release_all(deployment)
         await attach(deployment, caller, entry=2)
         caller.assert_whole("turtles", N_TOKENS)
@@ -149,7 +130,7 @@
 
 async def test_planned_stop_cuts_no_request():
     async with run_deployment(n_entries=1) as deployment:
-        hold_all(deployment)
+        hold_all(deployment, HOLD)
         asking = asyncio.create_task(ask(deployment, "turtles", N_TOKENS))
         await wait_until_held(deployment)
         draining = asyncio.create_task(deployment.entries[0].drain(60.0))
@@ -162,10 +143,3 @@
         release_all(deployment)
         (await asking).assert_whole("turtles", N_TOKENS)
         await draining
-
-
-async def _wait_for_members(deployment: Deployment) -> None:
-    n_others = len(deployment.entries) - 1
-    for app in deployment.entries:
-        while len(app.find("peers").members()) < n_others:
-            await asyncio.sleep(0.01)
