Begin and end endpoint stand-ins with their cloud instances

Cause: a reclaim should end the endpoint that runs on the instance, and an engine gave up a version for ever when its fetch failed. Change: a pool of endpoints per cloud stand-in; fetches are repeated; a slot given to a request that was just cancelled is tested to go on to the next.

--- a/lagoonring/standins/cloud_model.py
+++ b/lagoonring/standins/cloud_model.py
@@ -59,7 +59,7 @@
     ) -> None:
         self.options = options
         self.clock = clock
-        self.attach = attach or _make_attach(options.endpoint_urls)
+        self.attach = attach or _attach_nothing
         self.detach = detach or _do_nothing
         self.prices: dict[tuple[str, str], Price] = {
             (price.data_centre, price.instance_class): price for price in options.prices
@@ -160,10 +160,9 @@
         return changed
 
 
-def _make_attach(urls: list[str]) -> Callable[[CloudInstance], str]:
-    """Return the hook that gives out endpoint URLs in turn."""
-    turns = itertools.cycle(urls or [""])
-    return lambda instance: next(turns)
+def _attach_nothing(instance: CloudInstance) -> str:
+    """Give an instance no endpoint."""
+    return ""
 
 
 def _do_nothing(instance: CloudInstance) -> None:
--- a/lagoonring/standins/cloud_standin.py
+++ b/lagoonring/standins/cloud_standin.py
@@ -14,7 +14,6 @@
 
 from lagoonring.kernel import Clock
 from lagoonring.platform.cloud import (
-    CloudInstance,
     CloudPrice,
     InstancePage,
     NoticePage,
@@ -27,6 +26,7 @@
     NoCapacityError,
     UnknownPriceError,
 )
+from lagoonring.standins.endpoint_pool import EndpointPool
 from lagoonring.standins.http_server import (
     StandinServer,
     answer_error,
@@ -42,7 +42,9 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Mapping
+
+    from lagoonring.standins.endpoint_pool import PooledEndpoint
 
 RETRY_AFTER_S = 2
 
@@ -82,8 +84,8 @@
         Where to listen; port 0 lets the system choose.
     clock : Clock or None
         Times starts and reclaims.
-    attach, detach : callable or None
-        Hooks of :class:`lagoonring.standins.cloud_model.CloudModel`.
+    endpoints : mapping of str to PooledEndpoint or None
+        Stand-ins by URL that begin and end with their instances.
     """
 
     def __init__(
@@ -93,13 +95,16 @@
         host: str = "127.0.0.1",
         port: int = 0,
         clock: Clock | None = None,
-        attach: Callable[[CloudInstance], str] | None = None,
-        detach: Callable[[CloudInstance], None] | None = None,
+        endpoints: Mapping[str, PooledEndpoint] | None = None,
     ) -> None:
         self.options = options or CloudOptions()
         self.clock = clock or Clock()
+        self.pool = EndpointPool(self.options.endpoint_urls, endpoints or {})
         self.model = CloudModel(
-            self.options, clock=self.clock, attach=attach, detach=detach
+            self.options,
+            clock=self.clock,
+            attach=self.pool.attach,
+            detach=self.pool.detach,
         )
         self.faults = CloudFaults()
         self.rng = random.Random(0)
@@ -124,8 +129,9 @@
         return self.server.url
 
     async def start(self) -> None:
-        """Listen."""
+        """Listen; endpoints of the pool refuse until an instance runs them."""
         await self.server.start()
+        self.pool.end_unattached()
 
     async def stop(self) -> None:
         """Stop listening and close all connections."""
--- a/lagoonring/standins/engine_core.py
+++ b/lagoonring/standins/engine_core.py
@@ -86,6 +86,11 @@
         self.faults_changed.set()
         self.faults_changed = asyncio.Event()
 
+    def forget(self) -> None:
+        """Lose what is in memory, as a crash does."""
+        self.cache.clear()
+        self.kv.copies.clear()
+
     async def cross(self, job: Job) -> Job:
         """Return the job to answer instead, that of another request if crossed."""
         if not self.faults.use("n_crossed"):
--- a/lagoonring/standins/engine_orders.py
+++ b/lagoonring/standins/engine_orders.py
@@ -5,8 +5,12 @@
 from typing import TYPE_CHECKING
 
 import aiohttp
+import attrs
 
 from lagoonring.endpoints.messages import EngineState
+from lagoonring.errors import AnswerLostError, UnavailableError
+from lagoonring.logs import make_logger
+from lagoonring.platform.weight_store import WeightStoreClient
 
 if TYPE_CHECKING:
     from lagoonring.endpoints.messages import EngineOrder
@@ -14,6 +18,9 @@
     from lagoonring.standins.options import EngineOptions
 
 FETCH_POLL_S = 0.05
+FETCH_RETRY_S = 0.5
+
+logger = make_logger("standins")
 
 
 class OldFencingNumberError(ValueError):
@@ -37,6 +44,12 @@
         self.state = EngineState(list(options.versions), role="both")
         self.obeyed: list[EngineOrder] = []
 
+    def reset(self) -> None:
+        """Return to the state of a new instance."""
+        new = EngineState(list(self.options.versions), role="both")
+        for field in attrs.fields(EngineState):
+            setattr(self.state, field.name, getattr(new, field.name))
+
     def check(self, order: EngineOrder) -> None:
         """Note the order's fencing number; old ones are refused if checked."""
         if self.options.checks_fencing and order.fencing < self.state.fencing:
@@ -77,13 +90,17 @@
             state.loading.remove(name)
 
     async def _fetch(self, name: str) -> None:
-        root = self.options.weight_store_url
-        async with aiohttp.ClientSession(raise_for_status=True) as session:
-            body = {"weights": name}
-            async with session.post(f"{root}/fetches", json=body) as answer:
-                fetch = (await answer.json())["fetch"]
+        """Fetch weights of the version's name, again if a fetch fails."""
+        async with aiohttp.ClientSession() as session:
+            store = WeightStoreClient(self.options.weight_store_url, session)
             while True:
-                async with session.get(f"{root}/fetches/{fetch}") as answer:
-                    if (await answer.json())["state"] == "done":
+                try:
+                    fetch = await store.start_fetch(name)
+                    while fetch.state in ("waiting", "running"):
+                        await self.clock.sleep(FETCH_POLL_S)
+                        fetch = await store.read_fetch(fetch.fetch)
+                    if fetch.state == "done":
                         return
-                await self.clock.sleep(FETCH_POLL_S)
+                except (UnavailableError, AnswerLostError) as error:
+                    logger.info("Weights {} are to be fetched again: {}.", name, error)
+                await self.clock.sleep(FETCH_RETRY_S)
--- a/lagoonring/standins/engine_standin.py
+++ b/lagoonring/standins/engine_standin.py
@@ -115,10 +115,19 @@
     def crash(self) -> None:
         """Lose everything in memory, reset connections, refuse for a while."""
         self.batch.counts.n_crashes += 1
-        self.batch.cache.clear()
-        self.batch.kv.copies.clear()
+        self.batch.forget()
         self.server.spawn(self.server.crash(self.batch.faults.restart_s))
 
+    def begin(self) -> None:
+        """Serve on a new instance."""
+        self.orders.reset()
+        self.server.spawn(self.server.accept())
+
+    def end(self) -> None:
+        """End with the instance: reset connections and refuse new ones."""
+        self.batch.forget()
+        self.server.spawn(self.server.crash(None))
+
     async def _chat(self, request: web.Request) -> web.StreamResponse:
         body = await request.read()
         versions = self.orders.state.versions
--- a/lagoonring/standins/http_server.py
+++ b/lagoonring/standins/http_server.py
@@ -72,16 +72,20 @@
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
-    async def refuse(self, duration_s: float) -> None:
-        """Refuse new connections for some seconds; present ones stay."""
+    async def refuse(self, duration_s: float | None) -> None:
+        """Refuse new connections for some seconds, or until ``accept`` if None.
+
+        Present connections stay.
+        """
         if self.site is None:
             return
         site, self.site = self.site, None
         await site.stop()
-        self.spawn(self._listen_later(duration_s))
+        if duration_s is not None:
+            self.spawn(self._listen_later(duration_s))
 
-    async def crash(self, restart_s: float) -> None:
-        """Reset all connections and refuse new ones for some seconds."""
+    async def crash(self, restart_s: float | None) -> None:
+        """Reset all connections and refuse new ones; see :meth:`refuse`."""
         await self.refuse(restart_s)
         self.abort_connections()
 
--- a/lagoonring/standins/kinds.py
+++ b/lagoonring/standins/kinds.py
@@ -76,15 +76,17 @@
     return faults
 
 
-def build(standin: Standin) -> RunningStandin:
+def build(standin: Standin, **parts: Any) -> RunningStandin:
     """Return the stand-in that settings describe, not yet started."""
     kind = KINDS[standin.kind]
     options: Any = convert(standin.options, kind.options, name="options")
-    return kind.build(options, host=standin.host, port=standin.port)
+    return kind.build(options, host=standin.host, port=standin.port, **parts)
 
 
 def build_all(settings: StandinSettings) -> list[RunningStandin]:
-    """Return all stand-ins of a process, not yet started.
+    """Return all stand-ins of a process, not yet started; clouds come last.
+
+    A cloud begins and ends the endpoints of the process that it lists.
 
     Raises
     ------
@@ -94,7 +96,15 @@
     faults = find_option_faults(settings)
     if faults:
         raise FaultyDocumentError("settings", faults)
-    return [build(standin) for standin in settings.standins]
+    clouds = [standin for standin in settings.standins if standin.kind == "cloud"]
+    others = [standin for standin in settings.standins if standin.kind != "cloud"]
+    built = [build(standin) for standin in others]
+    endpoints = {
+        item.url: item
+        for item in built
+        if isinstance(item, EngineStandin | PlainStandin)
+    }
+    return built + [build(cloud, endpoints=endpoints) for cloud in clouds]
 
 
 async def start_all(standins: list[RunningStandin]) -> None:
--- a/lagoonring/standins/options.py
+++ b/lagoonring/standins/options.py
@@ -76,7 +76,8 @@
 class CloudOptions:
     """Behaviour of the cloud; capacity is given per price line and market.
 
-    ``endpoint_urls`` are given to started instances in turn.
+    ``endpoint_urls`` are given to running instances, one each; endpoints of the
+    same process begin and end with their instance.
     """
 
     prices: list[Price] = attrs.field(factory=list)
--- a/lagoonring/standins/plain_standin.py
+++ b/lagoonring/standins/plain_standin.py
@@ -154,6 +154,14 @@
         """Stop listening and close all connections."""
         await self.server.stop()
 
+    def begin(self) -> None:
+        """Serve on a new instance; what was booked is kept elsewhere."""
+        self.server.spawn(self.server.accept())
+
+    def end(self) -> None:
+        """End with the instance: reset connections and refuse new ones."""
+        self.server.spawn(self.server.crash(None))
+
     async def wait_until_held(self, n: int) -> None:
         """Return once at least ``n`` answers are held back."""
         while self.n_held < n:
--- a/lagoonring/tests/test_engine_standin.py
+++ b/lagoonring/tests/test_engine_standin.py
@@ -15,6 +15,7 @@
 from lagoonring.kernel import ManualClock
 from lagoonring.standins.engine_core import Batch
 from lagoonring.standins.engine_requests import FaultyRequestError, Job, parse_job
+from lagoonring.standins.engine_slots import Slots
 from lagoonring.standins.options import EngineOptions
 from lagoonring.standins.tokens import text_of
 from lagoonring.tests.builders.standins import (
@@ -179,3 +180,15 @@
     await asyncio.gather(*tasks, return_exceptions=True)
     assert (batch.slots.n_running, batch.slots.n_waiting) == (0, 0)
     assert not batch.jobs
+
+
+async def test_a_slot_given_to_a_request_just_cancelled_goes_on_to_the_next():
+    slots = Slots(1)
+    await slots.take(0)
+    waiting = [asyncio.create_task(slots.take(0)) for _ in range(2)]
+    await asyncio.sleep(0)
+    slots.free()
+    waiting[0].cancel()
+    async with asyncio.timeout(5):
+        await waiting[1]
+    assert slots.n_running == 1
--- a/lagoonring/tests/test_platform_cloud.py
+++ b/lagoonring/tests/test_platform_cloud.py
@@ -7,6 +7,7 @@
 import aiohttp
 import pytest
 
+from lagoonring.endpoints import EndpointConnectError, EngineOrder, order, read_load
 from lagoonring.errors import Outcome
 from lagoonring.kernel import ManualClock
 from lagoonring.platform import (
@@ -29,7 +30,7 @@
     WeightStoreOptions,
 )
 from lagoonring.standins.weight_store_standin import WeightStoreStandin
-from lagoonring.tests.builders.standins import running, set_faults
+from lagoonring.tests.builders.standins import running, running_engine, set_faults
 
 LIMIT_S = 5.0
 PRICES = [
@@ -50,18 +51,17 @@
 
 
 @pytest.fixture
-async def gone():
-    return []
+async def engine():
+    async with running_engine(versions=["1"]) as engine:
+        yield engine
 
 
 @pytest.fixture
-async def cloud(clock, gone):
+async def cloud(clock, engine):
     options = CloudOptions(
-        prices=PRICES, start_s=3, notice_s=5, endpoint_urls=["http://a", "http://b"]
-    )
-    standin = CloudStandin(
-        options, clock=clock, detach=lambda instance: gone.append(instance.instance)
+        prices=PRICES, start_s=3, notice_s=5, endpoint_urls=[engine.url, "http://b"]
     )
+    standin = CloudStandin(options, clock=clock, endpoints={engine.url: engine})
     async with running(standin):
         yield standin
 
@@ -77,13 +77,13 @@
     )
 
 
-async def test_start_with_the_same_token_starts_one(client, clock):
+async def test_start_with_the_same_token_starts_one(client, clock, engine):
     first = await client.start_instance(make_order())
     again = await client.start_instance(make_order())
     assert (first.state, again.instance) == ("starting", first.instance)
     await clock.advance(3)
     listed = await client.list_instances("t1")
-    assert [(item.state, item.url) for item in listed] == [("running", "http://a")]
+    assert [(item.state, item.url) for item in listed] == [("running", engine.url)]
     assert await client.list_instances("t2") == []
 
 
@@ -116,11 +116,14 @@
     assert await client.list_instances() == []
 
 
-async def test_wave_gives_notice_then_reclaims(client, cloud, clock, gone):
+async def test_wave_gives_notice_then_reclaims(client, cloud, clock, engine, session):
+    with pytest.raises(EndpointConnectError):
+        await read_load(session, engine.url)
     here = await client.start_instance(make_order("a"))
     await client.start_instance(make_order("b", market="on_demand"))
     await client.start_instance(make_order("c", data_centre="rufisque"))
     await clock.advance(3)
+    assert (await read_load(session, engine.url)).n_slots == 8
     await set_faults(cloud, waves=[{"data_centre": "plateau"}])
     page = await client.read_notices(0)
     assert [notice.instance for notice in page.notices] == [here.instance]
@@ -130,7 +133,8 @@
     states = {item.token: item.state for item in await client.list_instances()}
     assert states == {"a": "leaving", "b": "running", "c": "running"}
     await clock.advance(0.2)
-    assert gone == [here.instance]
+    with pytest.raises(EndpointConnectError):
+        await read_load(session, engine.url)
     assert [item.state for item in await client.list_instances("a")] == ["gone"]
 
 
@@ -174,6 +178,20 @@
         assert (await client.read_fetch(second.fetch)).state == "failed"
 
 
+async def test_engine_loads_a_version_through_a_failing_weight_store(session):
+    options = WeightStoreOptions(mb_per_s=10_000, weights={"2": 1})
+    async with (
+        running(WeightStoreStandin(options)) as store,
+        running_engine(weight_store_url=store.url) as engine,
+    ):
+        await set_faults(store, n_failed=1)
+        await order(session, engine.url, EngineOrder(kind="load_version", name="2"))
+        async with asyncio.timeout(LIMIT_S):
+            while "2" not in engine.orders.state.versions:
+                await asyncio.sleep(0)
+        assert store.n_fetches == 2
+
+
 async def test_instance_list_lags(session, clock):
     first = ListedInstance(instance="plateau-1", data_centre="plateau")
     options = InstanceListOptions(instances=[first], lag_s=2)
