--- a/lagoonring/standins/cloud_standin.py
+++ b/lagoonring/standins/cloud_standin.py
@@ -27,6 +27,7 @@
     UnknownPriceError,
 )
 from lagoonring.standins.endpoint_pool import EndpointPool
+from lagoonring.standins.fault_counts import use_up
 from lagoonring.standins.http_server import (
     StandinServer,
     answer_error,
@@ -153,8 +154,7 @@
         return answer_json(instance)
 
     def _is_refused(self) -> bool:
-        if self.faults.n_refused > 0:
-            self.faults.n_refused -= 1
+        if use_up(self.faults, "n_refused"):
             return True
         return self.rng.random() < self.faults.refused_share
 
--- a/lagoonring/standins/engine_core.py
+++ b/lagoonring/standins/engine_core.py
@@ -15,6 +15,7 @@
 from lagoonring.standins.engine_faults import EngineFaults, find_version_faults
 from lagoonring.standins.engine_kv import KvStore
 from lagoonring.standins.engine_slots import Slots
+from lagoonring.standins.fault_counts import use_up
 from lagoonring.standins.http_server import wait_for_ever
 
 if TYPE_CHECKING:
@@ -93,7 +94,7 @@
 
     async def cross(self, job: Job) -> Job:
         """Return the job to answer instead, that of another request if crossed."""
-        if not self.faults.use("n_crossed"):
+        if not use_up(self.faults, "n_crossed"):
             return job
         return await self.crossing.swap(job)
 
@@ -158,11 +159,11 @@
         job.slow_factor = found.slow_factor
         if found.crash or any(text in job.prompt for text in faults.crash_on):
             job.crash_at = faults.crash_at_token
-        if faults.use("n_errors") or self.rng.random() < found.error_share:
+        if use_up(faults, "n_errors") or self.rng.random() < found.error_share:
             raise EngineError("Got a fault on command.")
-        if faults.use("n_stalled"):
+        if use_up(faults, "n_stalled"):
             job.stall_at = faults.stall_at_token
-        if faults.use("n_cut"):
+        if use_up(faults, "n_cut"):
             job.cut_at = faults.cut_at_token
 
     async def _prefill(self, job: Job) -> None:
--- a/lagoonring/standins/engine_faults.py
+++ b/lagoonring/standins/engine_faults.py
@@ -58,14 +58,6 @@
     n_crossed: int = attrs.field(default=0, validator=between(0, MANY))
     versions: dict[str, VersionFaults] = attrs.field(factory=dict)
 
-    def use(self, count: str) -> bool:
-        """Use up one of a count; False if none is left."""
-        n_left = getattr(self, count)
-        if n_left == 0:
-            return False
-        setattr(self, count, n_left - 1)
-        return True
-
 
 NO_VERSION_FAULTS = VersionFaults()
 
--- a/lagoonring/standins/engine_standin.py
+++ b/lagoonring/standins/engine_standin.py
@@ -28,6 +28,7 @@
     answer_faulty,
     parse_job,
 )
+from lagoonring.standins.fault_counts import use_up
 from lagoonring.standins.http_server import (
     BODY_LIMIT_BYTES,
     StandinServer,
@@ -140,7 +141,7 @@
         if refusal is not None:
             return refusal
         job.transport = request.transport
-        if self.batch.faults.use("n_late"):
+        if use_up(self.batch.faults, "n_late"):
             await self.clock.sleep(self.batch.faults.late_s)
         job = await self.batch.cross(job)
         if job.is_streamed:
@@ -155,7 +156,7 @@
             known = ", ".join(state.versions)
             text = f"Got version {job.version!r}, expected one of: {known}."
             return answer_not_run("version_not_loaded", text)
-        if self.batch.faults.use("n_refused"):
+        if use_up(self.batch.faults, "n_refused"):
             return answer_not_run("refused", "Got a fault on command.")
         if self.batch.slots.n_waiting >= self.options.n_waiting_most:
             return answer_not_run("queue_full", "Got a full queue.")
--- a/lagoonring/standins/plain_standin.py
+++ b/lagoonring/standins/plain_standin.py
@@ -18,6 +18,7 @@
 from lagoonring.kernel import Clock
 from lagoonring.settings.validators import between
 from lagoonring.standins.crossing import Crossing
+from lagoonring.standins.fault_counts import use_up
 from lagoonring.standins.http_server import (
     BODY_LIMIT_BYTES,
     StandinServer,
@@ -57,14 +58,6 @@
     restart_s: float = attrs.field(default=1.0, validator=between(0, 3600))
     refuse_s: float = attrs.field(default=0.0, validator=between(0, 3600))
 
-    def use(self, count: str) -> bool:
-        """Use up one of a count; False if none is left."""
-        n_left = getattr(self, count)
-        if n_left == 0:
-            return False
-        setattr(self, count, n_left - 1)
-        return True
-
 
 @attrs.frozen(kw_only=True)
 class PlainBody:
@@ -173,7 +166,7 @@
         if any(text.encode() in body for text in self.faults.crash_on):
             await self.server.crash(self.faults.restart_s)
             await wait_for_ever()
-        if self.faults.use("n_refused"):
+        if use_up(self.faults, "n_refused"):
             return answer_not_run("refused", "Got a fault on command.")
         if request.method in READ_METHODS:
             run = self._read(request)
@@ -230,25 +223,25 @@
         """Answer a run, or fail to."""
         await self._wait(self.options.answer_s * self.faults.slow_factor)
         await self._hold()
-        if self.faults.use("n_lost"):
+        if use_up(self.faults, "n_lost"):
             _close(request)
-        if self.faults.use("n_late"):
+        if use_up(self.faults, "n_late"):
             await self._wait(self.faults.late_s)
         reply = Reply(
             run,
             request.headers.get("X-Request-Id", ""),
             request.headers.get("X-Attempt-Id", ""),
         )
-        if self.faults.use("n_crossed"):
+        if use_up(self.faults, "n_crossed"):
             reply = await self.crossing.swap(reply)
         headers = {
             "X-Request-Id": reply.request_id,
             "X-Attempt-Id": reply.attempt_id,
         }
-        if self.faults.use("n_errors"):
+        if use_up(self.faults, "n_errors"):
             return web.json_response({"error": "a fault"}, status=500, headers=headers)
         body = msgspec.json.encode(reply.run)
-        if self.faults.use("n_cut"):
+        if use_up(self.faults, "n_cut"):
             return await _answer_half(request, body, headers)
         status = 409 if reply.run.is_sold_out else 200
         return web.Response(
--- a/lagoonring/standins/platform_faults.py
+++ b/lagoonring/standins/platform_faults.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 
 from lagoonring.settings.validators import between
+from lagoonring.standins.fault_counts import use_up
 from lagoonring.standins.http_server import answer_error, wait_for_ever
 
 if TYPE_CHECKING:
@@ -52,8 +53,7 @@
             answer.headers["Retry-After"] = "1"
             return answer
         response = await handler(request)
-        if request.method != "GET" and faults.n_lost_answers > 0:
-            faults.n_lost_answers -= 1
+        if request.method != "GET" and use_up(faults, "n_lost_answers"):
             if request.transport is not None:
                 request.transport.abort()
             await wait_for_ever()
--- a/lagoonring/standins/weight_store_standin.py
+++ b/lagoonring/standins/weight_store_standin.py
@@ -14,6 +14,7 @@
 from lagoonring.kernel import Clock
 from lagoonring.platform.weight_store import Fetch, WeightsPage
 from lagoonring.settings.validators import between
+from lagoonring.standins.fault_counts import use_up
 from lagoonring.standins.http_server import (
     StandinServer,
     answer_error,
@@ -128,10 +129,7 @@
             lane_mb_per_s = self.options.mb_per_s / self.options.n_concurrent
             duration_s = fetch.size_mb / lane_mb_per_s * self.faults.slow_factor
             await self.clock.sleep(duration_s)
-            state = "done"
-            if self.faults.n_failed > 0:
-                self.faults.n_failed -= 1
-                state = "failed"
+            state = "failed" if use_up(self.faults, "n_failed") else "done"
             self.fetches[fetch.fetch] = attrs.evolve(fetch, state=state)
 
     async def _read_fetch(self, request: web.Request) -> web.Response:
--- a/lagoonring/tests/test_model_engine.py
+++ b/lagoonring/tests/test_model_engine.py
@@ -135,6 +135,26 @@
         assert engine.batch.slots.n_running == 0 or error is EndpointTimeoutError
 
 
+async def test_whole_answers_are_cut_and_crossed_too(session):
+    def ask(request_id):
+        return whole_answer(
+            session,
+            engine.url,
+            make_chat(stream=False),
+            request_id=request_id,
+            attempt_id=f"{request_id}-1",
+            timeout_s=LIMIT_S,
+        )
+
+    async with running_engine() as engine:
+        await set_faults(engine, n_cut=1)
+        with pytest.raises(EndpointCutError):
+            await ask("r1")
+        await set_faults(engine, n_crossed=2)
+        results = await asyncio.gather(ask("r1"), ask("r2"), return_exceptions=True)
+    assert [type(result) for result in results] == [EndpointCrossedError] * 2
+
+
 async def test_refused_connection_is_not_run_and_engine_returns(session):
     async with running_engine() as engine:
         await set_faults(engine, refuse_s=60)
