Read endpoints back over time before a version counts as unloaded

Cause: an order obeyed late, while the version was loading again, was not seen: two reads in a row agreed within half a second.

--- a/lagoonring/moves/orders.py
+++ b/lagoonring/moves/orders.py
@@ -170,8 +170,8 @@
         if check is None or check.is_wanted != is_wanted:
             check = Check(is_wanted=is_wanted)
             self.checks[name, version] = check
-        if check.n_agreeing < self.options.n_stable_reads:
-            return check.failing_since_s is None or self._is_old(check)
+        if check.n_agreeing == 0 and check.failing_since_s is None:
+            return True
         return self._is_old(check)
 
     def _is_old(self, check: Check) -> bool:
@@ -184,7 +184,7 @@
             state = await self.control.read_state(endpoint.url)
             check.failing_since_s = None
             check.is_loading = version in state.loading
-            if (version in state.versions) == check.is_wanted:
+            if _agrees(state, version, check.is_wanted):
                 check.n_agreeing += 1
                 return
             check.n_agreeing = 0
@@ -203,7 +203,8 @@
     ) -> None:
         now_s = self.clock.monotonic()
         is_recent = now_s - check.ordered_s < self.options.order_s
-        if check.is_loading or is_recent or not self.lease.is_held():
+        is_coming = check.is_wanted and check.is_loading
+        if is_coming or is_recent or not self.lease.is_held():
             return
         if check.is_wanted and self._n_loading() >= self.options.n_loads:
             return
@@ -224,6 +225,12 @@
         )
 
 
+def _agrees(state: EngineState, version: str, is_wanted: bool) -> bool:
+    if is_wanted:
+        return version in state.versions
+    return version not in state.versions and version not in state.loading
+
+
 def choose_hosts(endpoints: dict[str, Endpoint], share: float) -> list[str]:
     """Return the endpoints that hold the new version at a share.
 
--- a/lagoonring/tests/builders/moves.py
+++ b/lagoonring/tests/builders/moves.py
@@ -99,11 +99,13 @@
 class Gate:
     """Stops an instance at its n-th call to the outside, as a pause does.
 
-    From ``stop_at`` on every call waits until :meth:`open`.
+    From ``stop_at`` on, or from an append to the stream ``stop_before``, every
+    call waits until :meth:`open`.
     """
 
     n_passed: int = 0
     stop_at: int | None = None
+    stop_before: str = ""
     stopped: bool = False
     opened: asyncio.Event = attrs.field(factory=asyncio.Event)
 
@@ -119,6 +121,7 @@
         """Let the instance go on."""
         self.stopped = False
         self.stop_at = None
+        self.stop_before = ""
         self.opened.set()
 
 
@@ -154,6 +157,8 @@
 
     async def append(self, stream: str, data: str) -> int:
         """Append through the gate."""
+        if stream == self.gate.stop_before:
+            self.gate.stopped = True
         await self.gate.wait()
         offset = await self.log.append(stream, data)
         await self.gate.wait()
--- a/lagoonring/tests/test_moves_failures.py
+++ b/lagoonring/tests/test_moves_failures.py
@@ -103,15 +103,12 @@
 async def test_a_late_finish_of_an_old_holder_does_not_follow_an_undo():
     async with running() as fleet:
         await fleet.order(in_s=DEADLINE_S)
-
-        def is_finishing():
-            record = fleet.record()
-            return record is not None and record.phase == "finishing"
-
-        assert await fleet.run(DEADLINE_S, until=is_finishing)
+        assert await fleet.run(20, until=lambda: fleet.holder() is not None)
         holder = fleet.holder()
-        # The next call of the holder is the append of its edit.
-        holder.gate.stopped = True
+        # Its only append to this stream is the edit that finishes the move.
+        holder.gate.stop_before = "config"
+        assert await fleet.run(DEADLINE_S, until=lambda: holder.gate.stopped)
+        assert fleet.phases()[-1] == "finishing"
         for instance in fleet.live():
             instance.moves.findings[fleet.record().key] = "found bad"
         assert await fleet.run(40, until=fleet.is_done)
@@ -252,7 +249,13 @@
         url = fleet.urls[0]
         order = fleet.engines[url].orders[0]
         assert order.kind == "load_version"
-        await fleet.run(OPTIONS.drain_s + 0.5)
+        await fleet.run(DEADLINE_S, until=lambda: has_unloaded(fleet, url))
+        await fleet.run(0.75)
         fleet.engines[url].obey(order, fleet.clock.time())
         assert await fleet.run(DEADLINE_S, until=fleet.is_done)
+        await fleet.run(5)
         assert_settled(fleet, "undone")
+
+
+def has_unloaded(fleet, url):
+    return fleet.engines[url].orders[-1].kind == "unload_version"
