--- a/lagoonring/limits/share_tracker.py
+++ b/lagoonring/limits/share_tracker.py
@@ -24,6 +24,7 @@
 UNREACHABLE = "unreachable"
 DEAD = "dead"
 SUMMARY_PREFIX = "demand:"
+NO_DEMAND = Demand()
 
 
 @attrs.define
@@ -67,6 +68,7 @@
         self.held_until_s = 0.0
         self.instances: dict[str, bool] = {}
         self.data_centres: dict[str, bool] = {}
+        self.sizes: dict[str, int] = {}
 
     def note_asked(self, scope: str) -> None:
         """Count a request asked for, whether admitted or not."""
@@ -89,6 +91,9 @@
         if now_s < self.held_until_s:
             return
         names = set(self.scopes) | set(self.meters)
+        for scope in names:
+            if scope not in self.scopes:
+                self._first(scope)
         self.scopes = {scope: self._work_out(scope, now_s) for scope in names}
 
     def share(self, scope: str) -> float:
@@ -116,26 +121,36 @@
         """Return the part of this data centre's places to use here."""
         if self.peers is None:
             return 1.0
-        parts = self._instance_parts(scope)
+        parts = self._instance_parts(scope, 0.0)
         shares = split(parts, self.options.slots_floor_share)
         return shares.get(self.peers.me.instance, 1.0)
 
     def _first(self, scope: str) -> ScopeShares:
-        """Work out a scope that is new here."""
+        """Work out a scope that is new here, as if nothing had been asked for.
+
+        The others may have split the limit among them; a share for this
+        instance's own demand has to wait until they have heard of it.
+        """
         now_s = self.clock.monotonic()
         if not self.instances:
             self._find_members(now_s)
-        known = self._work_out(scope, now_s)
+        known = self._work_out(scope, now_s, counts_own=False)
         self.scopes[scope] = known
         return known
 
-    def _work_out(self, scope: str, now_s: float) -> ScopeShares:
+    def _work_out(
+        self, scope: str, now_s: float, *, counts_own: bool = True
+    ) -> ScopeShares:
         floor_share = self.options.floor_share
         me = self.peers.me
-        shares = split(self._instance_parts(scope), floor_share)
-        data_centre_shares = split(self._data_centre_parts(scope), floor_share)
+        own_per_s = self.own.per_s.get(scope, 0.0)
+        left_out = 0.0 if counts_own else own_per_s
+        instances = self._instance_parts(scope, left_out)
+        data_centres = self._data_centre_parts(scope, left_out)
+        shares = split(instances, floor_share)
+        data_centre_shares = split(data_centres, floor_share)
         share = shares[me.instance] * data_centre_shares[me.data_centre]
-        n_known = sum(part.size for part in self._data_centre_parts(scope).values())
+        n_known = sum(part.size for part in data_centres.values())
         n_expected = self.options.n_instances_expected
         if n_known < n_expected:
             share *= n_known / n_expected
@@ -174,11 +189,13 @@
         me = self.peers.me
         instances = {me.instance: True}
         data_centres = {me.data_centre: True}
+        sizes = {me.data_centre: 1}
         for member in self.peers.members():
             state = getattr(member.state, "value", member.state)
             if state == DEAD:
                 continue
             is_reachable = state != UNREACHABLE
+            sizes[member.data_centre] = sizes.get(member.data_centre, 0) + 1
             if member.data_centre == me.data_centre:
                 instances[member.instance] = is_reachable
             else:
@@ -188,6 +205,7 @@
             data_centres.setdefault(name, False)
         self.instances = instances
         self.data_centres = data_centres
+        self.sizes = sizes
         lost = frozenset(
             name
             for names in (instances, data_centres)
@@ -223,7 +241,8 @@
                 self.peers.publish("summary", name, None)
             return
         per_s: dict[str, float] = {}
-        for demand in self.demands.values():
+        for instance in self.instances:
+            demand = self.demands.get(instance, NO_DEMAND)
             for scope, value in demand.per_s.items():
                 per_s[scope] = per_s.get(scope, 0.0) + value
         per_s = {scope: round_demand(value) for scope, value in per_s.items()}
@@ -248,26 +267,29 @@
         demands[self.peers.me.instance] = self.own
         return demands
 
-    def _instance_parts(self, scope: str) -> dict[str, Part]:
-        nothing = Demand()
+    def _instance_parts(self, scope: str, left_out: float) -> dict[str, Part]:
+        """Return this data centre's instances; ``left_out`` of own demand."""
         parts = {}
         for name, is_reachable in self.instances.items():
-            per_s = self.demands.get(name, nothing).per_s.get(scope, 0.0)
+            per_s = self.demands.get(name, NO_DEMAND).per_s.get(scope, 0.0)
             parts[name] = Part(per_s if is_reachable else None)
+        own = parts[self.peers.me.instance]
+        parts[self.peers.me.instance] = Part(max(0.0, (own.demand or 0.0) - left_out))
         return parts
 
-    def _data_centre_parts(self, scope: str) -> dict[str, Part]:
+    def _data_centre_parts(self, scope: str, left_out: float) -> dict[str, Part]:
+        """Return the data centres; ``left_out`` of this one's demand."""
         me = self.peers.me
         parts = {}
         for name, is_reachable in self.data_centres.items():
             if name == me.data_centre:
                 own = self.own_summary or self._told_summary(name)
                 per_s = own.per_s.get(scope, 0.0) if own else 0.0
-                parts[name] = Part(per_s, len(self.instances))
+                parts[name] = Part(max(0.0, per_s - left_out), len(self.instances))
                 continue
             summary = self.summaries.get(name)
             demand = summary.per_s.get(scope, 0.0) if summary else 0.0
-            size = summary.n_instances if summary else 1
+            size = summary.n_instances if summary else self.sizes.get(name, 1)
             parts[name] = Part(demand if is_reachable else None, size)
         return parts
 
--- a/lagoonring/limits/shares.py
+++ b/lagoonring/limits/shares.py
@@ -102,9 +102,10 @@
     def update(self, value: float, now_s: float) -> float:
         """Take the newest value; return the least of the delay's values."""
         seen = self.seen
-        while seen and seen[-1][1] >= value:
+        while seen and seen[-1][1] > value:
             seen.pop()
-        seen.append((now_s, value))
+        if not seen or seen[-1][1] < value:
+            seen.append((now_s, value))
         while len(seen) > 1 and seen[1][0] <= now_s - self.delay_s:
             seen.popleft()
         return seen[0][1]
--- a/lagoonring/routing/health.py
+++ b/lagoonring/routing/health.py
@@ -208,7 +208,7 @@
     if health.n_latencies < N_SAMPLES_LEAST:
         return False
     known = [other for other in others if other.n_latencies >= N_SAMPLES_LEAST]
-    if not known:
+    if 2 * len(known) < len(others):
         return False
     factor = options.outlier_factor
     first_s = statistics.median(other.latency_s for other in known)
--- a/lagoonring/routing/learning.py
+++ b/lagoonring/routing/learning.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import statistics
+
 import attrs
 
 DECAY = 0.97
@@ -10,6 +12,8 @@
 DEFAULT_PREFILL_S = 0.004
 PREFILL_RANGE_S = (1e-5, 1.0)
 DEFAULT_SERVICE_S = 0.5
+IDLE_S = 10.0
+RELAXATION = 0.05
 
 
 @attrs.define
@@ -60,13 +64,17 @@
     token_s: float = 0.0
     service_s: float = DEFAULT_SERVICE_S
     n_samples: int = 0
+    sampled_s: float = 0.0
     fit: LineFit = attrs.field(factory=LineFit)
 
-    def note_first_token(self, n_uncached: int, first_token_s: float) -> None:
+    def note_first_token(
+        self, n_uncached: int, first_token_s: float, now_s: float
+    ) -> None:
         """Learn from a first token that came after ``first_token_s``.
 
         The time waited in the endpoint's queue must be taken off before.
         """
+        self.sampled_s = now_s
         self.fit.add(float(n_uncached), first_token_s)
         slope = self.fit.slope()
         if slope is not None:
@@ -81,3 +89,23 @@
         self.service_s += rate * (service_s - self.service_s)
         if token_s is not None:
             self.token_s += rate * (token_s - self.token_s)
+
+    def relax(self, usual: Speeds, now_s: float) -> None:
+        """Without news, move towards what is usual, so as to be tried again."""
+        if now_s - self.sampled_s < IDLE_S or self.n_samples == 0:
+            return
+        self.base_s += RELAXATION * (usual.base_s - self.base_s)
+        self.prefill_s += RELAXATION * (usual.prefill_s - self.prefill_s)
+        self.service_s += RELAXATION * (usual.service_s - self.service_s)
+
+
+def find_usual(speeds: list[Speeds]) -> Speeds:
+    """Return the least base and the medians of the other speeds."""
+    known = [item for item in speeds if item.n_samples]
+    if not known:
+        return Speeds()
+    return Speeds(
+        base_s=min(item.base_s for item in known),
+        prefill_s=statistics.median(item.prefill_s for item in known),
+        service_s=statistics.median(item.service_s for item in known),
+    )
--- a/lagoonring/routing/policies.py
+++ b/lagoonring/routing/policies.py
@@ -168,13 +168,10 @@
     Two at random keep instances with the same late reports from choosing the
     same endpoint all at once.
     """
-    n_candidates = len(candidates)
-    if n_candidates > N_SAMPLED:
-        sample: Sequence[EndpointState] = context.rng.sample(candidates, N_SAMPLED)
-        best = min(sample, key=_cost)
-        if best.wait_s == 0:
-            return Choice(best, "load", 0, best.cost_s)
-    best = min(candidates, key=_cost)
+    n_sampled = min(N_SAMPLED, len(candidates))
+    best = min(context.rng.sample(candidates, n_sampled), key=_cost)
+    if best.wait_s > 0:
+        best = min(candidates, key=_cost)
     return Choice(best, "load", 0, best.cost_s)
 
 
--- a/lagoonring/routing/service.py
+++ b/lagoonring/routing/service.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+import functools
 from typing import TYPE_CHECKING, Any
 
+from lagoonring.endpoints import engine_control
 from lagoonring.kernel import BaseService
 from lagoonring.logs import make_logger
 from lagoonring.routing import health as health_rules
 from lagoonring.routing.cached import ConversationMap, PrefixIndex
 from lagoonring.routing.capacity import CapacityGauge
+from lagoonring.routing.learning import find_usual
 from lagoonring.routing.messages import (
     CAUSE_CALLER,
     AttemptResult,
@@ -25,6 +28,7 @@
 from lagoonring.routing.prefixes import affinity_key_of
 from lagoonring.routing.state import change_own, drop_report, refresh, take_report
 from lagoonring.routing.table import EndpointTable
+from lagoonring.routing.watch import EndpointWatch
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -33,6 +37,7 @@
     from lagoonring.kernel import Application
     from lagoonring.routing.state import EndpointState
     from lagoonring.routing.table import Group
+    from lagoonring.routing.watch import FollowCacheEvents, ReadLoad
 
 RETRY_AFTER_S = 1.0
 REFRESH_S = 1.0
@@ -53,6 +58,9 @@
         Options of routing.
     data_centre : str
         Where this instance is; empty takes it from the peers at start.
+    read_load, follow_cache_events : callable or None
+        How endpoints are watched; None uses the engines' HTTP interface if
+        there is a service ``session``, else nothing is watched.
     """
 
     name = "routing"
@@ -63,6 +71,8 @@
         options: RoutingOptions | None = None,
         *,
         data_centre: str = "",
+        read_load: ReadLoad | None = None,
+        follow_cache_events: FollowCacheEvents | None = None,
     ) -> None:
         self.app = app
         self.options = options or RoutingOptions()
@@ -76,6 +86,9 @@
         self.content: CatalogueContent | None = None
         self.peers: Any = None
         self.n_choices = 0
+        self.read_load = read_load
+        self.follow_cache_events = follow_cache_events
+        self.watch: EndpointWatch | None = None
 
     async def start(self) -> None:
         """Follow the catalogue and the peers' rows."""
@@ -90,6 +103,7 @@
             self.peers.subscribe("failing", FailingEndpoint, self._take_failing)
             self._take_present_rows()
         self.app.spawn("routing-refresh", self._refresh)
+        self._start_watch()
 
     def choose(
         self, request: RouteRequest, *, exclude: frozenset[str] = frozenset()
@@ -194,6 +208,31 @@
             if origin == self.peers.me.instance and name not in self.table.states:
                 self._publish("leaving", name, None)
 
+    def _start_watch(self) -> None:
+        session = self.app.services.get("session")
+        if self.read_load is None and session is not None:
+            self.read_load = functools.partial(
+                engine_control.read_load, session.session
+            )
+            self.follow_cache_events = functools.partial(
+                engine_control.follow_cache_events,
+                session.session,
+                clock=self.app.clock,
+            )
+        if self.read_load is None or self.follow_cache_events is None:
+            return
+        self.watch = EndpointWatch(
+            self.app,
+            self.table,
+            self.index,
+            self.peers,
+            self.options,
+            read_load=self.read_load,
+            follow_cache_events=self.follow_cache_events,
+            take_load=self._take_load,
+        )
+        self.app.spawn("routing-watch", self.watch.run)
+
     def _choose_in(
         self,
         group: Group,
@@ -322,7 +361,7 @@
         n_cached = route.n_cached_blocks if isinstance(route, Route) else 0
         n_uncached = max(0, len(request.prefix_blocks) - n_cached)
         served_s = max(0.0, result.first_token_s - expected_s)
-        state.speeds.note_first_token(n_uncached, served_s)
+        state.speeds.note_first_token(n_uncached, served_s, self.app.clock.monotonic())
         between_s = result.between_tokens_s or 0.0
         state.speeds.note_service(
             served_s + between_s * result.n_tokens, result.between_tokens_s
@@ -454,6 +493,7 @@
         now_s = self.app.clock.time()
         n_peers = self._count_local_members()
         n_ejected = 0
+        self._relax_speeds()
         for state in self.table.states.values():
             state.n_peers = n_peers
             n_ejected += state.health.state == health_rules.EJECTED
@@ -464,6 +504,13 @@
                 refresh(state)
         self.metrics.ejected.set(n_ejected)
 
+    def _relax_speeds(self) -> None:
+        now_s = self.app.clock.monotonic()
+        for states in self.table.by_entry.values():
+            usual = find_usual([state.speeds for state in states])
+            for state in states:
+                state.speeds.relax(usual, now_s)
+
     def _count_local_members(self) -> int:
         if self.peers is None:
             return 1
--- a/lagoonring/routing/table.py
+++ b/lagoonring/routing/table.py
@@ -17,6 +17,7 @@
     from lagoonring.routing.options import RoutingOptions
 
 LEAVING_MOST = 4096
+MODEL = "model"
 
 
 @attrs.define(eq=False)
@@ -56,6 +57,7 @@
         self.states: dict[str, EndpointState] = {}
         self.by_entry: dict[str, list[EndpointState]] = {}
         self.leaving: dict[str, LeavingEndpoint] = {}
+        self.model_entries: frozenset[str] = frozenset()
         self.groups: dict[tuple[str, str], Group] = {}
         self.next_change_s = float("inf")
 
@@ -78,8 +80,15 @@
                 self.leaving.pop(name, None)
         self.states = states
         self.by_entry = by_entry
+        self.model_entries = frozenset(
+            name for name, entry in content.entries.items() if entry.kind == MODEL
+        )
         self.mark_leaving()
 
+    def is_model(self, entry: str) -> bool:
+        """Return whether an entry's endpoints are model engines."""
+        return entry in self.model_entries
+
     def note_leaving(self, name: str, leaving: LeavingEndpoint) -> None:
         """Leave an incarnation of an endpoint out from now on."""
         self.leaving.pop(name, None)
@@ -102,6 +111,7 @@
     def regroup(self) -> None:
         """Have the groups made again at their next use."""
         self.groups.clear()
+        self.next_change_s = 0.0
 
     def group(self, entry: str, version: str, now_s: float) -> Group:
         """Return the endpoints that take work of a version."""
--- /dev/null
+++ b/lagoonring/tests/test_limits.py
@@ -0,0 +1,194 @@
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from lagoonring.errors import Outcome
+from lagoonring.limits import LimitRefusedError, OverloadRefusedError
+from lagoonring.tests.builders.limits import (
+    make_admit,
+    make_limits,
+    make_limits_catalogue,
+)
+
+
+@pytest.fixture
+async def made():
+    services = []
+
+    async def make(*args, **options):
+        service = await make_limits(*args, **options)
+        services.append(service)
+        return service
+
+    yield make
+    for service in services:
+        await service.app.stop()
+
+
+async def settle():
+    for _ in range(10):
+        await asyncio.sleep(0)
+
+
+def ask(limits, **fields):
+    return asyncio.ensure_future(limits.admit(make_admit(limits, **fields)))
+
+
+async def run_requests(limits, n_requests, *, held_s):
+    """Run requests one after the other so that their pace is known."""
+    for _ in range(n_requests):
+        permit = await limits.admit(make_admit(limits))
+        await limits.app.clock.advance(held_s)
+        permit.release(100)
+
+
+async def test_rate_of_requests_is_limited_with_a_true_retry_after(made):
+    content = make_limits_catalogue(requests_per_s=2.0)
+    limits = await made(1000, content=content)
+    n_admitted = 0
+    for _ in range(200):
+        await limits.app.clock.advance(0.1)
+        try:
+            await limits.admit(make_admit(limits))
+            n_admitted += 1
+        except LimitRefusedError as error:
+            assert error.status == 429
+            assert error.outcome is Outcome.NOT_RUN
+            retry_after_s = error.retry_after_s
+    assert 40 <= n_admitted <= 44
+    with pytest.raises(LimitRefusedError):
+        while True:
+            await limits.admit(make_admit(limits))
+    await limits.app.clock.advance(retry_after_s + 0.5)
+    await limits.admit(make_admit(limits))
+
+
+async def test_tokens_are_settled_with_what_was_used(made):
+    content = make_limits_catalogue(tokens_per_s=100.0)
+    limits = await made(1000, content=content)
+    permit = await limits.admit(make_admit(limits, n_tokens_most=150))
+    gate = limits.gates["org:hann"]
+    assert gate.tokens.level == pytest.approx(-50)
+    with pytest.raises(LimitRefusedError) as caught:
+        await limits.admit(make_admit(limits))
+    assert caught.value.retry_after_s == pytest.approx(0.51, abs=0.02)
+    permit.release(20)
+    permit.release(20)
+    assert gate.tokens.level == pytest.approx(80)
+    await limits.admit(make_admit(limits))
+
+
+async def test_concurrency_is_limited(made):
+    limits = await made(1000, content=make_limits_catalogue(n_concurrent=2))
+    permits = [await limits.admit(make_admit(limits)) for _ in range(2)]
+    with pytest.raises(LimitRefusedError, match="n_concurrent"):
+        await limits.admit(make_admit(limits))
+    await limits.admit(make_admit(limits, organisation="mbao"))
+    permits[0].release(1)
+    await limits.admit(make_admit(limits))
+
+
+async def test_waits_for_a_place_in_fair_order(made):
+    limits = await made(1)
+    first = await limits.admit(make_admit(limits))
+    large = [ask(limits) for _ in range(5)]
+    await settle()
+    small = ask(limits, organisation="mbao")
+    await settle()
+    first.release(10)
+    await settle()
+    taken = next(task for task in [*large, small] if task.done())
+    taken.result().release(10)
+    await settle()
+    assert small.done()
+    for task in large:
+        task.cancel()
+
+
+async def test_deadline_that_cannot_be_met_is_refused_at_once(made):
+    limits = await made(1)
+    await run_requests(limits, 5, held_s=2.0)
+    await limits.admit(make_admit(limits))
+    waiting = [ask(limits) for _ in range(4)]
+    await settle()
+    now_s = limits.app.clock.monotonic()
+    with pytest.raises(OverloadRefusedError) as caught:
+        await limits.admit(make_admit(limits, deadline_s=now_s + 5))
+    assert limits.app.clock.monotonic() == now_s
+    assert caught.value.status == 503
+    assert caught.value.outcome is Outcome.NOT_RUN
+    assert caught.value.retry_after_s == pytest.approx(9, abs=2)
+    assert not any(task.done() for task in waiting)
+    for task in waiting:
+        task.cancel()
+
+
+async def test_waiting_request_is_answered_when_its_deadline_is_out_of_reach(made):
+    limits = await made(1)
+    await run_requests(limits, 5, held_s=1.0)
+    await limits.admit(make_admit(limits))
+    now_s = limits.app.clock.monotonic()
+    task = ask(limits, deadline_s=now_s + 4)
+    await limits.app.clock.advance(0.5)
+    assert not task.done()
+    while not task.done():
+        await limits.app.clock.advance(0.05)
+    with pytest.raises(OverloadRefusedError):
+        task.result()
+    assert limits.app.clock.monotonic() < now_s + 3.2
+    assert len(limits.queues["guide"].queue) == 0
+
+
+async def test_full_queue_refuses_at_once(made):
+    limits = await made(1, n_waiting_most=3)
+    await limits.admit(make_admit(limits))
+    waiting = [ask(limits) for _ in range(3)]
+    await settle()
+    with pytest.raises(OverloadRefusedError, match="full queue"):
+        await limits.admit(make_admit(limits))
+    small = ask(limits, organisation="mbao")
+    await settle()
+    assert not small.done()
+    assert [task.done() for task in waiting] == [False, False, True]
+    with pytest.raises(OverloadRefusedError):
+        waiting[2].result()
+    for task in [*waiting, small]:
+        task.cancel()
+
+
+async def test_cancelled_requests_leave_no_trace(made):
+    limits = await made(1, content=make_limits_catalogue(n_concurrent=3))
+    permit = await limits.admit(make_admit(limits))
+    tasks = [ask(limits) for _ in range(2)]
+    await settle()
+    tasks[0].cancel()
+    await settle()
+    assert limits.gates["org:hann"].n_running == 2
+    permit.release(1)
+    tasks[1].cancel()
+    await settle()
+    queue = limits.queues["guide"]
+    assert (queue.n_running, len(queue.queue)) == (0, 0)
+    assert limits.gates["org:hann"].n_running == 0
+    await limits.admit(make_admit(limits))
+
+
+async def test_no_endpoint_refuses_at_once(made):
+    limits = await made(0)
+    with pytest.raises(OverloadRefusedError, match="no endpoint"):
+        await limits.admit(make_admit(limits))
+
+
+async def test_burst_after_a_quiet_time_is_not_taken_for_a_stall(made):
+    limits = await made(2)
+    await run_requests(limits, 5, held_s=1.0)
+    await limits.app.clock.advance(3600)
+    for _ in range(2):
+        await limits.admit(make_admit(limits))
+    tasks = [ask(limits) for _ in range(4)]
+    await limits.app.clock.advance(0.2)
+    assert not any(task.done() for task in tasks)
+    for task in tasks:
+        task.cancel()
--- /dev/null
+++ b/lagoonring/tests/test_shares.py
@@ -0,0 +1,124 @@
+from __future__ import annotations
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from lagoonring.limits.shares import (
+    DelayedGrowth,
+    Part,
+    round_demand,
+    split,
+    split_count,
+)
+from lagoonring.tests.builders.limits import make_limits_catalogue, make_limits_fleet
+
+PARTS = st.dictionaries(
+    st.text("abcdefgh", min_size=1, max_size=3),
+    st.builds(Part, st.none() | st.floats(0, 1000), st.integers(1, 60)),
+    min_size=1,
+    max_size=20,
+)
+
+
+@settings(derandomize=True, max_examples=300)
+@given(PARTS, st.floats(0, 1), st.integers(0, 500))
+def test_shares_never_sum_to_more_than_the_limit(parts, floor_share, limit):
+    shares = split(parts, floor_share)
+    assert sum(shares.values()) <= 1 + 1e-9
+    n_instances = sum(part.size for part in parts.values())
+    for name, part in parts.items():
+        assert shares[name] >= floor_share * part.size / n_instances - 1e-9
+        if part.demand is None:
+            assert shares[name] == part.size / n_instances
+    counts = split_count(limit, shares)
+    assert sum(counts.values()) <= limit
+    assert all(abs(counts[name] - limit * shares[name]) <= 1 for name in shares)
+
+
+@settings(derandomize=True, max_examples=200)
+@given(PARTS, st.sets(st.text("abcdefgh", min_size=1, max_size=3)), st.floats(0, 1))
+def test_shares_hold_when_each_side_counts_the_other_as_cut_off(parts, side, floor):
+    sides = [
+        {
+            name: Part(None, part.size) if (name in side) is not is_in else part
+            for name, part in parts.items()
+        }
+        for is_in in (True, False)
+    ]
+    total = 0.0
+    for is_in, view in zip((True, False), sides, strict=True):
+        shares = split(view, floor)
+        total += sum(shares[name] for name in parts if (name in side) is is_in)
+    assert total <= 1 + 1e-9
+
+
+@settings(derandomize=True, max_examples=200)
+@given(st.floats(0.05, 1e6))
+def test_demand_is_rounded_to_few_close_values(per_s):
+    rounded = round_demand(per_s)
+    assert rounded == pytest.approx(per_s, rel=0.07)
+    assert round_demand(rounded) == rounded
+
+
+def test_growth_waits_and_shrinking_does_not():
+    growth = DelayedGrowth(2.0)
+    assert growth.update(0.5, 0.0) == 0.5
+    assert growth.update(0.9, 1.0) == 0.5
+    assert growth.update(0.9, 2.9) == 0.5
+    assert growth.update(0.9, 3.1) == 0.9
+    assert growth.update(0.2, 3.2) == 0.2
+
+
+async def run_demand(services, clock, per_s, *, seconds):
+    """Have each instance asked for so many requests per second."""
+    for _ in range(2 * seconds):
+        for service, rate in zip(services, per_s, strict=True):
+            for _ in range(rate // 2):
+                service.tracker.note_asked("org:hann")
+        await clock.advance(0.5)
+        assert sum(service.tracker.share("org:hann") for service in services) <= 1.001
+
+
+def shares_of(services):
+    return [round(service.tracker.share("org:hann"), 3) for service in services]
+
+
+async def test_shares_follow_demand_and_never_exceed_the_limit():
+    content = make_limits_catalogue(requests_per_s=100.0, n_concurrent=10)
+    services, _, clock = await make_limits_fleet(
+        "plateau", "plateau", "almadies", content=content
+    )
+    await run_demand(services, clock, [10, 10, 10], seconds=20)
+    assert shares_of(services) == pytest.approx([0.333] * 3, abs=0.02)
+    await run_demand(services, clock, [40, 0, 0], seconds=30)
+    assert shares_of(services)[0] > 0.8
+    assert min(shares_of(services)) >= 0.2 / 3 - 0.001
+    await run_demand(services, clock, [0, 0, 40], seconds=30)
+    assert shares_of(services)[2] > 0.8
+    counts = [service.tracker.count("org:hann", 10) for service in services]
+    assert sum(counts) <= 10
+
+
+async def test_cut_off_instances_hold_their_share_then_leave_an_even_one():
+    content = make_limits_catalogue(requests_per_s=100.0)
+    services, network, clock = await make_limits_fleet(
+        "plateau", "plateau", "almadies", "almadies", content=content
+    )
+    await run_demand(services, clock, [60, 2, 2, 2], seconds=30)
+    before = shares_of(services)
+    network.cut_off("e2", "e3")
+    await run_demand(services, clock, [60, 2, 60, 2], seconds=20)
+    assert shares_of(services) == before
+    await run_demand(services, clock, [60, 2, 60, 2], seconds=40)
+    after = shares_of(services)
+    assert after[0] + after[1] == pytest.approx(0.5, abs=0.01)
+    assert after[2] + after[3] == pytest.approx(0.5, abs=0.01)
+    network.heal()
+    await run_demand(services, clock, [60, 2, 2, 2], seconds=30)
+    assert shares_of(services) == pytest.approx(before, abs=0.05)
+
+
+async def test_instance_that_is_not_yet_known_does_not_take_the_whole_limit():
+    services, _, _ = await make_limits_fleet("plateau", n_instances_expected=9)
+    assert services[0].tracker.share("org:hann") == pytest.approx(1 / 9)
