Probe the contacts of a silent data centre, batch urgent rows, bound removed rows

Cause: a cut data centre was only known as unreachable when each of its contacts had been asked in turn; an instance kept all rows that it had ever removed; each urgent row took a frame per peer; metrics of several services in a process ran together. Change: contacts not heard since one was silent are asked at once; rows pushed within 50 ms share frames; removed rows of the own origin are forgotten like others; metrics belong to the service and enter the application's registry; an address in use is a typed error; peers_cost.py uses ports below the ephemeral range, which had made it fail with AddressInUse.

--- a/benchmarks/peers_cost.py
+++ b/benchmarks/peers_cost.py
@@ -26,7 +26,7 @@
 import attrs
 
 from lagoonring.kernel import Application, ManualClock
-from lagoonring.peers import PeersOptions, PeersService, SeedMember, metrics
+from lagoonring.peers import PeersOptions, PeersService, SeedMember
 from lagoonring.tests.builders.peers import MemoryNetwork, MemoryTransport
 
 KEY = "a shared key of benchmarks"
@@ -116,11 +116,11 @@
     publishing = asyncio.create_task(publish())
     await asyncio.sleep(WARM_UP_S)
     cpu_s, start_s = time.process_time(), time.monotonic()
-    n_sent, n_received = bytes_counted()
+    n_sent, n_received = bytes_counted(services)
     await asyncio.sleep(arguments.duration_s)
     elapsed_s = time.monotonic() - start_s
     cpu_share = (time.process_time() - cpu_s) / elapsed_s / len(own)
-    n_sent_after, n_received_after = bytes_counted()
+    n_sent_after, n_received_after = bytes_counted(services)
     grown_mb = (resident_mb() - memory_mb) / len(own)
     if arguments.worker == 0:
         services[0].publish("verdict", "guide", Notice(time.time()))
@@ -150,9 +150,13 @@
     return note
 
 
-def bytes_counted() -> tuple[float, float]:
-    """Return the bytes of frames sent and received by this process."""
-    return metrics.bytes_sent._value.get(), metrics.bytes_received._value.get()
+def bytes_counted(services: list[PeersService]) -> tuple[float, float]:
+    """Return the bytes of frames sent and received by some services."""
+    counters = [service.metrics for service in services]
+    return (
+        sum(counter.bytes_sent._value.get() for counter in counters),
+        sum(counter.bytes_received._value.get() for counter in counters),
+    )
 
 
 def run_size(n_nodes: int, arguments: argparse.Namespace) -> dict:
@@ -282,7 +286,7 @@
     parser.add_argument("--duration-s", type=float, default=10.0)
     parser.add_argument("--warm-up-s", type=float, default=20.0)
     parser.add_argument("--n-workers", type=int, default=4)
-    parser.add_argument("--base-port", type=int, default=39_100)
+    parser.add_argument("--base-port", type=int, default=19_100)
     parser.add_argument("--n-nodes", type=int, default=TARGET_PER_DATA_CENTRE)
     parser.add_argument("--n-data-centres", type=int, default=TARGET_DATA_CENTRES)
     parser.add_argument("--memory", action="store_true")
--- a/lagoonring/peers/channel.py
+++ b/lagoonring/peers/channel.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING, Any
 
 from lagoonring.errors import InvalidInputError
-from lagoonring.peers import metrics
+from lagoonring.logs.logger import make_logger
 from lagoonring.peers.drops import DropCounter
 from lagoonring.peers.frames import (
     DropReason,
@@ -26,6 +26,7 @@
 
     from lagoonring.kernel import Clock
     from lagoonring.peers.messages import MemberRecord
+    from lagoonring.peers.metrics import PeersMetrics
     from lagoonring.peers.options import PeersOptions
     from lagoonring.peers.transport import Transport
 
@@ -35,6 +36,8 @@
 N_CALLERS_MOST = 1024
 ENVELOPE_ROOM_BYTES = 512
 
+logger = make_logger("peers")
+
 
 class MessageTooLargeError(InvalidInputError):
     """A message does not fit into a frame."""
@@ -67,6 +70,7 @@
         transport: Transport,
         clock: Clock,
         options: PeersOptions,
+        metrics: PeersMetrics,
         *,
         allow: Allow | None = None,
     ) -> None:
@@ -76,7 +80,8 @@
         self.allow = allow
         self.keys = [key.encode() for key in options.keys]
         self.handlers: dict[MessageKind, Handler] = {}
-        self.drops = DropCounter(clock)
+        self.metrics = metrics
+        self.drops = DropCounter(clock, metrics)
         self.replays = ReplayFilter()
         self.sequence = itertools.count()
         self.addresses: OrderedDict[str, str] = OrderedDict()
@@ -142,8 +147,11 @@
         except FrameDroppedError as error:
             self.drops.count(error.reason)
             return
-        metrics.frames_received.inc()
-        self.handlers[MessageKind(envelope.kind)](envelope, message)
+        self.metrics.frames_received.inc()
+        try:
+            self.handlers[MessageKind(envelope.kind)](envelope, message)
+        except Exception:
+            logger.exception("Handling a frame of {} failed.", envelope.sender)
 
     def _check_parties(self, envelope: Envelope) -> None:
         me = self.me.instance
--- a/lagoonring/peers/contacts.py
+++ b/lagoonring/peers/contacts.py
@@ -18,19 +18,23 @@
 
 N_LEARNED_MOST = 16
 AVOID_S = 120.0
+DOUBT_SHARE = 3
 
 
 @attrs.define
 class RemoteMember:
     """What is known of an instance in another data centre.
 
-    Times are of this process's monotonic clock; ``asked_s`` is that of the first
-    message still without an answer, ``avoid_until_s`` ends a time in which the
-    member is not chosen because it did not answer.
+    Times are of this process's monotonic clock. ``asked_s`` is that of the first
+    message still without an answer, ``heard_s`` that of the last frame;
+    ``avoid_until_s`` ends a time in which the member is not chosen because it did
+    not answer.
     """
 
     record: MemberRecord
     is_listed: bool
+    weight: int
+    heard_s: float = 0.0
     asked_s: float | None = None
     avoid_until_s: float = 0.0
     is_leaving: bool = False
@@ -74,7 +78,7 @@
             members = self.members.setdefault(seed.data_centre, {})
             known = members.get(seed.instance)
             if known is None or known.record.address != seed.address:
-                members[seed.instance] = RemoteMember(record_of_seed(seed), True)
+                members[seed.instance] = self._make(record_of_seed(seed), True)
             else:
                 known.is_listed = True
         for members in self.members.values():
@@ -95,7 +99,7 @@
             return
         n_learned = sum(not member.is_listed for member in members.values())
         if n_learned < N_LEARNED_MOST:
-            members[record.instance] = RemoteMember(record, False)
+            members[record.instance] = self._make(record, False)
 
     def note_asked(self, instance: str, data_centre: str) -> None:
         """Record that a message that wants an answer was sent."""
@@ -110,6 +114,7 @@
             if member is None:
                 continue
             member.asked_s = None
+            member.heard_s = self.clock.monotonic()
             member.avoid_until_s = 0.0
             if member.record.incarnation < incarnation:
                 member.record = attrs.evolve(member.record, incarnation=incarnation)
@@ -138,7 +143,7 @@
             if member.avoid_until_s <= now_s and not member.is_leaving
         ]
         chosen = usable or members
-        chosen.sort(key=lambda member: self._weight(member.record.instance))
+        chosen.sort(key=lambda member: member.weight)
         return chosen[: self.options.n_contacts]
 
     def all_contacts(self) -> list[RemoteMember]:
@@ -147,6 +152,28 @@
             contact for name in self.data_centres() for contact in self.contacts(name)
         ]
 
+    def doubtful(self) -> list[RemoteMember]:
+        """Return contacts not heard since another one of theirs was asked in vain.
+
+        Their answers tell the loss of one contact from that of a data centre.
+        """
+        now_s = self.clock.monotonic()
+        doubtful = []
+        for name in self.data_centres():
+            contacts = self.contacts(name)
+            asked_s = min(
+                (item.asked_s for item in contacts if item.asked_s is not None),
+                default=now_s,
+            )
+            if now_s - asked_s <= self.options.suspect_after_s / DOUBT_SHARE:
+                continue
+            doubtful += [
+                item
+                for item in contacts
+                if item.asked_s is None and item.heard_s < asked_s
+            ]
+        return doubtful
+
     def is_unreachable(self, data_centre: str) -> bool:
         """Return whether no contact of a data centre answers."""
         contacts = self.contacts(data_centre)
@@ -190,8 +217,9 @@
         silent_s = self.clock.monotonic() - member.asked_s
         return silent_s > self.options.suspect_after_s
 
-    def _weight(self, instance: str) -> int:
-        return xxhash.xxh64_intdigest(f"{self.instance} {instance}".encode())
+    def _make(self, record: MemberRecord, is_listed: bool) -> RemoteMember:
+        text = f"{self.instance} {record.instance}".encode()
+        return RemoteMember(record, is_listed, xxhash.xxh64_intdigest(text))
 
 
 def record_of_seed(seed: SeedMember) -> MemberRecord:
--- a/lagoonring/peers/drops.py
+++ b/lagoonring/peers/drops.py
@@ -5,11 +5,11 @@
 from typing import TYPE_CHECKING
 
 from lagoonring.logs.logger import make_logger
-from lagoonring.peers import metrics
 
 if TYPE_CHECKING:
     from lagoonring.kernel import Clock
     from lagoonring.peers.frames import DropReason
+    from lagoonring.peers.metrics import PeersMetrics
 
 LOG_INTERVAL_S = 10.0
 
@@ -19,15 +19,16 @@
 class DropCounter:
     """Counts by reason; each reason is logged at most every ``LOG_INTERVAL_S``."""
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, metrics: PeersMetrics) -> None:
         self.clock = clock
+        self.metrics = metrics
         self.counts: dict[DropReason, int] = {}
         self.logged_s: dict[DropReason, float] = {}
         self.n_unlogged: dict[DropReason, int] = {}
 
     def count(self, reason: DropReason) -> None:
         """Count one dropped frame."""
-        metrics.frames_dropped.labels(reason.value).inc()
+        self.metrics.frames_dropped.labels(reason.value).inc()
         self.counts[reason] = self.counts.get(reason, 0) + 1
         self.n_unlogged[reason] = self.n_unlogged.get(reason, 0) + 1
         now_s = self.clock.monotonic()
--- a/lagoonring/peers/errors.py
+++ b/lagoonring/peers/errors.py
@@ -43,6 +43,12 @@
         self.outcome = outcome  # type: ignore[misc]
 
 
+class AddressNotUsableError(LagoonringError, OSError):
+    """This instance can't listen on its address."""
+
+    code = "peers_address_not_usable"
+
+
 class UnknownKindError(InvalidInputError):
     """Rows of this kind are not known."""
 
--- a/lagoonring/peers/gossip.py
+++ b/lagoonring/peers/gossip.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 from lagoonring.logs.logger import make_logger
@@ -25,6 +26,8 @@
 ROUND_JITTER = 0.2
 SILENT_PARTNER_SHARE = 0.2
 N_SAMPLED = 3
+PUSH_INTERVAL_S = 0.05
+N_ROWS_PER_PUSH = 8
 NEW_LIFE_INTERVAL_S = 1.0
 
 logger = make_logger("peers")
@@ -69,6 +72,8 @@
         self.remote_due_s = clock.monotonic()
         self.fleet_due_s = clock.monotonic()
         self.refresh_due_s = clock.monotonic()
+        self.waiting_pushes: dict[bool, list[RowUpdate]] = {False: [], True: []}
+        self.push_wanted = asyncio.Event()
         channel.handlers[MessageKind.SYNC] = self.receive_sync
         channel.handlers[MessageKind.PUSH] = self.receive_push
 
@@ -136,23 +141,43 @@
             self._post(sender, answer)
 
     def push(self, row: RowUpdate, *, is_fleet: bool) -> None:
-        """Send a row of this instance to all peers at once."""
+        """Send a row of this instance to all peers at once.
+
+        Rows that follow each other within ``PUSH_INTERVAL_S`` share frames.
+        """
+        self.waiting_pushes[is_fleet].append(row)
+        self.push_wanted.set()
+
+    async def run_pushes(self) -> None:
+        """Send the rows that wait to be pushed, without end."""
+        while True:
+            await self.push_wanted.wait()
+            self.push_wanted.clear()
+            for is_fleet, rows in self.waiting_pushes.items():
+                self._push_rows(rows, is_fleet)
+                rows.clear()
+            await self.clock.sleep(PUSH_INTERVAL_S)
+
+    def _push_rows(self, rows: list[RowUpdate], is_fleet: bool) -> None:
         records = self.members.partners()
         if is_fleet:
             records += [contact.record for contact in self.remote.all_contacts()]
-        self._push_to(records, Push(self.me, is_fleet, row))
+        for start in range(0, len(rows), N_ROWS_PER_PUSH):
+            batch = rows[start : start + N_ROWS_PER_PUSH]
+            self._push_to(records, Push(self.me, is_fleet, batch))
 
     def receive_push(self, envelope: Envelope, push: Push) -> None:
-        """Keep a pushed row; one from another data centre is sent on in this one."""
+        """Keep pushed rows; those of another data centre are sent on in this one."""
         origin = push.record
         table = self.fleet if push.is_fleet else self.local
         if not push.is_fleet and origin.data_centre != self.me.data_centre:
             return
         self.remote.note_heard(envelope.sender, envelope.incarnation)
-        is_new = table.put(origin, push.row)
+        new_rows = [row for row in push.rows if table.put(origin, row)]
         is_direct = envelope.sender == origin.instance
-        if is_new and is_direct and origin.data_centre != self.me.data_centre:
-            self._push_to(self.members.partners(), push)
+        if new_rows and is_direct and origin.data_centre != self.me.data_centre:
+            relayed = Push(origin, push.is_fleet, new_rows)
+            self._push_to(self.members.partners(), relayed)
 
     def address_of(self, instance: str) -> str | None:
         """Return where an instance listens, if that is known."""
@@ -205,12 +230,18 @@
         self._post(record.instance, sync, record.address)
 
     def _sync_remote(self) -> None:
+        for contact in self.remote.doubtful():
+            self._ask(contact.record)
         now_s = self.clock.monotonic()
         names = self.remote.data_centres()
         if now_s < self.remote_due_s or not names:
             return
         self.remote_due_s = now_s + self.options.remote_round_s
-        contact = self.rng.choice(self.remote.contacts(self.rng.choice(names))).record
+        name = self.rng.choice(names)
+        self._ask(self.rng.choice(self.remote.contacts(name)).record)
+
+    def _ask(self, contact: MemberRecord) -> None:
+        """Begin a comparison with a contact in another data centre."""
         self.remote.note_asked(contact.instance, contact.data_centre)
         sync = Sync(
             member=self.me,
--- a/lagoonring/peers/messages.py
+++ b/lagoonring/peers/messages.py
@@ -163,11 +163,11 @@
 
 @attrs.frozen
 class Push:
-    """An urgent row of an origin; ``is_fleet`` names the table it belongs to."""
+    """Urgent rows of an origin; ``is_fleet`` names the table they belong to."""
 
     record: MemberRecord
     is_fleet: bool
-    row: RowUpdate
+    rows: list[RowUpdate]
 
 
 @attrs.frozen
--- a/lagoonring/peers/origins.py
+++ b/lagoonring/peers/origins.py
@@ -44,6 +44,7 @@
     floor: int = 0
     advanced_s: float = 0.0
     n_bytes: int = 0
+    n_removed: int = 0
     rows: dict[tuple[int, str], Row] = attrs.field(factory=dict)
 
     def put(self, update: RowUpdate) -> bool:
@@ -57,6 +58,8 @@
         self.n_bytes += row_bytes(update)
         if old is not None:
             self.n_bytes -= row_bytes(RowUpdate(*key, old.version, old.value))
+            self.n_removed -= old.value is None
+        self.n_removed += update.value is None
         self.rows[key] = Row(update.version, update.value)
         return True
 
@@ -70,7 +73,7 @@
             update.to_tick > self.tick
         ):
             self.tick = update.to_tick
-        self._forget_removed()
+        self.forget_removed()
         return changed
 
     def changes_since(self, tick: int, *, with_record: bool) -> OriginUpdate:
@@ -97,18 +100,20 @@
             self.put(row)
         return removed
 
-    def _forget_removed(self) -> None:
+    def forget_removed(self) -> None:
+        """Drop the older half of the removed rows when there are many."""
+        if self.n_removed <= N_REMOVED_MOST:
+            return
         removed = [
             (row.version, key) for key, row in self.rows.items() if row.value is None
         ]
-        if len(removed) <= N_REMOVED_MOST:
-            return
         removed.sort()
         for version, key in removed[: len(removed) // 2]:
             if version > self.tick:
                 break
             self.floor = max(self.floor, version)
             del self.rows[key]
+            self.n_removed -= 1
             self.n_bytes -= row_bytes(RowUpdate(*key, version, None))
 
 
--- a/lagoonring/peers/service.py
+++ b/lagoonring/peers/service.py
@@ -9,7 +9,6 @@
 
 from lagoonring.kernel import Application, BaseService
 from lagoonring.logs.logger import make_logger
-from lagoonring.peers import metrics
 from lagoonring.peers.calls import Calls
 from lagoonring.peers.channel import Channel
 from lagoonring.peers.contacts import RemoteMembers
@@ -18,6 +17,7 @@
 from lagoonring.peers.kinds import KINDS_BY_NAME, find_kind
 from lagoonring.peers.members import LocalMembers, make_member
 from lagoonring.peers.messages import Member, MemberRecord, MemberState, RowUpdate
+from lagoonring.peers.metrics import PeersMetrics
 from lagoonring.peers.own_rows import OwnRows
 from lagoonring.peers.subscriptions import UNDECODABLE, Subscription, Subscriptions
 from lagoonring.peers.tables import Table, TableLimits
@@ -36,6 +36,7 @@
 
 MEMBER_LEAVING = KINDS_BY_NAME["member_leaving"]
 FRAME_ROWS_SHARE = 4
+N_FLUSHES_PER_COUNT = 10
 
 logger = make_logger("peers")
 
@@ -80,8 +81,10 @@
         self.app = app
         self.options = options
         self.list_seeds = list_seeds
-        self.transport = transport or NngTransport(app.clock, options)
-        self.subscriptions = Subscriptions()
+        metrics_service = app.services.get("metrics")
+        registry = metrics_service.registry if metrics_service else None
+        self.metrics = PeersMetrics(registry)
+        self.transport = transport or NngTransport(app.clock, options, self.metrics)
         settings = app.settings
         if http_address is None:
             http_address = f"{settings.host}:{settings.port}" if settings else ""
@@ -93,7 +96,10 @@
             http_address,
             int(app.clock.time() * 1000),
         )
-        self.channel = Channel(record, self.transport, app.clock, options, allow=allow)
+        self.channel = Channel(
+            record, self.transport, app.clock, options, self.metrics, allow=allow
+        )
+        self.subscriptions = Subscriptions(self.channel.drops)
         limits = TableLimits(
             n_bytes=options.table_limit_bytes,
             n_rows=options.table_limit_rows,
@@ -212,6 +218,7 @@
         self.gossip.note_seeds(self.options.seeds)
         self.tasks = [
             self.app.spawn("peers rounds", self.gossip.run),
+            self.app.spawn("peers pushes", self.gossip.run_pushes),
             self.app.spawn("peers upkeep", self._keep_up),
         ]
         if self.list_seeds is not None:
@@ -232,8 +239,9 @@
 
     async def _keep_up(self) -> None:
         while True:
-            await self.app.clock.sleep(self.options.round_s)
-            self.own_rows.flush()
+            for _ in range(N_FLUSHES_PER_COUNT):
+                await self.app.clock.sleep(self.options.round_s)
+                self.own_rows.flush()
             self._set_gauges()
 
     async def _follow_seeds(self) -> None:
@@ -282,10 +290,10 @@
         for member in self.members():
             counts[member.state] += 1
         for state, n_members in counts.items():
-            metrics.members_by_state.labels(state.value).set(n_members)
+            self.metrics.members.labels(state.value).set(n_members)
         for name, table in (("local", self.local), ("fleet", self.fleet)):
-            metrics.rows_kept.labels(name).set(table.n_rows)
-            metrics.rows_refused.labels(name).set(table.n_refused)
+            self.metrics.rows.labels(name).set(table.n_rows)
+            self.metrics.rows_refused.labels(name).set(table.n_refused)
 
 
 def _values(origin: Origin, kind: int) -> list[tuple[str, bytes]]:
--- a/lagoonring/peers/subscriptions.py
+++ b/lagoonring/peers/subscriptions.py
@@ -8,12 +8,13 @@
 import msgspec
 
 from lagoonring.logs.logger import make_logger
-from lagoonring.peers import metrics
 from lagoonring.peers.frames import DropReason
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from lagoonring.peers.drops import DropCounter
+
     RowCallback = Callable[[str, str, Any], None]
 
 UNDECODABLE = object()
@@ -33,7 +34,8 @@
 class Subscriptions:
     """Tells subscribers of changed rows; a callback that fails is logged."""
 
-    def __init__(self) -> None:
+    def __init__(self, drops: DropCounter) -> None:
+        self.drops = drops
         self.by_kind: dict[int, list[Subscription]] = {}
         self.decoders: dict[Any, msgspec.msgpack.Decoder] = {}
 
@@ -50,7 +52,7 @@
         try:
             return decoder.decode(value)
         except (msgspec.MsgspecError, ValueError):
-            metrics.frames_dropped.labels(DropReason.VALUE.value).inc()
+            self.drops.count(DropReason.VALUE)
             return UNDECODABLE
 
     def notify(self, kind: int, origin: str, name: str, value: bytes | None) -> None:
--- a/lagoonring/peers/tables.py
+++ b/lagoonring/peers/tables.py
@@ -140,9 +140,10 @@
             self.set_own(self.me)
         assert self.own is not None
         row = RowUpdate(kind, name, self.own.tick + 1, value)
+        self.beat()
         with self._counted(self.own):
             self.own.put(row)
-        self.beat()
+            self.own.forget_removed()
         return row
 
     def beat(self) -> None:
--- a/lagoonring/peers/transport.py
+++ b/lagoonring/peers/transport.py
@@ -17,10 +17,11 @@
 import pynng
 
 from lagoonring.logs.logger import make_logger
-from lagoonring.peers import metrics
+from lagoonring.peers.errors import AddressNotUsableError
 
 if TYPE_CHECKING:
     from lagoonring.kernel import Clock
+    from lagoonring.peers.metrics import PeersMetrics
     from lagoonring.peers.options import PeersOptions
 
     Receive = Callable[[bytes], None]
@@ -63,7 +64,7 @@
     due_s: float
     on_unsent: Callable[[], None] | None
 
-    def give_up(self) -> None:
+    def give_up(self, metrics: PeersMetrics) -> None:
         """Report that the frame was not sent."""
         metrics.frames_unsent.inc()
         if self.on_unsent is not None:
@@ -73,7 +74,10 @@
 class PeerLink:
     """The connection to one peer and the frames that wait for it."""
 
-    def __init__(self, address: str, clock: Clock, options: PeersOptions) -> None:
+    def __init__(
+        self, address: str, clock: Clock, options: PeersOptions, metrics: PeersMetrics
+    ) -> None:
+        self.metrics = metrics
         self.address = address
         self.clock = clock
         self.options = options
@@ -93,7 +97,7 @@
             len(self.waiting) >= N_QUEUED_MOST
             or self.n_waiting_bytes + size > QUEUED_LIMIT_BYTES
         ):
-            self._take().give_up()
+            self._take().give_up(self.metrics)
         self.waiting.append(posted)
         self.n_waiting_bytes += size
         self.wakened.set()
@@ -113,7 +117,7 @@
         """Close the socket and give up what waits."""
         self.socket.close()
         while self.waiting:
-            self._take().give_up()
+            self._take().give_up(self.metrics)
 
     def _take(self) -> Posted:
         posted = self.waiting.popleft()
@@ -137,7 +141,7 @@
                 self._take()
                 return
             if self.clock.monotonic() >= posted.due_s:
-                self._take().give_up()
+                self._take().give_up(self.metrics)
                 return
             await asyncio.sleep(delay_s)
             delay_s = min(2 * delay_s, POLL_MOST_S)
@@ -149,8 +153,8 @@
             self.socket.send(frame, block=False)
         except pynng.TryAgain:
             return False
-        metrics.frames_sent.inc()
-        metrics.bytes_sent.inc(len(frame))
+        self.metrics.frames_sent.inc()
+        self.metrics.bytes_sent.inc(len(frame))
         return True
 
 
@@ -166,7 +170,10 @@
         has the port in use.
     """
 
-    def __init__(self, clock: Clock, options: PeersOptions) -> None:
+    def __init__(
+        self, clock: Clock, options: PeersOptions, metrics: PeersMetrics
+    ) -> None:
+        self.metrics = metrics
         self.clock = clock
         self.options = options
         self.address = options.address
@@ -177,13 +184,28 @@
         self.receive: Receive | None = None
 
     async def start(self, receive: Receive) -> None:
-        """Listen, and give every frame that comes to ``receive``."""
+        """Listen, and give every frame that comes to ``receive``.
+
+        Raises
+        ------
+        AddressNotUsableError
+            If the address is in use or not one of this machine.
+        """
         self.receive = receive
         self.socket = pynng.Pull0(
             recv_buffer_size=RECEIVE_BUFFER_FRAMES,
             recv_max_size=self.options.frame_limit_bytes + 1,
         )
-        listener = self.socket.listen(f"tcp://{self.options.address}")
+        try:
+            listener = self.socket.listen(f"tcp://{self.options.address}")
+        except pynng.NNGException as error:
+            self.socket.close()
+            self.socket = None
+            raise AddressNotUsableError(
+                f"Got {error} for peers address {self.options.address}, "
+                "expected a free address of this machine.",
+                remedy="Correct peers.address, or end the process that has it.",
+            ) from error
         self.address = str(listener.local_address).removeprefix("tcp://")
         self.descriptor = self.socket.recv_fd
         asyncio.get_running_loop().add_reader(self.descriptor, self._read)
@@ -195,7 +217,7 @@
         due_s = self.clock.monotonic() + self.options.connect_timeout_s
         posted = Posted(frame, due_s, on_unsent)
         if self.socket is None:
-            posted.give_up()
+            posted.give_up(self.metrics)
             return
         link = self.links.get(address)
         if link is None:
@@ -218,7 +240,7 @@
             socket.close()
 
     def _open(self, address: str) -> PeerLink:
-        link = PeerLink(address, self.clock, self.options)
+        link = PeerLink(address, self.clock, self.options, self.metrics)
         self.links[address] = link
         task = asyncio.create_task(self._run(link), name=f"peer {address}")
         self.tasks[address] = task
@@ -244,5 +266,5 @@
             except pynng.NNGException as error:
                 logger.warning("Reading from peers failed: {}.", error)
                 return
-            metrics.bytes_received.inc(len(frame))
+            self.metrics.bytes_received.inc(len(frame))
             self.receive(frame)
--- a/lagoonring/tests/test_frames.py
+++ b/lagoonring/tests/test_frames.py
@@ -33,6 +33,7 @@
     Sync,
     TableSync,
 )
+from lagoonring.peers.metrics import PeersMetrics
 from lagoonring.tests.builders.peers import (
     KEY,
     MemoryNetwork,
@@ -52,7 +53,7 @@
         7,
         True,
     ),
-    MessageKind.PUSH: Push(RECORD, True, attrs.evolve(ROW, value=None)),
+    MessageKind.PUSH: Push(RECORD, True, [attrs.evolve(ROW, value=None)]),
     MessageKind.CALL: Call(1, 7, "127.0.0.1:1", "claim", b"payload"),
     MessageKind.ANSWER: Answer(1, 0, b"payload"),
 }
@@ -67,7 +68,7 @@
         options = make_options(**changes)
         transport = MemoryTransport(MemoryNetwork(random.Random(1)), "127.0.0.1:9")
         me = attrs.evolve(RECORD, instance="b1")
-        self.channel = Channel(me, transport, ManualClock(), options)
+        self.channel = Channel(me, transport, ManualClock(), options, PeersMetrics())
         self.accepted = []
         for kind in MessageKind:
             self.channel.handlers[kind] = lambda envelope, message: (
--- a/lagoonring/tests/test_peers.py
+++ b/lagoonring/tests/test_peers.py
@@ -21,6 +21,7 @@
     SeedMember,
 )
 from lagoonring.peers.channel import MessageTooLargeError
+from lagoonring.peers.errors import AddressNotUsableError
 from lagoonring.tests.builders.peers import (
     Level,
     make_node,
@@ -203,6 +204,17 @@
     await until(lambda: open_sockets() <= sockets)
 
 
+async def test_an_address_in_use_is_told():
+    first = make_node("a1")
+    async with running(first):
+        options = make_options(address=first.peers.me.address)
+        second = make_node("a2", options=options)
+        with pytest.raises(AddressNotUsableError, match="expected a free address"):
+            await second.app.start()
+    await second.app.start()
+    await second.stop()
+
+
 PAUSED_PROGRAM = """
 import asyncio, sys
 from lagoonring.peers import SeedMember
