Charge a handed-over stream once

Cause: the call that hands a stream over can take effect and lose its answer; the origin then asked the next instance, both went on and both charged. Change: the origin confirms to exactly one adopter, which alone charges. Conclusion: a handed-over request is charged at most once; if the confirmation is lost, not at all.

--- a/lagoonring/requests/charges.py
+++ b/lagoonring/requests/charges.py
@@ -89,7 +89,7 @@
             record = msgspec.json.encode(self.pending).decode()
             self.from_offset = await log.append(STREAM, record) + 1
         except (LogUnavailableError, LogAnswerLostError) as error:
-            logger.warn("Charges wait for the log: {}.", error.code)
+            logger.warning("Charges wait for the log: {}.", error.code)
             return False
         self.pending = None
         return not self.usage or await self.flush()
--- a/lagoonring/requests/handover.py
+++ b/lagoonring/requests/handover.py
@@ -23,11 +23,13 @@
     from lagoonring.requests.service import RequestsService
 
 ADOPT_METHOD = "requests.adopt"
+CONFIRM_METHOD = "requests.confirm"
 ADOPTED_KIND = "adopted"
 CALL_TIMEOUT_S = 2.0
 RELAY_TIMEOUT_S = 600.0
 RELAYED_HEADER = "X-Relayed"
 N_TARGETS_MOST = 3
+N_CONFIRMS_MOST = 3
 COPY_BYTES = 1 << 16
 
 logger = make_logger("handover")
@@ -67,6 +69,7 @@
         """Begin to take streams of peers."""
         self.peers = self.app.find("peers")
         self.peers.serve(ADOPT_METHOD, self.adopt)
+        self.peers.serve(CONFIRM_METHOD, self.confirm)
 
     async def drain(self, grace_s: float) -> None:
         """Wait for requests to finish, hand over those that will not."""
@@ -92,9 +95,10 @@
                     target, ADOPT_METHOD, payload, timeout_s=CALL_TIMEOUT_S
                 )
             except LagoonringError as error:
-                logger.warn("Instance {} did not take a stream: {}.", target, error)
+                logger.warning("Instance {} did not take a stream: {}.", target, error)
                 continue
             self._release(stream, target)
+            await self._confirm_to(target, stream.request.request_id)
             return True
         self.requests.resume_stream(stream)
         return False
@@ -110,7 +114,7 @@
                 deadline_s=handover.grace_s,
                 request_id=handover.request_id,
             )
-            stream = Stream(request=request)
+            stream = Stream(request=request, may_charge=False)
             stream.journal.append(handover.events)
             stream.journal.n_tokens = handover.n_tokens
             stream.n_tokens_recomputed = handover.n_tokens_recomputed
@@ -122,6 +126,15 @@
         self.peers.publish(ADOPTED_KIND, origin, Adopted(url=self.url), urgent=True)
         return b""
 
+    async def confirm(self, sender: str, payload: bytes) -> bytes:
+        """Charge an adopted stream here; its origin will not."""
+        stream = self.requests.find_stream(payload.decode())
+        if stream is not None and not stream.may_charge:
+            stream.may_charge = True
+            if stream.is_done:
+                self.requests.charge_stream(stream)
+        return b""
+
     async def relay(
         self, request: web.Request, request_id: str, n_tokens: int
     ) -> web.StreamResponse:
@@ -143,6 +156,20 @@
             "send the request again.",
         )
 
+    async def _confirm_to(self, target: str, request_id: str) -> None:
+        """Let one instance charge; if that is not heard, nobody charges."""
+        for _ in range(N_CONFIRMS_MOST):
+            try:
+                await self.peers.call(
+                    target,
+                    CONFIRM_METHOD,
+                    request_id.encode(),
+                    timeout_s=CALL_TIMEOUT_S,
+                )
+                return
+            except LagoonringError as error:
+                logger.warning("Confirming a handover failed: {}.", error.code)
+
     async def _relay_from(
         self, request: web.Request, url: str, request_id: str, n_tokens: int
     ) -> web.StreamResponse | None:
--- a/lagoonring/requests/parts.py
+++ b/lagoonring/requests/parts.py
@@ -181,6 +181,6 @@
     try:
         await work
     except LagoonringError as error:
-        logger.warn("Background work failed: {}.", error.code)
+        logger.warning("Background work failed: {}.", error.code)
     except Exception:
         logger.exception("Background work failed.")
--- a/lagoonring/requests/service.py
+++ b/lagoonring/requests/service.py
@@ -260,7 +260,9 @@
                 await self.idle.wait()
                 await asyncio.gather(*self.parts.background, return_exceptions=True)
         except TimeoutError:
-            logger.warn("Requests in progress after the grace: {}.", self.n_in_progress)
+            logger.warning(
+                "Requests in progress after the grace: {}.", self.n_in_progress
+            )
 
     async def stop(self) -> None:
         """Cancel what is still running."""
@@ -291,8 +293,8 @@
             stream.permit.release(stream.journal.n_tokens)
             self.parts.metrics.streams.dec()
         code = stream.error.code if stream.error else "ok"
-        if not stream.handed_to:
-            self._charge_stream(stream)
+        if stream.may_charge and not stream.handed_to:
+            self.charge_stream(stream)
         self._keep(stream)
         self.parts.metrics.requests.labels(request.entry, code).inc()
         self.parts.metrics.tokens.labels(request.entry).inc(stream.journal.n_tokens)
@@ -331,7 +333,7 @@
             self.kept.popitem(last=False)
             self.n_kept_bytes -= first.journal.n_bytes
 
-    def _charge_stream(self, stream: Stream) -> None:
+    def charge_stream(self, stream: Stream) -> None:
         """Charge a whole answer; a failed one costs nothing."""
         request = stream.request
         entry = self.parts.catalogue.content.entries.get(request.entry)
--- a/lagoonring/requests/streams.py
+++ b/lagoonring/requests/streams.py
@@ -24,6 +24,7 @@
     when the first event is there, and when the stream has ended. While
     ``is_moving`` the attempt is being moved, and ``move_ready`` is set once the
     next one may begin; while ``is_paused`` the stream is being handed over.
+    ``may_charge`` is unset while another instance may charge the stream, and
     ``may_have_run`` is set unless every attempt provably did not run.
     """
 
@@ -51,6 +52,7 @@
     first_token_s: float | None = None
     ended_s: float = 0.0
     cost: float = 0.0
+    may_charge: bool = True
     handed_to: str = ""
     decisions: list[str] = attrs.field(factory=list)
 
--- /dev/null
+++ b/lagoonring/tests/test_handover_charges.py
@@ -0,0 +1,63 @@
+from __future__ import annotations
+
+import asyncio
+
+from lagoonring.errors import AnswerLostError
+from lagoonring.tests.builders.barriers import (
+    hold_all,
+    release_all,
+    wait_for_members,
+    wait_for_tokens,
+    wait_until,
+    wait_until_held,
+)
+from lagoonring.tests.builders.callers import Caller, ask, attach
+from lagoonring.tests.builders.deployments import Deployment, run_deployment
+
+N_TOKENS = 12
+HOLD = 5
+
+
+def lose_first_answer(deployment: Deployment) -> None:
+    """Let the first adoption anywhere take effect and lose its answer."""
+    n_lost = 0
+    for app in deployment.entries:
+        handlers = app.find("peers").calls.handlers
+        adopt = handlers["requests.adopt"]
+
+        async def lossy(sender, payload, adopt=adopt):
+            nonlocal n_lost
+            answer = await adopt(sender, payload)
+            n_lost += 1
+            if n_lost == 1:
+                raise AnswerLostError("Got a lost answer on command.")
+            return answer
+
+        handlers["requests.adopt"] = lossy
+
+
+async def test_stream_adopted_twice_is_charged_once():
+    entry = {"requests": {"handover_margin_s": 1.0}}
+    async with run_deployment(n_entries=3, entry=entry) as deployment:
+        await wait_for_members(deployment)
+        lose_first_answer(deployment)
+        hold_all(deployment, HOLD)
+        caller = Caller()
+        asking = asyncio.create_task(
+            ask(deployment, "turtles", N_TOKENS, caller=caller)
+        )
+        await wait_until_held(deployment)
+        await wait_for_tokens(caller, HOLD)
+        await deployment.entries[0].drain(1.0)
+        await asking
+        release_all(deployment)
+        adopters = [app.find("requests") for app in deployment.entries[1:]]
+        await wait_until(lambda: all(caller.request_id in a.kept for a in adopters))
+        await attach(deployment, caller, entry=1)
+        caller.assert_whole("turtles", N_TOKENS)
+        charged = [
+            usage.n_requests
+            for app in deployment.entries
+            for usage in app.find("charges").usage.values()
+        ]
+        assert charged == [1]
