Book through claims: the thin full path stands in separate processes

Cause: keyed calls waited for the claims. Change: plain services claim a key, run once, record the answer; the demo books at one instance and resends at another.

--- a/examples/demo/run_demo.py
+++ b/examples/demo/run_demo.py
@@ -102,7 +102,7 @@
         if is_staying:
             await asyncio.Event().wait()
         await show_chat(session, urls[0])
-        await show_booking(session, urls[1])
+        await show_booking(session, urls[1:])
 
 
 async def publish(deployment: Deployment, session: aiohttp.ClientSession) -> None:
@@ -171,21 +171,21 @@
     )
 
 
-async def show_booking(session: aiohttp.ClientSession, url: str) -> None:
+async def show_booking(session: aiohttp.ClientSession, urls: list[str]) -> None:
     """Book once, send the same booking again elsewhere, print both answers."""
     headers = {
         "Authorization": f"Bearer {ORGANISATION_KEYS['ngor']}",
         "Idempotency-Key": uuid.uuid4().hex,
     }
     body = {"show": "feeding", "seats": 2}
-    print(f"\nBooking at {url}: {body}")
-    for attempt in ("first", "resent"):
+    print(f"\nBooking: {body}")
+    for attempt, url in zip(("first", "resent"), urls, strict=True):
         async with session.post(
             f"{url}/services/booking/bookings", json=body, headers=headers
         ) as answer:
             text = await answer.text()
             print(
-                f"{attempt}: status {answer.status}, {text.strip()}, "
+                f"{attempt} at {url}: status {answer.status}, {text.strip()}, "
                 f"cost {answer.headers.get('X-Cost')}, "
                 f"replayed {answer.headers.get('X-Replayed', 'false')}"
             )
--- a/lagoonring/entry/application.py
+++ b/lagoonring/entry/application.py
@@ -9,6 +9,7 @@
 from lagoonring.administration import AdministrationService
 from lagoonring.audit import AuditService
 from lagoonring.catalogue.service import CatalogueService
+from lagoonring.claims import ClaimsService
 from lagoonring.kernel import Application, BaseService, Clock
 from lagoonring.limits.service import LimitsService
 from lagoonring.metrics import MetricsService
@@ -29,7 +30,6 @@
 
     from lagoonring.peers.service import Allow
     from lagoonring.platform import Log
-    from lagoonring.requests.messages import PlainAnswer
     from lagoonring.settings.entry_settings import EntrySettings
 
 ENDPOINT_CONNECTIONS = 0
@@ -125,6 +125,7 @@
     app.add(SessionService())
     app.add(make_peers(app, settings, allow=allow))
     app.add(CatalogueService(app, settings.catalogue))
+    app.add(ClaimsService(app, settings.claims))
     app.add(RetriesService(app, settings.retries))
     app.add(RoutingService(app, settings.routing, data_centre=settings.data_centre))
     app.add(LimitsService(app, settings.limits))
@@ -160,13 +161,8 @@
         routing=app.find("routing"),
         limits=app.find("limits"),
         retries=app.find("retries"),
-        claims=app.services.get("claims"),
+        claims=app.find("claims"),
         charges=app.find("charges"),
         moves=app.find("moves"),
         metrics=RequestMetrics(app.find("metrics").registry),
-        make_stored_answer=make_stored_answer,
     )
-
-
-def make_stored_answer(answer: PlainAnswer) -> None:
-    """Return a plain service's answer as the claims keep it."""
--- a/lagoonring/requests/errors.py
+++ b/lagoonring/requests/errors.py
@@ -114,6 +114,14 @@
     outcome = Outcome.RUN
 
 
+class AnswerNotKeptError(LagoonringError, LookupError):
+    """The key's request ran, but its answer is no longer kept."""
+
+    code = "answer_not_kept"
+    status = 410
+    outcome = Outcome.RUN
+
+
 class AnswerTooLargeError(LagoonringError):
     """The endpoint's answer exceeds the limit."""
 
--- a/lagoonring/requests/parts.py
+++ b/lagoonring/requests/parts.py
@@ -98,7 +98,6 @@
     charges: Any
     moves: Any
     metrics: RequestMetrics
-    make_stored_answer: Callable[..., Any]
     open_stream: Callable[..., Any] = open_stream
     call_plain: Callable[..., Any] = call
     background: set[asyncio.Task[None]] = attrs.field(factory=set)
--- a/lagoonring/requests/plain.py
+++ b/lagoonring/requests/plain.py
@@ -7,10 +7,12 @@
 
 import attrs
 
+from lagoonring.claims import StoredAnswer, scoped_key
 from lagoonring.endpoints.errors import EndpointError
 from lagoonring.errors import LagoonringError, Outcome
 from lagoonring.requests.errors import (
     GIVE_UP_RETRY_AFTER_S,
+    AnswerNotKeptError,
     AttemptsExhaustedError,
     DeadlineError,
     InProgressError,
@@ -115,20 +117,15 @@
 async def _claimed(parts: RequestParts, run: PlainRun) -> PlainAnswer:
     """Claim the key, run if it is the first, record the answer."""
     request = run.request
-    entry = parts.catalogue.content.entries[request.entry]
-    key = f"{request.organisation}/{request.entry}/{request.key}"
+    key = scoped_key(request.organisation, request.entry, request.key)
     claim_id = request.request_id
-    try:
-        claim = await parts.claims.claim(
-            key, request.fingerprint, claim_id, entry=request.entry
-        )
-    except LagoonringError as error:
-        if error.outcome is Outcome.NOT_RUN and error.status == 503:
-            if not entry.deduplicates:
-                raise
-            run.decisions.append("claims are out, the endpoint deduplicates")
-            return await _send_once(parts, run)
-        raise
+    claim = await parts.claims.claim(
+        key,
+        request.fingerprint,
+        claim_id,
+        entry=request.entry,
+        deadline_s=request.deadline_s,
+    )
     run.decisions.append(f"claim {claim.state}")
     if claim.state == "finished":
         return _replay(claim.answer)
@@ -146,26 +143,30 @@
         if not run.may_have_run:
             parts.in_background(parts.claims.release(key, claim_id))
         raise
-    await _record(parts, key, claim_id, answer)
+    parts.in_background(parts.claims.finish(key, claim_id, _stored(answer)))
     return answer
 
 
-async def _record(
-    parts: RequestParts, key: str, claim_id: str, answer: PlainAnswer
-) -> None:
-    """Record the answer, in the background where the log is slow or out."""
-    stored = parts.make_stored_answer(answer)
-    parts.in_background(parts.claims.finish(key, claim_id, stored))
+def _stored(answer: PlainAnswer) -> StoredAnswer:
+    content_type = answer.headers.get("Content-Type", "application/octet-stream")
+    return StoredAnswer(
+        status=answer.status, content_type=content_type, body=answer.body
+    )
 
 
-def _replay(stored: object) -> PlainAnswer:
-    answer = PlainAnswer(
-        status=stored.status,  # type: ignore[attr-defined]
-        headers={"Content-Type": stored.content_type},  # type: ignore[attr-defined]
-        body=stored.body or b"",  # type: ignore[attr-defined]
+def _replay(stored: StoredAnswer | None) -> PlainAnswer:
+    """Return the recorded answer of the request that ran."""
+    if stored is None or stored.body is None:
+        raise AnswerNotKeptError(
+            "Got a key whose request ran, but whose answer is no longer kept.",
+            remedy="Look the booking up at the service; do not use a new key.",
+        )
+    return PlainAnswer(
+        status=stored.status,
+        headers={"Content-Type": stored.content_type},
+        body=stored.body,
+        replayed=True,
     )
-    answer.replayed = True
-    return answer
 
 
 async def _send_once(parts: RequestParts, run: PlainRun) -> PlainAnswer:
--- a/lagoonring/settings/entry_settings.py
+++ b/lagoonring/settings/entry_settings.py
@@ -5,6 +5,7 @@
 import attrs
 
 from lagoonring.catalogue.options import CatalogueOptions
+from lagoonring.claims.options import ClaimsOptions
 from lagoonring.limits.options import LimitsOptions
 from lagoonring.moves.options import MovesOptions
 from lagoonring.peers.options import PeersOptions
@@ -57,6 +58,7 @@
     peers: PeersOptions
     requests: RequestsOptions = attrs.field(factory=RequestsOptions)
     catalogue: CatalogueOptions = attrs.field(factory=CatalogueOptions)
+    claims: ClaimsOptions = attrs.field(factory=ClaimsOptions)
     routing: RoutingOptions = attrs.field(factory=RoutingOptions)
     limits: LimitsOptions = attrs.field(factory=LimitsOptions)
     retries: RetriesOptions = attrs.field(factory=RetriesOptions)
