--- /dev/null
+++ b/lagoonring/fleet/demand.py
@@ -0,0 +1,226 @@
+"""Demand and capacity of entries, as the holder of a data centre sees them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from lagoonring.fleet.forecast import Forecast
+from lagoonring.fleet.messages import DemandNote, is_own_token
+from lagoonring.fleet.planner import GoalRange, Need, Offer
+from lagoonring.platform.cloud import MARKETS, RECLAIMABLE
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+    from lagoonring.catalogue.entries import CatalogueContent, FleetGoal
+    from lagoonring.fleet.options import FleetOptions
+    from lagoonring.platform.cloud import CloudInstance, CloudPrice
+    from lagoonring.routing.messages import EndpointLoad
+
+HOUR_S = 3600.0
+RECLAIMS_PRIOR_PER_H = 0.05
+PRIOR_HOURS = 10.0
+RISK_HOURS_MOST = 200.0
+
+
+class DemandTracker:
+    """Forecasts of a data centre's entries.
+
+    Parameters
+    ----------
+    data_centre : str
+        Whose endpoints are counted.
+    """
+
+    def __init__(self, data_centre: str) -> None:
+        self.data_centre = data_centre
+        self.forecasts: dict[str, Forecast] = {}
+
+    def restore(self, note: DemandNote | None) -> None:
+        """Go on where another holder ended."""
+        self.forecasts.clear()
+        if note is None:
+            return
+        for entry, demand in note.demand.items():
+            forecast = Forecast(level=demand, time_s=note.time_s)
+            shape = note.shapes.get(entry)
+            if shape is not None and len(shape) == len(forecast.shape):
+                forecast.shape = list(shape)
+            self.forecasts[entry] = forecast
+
+    def add(
+        self,
+        content: CatalogueContent,
+        loads: Mapping[str, EndpointLoad],
+        time_s: float,
+    ) -> None:
+        """Take the load reports of endpoints in; entries without any wait."""
+        busy: dict[str, int] = {}
+        for name, load in loads.items():
+            endpoint = content.endpoints.get(name)
+            if endpoint is not None and endpoint.data_centre == self.data_centre:
+                n_busy = load.n_running + load.n_waiting
+                busy[endpoint.entry] = busy.get(endpoint.entry, 0) + n_busy
+        for entry, n_busy in busy.items():
+            self.forecasts.setdefault(entry, Forecast()).add(n_busy, time_s)
+        for entry in [name for name in self.forecasts if name not in content.entries]:
+            del self.forecasts[entry]
+
+    def predict(self, horizon_s: float) -> dict[str, float]:
+        """Return the demand expected within a horizon, by entry."""
+        return {
+            entry: forecast.predict(horizon_s)
+            for entry, forecast in self.forecasts.items()
+        }
+
+    def make_note(
+        self,
+        horizon_s: float,
+        time_s: float,
+        refused: frozenset[tuple[str, str]] = frozenset(),
+    ) -> DemandNote:
+        """Return what other data centres and later holders are told."""
+        shapes = {
+            entry: [round(value, 2) for value in forecast.shape]
+            for entry, forecast in self.forecasts.items()
+        }
+        demand = {
+            entry: round(value, 2) for entry, value in self.predict(horizon_s).items()
+        }
+        return DemandNote(
+            demand=demand,
+            time_s=time_s,
+            shapes=shapes,
+            refused=sorted(refused),
+        )
+
+
+@attrs.define
+class ReclaimRisk:
+    """Reclaims per instance and hour, by data centre and class."""
+
+    hours: dict[tuple[str, str], float] = attrs.field(factory=dict)
+    n_reclaims: dict[tuple[str, str], float] = attrs.field(factory=dict)
+    leaving: set[str] = attrs.field(factory=set)
+
+    def add(self, instances: Iterable[CloudInstance], elapsed_s: float) -> None:
+        """Count instance hours and instances that have newly got a notice."""
+        still_leaving = set()
+        for item in instances:
+            if item.market != RECLAIMABLE or item.state == "gone":
+                continue
+            key = (item.data_centre, item.instance_class)
+            self.hours[key] = self.hours.get(key, 0.0) + elapsed_s / HOUR_S
+            if item.state == "leaving":
+                still_leaving.add(item.instance)
+                is_new = item.instance not in self.leaving
+                self.n_reclaims[key] = self.n_reclaims.get(key, 0.0) + float(is_new)
+            if self.hours[key] > RISK_HOURS_MOST:
+                self.hours[key] /= 2
+                self.n_reclaims[key] = self.n_reclaims.get(key, 0.0) / 2
+        self.leaving = still_leaving
+
+    def read(self, data_centre: str, instance_class: str) -> float:
+        """Return the reclaims expected per instance and hour."""
+        key = (data_centre, instance_class)
+        n_reclaims = self.n_reclaims.get(key, 0.0)
+        n_reclaims += RECLAIMS_PRIOR_PER_H * PRIOR_HOURS
+        return n_reclaims / (self.hours.get(key, 0.0) + PRIOR_HOURS)
+
+
+def make_offers(
+    goals: Mapping[str, FleetGoal],
+    prices: Iterable[CloudPrice],
+    risk: ReclaimRisk,
+    *,
+    n_slots: Mapping[str, int],
+    n_running: Mapping[tuple[str, str], int],
+    refused: frozenset[tuple[str, str]],
+    options: FleetOptions,
+) -> list[Offer]:
+    """Return the markets for the goals of one entry.
+
+    Parameters
+    ----------
+    n_running : mapping
+        Instances by goal and market; an offer in use is preferred.
+    refused : frozenset
+        Goals and markets that refuse starts now: they offer what runs.
+    """
+    by_place = {(price.data_centre, price.instance_class): price for price in prices}
+    offers = []
+    for name, goal in goals.items():
+        price = by_place.get((goal.data_centre, goal.instance_class))
+        if price is None:
+            continue
+        for market in MARKETS:
+            have = n_running.get((name, market), 0)
+            is_refused = (name, market) in refused
+            factor = 1 - options.switch_margin if have else 1.0
+            reclaims_per_h = 0.0
+            if market == RECLAIMABLE:
+                reclaims_per_h = risk.read(goal.data_centre, goal.instance_class)
+            offers.append(
+                Offer(
+                    goal=name,
+                    entry=goal.entry,
+                    data_centre=goal.data_centre,
+                    instance_class=goal.instance_class,
+                    market=market,
+                    price=getattr(price, market) * factor,
+                    reclaims_per_h=reclaims_per_h,
+                    n_slots=n_slots.get(goal.instance_class, options.n_slots),
+                    n_most=have if is_refused else goal.n_most,
+                )
+            )
+    return offers
+
+
+def make_need(
+    demand: float, n_fixed_slots: int, options: FleetOptions, *, margin: float = 0.0
+) -> Need:
+    """Return the need of an entry, ``margin`` being added to its demand."""
+    return Need(
+        demand=demand * (1 + margin),
+        target_load=options.target_load,
+        wave_load=options.wave_load,
+        n_fixed_slots=n_fixed_slots,
+    )
+
+
+def make_ranges(goals: Mapping[str, FleetGoal]) -> dict[str, GoalRange]:
+    """Return the least and the most instances of goals."""
+    return {
+        name: GoalRange(n_least=goal.n_least, n_most=goal.n_most, n_spare=goal.n_spare)
+        for name, goal in goals.items()
+    }
+
+
+def count_fixed_slots(
+    content: CatalogueContent, entry: str, instances: Iterable[CloudInstance]
+) -> int:
+    """Return the slots of an entry's endpoints that the fleet does not run."""
+    own = {
+        item.instance
+        for item in instances
+        if is_own_token(item.token, item.data_centre)
+    }
+    return sum(
+        endpoint.n_slots
+        for name, endpoint in content.endpoints.items()
+        if endpoint.entry == entry and name not in own and endpoint.instance not in own
+    )
+
+
+def find_slots(
+    content: CatalogueContent, instances: Iterable[CloudInstance]
+) -> dict[str, int]:
+    """Return the slots of an instance by class, from endpoints that run."""
+    classes = {item.instance: item.instance_class for item in instances}
+    return {
+        classes[endpoint.instance]: endpoint.n_slots
+        for endpoint in content.endpoints.values()
+        if endpoint.instance in classes
+    }
--- /dev/null
+++ b/lagoonring/fleet/holder.py
@@ -0,0 +1,369 @@
+"""Carries a data centre's fleet on while this instance holds its lease."""
+
+from __future__ import annotations
+
+import hashlib
+import uuid
+from collections import Counter
+from typing import TYPE_CHECKING, Any
+
+import attrs
+import msgspec
+
+from lagoonring.catalogue.edits import Change, Edit
+from lagoonring.errors import LagoonringError
+from lagoonring.fleet.demand import DemandTracker, ReclaimRisk, find_slots
+from lagoonring.fleet.ledger import FleetLedger
+from lagoonring.fleet.messages import DemandNote, FleetRecord, Intent, make_token
+from lagoonring.fleet.planning import (
+    Planning,
+    count_goals,
+    find_refused,
+    join_plans,
+    plan_entries,
+)
+from lagoonring.fleet.reconcile import (
+    Steps,
+    View,
+    change_to_plan,
+    count_running,
+    reconcile,
+)
+from lagoonring.leases import LeaseStream
+from lagoonring.logs import make_logger
+from lagoonring.platform.cloud import StartOrder, StartRefusedError
+from lagoonring.routing.messages import EndpointLoad
+from lagoonring.settings import to_plain
+
+if TYPE_CHECKING:
+    from lagoonring.catalogue.entries import CatalogueContent
+    from lagoonring.fleet.options import FleetOptions
+    from lagoonring.fleet.planner import Plan
+    from lagoonring.kernel import Application
+    from lagoonring.leases import Lease
+    from lagoonring.platform.cloud import Cloud, CloudInstance
+
+AUTHOR = "fleet"
+EDIT_ID_BYTES = 8
+N_RECORDS_PER_SNAPSHOT = 100
+IDLE_MARGIN_S = 2.0
+LOAD_KIND = "endpoint_load"
+
+logger = make_logger("fleet")
+
+
+class FleetHolder:
+    """The duty of the one instance that carries a data centre's fleet on.
+
+    Parameters
+    ----------
+    app : Application
+        Finds ``catalogue``, ``peers``, ``routing`` and ``log``.
+    data_centre : str
+        Whose instances are started and stopped.
+    ledger : FleetLedger
+        The records in force.
+    find_cloud : callable
+        Returns the cloud client.
+    options : FleetOptions
+        Times and margins.
+    """
+
+    def __init__(
+        self,
+        app: Application,
+        data_centre: str,
+        ledger: FleetLedger,
+        find_cloud: Any,
+        options: FleetOptions,
+    ) -> None:
+        self.app = app
+        self.data_centre = data_centre
+        self.ledger = ledger
+        self.find_cloud = find_cloud
+        self.options = options
+        self.demand = DemandTracker(data_centre)
+        self.risk = ReclaimRisk()
+        self.refusals: dict[tuple[str, str], tuple[float, float]] = {}
+        self.others: dict[str, LeaseStream] = {}
+        self.noted_s = 0.0
+        self.noted_refused: frozenset[tuple[str, str]] = frozenset()
+        self.looked_s = 0.0
+        self.excess_since_s: float | None = None
+        self.has_loads = False
+        self.plans: dict[str, Plan] = {}
+
+    async def run(self, lease: Lease) -> None:
+        """Carry the fleet on until the lease is lost."""
+        self.demand.restore(self.ledger.demand)
+        self.excess_since_s = None
+        self.noted_s = 0.0
+        self.looked_s = self.app.clock.time()
+        while lease.is_held():
+            try:
+                await self.step(lease)
+            except LagoonringError as error:
+                logger.warning("A step of the fleet failed, tries again: {}", error)
+            await self.app.clock.sleep(self.options.tick_s)
+
+    async def step(self, lease: Lease) -> None:
+        """Look at everything once, and do what is to be done now."""
+        cloud: Cloud = self.find_cloud()
+        revision = self.app.find("catalogue").revision
+        content = self.app.find("catalogue").content
+        instances = await cloud.list_instances()
+        by_token = await self._confirm_missing(cloud, instances)
+        loads = self._read_loads()
+        self._take_samples(content, instances, loads)
+        view = self._make_view(content, by_token, loads)
+        steps = reconcile(
+            view,
+            drain_s=self.options.drain_s,
+            versions={name: entry.version for name, entry in content.entries.items()},
+            n_slots=find_slots(content, instances),
+        )
+        await self._carry_out(lease, cloud, steps)
+        await self._edit(lease, revision, content, steps)
+        await self._follow_plan(lease, cloud, view, content, instances)
+        await self._note_demand(lease)
+        if self.ledger.n_since_snapshot > N_RECORDS_PER_SNAPSHOT:
+            self.ledger.n_since_snapshot = 0
+            await lease.append_snapshot(self.ledger.get_parts)
+
+    def _make_view(
+        self,
+        content: CatalogueContent,
+        by_token: dict[str, CloudInstance],
+        loads: dict[str, EndpointLoad],
+    ) -> View:
+        intents = dict(self.ledger.intents)
+        drained_s = {
+            item.instance: item.since_s
+            for item in intents.values()
+            if item.state == "draining"
+        }
+        idle = {
+            name
+            for name, load in loads.items()
+            if load.n_running + load.n_waiting == 0
+            and load.time_s > drained_s.get(name, float("inf")) + IDLE_MARGIN_S
+        }
+        return View(
+            now_s=self.app.clock.time(),
+            data_centre=self.data_centre,
+            intents=intents,
+            instances=by_token,
+            endpoints=content.endpoints,
+            idle=frozenset(idle),
+        )
+
+    async def _confirm_missing(
+        self, cloud: Cloud, instances: list[CloudInstance]
+    ) -> dict[str, CloudInstance]:
+        """Return instances by token; ask again for those that were there before."""
+        by_token = {item.token: item for item in instances}
+        for intent in self.ledger.open_intents():
+            if intent.instance and intent.token not in by_token:
+                for item in await cloud.list_instances(intent.token):
+                    by_token[item.token] = item
+        return by_token
+
+    async def _carry_out(self, lease: Lease, cloud: Cloud, steps: Steps) -> None:
+        for intent in steps.changed:
+            await lease.append(FleetRecord(intent=intent))
+        for name in steps.leaving:
+            self.app.find("routing").leaving(name)
+        for intent in steps.starts:
+            await self._start(lease, cloud, intent)
+        for name in steps.stops:
+            if lease.is_held():
+                logger.info("Stops instance {}.", name)
+                await cloud.stop_instance(name)
+
+    async def _start(self, lease: Lease, cloud: Cloud, intent: Intent) -> None:
+        if not lease.is_held():
+            return
+        order = StartOrder(
+            token=intent.token,
+            instance_class=intent.instance_class,
+            data_centre=intent.data_centre,
+            market=intent.market,
+        )
+        key = (intent.goal, intent.market)
+        try:
+            started = await cloud.start_instance(order)
+        except StartRefusedError as error:
+            self._note_refusal(key)
+            closed = attrs.evolve(
+                intent,
+                state="closed",
+                since_s=self.app.clock.time(),
+                reason=error.message,
+            )
+            await lease.append(FleetRecord(intent=closed))
+            return
+        self.refusals.pop(key, None)
+        known = attrs.evolve(intent, instance=started.instance)
+        await lease.append(FleetRecord(intent=known))
+        logger.info("Started instance {} for {}.", started.instance, intent.goal)
+
+    def _note_refusal(self, key: tuple[str, str]) -> None:
+        _, before_s = self.refusals.get(key, (0.0, 0.0))
+        options = self.options
+        delay_s = min(max(2 * before_s, options.backoff_s), options.backoff_limit_s)
+        self.refusals[key] = (self.app.clock.time() + delay_s, delay_s)
+        logger.info("Start for {} ({}) refused, waits {} s.", *key, delay_s)
+
+    async def _edit(
+        self, lease: Lease, revision: int, content: CatalogueContent, steps: Steps
+    ) -> None:
+        """Add and remove endpoints by an edit based on what was looked at."""
+        changes = [
+            Change(section="endpoints", name=name, item=to_plain(endpoint))
+            for name, endpoint in steps.added.items()
+        ]
+        changes += [
+            Change(section="endpoints", name=name, item=None)
+            for name in dict.fromkeys(steps.removed)
+        ]
+        if not changes or not lease.is_held():
+            return
+        edit = Edit(
+            edit_id=_make_edit_id(changes, revision, lease.fencing_number),
+            author=AUTHOR,
+            base_revision=revision,
+            changes=changes,
+            note=f"instances of {self.data_centre}",
+        )
+        await self.app.find("catalogue").apply(edit)
+
+    async def _follow_plan(
+        self,
+        lease: Lease,
+        cloud: Cloud,
+        view: View,
+        content: CatalogueContent,
+        instances: list[CloudInstance],
+    ) -> None:
+        prices = await cloud.read_prices()
+        notes = await self._read_notes()
+        demand = Counter(self.demand.predict(self.options.horizon_s))
+        for note in notes:
+            demand.update(note.demand)
+        view = attrs.evolve(view, intents=dict(self.ledger.intents))
+        planning = Planning(
+            content=content,
+            instances=instances,
+            prices=prices,
+            demand=demand,
+            risk=self.risk,
+            running=count_goals(content, instances, view),
+            refused=self._refused().union(*map(find_refused, notes)),
+        )
+        self.plans = plan_entries(planning, self.options)
+        starting = join_plans(self.plans)
+        margin = self.options.cancel_margin
+        stopping = join_plans(plan_entries(planning, self.options, margin=margin))
+        token = self._make_token
+        changes = change_to_plan(view, starting, make_token=token, may_stop=False)
+        if not changes and self._may_stop(view, stopping):
+            changes = change_to_plan(view, stopping, make_token=token, may_stop=True)
+            changes = [item for item in changes if item.state == "draining"]
+        for intent in changes[: self.options.n_starts]:
+            await lease.append(FleetRecord(intent=intent))
+        for intent in changes[: self.options.n_starts]:
+            if intent.state == "wanted":
+                await self._start(lease, cloud, intent)
+
+    def _may_stop(self, view: View, plan: Plan) -> bool:
+        """Whether what is planned has run for long enough, here.
+
+        Without any load report the demand is not known, and nothing stops.
+        """
+        running = count_running(view)
+        is_enough = self.has_loads and all(
+            running[offer.goal, offer.market] >= count
+            for offer, count in plan.counts.items()
+            if offer.data_centre == self.data_centre
+        )
+        now_s = self.app.clock.time()
+        if not is_enough:
+            self.excess_since_s = None
+            return False
+        if self.excess_since_s is None:
+            self.excess_since_s = now_s
+        return now_s - self.excess_since_s >= self.options.settle_s
+
+    async def _read_notes(self) -> list[DemandNote]:
+        """Return what the holders of the other data centres have told last."""
+        goals = self.app.find("catalogue").content.fleet.values()
+        others = {goal.data_centre for goal in goals} - {self.data_centre}
+        notes = [(await self._follow(name)).demand for name in sorted(others)]
+        return [note for note in notes if note is not None]
+
+    async def _follow(self, data_centre: str) -> FleetLedger:
+        stream = self.others.get(data_centre)
+        if stream is None:
+            stream = LeaseStream(
+                self.app.find("log"),
+                make_stream(data_centre),
+                self.app.clock,
+                FleetLedger(),
+            )
+            self.others[data_centre] = stream
+        await stream.read_to_end()
+        assert isinstance(stream.data, FleetLedger)
+        return stream.data
+
+    async def _note_demand(self, lease: Lease) -> None:
+        now_s = self.app.clock.time()
+        refused = self._refused()
+        is_due = now_s - self.noted_s >= self.options.note_s
+        if not is_due and refused == self.noted_refused:
+            return
+        self.noted_s = now_s
+        self.noted_refused = refused
+        note = self.demand.make_note(self.options.horizon_s, now_s, refused)
+        await lease.append(FleetRecord(demand=note))
+
+    def _take_samples(
+        self,
+        content: CatalogueContent,
+        instances: list[CloudInstance],
+        loads: dict[str, EndpointLoad],
+    ) -> None:
+        now_s = self.app.clock.time()
+        self.risk.add(instances, now_s - self.looked_s)
+        self.looked_s = now_s
+        self.demand.add(content, loads, now_s)
+        self.has_loads = bool(loads)
+
+    def _read_loads(self) -> dict[str, EndpointLoad]:
+        """Return the newest load report of each endpoint."""
+        newest: dict[str, EndpointLoad] = {}
+        rows = self.app.find("peers").rows(LOAD_KIND, EndpointLoad)
+        for (_, name), load in rows.items():
+            if name not in newest or load.time_s > newest[name].time_s:
+                newest[name] = load
+        return newest
+
+    def _refused(self) -> frozenset[tuple[str, str]]:
+        now_s = self.app.clock.time()
+        return frozenset(
+            key for key, (until_s, _) in self.refusals.items() if until_s > now_s
+        )
+
+    def _make_token(self) -> str:
+        unique = uuid.UUID(int=self.app.rng.getrandbits(128), version=4).hex
+        return make_token(self.data_centre, unique)
+
+
+def make_stream(data_centre: str) -> str:
+    """Return the stream of a data centre's fleet."""
+    return f"fleet-{data_centre}"
+
+
+def _make_edit_id(changes: list[Change], revision: int, epoch: int) -> str:
+    data = msgspec.json.encode([changes, revision, epoch], order="sorted")
+    digest = hashlib.blake2b(data, digest_size=EDIT_ID_BYTES).hexdigest()
+    return f"fleet-{digest}"
--- /dev/null
+++ b/lagoonring/fleet/notices.py
@@ -0,0 +1,125 @@
+"""Reads notices of reclaims, and tells every instance of them at once."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from lagoonring.errors import LagoonringError
+from lagoonring.fleet.messages import NoticeRow
+from lagoonring.leases import is_among_first
+from lagoonring.logs import make_logger
+
+if TYPE_CHECKING:
+    from lagoonring.fleet.options import FleetOptions
+    from lagoonring.kernel import Application
+    from lagoonring.platform.cloud import Cloud, Notice
+
+LEAVING_KIND = "leaving"
+N_NOTICES_KEPT = 4096
+
+logger = make_logger("fleet")
+
+
+class NoticeReader:
+    """Reads notices where this instance is one of its data centre's readers.
+
+    Several instances read, whoever holds the lease, so that none is lost with
+    one of them; acting on a notice twice changes nothing.
+
+    Parameters
+    ----------
+    app : Application
+        Finds ``catalogue``, ``peers``, ``routing`` and ``requests``.
+    data_centre : str
+        Whose notices are read.
+    find_cloud : callable
+        Returns the cloud client.
+    options : FleetOptions
+        Times, and how many instances read.
+    """
+
+    def __init__(
+        self,
+        app: Application,
+        data_centre: str,
+        find_cloud: Any,
+        options: FleetOptions,
+    ) -> None:
+        self.app = app
+        self.data_centre = data_centre
+        self.find_cloud = find_cloud
+        self.options = options
+        self.next_seq = 0
+        self.pending: dict[str, Notice] = {}
+        self.moved: dict[tuple[str, float], None] = {}
+
+    async def run(self) -> None:
+        """Read for ever."""
+        while True:
+            if self.is_reader():
+                try:
+                    await self.read_once()
+                except LagoonringError as error:
+                    logger.warning("Notices can't be read, tries again: {}", error)
+            await self.app.clock.sleep(self.options.notice_poll_s)
+
+    def is_reader(self) -> bool:
+        """Whether this instance is one of those that read."""
+        peers = self.app.find("peers")
+        me = peers.me.instance
+        others = [
+            member.instance
+            for member in peers.members()
+            if member.data_centre == self.data_centre
+        ]
+        name = f"notices-{self.data_centre}"
+        return is_among_first(name, me, {me, *others}, n=self.options.n_readers)
+
+    async def read_once(self) -> None:
+        """Read new notices and act on all that are not over."""
+        cloud: Cloud = self.find_cloud()
+        page = await cloud.read_notices(self.next_seq)
+        self.next_seq = page.next_seq
+        now_s = self.app.clock.time()
+        for notice in page.notices:
+            if notice.data_centre == self.data_centre and notice.reclaim_s > now_s:
+                self.pending[notice.instance] = notice
+        for instance, notice in list(self.pending.items()):
+            if notice.reclaim_s <= now_s or self._act(notice):
+                del self.pending[instance]
+
+    def take_row(self, origin: str, name: str, row: NoticeRow | None) -> None:
+        """Move streams off an endpoint that another instance has a notice of."""
+        if row is not None and row.reclaim_s > 0:
+            self._move_off(name, row.reclaim_s)
+
+    def _act(self, notice: Notice) -> bool:
+        """Act on a notice; False if the catalogue does not know the endpoint yet."""
+        endpoints = self.app.find("catalogue").content.endpoints
+        names = [
+            name
+            for name, endpoint in endpoints.items()
+            if endpoint.instance == notice.instance
+        ]
+        for name in names:
+            row = NoticeRow(
+                instance=notice.instance,
+                url=endpoints[name].url,
+                since_s=self.app.clock.time(),
+                reclaim_s=notice.reclaim_s,
+            )
+            self.app.find("routing").leaving(name)
+            self.app.find("peers").publish(LEAVING_KIND, name, row, urgent=True)
+            self._move_off(name, notice.reclaim_s)
+            logger.info("Endpoint {} will be reclaimed.", name)
+        return bool(names)
+
+    def _move_off(self, endpoint: str, reclaim_s: float) -> None:
+        key = (endpoint, reclaim_s)
+        if key in self.moved or "requests" not in self.app.services:
+            return
+        self.moved[key] = None
+        while len(self.moved) > N_NOTICES_KEPT:
+            del self.moved[next(iter(self.moved))]
+        seconds_left = max(0.0, reclaim_s - self.app.clock.time())
+        self.app.find("requests").endpoint_leaving(endpoint, seconds_left)
--- /dev/null
+++ b/lagoonring/fleet/planning.py
@@ -0,0 +1,123 @@
+"""Plans for all entries, from what the holder of a data centre sees."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Mapping
+from typing import TYPE_CHECKING
+
+import attrs
+
+from lagoonring.catalogue.entries import CatalogueContent
+from lagoonring.fleet.demand import (
+    ReclaimRisk,
+    count_fixed_slots,
+    find_slots,
+    make_need,
+    make_offers,
+    make_ranges,
+)
+from lagoonring.fleet.planner import Plan, make_plan
+from lagoonring.fleet.reconcile import GONE_STATES
+from lagoonring.platform.cloud import CloudInstance, CloudPrice
+
+if TYPE_CHECKING:
+    from lagoonring.catalogue.entries import FleetGoal
+    from lagoonring.fleet.messages import DemandNote
+    from lagoonring.fleet.options import FleetOptions
+    from lagoonring.fleet.reconcile import View
+
+
+@attrs.frozen(kw_only=True)
+class Planning:
+    """What plans are made from.
+
+    Attributes
+    ----------
+    demand : mapping
+        Busy slots expected by entry, over all data centres.
+    running : mapping
+        Instances wanted by goal and market, in all data centres.
+    refused : frozenset
+        Goals and markets that refuse starts now.
+    """
+
+    content: CatalogueContent
+    instances: list[CloudInstance]
+    prices: list[CloudPrice]
+    demand: Mapping[str, float]
+    risk: ReclaimRisk
+    running: Mapping[tuple[str, str], int]
+    refused: frozenset[tuple[str, str]]
+
+
+def plan_entries(
+    planning: Planning, options: FleetOptions, *, margin: float = 0.0
+) -> dict[str, Plan]:
+    """Return a plan for each entry that has goals and prices."""
+    content = planning.content
+    plans = {}
+    for entry, goals in _goals_by_entry(content).items():
+        offers = make_offers(
+            goals,
+            planning.prices,
+            planning.risk,
+            n_slots=find_slots(content, planning.instances),
+            n_running=planning.running,
+            refused=planning.refused,
+            options=options,
+        )
+        if not offers:
+            continue
+        n_fixed = count_fixed_slots(content, entry, planning.instances)
+        demand = planning.demand.get(entry, 0.0)
+        need = make_need(demand, n_fixed, options, margin=margin)
+        known = {offer.goal for offer in offers}
+        ranges = make_ranges({name: goals[name] for name in sorted(known)})
+        plans[entry] = make_plan(need, offers, ranges)
+    return plans
+
+
+def join_plans(plans: Mapping[str, Plan]) -> Plan:
+    """Return one plan with the counts of all."""
+    counts = {offer: n for plan in plans.values() for offer, n in plan.counts.items()}
+    return Plan(
+        counts=counts,
+        price=sum(plan.price for plan in plans.values()),
+        n_missing_slots=sum(plan.n_missing_slots for plan in plans.values()),
+    )
+
+
+def count_goals(
+    content: CatalogueContent, instances: list[CloudInstance], view: View
+) -> Counter[tuple[str, str]]:
+    """Return instances by goal and market, in all data centres.
+
+    Those of other data centres are known from the cloud's list, by class.
+    """
+    places = {
+        (goal.data_centre, goal.instance_class): name
+        for name, goal in content.fleet.items()
+    }
+    counts: Counter[tuple[str, str]] = Counter()
+    for intent in view.intents.values():
+        if intent.state == "wanted":
+            counts[intent.goal, intent.market] += 1
+    for item in instances:
+        is_other = item.data_centre != view.data_centre
+        goal = places.get((item.data_centre, item.instance_class))
+        if is_other and goal and item.state not in GONE_STATES:
+            counts[goal, item.market] += 1
+    return counts
+
+
+def find_refused(note: DemandNote) -> frozenset[tuple[str, str]]:
+    """Return the goals and markets that refused starts when a note was made."""
+    return frozenset((goal, market) for goal, market in note.refused)
+
+
+def _goals_by_entry(content: CatalogueContent) -> dict[str, dict[str, FleetGoal]]:
+    found: dict[str, dict[str, FleetGoal]] = {}
+    for name, goal in content.fleet.items():
+        found.setdefault(goal.entry, {})[name] = goal
+    return found
--- a/lagoonring/moves/service.py
+++ b/lagoonring/moves/service.py
@@ -34,6 +34,7 @@
 NOTICE_KIND = "verdict"
 COUNTS_KIND = "version_counts"
 VERDICT_PREFIX = "bad:"
+CAUSE_SUSPECT = "suspect"
 CUT_KINDS = ("cut", "connect")
 N_FINDINGS_KEPT = 256
 N_CUTS_KEPT = 1024
@@ -169,7 +170,8 @@
             How it ended.
         caused_by_request : bool
             Whether the request itself or a reclaim is the cause of a failure;
-            it then says nothing of the version.
+            it then says nothing of the version. One that is only a suspect
+            does count, or a version that crashes its endpoints would not show.
         endpoint : str
             Where it ran; several cuts at once of one endpoint count as one.
         load_share : float
@@ -178,7 +180,7 @@
         comparison = self.comparisons.get(entry)
         if comparison is None or not comparison.compares(version):
             return
-        if not result.ok and caused_by_request:
+        if not result.ok and _is_excused(result, caused_by_request):
             return
         if result.kind in CUT_KINDS and endpoint:
             self._count_crash(comparison, endpoint)
@@ -383,6 +385,12 @@
         )
 
 
+def _is_excused(result: AttemptResult, caused_by_request: bool) -> bool:
+    if result.cause:
+        return result.cause != CAUSE_SUSPECT
+    return caused_by_request
+
+
 def _describe_ordered(name: str, move: Any) -> MoveStatus:
     return MoveStatus(
         name=name,
--- a/lagoonring/tests/test_moves_failures.py
+++ b/lagoonring/tests/test_moves_failures.py
@@ -6,6 +6,7 @@
 import pytest
 
 from lagoonring.catalogue import Change
+from lagoonring.routing.messages import AttemptResult
 from lagoonring.tests.builders.moves import OPTIONS, MovesFleet
 
 DEADLINE_S = 60.0
@@ -259,3 +260,25 @@
 
 def has_unloaded(fleet, url):
     return fleet.engines[url].orders[-1].kind == "unload_version"
+
+
+async def test_crashes_count_unless_the_request_or_a_reclaim_is_the_cause():
+    async with running(n_instances=1) as fleet:
+        await fleet.order(in_s=DEADLINE_S)
+        assert await fleet.run(20, until=lambda: fleet.new_times_s)
+        moves = fleet.instances[0].moves
+        counts = moves.comparisons["guide"].counts
+
+        def cut(cause, endpoint, **options):
+            result = AttemptResult(ok=False, kind="cut", cause=cause)
+            moves.observe("guide", "2", "plan", result, endpoint=endpoint, **options)
+            return sum(cell.bad_new[0] for cell in counts.cells.values())
+
+        assert cut("request", "e1", caused_by_request=True) == 0
+        assert cut("", "e1", caused_by_request=True) == 0
+        assert cut("suspect", "e1", caused_by_request=True) == 1
+        assert cut("", "e1") == 1
+        assert cut("", "e2") == 2
+        assert counts.crashes == {"e1": 1, "e2": 1}
+        await fleet.clock.advance(OPTIONS.cut_window_s)
+        assert cut("", "e1") == 3
