--- a/lagoonring/tests/test_golden_sessions.py
+++ b/lagoonring/tests/test_golden_sessions.py
@@ -17,6 +17,7 @@
 from lagoonring.tests.builders.deployments import (
     OPERATOR_TOKEN,
     Deployment,
+    headers_of,
     run_deployment,
 )
 from lagoonring.tests.builders.transcripts import Transcript
@@ -124,3 +125,46 @@
         document = await answer.json()
         error = document.get("error", {})
         return answer.status, error.get("code") or str(document)
+
+
+async def test_booking_resent_through_another_instance():
+    transcript = Transcript()
+    async with run_deployment(n_entries=3, n_engines=0) as deployment:
+        await wait_for_members(deployment)
+        service = deployment.services["booking-0"]
+        for number, entry in enumerate((0, 1, 2)):
+            status, line = await book(deployment, entry, key="k1", seats=2)
+            transcript.say("caller", f"booking k1 through entry-{entry}: {line}")
+            transcript.say("service", f"runs after resend {number}: {service.n_runs}")
+        status, line = await book(deployment, 0, key="k1", seats=3)
+        transcript.say("caller", f"key k1 for another booking: {line}")
+        deployment.log.faults.is_out = True
+        status, line = await book(deployment, 1, key="k2", seats=1)
+        transcript.say("caller", f"booking k2 while the log is out: {line}")
+        transcript.say("service", f"runs while the log is out: {service.n_runs}")
+        deployment.log.faults.is_out = False
+        while status != 200:
+            status, line = await book(deployment, 2, key="k2", seats=1)
+        transcript.say("caller", f"booking k2 once the log is back: {line}")
+        transcript.say("service", f"runs at the end: {service.n_runs}")
+    transcript.check("booking-resent")
+
+
+async def book(
+    deployment: Deployment, entry: int, *, key: str, seats: int
+) -> tuple[int, str]:
+    """Book seats; return the status and what the caller is told."""
+    url = f"{deployment.url(entry)}/services/booking/bookings"
+    headers = headers_of(**{"Idempotency-Key": key})
+    async with deployment.session.post(
+        url, json={"seats": seats}, headers=headers
+    ) as answer:
+        document = await answer.json()
+        if "error" in document:
+            error = document["error"]
+            retry = "with" if error["retry_after_s"] else "without"
+            outcome = f"{error['code']}, {error['outcome']}, {retry} Retry-After"
+            return answer.status, f"{answer.status} {outcome}"
+        replayed = "replayed" if "X-Replayed" in answer.headers else "run"
+        run = document["run"]
+        return answer.status, f"{answer.status} {replayed}, run number {run}"
