Add claims: a keyed booking runs at most once, by the order of the log

Cause: payments and holds may not run twice, though instances die or pause, the log loses answers and calls between instances are lost. Change: keys map to slots; a slot's owner holds a lease in the slot's own stream, appends claims in batches and answers only after reading them back; askers ask again with the same claim id; what may have been granted unheard is released in the background.

--- /dev/null
+++ b/lagoonring/claims/service.py
@@ -0,0 +1,371 @@
+"""The service ``claims``: each keyed request runs at most once.
+
+A claim is asked of the owner of its key's slot, found by rendezvous hashing
+among the live members; it is asked again, with the same claim id, until it is
+answered or the request's deadline is over.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+import attrs
+import msgspec
+
+from lagoonring.claims import metrics
+from lagoonring.claims.answers import AnswerCache
+from lagoonring.claims.errors import (
+    ClaimFateUnknownError,
+    ClaimsUnavailableError,
+    KeyReusedError,
+    MismatchedSlotsError,
+)
+from lagoonring.claims.keys import digest_id, digest_key, find_slot
+from lagoonring.claims.options import ClaimsOptions
+from lagoonring.claims.records import (
+    Ask,
+    ClaimAnswer,
+    ClaimItem,
+    ItemKind,
+    Reply,
+    StoredAnswer,
+    trim_answer,
+)
+from lagoonring.claims.slot import SlotOwner
+from lagoonring.errors import LagoonringError, UnavailableError
+from lagoonring.kernel.application import BaseService
+from lagoonring.leases import rank
+from lagoonring.logs import make_logger
+
+if TYPE_CHECKING:
+    from lagoonring.kernel import Application
+    from lagoonring.platform.log import Log
+
+METHODS: dict[ItemKind, str] = {
+    "claim": "claims.claim",
+    "finish": "claims.finish",
+    "release": "claims.release",
+}
+LIVE = "live"
+ALONE = "alone"
+
+logger = make_logger("claims")
+
+
+@attrs.define
+class _Asking:
+    """What is known while one item is asked for."""
+
+    item: ClaimItem
+    deadline_s: float
+    may_count: bool = False
+    holder: str = ""
+
+
+class ClaimsService(BaseService):
+    """Asks for claims, and owns the slots that prefer this instance.
+
+    Parameters
+    ----------
+    app : Application
+        Finds ``log``, ``peers`` and ``catalogue``; the last two may be missing.
+    options : ClaimsOptions
+        Options of claims.
+    log : Log or None
+        In place of the service ``log``.
+    """
+
+    name = "claims"
+
+    def __init__(
+        self,
+        app: Application,
+        options: ClaimsOptions | None = None,
+        *,
+        log: Log | None = None,
+    ) -> None:
+        self.app = app
+        self.options = options or ClaimsOptions()
+        self.given_log = log
+        self.owners: dict[int, SlotOwner] = {}
+        self.left_since_s: dict[int, float] = {}
+        self.live: tuple[str, ...] = ()
+        self.preferred: list[str] = []
+        self.settling: set[asyncio.Task[bool]] = set()
+        self.owner_tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> None:
+        """Begin to serve asks and to compete for slots."""
+        self.log = self.given_log or self.app.find("log")
+        self.answers = AnswerCache(self.log, self.options.answer_cache_bytes)
+        self.peers: Any = self.app.services.get("peers")
+        self.me = self.peers.me.instance if self.peers is not None else ALONE
+        if self.peers is not None:
+            for method in METHODS.values():
+                self.peers.serve(method, self._serve)
+        self._balance()
+        self.app.spawn("claims.balance", self._keep_balance)
+
+    async def drain(self, grace_s: float) -> None:
+        """Leave all slots to other instances, after what waits is answered."""
+        if self.settling:
+            await asyncio.wait(self.settling, timeout=grace_s / 2)
+        for owner in self.owners.values():
+            owner.retire()
+        if self.owner_tasks:
+            await asyncio.wait(self.owner_tasks, timeout=grace_s / 2)
+
+    async def stop(self) -> None:
+        """Give up what is still tried in the background."""
+        for task in list(self.settling):
+            task.cancel()
+        await asyncio.gather(*self.settling, return_exceptions=True)
+
+    async def claim(
+        self,
+        key: str,
+        fingerprint: str | bytes,
+        claim_id: str,
+        *,
+        entry: str,
+        deadline_s: float | None = None,
+    ) -> ClaimAnswer:
+        """Claim a key for one sending of a request.
+
+        Parameters
+        ----------
+        key : str
+            With organisation and entry; see
+            :func:`lagoonring.claims.keys.scoped_key`.
+        fingerprint : str or bytes
+            Of the request; the same for the same request.
+        claim_id : str
+            Unique per sending; chosen by the system, never by the caller.
+        entry : str
+            Name of the entry, for whether its endpoints deduplicate.
+        deadline_s : float or None
+            End of the request on the application's monotonic clock.
+
+        Raises
+        ------
+        ClaimsUnavailableError
+            If nothing was granted; the sending was not run.
+        ClaimFateUnknownError
+            If a grant may have been made; it is taken back in the background.
+        KeyReusedError
+            If the key belongs to another request.
+        """
+        item = _make_item("claim", key, claim_id, fingerprint=digest_id(fingerprint))
+        now_s = self.app.clock.monotonic()
+        end_s = (
+            now_s + self.options.claim_timeout_s if deadline_s is None else deadline_s
+        )
+        asking = _Asking(item, end_s)
+        try:
+            reply = await self._ask(asking)
+        except (ClaimsUnavailableError, ClaimFateUnknownError):
+            if self._deduplicates(entry):
+                return ClaimAnswer(state="granted", is_recorded=False)
+            raise
+        finally:
+            # Also when this task is cancelled: nobody runs what it asked for.
+            if asking.may_count:
+                self._settle(attrs.evolve(item, kind="release"))
+        return self._to_answer(reply)
+
+    async def finish(self, key: str, claim_id: str, answer: StoredAnswer) -> bool:
+        """Record the answer of a request that ran.
+
+        Returns whether it was recorded in ``settle_timeout_s``. A body over
+        64 KB is recorded by its digest only.
+        """
+        item = _make_item("finish", key, claim_id, answer=trim_answer(answer))
+        return await _wait_settled(self._settle(item))
+
+    async def release(self, key: str, claim_id: str) -> bool:
+        """Let the key be claimed again; only if it was provably not run.
+
+        Returns whether that was recorded in ``settle_timeout_s``.
+        """
+        item = _make_item("release", key, claim_id)
+        return await _wait_settled(self._settle(item))
+
+    async def _ask(self, asking: _Asking) -> Reply:
+        """Ask until there is an outcome; leaves ``may_count`` if it is unknown."""
+        clock, options = self.app.clock, self.options
+        slot = find_slot(asking.item.key, options.n_slots)
+        while True:
+            reply = await self._ask_once(asking, slot)
+            if reply.kind == "outcome":
+                asking.may_count = False
+                return reply
+            if reply.kind in ("log_out", "full"):
+                break
+            pause_s = options.retry_s * self.app.rng.uniform(0.5, 1.5)
+            if clock.monotonic() + pause_s >= asking.deadline_s:
+                break
+            await clock.sleep(pause_s)
+        metrics.N_ANSWERS.labels("unavailable").inc()
+        if asking.may_count:
+            raise ClaimFateUnknownError(retry_after_s=options.retry_after_s)
+        reason = "the log out" if reply.kind == "log_out" else "no owner of its slot"
+        raise ClaimsUnavailableError(reason, retry_after_s=options.retry_after_s)
+
+    async def _ask_once(self, asking: _Asking, slot: int) -> Reply:
+        target = asking.holder or self.preferred[slot]
+        asking.holder = ""
+        had_count, asking.may_count = asking.may_count, True
+        try:
+            reply = await self._send(target, slot, asking)
+        except UnavailableError:
+            # The owner was provably not reached.
+            asking.may_count = had_count
+            return Reply(kind="not_holder")
+        except (LagoonringError, OSError, msgspec.MsgspecError) as error:
+            logger.info("Asked {} for slot {} in vain: {!r}.", target, slot, error)
+            return Reply(kind="fate_unknown")
+        if reply.kind != "fate_unknown":
+            asking.may_count = had_count
+        if reply.kind == "not_holder" and reply.holder != target:
+            asking.holder = reply.holder
+        return reply
+
+    async def _send(self, target: str, slot: int, asking: _Asking) -> Reply:
+        ask = Ask(slot=slot, n_slots=self.options.n_slots, item=asking.item)
+        left_s = asking.deadline_s - self.app.clock.monotonic()
+        timeout_s = max(0.001, min(self.options.call_timeout_s, left_s))
+        if target == self.me:
+            try:
+                async with asyncio.timeout(timeout_s):
+                    return await self._handle(ask)
+            except TimeoutError:
+                return Reply(kind="fate_unknown")
+        payload = await self.peers.call(
+            target,
+            METHODS[asking.item.kind],
+            msgspec.msgpack.encode(ask),
+            timeout_s=timeout_s,
+        )
+        return msgspec.msgpack.decode(payload, type=Reply)
+
+    async def _serve(self, sender: str, payload: bytes) -> bytes:
+        ask = msgspec.msgpack.decode(payload, type=Ask)
+        return msgspec.msgpack.encode(await self._handle(ask))
+
+    async def _handle(self, ask: Ask) -> Reply:
+        if ask.n_slots != self.options.n_slots:
+            raise MismatchedSlotsError(ask.n_slots, self.options.n_slots)
+        owner = self.owners.get(ask.slot)
+        if owner is not None:
+            return await owner.submit(ask.item)
+        preferred = self.preferred[ask.slot]
+        return Reply(
+            kind="not_holder", holder="" if preferred == self.me else preferred
+        )
+
+    def _settle(self, item: ClaimItem) -> asyncio.Task[bool]:
+        """Record a finish or release, for as long as it takes within a limit."""
+        task = asyncio.create_task(self._settle_item(item))
+        if len(self.settling) >= self.options.n_settling_most:
+            oldest = next(iter(self.settling))
+            oldest.cancel()
+            self.settling.discard(oldest)
+        self.settling.add(task)
+        task.add_done_callback(self.settling.discard)
+        return task
+
+    async def _settle_item(self, item: ClaimItem) -> bool:
+        end_s = self.app.clock.monotonic() + self.options.settle_timeout_s
+        while self.app.clock.monotonic() < end_s:
+            try:
+                reply = await self._ask(_Asking(item, end_s))
+                return reply.status == "done"
+            except (ClaimsUnavailableError, ClaimFateUnknownError):
+                pause_s = self.options.retry_after_s * self.app.rng.uniform(0.5, 1.5)
+                await self.app.clock.sleep(pause_s)
+        logger.warning(
+            "Gave up a {} after {} s.", item.kind, self.options.settle_timeout_s
+        )
+        return False
+
+    def _to_answer(self, reply: Reply) -> ClaimAnswer:
+        if reply.status == "key_reused":
+            raise KeyReusedError
+        if reply.status == "granted":
+            state = "granted"
+        elif reply.status == "finished":
+            metrics.N_ANSWERS.labels("finished").inc()
+            return ClaimAnswer(state="finished", answer=reply.answer)
+        elif reply.status == "in_progress":
+            is_old = reply.age_s >= self.options.in_progress_s
+            state = "unknown" if is_old else "in_progress"
+        else:
+            reason = f"a claim id that is {reply.status}"
+            retry_after_s = self.options.retry_after_s
+            raise ClaimsUnavailableError(reason, retry_after_s=retry_after_s)
+        metrics.N_ANSWERS.labels(state).inc()
+        return ClaimAnswer(state=state)  # type: ignore[arg-type]
+
+    def _deduplicates(self, entry: str) -> bool:
+        catalogue = self.app.services.get("catalogue")
+        if catalogue is None:
+            return False
+        item = catalogue.content.entries.get(entry)
+        return item is not None and item.deduplicates
+
+    async def _keep_balance(self) -> None:
+        while True:
+            await self.app.clock.sleep(self.options.balance_s)
+            if not self.app.draining:
+                self._balance()
+
+    def _balance(self) -> None:
+        """Take the slots that prefer this instance, leave those that do not."""
+        live = tuple(sorted({self.me, *self._find_live()}))
+        if live != self.live:
+            self.live = live
+            slots = range(self.options.n_slots)
+            self.preferred = [rank(f"claims-{slot}", live)[0] for slot in slots]
+        now_s = self.app.clock.monotonic()
+        for slot, instance in enumerate(self.preferred):
+            if instance == self.me:
+                self.left_since_s.pop(slot, None)
+                self._take_slot(slot)
+            elif slot in self.owners:
+                since_s = self.left_since_s.setdefault(slot, now_s)
+                if now_s - since_s >= self.options.handover_s:
+                    self.owners[slot].retire()
+
+    def _find_live(self) -> list[str]:
+        if self.peers is None:
+            return []
+        return [
+            member.instance for member in self.peers.members() if member.state == LIVE
+        ]
+
+    def _take_slot(self, slot: int) -> None:
+        if slot in self.owners:
+            return
+        owner = SlotOwner(self.app, slot, self.me, self.log, self.options, self.answers)
+        self.owners[slot] = owner
+
+        async def run() -> None:
+            await owner.run()
+            self.owners.pop(slot, None)
+
+        task = self.app.spawn(f"claims.slot-{slot}", run)
+        self.owner_tasks.add(task)
+        task.add_done_callback(self.owner_tasks.discard)
+
+
+async def _wait_settled(task: asyncio.Task[bool]) -> bool:
+    """Wait without cancelling the task if the waiting one is cancelled."""
+    await asyncio.wait({task})
+    return not task.cancelled() and task.result()
+
+
+def _make_item(kind: ItemKind, key: str, claim_id: str, **fields: Any) -> ClaimItem:
+    return ClaimItem(
+        kind=kind, key=digest_key(key), claim=digest_id(claim_id), **fields
+    )
--- a/lagoonring/leases/stream.py
+++ b/lagoonring/leases/stream.py
@@ -71,6 +71,9 @@
         Monotonic time at which the newest renewal was seen.
     time_s : float
         The log's time of the newest record.
+    snapshot_time_s : float
+        The log's time of the newest snapshot, or of the first record that was
+        read if there was none.
     """
 
     def __init__(
@@ -85,6 +88,7 @@
         self.first_offset = 0
         self.seen_s = clock.monotonic()
         self.time_s = 0.0
+        self.snapshot_time_s = 0.0
         self.is_at_end = False
         self.sightings: dict[str, Sighting | None] = {}
 
@@ -137,6 +141,9 @@
         self.next_offset = record.offset + 1
         self.time_s = max(self.time_s, record.time_s)
         decoded = decode_record(record.data)
+        is_snapshot = decoded is not None and decoded.kind == "snapshot"
+        if is_snapshot or not self.snapshot_time_s:
+            self.snapshot_time_s = self.time_s
         if decoded is None:
             logger.warning("Skipped a record of {} at {}.", self.stream, record.offset)
             return
--- a/lagoonring/tests/builders/claims.py
+++ b/lagoonring/tests/builders/claims.py
@@ -7,10 +7,17 @@
 
 import attrs
 
-from lagoonring.errors import UnavailableError
+from lagoonring.claims import ClaimsOptions, ClaimsService
+from lagoonring.errors import AnswerLostError, UnavailableError
+from lagoonring.kernel import Application
+from lagoonring.leases import LeaseOptions
+from lagoonring.tests.builders.logs import InstanceLog, make_application
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Coroutine
+
+    from lagoonring.standins.log_standin import LogStandin
 
 
 @attrs.define
@@ -56,8 +63,8 @@
         """Whether a message gets through."""
         if sender == receiver:
             return True
-        cut = sender in self.cut_off or receiver in self.cut_off
-        return not cut and receiver in self.peers
+        both = {sender, receiver}
+        return both <= self.peers.keys() and not both & self.cut_off
 
     async def disturb(self, receiver: str) -> None:
         """Delay or lose one message."""
@@ -137,19 +144,19 @@
     ) -> bytes:
         """Call a method of another instance."""
         try:
-            return await asyncio.wait_for(
-                self._call(instance, method, payload), timeout_s
-            )
+            async with asyncio.timeout(timeout_s):
+                return await self._call(instance, method, payload)
         except TimeoutError:
-            raise UnavailableError(f"Got no answer of {instance}.") from None
+            raise AnswerLostError(f"Got no answer of {instance}.") from None
 
     async def _call(self, instance: str, method: str, payload: bytes) -> bytes:
         me = self.me.instance
         await self.network.disturb(instance)
         if not self.network.reaches(me, instance):
             raise UnavailableError(f"Got no connection to {instance}.")
-        peer = self.network.peers[instance]
-        answer = await peer.handlers[method](me, payload)
+        handler = self.network.peers[instance].handlers[method]
+        # The method goes on if the caller gives up.
+        answer = await asyncio.shield(handler(me, payload))
         await self.network.disturb(me)
         if not self.network.reaches(instance, me):
             await asyncio.get_running_loop().create_future()
@@ -159,3 +166,103 @@
         for row_kind, callback in self.subscribers:
             if row_kind == kind:
                 callback(origin, name, value)
+
+
+FAST = ClaimsOptions(
+    n_slots=4,
+    claim_timeout_s=6.0,
+    call_timeout_s=1.0,
+    retry_s=0.05,
+    retry_after_s=0.5,
+    settle_timeout_s=120.0,
+    balance_s=0.25,
+    handover_s=1.0,
+    snapshot_every=60,
+    lease=LeaseOptions(
+        duration_s=2.0,
+        margin_s=0.3,
+        renew_interval_s=0.6,
+        poll_s=0.3,
+    ),
+)
+
+
+@attrs.define
+class Instance:
+    """One instance of a :class:`ClaimsFleet`."""
+
+    name: str
+    app: Application
+    log: InstanceLog
+    claims: ClaimsService
+    work: set[asyncio.Task[Any]] = attrs.field(factory=set)
+
+    def in_background(self, run: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
+        """Run a coroutine that ends with the instance."""
+        task = asyncio.ensure_future(run)
+        self.work.add(task)
+        task.add_done_callback(self.work.discard)
+        return task
+
+
+class ClaimsFleet:
+    """Instances with claims over one log, in one process."""
+
+    def __init__(
+        self, log: LogStandin, rng: random.Random, options: ClaimsOptions = FAST
+    ) -> None:
+        self.log = log
+        self.rng = rng
+        self.options = options
+        self.network = PeerNetwork(rng)
+        self.instances: list[Instance] = []
+        self.n_started = 0
+
+    async def add(self, *others: Any) -> Instance:
+        """Start an instance under a name that was never used."""
+        name = f"i{self.n_started}"
+        self.n_started += 1
+        log = InstanceLog(self.log)
+        app = make_application(
+            self.network.join(name),
+            *others,
+            seed=self.rng.randrange(1 << 30),
+            clock=self.log.clock,
+        )
+        claims = app.add(ClaimsService(app, self.options, log=log))
+        await app.start()
+        instance = Instance(name, app, log, claims)
+        self.instances.append(instance)
+        return instance
+
+    async def kill(self, instance: Instance) -> None:
+        """End an instance at once; nothing of it reaches others any more."""
+        self.instances.remove(instance)
+        instance.log.is_cut_off = True
+        self.network.leave(instance.name)
+        self.resume(instance)
+        for task in instance.work:
+            task.cancel()
+        await instance.app.stop()
+
+    def pause(self, instance: Instance) -> None:
+        """Hold everything that an instance sends or receives."""
+        log = instance.log
+        for gate in (log.append_gate, log.answer_gate, log.read_gate):
+            if self.rng.random() < 0.8:
+                gate.clear()
+        self.network.gates[instance.name] = asyncio.Event()
+
+    def resume(self, instance: Instance) -> None:
+        """Let a paused instance go on."""
+        log = instance.log
+        for gate in (log.append_gate, log.answer_gate, log.read_gate):
+            gate.set()
+        gate = self.network.gates.pop(instance.name, None)
+        if gate is not None:
+            gate.set()
+
+    async def stop(self) -> None:
+        """Stop all instances."""
+        for instance in list(self.instances):
+            await self.kill(instance)
--- a/lagoonring/tests/builders/logs.py
+++ b/lagoonring/tests/builders/logs.py
@@ -4,16 +4,66 @@
 
 import asyncio
 import random
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, TypeVar
 
-from lagoonring.kernel import Application
+from lagoonring.kernel import Application, Clock
 from lagoonring.platform.log import LogUnavailableError
 
 if TYPE_CHECKING:
-    from lagoonring.kernel import Clock
+    from collections.abc import Coroutine
+
     from lagoonring.platform.log import Page
     from lagoonring.standins.log_standin import LogStandin
 
+T = TypeVar("T")
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """An event loop whose time jumps to the next timer instead of waiting."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now_s = 1_000_000.0
+        self.select = self._selector.select
+        self._selector.select = self.jump
+
+    def time(self) -> float:
+        """Return the virtual time in seconds."""
+        return self.now_s
+
+    def jump(self, timeout: float | None) -> list[Any]:
+        """Advance by the time until the next timer if nothing is ready."""
+        events = self.select(0)
+        if timeout is None and not events:
+            raise RuntimeError("got no timer and no ready task, expected one")
+        if timeout and not events:
+            self.now_s += timeout
+        return events
+
+
+class VirtualClock(Clock):
+    """The clock of the running :class:`VirtualLoop`."""
+
+    def monotonic(self) -> float:
+        """Return the loop's time."""
+        return asyncio.get_running_loop().time()
+
+    def time(self) -> float:
+        """Return the loop's time."""
+        return asyncio.get_running_loop().time()
+
+
+def run_virtual(main: Coroutine[Any, Any, T]) -> T:
+    """Run a coroutine in virtual time and return its result."""
+    loop = VirtualLoop()
+    try:
+        return loop.run_until_complete(main)
+    finally:
+        for task in asyncio.all_tasks(loop):
+            task.cancel()
+        loop.run_until_complete(asyncio.sleep(1))
+        loop.close()
+
 
 class InstanceLog:
     """The log as one instance reaches it.
