Limit reads of streams by a timer that stays armed

Cause: a timer was set and cancelled twice for every read of a token. Change: one timer over many reads, which looks when it fires whether the read in progress is overdue; time between reads does not count.

--- a/lagoonring/endpoints/events.py
+++ b/lagoonring/endpoints/events.py
@@ -8,6 +8,7 @@
 import aiohttp
 
 from lagoonring.endpoints.errors import EndpointCutError, EndpointTimeoutError
+from lagoonring.endpoints.read_limit import ReadLimit
 
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator
@@ -35,31 +36,32 @@
     """
     rest = b""
     timeout_s = first_timeout_s
-    loop = asyncio.get_running_loop()
-    async with asyncio.timeout(None) as limit:
-        try:
-            while True:
-                limit.reschedule(loop.time() + timeout_s)
-                chunk = await answer.content.readany()
-                limit.reschedule(None)
-                if not chunk:
-                    raise _cut("the end of the connection")
-                *events, rest = (rest + chunk).split(SEPARATOR)
-                if END_EVENT in events:
-                    yield events[: events.index(END_EVENT) + 1]
-                    return
-                if events:
-                    yield events
-                    timeout_s = next_timeout_s
-        except (aiohttp.ClientError, ConnectionError) as error:
-            raise _cut(repr(error)) from error
-        except asyncio.CancelledError:
-            if limit.expired():
-                raise EndpointTimeoutError(
-                    f"Got no event within {timeout_s} s, expected one.",
-                    remedy="The request is resumed at another endpoint.",
-                ) from None
-            raise
+    limit = ReadLimit()
+    try:
+        while True:
+            limit.begin(timeout_s)
+            chunk = await answer.content.readany()
+            limit.end()
+            if not chunk:
+                raise _cut("the end of the connection")
+            *events, rest = (rest + chunk).split(SEPARATOR)
+            if END_EVENT in events:
+                yield events[: events.index(END_EVENT) + 1]
+                return
+            if events:
+                yield events
+                timeout_s = next_timeout_s
+    except (aiohttp.ClientError, ConnectionError) as error:
+        raise _cut(repr(error)) from error
+    except asyncio.CancelledError:
+        if limit.absorb():
+            raise EndpointTimeoutError(
+                f"Got no event within {timeout_s} s, expected one.",
+                remedy="The request is resumed at another endpoint.",
+            ) from None
+        raise
+    finally:
+        limit.close()
 
 
 def _cut(got: str) -> EndpointCutError:
