Let suspected requests go on after a lost data centre

Cause: each request on a machine that dies becomes suspected; making each run alone on its endpoint would hold up a whole data centre's requests. Change: no suspicion on leaving endpoints, no exclusive endpoints while three or more endpoints have gone down together, exclusive use given up at the first new token. Conclusion: the bound of two endpoints for one request still holds in the tests; a request in such a wave may share its endpoint with another suspect.

--- a/lagoonring/retries/options.py
+++ b/lagoonring/retries/options.py
@@ -50,5 +50,5 @@
     quarantine_s: float = attrs.field(default=600.0, validator=between(1, 86_400))
     grant_s: float = attrs.field(default=90.0, validator=between(1, 3600))
     call_timeout_s: float = attrs.field(default=0.25, validator=between(0.01, 60))
-    wait_most_s: float = attrs.field(default=5.0, validator=between(0, 600))
+    wait_most_s: float = attrs.field(default=15.0, validator=between(0, 600))
     n_fingerprints: int = attrs.field(default=4096, validator=between(16, 1 << 20))
--- a/lagoonring/retries/quarantine.py
+++ b/lagoonring/retries/quarantine.py
@@ -25,6 +25,9 @@
 INCIDENT_WINDOW_S = 5.0
 CRASHES_KEPT = 4
 N_CRASHES_CONDEMNING = 2
+WAVE_S = 10.0
+DOWNS_KEPT = 64
+N_ENDPOINTS_IN_WAVE = 3
 
 
 @attrs.define(eq=False)
@@ -66,6 +69,7 @@
         self.clock = clock
         self.options = options
         self.records: dict[str, Record] = {}
+        self.downs: dict[str, float] = {}
 
     def get(self, fingerprint: str) -> Record | None:
         """Return the record of a fingerprint unless it has expired."""
@@ -75,6 +79,15 @@
         del self.records[fingerprint]
         return None
 
+    def is_wave(self) -> bool:
+        """Return whether several endpoints have gone down just now.
+
+        One request can't explain that, so a lost data centre is likelier.
+        """
+        since_s = self.clock.time() - WAVE_S
+        n_down = sum(time_s > since_s for time_s in self.downs.values())
+        return n_down >= N_ENDPOINTS_IN_WAVE
+
     def note_crash(self, fingerprint: str, crash: Crash) -> list[Verdict]:
         """Take a crash in; return what it decided."""
         return self.merge(fingerprint, Suspicion(crashes=[crash]))
@@ -102,6 +115,7 @@
         is_changed = False
         for crash in news.crashes:
             if crash.time_s > record.cleared_s:
+                self._note_down(crash)
                 is_changed |= _add_crash(record.crashes, crash)
         if not is_changed:
             return verdicts
@@ -110,6 +124,13 @@
             verdicts += self._condemn(fingerprint, record)
         return verdicts
 
+    def _note_down(self, crash: Crash) -> None:
+        """Remember which endpoints went down last."""
+        self.downs.pop(crash.endpoint, None)
+        self.downs[crash.endpoint] = crash.time_s
+        if len(self.downs) > DOWNS_KEPT:
+            del self.downs[next(iter(self.downs))]
+
     def _add(self, fingerprint: str) -> Record:
         if len(self.records) >= self.options.n_fingerprints:
             self._make_room()
--- a/lagoonring/retries/service.py
+++ b/lagoonring/retries/service.py
@@ -15,6 +15,7 @@
 from lagoonring.retries.latencies import LatencyHistogram
 from lagoonring.retries.messages import (
     BUSY,
+    CAUSE_ENDPOINT,
     CAUSE_REQUEST,
     CAUSE_SUSPECT,
     CRASHED,
@@ -52,13 +53,15 @@
 class OwnAttempt:
     """An attempt of this instance that is in progress.
 
-    ``is_asked`` says that the home knows of it, ``is_exclusive`` that it holds
-    the exclusive use of its endpoint among suspected requests.
+    ``is_asked`` says that the home knows of it, ``is_supervised`` that it is the
+    only one of a suspected fingerprint, ``is_exclusive`` that it holds the
+    exclusive use of its endpoint among suspected requests.
     """
 
     grant_id: str
     endpoint: str
     is_asked: bool = False
+    is_supervised: bool = False
     is_exclusive: bool = False
 
 
@@ -159,10 +162,14 @@
         -------
         str
             ``request`` if the request is condemned, ``suspect`` while it may
-            also be the endpoint's own fault.
+            also be the endpoint's own fault, empty if the endpoint was leaving.
         """
         own = self._pop_attempt(fingerprint, endpoint)
-        is_supervised = own is not None and own.is_exclusive
+        if self._is_leaving(endpoint):
+            if own is not None:
+                self._end(fingerprint, own, OTHER)
+            return CAUSE_ENDPOINT
+        is_supervised = own is not None and own.is_supervised
         is_strong = is_supervised or fingerprint not in self.arbiter.completed
         crash = Crash(endpoint, self.app.clock.time(), is_strong)
         self._tell_verdicts(self.table.note_crash(fingerprint, crash))
@@ -176,6 +183,17 @@
         logger.warning("Endpoint {} went down with a request: {}.", endpoint, cause)
         return cause
 
+    def progressed(self, fingerprint: str, endpoint: str) -> None:
+        """Note that an attempt has got further than where a crash cut one off.
+
+        To be called at an attempt's first new token. A suspected request then
+        gives up the exclusive use of its endpoint, but stays suspected.
+        """
+        for own in self.attempts.get((fingerprint, endpoint), ()):
+            if own.is_exclusive:
+                self._release_endpoint(own)
+                self.app.spawn("retries-flush-now", self._flush)
+
     def may_retry(self, entry: str) -> bool:
         """Take a retry or hedge from the entry's budget, if one is left."""
         allowed = self.budgets.take(entry)
@@ -257,7 +275,10 @@
         if answer.state == BUSY:
             return BUSY
         own.endpoint = answer.endpoint or own.endpoint
-        if answer.suspicion.crashes and not await self._hold_endpoint(own):
+        own.is_supervised = bool(answer.suspicion.crashes)
+        if not own.is_supervised or self.table.is_wave():
+            return answer.state
+        if not await self._hold_endpoint(own):
             return BUSY
         return answer.state
 
@@ -299,13 +320,20 @@
                 )
             )
         if own.is_exclusive:
-            key = ENDPOINT_KEY + own.endpoint
-            self.ends.append(AttemptEnd(key=key, grant_id=own.grant_id))
-            own.is_exclusive = False
+            self._release_endpoint(own)
         del self.ends[:-ENDS_KEPT]
         if result == CRASHED or self.table.get(fingerprint) is not None:
             self.app.spawn("retries-flush-now", self._flush)
 
+    def _release_endpoint(self, own: OwnAttempt) -> None:
+        key = ENDPOINT_KEY + own.endpoint
+        self.ends.append(AttemptEnd(key=key, grant_id=own.grant_id))
+        own.is_exclusive = False
+
+    def _is_leaving(self, endpoint: str) -> bool:
+        routing = self.app.services.get("routing")
+        return routing is not None and routing.is_leaving(endpoint)
+
     async def _flush_always(self) -> None:
         while True:
             await self.app.clock.sleep(FLUSH_S)
--- a/lagoonring/routing/service.py
+++ b/lagoonring/routing/service.py
@@ -186,6 +186,11 @@
         self._publish("leaving", endpoint, row, urgent=True)
         logger.info("Endpoint {} leaves, it gets no new work.", endpoint)
 
+    def is_leaving(self, endpoint: str) -> bool:
+        """Return whether an endpoint leaves, or the catalogue has dropped it."""
+        state = self.table.states.get(endpoint)
+        return state is None or state.is_leaving
+
     def capacity(self, entry: str) -> int:
         """Return how many requests the entry's endpoints here take at once.
 
