--- a/lagoonring/fleet/demand.py
+++ b/lagoonring/fleet/demand.py
@@ -97,6 +97,45 @@
         )
 
 
+@attrs.define(kw_only=True)
+class HeldDemand:
+    """Demand that rises at once and falls only when it stays lower.
+
+    One plan follows from it both for starts and for stops, so that what one
+    step starts is not stopped by the next.
+
+    Attributes
+    ----------
+    margin : float
+        Share by which demand must be lower.
+    settle_s : float
+        Time for which it must be lower.
+    """
+
+    margin: float
+    settle_s: float
+    held: dict[str, float] = attrs.field(factory=dict)
+    low_since_s: dict[str, float] = attrs.field(factory=dict)
+
+    def update(self, demand: Mapping[str, float], now_s: float) -> dict[str, float]:
+        """Take the demand by entry in and return what to plan for."""
+        for entry in self.held.keys() - demand.keys():
+            del self.held[entry]
+        for entry, value in demand.items():
+            self._update_one(entry, value, now_s)
+        return dict(self.held)
+
+    def _update_one(self, entry: str, value: float, now_s: float) -> None:
+        held = self.held.get(entry, 0.0)
+        if held * (1 - self.margin) <= value <= held:
+            self.low_since_s.pop(entry, None)
+            return
+        since_s = self.low_since_s.setdefault(entry, now_s)
+        if value > held or now_s - since_s >= self.settle_s:
+            self.held[entry] = value
+            self.low_since_s.pop(entry, None)
+
+
 @attrs.define
 class ReclaimRisk:
     """Reclaims per instance and hour, by data centre and class."""
@@ -178,12 +217,10 @@
     return offers
 
 
-def make_need(
-    demand: float, n_fixed_slots: int, options: FleetOptions, *, margin: float = 0.0
-) -> Need:
-    """Return the need of an entry, ``margin`` being added to its demand."""
+def make_need(demand: float, n_fixed_slots: int, options: FleetOptions) -> Need:
+    """Return the need of an entry."""
     return Need(
-        demand=demand * (1 + margin),
+        demand=demand,
         target_load=options.target_load,
         wave_load=options.wave_load,
         n_fixed_slots=n_fixed_slots,
--- a/lagoonring/fleet/holder.py
+++ b/lagoonring/fleet/holder.py
@@ -12,13 +12,19 @@
 
 from lagoonring.catalogue.edits import Change, Edit
 from lagoonring.errors import LagoonringError
-from lagoonring.fleet.demand import DemandTracker, ReclaimRisk, find_slots
+from lagoonring.fleet.demand import (
+    DemandTracker,
+    HeldDemand,
+    ReclaimRisk,
+    find_slots,
+)
 from lagoonring.fleet.ledger import FleetLedger
 from lagoonring.fleet.messages import DemandNote, FleetRecord, Intent, make_token
 from lagoonring.fleet.planning import (
     Planning,
     count_goals,
     find_refused,
+    is_running,
     join_plans,
     plan_entries,
 )
@@ -26,7 +32,6 @@
     Steps,
     View,
     change_to_plan,
-    count_running,
     reconcile,
 )
 from lagoonring.leases import LeaseStream
@@ -84,6 +89,7 @@
         self.options = options
         self.demand = DemandTracker(data_centre)
         self.risk = ReclaimRisk()
+        self.held = HeldDemand(margin=options.cancel_margin, settle_s=options.settle_s)
         self.refusals: dict[tuple[str, str], tuple[float, float]] = {}
         self.others: dict[str, LeaseStream] = {}
         self.noted_s = 0.0
@@ -255,39 +261,32 @@
             content=content,
             instances=instances,
             prices=prices,
-            demand=demand,
+            demand=self.held.update(demand, self.app.clock.time()),
             risk=self.risk,
             running=count_goals(content, instances, view),
             refused=self._refused().union(*map(find_refused, notes)),
         )
         self.plans = plan_entries(planning, self.options)
-        starting = join_plans(self.plans)
-        margin = self.options.cancel_margin
-        stopping = join_plans(plan_entries(planning, self.options, margin=margin))
-        token = self._make_token
-        changes = change_to_plan(view, starting, make_token=token, may_stop=False)
-        if not changes and self._may_stop(view, stopping):
-            changes = change_to_plan(view, stopping, make_token=token, may_stop=True)
-            changes = [item for item in changes if item.state == "draining"]
+        plan = join_plans(self.plans)
+        changes = change_to_plan(
+            view,
+            plan,
+            make_token=self._make_token,
+            may_stop=self._may_stop(is_running(plan, content, instances, view)),
+        )
         for intent in changes[: self.options.n_starts]:
             await lease.append(FleetRecord(intent=intent))
         for intent in changes[: self.options.n_starts]:
             if intent.state == "wanted":
                 await self._start(lease, cloud, intent)
 
-    def _may_stop(self, view: View, plan: Plan) -> bool:
-        """Whether what is planned has run for long enough, here.
+    def _may_stop(self, is_enough: bool) -> bool:
+        """Whether what is planned has run for long enough.
 
         Without any load report the demand is not known, and nothing stops.
         """
-        running = count_running(view)
-        is_enough = self.has_loads and all(
-            running[offer.goal, offer.market] >= count
-            for offer, count in plan.counts.items()
-            if offer.data_centre == self.data_centre
-        )
         now_s = self.app.clock.time()
-        if not is_enough:
+        if not (is_enough and self.has_loads):
             self.excess_since_s = None
             return False
         if self.excess_since_s is None:
--- a/lagoonring/fleet/options.py
+++ b/lagoonring/fleet/options.py
@@ -28,7 +28,7 @@
     backoff_s, backoff_limit_s : float
         First and longest time for which a refused market is avoided.
     cancel_margin : float
-        Share of demand added to the forecast before anything is stopped.
+        Share by which demand must be lower before anything is stopped.
     switch_margin : float
         Share by which another offer must be cheaper than one in use.
     settle_s : float
--- a/lagoonring/fleet/planning.py
+++ b/lagoonring/fleet/planning.py
@@ -18,7 +18,7 @@
     make_ranges,
 )
 from lagoonring.fleet.planner import Plan, make_plan
-from lagoonring.fleet.reconcile import GONE_STATES
+from lagoonring.fleet.reconcile import GONE_STATES, count_running
 from lagoonring.platform.cloud import CloudInstance, CloudPrice
 
 if TYPE_CHECKING:
@@ -51,9 +51,7 @@
     refused: frozenset[tuple[str, str]]
 
 
-def plan_entries(
-    planning: Planning, options: FleetOptions, *, margin: float = 0.0
-) -> dict[str, Plan]:
+def plan_entries(planning: Planning, options: FleetOptions) -> dict[str, Plan]:
     """Return a plan for each entry that has goals and prices."""
     content = planning.content
     plans = {}
@@ -71,7 +69,7 @@
             continue
         n_fixed = count_fixed_slots(content, entry, planning.instances)
         demand = planning.demand.get(entry, 0.0)
-        need = make_need(demand, n_fixed, options, margin=margin)
+        need = make_need(demand, n_fixed, options)
         known = {offer.goal for offer in offers}
         ranges = make_ranges({name: goals[name] for name in sorted(known)})
         plans[entry] = make_plan(need, offers, ranges)
@@ -104,13 +102,26 @@
         if intent.state == "wanted":
             counts[intent.goal, intent.market] += 1
     for item in instances:
-        is_other = item.data_centre != view.data_centre
         goal = places.get((item.data_centre, item.instance_class))
+        is_other = item.data_centre != view.data_centre
         if is_other and goal and item.state not in GONE_STATES:
             counts[goal, item.market] += 1
     return counts
 
 
+def is_running(
+    plan: Plan, content: CatalogueContent, instances: list[CloudInstance], view: View
+) -> bool:
+    """Return whether everything planned runs, in all data centres."""
+    running = [item for item in instances if item.state == "running"]
+    counts = count_goals(content, running, attrs.evolve(view, intents={}))
+    counts.update(count_running(view))
+    return all(
+        counts[offer.goal, offer.market] >= count
+        for offer, count in plan.counts.items()
+    )
+
+
 def find_refused(note: DemandNote) -> frozenset[tuple[str, str]]:
     """Return the goals and markets that refused starts when a note was made."""
     return frozenset((goal, market) for goal, market in note.refused)
