Tell counts of versions in short, less often with more instances

Cause: a row of counts was about 90 bytes a cell, and every instance hears those of all others. Change: rows hold lists, and the time between them keeps to a rate for all.

--- a/benchmarks/moves_seeds.py
+++ b/benchmarks/moves_seeds.py
@@ -1,11 +1,12 @@
 """Measures the judges of version moves over seeds of good and bad versions.
 
 Results of attempts are drawn from distributions and given to the real counters
-and judges of 3 to 9 instances, which exchange their totals each second. Printed
+and judges of 3 to 9 instances, which exchange their totals every
+``--exchange-s``; each takes its own in every second. Printed
 per kind of version: moves judged, versions missed, the share of all requests
 since the trial began that the bad version got, seconds from first fault to
-verdict, requests begun on it later than 2 s after the verdict, and good
-versions condemned.
+verdict, requests begun on it later than 2 s after the verdict, the largest
+share of the requests of a whole move that it got, and good versions condemned.
 
     python benchmarks/moves_seeds.py --n-seeds 200 --n-processes 4
 """
@@ -23,7 +24,7 @@
 from lagoonring.moves.counts import Counter, Sample, VersionCounts
 from lagoonring.moves.judge import Judge
 from lagoonring.moves.options import MovesOptions
-from lagoonring.moves.schedule import Step, plan_steps, share_at
+from lagoonring.moves.schedule import plan_steps, share_at
 
 KINDS = ("at_once", "later", "under_load", "one_route", "slow", "crash", "good")
 ROUTES = ("chat/short", "chat/long", "plan", "seats")
@@ -61,9 +62,9 @@
     n_all: int = 0
     n_new: int = 0
     n_late: int = 0
+    n_move: float = 1.0
     verdict_s: float = math.inf
     shown_s: float = math.inf
-    n_first_instances: int = 0
 
 
 @attrs.define(kw_only=True)
@@ -80,14 +81,19 @@
 class Move:
     """One move of one seed."""
 
-    def __init__(self, kind: str, seed: int, rate_per_s: float) -> None:
+    def __init__(
+        self, kind: str, seed: int, rate_per_s: float, exchange_s: float
+    ) -> None:
         self.rng = random.Random(f"{kind}-{seed}")
         self.options = MovesOptions()
         self.rate_per_s = rate_per_s
+        self.exchange_s = exchange_s
+        self.next_exchange_s = 0.0
         self.steps = plan_steps(MOVE_S, self.options)
         self.total_s = sum(step.hold_s for step in self.steps)
         self.fault = make_fault(kind, self.rng, self.total_s)
-        self.outcome = Outcome(kind=kind, seed=seed)
+        n_move = rate_per_s * self.total_s
+        self.outcome = Outcome(kind=kind, seed=seed, n_move=n_move)
         self.n_endpoints = self.rng.choice((3, 5))
         self.n_instances = self.rng.randint(3, 9)
         self.phase = self.rng.uniform(0, DAY_S)
@@ -257,9 +263,12 @@
         hosts = frozenset(str(i) for i in range(self._hosts(share)))
         for counter in self.counters:
             counter.counts.share = share
+        is_exchange = now_s >= self.next_exchange_s
+        if is_exchange:
+            self.next_exchange_s = now_s + self.exchange_s
         for reader in self._instances():
             judge = self.judges[reader]
-            for origin in self._instances():
+            for origin in self._instances() if is_exchange else (reader,):
                 row = self.counters[origin].counts
                 judge.merge(str(origin), row)
                 if row.crashes and hosts:
@@ -303,10 +312,9 @@
     )
 
 
-def run_one(job: tuple[str, int, float]) -> Outcome:
+def run_one(job: tuple[str, int, float, float]) -> Outcome:
     """Run one move."""
-    kind, seed, rate_per_s = job
-    return Move(kind, seed, rate_per_s).run()
+    return Move(*job).run()
 
 
 def describe(kind: str, outcomes: list[Outcome]) -> str:
@@ -325,7 +333,8 @@
         f"p95={shares[int(0.95 * n_all)]:.4f} max={shares[-1]:.4f} "
         f"over_5%={n_over} "
         f"delay_s p50={_middle(delays):.1f} max={delays[-1] if delays else 0:.1f} "
-        f"late={n_late}"
+        f"late={n_late} "
+        f"most_of_move={max(o.n_new / o.n_move for o in outcomes):.4f}"
     )
 
 
@@ -341,6 +350,7 @@
     parser.add_argument("--first-seed", type=int, default=0)
     parser.add_argument("--n-processes", type=int, default=4)
     parser.add_argument("--rate", type=float, default=20.0)
+    parser.add_argument("--exchange-s", type=float, default=4.0)
     parser.add_argument("--kinds", default=",".join(KINDS))
     parser.add_argument("--verbose", action="store_true")
     options = parser.parse_args()
@@ -350,9 +360,10 @@
     first = options.first_seed
     for seed in range(first, first + options.n_seeds):
         if bad:
-            jobs.append((bad[seed % len(bad)], seed, options.rate))
+            jobs.append((bad[seed % len(bad)], seed, options.rate, options.exchange_s))
     if "good" in kinds:
-        jobs += [("good", first + i, options.rate) for i in range(options.n_good)]
+        seeds = range(first, first + options.n_good)
+        jobs += [("good", seed, options.rate, options.exchange_s) for seed in seeds]
     with concurrent.futures.ProcessPoolExecutor(options.n_processes) as pool:
         outcomes = list(pool.map(run_one, jobs))
     for kind in kinds:
@@ -365,10 +376,5 @@
                 print(outcome)
 
 
-def steps_of(options: MovesOptions) -> list[Step]:
-    """Return the planned steps, for a look at the schedule."""
-    return plan_steps(MOVE_S, options)
-
-
 if __name__ == "__main__":
     main()
--- a/lagoonring/moves/__init__.py
+++ b/lagoonring/moves/__init__.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from lagoonring.moves.messages import MoveNotice, MoveRecord, MoveStatus
+from lagoonring.moves.messages import MoveNotice, MoveRecord
 from lagoonring.moves.options import JudgeOptions, MovesOptions
 from lagoonring.moves.split import is_on_new
+from lagoonring.moves.status import MoveStatus
 
 __all__ = [
     "JudgeOptions",
--- a/lagoonring/moves/comparison.py
+++ b/lagoonring/moves/comparison.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from lagoonring.moves.counts import Counter, Sample, VersionCounts
+from lagoonring.moves.counts import Counter, CountsRow, Sample, VersionCounts, pack
 from lagoonring.moves.judge import Judge
 
 if TYPE_CHECKING:
@@ -60,14 +60,18 @@
         """Take an instance's totals in."""
         self.judge.merge(origin, counts)
 
-    def has_changed(self) -> bool:
-        """Return whether there is something to tell since the last copy."""
-        return msgspec.msgpack.encode(self.counts) != self.published
+    def take_news(self) -> CountsRow | None:
+        """Return the totals for publishing, or None if nothing is new."""
+        row = pack(self.counts)
+        data = msgspec.msgpack.encode(row)
+        if data == self.published:
+            return None
+        self.published = data
+        return row
 
-    def take_copy(self) -> VersionCounts:
-        """Return the totals for publishing."""
-        self.published = msgspec.msgpack.encode(self.counts)
-        return msgspec.msgpack.decode(self.published, type=VersionCounts)
+    def n_published_bytes(self) -> int:
+        """Return the size of the totals as they were last published."""
+        return len(self.published)
 
     def count_results(self) -> tuple[int, int]:
         """Return the results of old and new version, over all instances heard."""
--- a/lagoonring/moves/counts.py
+++ b/lagoonring/moves/counts.py
@@ -73,7 +73,7 @@
 
 @attrs.define(kw_only=True)
 class VersionCounts:
-    """A row of kind ``version_counts``: the totals of one instance.
+    """The totals of one instance for one move.
 
     ``started_s`` tells totals that began anew from those before. ``share`` is
     the share in force at the instance. ``crashes`` counts the crashes that the
@@ -87,6 +87,58 @@
     crashes: dict[str, int] = attrs.field(factory=dict)
 
 
+@attrs.frozen(kw_only=True)
+class CountsRow:
+    """A row of kind ``version_counts``: :class:`VersionCounts` in short.
+
+    A cell is the list of its old and new results, then of the bad old and the
+    bad new ones in the order of :data:`RESPECTS`.
+    """
+
+    move: str
+    started_s: float
+    share: float
+    cells: dict[str, list[int]]
+    crashes: dict[str, int]
+
+
+def pack(counts: VersionCounts) -> CountsRow:
+    """Return totals as they are told to others."""
+    cells = {
+        name: [cell.n_old, cell.n_new, *cell.bad_old, *cell.bad_new]
+        for name, cell in counts.cells.items()
+    }
+    return CountsRow(
+        move=counts.move,
+        started_s=counts.started_s,
+        share=counts.share,
+        cells=cells,
+        crashes=dict(counts.crashes),
+    )
+
+
+def unpack(row: CountsRow) -> VersionCounts:
+    """Return the totals of a row; cells of another length are left out."""
+    n_respects = len(RESPECTS)
+    cells = {
+        name: CellCounts(
+            n_old=values[0],
+            n_new=values[1],
+            bad_old=values[2 : 2 + n_respects],
+            bad_new=values[2 + n_respects :],
+        )
+        for name, values in row.cells.items()
+        if len(values) == 2 + 2 * n_respects
+    }
+    return VersionCounts(
+        move=row.move,
+        started_s=row.started_s,
+        share=row.share,
+        cells=cells,
+        crashes=row.crashes,
+    )
+
+
 @attrs.frozen(kw_only=True)
 class Sample:
     """What the comparison needs of one attempt; times in seconds or None."""
--- a/lagoonring/moves/messages.py
+++ b/lagoonring/moves/messages.py
@@ -78,23 +78,6 @@
     finding: str = ""
 
 
-@attrs.frozen(kw_only=True)
-class MoveStatus:
-    """What operators are shown of a move; ``evidence`` of the comparison."""
-
-    name: str
-    entry: str
-    phase: str
-    share: float
-    from_version: str
-    to_version: str
-    deadline_s: float
-    reason: str
-    n_old: int
-    n_new: int
-    finding: str
-
-
 def make_key(name: str, move: Move) -> str:
     """Return what identifies an order: another order by the same name differs."""
     text = f"{name}\x00{move.entry}\x00{move.to_version}\x00{move.deadline_s!r}"
--- a/lagoonring/moves/options.py
+++ b/lagoonring/moves/options.py
@@ -55,7 +55,11 @@
     n_loads : int
         Endpoints that load at a time, for the weight store's sake.
     tick_s, publish_s : float
-        Time between two steps of the holder, and between two tellings of counts.
+        Time between two steps of the holder, and the least time between two
+        tellings of counts.
+    counts_bytes_per_s : float
+        Rate of the counts of all instances together, by which they are told
+        less often the more instances there are.
     cut_window_s : float
         Cuts of one endpoint within this time count as one.
     n_stable_reads : int
@@ -74,6 +78,7 @@
     n_loads: int = attrs.field(default=4, validator=between(1, 10_000))
     tick_s: float = attrs.field(default=0.5, validator=between(0.01, 60))
     publish_s: float = attrs.field(default=1.0, validator=between(0.05, 60))
+    counts_bytes_per_s: float = attrs.field(default=1000.0, validator=between(10, 1e9))
     cut_window_s: float = attrs.field(default=2.0, validator=between(0, 600))
     n_stable_reads: int = attrs.field(default=2, validator=between(1, 100))
     judge: JudgeOptions = attrs.field(factory=JudgeOptions)
--- a/lagoonring/moves/service.py
+++ b/lagoonring/moves/service.py
@@ -8,20 +8,21 @@
 from __future__ import annotations
 
 import math
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 from lagoonring.kernel import BaseService
 from lagoonring.leases import Duty, Lease, is_among_first
 from lagoonring.logs import make_logger
 from lagoonring.moves.comparison import Comparison
-from lagoonring.moves.counts import Sample, VersionCounts
+from lagoonring.moves.counts import CountsRow, Sample, VersionCounts, unpack
 from lagoonring.moves.holder import MovesHolder, find_endpoints
 from lagoonring.moves.ledger import MoveLedger
-from lagoonring.moves.messages import MoveNotice, MoveRecord, MoveStatus
+from lagoonring.moves.messages import MoveNotice, MoveRecord
 from lagoonring.moves.metrics import MoveMetrics
 from lagoonring.moves.options import MovesOptions
 from lagoonring.moves.orders import EngineControl, choose_hosts
 from lagoonring.moves.split import is_on_new
+from lagoonring.moves.status import MoveStatus, describe, describe_ordered
 
 if TYPE_CHECKING:
     from lagoonring.catalogue.entries import CatalogueContent
@@ -38,7 +39,6 @@
 CUT_KINDS = ("cut", "connect")
 N_FINDINGS_KEPT = 256
 N_CUTS_KEPT = 1024
-NO_PHASE = "ordered"
 
 logger = make_logger("moves")
 
@@ -96,7 +96,7 @@
             self.metrics = MoveMetrics(self.app.find("metrics").registry)
         self.catalogue.subscribe(self._take_catalogue)
         self.peers.subscribe(NOTICE_KIND, MoveNotice, self._take_notice)
-        self.peers.subscribe(COUNTS_KIND, VersionCounts, self._take_counts)
+        self.peers.subscribe(COUNTS_KIND, CountsRow, self._take_counts)
         self.lease = Lease(
             self.app.find("log"),
             STREAM,
@@ -202,12 +202,20 @@
         records = {kept.record.key: kept.record for kept in self.ledger.kept.values()}
         for notice in self.told.values():
             records.setdefault(notice.record.key, notice.record)
+        found = [
+            describe(
+                record,
+                comparison=self.comparisons.get(record.entry),
+                finding=self.findings.get(record.key, ""),
+            )
+            for record in records.values()
+        ]
         known = {record.name for record in records.values()}
-        found = [self._describe(record) for record in records.values()]
-        for name, move in self.catalogue.content.moves.items():
-            if name not in known:
-                found.append(_describe_ordered(name, move))
-        return found
+        ordered = self.catalogue.content.moves.items()
+        new = [
+            describe_ordered(name, move) for name, move in ordered if name not in known
+        ]
+        return found + new
 
     def _is_candidate(self) -> bool:
         if not self.catalogue.content.moves:
@@ -264,21 +272,20 @@
             started_s=self.app.clock.time(),
             options=self.options.judge,
         )
-        rows = self.peers.rows(COUNTS_KIND, VersionCounts)
-        for (origin, name), counts in rows.items():
+        rows = self.peers.rows(COUNTS_KIND, CountsRow)
+        for (origin, name), row in rows.items():
             if name == record.entry and origin != self.peers.me.instance:
-                comparison.merge(origin, counts)
+                comparison.merge(origin, unpack(row))
         return comparison
 
-    def _take_counts(
-        self, origin: str, name: str, counts: VersionCounts | None
-    ) -> None:
+    def _take_counts(self, origin: str, name: str, row: CountsRow | None) -> None:
         comparison = self.comparisons.get(name)
         if comparison is None:
             return
-        if counts is None:
+        if row is None:
             comparison.judge.forget(origin)
             return
+        counts = unpack(row)
         comparison.merge(origin, counts)
         self._merge_crashes(comparison, counts)
         self._check(comparison)
@@ -295,17 +302,31 @@
                 self._check(comparison)
             now_s = self.app.clock.monotonic()
             if now_s >= next_publish_s:
-                next_publish_s = now_s + self.options.publish_s
                 for entry in list(self.comparisons):
                     self._publish_counts(entry)
+                next_publish_s = now_s + self._publish_interval_s()
             await self.app.clock.sleep(self.options.tick_s)
 
     def _publish_counts(self, entry: str) -> None:
         comparison = self.comparisons.get(entry)
         if comparison is None:
             self.peers.publish(COUNTS_KIND, entry, None)
-        elif comparison.has_changed():
-            self.peers.publish(COUNTS_KIND, entry, comparison.take_copy())
+            return
+        row = comparison.take_news()
+        if row is not None:
+            self.peers.publish(COUNTS_KIND, entry, row)
+
+    def _publish_interval_s(self) -> float:
+        """Return the time between two tellings.
+
+        So long that the rows of all instances heard keep to their rate; it
+        must not depend on what the counts say.
+        """
+        n_bytes = sum(
+            comparison.n_published_bytes() * len(comparison.judge.seen)
+            for comparison in self.comparisons.values()
+        )
+        return max(self.options.publish_s, n_bytes / self.options.counts_bytes_per_s)
 
     def _merge_crashes(self, comparison: Comparison, counts: VersionCounts) -> None:
         if not counts.crashes or counts.share <= 0:
@@ -365,43 +386,8 @@
                 del self.cuts_s[next(iter(self.cuts_s))]
         return is_repeated
 
-    def _describe(self, record: MoveRecord) -> MoveStatus:
-        comparison = self.comparisons.get(record.entry)
-        n_old = n_new = 0
-        if comparison is not None and comparison.record.key == record.key:
-            n_old, n_new = comparison.count_results()
-        return MoveStatus(
-            name=record.name,
-            entry=record.entry,
-            phase=record.phase,
-            share=record.share,
-            from_version=record.from_version,
-            to_version=record.to_version,
-            deadline_s=record.deadline_s,
-            reason=record.reason,
-            n_old=n_old,
-            n_new=n_new,
-            finding=self.findings.get(record.key, ""),
-        )
-
 
 def _is_excused(result: AttemptResult, caused_by_request: bool) -> bool:
     if result.cause:
         return result.cause != CAUSE_SUSPECT
     return caused_by_request
-
-
-def _describe_ordered(name: str, move: Any) -> MoveStatus:
-    return MoveStatus(
-        name=name,
-        entry=move.entry,
-        phase=NO_PHASE,
-        share=0.0,
-        from_version=move.from_version,
-        to_version=move.to_version,
-        deadline_s=move.deadline_s,
-        reason="waits for an instance to take it on",
-        n_old=0,
-        n_new=0,
-        finding="",
-    )
--- a/lagoonring/tests/test_fleet.py
+++ b/lagoonring/tests/test_fleet.py
@@ -96,12 +96,12 @@
         assert not names & world.endpoints().keys()
 
 
-async def test_a_notice_is_not_lost_with_the_holder():
+@pytest.mark.parametrize("index", range(3))
+async def test_a_notice_is_not_lost_with_one_instance(index):
     async with running(n_per_data_centre=3) as world:
         assert await world.run(60, until=world.is_settled)
-        holder = world.holder("dc0")
-        holder.gate.stopped = True
-        world.network.leave(holder.name)
+        # The others still take it for a member.
+        world.instances[index].gate.stopped = True
         item = next(item for item in world.running() if item.data_centre == "dc0")
         world.reclaim(item.instance)
         await world.run(1.5)
--- a/lagoonring/tests/test_judge.py
+++ b/lagoonring/tests/test_judge.py
@@ -4,6 +4,7 @@
 import random
 
 import attrs
+import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -12,9 +13,12 @@
     BUCKETS_S,
     CellCounts,
     Counter,
+    CountsRow,
     Histogram,
     Sample,
     VersionCounts,
+    pack,
+    unpack,
 )
 from lagoonring.moves.judge import Evidence, Judge, _start_weight
 from lagoonring.moves.options import JudgeOptions
@@ -152,3 +156,12 @@
         ok=True,
         first_token_s=first_token_s,
     )
+
+
+def test_totals_survive_being_told():
+    counts = make_counts(share=0.1, bad=(3, 4))
+    counts.crashes["e1"] = 2
+    row = msgspec.msgpack.encode(pack(counts))
+    assert unpack(msgspec.msgpack.decode(row, type=CountsRow)) == counts
+    faulty = attrs.evolve(pack(counts), cells={"plan|0": [1, 2]})
+    assert unpack(faulty).cells == {}
