Tune the routing policy by a replay against a queue model

Cause: in the replay affinity_load prefilled more tokens and was slower than affinity_only. Change: prefill speed is learned only where the cached blocks are known, speeds are drawn to the usual ones, busyness counts in prefill blocks, a home below its slots stays home; the map from conversations to endpoints is dropped.

--- a/lagoonring/routing/cached.py
+++ b/lagoonring/routing/cached.py
@@ -119,22 +119,3 @@
         bit = mask & -mask
         depths[bit] = depth
         mask ^= bit
-
-
-class ConversationMap:
-    """Bounded map from a conversation to the endpoint that last served it."""
-
-    def __init__(self, n_most: int) -> None:
-        self.n_most = n_most
-        self.endpoints: dict[int, str] = {}
-
-    def note(self, key: int, endpoint: str) -> None:
-        """Remember the endpoint; the longest unused conversation is dropped."""
-        self.endpoints.pop(key, None)
-        self.endpoints[key] = endpoint
-        if len(self.endpoints) > self.n_most:
-            del self.endpoints[next(iter(self.endpoints))]
-
-    def get(self, key: int) -> str:
-        """Return the endpoint, empty if it is not known."""
-        return self.endpoints.get(key, "")
--- a/lagoonring/routing/learning.py
+++ b/lagoonring/routing/learning.py
@@ -67,14 +67,11 @@
     sampled_s: float = 0.0
     fit: LineFit = attrs.field(factory=LineFit)
 
-    def note_first_token(
-        self, n_uncached: int, first_token_s: float, now_s: float
-    ) -> None:
+    def note_first_token(self, n_uncached: int, first_token_s: float) -> None:
         """Learn from a first token that came after ``first_token_s``.
 
         The time waited in the endpoint's queue must be taken off before.
         """
-        self.sampled_s = now_s
         self.fit.add(float(n_uncached), first_token_s)
         slope = self.fit.slope()
         if slope is not None:
@@ -100,12 +97,12 @@
 
 
 def find_usual(speeds: list[Speeds]) -> Speeds:
-    """Return the least base and the medians of the other speeds."""
+    """Return the medians of the speeds that rest on samples."""
     known = [item for item in speeds if item.n_samples]
     if not known:
         return Speeds()
     return Speeds(
-        base_s=min(item.base_s for item in known),
+        base_s=statistics.median(item.base_s for item in known),
         prefill_s=statistics.median(item.prefill_s for item in known),
         service_s=statistics.median(item.service_s for item in known),
     )
--- a/lagoonring/routing/options.py
+++ b/lagoonring/routing/options.py
@@ -30,8 +30,8 @@
         Share of a prompt that a conversation's home is trusted to have cached.
     n_remote_most : int
         Endpoints of other data centres looked at in one decision.
-    n_blocks_known, n_conversations_known : int
-        Bounds of what is remembered of caches.
+    n_blocks_known : int
+        Bound of what is remembered of caches.
     report_age_most_s : float
         Older load reports are not used.
     n_failures : int
@@ -53,12 +53,9 @@
     policy: str = attrs.field(default="affinity_load", validator=one_of(POLICY_NAMES))
     crossing_s: float = attrs.field(default=0.05, validator=between(0, 60))
     load_bound: float = attrs.field(default=1.25, validator=between(1, 100))
-    home_trust: float = attrs.field(default=0.8, validator=between(0, 1))
+    home_trust: float = attrs.field(default=1.0, validator=between(0, 1))
     n_remote_most: int = attrs.field(default=16, validator=between(1, 1000))
     n_blocks_known: int = attrs.field(default=32_768, validator=between(0, 1 << 24))
-    n_conversations_known: int = attrs.field(
-        default=8_192, validator=between(0, 1 << 22)
-    )
     report_age_most_s: float = attrs.field(default=10.0, validator=between(0.1, 600))
     n_failures: int = attrs.field(default=3, validator=between(1, 100))
     ejection_s: float = attrs.field(default=2.0, validator=between(0.01, 600))
--- a/lagoonring/routing/policies.py
+++ b/lagoonring/routing/policies.py
@@ -19,7 +19,7 @@
 Policy = Callable[[Sequence[EndpointState], "Context"], "Choice"]
 
 MISSED_TARGET_S = 1_000.0
-SECOND_HOME_SHARE = 0.5
+SECOND_HOME_SHARE = 0.25
 N_SAMPLED = 2
 
 
@@ -28,14 +28,12 @@
     """What a decision depends on besides the endpoints.
 
     ``key`` places the request, 0 without affinity; ``depths`` are the leading
-    blocks known to be cached by endpoint bit; ``placed`` is the endpoint that
-    served the conversation last, as far as known here.
+    blocks known to be cached by endpoint bit.
     """
 
     key: int
     n_blocks: int
     depths: dict[int, int]
-    placed: str
     target_s: float
     options: RoutingOptions
     rng: random.Random
@@ -114,7 +112,7 @@
     first = second = None
     first_weight = second_weight = -1
     for state in candidates:
-        if state.load > bound:
+        if state.load > bound and state.load >= state.n_slots:
             continue
         # Same as rendezvous_weight, written out for speed.
         mixed = ((key ^ state.name_hash) * MIX_1) & MASK_64
@@ -136,28 +134,23 @@
 ) -> Choice:
     depths = context.depths
     n_blocks = context.n_blocks
-    placed = context.placed
     target_s = context.target_s
     best = candidates[0]
     best_cost = float("inf")
     for state in candidates:
         cached: float = depths.get(state.bit, 0) if depths else 0
-        if placed:
-            if state.name == placed and cached < trusted:
-                cached = trusted
-        elif state is first:
+        if state is first:
             cached = max(cached, trusted)
         elif state is second:
             cached = max(cached, SECOND_HOME_SHARE * trusted)
-        speeds = state.speeds
-        cost = speeds.base_s + state.cost_s + speeds.prefill_s * (n_blocks - cached)
+        cost = state.base_s + state.cost_s + state.prefill_s * (n_blocks - cached)
         if cost > target_s:
             cost += MISSED_TARGET_S
         if cost < best_cost:
             best = state
             best_cost = cost
     depth = depths.get(best.bit, 0)
-    if best is first or best.name == placed:
+    if best is first:
         return Choice(best, "home", depth, best_cost)
     return Choice(best, "cached" if depth else "load", depth, best_cost)
 
@@ -176,7 +169,7 @@
 
 
 def _cost(state: EndpointState) -> float:
-    return state.cost_s + state.speeds.base_s
+    return state.cost_s + state.base_s
 
 
 def _weight(key: int, name_hash: int) -> int:
--- a/lagoonring/routing/service.py
+++ b/lagoonring/routing/service.py
@@ -9,7 +9,7 @@
 from lagoonring.kernel import BaseService
 from lagoonring.logs import make_logger
 from lagoonring.routing import health as health_rules
-from lagoonring.routing.cached import ConversationMap, PrefixIndex
+from lagoonring.routing.cached import PrefixIndex
 from lagoonring.routing.capacity import CapacityGauge
 from lagoonring.routing.learning import find_usual
 from lagoonring.routing.messages import (
@@ -26,7 +26,13 @@
 from lagoonring.routing.options import RoutingOptions
 from lagoonring.routing.policies import Choice, Context, get_policy
 from lagoonring.routing.prefixes import affinity_key_of
-from lagoonring.routing.state import change_own, drop_report, refresh, take_report
+from lagoonring.routing.state import (
+    change_own,
+    drop_report,
+    refresh,
+    set_speeds,
+    take_report,
+)
 from lagoonring.routing.table import EndpointTable
 from lagoonring.routing.watch import EndpointWatch
 
@@ -78,7 +84,6 @@
         self.options = options or RoutingOptions()
         self.data_centre = data_centre
         self.index = PrefixIndex(self.options.n_blocks_known)
-        self.conversations = ConversationMap(self.options.n_conversations_known)
         self.table = EndpointTable(data_centre, self.options, self.index)
         self.policy = get_policy(self.options.policy)
         self.gauge = CapacityGauge()
@@ -156,9 +161,6 @@
         change_own(state, 1, self.app.clock.time())
         if request.prefix_blocks:
             self.index.store(request.prefix_blocks, state.bit)
-        key = affinity_key_of(request.affinity_key, request.prefix_blocks)
-        if key:
-            self.conversations.note(key, state.name)
 
     def ended(
         self, route: Route | str, request: RouteRequest, result: AttemptResult
@@ -268,7 +270,6 @@
             key=key,
             n_blocks=len(blocks),
             depths=self.index.match(blocks) if blocks else {},
-            placed=self.conversations.get(key) if key else "",
             target_s=self._target_s(request.service_class),
             options=self.options,
             rng=self.app.rng,
@@ -366,7 +367,9 @@
         n_cached = route.n_cached_blocks if isinstance(route, Route) else 0
         n_uncached = max(0, len(request.prefix_blocks) - n_cached)
         served_s = max(0.0, result.first_token_s - expected_s)
-        state.speeds.note_first_token(n_uncached, served_s, self.app.clock.monotonic())
+        state.speeds.sampled_s = self.app.clock.monotonic()
+        if _is_cache_known(route, request):
+            state.speeds.note_first_token(n_uncached, served_s)
         between_s = result.between_tokens_s or 0.0
         state.speeds.note_service(
             served_s + between_s * result.n_tokens, result.between_tokens_s
@@ -515,6 +518,7 @@
             usual = find_usual([state.speeds for state in states])
             for state in states:
                 state.speeds.relax(usual, now_s)
+                set_speeds(state, usual)
 
     def _count_local_members(self) -> int:
         if self.peers is None:
@@ -525,6 +529,17 @@
         return max(1, n_local)
 
 
+def _is_cache_known(route: Route | str, request: RouteRequest) -> bool:
+    """Return whether the blocks known to be cached are likely to be all.
+
+    A conversation's home may hold more of it than this instance knows, unless
+    it knows most of the prompt to be there.
+    """
+    if not isinstance(route, Route) or route.reason != "home":
+        return True
+    return 2 * route.n_cached_blocks >= len(request.prefix_blocks)
+
+
 def _takes_work(state: EndpointState) -> bool:
     return state.health.state != health_rules.EJECTED
 
--- a/lagoonring/routing/state.py
+++ b/lagoonring/routing/state.py
@@ -7,11 +7,11 @@
 import attrs
 
 from lagoonring.routing.health import EndpointHealth
-from lagoonring.routing.learning import Speeds
+from lagoonring.routing.learning import DEFAULT_PREFILL_S, Speeds
 from lagoonring.routing.messages import EndpointLoad
 
 HISTORY_LENGTH = 64
-BUSY_COST_SHARE = 0.05
+BUSY_BLOCKS = 4.0
 HINT_COST_S = 0.02
 
 
@@ -21,6 +21,8 @@
 
     ``cost_s`` (waiting, crossing and busyness in seconds) and ``load`` are kept
     up to date by :func:`refresh`, so that a decision only reads them.
+    ``prefill_s`` and ``base_s`` lie between the endpoint's own speeds and what
+    is usual, since its own rest on few and noisy samples.
     """
 
     name: str
@@ -47,6 +49,8 @@
     load: float = 0.0
     wait_s: float = 0.0
     cost_s: float = 0.0
+    prefill_s: float = DEFAULT_PREFILL_S
+    base_s: float = 0.0
     speeds: Speeds = attrs.field(factory=Speeds)
     health: EndpointHealth = attrs.field(factory=EndpointHealth)
 
@@ -69,11 +73,18 @@
     n_over = load - state.n_slots + 1
     state.load = load
     state.wait_s = n_over * service_s / state.n_slots if n_over > 0 else 0.0
-    busy_s = BUSY_COST_SHARE * service_s * min(1.0, load / state.n_slots)
+    busy_s = BUSY_BLOCKS * state.prefill_s * min(1.0, load / state.n_slots)
     hint_s = HINT_COST_S if state.is_hinted else 0.0
     state.cost_s = state.wait_s + busy_s + state.crossing_s + hint_s
 
 
+def set_speeds(state: EndpointState, usual: Speeds) -> None:
+    """Work out the speeds to count with."""
+    own = state.speeds if state.speeds.n_samples else usual
+    state.prefill_s = (own.prefill_s + usual.prefill_s) / 2
+    state.base_s = (own.base_s + usual.base_s) / 2
+
+
 def change_own(state: EndpointState, change: int, time_s: float) -> None:
     """Note that a request of this instance began (1) or ended (-1)."""
     state.n_own = max(0, state.n_own + change)
--- a/lagoonring/tests/test_health.py
+++ b/lagoonring/tests/test_health.py
@@ -167,6 +167,7 @@
     slow = AttemptResult(ok=True, n_tokens=5, first_token_s=0.5, between_tokens_s=0.03)
     run(routing, "plateau-0", slow)
     run(routing, "plateau-1", WHOLE)
+    await routing.app.clock.advance(1.1)
     assert count_choices(routing).get("plateau-0", 0) == 0
     await routing.app.clock.advance(300)
     run(routing, "plateau-1", WHOLE)
--- a/lagoonring/tests/test_routing.py
+++ b/lagoonring/tests/test_routing.py
@@ -93,7 +93,7 @@
     home = routing.choose(request).endpoint
     other = next(name for name in routing.table.states if name != home)
     for name, prefill_s in ((home, 0.01), (other, 0.0005)):
-        routing.table.states[name].speeds.prefill_s = prefill_s
+        routing.table.states[name].prefill_s = prefill_s
     report(routing, home, n_running=14)
     assert routing.table.states[home].wait_s > 0.35
     assert routing.choose(request).endpoint == other
@@ -171,9 +171,13 @@
 async def test_speeds_are_learned_from_first_tokens():
     (routing,), _, _ = await make_instances(1, make_endpoints(plateau=1))
     state = routing.table.states["plateau-0"]
-    for seed in range(40):
-        prompt = make_chat(seed, 1, n_bytes=600 + 400 * (seed % 9))[0]
-        request = make_request(prompt)
+    turns = [
+        turn
+        for seed in range(12)
+        for turn in make_chat(seed, 5, n_bytes=600 + 400 * (seed % 9))
+    ]
+    for turn in turns:
+        request = make_request(turn)
         route = routing.choose(request)
         n_uncached = len(request.prefix_blocks) - route.n_cached_blocks
         routing.started(route, request)
