Wire in the fleet and the instance list; end what an endpoint finds faulty

Cause: notices and the platform's list reached no entry instance; a request that an endpoint rejects as faulty was tried again elsewhere and blamed on the version. Change: FleetService and list_seeds in the entry application; a notice for an entry instance itself makes it drain and stop; EndpointRejectedError ends a stream at once with the endpoint's status and counts against nobody. Measured: the new test counted 1 attempt. Conclusion: the notice path of an entry instance has no test yet.

--- a/lagoonring/entry/application.py
+++ b/lagoonring/entry/application.py
@@ -10,11 +10,14 @@
 from lagoonring.audit import AuditService
 from lagoonring.catalogue.service import CatalogueService
 from lagoonring.claims import ClaimsService
+from lagoonring.fleet.service import FleetService
 from lagoonring.kernel import Application, BaseService, Clock
 from lagoonring.limits.service import LimitsService
 from lagoonring.metrics import MetricsService
 from lagoonring.moves.service import MovesService
+from lagoonring.peers.options import SeedMember
 from lagoonring.peers.service import PeersService
+from lagoonring.platform.instance_list import InstanceListClient
 from lagoonring.platform.service import LogService
 from lagoonring.requests.authentication import make_authenticate
 from lagoonring.requests.charges import ChargesService
@@ -28,7 +31,7 @@
 if TYPE_CHECKING:
     import random
 
-    from lagoonring.peers.service import Allow
+    from lagoonring.peers.service import Allow, ListSeeds
     from lagoonring.platform import Log
     from lagoonring.settings.entry_settings import EntrySettings
 
@@ -130,6 +133,14 @@
     app.add(RoutingService(app, settings.routing, data_centre=settings.data_centre))
     app.add(LimitsService(app, settings.limits))
     app.add(MovesService(app, settings.moves))
+    app.add(
+        FleetService(
+            app,
+            settings.fleet,
+            data_centre=settings.data_centre,
+            cloud_url=settings.cloud_url,
+        )
+    )
     app.add(AuditService(app, settings.instance))
     app.add(ChargesService(app, settings.instance))
     app.add(CallersService(app, settings))
@@ -147,10 +158,34 @@
         data_centre=settings.data_centre,
         region=settings.region,
         http_address=f"{settings.host}:{settings.port}",
+        list_seeds=make_list_seeds(app, settings),
         allow=allow,
     )
 
 
+def make_list_seeds(app: Application, settings: EntrySettings) -> ListSeeds | None:
+    """Return a function that asks the platform for entry instances, if it can."""
+    url = settings.instance_list_url
+    if url is None:
+        return None
+
+    async def list_seeds() -> list[SeedMember]:
+        client = InstanceListClient(url, app.find("session").session)
+        return [
+            SeedMember(
+                instance=row.instance,
+                data_centre=row.data_centre,
+                region=row.region,
+                address=f"{row.address}:{row.peer_port}",
+                http_address=f"{row.address}:{row.http_port}",
+            )
+            for row in await client.read_instances()
+            if row.role == "entry" and row.state == "live"
+        ]
+
+    return list_seeds
+
+
 def make_request_parts(app: Application, settings: EntrySettings) -> RequestParts:
     """Return what the request path uses, from the started services."""
     return RequestParts(
--- a/lagoonring/entry/process.py
+++ b/lagoonring/entry/process.py
@@ -16,18 +16,17 @@
 
 
 async def run_entry(settings: EntrySettings) -> None:
-    """Serve until SIGTERM or SIGINT, then drain and stop.
+    """Serve until SIGTERM, SIGINT or a notice, then drain and stop.
 
     A second signal ends the drain at once.
     """
     app = make_entry_application(settings)
-    stopping = asyncio.Event()
     hurried = asyncio.Event()
 
     def on_signal() -> None:
-        if stopping.is_set():
+        if app.leaving.is_set():
             hurried.set()
-        stopping.set()
+        app.leave(settings.grace_s)
 
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -39,9 +38,10 @@
         f"data_centre={settings.data_centre} instance={settings.instance}",
         flush=True,
     )
-    await stopping.wait()
-    logger.info("Draining for at most {} s.", settings.grace_s)
-    await _drain(app.drain(settings.grace_s), hurried)
+    await app.leaving.wait()
+    grace_s = settings.grace_s if app.grace_s is None else app.grace_s
+    logger.info("Draining for at most {} s.", grace_s)
+    await _drain(app.drain(grace_s), hurried)
     await app.stop()
     logger.info("Stopped.")
 
--- a/lagoonring/fleet/notices.py
+++ b/lagoonring/fleet/notices.py
@@ -90,11 +90,18 @@
 
     def take_row(self, origin: str, name: str, row: NoticeRow | None) -> None:
         """Move streams off an endpoint that another instance has a notice of."""
-        if row is not None and row.reclaim_s > 0:
+        if row is None or row.reclaim_s <= 0:
+            return
+        if name == self.app.find("peers").me.instance:
+            self._leave(row.reclaim_s)
+        else:
             self._move_off(name, row.reclaim_s)
 
     def _act(self, notice: Notice) -> bool:
-        """Act on a notice; False if the catalogue does not know the endpoint yet."""
+        """Act on a notice; False if nobody knows the instance yet."""
+        if self._is_entry(notice.instance):
+            self._tell_entry(notice)
+            return True
         endpoints = self.app.find("catalogue").content.endpoints
         names = [
             name
@@ -114,6 +121,30 @@
             logger.info("Endpoint {} will be reclaimed.", name)
         return bool(names)
 
+    def _is_entry(self, instance: str) -> bool:
+        peers = self.app.find("peers")
+        members = {member.instance for member in peers.members()}
+        return instance in members | {peers.me.instance}
+
+    def _tell_entry(self, notice: Notice) -> None:
+        """Let an entry instance that will be reclaimed drain and stop."""
+        peers = self.app.find("peers")
+        if notice.instance == peers.me.instance:
+            self._leave(notice.reclaim_s)
+            return
+        row = NoticeRow(
+            instance=notice.instance,
+            url="",
+            since_s=self.app.clock.time(),
+            reclaim_s=notice.reclaim_s,
+        )
+        peers.publish(LEAVING_KIND, notice.instance, row, urgent=True)
+
+    def _leave(self, reclaim_s: float) -> None:
+        seconds_left = max(0.0, reclaim_s - self.app.clock.time())
+        logger.info("This instance will be reclaimed in {:.1f} s.", seconds_left)
+        self.app.leave(seconds_left)
+
     def _move_off(self, endpoint: str, reclaim_s: float) -> None:
         key = (endpoint, reclaim_s)
         if key in self.moved or "requests" not in self.app.services:
--- a/lagoonring/kernel/application.py
+++ b/lagoonring/kernel/application.py
@@ -86,6 +86,14 @@
         self.started: list[Any] = []
         self.tasks: set[asyncio.Task[None]] = set()
         self.draining = False
+        self.leaving = asyncio.Event()
+        self.grace_s: float | None = None
+
+    def leave(self, grace_s: float) -> None:
+        """Ask the process to drain and stop within ``grace_s`` seconds."""
+        if not self.leaving.is_set():
+            self.grace_s = grace_s
+            self.leaving.set()
 
     def add(self, service: Any) -> Any:
         """Register a service under its ``name`` and return it."""
--- a/lagoonring/requests/producer.py
+++ b/lagoonring/requests/producer.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from lagoonring.endpoints.errors import EndpointError
+from lagoonring.endpoints.errors import EndpointError, EndpointRejectedError
 from lagoonring.errors import LagoonringError, Outcome
 from lagoonring.logs import make_logger
 from lagoonring.requests.chat import endpoint_body
@@ -74,6 +74,8 @@
         if error is None:
             return
         stream.decisions.append(f"attempt at {route.endpoint} ended: {error.kind}")
+        if isinstance(error, EndpointRejectedError):
+            raise error
         if not stream.is_moving:
             excluded.add(route.endpoint)
             last_error = error
@@ -235,7 +237,7 @@
     if error is None:
         parts.retries.ended(fingerprint, route.endpoint, ok=True)
         return ""
-    if error.kind == MOVED:
+    if error.kind == MOVED or isinstance(error, EndpointRejectedError):
         parts.retries.ended(fingerprint, route.endpoint, ok=False)
         return CAUSE_CALLER
     parts.metrics.attempts_failed.labels(error.kind).inc()
--- a/lagoonring/settings/entry_settings.py
+++ b/lagoonring/settings/entry_settings.py
@@ -6,6 +6,7 @@
 
 from lagoonring.catalogue.options import CatalogueOptions
 from lagoonring.claims.options import ClaimsOptions
+from lagoonring.fleet.options import FleetOptions
 from lagoonring.limits.options import LimitsOptions
 from lagoonring.moves.options import MovesOptions
 from lagoonring.peers.options import PeersOptions
@@ -63,3 +64,4 @@
     limits: LimitsOptions = attrs.field(factory=LimitsOptions)
     retries: RetriesOptions = attrs.field(factory=RetriesOptions)
     moves: MovesOptions = attrs.field(factory=MovesOptions)
+    fleet: FleetOptions = attrs.field(factory=FleetOptions)
--- a/lagoonring/tests/test_outcomes.py
+++ b/lagoonring/tests/test_outcomes.py
@@ -46,3 +46,16 @@
 async def test_request_without_any_endpoint_is_not_run():
     async with run_deployment(n_engines=0) as deployment:
         assert (await ask_error(deployment))["outcome"] == "not_run"
+
+
+async def test_request_that_the_endpoint_finds_faulty_is_sent_once():
+    async with run_deployment(n_engines=2) as deployment:
+        body = {**chat_body("turtles"), "messages": [{"role": "user", "content": 7}]}
+        async with deployment.session.post(
+            deployment.url(0) + CHAT, json=body, headers=headers_of()
+        ) as answer:
+            error = (await answer.json())["error"]
+            assert (answer.status, error["code"]) == (400, "endpoint_rejected")
+            assert error["outcome"] == "not_run"
+        trace = next(iter(deployment.entries[0].find("requests").traces.by_id.values()))
+        assert trace.n_attempts == 1
