--- /dev/null
+++ b/lagoonring/load/plots.py
@@ -0,0 +1,81 @@
+"""Plots of a run as PNG; the only module that needs matplotlib."""
+
+from __future__ import annotations
+
+import base64
+import io
+from typing import TYPE_CHECKING, Any
+
+import matplotlib
+
+matplotlib.use("Agg")
+
+from hdrh.histogram import HdrHistogram
+from matplotlib import pyplot
+
+if TYPE_CHECKING:
+    from lagoonring.load.results import Report
+
+SIZE_INCHES = (8.0, 3.2)
+PERCENTILES = (*range(0, 90, 5), *range(90, 100), 99.5, 99.9)
+US_PER_MS = 1000.0
+
+
+def plot_seconds(report: Report) -> str:
+    """Return the run over time: arrivals, answers, refusals, first tokens."""
+    figure, axes = pyplot.subplots(figsize=SIZE_INCHES)
+    seconds = [row.second for row in report.seconds]
+    axes.step(seconds, [row.n_arrived for row in report.seconds], label="arrived")
+    axes.step(
+        seconds, [row.n_in_target for row in report.seconds], label="within target"
+    )
+    axes.step(
+        seconds,
+        [row.n_refused + row.n_lost for row in report.seconds],
+        label="refused or lost",
+    )
+    axes.set(xlabel="planned arrival, s", ylabel="requests a second")
+    times = axes.twinx()
+    timed = [row for row in report.seconds if row.first_token_p90_ms is not None]
+    times.plot(
+        [row.second for row in timed],
+        [row.first_token_p90_ms or 0.0 for row in timed],
+        color="grey",
+        linestyle=":",
+        label="first token p90",
+    )
+    times.set_ylabel("ms")
+    for action in report.actions:
+        axes.axvline(action.at_s, color="black", linewidth=0.6)
+        axes.annotate(action.name, (action.at_s, axes.get_ylim()[1]), fontsize=7)
+    axes.legend(loc="upper left", fontsize=7)
+    times.legend(loc="upper right", fontsize=7)
+    return _encode(figure)
+
+
+def plot_histograms(histograms: dict[str, str]) -> str:
+    """Return the percentiles of the measures over all organisations."""
+    figure, axes = pyplot.subplots(figsize=SIZE_INCHES)
+    for name, encoded in histograms.items():
+        kind, measure, organisation = name.split("/")
+        if organisation != "all":
+            continue
+        histogram = HdrHistogram.decode(encoded)
+        values = [
+            histogram.get_value_at_percentile(percentile) / US_PER_MS
+            for percentile in PERCENTILES
+        ]
+        axes.plot(PERCENTILES, values, label=f"{kind} {measure.replace('_', ' ')}")
+    axes.set(xlabel="percentile", ylabel="ms", yscale="log")
+    if axes.lines:
+        axes.legend(fontsize=7)
+    return _encode(figure)
+
+
+def _encode(figure: Any) -> str:
+    """Return a figure as the text of a data URL and close it."""
+    buffer = io.BytesIO()
+    figure.tight_layout()
+    figure.savefig(buffer, format="png", dpi=100)
+    pyplot.close(figure)
+    return "data:image/png;base64," + base64.b64encode(buffer.getvalue()).decode()
