--- a/lagoonring/peers/gossip.py
+++ b/lagoonring/peers/gossip.py
@@ -102,7 +102,7 @@
             await self.clock.sleep(self.options.round_s * jitter)
             now_s = self.clock.monotonic()
             time_s = self.clock.time()
-            self._check_pause(now_s - last_s, time_s - last_time_s)
+            self.check_pause(now_s - last_s, time_s - last_time_s)
             last_s = now_s
             last_time_s = time_s
             self.hold_round()
@@ -118,6 +118,22 @@
             self._sync_local(record)
         self._sync_remote()
 
+    def check_pause(self, gap_s: float, wall_gap_s: float) -> None:
+        """Begin a new life if the time since the last round shows a pause.
+
+        Parameters
+        ----------
+        gap_s, wall_gap_s : float
+            That time in seconds, by the monotonic and by the wall clock.
+        """
+        paused_s = max(gap_s, wall_gap_s) - self.options.round_s
+        if paused_s <= self.options.pause_s:
+            return
+        logger.warning("This process stood still for {:.1f} s.", paused_s)
+        self.members.note_pause(gap_s)
+        self.remote.note_pause(gap_s)
+        self.begin_life(0)
+
     def receive_sync(self, envelope: Envelope, sync: Sync) -> None:
         """Merge a step of a comparison and send the next one."""
         sender = envelope.sender
@@ -193,15 +209,6 @@
             return origin.record
         return self.remote.find(instance) or self.seeds.get(instance)
 
-    def _check_pause(self, gap_s: float, wall_gap_s: float) -> None:
-        paused_s = max(gap_s, wall_gap_s) - self.options.round_s
-        if paused_s <= self.options.pause_s:
-            return
-        logger.warning("This process stood still for {:.1f} s.", paused_s)
-        self.members.note_pause(gap_s)
-        self.remote.note_pause(gap_s)
-        self.begin_life(0)
-
     def _choose_partners(self) -> list[MemberRecord]:
         partners = self.members.partners()
         n_chosen = min(self.options.n_partners, len(partners))
--- a/lagoonring/tests/test_gossip.py
+++ b/lagoonring/tests/test_gossip.py
@@ -104,6 +104,18 @@
         assert copy.floor >= floor
 
 
+def test_forgotten_removals_reach_a_copy_by_way_of_a_full_one():
+    source, old, full = make_origin(), make_origin(), make_origin()
+    write(source, [("guide-1", b"x")])
+    old.merge(source.changes_since(0, with_record=False))
+    names = ["guide-1", "guide-2", "guide-3", "guide-4", "guide-5"]
+    write(source, [(name, None) for name in names])
+    assert source.floor > 1
+    full.merge(source.changes_since(0, with_record=False))
+    old.merge(full.changes_since(old.tick, with_record=False))
+    assert visible(old) == {}
+
+
 def make_table(instance="b1", **limits):
     values = {"n_bytes": 1 << 20, "n_rows": 1000, "n_frame_bytes": 1 << 16, **limits}
     record = MemberRecord(instance, "plateau", "", "127.0.0.1:2", "", 7)
@@ -277,6 +289,18 @@
             }
 
 
+async def test_rows_that_come_and_go_leave_little_behind():
+    clock, network, nodes = make_fleet(places={"plateau": 2})
+    async with running(*nodes):
+        for number in range(300):
+            nodes[0].peers.publish("failing", f"guide-{number}", Level(value=1))
+            nodes[0].peers.publish("failing", f"guide-{number}", None)
+        await advance(clock, network, 1)
+        for node in nodes:
+            assert node.peers.rows("failing", Level) == {}
+            assert node.peers.local.n_rows <= 3
+
+
 async def test_an_urgent_row_reaches_all_before_the_next_round():
     clock, network, nodes = make_fleet()
     async with running(*nodes):
--- a/lagoonring/tests/test_peers_members.py
+++ b/lagoonring/tests/test_peers_members.py
@@ -80,6 +80,16 @@
         assert states["plateau-1"] == "alive"
 
 
+async def test_one_silent_contact_makes_the_others_be_asked():
+    fleet = Fleet({"plateau": 2, "almadies": 3}, remote_round_s=5.0)
+    async with running(*fleet.nodes):
+        await fleet.advance(12)
+        fleet.cut = {f"almadies-{index}" for index in range(3)}
+        await fleet.advance(9)
+        states = fleet.states(fleet.nodes[0])
+        assert [states[f"almadies-{n}"] for n in range(3)] == ["unreachable"] * 3
+
+
 async def test_a_majority_that_falls_silent_is_kept_and_comes_back():
     fleet = Fleet({"plateau": 6})
     async with running(*fleet.nodes):
@@ -155,6 +165,22 @@
         assert rows == {("plateau-2", "guide"): Level(value=1)}
 
 
+async def test_a_short_pause_begins_a_new_life_and_blames_nobody():
+    fleet = Fleet({"plateau": 3, "almadies": 2}, pause_s=3.0)
+    async with running(*fleet.nodes):
+        await fleet.advance(2)
+        before = {node.peers.me.incarnation for node in fleet.nodes}
+        fleet.clock.now_s += 4
+        for node in fleet.nodes:
+            node.peers.gossip.check_pause(4, 4)
+            node.peers.gossip.members.sweep()
+            assert set(fleet.states(node).values()) == {"alive"}
+        assert not {node.peers.me.incarnation for node in fleet.nodes} & before
+        await fleet.advance(2)
+        for node in fleet.nodes:
+            assert set(fleet.states(node).values()) == {"alive"}
+
+
 async def restart(fleet, index, clock):
     """Stop a node and start one of the same name and address."""
     old = fleet.nodes[index]
