Keep requests on the old version where none serves the new one

Cause: with one trial endpoint per data centre, its reclaim left the requests of the new version without an endpoint. Change: the choice asks routing for one first.

--- a/lagoonring/moves/service.py
+++ b/lagoonring/moves/service.py
@@ -15,6 +15,7 @@
 from lagoonring.logs import make_logger
 from lagoonring.moves.comparison import Comparison
 from lagoonring.moves.counts import CountsRow, Sample, VersionCounts, unpack
+from lagoonring.moves.cuts import CutWindow
 from lagoonring.moves.holder import MovesHolder, find_endpoints
 from lagoonring.moves.ledger import MoveLedger
 from lagoonring.moves.messages import MoveNotice, MoveRecord
@@ -38,7 +39,6 @@
 CAUSE_SUSPECT = "suspect"
 CUT_KINDS = ("cut", "connect")
 N_FINDINGS_KEPT = 256
-N_CUTS_KEPT = 1024
 
 logger = make_logger("moves")
 
@@ -76,7 +76,7 @@
         self.told: dict[str, MoveNotice] = {}
         self.findings: dict[str, str] = {}
         self.comparisons: dict[str, Comparison] = {}
-        self.cuts_s: dict[tuple[str, str], float] = {}
+        self.cuts = CutWindow(window_s=self.options.cut_window_s)
         self.lease: Lease | None = None
         self.metrics: MoveMetrics | None = None
         self.holder = MovesHolder(
@@ -132,9 +132,9 @@
         share = self.share(entry)
         if share <= 0 or version != record.from_version:
             return version
-        if is_on_new(entry, record.key, request_id, share):
-            return record.to_version
-        return version
+        if not is_on_new(entry, record.key, request_id, share):
+            return version
+        return record.to_version if self._is_served(record) else version
 
     def share(self, entry: str) -> float:
         """Return the share of an entry's requests on the new version, here.
@@ -184,7 +184,7 @@
             return
         if result.kind in CUT_KINDS and endpoint:
             self._count_crash(comparison, endpoint)
-            if self._is_repeated_cut(endpoint, version):
+            if self.cuts.is_repeated(endpoint, version, self.app.clock.monotonic()):
                 return
         comparison.add(
             Sample(
@@ -217,6 +217,15 @@
         ]
         return found + new
 
+    def _is_served(self, record: MoveRecord) -> bool:
+        """Whether an endpoint known here takes work of the new version."""
+        routing = self.app.services.get("routing")
+        if routing is None:
+            return True
+        now_s = self.app.clock.monotonic()
+        group = routing.table.group(record.entry, record.to_version, now_s)
+        return bool(group.local or group.remote or group.probing)
+
     def _is_candidate(self) -> bool:
         if not self.catalogue.content.moves:
             return False
@@ -369,23 +378,10 @@
             self.peers.publish(NOTICE_KIND, notice.record.entry, notice, urgent=True)
 
     def _count_crash(self, comparison: Comparison, endpoint: str) -> None:
-        if not self._is_repeated_cut(endpoint, ""):
+        if not self.cuts.is_repeated(endpoint, "", self.app.clock.monotonic()):
             crashes = comparison.counts.crashes
             crashes[endpoint] = crashes.get(endpoint, 0) + 1
 
-    def _is_repeated_cut(self, endpoint: str, version: str) -> bool:
-        now_s = self.app.clock.monotonic()
-        key = (endpoint, version)
-        is_repeated = now_s - self.cuts_s.get(key, -math.inf) < (
-            self.options.cut_window_s
-        )
-        if not is_repeated:
-            self.cuts_s.pop(key, None)
-            self.cuts_s[key] = now_s
-            while len(self.cuts_s) > N_CUTS_KEPT:
-                del self.cuts_s[next(iter(self.cuts_s))]
-        return is_repeated
-
 
 def _is_excused(result: AttemptResult, caused_by_request: bool) -> bool:
     if result.cause:
--- a/lagoonring/tests/test_moves_failures.py
+++ b/lagoonring/tests/test_moves_failures.py
@@ -7,6 +7,7 @@
 
 from lagoonring.catalogue import Change
 from lagoonring.routing.messages import AttemptResult
+from lagoonring.routing.table import Group
 from lagoonring.tests.builders.moves import OPTIONS, MovesFleet
 
 DEADLINE_S = 60.0
@@ -282,3 +283,28 @@
         assert counts.crashes == {"e1": 1, "e2": 1}
         await fleet.clock.advance(OPTIONS.cut_window_s)
         assert cut("", "e1") == 3
+
+
+async def test_requests_stay_on_the_old_version_while_none_serves_the_new_one():
+    async with running(n_instances=1) as fleet:
+        await fleet.order(in_s=DEADLINE_S)
+        assert await fleet.run(20, until=lambda: fleet.new_times_s)
+        routing = RoutingDouble()
+        fleet.instances[0].app.add(routing)
+        n_new = len(fleet.new_times_s)
+        await fleet.run(2)
+        assert len(fleet.new_times_s) == n_new
+        routing.group_now.remote.append("guide-3")
+        assert await fleet.run(2, until=lambda: len(fleet.new_times_s) > n_new)
+
+
+class RoutingDouble:
+    name = "routing"
+
+    def __init__(self):
+        self.group_now = Group()
+        self.table = self
+
+    def group(self, entry, version, now_s):
+        assert (entry, version) == ("guide", "2")
+        return self.group_now
