Let streams go on when the endpoint of an equal request takes no work

Cause: the home of a fingerprint pins further attempts to an endpoint in use; a stream that was moved and handed over in a reclaim was pinned to the leaving endpoint, because the ends of its earlier attempts had not been told, and failed with no_endpoint. Change: ends of a fingerprint's attempts are told before it is asked for again and before a handover; an endpoint that takes no work pins nobody.

--- a/lagoonring/requests/handover.py
+++ b/lagoonring/requests/handover.py
@@ -88,6 +88,7 @@
         await self.requests.pause_stream(stream)
         if stream.is_done:
             return True
+        await self.requests.parts.retries.flush()
         payload = encode_handover(self._make_handover(stream))
         for target in self._targets(stream.request.request_id):
             try:
--- a/lagoonring/requests/parts.py
+++ b/lagoonring/requests/parts.py
@@ -15,7 +15,6 @@
 from lagoonring.kernel import Application
 from lagoonring.logs import make_logger
 from lagoonring.requests.options import RequestsOptions
-from lagoonring.routing.messages import NoEndpointError
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine
@@ -114,12 +113,9 @@
         other = self.routing.route_to(endpoint, route_request)
         if other is not None:
             return other
+        # An endpoint that takes no work can't be used, whoever else is there.
         self.retries.ended(request.fingerprint, endpoint, ok=False)
-        raise NoEndpointError(
-            f"Got endpoint {endpoint} that takes no work, expected it free.",
-            remedy="Send the request again after Retry-After.",
-            retry_after_s=1.0,
-        )
+        return route
 
     async def blame(self, request: CallerRequest, route: Route, kind: str) -> str:
         """Return the cause of a failed attempt and tell the quarantine."""
--- a/lagoonring/retries/service.py
+++ b/lagoonring/retries/service.py
@@ -192,7 +192,7 @@
         for own in self.attempts.get((fingerprint, endpoint), ()):
             if own.is_exclusive:
                 self._release_endpoint(own)
-                self.app.spawn("retries-flush-now", self._flush)
+                self.app.spawn("retries-flush-now", self.flush)
 
     def may_retry(self, entry: str) -> bool:
         """Take a retry or hedge from the entry's budget, if one is left."""
@@ -219,7 +219,13 @@
 
     async def drain(self, grace_s: float) -> None:
         """Tell the homes of all attempts that have ended."""
-        await self._flush()
+        await self.flush()
+
+    async def flush(self) -> None:
+        """Tell the homes of attempts that have ended."""
+        ends, self.ends = self.ends, []
+        if ends:
+            await self.homes.end(ends)
 
     def _clear(self, fingerprint: str) -> None:
         record = self.table.get(fingerprint)
@@ -237,7 +243,13 @@
         return fingerprint not in self.arbiter.completed
 
     async def _ask_home(self, fingerprint: str, own: OwnAttempt) -> None:
-        """Ask until the attempt may start; own.endpoint is what to use."""
+        """Ask until the attempt may start; own.endpoint is what to use.
+
+        Earlier attempts of the request are told to have ended first, so that
+        they do not count as in progress.
+        """
+        if any(end.key == fingerprint for end in self.ends):
+            await self.flush()
         deadline_s = self.app.clock.monotonic() + self.options.wait_most_s
         step_s = WAIT_STEP_S
         try:
@@ -323,7 +335,7 @@
             self._release_endpoint(own)
         del self.ends[:-ENDS_KEPT]
         if result == CRASHED or self.table.get(fingerprint) is not None:
-            self.app.spawn("retries-flush-now", self._flush)
+            self.app.spawn("retries-flush-now", self.flush)
 
     def _release_endpoint(self, own: OwnAttempt) -> None:
         key = ENDPOINT_KEY + own.endpoint
@@ -338,15 +350,10 @@
         while True:
             await self.app.clock.sleep(FLUSH_S)
             self.homes.refresh()
-            await self._flush()
+            await self.flush()
             self._withdraw_old_rows()
             self.metrics.suspected.set(len(self.table.records))
 
-    async def _flush(self) -> None:
-        ends, self.ends = self.ends, []
-        if ends:
-            await self.homes.end(ends)
-
     def _withdraw_old_rows(self) -> None:
         now_s = self.app.clock.monotonic()
         for fingerprint, until_s in list(self.published.items()):
--- a/lagoonring/tests/builders/deployments.py
+++ b/lagoonring/tests/builders/deployments.py
@@ -79,7 +79,7 @@
     """Run a deployment until the block ends.
 
     ``engine`` and ``plain`` are options of the stand-ins, ``entry`` settings of
-    every instance, ``sections`` replace items of the catalogue.
+    every instance, ``sections`` add to items of the catalogue.
     """
     async with asyncio.timeout(HANG_S), contextlib.AsyncExitStack() as stack:
         session = await stack.enter_async_context(aiohttp.ClientSession())
@@ -179,7 +179,9 @@
                 "url": standin.url,
             }
     for section, items in sections.items():
-        catalogue.setdefault(section, {}).update(items)
+        known = catalogue.setdefault(section, {})
+        for name, item in items.items():
+            known[name] = {**known.get(name, {}), **item}
     return catalogue
 
 
