--- a/lagoonring/tests/test_fleet.py
+++ b/lagoonring/tests/test_fleet.py
@@ -2,12 +2,17 @@
 
 from contextlib import asynccontextmanager
 
+import aiohttp
 import msgspec
 import pytest
 
 from lagoonring.fleet.messages import NoticeRow
+from lagoonring.fleet.service import FleetService
+from lagoonring.kernel import Application, ManualClock
 from lagoonring.platform.cloud import ON_DEMAND, RECLAIMABLE, StartOrder
 from lagoonring.routing.messages import LeavingEndpoint
+from lagoonring.standins.cloud_standin import CloudStandin
+from lagoonring.standins.options import CloudOptions, Price
 from lagoonring.tests.builders.fleet import (
     DATA_CENTRES,
     NOTICE_S,
@@ -198,3 +203,37 @@
     assert leaving == LeavingEndpoint(instance="i", url="u", since_s=1.0)
     data = msgspec.msgpack.encode(leaving)
     assert msgspec.msgpack.decode(data, type=NoticeRow).reclaim_s == 0
+
+
+async def test_the_cloud_over_http_starts_and_tells_notices():
+    price = Price(data_centre="dc0", instance_class="small")
+    options = CloudOptions(prices=[price], start_s=0.0, notice_s=60.0)
+    standin = CloudStandin(options, clock=ManualClock())
+    order = StartOrder(
+        token="lagoonring/dc0/1",
+        instance_class="small",
+        data_centre="dc0",
+        market=RECLAIMABLE,
+    )
+    await standin.start()
+    try:
+        async with aiohttp.ClientSession() as session:
+            app = Application()
+            app.add(SessionDouble(session))
+            fleet = FleetService(app, data_centre="dc0", cloud_url=standin.url)
+            cloud = fleet.find_cloud()
+            first = await cloud.start_instance(order)
+            again = await cloud.start_instance(order)
+            assert again.instance == first.instance
+            standin.model.announce(first.instance, 60.0)
+            page = await cloud.read_notices(0)
+            assert [notice.instance for notice in page.notices] == [first.instance]
+    finally:
+        await standin.stop()
+
+
+class SessionDouble:
+    name = "session"
+
+    def __init__(self, session):
+        self.session = session
--- a/lagoonring/tests/test_moves_failures.py
+++ b/lagoonring/tests/test_moves_failures.py
@@ -3,12 +3,17 @@
 import asyncio
 from contextlib import asynccontextmanager
 
+import aiohttp
+import attrs
 import pytest
 
-from lagoonring.catalogue import Change
+from lagoonring.catalogue import Change, Endpoint
+from lagoonring.kernel import ManualClock
+from lagoonring.moves.orders import EngineControl, VersionOrders
 from lagoonring.routing.messages import AttemptResult
 from lagoonring.routing.table import Group
 from lagoonring.tests.builders.moves import OPTIONS, MovesFleet
+from lagoonring.tests.builders.standins import running_engine
 
 DEADLINE_S = 60.0
 PAUSE_S = 12.0
@@ -308,3 +313,38 @@
     def group(self, entry, version, now_s):
         assert (entry, version) == ("guide", "2")
         return self.group_now
+
+
+@pytest.mark.parametrize("checks_fencing", [True, False])
+async def test_engines_over_http_load_and_give_up_a_version(checks_fencing):
+    lease = LeaseDouble()
+    async with (
+        running_engine(versions=["1"], checks_fencing=checks_fencing) as engine,
+        aiohttp.ClientSession() as session,
+    ):
+        endpoint = Endpoint(entry="guide", data_centre="dc0", url=engine.url)
+        clock = ManualClock()
+        options = attrs.evolve(OPTIONS, order_s=0.0)
+        control = EngineControl(lambda: session)
+        orders = VersionOrders(lease, control, clock, options)
+        for is_wanted, versions in ((True, ["1", "2"]), (False, ["1"])):
+            for _ in range(100):
+                progress = await orders.bring(
+                    {"g": endpoint},
+                    "2",
+                    is_wanted=is_wanted,
+                    checks_fencing=checks_fencing,
+                )
+                if progress.done:
+                    break
+                await clock.advance(OPTIONS.check_s)
+            assert progress.done == {"g"}
+            state = await control.read_state(engine.url)
+            assert (state.versions, state.fencing) == (versions, lease.fencing_number)
+
+
+class LeaseDouble:
+    fencing_number = 7
+
+    def is_held(self):
+        return True
