Split routing's service, work shares out in one pass over the rows

Change: results.py and choosing.py beside the service; levels.py sums demands once; a data centre that the platform no longer lists is forgotten; a full engine cache is forgotten when its endpoint goes down. Conclusion: a fault of the share arithmetic with tiny demands, found by hypothesis, is mended.

--- a/lagoonring/limits/entry_queue.py
+++ b/lagoonring/limits/entry_queue.py
@@ -15,6 +15,7 @@
 RETRY_AFTER_RANGE_S = (0.5, 30.0)
 SERVICE_SHARE_MOST = 0.5
 COST_BASE = 16.0
+LATE = "a deadline that can't be met"
 
 
 class EntryQueue:
@@ -60,8 +61,9 @@
         evicted = self.queue.push(waiting)
         if evicted is not None:
             self._refuse(evicted, "a full queue", now_s)
-        if waiting.is_queued:
-            self.refuse_late(now_s, only=waiting)
+        if waiting.is_queued and self._is_late(waiting, now_s):
+            self.queue.remove(waiting)
+            self._refuse(waiting, LATE, now_s)
         future = waiting.answer
         assert isinstance(future, asyncio.Future)
         try:
@@ -91,24 +93,28 @@
                 self._take_place(now_s)
                 future.set_result(None)
 
-    def refuse_late(self, now_s: float, *, only: Waiting | None = None) -> None:
-        """Refuse what can't begin in time behind those before it.
-
-        ``only`` checks that one request and leaves the others.
-        """
+    def refuse_late(self, now_s: float) -> None:
+        """Refuse what can't begin in time behind those before it."""
         n_places = self.capacity()
         cost_ahead = 0.0
         for waiting in list(self.queue.ordered()):
             wait_s = self.pace.wait_s(cost_ahead, n_places, now_s)
-            is_late = now_s + wait_s > waiting.latest_start_s
-            if is_late and only in (None, waiting):
+            if now_s + wait_s > waiting.latest_start_s:
                 self.queue.remove(waiting)
-                self._refuse(waiting, "a deadline that can't be met", now_s)
+                self._refuse(waiting, LATE, now_s)
                 continue
-            if waiting is only:
-                return
             cost_ahead += waiting.cost
 
+    def _is_late(self, waiting: Waiting, now_s: float) -> bool:
+        """Return whether a request can't begin in time behind all before it."""
+        cost_ahead = 0.0
+        for other in self.queue.ordered():
+            if other is waiting:
+                break
+            cost_ahead += other.cost
+        wait_s = self.pace.wait_s(cost_ahead, self.capacity(), now_s)
+        return now_s + wait_s > waiting.latest_start_s
+
     def refusal(self, got: str, now_s: float) -> OverloadRefusedError:
         """Return the error for a request that is refused now."""
         cost = sum(waiting.cost for waiting in self.queue.ordered())
--- a/lagoonring/limits/options.py
+++ b/lagoonring/limits/options.py
@@ -40,7 +40,7 @@
     burst_s: float = attrs.field(default=2.0, validator=between(0.1, 600))
     floor_share: float = attrs.field(default=0.2, validator=between(0, 1))
     slots_floor_share: float = attrs.field(default=0.5, validator=between(0, 1))
-    refresh_s: float = attrs.field(default=0.5, validator=between(0.05, 60))
+    refresh_s: float = attrs.field(default=1.0, validator=between(0.05, 60))
     grow_delay_s: float = attrs.field(default=6.0, validator=between(0, 60))
     hold_s: float = attrs.field(default=30.0, validator=between(0, 3600))
     n_instances_expected: int = attrs.field(default=1, validator=between(1, 100_000))
--- a/lagoonring/limits/share_tracker.py
+++ b/lagoonring/limits/share_tracker.py
@@ -6,13 +6,12 @@
 
 import attrs
 
+from lagoonring.limits.levels import Level
 from lagoonring.limits.shares import (
     DelayedGrowth,
     Demand,
     DemandSummary,
-    Part,
     round_demand,
-    split,
     split_count,
 )
 
@@ -25,6 +24,7 @@
 DEAD = "dead"
 SUMMARY_PREFIX = "demand:"
 NO_DEMAND = Demand()
+FORGET_S = 600.0
 
 
 @attrs.define
@@ -35,15 +35,6 @@
     n_asked: int = 0
 
 
-@attrs.define(eq=False)
-class ScopeShares:
-    """This instance's shares for a scope, as last worked out."""
-
-    share: float
-    shares: dict[str, float]
-    data_centre_shares: dict[str, float]
-
-
 class ShareTracker:
     """Works out shares from own demand, the peers' and other data centres'.
 
@@ -61,7 +52,8 @@
         self.own = Demand()
         self.summaries: dict[str, DemandSummary] = {}
         self.own_summary: DemandSummary | None = None
-        self.scopes: dict[str, ScopeShares] = {}
+        self.told_summary: DemandSummary | None = None
+        self.shares: dict[str, float] = {}
         self.growth: dict[str, DelayedGrowth] = {}
         self.demands: dict[str, Demand] = {}
         self.lost: frozenset[str] = frozenset()
@@ -69,6 +61,11 @@
         self.instances: dict[str, bool] = {}
         self.data_centres: dict[str, bool] = {}
         self.sizes: dict[str, int] = {}
+        self.seen_s: dict[str, float] = {}
+        self.instance_level = Level("", {"": 1}, {"": {}})
+        self.data_centre_level = self.instance_level
+        if peers is not None:
+            self._look(self.refreshed_s)
 
     def note_asked(self, scope: str) -> None:
         """Count a request asked for, whether admitted or not."""
@@ -84,36 +81,31 @@
         if self.peers is None:
             return
         self._tell_demand()
-        self.demands = self._read_demands()
-        self._find_members(now_s)
-        self._take_summaries()
-        self._tell_summary()
+        self._look(now_s)
         if now_s < self.held_until_s:
             return
-        names = set(self.scopes) | set(self.meters)
-        for scope in names:
-            if scope not in self.scopes:
-                self._first(scope)
-        self.scopes = {scope: self._work_out(scope, now_s) for scope in names}
+        for scope in set(self.shares) | set(self.meters):
+            if scope not in self.shares:
+                self._begin(scope)
+            self.shares[scope] = self._work_out(scope, now_s)
 
     def share(self, scope: str) -> float:
         """Return this instance's share of a limit of a scope, 0 to 1."""
         if self.peers is None:
             return 1.0
-        known = self.scopes.get(scope)
-        if known is None:
-            known = self._first(scope)
-        return known.share
+        known = self.shares.get(scope)
+        return self._begin(scope) if known is None else known
 
     def count(self, scope: str, limit: int) -> int:
         """Return this instance's part of a limit in whole numbers."""
         if self.peers is None:
             return limit
-        known = self.scopes.get(scope) or self._first(scope)
         me = self.peers.me
-        of_data_centre = split_count(limit, known.data_centre_shares)
-        own_limit = of_data_centre.get(me.data_centre, 0)
-        count = split_count(own_limit, known.shares).get(me.instance, 0)
+        floor_share = self.options.floor_share
+        centres = self.data_centre_level.shares(scope, floor_share)
+        own_limit = split_count(limit, centres).get(me.data_centre, 0)
+        instances = self.instance_level.shares(scope, floor_share)
+        count = split_count(own_limit, instances).get(me.instance, 0)
         growth = self._growth(f"{scope}:count")
         return int(growth.update(count, self.clock.monotonic()))
 
@@ -121,41 +113,47 @@
         """Return the part of this data centre's places to use here."""
         if self.peers is None:
             return 1.0
-        parts = self._instance_parts(scope, 0.0)
-        shares = split(parts, self.options.slots_floor_share)
-        return shares.get(self.peers.me.instance, 1.0)
+        return self.instance_level.own_share(scope, self.options.slots_floor_share)
+
+    def _look(self, now_s: float) -> None:
+        """Read members and rows; what is held stays as it was."""
+        self.demands = self._read_demands()
+        self._find_members(now_s)
+        self._take_summaries(now_s)
+        if now_s < self.held_until_s:
+            return
+        self._tell_summary()
+        me = self.peers.me
+        self.instance_level = Level(
+            me.instance,
+            dict.fromkeys(self.instances, 1),
+            {
+                name: self.demands.get(name, NO_DEMAND).per_s if is_reachable else None
+                for name, is_reachable in self.instances.items()
+            },
+        )
+        self.data_centre_level = self._make_data_centre_level()
 
-    def _first(self, scope: str) -> ScopeShares:
+    def _begin(self, scope: str) -> float:
         """Work out a scope that is new here, as if nothing had been asked for.
 
         The others may have split the limit among them; a share for this
         instance's own demand has to wait until they have heard of it.
         """
+        left_out = self.own.per_s.get(scope, 0.0)
         now_s = self.clock.monotonic()
-        if not self.instances:
-            self._find_members(now_s)
-        known = self._work_out(scope, now_s, counts_own=False)
-        self.scopes[scope] = known
-        return known
+        self.shares[scope] = self._work_out(scope, now_s, left_out=left_out)
+        return self.shares[scope]
 
-    def _work_out(
-        self, scope: str, now_s: float, *, counts_own: bool = True
-    ) -> ScopeShares:
+    def _work_out(self, scope: str, now_s: float, *, left_out: float = 0.0) -> float:
         floor_share = self.options.floor_share
-        me = self.peers.me
-        own_per_s = self.own.per_s.get(scope, 0.0)
-        left_out = 0.0 if counts_own else own_per_s
-        instances = self._instance_parts(scope, left_out)
-        data_centres = self._data_centre_parts(scope, left_out)
-        shares = split(instances, floor_share)
-        data_centre_shares = split(data_centres, floor_share)
-        share = shares[me.instance] * data_centre_shares[me.data_centre]
-        n_known = sum(part.size for part in data_centres.values())
+        level = self.data_centre_level
+        share = level.own_share(scope, floor_share, left_out=left_out)
+        share *= self.instance_level.own_share(scope, floor_share, left_out=left_out)
         n_expected = self.options.n_instances_expected
-        if n_known < n_expected:
-            share *= n_known / n_expected
-        share = self._growth(scope).update(share, now_s)
-        return ScopeShares(share, shares, data_centre_shares)
+        if level.n_instances < n_expected:
+            share *= level.n_instances / n_expected
+        return self._growth(scope).update(share, now_s)
 
     def _growth(self, name: str) -> DelayedGrowth:
         growth = self.growth.get(name)
@@ -201,8 +199,12 @@
             else:
                 known = data_centres.get(member.data_centre, False)
                 data_centres[member.data_centre] = known or is_reachable
-        for name in self.summaries:
-            data_centres.setdefault(name, False)
+        self.seen_s.update(dict.fromkeys(data_centres, now_s))
+        for name in list(self.summaries):
+            if now_s - self.seen_s.get(name, now_s) > FORGET_S:
+                del self.summaries[name]
+            else:
+                data_centres.setdefault(name, False)
         self.instances = instances
         self.data_centres = data_centres
         self.sizes = sizes
@@ -218,7 +220,7 @@
             self.held_until_s = 0.0
         self.lost = lost
 
-    def _take_summaries(self) -> None:
+    def _take_summaries(self, now_s: float) -> None:
         newest: dict[str, DemandSummary] = {}
         rows = self.peers.rows("summary", DemandSummary)
         for (_, name), row in rows.items():
@@ -227,8 +229,10 @@
             known = newest.get(row.data_centre)
             if known is None or row.time_s > known.time_s:
                 newest[row.data_centre] = row
-        newest.pop(self.peers.me.data_centre, None)
-        self.summaries.update(newest)
+        self.told_summary = newest.pop(self.peers.me.data_centre, None)
+        for name, row in newest.items():
+            if name in self.data_centres:
+                self.summaries[name] = row
 
     def _tell_summary(self) -> None:
         """Publish the data centre's demand from its first reachable instance."""
@@ -267,35 +271,18 @@
         demands[self.peers.me.instance] = self.own
         return demands
 
-    def _instance_parts(self, scope: str, left_out: float) -> dict[str, Part]:
-        """Return this data centre's instances; ``left_out`` of own demand."""
-        parts = {}
-        for name, is_reachable in self.instances.items():
-            per_s = self.demands.get(name, NO_DEMAND).per_s.get(scope, 0.0)
-            parts[name] = Part(per_s if is_reachable else None)
-        own = parts[self.peers.me.instance]
-        parts[self.peers.me.instance] = Part(max(0.0, (own.demand or 0.0) - left_out))
-        return parts
-
-    def _data_centre_parts(self, scope: str, left_out: float) -> dict[str, Part]:
-        """Return the data centres; ``left_out`` of this one's demand."""
+    def _make_data_centre_level(self) -> Level:
+        own = self.own_summary or self.told_summary
         me = self.peers.me
-        parts = {}
+        sizes = {me.data_centre: len(self.instances)}
+        demands: dict[str, dict[str, float] | None] = {
+            me.data_centre: own.per_s if own else {}
+        }
         for name, is_reachable in self.data_centres.items():
             if name == me.data_centre:
-                own = self.own_summary or self._told_summary(name)
-                per_s = own.per_s.get(scope, 0.0) if own else 0.0
-                parts[name] = Part(max(0.0, per_s - left_out), len(self.instances))
                 continue
             summary = self.summaries.get(name)
-            demand = summary.per_s.get(scope, 0.0) if summary else 0.0
-            size = summary.n_instances if summary else self.sizes.get(name, 1)
-            parts[name] = Part(demand if is_reachable else None, size)
-        return parts
-
-    def _told_summary(self, data_centre: str) -> DemandSummary | None:
-        rows = self.peers.rows("summary", DemandSummary)
-        for (_, name), row in rows.items():
-            if name == SUMMARY_PREFIX + data_centre:
-                return row
-        return None
+            sizes[name] = summary.n_instances if summary else self.sizes.get(name, 1)
+            per_s = summary.per_s if summary else {}
+            demands[name] = per_s if is_reachable else None
+        return Level(me.data_centre, sizes, demands)
--- a/lagoonring/limits/shares.py
+++ b/lagoonring/limits/shares.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from typing import TYPE_CHECKING
 
@@ -47,25 +48,44 @@
     size: int = 1
 
 
-def split(parts: Mapping[str, Part], floor_share: float) -> dict[str, float]:
-    """Return each part's share of a limit; the shares sum to 1.
+@attrs.frozen
+class Totals:
+    """Sums over all that share a limit.
+
+    ``n_instances`` counts all instances, ``n_live`` those that are not cut off,
+    ``demand`` is that of the latter.
+    """
+
+    n_instances: int
+    n_live: int
+    demand: float
 
-    Parts that are cut off get their even share. The others split the rest:
+
+def share_of(part: Part, totals: Totals, floor_share: float) -> float:
+    """Return one part's share of a limit.
+
+    A part that is cut off gets its even share. The others split the rest:
     ``floor_share`` of it evenly, what remains by demand.
     """
-    n_instances = sum(part.size for part in parts.values())
-    if n_instances == 0:
-        return {}
-    even = {name: part.size / n_instances for name, part in parts.items()}
-    live = [name for name in sorted(parts) if parts[name].demand is not None]
-    rest = sum(even[name] for name in live)
-    total = sum(parts[name].demand or 0.0 for name in live)
-    shares = dict(even)
-    for name in live:
-        demand = parts[name].demand or 0.0
-        by_demand = rest * demand / total if total > 0 else even[name]
-        shares[name] = floor_share * even[name] + (1 - floor_share) * by_demand
-    return shares
+    even = part.size / totals.n_instances
+    if part.demand is None:
+        return even
+    by_demand = even
+    if totals.demand > 0:
+        rest = totals.n_live / totals.n_instances
+        by_demand = rest * (part.demand / totals.demand)
+    return floor_share * even + (1 - floor_share) * by_demand
+
+
+def split(parts: Mapping[str, Part], floor_share: float) -> dict[str, float]:
+    """Return each part's share of a limit; the shares sum to 1."""
+    live = [part for part in parts.values() if part.demand is not None]
+    totals = Totals(
+        n_instances=sum(part.size for part in parts.values()),
+        n_live=sum(part.size for part in live),
+        demand=math.fsum(part.demand or 0.0 for part in live),
+    )
+    return {name: share_of(part, totals, floor_share) for name, part in parts.items()}
 
 
 def split_count(limit: int, shares: Mapping[str, float]) -> dict[str, int]:
--- a/lagoonring/routing/health.py
+++ b/lagoonring/routing/health.py
@@ -22,6 +22,10 @@
 PROBING = "probing"
 RAMPING = "ramping"
 
+CONSECUTIVE_FAILURES = "consecutive_failures"
+BROUGHT_DOWN = "brought_down"
+REASONS_WITH_CACHE_LOST = frozenset({CONSECUTIVE_FAILURES, BROUGHT_DOWN})
+
 FAILURE_KINDS = frozenset({"connect", "cut", "timeout", "error", "crossed"})
 DOWN_KINDS = frozenset({"connect", "cut"})
 SMOOTHING = 0.1
@@ -101,7 +105,7 @@
     """
     n_failures = N_HINTED_FAILURES if is_hinted else options.n_failures
     if health.n_consecutive >= n_failures:
-        return "consecutive_failures"
+        return CONSECUTIVE_FAILURES
     others = list(others)
     n_out = sum(other.state in (EJECTED, PROBING) for other in others)
     if not others or 2 * (n_out + 1) > len(others) + 1:
@@ -129,7 +133,7 @@
 def pause(health: EndpointHealth, now_s: float, options: RoutingOptions) -> None:
     """Take an endpoint out that a request brought down, without blame."""
     _enter(health, EJECTED, now_s, until_s=now_s + options.ejection_s)
-    health.reason = "brought_down"
+    health.reason = BROUGHT_DOWN
 
 
 def advance(health: EndpointHealth, now_s: float, options: RoutingOptions) -> bool:
--- a/lagoonring/routing/service.py
+++ b/lagoonring/routing/service.py
@@ -8,6 +8,7 @@
 from lagoonring.endpoints import engine_control
 from lagoonring.kernel import BaseService
 from lagoonring.logs import make_logger
+from lagoonring.routing import choosing, results
 from lagoonring.routing import health as health_rules
 from lagoonring.routing.cached import PrefixIndex
 from lagoonring.routing.capacity import CapacityGauge
@@ -37,18 +38,14 @@
 from lagoonring.routing.watch import EndpointWatch
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
-
     from lagoonring.catalogue import CatalogueContent
     from lagoonring.kernel import Application
     from lagoonring.routing.state import EndpointState
-    from lagoonring.routing.table import Group
     from lagoonring.routing.watch import FollowCacheEvents, ReadLoad
 
 RETRY_AFTER_S = 1.0
 REFRESH_S = 1.0
 DEFAULT_TARGET_S = 1.0
-WORK_BASE_BLOCKS = 8
 
 logger = make_logger("routing")
 
@@ -131,10 +128,14 @@
         now_s = self.app.clock.monotonic()
         group = self.table.group(request.entry, version, now_s)
         if group.probing:
-            probed = self._take_probe(group, request, exclude, now_s)
+            probed = None
+            if self._is_repeatable(request):
+                probed = choosing.take_probe(group, exclude, now_s)
             if probed is not None:
+                self.table.regroup()
                 return self._route(Choice(probed, "probe", 0, probed.cost_s), version)
-        choice = self._choose_in(group, request, exclude, now_s)
+        context = self._context(request)
+        choice = choosing.choose_in(group, self.policy, context, exclude, now_s)
         if choice is None:
             raise _no_endpoint(request.entry, version)
         self.metrics.note_choice(
@@ -171,10 +172,15 @@
             return
         change_own(state, -1, self.app.clock.time())
         now_s = self.app.clock.monotonic()
-        if result.ok and not result.kind:
-            self._learn(state, route, request, result)
-        if result.cause != CAUSE_CALLER:
-            self._judge(state, result, now_s)
+        if result.ok and not result.kind and result.first_token_s is not None:
+            waited_s = results.learn(state, route, request, result, now_s)
+            target_s = self._target_s(request.service_class)
+            self.gauge.note(state.entry, waited_s=waited_s, target_s=target_s)
+        if result.cause == CAUSE_CALLER:
+            return
+        find_others = self.table.peers_of
+        if results.judge(state, result, find_others, now_s, self.options):
+            self._health_changed(state)
 
     def leaving(self, endpoint: str) -> None:
         """Give an endpoint no new work from now on, and tell the peers."""
@@ -240,28 +246,6 @@
         )
         self.app.spawn("routing-watch", self.watch.run)
 
-    def _choose_in(
-        self,
-        group: Group,
-        request: RouteRequest,
-        exclude: frozenset[str],
-        now_s: float,
-    ) -> Choice | None:
-        context = self._context(request)
-        local = self._filtered(group.local, group, exclude, now_s)
-        best = self.policy(local, context) if local else None
-        if best is not None and not self._is_crossing_worth(best, context):
-            return best
-        remote = self._remote_sample(group, exclude, context, now_s)
-        if remote:
-            other = self.policy(remote, context)
-            if best is None or other.cost_s < best.cost_s:
-                other.reason = "crossing"
-                return other
-        if best is not None:
-            return best
-        return self._choose_ejected(group, exclude, context)
-
     def _context(self, request: RouteRequest) -> Context:
         blocks = request.prefix_blocks
         key = affinity_key_of(request.affinity_key, blocks)
@@ -276,76 +260,6 @@
             counter=self.n_choices,
         )
 
-    def _is_crossing_worth(self, best: Choice, context: Context) -> bool:
-        if self.options.policy != "affinity_load":
-            return False
-        crossing_s = self.options.crossing_s
-        return best.state.wait_s > crossing_s or best.cost_s > context.target_s
-
-    def _remote_sample(
-        self,
-        group: Group,
-        exclude: frozenset[str],
-        context: Context,
-        now_s: float,
-    ) -> Sequence[EndpointState]:
-        remote = group.remote
-        n_most = self.options.n_remote_most
-        if len(remote) > n_most:
-            remote = self.app.rng.sample(remote, n_most)
-        return self._filtered(remote, group, exclude, now_s)
-
-    def _filtered(
-        self,
-        states: list[EndpointState],
-        group: Group,
-        exclude: frozenset[str],
-        now_s: float,
-    ) -> list[EndpointState]:
-        if exclude:
-            states = [state for state in states if state.name not in exclude]
-        if not group.ramping:
-            return states
-        draw = self.app.rng.random
-        kept = [
-            state
-            for state in states
-            if state.health.state != health_rules.RAMPING
-            or draw() < health_rules.ramp_share(state.health, now_s, self.options)
-        ]
-        return kept or states
-
-    def _choose_ejected(
-        self, group: Group, exclude: frozenset[str], context: Context
-    ) -> Choice | None:
-        """Use ejected endpoints rather than none at all."""
-        others = [state for state in group.others if state.name not in exclude]
-        local = [state for state in others if state.is_local]
-        if not others:
-            return None
-        choice = self.policy(local or others, context)
-        choice.reason = "all_ejected"
-        return choice
-
-    def _take_probe(
-        self,
-        group: Group,
-        request: RouteRequest,
-        exclude: frozenset[str],
-        now_s: float,
-    ) -> EndpointState | None:
-        """Return an endpoint that this request may test, if it may be repeated."""
-        if not self._is_repeatable(request):
-            return None
-        for state in group.probing:
-            if not state.health.is_probed and state.name not in exclude:
-                health_rules.begin_probe(state.health, now_s)
-                self.table.next_change_s = min(
-                    self.table.next_change_s, state.health.until_s
-                )
-                return state
-        return None
-
     def _is_repeatable(self, request: RouteRequest) -> bool:
         entry = self.content.entries.get(request.entry) if self.content else None
         if entry is None:
@@ -354,74 +268,21 @@
             return True
         return request.method in entry.idempotent_methods
 
-    def _learn(
-        self,
-        state: EndpointState,
-        route: Route | str,
-        request: RouteRequest,
-        result: AttemptResult,
-    ) -> None:
-        if result.first_token_s is None:
-            return
-        expected_s = route.expected_wait_s if isinstance(route, Route) else 0.0
-        n_cached = route.n_cached_blocks if isinstance(route, Route) else 0
-        n_uncached = max(0, len(request.prefix_blocks) - n_cached)
-        served_s = max(0.0, result.first_token_s - expected_s)
-        state.speeds.sampled_s = self.app.clock.monotonic()
-        if _is_cache_known(route, request):
-            state.speeds.note_first_token(n_uncached, served_s)
-        between_s = result.between_tokens_s or 0.0
-        state.speeds.note_service(
-            served_s + between_s * result.n_tokens, result.between_tokens_s
-        )
-        health_rules.note_latency(
-            state.health,
-            served_s / (WORK_BASE_BLOCKS + n_uncached),
-            result.between_tokens_s,
-        )
-        self.gauge.note(
-            state.entry,
-            waited_s=result.first_token_s - state.speeds.base_s,
-            target_s=self._target_s(request.service_class),
-        )
-        refresh(state)
-
-    def _judge(self, state: EndpointState, result: AttemptResult, now_s: float) -> None:
-        health = state.health
-        if health.state == health_rules.PROBING and health.is_probed:
-            health_rules.end_probe(health, result, now_s, self.options)
-            self._health_changed(state)
-            return
-        health_rules.note_result(health, result)
-        if health.state not in (health_rules.UP, health_rules.RAMPING):
-            return
-        if result.cause and result.kind == "cut":
-            health_rules.pause(health, now_s, self.options)
-            self._health_changed(state)
-            return
-        if result.ok and health.n_results % health_rules.N_SAMPLES_LEAST:
-            return
-        others = [other.health for other in self.table.peers_of(state)]
-        fault = health_rules.find_fault(
-            health, others, is_hinted=state.is_hinted, options=self.options
-        )
-        if fault:
-            health_rules.eject(health, fault, now_s, self.options)
-            self._health_changed(state)
-
     def _health_changed(self, state: EndpointState) -> None:
         health = state.health
         self.table.regroup()
-        if health.state == health_rules.EJECTED:
-            self.metrics.ejections.labels(health.reason).inc()
-            logger.warning("Endpoint {} is ejected: {}.", state.name, health.reason)
-            if health.reason == "brought_down":
-                return
-            row = FailingEndpoint(reason=health.reason, since_s=self.app.clock.time())
-            self._publish("failing", state.name, row)
-        elif health.state == health_rules.RAMPING:
+        if health.state == health_rules.RAMPING:
             logger.info("Endpoint {} returns.", state.name)
             self._publish("failing", state.name, None)
+        if health.state != health_rules.EJECTED:
+            return
+        self.metrics.ejections.labels(health.reason).inc()
+        logger.warning("Endpoint {} is ejected: {}.", state.name, health.reason)
+        if health.reason in health_rules.REASONS_WITH_CACHE_LOST:
+            state.bit = self.index.forget(state.name)
+        if health.reason != health_rules.BROUGHT_DOWN:
+            row = FailingEndpoint(reason=health.reason, since_s=self.app.clock.time())
+            self._publish("failing", state.name, row)
 
     def _target_s(self, service_class: str) -> float:
         known = self.content.classes.get(service_class) if self.content else None
@@ -529,17 +390,6 @@
         return max(1, n_local)
 
 
-def _is_cache_known(route: Route | str, request: RouteRequest) -> bool:
-    """Return whether the blocks known to be cached are likely to be all.
-
-    A conversation's home may hold more of it than this instance knows, unless
-    it knows most of the prompt to be there.
-    """
-    if not isinstance(route, Route) or route.reason != "home":
-        return True
-    return 2 * route.n_cached_blocks >= len(request.prefix_blocks)
-
-
 def _takes_work(state: EndpointState) -> bool:
     return state.health.state != health_rules.EJECTED
 
--- a/lagoonring/tests/test_shares.py
+++ b/lagoonring/tests/test_shares.py
@@ -4,6 +4,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from lagoonring.limits.levels import Level
 from lagoonring.limits.shares import (
     DelayedGrowth,
     Part,
@@ -53,6 +54,24 @@
     assert total <= 1 + 1e-9
 
 
+@settings(derandomize=True, max_examples=200)
+@given(PARTS, st.floats(0, 1))
+def test_level_gives_the_same_share_as_the_whole_split(parts, floor_share):
+    live = [name for name, part in parts.items() if part.demand is not None]
+    if not live:
+        return
+    demands = {
+        name: None if part.demand is None else {"org:hann": part.demand}
+        for name, part in parts.items()
+    }
+    sizes = {name: part.size for name, part in parts.items()}
+    level = Level(live[0], sizes, demands)
+    expected = split(parts, floor_share)
+    assert level.shares("org:hann", floor_share) == expected
+    own = level.own_share("org:hann", floor_share)
+    assert own == pytest.approx(expected[live[0]])
+
+
 @settings(derandomize=True, max_examples=200)
 @given(st.floats(0.05, 1e6))
 def test_demand_is_rounded_to_few_close_values(per_s):
@@ -122,3 +141,16 @@
 async def test_instance_that_is_not_yet_known_does_not_take_the_whole_limit():
     services, _, _ = await make_limits_fleet("plateau", n_instances_expected=9)
     assert services[0].tracker.share("org:hann") == pytest.approx(1 / 9)
+
+
+async def test_data_centre_that_the_platform_has_dropped_is_forgotten():
+    services, network, clock = await make_limits_fleet("plateau", "almadies")
+    await run_demand(services, clock, [10, 10], seconds=20)
+    services[1].app.find("peers").publish("summary", "demand:almadies", None)
+    del network.peers["e1"]
+    await services[1].app.stop()
+    await run_demand(services[:1], clock, [10], seconds=60)
+    assert shares_of(services)[0] == pytest.approx(0.5, abs=0.01)
+    await clock.advance(600)
+    await run_demand(services[:1], clock, [10], seconds=20)
+    assert services[0].tracker.share("org:hann") == pytest.approx(1.0)
