--- /dev/null
+++ b/benchmarks/claims_faults.py
@@ -0,0 +1,99 @@
+"""Bookings under faults over many seeds: does any run twice?
+
+Each seed makes bookings through instances that are killed, paused and cut off,
+over a log that goes out and loses answers, in virtual time. Usage::
+
+    python benchmarks/claims_faults.py --n-bookings 500 --n-seeds 20
+"""
+
+from __future__ import annotations
+
+import collections
+import random
+import time
+from concurrent.futures import ProcessPoolExecutor
+from functools import partial
+
+import attrs
+import typer
+
+from lagoonring.standins.log_standin import LogStandin
+from lagoonring.tests.builders.bookings import Recorder, run_bookings
+from lagoonring.tests.builders.claims import FAST, ClaimsFleet
+from lagoonring.tests.builders.logs import VirtualClock, run_virtual
+
+LOG_DELAY_S = 0.005
+N_KEPT = 200
+SNAPSHOT_EVERY = 50
+
+
+@attrs.frozen
+class Result:
+    """What one seed showed."""
+
+    seed: int
+    n_run: int
+    run_twice: list[str]
+    falsely_not_run: list[str]
+    wrong_answers: list[str]
+    told: collections.Counter[str]
+    lasts: collections.Counter[str]
+    n_faults: int
+
+
+async def book_under_faults(seed: int, n_bookings: int) -> Recorder:
+    """Run one seed."""
+    log = LogStandin(VirtualClock(), n_kept=N_KEPT)
+    log.faults.delay_s = LOG_DELAY_S
+    options = attrs.evolve(FAST, snapshot_every=SNAPSHOT_EVERY)
+    fleet = ClaimsFleet(log, random.Random(seed), options)
+    recorder = await run_bookings(fleet, fleet.rng, n_bookings=n_bookings)
+    await fleet.stop()
+    return recorder
+
+
+def run_seed(seed: int, *, n_bookings: int) -> Result:
+    """Run one seed in virtual time and count."""
+    recorder = run_virtual(book_under_faults(seed, n_bookings))
+    return Result(
+        seed=seed,
+        n_run=len(recorder.runs),
+        run_twice=recorder.find_run_twice(),
+        falsely_not_run=recorder.find_falsely_not_run(),
+        wrong_answers=recorder.wrong_answers,
+        told=recorder.count_told(),
+        lasts=collections.Counter(told[-1] for told in recorder.told_by_key.values()),
+        n_faults=sum(recorder.n_faults.values()),
+    )
+
+
+def main(
+    n_bookings: int = 500, n_seeds: int = 20, first_seed: int = 0, n_processes: int = 3
+) -> None:
+    """Run all seeds and print what was found."""
+    started_s = time.monotonic()
+    seeds = range(first_seed, first_seed + n_seeds)
+    with ProcessPoolExecutor(n_processes) as pool:
+        results = list(pool.map(partial(run_seed, n_bookings=n_bookings), seeds))
+    told: collections.Counter[str] = collections.Counter()
+    lasts: collections.Counter[str] = collections.Counter()
+    for result in results:
+        told += result.told
+        lasts += result.lasts
+        wrong = result.run_twice + result.falsely_not_run + result.wrong_answers
+        if wrong:
+            typer.echo(f"seed {result.seed}: {result}")
+    typer.echo(
+        f"bookings {n_seeds * n_bookings}, faults {sum(r.n_faults for r in results)}, "
+        f"keys run {sum(r.n_run for r in results)}, "
+        f"run twice {sum(len(r.run_twice) for r in results)}, "
+        f"told not_run but ran {sum(len(r.falsely_not_run) for r in results)}, "
+        f"wrong answers {sum(len(r.wrong_answers) for r in results)}"
+    )
+    typer.echo(f"told of all sendings: {dict(told)}")
+    typer.echo(f"told of the last sending, after the faults: {dict(lasts)}")
+    typer.echo(f"took {time.monotonic() - started_s:.0f} s")
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- a/lagoonring/claims/options.py
+++ b/lagoonring/claims/options.py
@@ -34,6 +34,9 @@
         What callers are told when claims are unavailable, in seconds.
     n_batch_most : int
         Claims in one append.
+    append_interval_s : float
+        Least time from one append of a slot to the next; ``n_slots`` divided by
+        it bounds the appends a second of the whole fleet.
     n_rows_most : int
         Keys remembered per slot; further claims are refused.
     n_settling_most : int
@@ -51,7 +54,7 @@
         Time for which another instance must be preferred before a slot is left.
     """
 
-    n_slots: int = attrs.field(default=16, validator=between(1, 4096))
+    n_slots: int = attrs.field(default=8, validator=between(1, 4096))
     claims_window_s: float = attrs.field(
         default=21_600.0, validator=between(1, 30 * DAY_S)
     )
@@ -62,6 +65,7 @@
     settle_timeout_s: float = attrs.field(default=600.0, validator=between(0.1, DAY_S))
     retry_after_s: float = attrs.field(default=2.0, validator=between(0, 600))
     n_batch_most: int = attrs.field(default=256, validator=between(1, 4096))
+    append_interval_s: float = attrs.field(default=0.025, validator=between(0, 1))
     n_rows_most: int = attrs.field(default=40_000, validator=between(1, 10_000_000))
     n_settling_most: int = attrs.field(default=1000, validator=between(1, 100_000))
     answer_cache_bytes: int = attrs.field(
--- a/lagoonring/claims/service.py
+++ b/lagoonring/claims/service.py
@@ -98,7 +98,8 @@
         self.left_since_s: dict[int, float] = {}
         self.live: tuple[str, ...] = ()
         self.preferred: list[str] = []
-        self.settling: set[asyncio.Task[bool]] = set()
+        # In order of age, which a set would not keep.
+        self.settling: dict[asyncio.Task[bool], None] = {}
         self.owner_tasks: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
@@ -277,9 +278,9 @@
         if len(self.settling) >= self.options.n_settling_most:
             oldest = next(iter(self.settling))
             oldest.cancel()
-            self.settling.discard(oldest)
-        self.settling.add(task)
-        task.add_done_callback(self.settling.discard)
+            del self.settling[oldest]
+        self.settling[task] = None
+        task.add_done_callback(lambda done: self.settling.pop(done, None))
         return task
 
     async def _settle_item(self, item: ClaimItem) -> bool:
--- a/lagoonring/claims/slot.py
+++ b/lagoonring/claims/slot.py
@@ -93,6 +93,7 @@
         self.woken = asyncio.Event()
         self.is_log_out = False
         self.is_retiring = False
+        self.appended_s = float("-inf")
 
     async def submit(self, item: ClaimItem) -> Reply:
         """Return what became of an item, once the log has it."""
@@ -142,6 +143,7 @@
         try:
             while self.lease.is_held():
                 if self.waiting:
+                    await self._pace()
                     await self._commit(self._take_batch())
                 elif self.is_retiring:
                     return
@@ -156,6 +158,14 @@
             waiting, self.waiting = self.waiting, []
             _answer_all(waiting, self._not_held())
 
+    async def _pace(self) -> None:
+        """Keep the least time between appends; the batch gathers meanwhile."""
+        clock = self.app.clock
+        next_s = self.appended_s + self.options.append_interval_s
+        if next_s > clock.monotonic():
+            await clock.sleep(next_s - clock.monotonic())
+        self.appended_s = clock.monotonic()
+
     async def _wait_for_work(self) -> None:
         self.woken.clear()
         timer = asyncio.create_task(self.app.clock.sleep(self._renewal_due_in_s()))
--- a/lagoonring/tests/builders/claims.py
+++ b/lagoonring/tests/builders/claims.py
@@ -196,13 +196,13 @@
     app: Application
     log: InstanceLog
     claims: ClaimsService
-    work: set[asyncio.Task[Any]] = attrs.field(factory=set)
+    work: dict[asyncio.Task[Any], None] = attrs.field(factory=dict)
 
     def in_background(self, run: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
         """Run a coroutine that ends with the instance."""
         task = asyncio.ensure_future(run)
-        self.work.add(task)
-        task.add_done_callback(self.work.discard)
+        self.work[task] = None
+        task.add_done_callback(lambda done: self.work.pop(done, None))
         return task
 
 
@@ -242,7 +242,7 @@
         instance.log.is_cut_off = True
         self.network.leave(instance.name)
         self.resume(instance)
-        for task in instance.work:
+        for task in list(instance.work):
             task.cancel()
         await instance.app.stop()
 
