--- a/lagoonring/load/calls.py
+++ b/lagoonring/load/calls.py
@@ -44,7 +44,7 @@
     Parameters
     ----------
     callers : Callers
-        Entry instances and keys.
+        Balancer, keys and classes.
     arrival : CallArrival
         What to call.
     rng : random.Random
@@ -93,7 +93,7 @@
         entry = None
         word = UNREACHED
         while patience.has_more():
-            entry = self.callers.choose(self.rng, entry)
+            entry = self.callers.balancer.choose(self.rng, entry)
             try:
                 error = await self._send(entry, patience)
             except CONNECTION_ERRORS as exception:
--- a/lagoonring/load/chats.py
+++ b/lagoonring/load/chats.py
@@ -35,7 +35,7 @@
     Parameters
     ----------
     callers : Callers
-        Entry instances and keys.
+        Balancer, keys and classes.
     arrival : ChatArrival
         What to ask.
     rng : random.Random
@@ -70,7 +70,7 @@
     async def run(self) -> RequestOutcome:
         """Ask until the answer is whole, refused for good, or too late."""
         while not self.checker.is_ended and self.patience.has_more():
-            self.entry = self.callers.choose(self.rng, self.entry)
+            self.entry = self.callers.balancer.choose(self.rng, self.entry)
             try:
                 delay_s = await self._attempt(self.entry)
             except CONNECTION_ERRORS as error:
--- a/lagoonring/load/options.py
+++ b/lagoonring/load/options.py
@@ -137,6 +137,9 @@
     ----------
     duration_s : float
         Time in which requests arrive; the run ends when the last is answered.
+    balancer_check_s : float
+        Time between two probes of the instances by the balancer, which gives
+        callers ready ones only; 0: no probes.
     entries : list of EntryTarget
         Where callers may go, each as likely.
     engines, services : dict
@@ -155,6 +158,7 @@
     name: str = "run"
     policy: str = ""
     seed: int = 1
+    balancer_check_s: float = attrs.field(default=0.5, validator=between(0, 60))
     duration_s: float = attrs.field(default=20.0, validator=between(0.1, DAY_S))
     entries: list[EntryTarget]
     engines: dict[str, EndpointTarget] = attrs.field(factory=dict)
--- a/lagoonring/load/run.py
+++ b/lagoonring/load/run.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from lagoonring.load.arrivals import CallArrival, ChatArrival, plan_arrivals
+from lagoonring.load.balancer import Balancer
 from lagoonring.load.calls import CallCaller
 from lagoonring.load.chats import ChatCaller
 from lagoonring.load.counts import READ_ERRORS, read_moves, read_snapshot
@@ -62,7 +63,8 @@
         self.seed = seed
         self.session = session
         self.show = show
-        self.callers = Callers(settings, session)
+        self.balancer = Balancer(settings.entries, session)
+        self.callers = Callers(settings, session, self.balancer)
         self.recorder = Recorder(settings)
         self.told: dict[str, ToldBooking] = {}
         self.actions: list[ActionResult] = []
@@ -75,14 +77,18 @@
         self.show(f"{len(arrivals)} arrivals in {self.settings.duration_s} s.")
         before = await read_snapshot(self.session, self.settings)
         self.start_s = loop.time() + LEAD_S
-        progress = asyncio.create_task(self._show_progress())
+        helpers = [asyncio.create_task(self._show_progress())]
+        if self.settings.balancer_check_s > 0:
+            probing = self.balancer.probe_for_ever(self.settings.balancer_check_s)
+            helpers.append(asyncio.create_task(probing))
         try:
             async with asyncio.TaskGroup() as group:
                 for action in self.settings.actions:
                     group.create_task(self._act_at(action))
                 await self._start_arrivals(arrivals, group)
         finally:
-            progress.cancel()
+            for helper in helpers:
+                helper.cancel()
         took_s = loop.time() - self.start_s
         for action in self.settings.last_actions:
             await self._act(action)
--- a/lagoonring/load/sending.py
+++ b/lagoonring/load/sending.py
@@ -10,9 +10,9 @@
 import msgspec
 
 if TYPE_CHECKING:
-    import random
 
-    from lagoonring.load.options import EntryTarget, LoadSettings
+    from lagoonring.load.balancer import Balancer
+    from lagoonring.load.options import LoadSettings
 
 RETRY_S = 0.2
 RETRY_MOST_S = 5.0
@@ -38,22 +38,22 @@
     Parameters
     ----------
     settings : LoadSettings
-        Entry instances, keys and classes.
+        Keys and classes.
     session : aiohttp.ClientSession
         Owned by the run.
+    balancer : Balancer
+        Chooses entry instances.
     """
 
-    def __init__(self, settings: LoadSettings, session: aiohttp.ClientSession) -> None:
+    def __init__(
+        self,
+        settings: LoadSettings,
+        session: aiohttp.ClientSession,
+        balancer: Balancer,
+    ) -> None:
         self.settings = settings
         self.session = session
-
-    def choose(
-        self, rng: random.Random, avoided: EntryTarget | None = None
-    ) -> EntryTarget:
-        """Return a random entry instance, another one than ``avoided``."""
-        entries = self.settings.entries
-        others = [entry for entry in entries if entry is not avoided]
-        return rng.choice(others or entries)
+        self.balancer = balancer
 
     def headers(self, organisation: str, **more: str) -> dict[str, str]:
         """Return the headers of an organisation's request."""
