--- a/lagoonring/routing/policies.py
+++ b/lagoonring/routing/policies.py
@@ -18,7 +18,6 @@
 
 Policy = Callable[[Sequence[EndpointState], "Context"], "Choice"]
 
-MISSED_TARGET_S = 1_000.0
 SECOND_HOME_SHARE = 0.25
 N_SAMPLED = 2
 
@@ -51,7 +50,11 @@
 
 
 def affinity_load(candidates: Sequence[EndpointState], context: Context) -> Choice:
-    """Take the least sum of waiting and prefill of what is not cached."""
+    """Take the least sum of waiting and prefill of what is not cached.
+
+    That sum is the expected time to the first token, so a choice that would
+    miss the class's target loses to any that would not.
+    """
     if not context.key:
         return _least_of_sampled(candidates, context)
     first, second = _find_homes(candidates, context)
@@ -134,7 +137,6 @@
 ) -> Choice:
     depths = context.depths
     n_blocks = context.n_blocks
-    target_s = context.target_s
     best = candidates[0]
     best_cost = float("inf")
     for state in candidates:
@@ -144,8 +146,6 @@
         elif state is second:
             cached = max(cached, SECOND_HOME_SHARE * trusted)
         cost = state.base_s + state.cost_s + state.prefill_s * (n_blocks - cached)
-        if cost > target_s:
-            cost += MISSED_TARGET_S
         if cost < best_cost:
             best = state
             best_cost = cost
--- a/lagoonring/tests/test_health.py
+++ b/lagoonring/tests/test_health.py
@@ -3,7 +3,8 @@
 import pytest
 
 from lagoonring.kernel import ManualClock
-from lagoonring.routing import AttemptResult, FailingEndpoint
+from lagoonring.routing import AttemptResult, FailingEndpoint, RoutingOptions
+from lagoonring.routing.health import EndpointHealth, find_fault
 from lagoonring.tests.builders.catalogues import make_catalogue
 from lagoonring.tests.builders.routing import (
     PeerNetwork,
@@ -114,6 +115,27 @@
     assert "plateau-0" in count_choices(routing)
 
 
+async def test_failure_caused_by_a_request_is_neither_failure_nor_success():
+    routing, _ = await make_routing(3)
+    run(routing, "plateau-0", CONNECT, 2)
+    excused = AttemptResult(ok=False, kind="timeout", cause="suspect")
+    run(routing, "plateau-0", excused, 5)
+    assert routing.table.states["plateau-0"].health.state == "up"
+    run(routing, "plateau-0", CONNECT)
+    assert routing.table.states["plateau-0"].health.state == "ejected"
+
+
+def test_slow_endpoint_stays_while_half_of_the_others_are_out():
+    def make(state, latency_s):
+        return EndpointHealth(state=state, latency_s=latency_s, n_latencies=20)
+
+    slow = make("up", 5.0)
+    up, out = make("up", 0.05), make("ejected", 0.05)
+    options = RoutingOptions()
+    for others, fault in (([out, up, up], "latency"), ([out, out, up], "")):
+        assert find_fault(slow, others, is_hinted=False, options=options) == fault
+
+
 async def test_crash_by_a_request_only_pauses_the_endpoint():
     routing, network = await make_routing(3)
     health = routing.table.states["plateau-0"].health
--- a/lagoonring/tests/test_routing.py
+++ b/lagoonring/tests/test_routing.py
@@ -57,6 +57,16 @@
     assert routing.choose(request).endpoint != home
 
 
+async def test_home_without_a_free_slot_is_not_trusted_to_have_the_prompt():
+    (routing,), _, _ = await make_instances(1, make_endpoints(plateau=4))
+    request = make_request(make_chat(1, 1, n_bytes=60_000)[0])
+    home = routing.choose(request).endpoint
+    report(routing, home, n_running=7)
+    assert routing.choose(request).endpoint == home
+    report(routing, home, n_running=8, n_waiting=1)
+    assert routing.choose(request).endpoint != home
+
+
 async def test_load_is_the_late_report_plus_what_was_sent_since():
     (routing,), _, clock = await make_instances(1, make_endpoints(plateau=1))
     state = routing.table.states["plateau-0"]
