Let every data centre find the holder of a claim slot

Cause: an instance knows all members of its own data centre but only a few elsewhere, so instances did not agree on whom a slot prefers; and the state of a live member is ALIVE. Change: per data centre one instance competes for a slot and knows its holder; the data centre that a slot prefers takes it first; askers remember the holder. Conclusion: slots spread over data centres and outlive one of them.

--- a/benchmarks/claims_faults.py
+++ b/benchmarks/claims_faults.py
@@ -24,6 +24,8 @@
 
 LOG_DELAY_S = 0.005
 N_KEPT = 200
+N_DATA_CENTRES_MOST = 3
+N_INSTANCES = 6
 SNAPSHOT_EVERY = 50
 
 
@@ -46,8 +48,13 @@
     log = LogStandin(VirtualClock(), n_kept=N_KEPT)
     log.faults.delay_s = LOG_DELAY_S
     options = attrs.evolve(FAST, snapshot_every=SNAPSHOT_EVERY)
-    fleet = ClaimsFleet(log, random.Random(seed), options)
-    recorder = await run_bookings(fleet, fleet.rng, n_bookings=n_bookings)
+    n_data_centres = 1 + seed % N_DATA_CENTRES_MOST
+    fleet = ClaimsFleet(
+        log, random.Random(seed), options, n_data_centres=n_data_centres
+    )
+    recorder = await run_bookings(
+        fleet, fleet.rng, n_bookings=n_bookings, n_instances=N_INSTANCES
+    )
     await fleet.stop()
     return recorder
 
--- a/lagoonring/claims/service.py
+++ b/lagoonring/claims/service.py
@@ -1,8 +1,9 @@
 """The service ``claims``: each keyed request runs at most once.
 
-A claim is asked of the owner of its key's slot, found by rendezvous hashing
-among the live members; it is asked again, with the same claim id, until it is
-answered or the request's deadline is over.
+A claim is asked of the owner of its key's slot, and asked again, with the same
+claim id, until it is answered or the request's deadline is over. In each data
+centre one instance per slot, by rendezvous hashing, competes for the slot and
+knows who holds it; the others ask that one.
 """
 
 from __future__ import annotations
@@ -37,6 +38,7 @@
 from lagoonring.kernel.application import BaseService
 from lagoonring.leases import rank
 from lagoonring.logs import make_logger
+from lagoonring.peers import MemberState
 
 if TYPE_CHECKING:
     from lagoonring.kernel import Application
@@ -53,7 +55,6 @@
     "not_holder": "no owner of its slot in time",
     "fate_unknown": "no answer of the owner of its slot",
 }
-LIVE = "live"
 ALONE = "alone"
 
 logger = make_logger("claims")
@@ -67,6 +68,7 @@
     deadline_s: float
     may_count: bool = False
     holder: str = ""
+    was_redirected: bool = False
 
 
 class ClaimsService(BaseService):
@@ -96,7 +98,9 @@
         self.given_log = log
         self.owners: dict[int, SlotOwner] = {}
         self.left_since_s: dict[int, float] = {}
+        self.holders: dict[int, str] = {}
         self.live: tuple[str, ...] = ()
+        self.data_centres: tuple[str, ...] = ()
         self.preferred: list[str] = []
         # In order of age, which a set would not keep.
         self.settling: dict[asyncio.Task[bool], None] = {}
@@ -107,7 +111,9 @@
         self.log = self.given_log or self.app.find("log")
         self.answers = AnswerCache(self.log, self.options.answer_cache_bytes)
         self.peers: Any = self.app.services.get("peers")
-        self.me = self.peers.me.instance if self.peers is not None else ALONE
+        me = self.peers.me if self.peers is not None else None
+        self.me = me.instance if me is not None else ALONE
+        self.data_centre = me.data_centre if me is not None else ""
         if self.peers is not None:
             for method in METHODS.values():
                 self.peers.serve(method, self._serve)
@@ -209,6 +215,8 @@
                 return reply
             if reply.kind in ("log_out", "full"):
                 break
+            if self._is_redirected(asking):
+                continue
             pause_s = options.retry_s * self.app.rng.uniform(0.5, 1.5)
             if clock.monotonic() + pause_s >= asking.deadline_s:
                 break
@@ -221,7 +229,7 @@
         )
 
     async def _ask_once(self, asking: _Asking, slot: int) -> Reply:
-        target = asking.holder or self.preferred[slot]
+        target = asking.holder or self.holders.pop(slot, "") or self.preferred[slot]
         asking.holder = ""
         had_count, asking.may_count = asking.may_count, True
         try:
@@ -235,10 +243,17 @@
             return Reply(kind="fate_unknown")
         if reply.kind != "fate_unknown":
             asking.may_count = had_count
+        if reply.kind in ("outcome", "full"):
+            self.holders[slot] = target
         if reply.kind == "not_holder" and reply.holder != target:
             asking.holder = reply.holder
         return reply
 
+    def _is_redirected(self, asking: _Asking) -> bool:
+        """Whether to ask another instance at once; not twice in a row."""
+        asking.was_redirected = bool(asking.holder) and not asking.was_redirected
+        return asking.was_redirected
+
     async def _send(self, target: str, slot: int, asking: _Asking) -> Reply:
         ask = Ask(slot=slot, n_slots=self.options.n_slots, item=asking.item)
         left_s = asking.deadline_s - self.app.clock.monotonic()
@@ -330,11 +345,7 @@
 
     def _balance(self) -> None:
         """Take the slots that prefer this instance, leave those that do not."""
-        live = tuple(sorted({self.me, *self._find_live()}))
-        if live != self.live:
-            self.live = live
-            slots = range(self.options.n_slots)
-            self.preferred = [rank(f"claims-{slot}", live)[0] for slot in slots]
+        self._note_members()
         now_s = self.app.clock.monotonic()
         for slot, instance in enumerate(self.preferred):
             if instance == self.me:
@@ -345,17 +356,35 @@
                 if now_s - since_s >= self.options.handover_s:
                     self.owners[slot].retire()
 
-    def _find_live(self) -> list[str]:
-        if self.peers is None:
-            return []
-        return [
-            member.instance for member in self.peers.members() if member.state == LIVE
-        ]
+    def _note_members(self) -> None:
+        members = self.peers.members() if self.peers is not None else []
+        near = {
+            member.instance
+            for member in members
+            if member.data_centre == self.data_centre
+            and member.state is MemberState.ALIVE
+        }
+        live = tuple(sorted(near | {self.me}))
+        centres = {member.data_centre for member in members} | {self.data_centre}
+        data_centres = tuple(sorted(centres))
+        if (live, data_centres) == (self.live, self.data_centres):
+            return
+        self.live, self.data_centres = live, data_centres
+        slots = range(self.options.n_slots)
+        self.preferred = [rank(f"claims-{slot}", live)[0] for slot in slots]
+
+    def _find_patience_s(self, slot: int) -> float:
+        """Let the data centre that a slot prefers take it first."""
+        home = rank(f"claims-{slot}", self.data_centres)[0]
+        return 0.0 if home == self.data_centre else self.options.lease.duration_s
 
     def _take_slot(self, slot: int) -> None:
-        if slot in self.owners:
+        owner = self.owners.get(slot)
+        if owner is not None:
+            owner.patience_s = self._find_patience_s(slot)
             return
         owner = SlotOwner(self.app, slot, self.me, self.log, self.options, self.answers)
+        owner.patience_s = self._find_patience_s(slot)
         self.owners[slot] = owner
 
         async def run() -> None:
--- a/lagoonring/claims/slot.py
+++ b/lagoonring/claims/slot.py
@@ -69,6 +69,11 @@
         Options of claims.
     answers : AnswerCache
         Reads recorded answers.
+
+    Attributes
+    ----------
+    patience_s : float
+        How much longer than others this instance leaves a free slot alone.
     """
 
     def __init__(
@@ -91,6 +96,7 @@
         )
         self.waiting: list[_Waiting] = []
         self.woken = asyncio.Event()
+        self.patience_s = 0.0
         self.is_log_out = False
         self.is_retiring = False
         self.appended_s = float("-inf")
@@ -129,7 +135,7 @@
 
     async def _acquire(self) -> bool:
         try:
-            epoch = await self.lease.acquire()
+            epoch = await self.lease.acquire(patience_s=self.patience_s)
         except LogUnavailableError:
             self.is_log_out = True
             return False
--- a/lagoonring/leases/lease.py
+++ b/lagoonring/leases/lease.py
@@ -110,9 +110,14 @@
         end_s = self.held_from_s + self.options.duration_s - self.options.margin_s
         return max(0.0, end_s - self.clock.monotonic())
 
-    async def acquire(self) -> int | None:
+    async def acquire(self, *, patience_s: float = 0.0) -> int | None:
         """Try once to take the lease; return the fencing number or None.
 
+        Parameters
+        ----------
+        patience_s : float
+            How much longer than others this instance leaves a free lease alone.
+
         Raises
         ------
         LogUnavailableError, LogAnswerLostError
@@ -124,7 +129,7 @@
             if self.is_held():
                 return self.epoch
             self.epoch = None
-            if not self._is_free():
+            if not self._is_free(patience_s):
                 return None
             return await self._take()
 
@@ -294,12 +299,12 @@
         state = self.stream.state
         return state.is_known and not state.is_released and state.epoch == self.epoch
 
-    def _is_free(self) -> bool:
+    def _is_free(self, patience_s: float) -> bool:
         state = self.stream.state
-        if state.is_known and state.is_released:
-            return True
         silent_s = self.clock.monotonic() - self.stream.seen_s
-        return silent_s >= self.options.duration_s
+        if state.is_known and state.is_released:
+            return silent_s >= patience_s
+        return silent_s >= self.options.duration_s + patience_s
 
     def _lost(self) -> LeaseLostError:
         state = self.stream.state
--- a/lagoonring/tests/builders/claims.py
+++ b/lagoonring/tests/builders/claims.py
@@ -11,7 +11,8 @@
 from lagoonring.claims import ClaimsOptions, ClaimsService
 from lagoonring.errors import AnswerLostError, UnavailableError
 from lagoonring.kernel import Application
-from lagoonring.leases import LeaseOptions
+from lagoonring.leases import LeaseOptions, rank
+from lagoonring.peers import MemberState
 from lagoonring.tests.builders.logs import InstanceLog, make_application
 
 if TYPE_CHECKING:
@@ -30,7 +31,7 @@
     region: str = "dakar"
     address: str = ""
     incarnation: int = 0
-    state: str = "live"
+    state: MemberState = MemberState.ALIVE
 
 
 class PeerNetwork:
@@ -105,13 +106,20 @@
         """Do nothing."""
 
     def members(self) -> list[MemberDouble]:
-        """Return the instances that can be reached."""
-        me = self.me.instance
-        return [
-            peer.me
-            for instance, peer in self.network.peers.items()
-            if self.network.reaches(me, instance)
-        ]
+        """Return the mates that are reached, and a contact in each other place."""
+        me = self.me
+        mates, contacts = [], {}
+        for instance in rank(me.instance, self.network.peers):
+            other = self.network.peers[instance].me
+            if instance == me.instance or not self.network.reaches(
+                me.instance, instance
+            ):
+                continue
+            if other.data_centre == me.data_centre:
+                mates.append(other)
+            else:
+                contacts.setdefault(other.data_centre, other)
+        return [*mates, *contacts.values()]
 
     def publish(
         self, kind: str, name: str, value: Any, *, urgent: bool = False
@@ -210,8 +218,14 @@
     """Instances with claims over one log, in one process."""
 
     def __init__(
-        self, log: LogStandin, rng: random.Random, options: ClaimsOptions = FAST
+        self,
+        log: LogStandin,
+        rng: random.Random,
+        options: ClaimsOptions = FAST,
+        *,
+        n_data_centres: int = 1,
     ) -> None:
+        self.n_data_centres = n_data_centres
         self.log = log
         self.rng = rng
         self.options = options
@@ -222,10 +236,11 @@
     async def add(self, *others: Any) -> Instance:
         """Start an instance under a name that was never used."""
         name = f"i{self.n_started}"
+        data_centre = f"dc-{self.n_started % self.n_data_centres}"
         self.n_started += 1
         log = InstanceLog(self.log)
         app = make_application(
-            self.network.join(name),
+            self.network.join(name, data_centre),
             *others,
             seed=self.rng.randrange(1 << 30),
             clock=self.log.clock,
--- a/lagoonring/tests/test_claims.py
+++ b/lagoonring/tests/test_claims.py
@@ -25,10 +25,15 @@
 ANSWER = StoredAnswer(status=201, content_type="text/plain", body=b"seat 7")
 
 
-async def make_fleet(n_instances, *, n_kept=None, seed=0, **options):
+async def make_fleet(n_instances, *, n_kept=None, seed=0, n_data_centres=1, **options):
     log = LogStandin(VirtualClock(), n_kept=n_kept)
     log.faults.delay_s = 0.005
-    fleet = ClaimsFleet(log, random.Random(seed), attrs.evolve(FAST, **options))
+    fleet = ClaimsFleet(
+        log,
+        random.Random(seed),
+        attrs.evolve(FAST, **options),
+        n_data_centres=n_data_centres,
+    )
     booking = {"kind": "plain", "owner": "a", "service_class": "desk"}
     entries = {"booking": booking, "safe": {**booking, "deduplicates": True}}
     for _ in range(n_instances):
@@ -42,7 +47,14 @@
 
 
 async def run_seed(seed, n_bookings, n_kept):
-    fleet = await make_fleet(0, n_kept=n_kept, seed=seed, snapshot_every=15)
+    n_data_centres = 1 + seed % 2
+    fleet = await make_fleet(
+        0,
+        n_kept=n_kept,
+        seed=seed,
+        n_data_centres=n_data_centres,
+        snapshot_every=15,
+    )
     recorder = await run_bookings(fleet, fleet.rng, n_bookings=n_bookings)
     streams = fleet.log.streams.values()
     recorder.n_forgotten = sum(stream.first_offset > 0 for stream in streams)
@@ -250,3 +262,32 @@
         await fleet.stop()
 
     run_virtual(check())
+
+
+def test_data_centres_share_slots_and_outlive_each_other():
+    async def check():
+        fleet = await make_fleet(6, n_data_centres=2, n_slots=16)
+        held = [
+            {slot for slot, owner in i.claims.owners.items() if owner.lease.is_held()}
+            for i in fleet.instances
+        ]
+        assert sum(len(slots) for slots in held) == 16
+        assert len(set.union(*held[::2])) > 3 and len(set.union(*held[1::2])) > 3
+        for index in range(40):
+            answers = await asyncio.gather(
+                *(
+                    claim(instance, instance.name, key=f"k{index}")
+                    for instance in fleet.instances
+                )
+            )
+            states = sorted(answer.state for answer in answers)
+            assert states == ["granted", *["in_progress"] * 5]
+        for instance in fleet.instances[::2]:
+            await fleet.kill(instance)
+        await asyncio.sleep(3 * FAST.lease.duration_s)
+        for index in range(40):
+            answer = await claim(fleet.instances[0], "late", key=f"k{index}")
+            assert answer.state == "in_progress"
+        await fleet.stop()
+
+    run_virtual(check())
