--- a/examples/deployments.py
+++ b/examples/deployments.py
@@ -10,6 +10,8 @@
 
 import attrs
 
+from lagoonring.requests.authentication import hash_key
+
 HOST = "127.0.0.1"
 OPERATOR_TOKEN = "operator-token-for-trials"
 PEER_KEY = "peer-key-for-trials"
