Prove a good and a bad version move on a whole deployment

Change: two sessions under load ordered over the administration API with golden files; the command line reads the phases finished, undone, refused.

--- a/lagoonring/cli/move_commands.py
+++ b/lagoonring/cli/move_commands.py
@@ -15,9 +15,9 @@
 move = typer.Typer(no_args_is_help=True, help="Version moves.")
 
 WATCH_S = 1.0
-DONE_PHASES = ("done",)
-UNDONE_PHASES = ("undone", "cancelled", "refused")
-COLUMNS = ["move", "entry", "to_version", "phase", "share", "deadline_s", "reason"]
+DONE_PHASES = ("finished",)
+UNDONE_PHASES = ("undone", "refused")
+COLUMNS = ["name", "entry", "to_version", "phase", "share", "deadline_s", "reason"]
 
 AsJson = Annotated[bool, typer.Option("--json", help="Print JSON.")]
 
@@ -65,7 +65,7 @@
     shown: Any = None
     while True:
         rows = ask(context.obj, "GET", "/admin/moves")
-        row = next((row for row in rows if row.get("move") == move_id), None)
+        row = next((row for row in rows if row.get("name") == move_id), None)
         if row is None:
             typer.echo(
                 f"Got no move {move_id}, see 'lagoonring move status'.", err=True
--- /dev/null
+++ b/lagoonring/tests/test_move_sessions.py
@@ -0,0 +1,140 @@
+"""Version moves on whole deployments, ordered over the administration API."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+from lagoonring.standins.engine_faults import EngineFaults, VersionFaults
+from lagoonring.tests.builders.barriers import wait_for_members
+from lagoonring.tests.builders.deployments import (
+    OPERATOR_TOKEN,
+    Deployment,
+    chat_body,
+    headers_of,
+    run_deployment,
+)
+from lagoonring.tests.builders.transcripts import Transcript
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+CHAT = "/v1/chat/completions"
+N_CALLERS = 8
+FINAL = ("finished", "undone", "refused")
+EXPOSURE_MOST = 0.05
+QUICK = {
+    "moves": {
+        "trial_share": 0.02,
+        "ramp": [0.2],
+        "trial_s": 4.0,
+        "order_s": 0.1,
+        "undo_s": 1.0,
+        "drain_s": 0.1,
+        "check_s": 0.05,
+        "tick_s": 0.05,
+        "publish_s": 0.1,
+    }
+}
+SECTIONS = {
+    "entries": {
+        "guide": {
+            "checks_fencing": True,
+            "versions": {"1": {"weights": ""}, "2": {"weights": ""}},
+        }
+    }
+}
+
+
+async def operate(
+    deployment: Deployment, method: str, path: str, order: Any = None
+) -> Any:
+    """Use the administration API of the first instance."""
+    headers = {"Authorization": f"Bearer {OPERATOR_TOKEN}"}
+    url = f"{deployment.url(0)}/admin/{path}"
+    async with deployment.session.request(
+        method, url, json=order, headers=headers
+    ) as answer:
+        assert answer.status == 200, await answer.text()
+        return await answer.json()
+
+
+async def move_under_load(deployment: Deployment, within_s: float) -> dict[str, Any]:
+    """Order a move to version 2, ask all the while, return its final status."""
+    is_over = asyncio.Event()
+
+    async def keep_asking(number: int) -> None:
+        n_asked = 0
+        while not is_over.is_set():
+            body = chat_body(f"question {number} {n_asked}", n_tokens=4)
+            url = deployment.url(number % len(deployment.entries)) + CHAT
+            async with deployment.session.post(
+                url, json=body, headers=headers_of()
+            ) as answer:
+                assert answer.status == 200, await answer.text()
+            n_asked += 1
+
+    asking = [asyncio.create_task(keep_asking(n)) for n in range(N_CALLERS)]
+    order = {
+        "move_id": "first",
+        "entry": "guide",
+        "to_version": "2",
+        "deadline_in_s": within_s,
+    }
+    await operate(deployment, "POST", "moves", order)
+    try:
+        return await wait_for_move(deployment, lambda move: move["phase"] in FINAL)
+    finally:
+        is_over.set()
+        await asyncio.gather(*asking)
+
+
+async def wait_for_move(
+    deployment: Deployment, is_there: Callable[[dict[str, Any]], bool]
+) -> dict[str, Any]:
+    while True:
+        for move in await operate(deployment, "GET", "moves"):
+            if is_there(move):
+                return move
+        await asyncio.sleep(0.02)
+
+
+def share_of_version(deployment: Deployment, version: str) -> float:
+    """Return the share of all attempts that a version had."""
+    counts = [e.batch.n_requests_by_version for e in deployment.engines.values()]
+    n_all = sum(sum(count.values()) for count in counts)
+    return sum(count.get(version, 0) for count in counts) / n_all
+
+
+async def test_bad_version_is_undone_and_no_caller_sees_it():
+    transcript = Transcript()
+    async with run_deployment(
+        n_entries=2, n_engines=2, entry=QUICK, sections=SECTIONS
+    ) as deployment:
+        await wait_for_members(deployment)
+        for engine in deployment.engines.values():
+            faults = {"2": VersionFaults(error_share=1.0)}
+            engine.batch.set_faults(EngineFaults(versions=faults))
+        move = await move_under_load(deployment, 30.0)
+        transcript.say("operator", f"move first: {move['phase']}")
+        assert share_of_version(deployment, "2") <= EXPOSURE_MOST
+        content = deployment.entries[1].find("catalogue").content
+        transcript.say(
+            "catalogue", f"version of guide: {content.entries['guide'].version}"
+        )
+    transcript.check("move-undone")
+
+
+async def test_good_version_is_in_force_by_the_deadline():
+    transcript = Transcript()
+    async with run_deployment(
+        n_entries=2, n_engines=2, entry=QUICK, sections=SECTIONS
+    ) as deployment:
+        await wait_for_members(deployment)
+        move = await move_under_load(deployment, 14.0)
+        transcript.say("operator", f"move first: {move['phase']}")
+        content = deployment.entries[1].find("catalogue").content
+        transcript.say(
+            "catalogue", f"version of guide: {content.entries['guide'].version}"
+        )
+    transcript.check("move-done")
