--- a/lagoonring/moves/cuts.py
+++ b/lagoonring/moves/cuts.py
@@ -1,11 +1,20 @@
-"""Tells the first cut of a crash from those that follow it."""
+"""Which failed attempts say something of a version.
+
+Of the cuts of a crash the first counts, those that follow it do not; a failure
+by the request itself does not count either.
+"""
 
 from __future__ import annotations
 
 import math
+from typing import TYPE_CHECKING
 
 import attrs
 
+if TYPE_CHECKING:
+    from lagoonring.routing.messages import AttemptResult
+
+CAUSE_SUSPECT = "suspect"
 N_KEPT = 1024
 
 
@@ -26,3 +35,14 @@
         while len(self.seen_s) > N_KEPT:
             del self.seen_s[next(iter(self.seen_s))]
         return False
+
+
+def is_excused(result: AttemptResult, caused_by_request: bool) -> bool:
+    """Return whether a failure says nothing of the version.
+
+    A suspect is not excused, or a version that crashes its endpoints would not
+    show.
+    """
+    if result.cause:
+        return result.cause != CAUSE_SUSPECT
+    return caused_by_request
--- a/lagoonring/moves/service.py
+++ b/lagoonring/moves/service.py
@@ -15,7 +15,7 @@
 from lagoonring.logs import make_logger
 from lagoonring.moves.comparison import Comparison
 from lagoonring.moves.counts import CountsRow, Sample, VersionCounts, unpack
-from lagoonring.moves.cuts import CutWindow
+from lagoonring.moves.cuts import CutWindow, is_excused
 from lagoonring.moves.holder import MovesHolder, find_endpoints
 from lagoonring.moves.ledger import MoveLedger
 from lagoonring.moves.messages import MoveNotice, MoveRecord
@@ -36,7 +36,6 @@
 NOTICE_KIND = "verdict"
 COUNTS_KIND = "version_counts"
 VERDICT_PREFIX = "bad:"
-CAUSE_SUSPECT = "suspect"
 CUT_KINDS = ("cut", "connect")
 N_FINDINGS_KEPT = 256
 
@@ -75,6 +74,7 @@
         self.ledger = MoveLedger(self._take_record)
         self.told: dict[str, MoveNotice] = {}
         self.findings: dict[str, str] = {}
+        self.own_verdicts: set[str] = set()
         self.comparisons: dict[str, Comparison] = {}
         self.cuts = CutWindow(window_s=self.options.cut_window_s)
         self.lease: Lease | None = None
@@ -181,7 +181,7 @@
         comparison = self.comparisons.get(entry)
         if comparison is None or not comparison.compares(version):
             return
-        if not result.ok and _is_excused(result, caused_by_request):
+        if not result.ok and is_excused(result, caused_by_request):
             return
         if result.kind in CUT_KINDS and endpoint:
             self._count_crash(comparison, endpoint)
@@ -260,8 +260,7 @@
         if self.metrics is not None:
             self.metrics.note_record(record)
         if record.is_final:
-            self.comparisons.pop(record.entry, None)
-            self._publish_counts(record.entry)
+            self._end_comparison(record)
             return
         comparison = self.comparisons.get(record.entry)
         if comparison is None or comparison.record.key != record.key:
@@ -269,6 +268,14 @@
         else:
             comparison.record = record
 
+    def _end_comparison(self, record: MoveRecord) -> None:
+        """Drop the counts, and in the end the rows of the own verdict."""
+        if self.comparisons.pop(record.entry, None) is not None:
+            self.peers.publish(COUNTS_KIND, record.entry, None)
+        if record.is_done and record.key in self.own_verdicts:
+            self.own_verdicts.remove(record.key)
+            self.peers.publish(NOTICE_KIND, VERDICT_PREFIX + record.key, None)
+
     def _make_comparison(self, record: MoveRecord) -> Comparison:
         content = self.catalogue.content
         entry = content.entries.get(record.entry)
@@ -319,10 +326,7 @@
 
     def _publish_counts(self, entry: str) -> None:
         comparison = self.comparisons.get(entry)
-        if comparison is None:
-            self.peers.publish(COUNTS_KIND, entry, None)
-            return
-        row = comparison.take_news()
+        row = comparison.take_news() if comparison is not None else None
         if row is not None:
             self.peers.publish(COUNTS_KIND, entry, row)
 
@@ -369,6 +373,7 @@
         if self.metrics is not None:
             self.metrics.note_verdict(record)
         if is_own:
+            self.own_verdicts.add(record.key)
             notice = MoveNotice(record=record, finding=finding)
             name = VERDICT_PREFIX + record.key
             self.peers.publish(NOTICE_KIND, name, notice, urgent=True)
@@ -388,9 +393,3 @@
         if not self.cuts.is_repeated(endpoint, "", self.app.clock.monotonic()):
             crashes = comparison.counts.crashes
             crashes[endpoint] = crashes.get(endpoint, 0) + 1
-
-
-def _is_excused(result: AttemptResult, caused_by_request: bool) -> bool:
-    if result.cause:
-        return result.cause != CAUSE_SUSPECT
-    return caused_by_request
--- a/lagoonring/tests/test_moves_failures.py
+++ b/lagoonring/tests/test_moves_failures.py
@@ -9,6 +9,7 @@
 
 from lagoonring.catalogue import Change, Endpoint
 from lagoonring.kernel import ManualClock
+from lagoonring.moves.messages import MoveNotice
 from lagoonring.moves.orders import EngineControl, VersionOrders
 from lagoonring.routing.messages import AttemptResult
 from lagoonring.routing.table import Group
@@ -68,6 +69,11 @@
         assert fleet.verdict_s is not None
         assert all(time_s <= fleet.verdict_s + 2 for time_s in fleet.new_times_s)
         assert len(fleet.new_times_s) <= 0.05 * fleet.n_requests
+        # Only the holder's row on the move is left.
+        await fleet.run(2)
+        rows = fleet.instances[0].app.find("peers").rows("verdict", MoveNotice)
+        assert {name for _, name in rows} == {"guide"}
+        assert not fleet.instances[0].app.find("peers").rows("version_counts", object)
 
 
 async def test_a_fault_that_shows_in_the_last_step_is_taken_back():
