Prove what a cut-off data centre goes on with

Cause: partitions were tested only at the parts. Change: deployments whose instances can be cut from the log and from each other; chats go on, bookings are refused at once as not run, the other side books them, edits made during the cut come into force after it, and reach an instance that only peers can reach.

--- a/lagoonring/tests/builders/deployments.py
+++ b/lagoonring/tests/builders/deployments.py
@@ -14,6 +14,7 @@
 from lagoonring.catalogue.edits import Change, Edit, encode_edit
 from lagoonring.entry.application import make_entry_application
 from lagoonring.kernel import Application
+from lagoonring.platform.log import LogUnavailableError, Page
 from lagoonring.requests.authentication import hash_key
 from lagoonring.settings import convert
 from lagoonring.settings.entry_settings import EntrySettings
@@ -34,11 +35,40 @@
 PEER_KEY = "a-key-for-tests-only"
 
 
+@attrs.define
+class LogLink:
+    """An instance's way to the log, which can be cut."""
+
+    log: LogStandin
+    is_cut: bool = False
+
+    async def append(self, stream: str, data: str) -> int:
+        """Append unless cut off."""
+        self._check(stream)
+        return await self.log.append(stream, data)
+
+    async def read(self, stream: str, from_offset: int, **options: Any) -> Page:
+        """Read unless cut off."""
+        self._check(stream)
+        page = await self.log.read(stream, from_offset, **options)
+        self._check(stream)
+        return page
+
+    def _check(self, stream: str) -> None:
+        if self.is_cut:
+            raise LogUnavailableError(
+                f"Got a cut link for stream {stream}.",
+                remedy="Try again when the link is back.",
+                retry_after_s=1.0,
+            )
+
+
 @attrs.define(kw_only=True)
 class Deployment:
     """A running deployment; ``cut`` holds pairs of instances that are cut off."""
 
     log: LogStandin
+    log_links: list[LogLink] = attrs.field(factory=list)
     entries: list[Application] = attrs.field(factory=list)
     engines: dict[str, EngineStandin] = attrs.field(factory=dict)
     services: dict[str, PlainStandin] = attrs.field(factory=dict)
@@ -49,6 +79,19 @@
         """Return the root URL of an entry instance."""
         return f"http://{HOST}:{self.entries[index].find('http').port}"
 
+    def cut_off(self, index: int) -> None:
+        """Cut an instance off from the log and from all other instances."""
+        self.log_links[index].is_cut = True
+        for other in range(len(self.entries)):
+            if other != index:
+                self.cut.add(frozenset({f"entry-{index}", f"entry-{other}"}))
+
+    def heal(self) -> None:
+        """Mend all links."""
+        self.cut.clear()
+        for link in self.log_links:
+            link.is_cut = False
+
     def allows(self, sender: str, receiver: str) -> bool:
         """Return whether two instances can reach each other."""
         return frozenset({sender, receiver}) not in self.cut
@@ -97,10 +140,11 @@
             )
         await publish(deployment, make_catalogue(deployment, sections or {}))
         for settings in make_settings(n_entries, entry or {}):
+            deployment.log_links.append(LogLink(deployment.log))
             app = make_entry_application(
                 settings,
                 rng=random.Random(settings.instance),
-                log=deployment.log,
+                log=deployment.log_links[-1],
                 allow=deployment.allows,
             )
             deployment.entries.append(app)
--- /dev/null
+++ b/lagoonring/tests/test_partitions.py
@@ -0,0 +1,93 @@
+"""A data centre cut off from the others and from the platform."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from lagoonring.tests.builders.barriers import wait_for_members, wait_until
+from lagoonring.tests.builders.callers import ask
+from lagoonring.tests.builders.deployments import (
+    Deployment,
+    headers_of,
+    run_deployment,
+)
+from lagoonring.tests.test_promises import make_edit, weights
+
+QUICK = {
+    "catalogue": {"retry_s": 0.05, "cut_off_after_s": 0.2},
+    "claims": {
+        "balance_s": 0.1,
+        "handover_s": 0.2,
+        "lease": {
+            "duration_s": 1.0,
+            "margin_s": 0.3,
+            "renew_interval_s": 0.2,
+            "poll_s": 0.1,
+        },
+    },
+}
+CUT = 0
+N_KEYS = 24
+
+
+async def book(deployment: Deployment, entry: int, key: str) -> dict[str, Any]:
+    """Book once; return the run, or the error."""
+    url = f"{deployment.url(entry)}/services/booking/bookings"
+    headers = headers_of(**{"Idempotency-Key": key})
+    async with deployment.session.post(url, json={}, headers=headers) as answer:
+        return await answer.json()
+
+
+async def test_cut_off_data_centre_serves_chats_and_refuses_bookings_at_once():
+    async with run_deployment(n_entries=3, n_engines=3, entry=QUICK) as deployment:
+        await wait_for_members(deployment)
+        deployment.cut_off(CUT)
+        leases = deployment.entries[CUT].find("claims").owners
+        await wait_until(lambda: not any(o.lease.is_held() for o in leases.values()))
+        (await ask(deployment, "turtles", 6, entry=CUT)).assert_whole("turtles", 6)
+        for index in range(N_KEYS):
+            answer = await book(deployment, CUT, f"key-{index}")
+            assert answer["error"]["outcome"] == "not_run"
+            assert answer["error"]["retry_after_s"]
+        assert deployment.services["booking-0"].n_runs == 0
+        for index in range(N_KEYS):
+            while "error" in await book(deployment, 1, f"key-{index}"):
+                await asyncio.sleep(0.05)
+        assert deployment.services["booking-0"].n_runs == N_KEYS
+        deployment.heal()
+        for index in range(N_KEYS):
+            while "error" in await book(deployment, CUT, f"key-{index}"):
+                await asyncio.sleep(0.05)
+        assert deployment.services["booking-0"].n_runs == N_KEYS
+
+
+async def test_edit_during_a_cut_is_in_force_after_it_and_never_reverts():
+    async with run_deployment(n_entries=3, n_engines=0, entry=QUICK) as deployment:
+        await wait_for_members(deployment)
+        deployment.cut_off(CUT)
+        await (
+            deployment.entries[1]
+            .find("catalogue")
+            .apply(make_edit(deployment, "during", 2.0))
+        )
+        await wait_until(lambda: weights(deployment)[1:] == [2.0, 2.0])
+        assert weights(deployment)[CUT] == 1.0
+        seen = []
+        catalogue = deployment.entries[CUT].find("catalogue")
+        catalogue.subscribe(lambda content, revision: seen.append(revision))
+        deployment.heal()
+        await wait_until(lambda: weights(deployment) == [2.0] * 3)
+        assert seen == sorted(seen)
+
+
+async def test_catalogue_reaches_an_instance_that_only_peers_can_reach():
+    async with run_deployment(n_entries=3, n_engines=0, entry=QUICK) as deployment:
+        await wait_for_members(deployment)
+        deployment.log_links[CUT].is_cut = True
+        await (
+            deployment.entries[1]
+            .find("catalogue")
+            .apply(make_edit(deployment, "around", 2.0))
+        )
+        await wait_until(lambda: weights(deployment) == [2.0] * 3)
