Tell other data centres how busy the endpoints here are

Cause: a choice that crossed to another data centre knew nothing of the load there. Change: the summary row carries the load over the slots by entry; routing counts with it until it has a report. Rows that are there are read by subscribing alone. Estimates of all endpoints moved out of the service.

--- a/lagoonring/limits/service.py
+++ b/lagoonring/limits/service.py
@@ -93,7 +93,13 @@
     async def start(self) -> None:
         """Follow the catalogue and the peers' demand."""
         peers: Any = self.app.services.get("peers")
-        self.tracker = ShareTracker(peers, self.app.clock, self.options)
+        routing: Any = self.app.services.get("routing")
+        self.tracker = ShareTracker(
+            peers,
+            self.app.clock,
+            self.options,
+            find_busy=routing.find_busy if routing is not None else dict,
+        )
         if self.capacity is None:
             self.capacity = self.app.find("routing").capacity
         self.app.find("catalogue").subscribe(self._take_catalogue)
--- a/lagoonring/limits/share_tracker.py
+++ b/lagoonring/limits/share_tracker.py
@@ -16,6 +16,8 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from lagoonring.kernel import Clock
     from lagoonring.limits.options import LimitsOptions
 
@@ -41,10 +43,20 @@
     A limit is first split among data centres, then among the instances of this
     one. While instances are cut off, shares stay as they are for ``hold_s``;
     then those cut off keep an even share and the rest is split by demand.
+
+    ``find_busy`` returns how busy the entries' endpoints are, for the summary.
     """
 
-    def __init__(self, peers: Any, clock: Clock, options: LimitsOptions) -> None:
+    def __init__(
+        self,
+        peers: Any,
+        clock: Clock,
+        options: LimitsOptions,
+        *,
+        find_busy: Callable[[], dict[str, float]] = dict,
+    ) -> None:
         self.peers = peers
+        self.find_busy = find_busy
         self.clock = clock
         self.options = options
         self.meters: dict[str, DemandMeter] = {}
@@ -250,19 +262,17 @@
             for scope, value in demand.per_s.items():
                 per_s[scope] = per_s.get(scope, 0.0) + value
         per_s = {scope: round_demand(value) for scope, value in per_s.items()}
-        known = self.own_summary
-        is_same = known is not None and (known.per_s, known.n_instances) == (
-            per_s,
-            len(self.instances),
-        )
-        if is_same:
-            return
-        self.own_summary = DemandSummary(
+        summary = DemandSummary(
             data_centre=me.data_centre,
             n_instances=len(self.instances),
             time_s=self.clock.time(),
             per_s=per_s,
+            busy=self.find_busy(),
         )
+        known = self.own_summary
+        if known is not None and attrs.evolve(summary, time_s=known.time_s) == known:
+            return
+        self.own_summary = summary
         self.peers.publish("summary", name, self.own_summary)
 
     def _read_demands(self) -> dict[str, Demand]:
--- a/lagoonring/limits/shares.py
+++ b/lagoonring/limits/shares.py
@@ -28,12 +28,16 @@
 
 @attrs.frozen(kw_only=True)
 class DemandSummary:
-    """Row ``summary``: the demand of a data centre and its instances."""
+    """Row ``summary``: the demand of a data centre and its instances.
+
+    ``busy`` is the load of an entry's endpoints there over their slots.
+    """
 
     data_centre: str
     n_instances: int
     time_s: float
     per_s: dict[str, float] = attrs.field(factory=dict)
+    busy: dict[str, float] = attrs.field(factory=dict)
 
 
 @attrs.frozen
--- a/lagoonring/retries/service.py
+++ b/lagoonring/retries/service.py
@@ -94,9 +94,6 @@
         self.homes.serve()
         if self.peers is not None:
             self.peers.subscribe("quarantine", Suspicion, self._take_row)
-            rows = self.peers.rows("quarantine", Suspicion)
-            for (origin, name), row in rows.items():
-                self._take_row(origin, name, row)
         self.app.spawn("retries-flush", self._flush_always)
 
     def subscribe(self, callback: Callable[[Verdict], None]) -> None:
--- a/lagoonring/routing/service.py
+++ b/lagoonring/routing/service.py
@@ -7,12 +7,18 @@
 
 from lagoonring.endpoints import engine_control
 from lagoonring.kernel import BaseService
+from lagoonring.limits.shares import DemandSummary
 from lagoonring.logs import make_logger
 from lagoonring.routing import choosing, results
 from lagoonring.routing import health as health_rules
 from lagoonring.routing.cached import PrefixIndex
 from lagoonring.routing.capacity import CapacityGauge
-from lagoonring.routing.learning import find_usual
+from lagoonring.routing.estimates import (
+    find_busy,
+    relax_speeds,
+    spread_busy,
+    takes_work,
+)
 from lagoonring.routing.messages import (
     CAUSE_CALLER,
     AttemptResult,
@@ -31,7 +37,6 @@
     change_own,
     drop_report,
     refresh,
-    set_speeds,
     take_report,
 )
 from lagoonring.routing.table import EndpointTable
@@ -88,6 +93,7 @@
         self.content: CatalogueContent | None = None
         self.peers: Any = None
         self.n_choices = 0
+        self.busy: dict[str, dict[str, float]] = {}
         self.read_load = read_load
         self.follow_cache_events = follow_cache_events
         self.watch: EndpointWatch | None = None
@@ -103,7 +109,7 @@
             self.peers.subscribe("endpoint_load", EndpointLoad, self._take_load)
             self.peers.subscribe("leaving", LeavingEndpoint, self._take_leaving)
             self.peers.subscribe("failing", FailingEndpoint, self._take_failing)
-            self._take_present_rows()
+            self.peers.subscribe("summary", DemandSummary, self._take_summary)
         self.app.spawn("routing-refresh", self._refresh)
         self._start_watch()
 
@@ -207,15 +213,20 @@
         """
         states = self.table.by_entry.get(entry, ())
         staying = [state for state in states if not state.is_leaving]
-        usable = [state for state in staying if _takes_work(state)] or staying
+        usable = [state for state in staying if takes_work(state)] or staying
         local = [state for state in usable if state.is_local]
         n_slots = sum(state.n_slots for state in local or usable)
         return self.gauge.scaled(entry, n_slots)
 
+    def find_busy(self) -> dict[str, float]:
+        """Return the load over the slots of this data centre, by entry."""
+        return find_busy(self.table)
+
     def take_catalogue(self, content: CatalogueContent, revision: int) -> None:
         """Use a new catalogue."""
         self.content = content
         self.table.take_catalogue(content)
+        spread_busy(self.table, self.busy)
         own = self.peers.rows("leaving", LeavingEndpoint) if self.peers else {}
         for origin, name in own:
             if origin == self.peers.me.instance and name not in self.table.states:
@@ -318,16 +329,6 @@
         if self.peers is not None:
             self.peers.publish(kind, name, value, urgent=urgent)
 
-    def _take_present_rows(self) -> None:
-        for (origin, name), load in self.peers.rows(
-            "endpoint_load", EndpointLoad
-        ).items():
-            self._take_load(origin, name, load)
-        for (origin, name), row in self.peers.rows("leaving", LeavingEndpoint).items():
-            self._take_leaving(origin, name, row)
-        for (origin, name), hint in self.peers.rows("failing", FailingEndpoint).items():
-            self._take_failing(origin, name, hint)
-
     def _take_load(self, origin: str, name: str, load: EndpointLoad | None) -> None:
         state = self.table.states.get(name)
         if state is None or load is None:
@@ -351,6 +352,13 @@
         state.is_hinted = row is not None
         refresh(state)
 
+    def _take_summary(self, origin: str, name: str, row: DemandSummary | None) -> None:
+        """Use what another data centre tells of its endpoints."""
+        if row is None or row.data_centre == self.data_centre:
+            return
+        self.busy[row.data_centre] = row.busy
+        spread_busy(self.table, self.busy)
+
     async def _refresh(self) -> None:
         """Drop old reports and follow the number of instances."""
         while True:
@@ -362,7 +370,7 @@
         now_s = self.app.clock.time()
         n_peers = self._count_local_members()
         n_ejected = 0
-        self._relax_speeds()
+        relax_speeds(self.table, self.app.clock.monotonic())
         for state in self.table.states.values():
             state.n_peers = n_peers
             n_ejected += state.health.state == health_rules.EJECTED
@@ -373,14 +381,6 @@
                 refresh(state)
         self.metrics.ejected.set(n_ejected)
 
-    def _relax_speeds(self) -> None:
-        now_s = self.app.clock.monotonic()
-        for states in self.table.by_entry.values():
-            usual = find_usual([state.speeds for state in states])
-            for state in states:
-                state.speeds.relax(usual, now_s)
-                set_speeds(state, usual)
-
     def _count_local_members(self) -> int:
         if self.peers is None:
             return 1
@@ -390,10 +390,6 @@
         return max(1, n_local)
 
 
-def _takes_work(state: EndpointState) -> bool:
-    return state.health.state != health_rules.EJECTED
-
-
 def _no_endpoint(entry: str, version: str) -> NoEndpointError:
     return NoEndpointError(
         f"Got no endpoint of entry {entry} with version {version}, expected one.",
--- a/lagoonring/routing/state.py
+++ b/lagoonring/routing/state.py
@@ -21,6 +21,7 @@
 
     ``cost_s`` (waiting, crossing and busyness in seconds) and ``load`` are kept
     up to date by :func:`refresh`, so that a decision only reads them.
+    ``told_load`` is what another data centre told of its endpoints on average.
     ``prefill_s`` and ``base_s`` lie between the endpoint's own speeds and what
     is usual, since its own rest on few and noisy samples.
     """
@@ -46,6 +47,7 @@
         factory=lambda: deque(maxlen=HISTORY_LENGTH)
     )
     n_peers: int = 1
+    told_load: float = 0.0
     load: float = 0.0
     wait_s: float = 0.0
     cost_s: float = 0.0
@@ -64,7 +66,7 @@
 def refresh(state: EndpointState) -> None:
     """Compute load, expected wait and cost from what is known."""
     if state.report is None:
-        load = float(state.n_own * state.n_peers)
+        load = max(state.told_load, float(state.n_own * state.n_peers))
     else:
         reported = state.report.n_running + state.report.n_waiting
         sent_since = state.n_own - state.n_own_at_report
--- a/lagoonring/tests/builders/routing.py
+++ b/lagoonring/tests/builders/routing.py
@@ -137,6 +137,9 @@
 
     def subscribe(self, kind: str, value_type: Any, callback: Any) -> None:
         self.subscribers.setdefault(kind, []).append((value_type, callback))
+        for (origin, row_kind, name), data in list(self.heard.items()):
+            if row_kind == kind:
+                callback(origin, name, decode(data, value_type))
 
     def serve(self, method: str, handler: Any) -> None:
         self.handlers[method] = handler
--- a/lagoonring/tests/test_quarantine.py
+++ b/lagoonring/tests/test_quarantine.py
@@ -286,6 +286,41 @@
     await app.stop()
 
 
+async def test_condemned_request_clears_those_whose_crash_it_explains(fleet):
+    verdicts = []
+    fleet.services[1].subscribe(verdicts.append)
+    for name, service in (
+        ("innocent", fleet.services[2]),
+        (CULPRIT, fleet.services[3]),
+    ):
+        await service.attempt(name, "g0", entry="guide")
+        service.crashed(name, "g0")
+    await fleet.settle()
+    await fleet.services[4].attempt(CULPRIT, "g1", entry="guide")
+    assert fleet.services[4].crashed(CULPRIT, "g1") == "request"
+    for service in fleet.services:
+        assert not service.table.get("innocent").is_suspected
+    assert {(item.fingerprint, item.cause) for item in verdicts} == {
+        (CULPRIT, "request"),
+        ("innocent", "request"),
+    }
+
+
+async def test_new_instance_knows_what_has_been_condemned(fleet):
+    for endpoint in ("g0", "g1"):
+        await fleet.services[0].attempt(CULPRIT, endpoint, entry="guide")
+        fleet.services[0].crashed(CULPRIT, endpoint)
+        await fleet.settle()
+    peers = fleet.network.add("e9", "rufisque")
+    fleet.network.peers["e0"].deliver_all()
+    app = make_app(peers=peers, clock=fleet.clock)
+    service = app.add(RetriesService(app))
+    await service.start()
+    with pytest.raises(QuarantinedError):
+        service.check(CULPRIT)
+    await app.stop()
+
+
 async def test_blame_falls_on_the_endpoint_once_all_suspects_are_cleared(fleet):
     service = fleet.services[0]
     verdicts = []
--- a/lagoonring/tests/test_routing.py
+++ b/lagoonring/tests/test_routing.py
@@ -4,6 +4,7 @@
 import pytest
 
 from lagoonring.kernel import ManualClock
+from lagoonring.limits.shares import DemandSummary
 from lagoonring.routing import (
     AttemptResult,
     EndpointLoad,
@@ -124,6 +125,23 @@
     assert route.reason == "crossing"
 
 
+async def test_does_not_cross_to_a_data_centre_that_says_it_is_busy():
+    (routing,), network, _ = await make_instances(
+        1, make_endpoints(plateau=1, almadies=2, rufisque=2)
+    )
+    report(routing, "plateau-0", n_running=8, n_waiting=60)
+    for data_centre, busy in (("almadies", 4.0), ("rufisque", 0.5)):
+        peers = network.add(f"{data_centre}-entry", data_centre)
+        summary = DemandSummary(
+            data_centre=data_centre, n_instances=1, time_s=0.0, busy={"guide": busy}
+        )
+        peers.publish("summary", f"demand:{data_centre}", summary)
+    request = make_request(make_chat(1, 1)[0])
+    chosen = {routing.choose(request).endpoint.split("-")[0] for _ in range(20)}
+    assert chosen == {"rufisque"}
+    assert routing.find_busy() == {"guide": 8.5}
+
+
 async def test_leaving_endpoint_gets_no_work_anywhere_until_it_is_a_new_one():
     (one, other), network, _ = await make_instances(2, make_endpoints(plateau=2))
     content = one.content
