Bring new endpoints to the version in force

Cause: an instance started by the fleet may hold an older version, and orders from two leases would carry fencing numbers of two sequences. Change: the holder of the moves orders the version in force at endpoints that are new; the fleet gives no orders.

--- a/lagoonring/moves/holder.py
+++ b/lagoonring/moves/holder.py
@@ -18,6 +18,7 @@
 from lagoonring.moves.decide import Facts, decide, next_share, start_move
 from lagoonring.moves.messages import MoveRecord, make_key
 from lagoonring.moves.orders import VersionOrders, choose_hosts
+from lagoonring.moves.steady import SteadyVersions
 from lagoonring.settings import to_plain
 
 if TYPE_CHECKING:
@@ -77,6 +78,7 @@
         self.count_new = count_new
         self.tell = tell
         self.fenced: set[str] = set()
+        self.steady = SteadyVersions(app.clock)
 
     @property
     def catalogue(self) -> Any:
@@ -86,6 +88,7 @@
     async def run(self, lease: Lease) -> None:
         """Carry all moves on until the lease is lost."""
         self.fenced.clear()
+        self.steady = SteadyVersions(self.app.clock)
         orders = VersionOrders(lease, self.control, self.app.clock, self.options)
         self.tell()
         if self._must_wait_out():
@@ -94,6 +97,11 @@
             await self._step(lease, orders)
             await self.app.clock.sleep(self.options.tick_s)
 
+    def _moving(self) -> set[str]:
+        """Return the entries that have a move in progress."""
+        records = [kept.record for kept in self.ledger.kept.values()]
+        return {record.entry for record in records if not record.is_done}
+
     def _must_wait_out(self) -> bool:
         """Whether an earlier holder's orders may still arrive and be obeyed."""
         content = self.catalogue.content
@@ -111,6 +119,7 @@
             for kept in list(self.ledger.kept.values()):
                 if not kept.record.is_done:
                     await self._carry_on(lease, orders, kept.record)
+            await self.steady.step(orders, content, self._moving())
             if self.ledger.n_since_snapshot > N_RECORDS_PER_SNAPSHOT:
                 self.ledger.n_since_snapshot = 0
                 await lease.append_snapshot(self.ledger.get_parts)
--- a/lagoonring/moves/service.py
+++ b/lagoonring/moves/service.py
@@ -228,7 +228,7 @@
         return bool(group.local or group.remote or group.probing)
 
     def _is_candidate(self) -> bool:
-        if not self.catalogue.content.moves:
+        if not self.catalogue.content.endpoints:
             return False
         me = self.peers.me.instance
         others = [member.instance for member in self.peers.members()]
--- a/lagoonring/tests/builders/moves.py
+++ b/lagoonring/tests/builders/moves.py
@@ -280,13 +280,19 @@
     """
 
     def __init__(
-        self, n_instances: int = 3, n_engines: int = 5, *, checks_fencing: bool = True
+        self,
+        n_instances: int = 3,
+        n_engines: int = 5,
+        *,
+        checks_fencing: bool = True,
+        kind: str = "model",
     ) -> None:
         self.clock = ManualClock()
         self.log = LogStandin(self.clock)
         self.network = PeerNetwork()
         self.n_instances = n_instances
         self.checks_fencing = checks_fencing
+        self.kind = kind
         self.urls = [f"http://127.0.0.1:{9000 + i}" for i in range(n_engines)]
         self.engines = {url: EngineDouble(checks_fencing) for url in self.urls}
         self.instances: list[Instance] = []
@@ -337,7 +343,7 @@
     def make_changes(self) -> list[Change]:
         """Return the changes of the first catalogue."""
         entry = {
-            "kind": "model",
+            "kind": self.kind,
             "owner": "asso",
             "service_class": "chat",
             "checks_fencing": self.checks_fencing,
@@ -349,6 +355,8 @@
         ]
         for index, url in enumerate(self.urls):
             item = {"entry": "guide", "data_centre": f"dc{index % 3}", "url": url}
+            if self.kind == "plain":
+                item["version"] = str(1 + index % 2)
             changes.append(
                 Change(section="endpoints", name=f"guide-{index}", item=item)
             )
--- a/lagoonring/tests/test_moves_failures.py
+++ b/lagoonring/tests/test_moves_failures.py
@@ -13,7 +13,7 @@
 from lagoonring.moves.orders import EngineControl, VersionOrders
 from lagoonring.routing.messages import AttemptResult
 from lagoonring.routing.table import Group
-from lagoonring.tests.builders.moves import OPTIONS, MovesFleet
+from lagoonring.tests.builders.moves import OPTIONS, EngineDouble, MovesFleet
 from lagoonring.tests.builders.standins import running_engine
 
 DEADLINE_S = 60.0
@@ -309,6 +309,34 @@
         assert await fleet.run(2, until=lambda: len(fleet.new_times_s) > n_new)
 
 
+async def test_a_plain_service_moves_between_its_endpoints_without_orders():
+    async with running(kind="plain") as fleet:
+        await fleet.order(in_s=DEADLINE_S)
+        assert await fleet.run(DEADLINE_S + 20, until=fleet.is_done)
+        assert fleet.phases()[-1] == "finished"
+        content = fleet.instances[0].catalogue.content
+        assert content.entries["guide"].version == "2"
+        versions = {endpoint.version for endpoint in content.endpoints.values()}
+        assert versions == {"1", "2"}
+        assert not any(engine.orders for engine in fleet.engines.values())
+
+
+async def test_a_new_endpoint_is_brought_to_the_version_in_force():
+    async with running() as fleet:
+        await fleet.order(in_s=DEADLINE_S)
+        assert await fleet.run(DEADLINE_S + 20, until=fleet.is_done)
+        url = "http://127.0.0.1:9999"
+        engine = fleet.engines[url] = EngineDouble(checks_fencing=True)
+        item = {"entry": "guide", "data_centre": "dc0", "url": url, "version": "2"}
+        engine.is_out = True
+        await fleet.edit(Change(section="endpoints", name="fresh", item=item))
+        await fleet.run(5)
+        engine.is_out = False
+        assert await fleet.run(30, until=lambda: "2" in engine.versions)
+        await fleet.run(5)
+        assert len(engine.orders) == 1
+
+
 class RoutingDouble:
     name = "routing"
 
