Split asking from owning slots, and put metrics into the process's registry

Change: asker.py asks, service.py owns; metrics use the service metrics; an instance cut off from the log names the holder that it knew. Conclusion: a data centre without the log claims through the others while they are reached.

--- a/lagoonring/catalogue/follower.py
+++ b/lagoonring/catalogue/follower.py
@@ -5,7 +5,6 @@
 from typing import TYPE_CHECKING
 
 import attrs
-from prometheus_client import Counter, Gauge
 
 from lagoonring.catalogue.edits import STREAM, ConfigRecord, Snapshot, decode_record
 from lagoonring.catalogue.rule import RuleState, Verdict, fold, restore_snapshot
@@ -16,20 +15,13 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from lagoonring.catalogue.metrics import CatalogueMetrics
     from lagoonring.platform.log import Log, Page, Record
 
     OnVerdict = Callable[[ConfigRecord, Verdict], None]
 
 logger = make_logger("catalogue")
 
-N_EDITS = Counter(
-    "lagoonring_catalogue_edits_total", "Edits read from the log.", ["status"]
-)
-N_SKIPPED = Counter(
-    "lagoonring_catalogue_skipped_records_total", "Records that could not be read."
-)
-REVISION = Gauge("lagoonring_catalogue_revision", "Revision in force.")
-
 
 class NoSnapshotError(LagoonringError, LookupError):
     """The log kept neither its first record nor a usable snapshot."""
@@ -47,6 +39,8 @@
         The platform's log.
     on_verdict : callable
         Called with every record that could be read and its verdict.
+    metrics : CatalogueMetrics
+        Counts what was read.
 
     Attributes
     ----------
@@ -59,9 +53,12 @@
         The newest ``next_offset`` of a snapshot that was read; -1 if none.
     """
 
-    def __init__(self, log: Log, on_verdict: OnVerdict) -> None:
+    def __init__(
+        self, log: Log, on_verdict: OnVerdict, metrics: CatalogueMetrics
+    ) -> None:
         self.log = log
         self.on_verdict = on_verdict
+        self.metrics = metrics
         self.state = RuleState()
         self.is_started = False
         self.snapshot_offset = -1
@@ -101,7 +98,7 @@
             return False
         self.state = restore_snapshot(snapshot)
         self.is_started = True
-        REVISION.set(self.state.revision)
+        self.metrics.revision.set(self.state.revision)
         return True
 
     async def _read_next(self, wait_s: float) -> Page:
@@ -172,13 +169,13 @@
         except Exception as error:
             self._skip(record, repr(error))
             return
-        REVISION.set(self.state.revision)
+        self.metrics.revision.set(self.state.revision)
         if decoded.edit is not None:
-            N_EDITS.labels(verdict.status).inc()
+            self.metrics.edits.labels(verdict.status).inc()
         self.on_verdict(decoded, verdict)
 
     def _skip(self, record: Record, reason: str) -> None:
-        N_SKIPPED.inc()
+        self.metrics.skipped.inc()
         logger.warning("Skipped the record at {}: {}.", record.offset, reason)
         self.state = attrs.evolve(self.state, next_offset=record.offset + 1)
 
--- a/lagoonring/catalogue/service.py
+++ b/lagoonring/catalogue/service.py
@@ -27,12 +27,13 @@
 from lagoonring.catalogue.errors import (
     CatalogueBehindError,
     CatalogueNotReadyError,
-    ConflictError,
     EditAnswerLostError,
 )
 from lagoonring.catalogue.follower import ConfigFollower, NoSnapshotError
+from lagoonring.catalogue.metrics import CatalogueMetrics
 from lagoonring.catalogue.options import CatalogueOptions
 from lagoonring.catalogue.rule import Verdict, judge, take_snapshot
+from lagoonring.catalogue.verdicts import make_unreadable_error, to_revision
 from lagoonring.errors import LagoonringError
 from lagoonring.kernel.application import BaseService
 from lagoonring.logs import make_logger
@@ -41,7 +42,6 @@
     LogTruncatedError,
     LogUnavailableError,
 )
-from lagoonring.settings.checker import Fault, FaultyDocumentError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -125,7 +125,8 @@
 
     async def start(self) -> None:
         """Begin to follow the log; :attr:`ready` is set once it was read."""
-        self.follower = ConfigFollower(self.log, self._on_verdict)
+        metrics = CatalogueMetrics(self.app)
+        self.follower = ConfigFollower(self.log, self._on_verdict, metrics)
         self.peers = self.app.services.get("peers")
         if self.peers is not None:
             self.peers.serve(FETCH_METHOD, self._serve_fetch)
@@ -163,7 +164,7 @@
         timeout_s = timeout_s or self.options.apply_timeout_s
         data = encode_edit(edit)
         if decode_record(data) is None:
-            raise _unreadable()
+            raise make_unreadable_error()
         attempt = _Attempt()
         future: asyncio.Future[Verdict] = asyncio.get_running_loop().create_future()
         waiters = self.waiters.setdefault(_waiter_key(edit), [])
@@ -177,7 +178,7 @@
             if not waiters:
                 self.waiters.pop(_waiter_key(edit), None)
         if verdict is not None:
-            return _to_revision(verdict)
+            return to_revision(verdict)
         if attempt.may_be_appended:
             raise EditAnswerLostError(edit.edit_id, timeout_s)
         raise attempt.refusal or CatalogueBehindError(edit.base_revision, self.revision)
@@ -386,30 +387,3 @@
 
 def _waiter_key(edit: Edit) -> tuple[str, str]:
     return edit.edit_id, digest_changes(edit)
-
-
-def _to_revision(verdict: Verdict) -> int:
-    status = verdict.first.status if verdict.first else verdict.status
-    if verdict.faults or status == "invalid":
-        faults = list(verdict.faults) or [_refused_before(verdict)]
-        raise FaultyDocumentError("edit", faults)
-    if status == "conflict":
-        raise ConflictError(verdict.revision, verdict.author, verdict.path)
-    return verdict.revision
-
-
-def _refused_before(verdict: Verdict) -> Fault:
-    offset = verdict.first.offset if verdict.first else -1
-    got = f"an edit that was refused at offset {offset}"
-    remedy = "Correct its faults and send it with a new edit_id."
-    return Fault("edit_id", got, "an edit without faults", remedy)
-
-
-def _unreadable() -> FaultyDocumentError:
-    fault = Fault(
-        "changes",
-        "items that can't be read back",
-        "plain JSON of 16 levels at most",
-        "Correct the items.",
-    )
-    return FaultyDocumentError("edit", [fault])
--- /dev/null
+++ b/lagoonring/catalogue/verdicts.py
@@ -0,0 +1,48 @@
+"""What an operator is told of a verdict of the rule."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from lagoonring.catalogue.errors import ConflictError
+from lagoonring.settings.checker import Fault, FaultyDocumentError
+
+if TYPE_CHECKING:
+    from lagoonring.catalogue.rule import Verdict
+
+
+def to_revision(verdict: Verdict) -> int:
+    """Return the revision of an edit that was applied.
+
+    Raises
+    ------
+    ConflictError
+        If an item changed after the edit's base revision.
+    FaultyDocumentError
+        If the edit has faults.
+    """
+    status = verdict.first.status if verdict.first else verdict.status
+    if verdict.faults or status == "invalid":
+        faults = list(verdict.faults) or [_refused_before(verdict)]
+        raise FaultyDocumentError("edit", faults)
+    if status == "conflict":
+        raise ConflictError(verdict.revision, verdict.author, verdict.path)
+    return verdict.revision
+
+
+def _refused_before(verdict: Verdict) -> Fault:
+    offset = verdict.first.offset if verdict.first else -1
+    got = f"an edit that was refused at offset {offset}"
+    remedy = "Correct its faults and send it with a new edit_id."
+    return Fault("edit_id", got, "an edit without faults", remedy)
+
+
+def make_unreadable_error() -> FaultyDocumentError:
+    """Return the error for an edit that readers of the log would skip."""
+    fault = Fault(
+        "changes",
+        "items that can't be read back",
+        "plain JSON of 16 levels at most",
+        "Correct the items.",
+    )
+    return FaultyDocumentError("edit", [fault])
--- a/lagoonring/claims/metrics.py
+++ b/lagoonring/claims/metrics.py
@@ -2,18 +2,53 @@
 
 from __future__ import annotations
 
-from prometheus_client import Counter, Gauge, Histogram
-
-BATCH_SIZE = Histogram(
-    "lagoonring_claims_batch_items",
-    "Items in one append.",
-    buckets=(1, 2, 4, 8, 16, 32, 64, 128, 256),
-)
-APPEND_S = Histogram(
-    "lagoonring_claims_append_seconds",
-    "Time from an append to its read-back.",
-    buckets=(0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5),
-)
-N_ANSWERS = Counter("lagoonring_claims_total", "Answers to claims.", ["state"])
-N_ROWS = Gauge("lagoonring_claims_rows", "Keys remembered here.", ["state"])
-N_SLOTS = Gauge("lagoonring_claims_slots", "Slots held here.")
+from typing import TYPE_CHECKING
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+
+if TYPE_CHECKING:
+    from lagoonring.kernel import Application
+
+BATCH_SIZES = (1, 2, 4, 8, 16, 32, 64, 128, 256)
+APPEND_BOUNDS_S = (0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5)
+
+
+class ClaimsMetrics:
+    """Counts the answers to claims and measures the batches.
+
+    Parameters
+    ----------
+    app : Application
+        Its service ``metrics`` owns the registry; without one it is private.
+    """
+
+    def __init__(self, app: Application) -> None:
+        metrics = app.services.get("metrics")
+        registry = metrics.registry if metrics is not None else CollectorRegistry()
+        self.batch_size = Histogram(
+            "lagoonring_claims_batch_items",
+            "Items in one append.",
+            buckets=BATCH_SIZES,
+            registry=registry,
+        )
+        self.append_s = Histogram(
+            "lagoonring_claims_append_seconds",
+            "Time from an append to its read-back.",
+            buckets=APPEND_BOUNDS_S,
+            registry=registry,
+        )
+        self.answers = Counter(
+            "lagoonring_claims_answers",
+            "Answers to claims.",
+            ["state"],
+            registry=registry,
+        )
+        self.rows = Gauge(
+            "lagoonring_claims_rows",
+            "Keys remembered, by slot and state, when its last snapshot was written.",
+            ["slot", "state"],
+            registry=registry,
+        )
+        self.slots = Gauge(
+            "lagoonring_claims_slots", "Slots held here.", registry=registry
+        )
--- a/lagoonring/claims/records.py
+++ b/lagoonring/claims/records.py
@@ -73,12 +73,14 @@
 
     ``kind`` is ``outcome``, ``not_holder`` (nothing was done, ``holder`` may
     know), ``log_out`` (nothing was done), ``full`` (nothing was done) or
-    ``fate_unknown``.
+    ``fate_unknown``. ``is_log_out`` says that the log is out here, so that what
+    is told of the holder may be old.
     """
 
     kind: Literal["outcome", "not_holder", "log_out", "full", "fate_unknown"]
     status: Status = "ignored"
     holder: str = ""
+    is_log_out: bool = False
     age_s: float = 0.0
     answer: StoredAnswer | None = None
 
--- a/lagoonring/claims/service.py
+++ b/lagoonring/claims/service.py
@@ -14,15 +14,16 @@
 import attrs
 import msgspec
 
-from lagoonring.claims import metrics
 from lagoonring.claims.answers import AnswerCache
+from lagoonring.claims.asker import METHODS, Asker, Asking
 from lagoonring.claims.errors import (
     ClaimFateUnknownError,
     ClaimsUnavailableError,
     KeyReusedError,
     MismatchedSlotsError,
 )
-from lagoonring.claims.keys import digest_id, digest_key, find_slot
+from lagoonring.claims.keys import digest_id, digest_key
+from lagoonring.claims.metrics import ClaimsMetrics
 from lagoonring.claims.options import ClaimsOptions
 from lagoonring.claims.records import (
     Ask,
@@ -34,7 +35,6 @@
     trim_answer,
 )
 from lagoonring.claims.slot import SlotOwner
-from lagoonring.errors import LagoonringError, UnavailableError
 from lagoonring.kernel.application import BaseService
 from lagoonring.leases import rank
 from lagoonring.logs import make_logger
@@ -44,33 +44,11 @@
     from lagoonring.kernel import Application
     from lagoonring.platform.log import Log
 
-METHODS: dict[ItemKind, str] = {
-    "claim": "claims.claim",
-    "finish": "claims.finish",
-    "release": "claims.release",
-}
-REASONS = {
-    "log_out": "the log out",
-    "full": "a full table of its slot",
-    "not_holder": "no owner of its slot in time",
-    "fate_unknown": "no answer of the owner of its slot",
-}
 ALONE = "alone"
 
 logger = make_logger("claims")
 
 
-@attrs.define
-class _Asking:
-    """What is known while one item is asked for."""
-
-    item: ClaimItem
-    deadline_s: float
-    may_count: bool = False
-    holder: str = ""
-    was_redirected: bool = False
-
-
 class ClaimsService(BaseService):
     """Asks for claims, and owns the slots that prefer this instance.
 
@@ -98,7 +76,6 @@
         self.given_log = log
         self.owners: dict[int, SlotOwner] = {}
         self.left_since_s: dict[int, float] = {}
-        self.holders: dict[int, str] = {}
         self.live: tuple[str, ...] = ()
         self.data_centres: tuple[str, ...] = ()
         self.preferred: list[str] = []
@@ -110,6 +87,7 @@
         """Begin to serve asks and to compete for slots."""
         self.log = self.given_log or self.app.find("log")
         self.answers = AnswerCache(self.log, self.options.answer_cache_bytes)
+        self.metrics = ClaimsMetrics(self.app)
         self.peers: Any = self.app.services.get("peers")
         me = self.peers.me if self.peers is not None else None
         self.me = me.instance if me is not None else ALONE
@@ -117,6 +95,7 @@
         if self.peers is not None:
             for method in METHODS.values():
                 self.peers.serve(method, self._serve)
+        self.asker = Asker(self.app, self.options, self.me, self.peers, self)
         self._balance()
         self.app.spawn("claims.balance", self._keep_balance)
 
@@ -174,9 +153,9 @@
         end_s = (
             now_s + self.options.claim_timeout_s if deadline_s is None else deadline_s
         )
-        asking = _Asking(item, end_s)
+        asking = Asking(item, end_s)
         try:
-            reply = await self._ask(asking)
+            reply = await self.asker.ask(asking)
         except (ClaimsUnavailableError, ClaimFateUnknownError):
             if self._deduplicates(entry):
                 return ClaimAnswer(state="granted", is_recorded=False)
@@ -204,79 +183,12 @@
         item = _make_item("release", key, claim_id)
         return await _wait_settled(self._settle(item))
 
-    async def _ask(self, asking: _Asking) -> Reply:
-        """Ask until there is an outcome; leaves ``may_count`` if it is unknown."""
-        clock, options = self.app.clock, self.options
-        slot = find_slot(asking.item.key, options.n_slots)
-        while True:
-            reply = await self._ask_once(asking, slot)
-            if reply.kind == "outcome":
-                asking.may_count = False
-                return reply
-            if reply.kind in ("log_out", "full"):
-                break
-            if self._is_redirected(asking):
-                continue
-            pause_s = options.retry_s * self.app.rng.uniform(0.5, 1.5)
-            if clock.monotonic() + pause_s >= asking.deadline_s:
-                break
-            await clock.sleep(pause_s)
-        metrics.N_ANSWERS.labels("unavailable").inc()
-        if asking.may_count:
-            raise ClaimFateUnknownError(retry_after_s=options.retry_after_s)
-        raise ClaimsUnavailableError(
-            REASONS[reply.kind], retry_after_s=options.retry_after_s
-        )
-
-    async def _ask_once(self, asking: _Asking, slot: int) -> Reply:
-        target = asking.holder or self.holders.pop(slot, "") or self.preferred[slot]
-        asking.holder = ""
-        had_count, asking.may_count = asking.may_count, True
-        try:
-            reply = await self._send(target, slot, asking)
-        except UnavailableError:
-            # The owner was provably not reached.
-            asking.may_count = had_count
-            return Reply(kind="not_holder")
-        except (LagoonringError, OSError, msgspec.MsgspecError) as error:
-            logger.info("Asked {} for slot {} in vain: {!r}.", target, slot, error)
-            return Reply(kind="fate_unknown")
-        if reply.kind != "fate_unknown":
-            asking.may_count = had_count
-        if reply.kind in ("outcome", "full"):
-            self.holders[slot] = target
-        if reply.kind == "not_holder" and reply.holder != target:
-            asking.holder = reply.holder
-        return reply
-
-    def _is_redirected(self, asking: _Asking) -> bool:
-        """Whether to ask another instance at once; not twice in a row."""
-        asking.was_redirected = bool(asking.holder) and not asking.was_redirected
-        return asking.was_redirected
-
-    async def _send(self, target: str, slot: int, asking: _Asking) -> Reply:
-        ask = Ask(slot=slot, n_slots=self.options.n_slots, item=asking.item)
-        left_s = asking.deadline_s - self.app.clock.monotonic()
-        timeout_s = max(0.001, min(self.options.call_timeout_s, left_s))
-        if target == self.me:
-            try:
-                async with asyncio.timeout(timeout_s):
-                    return await self._handle(ask)
-            except TimeoutError:
-                return Reply(kind="fate_unknown")
-        payload = await self.peers.call(
-            target,
-            METHODS[asking.item.kind],
-            msgspec.msgpack.encode(ask),
-            timeout_s=timeout_s,
-        )
-        return msgspec.msgpack.decode(payload, type=Reply)
-
     async def _serve(self, sender: str, payload: bytes) -> bytes:
         ask = msgspec.msgpack.decode(payload, type=Ask)
-        return msgspec.msgpack.encode(await self._handle(ask))
+        return msgspec.msgpack.encode(await self.handle(ask))
 
-    async def _handle(self, ask: Ask) -> Reply:
+    async def handle(self, ask: Ask) -> Reply:
+        """Answer an item that this instance was asked for."""
         if ask.n_slots != self.options.n_slots:
             raise MismatchedSlotsError(ask.n_slots, self.options.n_slots)
         owner = self.owners.get(ask.slot)
@@ -302,7 +214,7 @@
         end_s = self.app.clock.monotonic() + self.options.settle_timeout_s
         while self.app.clock.monotonic() < end_s:
             try:
-                reply = await self._ask(_Asking(item, end_s))
+                reply = await self.asker.ask(Asking(item, end_s))
                 return reply.status == "done"
             except (ClaimsUnavailableError, ClaimFateUnknownError):
                 pause_s = self.options.retry_after_s * self.app.rng.uniform(0.5, 1.5)
@@ -318,7 +230,7 @@
         if reply.status == "granted":
             state = "granted"
         elif reply.status == "finished":
-            metrics.N_ANSWERS.labels("finished").inc()
+            self.metrics.answers.labels("finished").inc()
             return ClaimAnswer(state="finished", answer=reply.answer)
         elif reply.status == "in_progress":
             is_old = reply.age_s >= self.options.in_progress_s
@@ -327,7 +239,7 @@
             reason = f"a claim id that is {reply.status}"
             retry_after_s = self.options.retry_after_s
             raise ClaimsUnavailableError(reason, retry_after_s=retry_after_s)
-        metrics.N_ANSWERS.labels(state).inc()
+        self.metrics.answers.labels(state).inc()
         return ClaimAnswer(state=state)  # type: ignore[arg-type]
 
     def _deduplicates(self, entry: str) -> bool:
@@ -383,7 +295,15 @@
         if owner is not None:
             owner.patience_s = self._find_patience_s(slot)
             return
-        owner = SlotOwner(self.app, slot, self.me, self.log, self.options, self.answers)
+        owner = SlotOwner(
+            self.app,
+            slot,
+            self.me,
+            self.log,
+            self.options,
+            self.answers,
+            self.metrics,
+        )
         owner.patience_s = self._find_patience_s(slot)
         self.owners[slot] = owner
 
--- a/lagoonring/claims/slot.py
+++ b/lagoonring/claims/slot.py
@@ -13,7 +13,6 @@
 
 import attrs
 
-from lagoonring.claims import metrics
 from lagoonring.claims.keys import name_stream
 from lagoonring.claims.records import ClaimBatch, ClaimItem, Reply
 from lagoonring.claims.table import FINISHED, GRANTED, ClaimTable, Outcome
@@ -23,6 +22,7 @@
 
 if TYPE_CHECKING:
     from lagoonring.claims.answers import AnswerCache
+    from lagoonring.claims.metrics import ClaimsMetrics
     from lagoonring.claims.options import ClaimsOptions
     from lagoonring.kernel import Application
     from lagoonring.platform.log import Log
@@ -69,6 +69,8 @@
         Options of claims.
     answers : AnswerCache
         Reads recorded answers.
+    metrics : ClaimsMetrics
+        Measures the batches.
 
     Attributes
     ----------
@@ -84,7 +86,9 @@
         log: Log,
         options: ClaimsOptions,
         answers: AnswerCache,
+        metrics: ClaimsMetrics,
     ) -> None:
+        self.metrics = metrics
         self.app = app
         self.slot = slot
         self.stream = name_stream(slot)
@@ -145,7 +149,7 @@
         return epoch is not None
 
     async def _serve(self) -> None:
-        metrics.N_SLOTS.inc()
+        self.metrics.slots.inc()
         try:
             while self.lease.is_held():
                 if self.waiting:
@@ -160,7 +164,7 @@
                 else:
                     await self._wait_for_work()
         finally:
-            metrics.N_SLOTS.dec()
+            self.metrics.slots.dec()
             waiting, self.waiting = self.waiting, []
             _answer_all(waiting, self._not_held())
 
@@ -221,8 +225,8 @@
             started_s = self.app.clock.monotonic()
             try:
                 await self.lease.append(batch)
-                metrics.BATCH_SIZE.observe(len(batch.items))
-                metrics.APPEND_S.observe(self.app.clock.monotonic() - started_s)
+                self.metrics.batch_size.observe(len(batch.items))
+                self.metrics.append_s.observe(self.app.clock.monotonic() - started_s)
                 break
             except LeaseLostError:
                 return Reply(kind="fate_unknown") if may_count else self._not_held()
@@ -251,7 +255,7 @@
 
     async def _write_snapshot(self) -> None:
         for state, n_rows in self.table.count_states().items():
-            metrics.N_ROWS.labels(state).set(n_rows)
+            self.metrics.rows.labels(str(self.slot), state).set(n_rows)
         try:
             await self.lease.append_snapshot(self.table.make_parts)
         except (LogUnavailableError, LogAnswerLostError, LeaseLostError) as error:
@@ -276,9 +280,10 @@
         return item.kind == "claim" and n_rows >= self.options.n_rows_most
 
     def _not_held(self) -> Reply:
-        if self.is_log_out:
+        holder = self.lease.current_holder
+        if self.is_log_out and holder in ("", self.lease.holder):
             return Reply(kind="log_out")
-        return Reply(kind="not_holder", holder=self.lease.current_holder)
+        return Reply(kind="not_holder", holder=holder, is_log_out=self.is_log_out)
 
     async def _reply(self, outcome: Outcome) -> Reply:
         row = outcome.row
--- a/lagoonring/tests/test_catalogue_service.py
+++ b/lagoonring/tests/test_catalogue_service.py
@@ -15,6 +15,7 @@
 )
 from lagoonring.catalogue.edits import encode_snapshot
 from lagoonring.catalogue.follower import ConfigFollower, NoSnapshotError
+from lagoonring.catalogue.metrics import CatalogueMetrics
 from lagoonring.catalogue.rule import SECTIONS, RuleState, take_snapshot
 from lagoonring.platform.log import LogUnavailableError
 from lagoonring.settings import FaultyDocumentError
@@ -201,7 +202,9 @@
     while service.follower.state.next_offset < 3:
         await service.folded.wait()
     fleet.log.forget("config", before=2)
-    follower = ConfigFollower(fleet.log, lambda *verdict: None)
+    follower = ConfigFollower(
+        fleet.log, lambda *verdict: None, CatalogueMetrics(make_application())
+    )
     with pytest.raises(NoSnapshotError, match="without a usable snapshot"):
         await follower.read_on(0)
 
--- a/lagoonring/tests/test_claims.py
+++ b/lagoonring/tests/test_claims.py
@@ -154,6 +154,25 @@
     run_virtual(check())
 
 
+def test_a_data_centre_cut_off_from_the_log_claims_through_another():
+    async def check():
+        fleet = await make_fleet(2, n_data_centres=2, n_slots=1)
+        owner = next(i for i in fleet.instances if i.claims.owners[0].lease.is_held())
+        other = next(i for i in fleet.instances if i is not owner)
+        other.log.is_cut_off = True
+        await asyncio.sleep(FAST.lease.duration_s)
+        assert (await claim(other, "1")).state == "granted"
+        fleet.network.cut_off.add(owner.name)
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        with pytest.raises(ClaimsUnavailableError, match="the log out"):
+            await claim(other, "2", key="new")
+        assert loop.time() - started_s < 0.5
+        await fleet.stop()
+
+    run_virtual(check())
+
+
 def test_a_grant_that_was_not_heard_is_unknown_and_then_taken_back():
     async def check():
         fleet = await make_fleet(2, n_slots=1)
