--- a/lagoonring/catalogue/follower.py
+++ b/lagoonring/catalogue/follower.py
@@ -20,6 +20,8 @@
 
     OnVerdict = Callable[[ConfigRecord, Verdict], None]
 
+N_RECORDS_PER_READ = 32
+
 logger = make_logger("catalogue")
 
 
@@ -103,7 +105,7 @@
 
     async def _read_next(self, wait_s: float) -> Page:
         from_offset = self.state.next_offset
-        page = await self.log.read(STREAM, from_offset, wait_s=wait_s)
+        page = await self._read(from_offset, wait_s)
         # A log may answer from its first record in place of an error.
         if page.first_offset > from_offset:
             raise LogTruncatedError(STREAM, from_offset, page.first_offset)
@@ -129,7 +131,7 @@
                 snapshot = _read_snapshot(record)
                 if snapshot is not None and _is_newer(snapshot, newest):
                     newest = snapshot
-            page = await self.log.read(STREAM, page.records[-1].offset + 1)
+            page = await self._read(page.records[-1].offset + 1)
         self._note_bounds(page)
         if newest is None or newest.next_offset < self.first_offset:
             return None
@@ -138,10 +140,16 @@
 
     async def _read_first(self) -> Page:
         try:
-            return await self.log.read(STREAM, 0)
+            return await self._read(0)
         except LogTruncatedError as error:
             self.first_offset = error.first_offset
-            return await self.log.read(STREAM, error.first_offset)
+            return await self._read(error.first_offset)
+
+    async def _read(self, from_offset: int, wait_s: float = 0.0) -> Page:
+        # Few at a time: a record may have hundreds of kilobytes.
+        return await self.log.read(
+            STREAM, from_offset, limit=N_RECORDS_PER_READ, wait_s=wait_s
+        )
 
     def _note_bounds(self, page: Page) -> None:
         self.first_offset = page.first_offset
--- a/lagoonring/leases/stream.py
+++ b/lagoonring/leases/stream.py
@@ -24,6 +24,7 @@
     from lagoonring.platform.log import Log, Page, Record
 
 READ_BACK_WAIT_S = 1.0
+N_RECORDS_PER_READ = 32
 
 logger = make_logger("leases")
 
@@ -101,7 +102,7 @@
             If the log does not answer.
         """
         try:
-            page = await self.log.read(self.stream, self.next_offset, wait_s=wait_s)
+            page = await self._read(self.next_offset, wait_s=wait_s)
             if page.first_offset > self.next_offset:
                 raise LogTruncatedError(
                     self.stream, self.next_offset, page.first_offset
@@ -130,6 +131,12 @@
         while self.next_offset <= offset:
             await self.read_on(READ_BACK_WAIT_S)
 
+    async def _read(self, from_offset: int, *, wait_s: float = 0.0) -> Page:
+        # Few at a time: a record may have hundreds of kilobytes.
+        return await self.log.read(
+            self.stream, from_offset, limit=N_RECORDS_PER_READ, wait_s=wait_s
+        )
+
     def _has_anchor(self, page: Page) -> bool:
         decoded = (decode_record(record.data) for record in page.records)
         return any(
@@ -179,14 +186,14 @@
     async def _find_newest(self, first_offset: int) -> _Newest:
         newest = _Newest()
         self.first_offset = first_offset
-        page = await self.log.read(self.stream, first_offset)
+        page = await self._read(first_offset)
         while page.records:
             for record in page.records:
                 decoded = decode_record(record.data)
                 if decoded is not None and decoded.at <= record.offset:
                     newest.note(decoded)
             next_offset = page.records[-1].offset + 1
-            page = await self.log.read(self.stream, next_offset)
+            page = await self._read(next_offset)
         self.first_offset = max(first_offset, page.first_offset)
         return newest
 
--- /dev/null
+++ b/lagoonring/tests/test_claims_table.py
@@ -0,0 +1,89 @@
+from __future__ import annotations
+
+import hypothesis.strategies as st
+import msgspec
+from hypothesis import given, settings
+
+from lagoonring.claims.keys import digest_id, digest_key
+from lagoonring.claims.records import ClaimBatch, ClaimItem, StoredAnswer
+from lagoonring.claims.table import ClaimTable
+
+WINDOW_S = 50
+KINDS = ("claim", "claim", "finish", "release")
+
+
+@st.composite
+def streams(draw):
+    """Batches of items for few keys and sendings, with gaps in time."""
+    batches, time_s = [], 1000.0
+    for index in range(draw(st.integers(1, 20))):
+        time_s += draw(st.sampled_from([0, 1, 10, 60]))
+        items = [
+            ClaimItem(
+                kind=draw(st.sampled_from(KINDS)),
+                key=digest_key(draw(st.sampled_from("ab"))),
+                claim=digest_id(draw(st.sampled_from("123"))),
+                fingerprint=digest_id("f"),
+                answer=StoredAnswer(status=200),
+            )
+            for _ in range(draw(st.integers(1, 4)))
+        ]
+        batches.append((time_s, ClaimBatch(batch_id=f"b{index}", items=items)))
+    return batches
+
+
+def fold_all(table, batches, first=0):
+    outcomes = []
+    for offset, (time_s, batch) in enumerate(batches, start=first):
+        table.watched = {batch.batch_id: None}
+        table.on_data(offset, time_s, msgspec.Raw(msgspec.json.encode(batch)))
+        outcomes.append(table.watched[batch.batch_id])
+    return outcomes
+
+
+@settings(derandomize=True, max_examples=200, deadline=None)
+@given(streams(), st.data())
+def test_a_reader_from_a_snapshot_decides_as_one_from_the_start(batches, data):
+    whole = ClaimTable(WINDOW_S)
+    outcomes = fold_all(whole, batches)
+    cut = data.draw(st.integers(0, len(batches)))
+    before = ClaimTable(WINDOW_S)
+    fold_all(before, batches[:cut])
+    parts = [msgspec.Raw(msgspec.json.encode(part)) for part in before.make_parts()]
+    resumed = ClaimTable(WINDOW_S)
+    resumed.restore(parts)
+    assert fold_all(resumed, batches[cut:], cut) == outcomes[cut:]
+    assert list(resumed.rows.items()) == list(whole.rows.items())
+    check_grants(batches, outcomes)
+
+
+def check_grants(batches, outcomes):
+    """A key is granted to one sending, until it is released or the window ends."""
+    holders = {}
+    for (time_s, batch), results in zip(batches, outcomes, strict=True):
+        for item, outcome in zip(batch.items, results, strict=True):
+            holder = holders.get(item.key)
+            if holder is not None and time_s - holder[1] > WINDOW_S:
+                holder = holders.pop(item.key) and None
+            if outcome.status == "granted":
+                assert holder is None or holder[0] == item.claim
+                holders.setdefault(item.key, (item.claim, time_s))
+            elif item.kind == "release" and outcome.status == "done":
+                holders.pop(item.key, None)
+
+
+def test_a_batch_that_lands_twice_changes_nothing_more():
+    claim = ClaimItem(kind="claim", key=digest_key("a"), claim=digest_id("1"))
+    finish = ClaimItem(
+        kind="finish",
+        key=digest_key("a"),
+        claim=digest_id("1"),
+        answer=StoredAnswer(status=201),
+    )
+    table = ClaimTable(WINDOW_S)
+    batch = ClaimBatch(batch_id="b", items=[claim, finish])
+    fold_all(table, [(1.0, batch)])
+    rows = dict(table.rows)
+    fold_all(table, [(2.0, batch)], first=9)
+    assert table.rows == rows
+    assert table.find(claim.key).http_status == 201
