--- /dev/null
+++ b/lagoonring/tests/test_load_reports.py
@@ -0,0 +1,54 @@
+"""Reports: side by side against a golden file, written, read, shown."""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+
+import pytest
+from typer.testing import CliRunner
+
+from lagoonring.cli.load_command import command
+from lagoonring.load import read_report, write_report
+from lagoonring.load.results import REPORT_FILE
+from lagoonring.tests.builders.load import make_report
+
+GOLDEN = Path(__file__).parent / "golden" / "load-compare.txt"
+
+
+@pytest.fixture
+def folders(tmp_path):
+    """Two folders with the reports of two policies."""
+    reports = [
+        make_report("round_robin", n_in_target=100, p90_ms=400.0),
+        make_report("affinity_load", n_in_target=160, p90_ms=100.0),
+    ]
+    found = [tmp_path / "a", tmp_path / "b"]
+    for folder, report in zip(found, reports, strict=True):
+        write_report(folder, report, {})
+        assert read_report(folder) == report
+    return [str(folder) for folder in found]
+
+
+def test_compare_puts_two_runs_side_by_side(folders):
+    shown = CliRunner().invoke(command, ["compare", *folders])
+    assert shown.exit_code == 0, shown.output
+    if os.environ.get("LAGOONRING_WRITE_GOLDEN"):
+        GOLDEN.write_text(shown.output)
+    assert shown.output == GOLDEN.read_text()
+
+
+def test_page_needs_no_other_file_and_names_faults(folders):
+    shown = CliRunner().invoke(command, ["report", folders[0]])
+    assert shown.exit_code == 0, shown.output
+    page = Path(folders[0], "report.html").read_text()
+    assert "1 faults found" in page
+    assert page.count("data:image/png;base64,") == 2
+    assert "http" not in page.replace("data:image/png;base64,", "")[:2000]
+
+
+def test_unreadable_report_is_told_with_a_remedy(tmp_path):
+    (tmp_path / REPORT_FILE).write_text("{}")
+    shown = CliRunner().invoke(command, ["compare", str(tmp_path), str(tmp_path)])
+    assert shown.exit_code == 3
+    assert "lagoonring-load run --out" in shown.output
--- /dev/null
+++ b/lagoonring/tests/test_load_run.py
@@ -0,0 +1,131 @@
+"""Load runs: open loop, callers that come back, a deployment with faults."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import TYPE_CHECKING
+
+import aiohttp
+import msgspec
+import pytest
+
+from lagoonring.load import describe, plan_arrivals, run_load, summarise
+from lagoonring.load.balancer import Balancer
+from lagoonring.load.chats import ChatCaller
+from lagoonring.load.checker import TokenFaults
+from lagoonring.load.run import LoadRun
+from lagoonring.load.sending import Callers
+from lagoonring.standins.engine_faults import EngineFaults
+from lagoonring.tests.builders.deployments import run_deployment
+from lagoonring.tests.builders.load import (
+    SmallEntry,
+    make_chat,
+    make_load_settings,
+    make_target,
+    serve,
+    settings_for,
+)
+
+if TYPE_CHECKING:
+    from lagoonring.load.arrivals import ChatArrival
+
+HANG_S = 20.0
+
+
+def show_nothing(line: str) -> None:
+    """Take a line about the progress."""
+
+
+async def ask_once(arrival: ChatArrival, *urls: str):
+    """Return the outcome of one chat at small entries."""
+    entries = [make_target(f"entry-{k}", url) for k, url in enumerate(urls)]
+    settings = make_load_settings(entries=entries)
+    async with aiohttp.ClientSession() as session, asyncio.timeout(HANG_S):
+        callers = Callers(settings, session, Balancer(settings.entries, session))
+        start_s = asyncio.get_running_loop().time()
+        return await ChatCaller(callers, arrival, random.Random(1), start_s).run()
+
+
+@pytest.mark.parametrize("n_before_break", [0, 1, 5, 8])
+async def test_broken_stream_is_reattached_through_another_instance(n_before_break):
+    arrival = make_chat(n_tokens=8)
+    first = SmallEntry(arrival, n_before_break=n_before_break)
+    second = SmallEntry(arrival, n_before_break=n_before_break)
+    async with serve(first) as url, serve(second) as other_url:
+        outcome = await ask_once(arrival, url, other_url)
+    assert outcome.outcome == "whole"
+    assert outcome.faults == TokenFaults()
+    asked, attached = sorted((first, second), key=lambda entry: -entry.n_asked)
+    assert (asked.n_asked, attached.n_asked) == (1, 0)
+    assert attached.positions == [f"entry-0.1:{n_before_break}"]
+    assert asked.deadlines[0] <= 30_000
+
+
+async def test_refused_request_is_sent_again_after_the_time_told():
+    arrival = make_chat()
+    entry = SmallEntry(arrival, n_refused=3)
+    async with serve(entry) as url:
+        outcome = await ask_once(arrival, url)
+    assert outcome.outcome == "whole"
+    assert (outcome.n_sent, outcome.n_refusals) == (4, 3)
+
+
+async def test_arrivals_do_not_wait_for_answers():
+    arrival = make_chat()
+    entry = SmallEntry(arrival)
+    async with serve(entry) as url, asyncio.timeout(HANG_S):
+        entries = [make_target("entry-0", url)]
+        settings = make_load_settings(calls=[], entries=entries)
+        async with aiohttp.ClientSession() as session:
+            run = LoadRun(settings, 4, session, show_nothing)
+            entry.n_held = len(plan_arrivals(settings, 4))
+            assert entry.n_held > 1
+            await run.run()
+    assert entry.n_asked == entry.n_held
+
+
+async def test_run_on_a_deployment_with_faults_loses_and_doubles_nothing():
+    async with run_deployment(n_entries=3, n_engines=3, n_services=2) as deployment:
+        for engine in deployment.engines.values():
+            engine.batch.set_faults(EngineFaults(n_cut=3, cut_at_token=2))
+        service = deployment.services["booking-0"]
+        action = {
+            "at_s": 0.2,
+            "name": "answers lost",
+            "url": f"{service.url}/faults",
+            "body": {"n_lost": 2},
+        }
+        settings = settings_for(deployment, actions=[action])
+        data = await run_load(settings, 11, show_nothing)
+    report = summarise(data)
+    assert [(a.name, a.status) for a in report.actions] == [("answers lost", 200)]
+    assert report.checks.n_faults == 0, describe(report)
+    kinds = [report.find_outcomes(kind) for kind in ("chat", "booking", "lookup")]
+    assert sum(row.n for row in kinds) == report.n_arrived > 20
+    assert kinds[0].n_whole == kinds[0].n > 0
+    assert report.checks.bookings.n_keys == kinds[1].n > 0
+    assert report.n_replayed > 0
+    assert report.engines.n_tokens >= report.checks.n_tokens > 0
+    assert report.find_latency("chat", "first_token").n == kinds[0].n
+
+
+async def test_run_finds_bookings_that_ran_twice_and_services_it_cannot_read():
+    async with run_deployment(n_services=1) as deployment:
+        settings = settings_for(deployment, chats=[])
+        data = await run_load(settings, 5, show_nothing)
+        assert summarise(data).checks.n_faults == 0
+        url = deployment.services["booking-0"].url
+        key = next(key for key, told in data.told.items() if told.outcome == "done")
+        async with deployment.session.post(
+            f"{url}/bookings", json={}, headers={"Idempotency-Key": key}
+        ) as answer:
+            assert answer.status == 200
+        async with deployment.session.get(f"{url}/runs") as answer:
+            runs = msgspec.json.decode(await answer.read())
+        data.after.services["booking-0"].by_key.update(runs["by_key"])
+    assert summarise(data).checks.bookings.n_doubled == 1
+    del data.after.services["booking-0"]
+    checks = summarise(data).checks
+    assert checks.n_stands_unread == 1
+    assert checks.bookings.n_done_but_not_run > 0
