Time version moves in load runs

Cause: whether a move was done or taken back by its deadline can't be seen at the end of a run only.

--- a/lagoonring/load/comparison.py
+++ b/lagoonring/load/comparison.py
@@ -51,8 +51,9 @@
         ("refusals on the way", report.n_refusals),
         ("bill", report.costs.total),
         ("bill per 1,000 answers within target", report.costs.per_1000_in_target),
-        ("moves done", sum(move.phase == "done" for move in report.moves)),
-        ("moves undone", sum(move.phase == "undone" for move in report.moves)),
+        ("moves ordered", len(report.moves)),
+        ("moves done in time", _count_moves(report, "done")),
+        ("moves taken back in time", _count_moves(report, "undone")),
         ("must be 0: answers lost", checks.n_lost),
         ("must be 0: tokens lost", checks.n_tokens_lost),
         ("must be 0: tokens doubled", checks.n_tokens_doubled),
@@ -105,6 +106,10 @@
     ]
 
 
+def _count_moves(report: Report, phase: str) -> int:
+    return sum(move.phase == phase and move.is_in_time for move in report.moves)
+
+
 def _title(report: Report) -> str:
     policy = f", policy {report.policy}" if report.policy else ""
     return f"{report.name}{policy}, seed {report.seed}, {report.duration_s:g} s"
--- a/lagoonring/load/counts.py
+++ b/lagoonring/load/counts.py
@@ -64,16 +64,16 @@
 ) -> Snapshot:
     """Read the counts of all stand-ins at once."""
     engines = {
-        name: _read(session, f"{target.url}/counts", EngineCounts)
+        name: read_json(session, f"{target.url}/counts", EngineCounts)
         for name, target in settings.engines.items()
     }
     services = {
-        name: _read(session, f"{target.url}/runs", ServiceRuns)
+        name: read_json(session, f"{target.url}/runs", ServiceRuns)
         for name, target in settings.services.items()
     }
     costs = {}
     if settings.cloud_url:
-        costs[""] = _read(session, f"{settings.cloud_url}/costs", dict[str, Any])
+        costs[""] = read_json(session, f"{settings.cloud_url}/costs", dict[str, Any])
     found_costs = await _gather(costs)
     return Snapshot(
         engines=await _gather(engines),
@@ -82,34 +82,7 @@
     )
 
 
-def endpoint_hours_cost(settings: LoadSettings, duration_s: float) -> float:
-    """Return the bill of all endpoints by their prices, without a cloud."""
-    targets = [*settings.engines.values(), *settings.services.values()]
-    return sum(target.price_per_hour for target in targets) * duration_s / HOUR_S
-
-
-async def read_moves(
-    session: aiohttp.ClientSession, settings: LoadSettings
-) -> list[dict[str, Any]]:
-    """Return the version moves as the first instance that answers shows them."""
-    if not settings.operator_token:
-        return []
-    headers = {"Authorization": f"Bearer {settings.operator_token}"}
-    for entry in settings.entries:
-        url = f"{entry.url}/admin/moves"
-        rows = await _read(session, url, list[dict[str, Any]], headers=headers)
-        if rows is not None:
-            return rows
-    return []
-
-
-async def _gather(readings: dict[str, Any]) -> dict[str, Any]:
-    values = await asyncio.gather(*readings.values())
-    found = zip(readings, values, strict=True)
-    return {name: value for name, value in found if value is not None}
-
-
-async def _read(
+async def read_json(
     session: aiohttp.ClientSession,
     url: str,
     kind: type[T],
@@ -127,6 +100,18 @@
         return None
 
 
+def endpoint_hours_cost(settings: LoadSettings, duration_s: float) -> float:
+    """Return the bill of all endpoints by their prices, without a cloud."""
+    targets = [*settings.engines.values(), *settings.services.values()]
+    return sum(target.price_per_hour for target in targets) * duration_s / HOUR_S
+
+
+async def _gather(readings: dict[str, Any]) -> dict[str, Any]:
+    values = await asyncio.gather(*readings.values())
+    found = zip(readings, values, strict=True)
+    return {name: value for name, value in found if value is not None}
+
+
 def _sum_costs(document: dict[str, Any]) -> dict[str, float]:
     return {
         name: float(value)
--- a/lagoonring/load/results.py
+++ b/lagoonring/load/results.py
@@ -107,13 +107,22 @@
 
 @attrs.frozen(kw_only=True)
 class MoveResult:
-    """A version move at the end of the run."""
+    """A version move at the end of the run.
+
+    ``took_s`` is the time until it was done or undone, None if it was neither;
+    ``is_in_time`` says that this was before its deadline. ``n_old`` and
+    ``n_new`` are requests compared on either version.
+    """
 
     name: str
     entry: str
     to_version: str
     phase: str
     reason: str = ""
+    took_s: float | None = None
+    is_in_time: bool = False
+    n_old: int = 0
+    n_new: int = 0
 
 
 @attrs.frozen(kw_only=True)
--- a/lagoonring/load/run.py
+++ b/lagoonring/load/run.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import random
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import aiohttp
 import msgspec
@@ -13,7 +13,8 @@
 from lagoonring.load.balancer import Balancer
 from lagoonring.load.calls import CallCaller
 from lagoonring.load.chats import ChatCaller
-from lagoonring.load.counts import READ_ERRORS, read_moves, read_snapshot
+from lagoonring.load.counts import READ_ERRORS, read_snapshot
+from lagoonring.load.moves import MovesWatcher
 from lagoonring.load.outcomes import LOST, REFUSED, WHOLE
 from lagoonring.load.recorder import Recorder
 from lagoonring.load.results import ActionResult
@@ -21,12 +22,13 @@
 from lagoonring.load.summary import RunData
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Coroutine
 
     from lagoonring.load.arrivals import Arrival
     from lagoonring.load.checker import ToldBooking
     from lagoonring.load.counts import Snapshot
     from lagoonring.load.options import Action, LoadSettings
+    from lagoonring.load.outcomes import RequestOutcome
 
     Show = Callable[[str], None]
 
@@ -65,6 +67,7 @@
         self.show = show
         self.balancer = Balancer(settings.entries, session)
         self.callers = Callers(settings, session, self.balancer)
+        self.moves = MovesWatcher(settings, session)
         self.recorder = Recorder(settings)
         self.told: dict[str, ToldBooking] = {}
         self.actions: list[ActionResult] = []
@@ -77,10 +80,7 @@
         self.show(f"{len(arrivals)} arrivals in {self.settings.duration_s} s.")
         before = await read_snapshot(self.session, self.settings)
         self.start_s = loop.time() + LEAD_S
-        helpers = [asyncio.create_task(self._show_progress())]
-        if self.settings.balancer_check_s > 0:
-            probing = self.balancer.probe_for_ever(self.settings.balancer_check_s)
-            helpers.append(asyncio.create_task(probing))
+        helpers = [asyncio.create_task(helper) for helper in self._make_helpers()]
         try:
             async with asyncio.TaskGroup() as group:
                 for action in self.settings.actions:
@@ -93,6 +93,8 @@
         for action in self.settings.last_actions:
             await self._act(action)
         after = await self._read_patiently()
+        if self.moves.is_needed():
+            await self.moves.read()
         self.show(self._progress_line())
         return RunData(
             settings=self.settings,
@@ -102,10 +104,20 @@
             told=self.told,
             before=before,
             after=after,
-            moves=await read_moves(self.session, self.settings),
+            moves=self.moves.results(),
             actions=self.actions,
         )
 
+    def _make_helpers(self) -> list[Coroutine[Any, Any, None]]:
+        """Return what goes on beside the callers until the last has its answer."""
+        helpers = [self._show_progress()]
+        if self.settings.balancer_check_s > 0:
+            period_s = self.settings.balancer_check_s
+            helpers.append(self.balancer.probe_for_ever(period_s))
+        if self.moves.is_needed():
+            helpers.append(self.moves.watch_for_ever())
+        return helpers
+
     async def _start_arrivals(
         self, arrivals: list[Arrival], group: asyncio.TaskGroup
     ) -> None:
@@ -126,7 +138,9 @@
             outcome = await self._call(arrival, rng, start_s)
         self.recorder.ended(arrival.at_s, outcome)
 
-    async def _call(self, arrival: CallArrival, rng: random.Random, start_s: float):
+    async def _call(
+        self, arrival: CallArrival, rng: random.Random, start_s: float
+    ) -> RequestOutcome:
         caller = CallCaller(self.callers, arrival, rng, start_s)
         if arrival.key:
             self.told[arrival.key] = caller.told
--- a/lagoonring/load/sending.py
+++ b/lagoonring/load/sending.py
@@ -10,7 +10,6 @@
 import msgspec
 
 if TYPE_CHECKING:
-
     from lagoonring.load.balancer import Balancer
     from lagoonring.load.options import LoadSettings
 
--- a/lagoonring/load/summary.py
+++ b/lagoonring/load/summary.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 import attrs
 
@@ -41,7 +41,7 @@
     told: dict[str, ToldBooking]
     before: Snapshot
     after: Snapshot
-    moves: list[dict[str, Any]] = attrs.field(factory=list)
+    moves: list[MoveResult] = attrs.field(factory=list)
     actions: list[ActionResult] = attrs.field(factory=list)
 
 
@@ -65,7 +65,7 @@
         n_replayed=recorder.sums.get("n_replayed", 0),
         n_refusals=recorder.sums.get("n_refusals", 0),
         codes=dict(sorted(recorder.codes.items())),
-        moves=[make_move(row) for row in data.moves],
+        moves=data.moves,
         actions=data.actions,
         seconds=make_seconds(recorder),
     )
@@ -160,17 +160,6 @@
     return total
 
 
-def make_move(row: dict[str, Any]) -> MoveResult:
-    """Return a move as the administration API shows it."""
-    return MoveResult(
-        name=str(row.get("move") or row.get("name") or ""),
-        entry=str(row.get("entry", "")),
-        to_version=str(row.get("to_version", "")),
-        phase=str(row.get("phase", "")),
-        reason=str(row.get("reason", "")),
-    )
-
-
 def make_seconds(recorder: Recorder) -> list[SecondResult]:
     """Return the seconds of the run in order."""
     return [
--- a/lagoonring/tests/builders/load.py
+++ b/lagoonring/tests/builders/load.py
@@ -24,6 +24,9 @@
 
 FOREIGN_TOKEN = " x0000"
 REQUEST_ID = "entry-0.1"
+MOVE = MoveResult(
+    name="move-1", entry="guide", to_version="2", phase="done", is_in_time=True
+)
 
 
 def make_load_settings(**more: Any) -> LoadSettings:
@@ -250,5 +253,5 @@
         checks=Checks(n_answers=198, bookings=BookingFaults(n_keys=10, n_doubled=1)),
         costs=Costs(source="cloud", total=0.5, per_1000_in_target=500 / n_in_target),
         engines=EngineCounts(n_blocks_prefilled=300, n_blocks_cached=700),
-        moves=[MoveResult(name="m", entry="guide", to_version="2", phase="done")],
+        moves=[MOVE],
     )
