--- a/lagoonring/cli/load_command.py
+++ b/lagoonring/cli/load_command.py
@@ -21,6 +21,7 @@
     summarise,
     write_report,
 )
+from lagoonring.load.results import write_trimmed
 from lagoonring.settings import load_settings
 
 EPILOG = (
@@ -99,12 +100,19 @@
 
 
 @command.command()
-def report(folder: Annotated[Path, typer.Argument(help="Folder of a run.")]) -> None:
+def report(
+    folder: Annotated[Path, typer.Argument(help="Folder of a run.")],
+    trimmed: Annotated[
+        Path | None, typer.Option(help="Also write a short report.json here.")
+    ] = None,
+) -> None:
     """Write the page of a run, report.html."""
     from lagoonring.load.page import write_page
 
     try:
         typer.echo(write_page(folder))
+        if trimmed is not None:
+            write_trimmed(trimmed, read_report(folder))
     except LagoonringError as error:
         raise _fail(error) from error
 
--- a/lagoonring/load/results.py
+++ b/lagoonring/load/results.py
@@ -194,6 +194,17 @@
     _write(folder / HISTOGRAMS_FILE, histograms)
 
 
+def trim_report(report: Report) -> Report:
+    """Return a report without its seconds and without times by organisation."""
+    latencies = [row for row in report.latencies if row.organisation == "all"]
+    return attrs.evolve(report, seconds=[], latencies=latencies)
+
+
+def write_trimmed(path: Path, report: Report) -> None:
+    """Write what is worth keeping of a report into a file."""
+    _write(path, trim_report(report))
+
+
 def read_report(folder: Path) -> Report:
     """Return the report in a folder.
 
--- a/lagoonring/tests/builders/load.py
+++ b/lagoonring/tests/builders/load.py
@@ -11,8 +11,18 @@
 from aiohttp import web
 
 from lagoonring.load.arrivals import ChatArrival, Message
+from lagoonring.load.checker import BookingFaults
+from lagoonring.load.counts import EngineCounts
 from lagoonring.load.options import LoadSettings
-from lagoonring.load.results import Latency, MoveResult, Outcomes, Report
+from lagoonring.load.results import (
+    Checks,
+    Costs,
+    Latency,
+    MoveResult,
+    Outcomes,
+    Report,
+    SecondResult,
+)
 from lagoonring.settings import convert
 from lagoonring.standins.tokens import text_of, token_at
 from lagoonring.tests.builders.deployments import KEYS, OPERATOR_TOKEN
@@ -216,10 +226,6 @@
 
 def make_report(policy: str, *, n_in_target: int, p90_ms: float) -> Report:
     """Return a report of one kind of request with round figures."""
-    from lagoonring.load.checker import BookingFaults
-    from lagoonring.load.counts import EngineCounts
-    from lagoonring.load.results import Checks, Costs
-
     return Report(
         name="dakar",
         policy=policy,
@@ -242,13 +248,19 @@
             Latency(
                 kind="chat",
                 measure="first_token",
-                organisation="all",
+                organisation=organisation,
                 n=198,
                 p50_ms=40.0,
                 p90_ms=p90_ms,
                 p99_ms=2 * p90_ms,
                 most_ms=3 * p90_ms,
             )
+            for organisation in ("all", "hann")
+        ],
+        seconds=[
+            SecondResult(
+                second=0, n_arrived=9, n_whole=9, n_in_target=8, n_refused=0, n_lost=0
+            )
         ],
         checks=Checks(n_answers=198, bookings=BookingFaults(n_keys=10, n_doubled=1)),
         costs=Costs(source="cloud", total=0.5, per_1000_in_target=500 / n_in_target),
--- a/lagoonring/tests/test_load_reports.py
+++ b/lagoonring/tests/test_load_reports.py
@@ -9,7 +9,7 @@
 from typer.testing import CliRunner
 
 from lagoonring.cli.load_command import command
-from lagoonring.load import read_report, write_report
+from lagoonring.load import describe, read_report, write_report
 from lagoonring.load.results import REPORT_FILE
 from lagoonring.tests.builders.load import make_report
 
@@ -47,6 +47,18 @@
     assert "http" not in page.replace("data:image/png;base64,", "")[:2000]
 
 
+def test_trimmed_report_keeps_all_but_seconds_and_organisations(folders, tmp_path):
+    kept = tmp_path / "kept" / REPORT_FILE
+    kept.parent.mkdir()
+    shown = CliRunner().invoke(command, ["report", folders[0], "--trimmed", str(kept)])
+    assert shown.exit_code == 0, shown.output
+    whole, trimmed = read_report(Path(folders[0])), read_report(kept.parent)
+    assert {row.organisation for row in whole.latencies} == {"all", "hann"}
+    assert {row.organisation for row in trimmed.latencies} == {"all"}
+    assert describe(whole) == describe(trimmed)
+    assert (len(whole.seconds), trimmed.seconds) == (1, [])
+
+
 def test_unreadable_report_is_told_with_a_remedy(tmp_path):
     (tmp_path / REPORT_FILE).write_text("{}")
     shown = CliRunner().invoke(command, ["compare", str(tmp_path), str(tmp_path)])
