Show actions of load runs upright, and seconds where they begin

Cause: names of actions overlapped, and steps were drawn a second early. Change: one label per second; steps begin at their second.

--- a/lagoonring/load/plots.py
+++ b/lagoonring/load/plots.py
@@ -25,13 +25,22 @@
     """Return the run over time: arrivals, answers, refusals, first tokens."""
     figure, axes = pyplot.subplots(figsize=SIZE_INCHES)
     seconds = [row.second for row in report.seconds]
-    axes.step(seconds, [row.n_arrived for row in report.seconds], label="arrived")
     axes.step(
-        seconds, [row.n_in_target for row in report.seconds], label="within target"
+        seconds,
+        [row.n_arrived for row in report.seconds],
+        where="post",
+        label="arrived",
+    )
+    axes.step(
+        seconds,
+        [row.n_in_target for row in report.seconds],
+        where="post",
+        label="within target",
     )
     axes.step(
         seconds,
         [row.n_refused + row.n_lost for row in report.seconds],
+        where="post",
         label="refused or lost",
     )
     axes.set(xlabel="planned arrival, s", ylabel="requests a second")
@@ -45,9 +54,7 @@
         label="first token p90",
     )
     times.set_ylabel("ms")
-    for action in report.actions:
-        axes.axvline(action.at_s, color="black", linewidth=0.6)
-        axes.annotate(action.name, (action.at_s, axes.get_ylim()[1]), fontsize=7)
+    _mark_actions(axes, report)
     axes.legend(loc="upper left", fontsize=7)
     times.legend(loc="upper right", fontsize=7)
     return _encode(figure)
@@ -72,6 +79,19 @@
     return _encode(figure)
 
 
+def _mark_actions(axes: Any, report: Report) -> None:
+    """Draw a line with the names of all actions of a second."""
+    names: dict[int, list[str]] = {}
+    for action in report.actions:
+        if action.at_s <= report.duration_s:
+            names.setdefault(round(action.at_s), []).append(action.name)
+    top = axes.get_ylim()[1]
+    for second, found in names.items():
+        text = "\n".join(dict.fromkeys(found))
+        axes.axvline(second, color="black", linewidth=0.6)
+        axes.text(second, top, text, fontsize=6, rotation=90, ha="right", va="top")
+
+
 def _encode(figure: Any) -> str:
     """Return a figure as the text of a data URL and close it."""
     buffer = io.BytesIO()
