--- a/examples/deployments.py
+++ b/examples/deployments.py
@@ -102,13 +102,14 @@
     """How a run differs: length, policy, data centre reclaimed at the peak.
 
     ``move`` is ``good``, ``bad`` or empty; ``bad`` versions fail three in ten
-    requests. ``rate`` multiplies all rates.
+    requests. ``rate`` multiplies all rates. ``schedule`` is a file of actions.
     """
 
     duration_s: float = 30.0
     policy: str = "affinity_load"
     reclaim: str = ""
     move: str = ""
+    schedule: str = ""
     rate: float = 1.0
     n_cache_blocks: int = 256
     base_port: int = 9400
--- a/examples/load_settings.py
+++ b/examples/load_settings.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import json
+from pathlib import Path
 from typing import Any
 
 import attrs
@@ -11,6 +13,7 @@
     CONTROL_PORT,
     ENGINE_PORTS,
     HOST,
+    LOG_PORT,
     NOTICE_S,
     OPERATOR_TOKEN,
     SERVICE_PORTS,
@@ -34,7 +37,8 @@
     assistant = attrs.asdict(user.assistant)
     assistant["entry"] = assistant.pop("name")
     assistant["conversations_per_s"] *= variant.rate
-    parts = [user.name, variant.reclaim and "reclaim", variant.move]
+    schedule = Path(variant.schedule).stem
+    parts = [user.name, variant.reclaim and "reclaim", variant.move, schedule]
     return {
         "name": "-".join(part for part in parts if part),
         "policy": variant.policy,
@@ -97,6 +101,28 @@
             )
     if variant.move:
         actions += _make_move(user, variant)
+    if variant.schedule:
+        actions += read_schedule(Path(variant.schedule), user, variant)
+    return actions
+
+
+def read_schedule(path: Path, user: User, variant: Variant) -> list[dict[str, Any]]:
+    """Return the actions of a file; their URLs begin with a name, not a host.
+
+    Names are ``engine-K``, ``service-K``, ``entry-K``, ``log``, ``cloud`` and
+    ``control`` (signals), K from 0.
+    """
+    ports = {"log": LOG_PORT, "cloud": CLOUD_PORT, "control": CONTROL_PORT}
+    for name, first, places in (
+        ("engine", ENGINE_PORTS, user.engines),
+        ("service", SERVICE_PORTS, user.services),
+        ("entry", 0, user.entries),
+    ):
+        ports |= {f"{name}-{k}": first + k for k in range(sum(places.values()))}
+    actions = json.loads(path.read_text())
+    for action in actions:
+        name, _, tail = action["url"].partition("/")
+        action["url"] = f"{url_of(variant, ports[name])}/{tail}"
     return actions
 
 
--- a/examples/running.py
+++ b/examples/running.py
@@ -89,6 +89,7 @@
         policy=arguments.policy,
         reclaim=arguments.reclaim,
         move=arguments.move,
+        schedule=arguments.schedule,
         rate=arguments.rate,
         n_cache_blocks=arguments.cache_blocks,
         base_port=arguments.base_port,
@@ -105,6 +106,7 @@
     parser.add_argument("--policy", choices=POLICIES, default=POLICIES[0])
     parser.add_argument("--reclaim", choices=list(user.entries), default="")
     parser.add_argument("--move", choices=("good", "bad"), default="")
+    parser.add_argument("--schedule", default="", help="JSON file of actions")
     parser.add_argument("--rate", type=float, default=1.0, help="factor on all rates")
     parser.add_argument("--cache-blocks", type=int, default=256)
     parser.add_argument("--base-port", type=int, default=9400)
