--- a/benchmarks/routing_policies.py
+++ b/benchmarks/routing_policies.py
@@ -267,7 +267,7 @@
     parser.add_argument("--seeds", type=int, default=3)
     arguments = parser.parse_args()
     print(
-        "policy             recomputed_tokens  share  first_token_ms p50  p95  missed"
+        "policy               uncached_tokens  share  first_token_ms p50  p95  missed"
     )
     for policy in POLICY_NAMES:
         rows = []
