Keep streams whole through pairs of failures; let a resend wait for its answer

Cause: a notice that came between two attempts of a stream (its endpoint had just crashed) cancelled the whole stream: the cancellation that ends an attempt landed where nothing took it in. Seen as test_failure_pairs[crash-notice] hanging, once in two runs. Second: since appends are paced, a resend right after the answer met 409 in_progress. Change: a move cancels only an attempt that is being read, and the reading takes in exactly one cancellation, however it ends. A resend asks again for up to a second while the first one's answer is being recorded.

--- a/lagoonring/requests/moving.py
+++ b/lagoonring/requests/moving.py
@@ -27,9 +27,13 @@
 
 
 async def move_stream(parts: RequestParts, stream: Stream, seconds_left: float) -> None:
-    """End a stream's attempt so that it goes on at another endpoint."""
-    if stream.is_moving or stream.is_done or stream.task is None:
+    """End a stream's attempt so that it goes on at another endpoint.
+
+    Between two attempts there is nothing to do: the next one is made elsewhere.
+    """
+    if stream.is_moving or not stream.is_reading or stream.task is None:
         return
+    task = stream.task
     stream.is_moving = True
     stream.move_ready.clear()
     try:
@@ -46,8 +50,7 @@
         )
     finally:
         stream.move_ready.set()
-        if not stream.is_done and stream.task is not None:
-            stream.task.cancel()
+        task.cancel()
 
 
 def _is_worth_kv(parts: RequestParts, stream: Stream, seconds_left: float) -> bool:
--- a/lagoonring/requests/plain.py
+++ b/lagoonring/requests/plain.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from lagoonring.claims import StoredAnswer, scoped_key
+from lagoonring.claims import ClaimAnswer, StoredAnswer, scoped_key
 from lagoonring.endpoints.errors import EndpointError
 from lagoonring.errors import LagoonringError, Outcome
 from lagoonring.requests.errors import (
@@ -26,6 +26,8 @@
     from lagoonring.routing.messages import Route
 
 IN_PROGRESS_RETRY_AFTER_S = 1.0
+IN_PROGRESS_WAIT_S = 1.0
+IN_PROGRESS_STEP_S = 0.1
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -119,13 +121,7 @@
     request = run.request
     key = scoped_key(request.organisation, request.entry, request.key)
     claim_id = request.request_id
-    claim = await parts.claims.claim(
-        key,
-        request.fingerprint,
-        claim_id,
-        entry=request.entry,
-        deadline_s=request.deadline_s,
-    )
+    claim = await _claim(parts, request, key)
     run.decisions.append(f"claim {claim.state}")
     if claim.state == "finished":
         return _replay(claim.answer)
@@ -147,6 +143,23 @@
     return answer
 
 
+async def _claim(parts: RequestParts, request: PlainRequest, key: str) -> ClaimAnswer:
+    """Claim a key; a resend waits a moment for the answer that is on its way."""
+    clock = parts.app.clock
+    end_s = clock.monotonic() + IN_PROGRESS_WAIT_S
+    while True:
+        claim = await parts.claims.claim(
+            key,
+            request.fingerprint,
+            request.request_id,
+            entry=request.entry,
+            deadline_s=request.deadline_s,
+        )
+        if claim.state != "in_progress" or clock.monotonic() >= end_s:
+            return claim
+        await clock.sleep(IN_PROGRESS_STEP_S)
+
+
 def _stored(answer: PlainAnswer) -> StoredAnswer:
     content_type = answer.headers.get("Content-Type", "application/octet-stream")
     return StoredAnswer(
--- a/lagoonring/requests/producer.py
+++ b/lagoonring/requests/producer.py
@@ -76,12 +76,12 @@
         stream.decisions.append(f"attempt at {route.endpoint} ended: {error.kind}")
         if isinstance(error, EndpointRejectedError):
             raise error
-        if not stream.is_moving:
-            excluded.add(route.endpoint)
-            last_error = error
-            if not parts.retries.may_retry(stream.request.entry):
-                break
-        stream.is_moving = False
+        if error.kind == MOVED:
+            continue
+        excluded.add(route.endpoint)
+        last_error = error
+        if not parts.retries.may_retry(stream.request.entry):
+            break
     raise AttemptsExhaustedError(
         f"Got {stream.n_attempts} failed attempts, the last one {last_error}",
         remedy="Send the request again after Retry-After.",
@@ -128,35 +128,21 @@
     started_s = clock.monotonic()
     _begin(parts, stream, route)
     parts.routing.started(route, route_request)
-    first_token_s = None
-    error: EndpointError | None = None
     had_run = stream.may_have_run
     stream.may_have_run = True
+    stream.attempt_first_s = None
     try:
-        source = _open(parts, stream, route)
-        async with aclosing(checked_events(stream, source)) as batches:
-            async for events in batches:
-                if first_token_s is None:
-                    first_token_s = clock.monotonic() - started_s
-                    _note_first_token(parts, stream)
-                await stream.deliver(events)
-    except EndpointError as caught:
-        error = caught
-        if caught.outcome is Outcome.NOT_RUN:
-            stream.may_have_run = had_run
-        if stream.is_moving:
-            await _wait_for_move(stream)
-            error.kind = MOVED
+        error = await _read(parts, stream, route)
     except asyncio.CancelledError:
-        if not stream.is_moving or stream.is_paused:
-            _settle(parts, stream, route, route_request)
-            parts.cancel_attempt(route, stream.attempt_id)
-            raise
-        asyncio.current_task().uncancel()  # type: ignore[union-attr]
-        error = EndpointError("Got a notice, the stream moves on.")
-        error.kind = MOVED
+        _settle(parts, stream, route, route_request)
+        parts.cancel_attempt(route, stream.attempt_id)
+        raise
+    if error is not None and error.outcome is Outcome.NOT_RUN:
+        stream.may_have_run = had_run
     n_tokens = stream.journal.n_tokens - n_tokens_before
     elapsed_s = clock.monotonic() - started_s
+    first_s = stream.attempt_first_s
+    first_token_s = None if first_s is None else first_s - started_s
     result = AttemptResult(
         ok=error is None,
         kind=error.kind if error else "",
@@ -166,16 +152,55 @@
         cause=await _find_cause(parts, stream, route, error),
     )
     parts.routing.ended(route, route_request, result)
-    if not stream.is_moving:
+    if error is None or error.kind != MOVED:
         parts.observe(stream.request, route, result)
     if error is not None and error.kind != "connect":
         parts.cancel_attempt(route, stream.attempt_id)
     return error
 
 
+async def _read(
+    parts: RequestParts, stream: Stream, route: Route
+) -> EndpointError | None:
+    """Read and deliver events until the attempt ends.
+
+    A move cancels the task exactly once while ``is_reading`` was set; that is
+    taken in here, however the reading ends. Any other cancellation goes on.
+    """
+    stream.is_reading = True
+    is_absorbed = False
+    error: EndpointError | None = None
+    try:
+        source = _open(parts, stream, route)
+        async with aclosing(checked_events(stream, source)) as batches:
+            async for events in batches:
+                if stream.attempt_first_s is None:
+                    _note_first_token(parts, stream)
+                await stream.deliver(events)
+    except EndpointError as caught:
+        error = caught
+    except asyncio.CancelledError:
+        if not stream.is_moving or stream.is_paused:
+            raise
+        asyncio.current_task().uncancel()  # type: ignore[union-attr]
+        is_absorbed = True
+        error = EndpointError("Got a notice, the stream moves on.")
+    finally:
+        stream.is_reading = False
+    if stream.is_moving:
+        if not is_absorbed:
+            await _absorb_move(stream)
+        stream.is_moving = False
+        if error is not None:
+            error.kind = MOVED
+    return error
+
+
 def _note_first_token(parts: RequestParts, stream: Stream) -> None:
+    now_s = parts.app.clock.monotonic()
+    stream.attempt_first_s = now_s
     if stream.first_token_s is None:
-        stream.first_token_s = parts.app.clock.monotonic() - stream.started_s
+        stream.first_token_s = now_s - stream.started_s
 
 
 def _begin(parts: RequestParts, stream: Stream, route: Route) -> None:
@@ -209,8 +234,8 @@
     )
 
 
-async def _wait_for_move(stream: Stream) -> None:
-    """Wait until the move is prepared; its cancellation may come meanwhile."""
+async def _absorb_move(stream: Stream) -> None:
+    """Wait for the move that is being prepared, and for its cancellation."""
     try:
         await stream.move_ready.wait()
         await asyncio.sleep(0)
--- a/lagoonring/requests/streams.py
+++ b/lagoonring/requests/streams.py
@@ -21,11 +21,12 @@
 
     ``sink`` is the caller's connection while one is attached; events go to the
     journal first, so a caller may be replaced at any time. ``changed`` is set
-    when the first event is there, and when the stream has ended. While
-    ``is_moving`` the attempt is being moved, and ``move_ready`` is set once the
-    next one may begin; while ``is_paused`` the stream is being handed over.
-    ``may_charge`` is unset while another instance may charge the stream, and
-    ``may_have_run`` is set unless every attempt provably did not run.
+    when the first event is there, and when the stream has ended. ``is_reading``
+    tells that an attempt is being read; while ``is_moving`` it is being moved,
+    and ``move_ready`` is set once the next one may begin; while ``is_paused``
+    the stream is being handed over. ``may_charge`` is unset while another
+    instance may charge the stream, and ``may_have_run`` is set unless every
+    attempt provably did not run.
     """
 
     request: ChatRequest
@@ -41,6 +42,7 @@
     attempt_id: str = ""
     n_attempts: int = 0
     may_have_run: bool = False
+    is_reading: bool = False
     is_moving: bool = False
     is_paused: bool = False
     move_ready: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -49,6 +51,7 @@
     next_endpoint: str = ""
     n_tokens_recomputed: int = 0
     started_s: float = 0.0
+    attempt_first_s: float | None = None
     first_token_s: float | None = None
     ended_s: float = 0.0
     cost: float = 0.0
--- /dev/null
+++ b/lagoonring/tests/test_failure_pairs.py
@@ -0,0 +1,165 @@
+"""Two failures together, and the same one twice."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import pytest
+
+from lagoonring.standins.engine_faults import EngineFaults
+from lagoonring.tests.builders.barriers import (
+    hold_all,
+    release_all,
+    wait_for_members,
+    wait_for_tokens,
+    wait_until,
+    wait_until_held,
+)
+from lagoonring.tests.builders.callers import Caller, ask, attach
+from lagoonring.tests.builders.deployments import Deployment, run_deployment
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from lagoonring.requests.streams import Stream
+
+N_TOKENS = 16
+HOLD = 5
+PATIENT_S = 60.0
+ENTRY = {
+    "requests": {
+        "handover_margin_s": 1.0,
+        "between_tokens_timeout_s": PATIENT_S,
+        "first_token_timeout_s": PATIENT_S,
+    }
+}
+
+
+async def find_holder(deployment: Deployment, request_id: str) -> int:
+    """Return the instance that produces a stream."""
+
+    def holders() -> list[int]:
+        return [
+            index
+            for index, app in enumerate(deployment.entries)
+            if request_id in app.find("requests").streams
+        ]
+
+    await wait_until(holders)
+    return holders()[0]
+
+
+async def notice_endpoint(deployment: Deployment, caller: Caller) -> None:
+    """Give the endpoint that serves the caller a notice; wait for the move."""
+    holder = await find_holder(deployment, caller.request_id)
+    app = deployment.entries[holder]
+    stream: Stream = app.find("requests").streams[caller.request_id]
+    await wait_until(lambda: stream.endpoint)
+    old = stream.endpoint
+    app.find("routing").leaving(old)
+    app.find("requests").endpoint_leaving(old, 5.0)
+    await wait_until(lambda: stream.endpoint != old)
+
+
+async def crash_endpoint(deployment: Deployment, caller: Caller) -> None:
+    """Crash the endpoint that serves the caller; wait for the next attempt."""
+    holder = await find_holder(deployment, caller.request_id)
+    stream = deployment.entries[holder].find("requests").streams[caller.request_id]
+    await wait_until(lambda: stream.endpoint)
+    old = stream.endpoint
+    deployment.engines[old].crash()
+    await wait_until(lambda: stream.endpoint != old)
+
+
+async def drain_holder(deployment: Deployment, caller: Caller) -> None:
+    """Let the instance that produces the stream leave; wait for the next one."""
+    holder = await find_holder(deployment, caller.request_id)
+    await deployment.entries[holder].drain(1.0)
+    others = [app for i, app in enumerate(deployment.entries) if i != holder]
+    await wait_until(
+        lambda: any(caller.request_id in a.find("requests").streams for a in others)
+    )
+
+
+async def lose_log(deployment: Deployment, caller: Caller) -> None:
+    """Take the platform's log out."""
+    deployment.log.faults.is_out = True
+
+
+FAILURES: dict[str, Callable[[Deployment, Caller], Awaitable[None]]] = {
+    "notice": notice_endpoint,
+    "crash": crash_endpoint,
+    "drain": drain_holder,
+    "log": lose_log,
+}
+# An equal failure twice: the log can only be out once, and a request under which two
+# endpoints crash is refused.
+NOT_PAIRS = {("log", "log"), ("crash", "crash")}
+PAIRS = [
+    pytest.param(first, second, id=f"{first}-{second}")
+    for first in FAILURES
+    for second in FAILURES
+    if (first, second) not in NOT_PAIRS
+]
+
+
+@pytest.mark.parametrize(("first", "second"), PAIRS)
+async def test_stream_is_whole_after_two_failures(first, second):
+    async with run_deployment(n_entries=4, n_engines=4, entry=ENTRY) as deployment:
+        await wait_for_members(deployment)
+        hold_all(deployment, HOLD)
+        caller = Caller()
+        asking = asyncio.create_task(
+            ask(deployment, "turtles", N_TOKENS, caller=caller)
+        )
+        await wait_until_held(deployment)
+        await wait_for_tokens(caller, HOLD)
+        await FAILURES[first](deployment, caller)
+        await FAILURES[second](deployment, caller)
+        release_all(deployment)
+        serving = [i for i, a in enumerate(deployment.entries) if not a.draining]
+        if "drain" in (first, second):
+            await asking
+            await attach(deployment, caller, entry=serving[-1])
+        await asking
+        caller.assert_whole("turtles", N_TOKENS)
+
+
+async def test_stream_survives_cuts_at_every_endpoint_and_a_drain():
+    async with run_deployment(n_entries=3, n_engines=3, entry=ENTRY) as deployment:
+        await wait_for_members(deployment)
+        hold_all(deployment, HOLD)
+        caller = Caller()
+        asking = asyncio.create_task(
+            ask(deployment, "turtles", N_TOKENS, caller=caller)
+        )
+        await wait_until_held(deployment)
+        await wait_for_tokens(caller, HOLD)
+        for engine in deployment.engines.values():
+            faults = EngineFaults(hold_at_token=HOLD, n_cut=1, cut_at_token=HOLD + 2)
+            engine.batch.set_faults(faults)
+        await drain_holder(deployment, caller)
+        await asking
+        for engine in deployment.engines.values():
+            engine.batch.set_faults(EngineFaults(n_cut=1, cut_at_token=HOLD + 4))
+        await attach(deployment, caller, entry=2)
+        caller.assert_whole("turtles", N_TOKENS)
+
+
+async def test_stream_under_which_two_endpoints_crash_gets_its_final_answer():
+    async with run_deployment(n_entries=2, n_engines=4, entry=ENTRY) as deployment:
+        await wait_for_members(deployment)
+        hold_all(deployment, HOLD)
+        caller = Caller()
+        asking = asyncio.create_task(
+            ask(deployment, "turtles", N_TOKENS, caller=caller)
+        )
+        await wait_until_held(deployment)
+        await wait_for_tokens(caller, HOLD)
+        await crash_endpoint(deployment, caller)
+        stream = deployment.entries[0].find("requests").streams[caller.request_id]
+        deployment.engines[stream.endpoint].crash()
+        await asking
+        assert [error["code"] for error in caller.errors] == ["quarantined"]
+        assert caller.errors[0]["outcome"] == "unknown"
