Stop a link that gets a frame while it is stopped

Cause: asyncio.wait_for of Python 3.11 swallows a cancellation that comes in the same step as its result; a link then waited out its idle time of 120 s, so that a stop took that long. Change: asyncio.timeout in its place. Measured: test_a_stop_just_after_a_frame_does_not_wait_for_the_idle_time fails before and passes after.

--- a/lagoonring/peers/transport.py
+++ b/lagoonring/peers/transport.py
@@ -127,8 +127,11 @@
     async def _wait_for_frame(self) -> bool:
         while not self.waiting:
             self.wakened.clear()
+            # asyncio.wait_for of Python 3.11 loses a cancellation that comes
+            # together with the event.
             try:
-                await asyncio.wait_for(self.wakened.wait(), self.options.idle_link_s)
+                async with asyncio.timeout(self.options.idle_link_s):
+                    await self.wakened.wait()
             except TimeoutError:
                 return False
         return True
--- a/lagoonring/tests/test_peers.py
+++ b/lagoonring/tests/test_peers.py
@@ -218,6 +218,18 @@
         assert n_run == 2
 
 
+async def test_a_stop_just_after_a_frame_does_not_wait_for_the_idle_time():
+    first, second = make_node("a1"), make_node("a2")
+    async with running(first, second):
+        await until(lambda: first.peers.members() and second.peers.members())
+        transport = first.peers.transport
+        link = transport.links[second.peers.me.address]
+        await until(lambda: not link.waiting)
+        transport.post(link.address, b"frame")
+        async with asyncio.timeout(10):
+            await transport.stop()
+
+
 def open_sockets():
     targets = []
     for name in os.listdir("/proc/self/fd"):
