Call the heir of a claim slot when it is released

Cause: after a change of members a slot lay free until its next candidate looked, up to 3 s: over HTTP the p95 of claims was 1,557 ms in the first second after the start. Change: an instance that leaves a slot calls its heir, which takes it at once.

--- a/benchmarks/claims_faults.py
+++ b/benchmarks/claims_faults.py
@@ -38,6 +38,7 @@
     run_twice: list[str]
     falsely_not_run: list[str]
     wrong_answers: list[str]
+    stuck: list[str]
     told: collections.Counter[str]
     lasts: collections.Counter[str]
     n_faults: int
@@ -55,6 +56,7 @@
     recorder = await run_bookings(
         fleet, fleet.rng, n_bookings=n_bookings, n_instances=N_INSTANCES
     )
+    recorder.stuck = recorder.find_stuck(fleet)
     await fleet.stop()
     return recorder
 
@@ -68,6 +70,7 @@
         run_twice=recorder.find_run_twice(),
         falsely_not_run=recorder.find_falsely_not_run(),
         wrong_answers=recorder.wrong_answers,
+        stuck=recorder.stuck,
         told=recorder.count_told(),
         lasts=collections.Counter(told[-1] for told in recorder.told_by_key.values()),
         n_faults=sum(recorder.n_faults.values()),
@@ -88,6 +91,7 @@
         told += result.told
         lasts += result.lasts
         wrong = result.run_twice + result.falsely_not_run + result.wrong_answers
+        wrong += result.stuck
         if wrong:
             typer.echo(f"seed {result.seed}: {result}")
     typer.echo(
@@ -95,7 +99,8 @@
         f"keys run {sum(r.n_run for r in results)}, "
         f"run twice {sum(len(r.run_twice) for r in results)}, "
         f"told not_run but ran {sum(len(r.falsely_not_run) for r in results)}, "
-        f"wrong answers {sum(len(r.wrong_answers) for r in results)}"
+        f"wrong answers {sum(len(r.wrong_answers) for r in results)}, "
+        f"stuck without a death {sum(len(r.stuck) for r in results)}"
     )
     typer.echo(f"told of all sendings: {dict(told)}")
     typer.echo(f"told of the last sending, after the faults: {dict(lasts)}")
--- a/lagoonring/claims/service.py
+++ b/lagoonring/claims/service.py
@@ -35,6 +35,7 @@
     trim_answer,
 )
 from lagoonring.claims.slot import SlotOwner
+from lagoonring.errors import LagoonringError
 from lagoonring.kernel.application import BaseService
 from lagoonring.leases import rank
 from lagoonring.logs import make_logger
@@ -45,6 +46,7 @@
     from lagoonring.platform.log import Log
 
 ALONE = "alone"
+NUDGE_METHOD = "claims.nudge"
 
 logger = make_logger("claims")
 
@@ -95,6 +97,7 @@
         if self.peers is not None:
             for method in METHODS.values():
                 self.peers.serve(method, self._serve)
+            self.peers.serve(NUDGE_METHOD, self._serve_nudge)
         self.asker = Asker(self.app, self.options, self.me, self.peers, self)
         self._balance()
         self.app.spawn("claims.balance", self._keep_balance)
@@ -310,11 +313,32 @@
         async def run() -> None:
             await owner.run()
             self.owners.pop(slot, None)
+            await self._nudge_heir(slot)
 
         task = self.app.spawn(f"claims.slot-{slot}", run)
         self.owner_tasks.add(task)
         task.add_done_callback(self.owner_tasks.discard)
 
+    async def _nudge_heir(self, slot: int) -> None:
+        """Tell the instance that takes the slot next that it is free."""
+        others = [instance for instance in self.live if instance != self.me]
+        if not others:
+            return
+        heir = rank(f"claims-{slot}", others)[0]
+        payload = msgspec.msgpack.encode(slot)
+        timeout_s = self.options.call_timeout_s
+        try:
+            await self.peers.call(heir, NUDGE_METHOD, payload, timeout_s=timeout_s)
+        except (LagoonringError, OSError) as error:
+            logger.info("The heir of slot {} will find it free: {!r}.", slot, error)
+
+    async def _serve_nudge(self, sender: str, payload: bytes) -> bytes:
+        self._balance()
+        owner = self.owners.get(msgspec.msgpack.decode(payload, type=int))
+        if owner is not None:
+            owner.nudge()
+        return b""
+
 
 async def _wait_settled(task: asyncio.Task[bool]) -> bool:
     """Wait without cancelling the task if the waiting one is cancelled."""
--- a/lagoonring/claims/slot.py
+++ b/lagoonring/claims/slot.py
@@ -125,13 +125,20 @@
         """Hold the lease and commit batches, until :meth:`retire` is called."""
         poll_s = 0.0
         while not self.is_retiring:
-            await self.app.clock.sleep(poll_s * self.app.rng.uniform(0.5, 1.5))
+            await self._wait(poll_s * self.app.rng.uniform(0.5, 1.5))
             poll_s = self.options.lease.poll_s
+            if self.is_retiring:
+                break
             if await self._acquire():
                 await self._serve()
                 poll_s = self.options.retry_s
         await self.lease.release()
 
+    def nudge(self) -> None:
+        """Look at once whether the slot is free; its holder has left it."""
+        self.patience_s = 0.0
+        self.woken.set()
+
     def retire(self) -> None:
         """Finish what waits, then leave the slot to another instance."""
         self.is_retiring = True
@@ -162,7 +169,7 @@
                 elif self._is_snapshot_due():
                     await self._write_snapshot()
                 else:
-                    await self._wait_for_work()
+                    await self._wait(self._renewal_due_in_s())
         finally:
             self.metrics.slots.dec()
             waiting, self.waiting = self.waiting, []
@@ -176,9 +183,10 @@
             await clock.sleep(next_s - clock.monotonic())
         self.appended_s = clock.monotonic()
 
-    async def _wait_for_work(self) -> None:
+    async def _wait(self, timeout_s: float) -> None:
+        """Wait until there is something to do, at most for a time."""
         self.woken.clear()
-        timer = asyncio.create_task(self.app.clock.sleep(self._renewal_due_in_s()))
+        timer = asyncio.create_task(self.app.clock.sleep(timeout_s))
         woken = asyncio.create_task(self.woken.wait())
         try:
             await asyncio.wait({timer, woken}, return_when=asyncio.FIRST_COMPLETED)
--- a/lagoonring/tests/builders/bookings.py
+++ b/lagoonring/tests/builders/bookings.py
@@ -30,6 +30,8 @@
     told: dict[str, str] = attrs.field(factory=dict)
     told_by_key: dict[str, list[str]] = attrs.field(factory=dict)
     wrong_answers: list[str] = attrs.field(factory=list)
+    unheard: dict[str, set[str]] = attrs.field(factory=dict)
+    stuck: list[str] = attrs.field(factory=list)
     n_forgotten: int = 0
     n_faults: collections.Counter[str] = attrs.field(factory=collections.Counter)
 
@@ -55,6 +57,22 @@
             if what == "not_run" and sending in self.sendings_run
         ]
 
+    def find_stuck(self, fleet: ClaimsFleet) -> list[str]:
+        """Return the keys that never ran and that no instance died with.
+
+        A key may stay claimed if an instance died while it served it, or while
+        it tried to take an unheard grant back; one whose last sending was not
+        run may be sent again.
+        """
+        return [
+            key
+            for key, told in self.told_by_key.items()
+            if key not in self.runs
+            and told[-1] != "not_run"
+            and key not in fleet.keys_cut
+            and not self.unheard.get(key, set()) & fleet.killed
+        ]
+
     def count_told(self) -> collections.Counter[str]:
         """Return the number of sendings by what was told."""
         return collections.Counter(self.told.values())
@@ -68,7 +86,10 @@
     try:
         answer = await claims.claim(key, f"print of {key}", sending, entry="booking")
     except LagoonringError as error:
-        return "not_run" if error.outcome is Outcome.NOT_RUN else "unknown"
+        if error.outcome is Outcome.NOT_RUN:
+            return "not_run"
+        recorder.unheard.setdefault(key, set()).add(instance.name)
+        return "unknown"
     if answer.state == "finished":
         body = answer.answer.body if answer.answer else None
         if body not in (key.encode(), None):
@@ -78,7 +99,7 @@
         return answer.state
     if rng.random() < 0.1:
         # Provably not run, for example a refused connection.
-        instance.in_background(claims.release(key, sending))
+        instance.in_background(key, claims.release(key, sending))
         return "not_run"
     await asyncio.sleep(rng.uniform(0, RUN_S))
     recorder.run(key, sending)
@@ -86,7 +107,7 @@
     if rng.random() < 0.05:
         return "unknown"
     stored = StoredAnswer(status=200, content_type="text/plain", body=key.encode())
-    instance.in_background(claims.finish(key, sending, stored))
+    instance.in_background(key, claims.finish(key, sending, stored))
     return "ran"
 
 
@@ -111,7 +132,7 @@
     if not fleet.instances:
         return "unknown"
     instance = rng.choice(fleet.instances)
-    task = instance.in_background(send(instance, recorder, rng, key, sending))
+    task = instance.in_background(key, send(instance, recorder, rng, key, sending))
     await asyncio.wait({task})
     told = "unknown" if task.cancelled() else task.result()
     recorder.tell(key, sending, told)
--- a/lagoonring/tests/builders/claims.py
+++ b/lagoonring/tests/builders/claims.py
@@ -204,12 +204,14 @@
     app: Application
     log: InstanceLog
     claims: ClaimsService
-    work: dict[asyncio.Task[Any], None] = attrs.field(factory=dict)
+    work: dict[asyncio.Task[Any], str] = attrs.field(factory=dict)
 
-    def in_background(self, run: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
-        """Run a coroutine that ends with the instance."""
+    def in_background(
+        self, key: str, run: Coroutine[Any, Any, Any]
+    ) -> asyncio.Task[Any]:
+        """Run a coroutine that ends with the instance, on behalf of a key."""
         task = asyncio.ensure_future(run)
-        self.work[task] = None
+        self.work[task] = key
         task.add_done_callback(lambda done: self.work.pop(done, None))
         return task
 
@@ -232,6 +234,8 @@
         self.network = PeerNetwork(rng)
         self.instances: list[Instance] = []
         self.n_started = 0
+        self.killed: set[str] = set()
+        self.keys_cut: set[str] = set()
 
     async def add(self, *others: Any) -> Instance:
         """Start an instance under a name that was never used."""
@@ -254,6 +258,8 @@
     async def kill(self, instance: Instance) -> None:
         """End an instance at once; nothing of it reaches others any more."""
         self.instances.remove(instance)
+        self.killed.add(instance.name)
+        self.keys_cut.update(instance.work.values())
         instance.log.is_cut_off = True
         self.network.leave(instance.name)
         self.resume(instance)
--- a/lagoonring/tests/test_claims.py
+++ b/lagoonring/tests/test_claims.py
@@ -57,6 +57,7 @@
     )
     recorder = await run_bookings(fleet, fleet.rng, n_bookings=n_bookings)
     streams = fleet.log.streams.values()
+    recorder.stuck = recorder.find_stuck(fleet)
     recorder.n_forgotten = sum(stream.first_offset > 0 for stream in streams)
     await fleet.stop()
     return recorder
@@ -70,10 +71,11 @@
     assert recorder.wrong_answers == []
     assert len(recorder.n_faults) == 8
     assert recorder.n_forgotten == FAST.n_slots
-    # After the faults every booking gets an answer, and most ran.
+    # After the faults every booking gets an answer; all ran that could.
+    assert recorder.stuck == []
     lasts = [told[-1] for told in recorder.told_by_key.values()]
     assert lasts.count("not_run") + lasts.count("unknown") < 0.1 * len(lasts)
-    assert len(recorder.runs) > 0.9 * len(lasts)
+    assert len(recorder.runs) > 0.8 * len(lasts)
 
 
 def test_a_key_is_granted_once_and_then_answers_for_all():
@@ -234,7 +236,8 @@
         await leaving.app.drain(2)
         assert not leaving.claims.owners
         await fleet.kill(leaving)
-        await asyncio.sleep(FAST.balance_s + 2 * FAST.lease.poll_s)
+        # The heirs were told, so no time passes before they hold the slots.
+        await asyncio.sleep(0.05)
         for index in range(64):
             assert (await claim(fleet.instances[0], "1", key=f"k{index}")).state
         held = [
