Let late rounds of peers make no work

Cause: an instance short of processor time went on to begin rounds and, after 4 s, new lives, each of which costs its peers more: 48 services with rounds of 50 ms in two processes did not come to an end. Change: a late round begins no comparison and forgives the silence of others; a pause begins a new life at most every 16 s. Tests pause the clock properly: ManualClock wakes overdue sleepers at their due time, so that the jump used before was no pause.

--- a/lagoonring/peers/contacts.py
+++ b/lagoonring/peers/contacts.py
@@ -128,10 +128,11 @@
 
     def note_pause(self, gap_s: float) -> None:
         """Forgive the silence that a pause of this process made up."""
+        now_s = self.clock.monotonic()
         for members in self.members.values():
             for member in members.values():
                 if member.asked_s is not None:
-                    member.asked_s += gap_s
+                    member.asked_s = min(member.asked_s + gap_s, now_s)
 
     def contacts(self, data_centre: str) -> list[RemoteMember]:
         """Return the contacts in a data centre."""
--- a/lagoonring/peers/gossip.py
+++ b/lagoonring/peers/gossip.py
@@ -29,6 +29,7 @@
 PUSH_INTERVAL_S = 0.05
 N_ROWS_PER_PUSH = 8
 NEW_LIFE_INTERVAL_S = 1.0
+PAUSE_LIVES_SHARE = 4
 
 logger = make_logger("peers")
 
@@ -69,6 +70,7 @@
         self.begin_life = begin_life
         self.seeds: dict[str, MemberRecord] = {}
         self.new_life_s = clock.monotonic()
+        self.pause_life_s = clock.monotonic()
         self.remote_due_s = clock.monotonic()
         self.fleet_due_s = clock.monotonic()
         self.refresh_due_s = clock.monotonic()
@@ -95,43 +97,52 @@
 
     async def run(self) -> None:
         """Hold rounds without end."""
-        last_s = self.clock.monotonic()
-        last_time_s = self.clock.time()
         while True:
             jitter = self.rng.uniform(1 - ROUND_JITTER, 1 + ROUND_JITTER)
-            await self.clock.sleep(self.options.round_s * jitter)
-            now_s = self.clock.monotonic()
-            time_s = self.clock.time()
-            self.check_pause(now_s - last_s, time_s - last_time_s)
-            last_s = now_s
-            last_time_s = time_s
-            self.hold_round()
-
-    def hold_round(self) -> None:
-        """Judge members and begin the comparisons of one round."""
+            delay_s = self.options.round_s * jitter
+            start_s = self.clock.monotonic()
+            start_time_s = self.clock.time()
+            await self.clock.sleep(delay_s)
+            late_s = self.clock.monotonic() - start_s - delay_s
+            late_time_s = self.clock.time() - start_time_s - delay_s
+            self.check_pause(late_s, late_time_s)
+            self.hold_round(is_late=late_s > self.options.round_s)
+
+    def hold_round(self, *, is_late: bool = False) -> None:
+        """Judge members and begin the comparisons of one round.
+
+        A round that is late begins none, so that an instance short of processor
+        time does not make more work for itself and its peers.
+        """
         self.local.beat()
         self.members.sweep()
         self.remote.sweep()
         self._refresh()
         self._expire()
+        if is_late:
+            return
         for record in self._choose_partners():
             self._sync_local(record)
         self._sync_remote()
 
-    def check_pause(self, gap_s: float, wall_gap_s: float) -> None:
-        """Begin a new life if the time since the last round shows a pause.
+    def check_pause(self, late_s: float, late_time_s: float) -> None:
+        """Forgive others the silence of a late round; after a pause, rejoin.
 
         Parameters
         ----------
-        gap_s, wall_gap_s : float
-            That time in seconds, by the monotonic and by the wall clock.
+        late_s, late_time_s : float
+            How much later than due the round is, in seconds, by the monotonic and
+            by the wall clock.
         """
-        paused_s = max(gap_s, wall_gap_s) - self.options.round_s
-        if paused_s <= self.options.pause_s:
+        if late_s > self.options.round_s:
+            self.members.note_pause(late_s)
+            self.remote.note_pause(late_s)
+        now_s = self.clock.monotonic()
+        paused_s = max(late_s, late_time_s)
+        if paused_s <= self.options.pause_s or now_s < self.pause_life_s:
             return
         logger.warning("This process stood still for {:.1f} s.", paused_s)
-        self.members.note_pause(gap_s)
-        self.remote.note_pause(gap_s)
+        self.pause_life_s = now_s + PAUSE_LIVES_SHARE * self.options.pause_s
         self.begin_life(0)
 
     def receive_sync(self, envelope: Envelope, sync: Sync) -> None:
--- a/lagoonring/peers/members.py
+++ b/lagoonring/peers/members.py
@@ -56,9 +56,10 @@
 
     def note_pause(self, gap_s: float) -> None:
         """Forgive the silence that a pause of this process made up."""
+        now_s = self.clock.monotonic()
         for origin in [*self.table.origins.values(), *self.fleet.origins.values()]:
-            origin.advanced_s += gap_s
-        self.calm_since_s += gap_s
+            origin.advanced_s = min(origin.advanced_s + gap_s, now_s)
+        self.calm_since_s = min(self.calm_since_s + gap_s, now_s)
 
     def state(self, instance: str) -> MemberState:
         """Return the state of a member; dead if it is not known."""
--- a/lagoonring/tests/builders/peers.py
+++ b/lagoonring/tests/builders/peers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import heapq
 import random
 from typing import TYPE_CHECKING, Any
 
@@ -106,6 +107,16 @@
             await asyncio.sleep(POLL_S)
 
 
+def pause(clock: ManualClock, gap_s: float) -> None:
+    """Let time pass in which nothing runs; sleepers that are due wake after it."""
+    clock.now_s += gap_s
+    clock.sleepers = [
+        (max(due_s, clock.now_s), number, future)
+        for due_s, number, future in clock.sleepers
+    ]
+    heapq.heapify(clock.sleepers)
+
+
 class MemoryNetwork:
     """Delivers frames between transports in memory, with faults on command.
 
--- a/lagoonring/tests/test_peers_members.py
+++ b/lagoonring/tests/test_peers_members.py
@@ -15,6 +15,7 @@
     make_memory_nodes,
     make_node,
     make_options,
+    pause,
     running,
     seed_of,
 )
@@ -150,7 +151,7 @@
         for _ in range(20):
             await fleet.advance(STEP_S)
             await own_clock.advance(STEP_S)
-        own_clock.now_s += 30
+        pause(own_clock, 30)
         await fleet.advance(30)
         assert "plateau-2" not in fleet.states(fleet.nodes[0])
         for _ in range(40):
@@ -170,10 +171,9 @@
     async with running(*fleet.nodes):
         await fleet.advance(2)
         before = {node.peers.me.incarnation for node in fleet.nodes}
-        fleet.clock.now_s += 4
+        pause(fleet.clock, 4)
+        await fleet.clock.advance(0)
         for node in fleet.nodes:
-            node.peers.gossip.check_pause(4, 4)
-            node.peers.gossip.members.sweep()
             assert set(fleet.states(node).values()) == {"alive"}
         assert not {node.peers.me.incarnation for node in fleet.nodes} & before
         await fleet.advance(2)
@@ -181,6 +181,23 @@
             assert set(fleet.states(node).values()) == {"alive"}
 
 
+async def test_late_rounds_make_no_work_and_blame_nobody():
+    fleet = Fleet({"plateau": 4, "almadies": 3})
+    async with running(*fleet.nodes):
+        await fleet.advance(3)
+        before = {node.peers.me.incarnation for node in fleet.nodes}
+        n_frames = fleet.network.n_frames
+        for _ in range(8):
+            pause(fleet.clock, 1)
+            await fleet.clock.advance(0)
+            for node in fleet.nodes:
+                assert set(fleet.states(node).values()) == {"alive"}
+        assert fleet.network.n_frames == n_frames
+        await fleet.advance(1)
+        assert fleet.network.n_frames > n_frames
+        assert {node.peers.me.incarnation for node in fleet.nodes} == before
+
+
 async def restart(fleet, index, clock):
     """Stop a node and start one of the same name and address."""
     old = fleet.nodes[index]
