--- /dev/null
+++ b/benchmarks/capacity_deployment.py
@@ -0,0 +1,183 @@
+"""A deployment of entry processes whose traffic to the platform is counted."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import urllib.request
+import uuid
+from subprocess import Popen
+from typing import TYPE_CHECKING, Any
+
+import attrs
+from processes import HOST, free_ports, run_with_settings, wait_for
+
+from lagoonring.catalogue.edits import Change, Edit, encode_edit
+from lagoonring.requests.authentication import hash_key
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Iterable
+
+    Item = tuple[str, str, dict[str, Any]]
+
+KEY = "benchmark-key"
+DATA_CENTRE = "plateau"
+N_STARTED_AT_ONCE = 3
+CHUNK_BYTES = 65_536
+
+
+@attrs.define
+class Forwarder:
+    """Passes TCP connections on to a port and counts the bytes, both ways."""
+
+    target_port: int
+    n_bytes: int = 0
+
+    async def serve(self, reader, writer) -> None:
+        """Pass one connection on until either side ends it."""
+        try:
+            far_reader, far_writer = await asyncio.open_connection(
+                HOST, self.target_port
+            )
+        except OSError:
+            writer.close()
+            return
+        ways = [self._copy(reader, far_writer), self._copy(far_reader, writer)]
+        with contextlib.suppress(asyncio.CancelledError):
+            await asyncio.gather(*ways, return_exceptions=True)
+
+    async def _copy(self, reader, writer) -> None:
+        try:
+            while data := await reader.read(CHUNK_BYTES):
+                self.n_bytes += len(data)
+                writer.write(data)
+                await writer.drain()
+        finally:
+            writer.close()
+
+
+@attrs.define
+class Deployment:
+    """Running entry processes of one data centre."""
+
+    ports: list[int]
+    processes: list[Popen]
+    log_port: int
+    log: Forwarder
+    endpoints: list[Forwarder]
+
+    @property
+    def n_log_bytes(self) -> int:
+        """Bytes between the entries and the log so far."""
+        return self.log.n_bytes
+
+    @property
+    def n_endpoint_bytes(self) -> int:
+        """Bytes between the entries and their endpoints so far."""
+        return sum(one.n_bytes for one in self.endpoints)
+
+
+@contextlib.asynccontextmanager
+async def run_deployment(
+    n_nodes: int,
+    n_endpoints: int,
+    *,
+    items: Iterable[Item] = (),
+    engine_options: dict[str, Any] | None = None,
+) -> AsyncIterator[Deployment]:
+    """Run a log, endpoints and entries without callers until the block ends.
+
+    ``items`` are added to the catalogue, ``engine_options`` go to all endpoints.
+    """
+    ports = free_ports(2 * n_nodes + 2 * n_endpoints + 2)
+    http, peers = ports[:n_nodes], ports[n_nodes : 2 * n_nodes]
+    engines = ports[2 * n_nodes : 2 * n_nodes + n_endpoints]
+    fronts = ports[2 * n_nodes + n_endpoints : -2]
+    log_port, log_front = ports[-2:]
+    log = Forwarder(log_port)
+    endpoints = [Forwarder(port) for port in engines]
+    async with contextlib.AsyncExitStack() as stack:
+        for one, port in zip([log, *endpoints], [log_front, *fronts], strict=True):
+            server = await asyncio.start_server(one.serve, HOST, port)
+            stack.callback(server.close)
+        standins = [{"kind": "log", "port": log_port}]
+        options = engine_options or {}
+        standins += [
+            {"kind": "engine", "port": port, "options": options} for port in engines
+        ]
+        platform = stack.enter_context(
+            run_with_settings("standin_command", {"standins": standins})
+        )
+        url = f"http://{HOST}:{log_port}/streams/config?from=0"
+        await asyncio.to_thread(wait_for, url, platform)
+        urls = [f"http://{HOST}:{port}" for port in fronts]
+        publish(log_port, -1, [*first_items(urls), *items])
+        processes: list[Popen] = []
+        for first in range(0, n_nodes, N_STARTED_AT_ONCE):
+            some = range(first, min(n_nodes, first + N_STARTED_AT_ONCE))
+            for index in some:
+                settings = _entry(index, http, peers, log_front)
+                entry = run_with_settings("entry_command", settings)
+                processes.append(stack.enter_context(entry))
+            for index in some:
+                url = f"http://{HOST}:{http[index]}/readyz"
+                await asyncio.to_thread(wait_for, url, processes[index])
+        yield Deployment(http, processes, log_port, log, endpoints)
+
+
+def first_items(urls: list[str]) -> list[Item]:
+    """Return a small catalogue with the given endpoints."""
+    entry = {"kind": "model", "owner": "hann", "service_class": "assistant"}
+    items: list[Item] = [
+        ("organisations", "hann", {"key_hashes": [hash_key(KEY)]}),
+        ("classes", "assistant", {"deadline_ms": 600_000}),
+        ("entries", "guide", entry),
+    ]
+    for index, url in enumerate(urls):
+        endpoint = {"entry": "guide", "data_centre": DATA_CENTRE, "url": url}
+        items.append(("endpoints", f"guide-{index}", endpoint))
+    return items
+
+
+def publish(log_port: int, base_revision: int, items: list[Item]) -> int:
+    """Append an edit to the log and return its revision."""
+    changes = [Change(section=s, name=n, item=i) for s, n, i in items]
+    edit = Edit(
+        edit_id=uuid.uuid4().hex,
+        author="bench",
+        base_revision=base_revision,
+        changes=changes,
+    )
+    request = urllib.request.Request(
+        f"http://{HOST}:{log_port}/streams/config", data=encode_edit(edit).encode()
+    )
+    with urllib.request.urlopen(request, timeout=5) as answer:
+        return json.loads(answer.read())["offset"]
+
+
+def _entry(
+    index: int, http: list[int], peers: list[int], log_port: int
+) -> dict[str, Any]:
+    seeds = [
+        {
+            "instance": f"entry-{i}",
+            "data_centre": DATA_CENTRE,
+            "address": f"{HOST}:{port}",
+            "http_address": f"{HOST}:{http[i]}",
+        }
+        for i, port in enumerate(peers)
+    ]
+    return {
+        "instance": f"entry-{index}",
+        "data_centre": DATA_CENTRE,
+        "port": http[index],
+        "log_url": f"http://{HOST}:{log_port}",
+        "log_level": "ERROR",
+        "grace_s": 1,
+        "peers": {
+            "address": f"{HOST}:{peers[index]}",
+            "keys": ["a-benchmark-peer-key"],
+            "seeds": seeds,
+        },
+    }
--- a/benchmarks/relay_cost.py
+++ b/benchmarks/relay_cost.py
@@ -14,7 +14,7 @@
 import time
 import urllib.request
 import uuid
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import aiohttp
 import attrs
@@ -31,6 +31,9 @@
 from lagoonring.catalogue.edits import Change, Edit, encode_edit
 from lagoonring.requests.authentication import hash_key
 
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
 KEY = "benchmark-key"
 TOKEN_S = 0.02
 N_ENGINE_PROCESSES = 3
@@ -58,13 +61,46 @@
 
 def measure(n_streams: list[int], duration_s: float) -> dict[str, Any]:
     """Return the figures of direct calls, the bare relay and the entry."""
-    ports = free_ports(N_ENGINE_PROCESSES + 5)
-    engine_ports = ports[:N_ENGINE_PROCESSES]
-    log_port, bare_port, entry_port, peer_port = ports[N_ENGINE_PROCESSES:][:4]
+    with run_relays(N_ENGINE_PROCESSES, TOKEN_S) as relays:
+        idle_mb = memory_mb(relays.entry_pid)
+        rows = []
+        for n in n_streams:
+            direct = _run(relays.engine_urls, None, n, duration_s)
+            for name, url, pid in (
+                ("bare", relays.bare_url, relays.bare_pid),
+                ("entry", relays.entry_url, relays.entry_pid),
+            ):
+                row = _run([url], pid, n, duration_s)
+                row["relay"] = name
+                row["added_first_token_p95_ms"] = round(
+                    row["first_token_p95_ms"] - direct["first_token_p95_ms"], 2
+                )
+                rows.append(row)
+    return {"idle_memory_mb": round(idle_mb, 1), "rows": rows}
+
+
+@attrs.frozen
+class Relays:
+    """A bare relay and an entry before the same engines."""
+
+    engine_urls: list[str]
+    bare_url: str
+    bare_pid: int
+    entry_url: str
+    entry_pid: int
+
+
+@contextlib.contextmanager
+def run_relays(n_engines: int, token_s: float) -> Iterator[Relays]:
+    """Run engines, one process each, a log, a bare relay and an entry."""
+    ports = free_ports(n_engines + 4)
+    engine_ports = ports[:n_engines]
+    log_port, bare_port, entry_port, peer_port = ports[n_engines:]
     urls = [f"http://{HOST}:{port}" for port in engine_ports]
     with contextlib.ExitStack() as stack:
         for port in engine_ports:
-            stack.enter_context(run_with_settings("standin_command", _engine(port)))
+            settings = _engine(port, token_s)
+            stack.enter_context(run_with_settings("standin_command", settings))
         log = {"standins": [{"kind": "log", "port": log_port}]}
         process = stack.enter_context(run_with_settings("standin_command", log))
         wait_for(f"http://{HOST}:{log_port}/streams/config?from=0", process)
@@ -75,26 +111,18 @@
             run_program(["benchmarks/relay_server.py", "--port", str(bare_port), *urls])
         )
         wait_for(f"http://{HOST}:{entry_port}/readyz", entry)
-        idle_mb = memory_mb(entry.pid)
-        rows = []
-        for n in n_streams:
-            direct = _run(urls, None, n, duration_s)
-            for name, port, pid in (
-                ("bare", bare_port, bare.pid),
-                ("entry", entry_port, entry.pid),
-            ):
-                row = _run([f"http://{HOST}:{port}"], pid, n, duration_s)
-                row["relay"] = name
-                row["added_first_token_p95_ms"] = round(
-                    row["first_token_p95_ms"] - direct["first_token_p95_ms"], 2
-                )
-                rows.append(row)
-    return {"idle_memory_mb": round(idle_mb, 1), "rows": rows}
+        yield Relays(
+            engine_urls=urls,
+            bare_url=f"http://{HOST}:{bare_port}",
+            bare_pid=bare.pid,
+            entry_url=f"http://{HOST}:{entry_port}",
+            entry_pid=entry.pid,
+        )
 
 
-def _engine(port: int) -> dict[str, Any]:
+def _engine(port: int, token_s: float) -> dict[str, Any]:
     options = {
-        "token_s": TOKEN_S,
+        "token_s": token_s,
         "batch_growth": 0,
         "n_slots": 1000,
         "prefill_block_s": 0,
@@ -171,16 +199,15 @@
         tasks = []
         for index in range(n_streams):
             url = urls[index % len(urls)]
-            tasks.append(
-                asyncio.create_task(_ask(session, url, index, n_tokens, tally))
-            )
+            tasks.append(asyncio.create_task(ask(session, url, index, n_tokens, tally)))
             await asyncio.sleep(RAMP_S / n_streams)
         await asyncio.gather(*tasks)
 
 
-async def _ask(
+async def ask(
     session: aiohttp.ClientSession, url: str, index: int, n_tokens: int, tally: Tally
 ) -> None:
+    """Ask for one streamed answer and count what comes."""
     body = {
         "model": "guide",
         "messages": [{"role": "user", "content": f"question {index}"}],
