Hand claim slots over on a drain before peers tell of it

Cause: claims drain before peers do, so the heirs that were called still took the leaving instance for a live one; a draining instance went on asking itself for slots. Change: the call says that the instance leaves; a draining instance asks the others; a drain is one of the faults, and faults come in rounds so that no kind is missing.

--- a/lagoonring/claims/records.py
+++ b/lagoonring/claims/records.py
@@ -85,6 +85,14 @@
     answer: StoredAnswer | None = None
 
 
+@attrs.frozen(kw_only=True)
+class Nudge:
+    """Tells an heir that a slot is free; ``is_leaving`` if the sender stops."""
+
+    slot: int
+    is_leaving: bool
+
+
 @attrs.frozen(kw_only=True)
 class ClaimAnswer:
     """The answer to a claim.
--- a/lagoonring/claims/service.py
+++ b/lagoonring/claims/service.py
@@ -30,6 +30,7 @@
     ClaimAnswer,
     ClaimItem,
     ItemKind,
+    Nudge,
     Reply,
     StoredAnswer,
     trim_answer,
@@ -47,6 +48,8 @@
 
 ALONE = "alone"
 NUDGE_METHOD = "claims.nudge"
+# Longer than peers take to tell that an instance leaves.
+LEAVING_S = 60.0
 
 logger = make_logger("claims")
 
@@ -83,6 +86,8 @@
         self.preferred: list[str] = []
         # In order of age, which a set would not keep.
         self.settling: dict[asyncio.Task[bool], None] = {}
+        self.leaving: dict[str, float] = {}
+        self.is_draining = False
         self.owner_tasks: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
@@ -104,6 +109,7 @@
 
     async def drain(self, grace_s: float) -> None:
         """Leave all slots to other instances, after what waits is answered."""
+        self.is_draining = True
         if self.settling:
             await asyncio.wait(self.settling, timeout=grace_s / 2)
         for owner in self.owners.values():
@@ -255,12 +261,13 @@
     async def _keep_balance(self) -> None:
         while True:
             await self.app.clock.sleep(self.options.balance_s)
-            if not self.app.draining:
-                self._balance()
+            self._balance()
 
     def _balance(self) -> None:
         """Take the slots that prefer this instance, leave those that do not."""
         self._note_members()
+        if self.is_draining:
+            return
         now_s = self.app.clock.monotonic()
         for slot, instance in enumerate(self.preferred):
             if instance == self.me:
@@ -273,13 +280,22 @@
 
     def _note_members(self) -> None:
         members = self.peers.members() if self.peers is not None else []
+        now_s = self.app.clock.monotonic()
+        self.leaving = {
+            instance: since_s
+            for instance, since_s in self.leaving.items()
+            if now_s - since_s < LEAVING_S
+        }
         near = {
             member.instance
             for member in members
             if member.data_centre == self.data_centre
             and member.state is MemberState.ALIVE
+            and member.instance not in self.leaving
         }
-        live = tuple(sorted(near | {self.me}))
+        if not (self.is_draining and near):
+            near.add(self.me)
+        live = tuple(sorted(near))
         centres = {member.data_centre for member in members} | {self.data_centre}
         data_centres = tuple(sorted(centres))
         if (live, data_centres) == (self.live, self.data_centres):
@@ -325,7 +341,8 @@
         if not others:
             return
         heir = rank(f"claims-{slot}", others)[0]
-        payload = msgspec.msgpack.encode(slot)
+        nudge = Nudge(slot=slot, is_leaving=self.is_draining)
+        payload = msgspec.msgpack.encode(nudge)
         timeout_s = self.options.call_timeout_s
         try:
             await self.peers.call(heir, NUDGE_METHOD, payload, timeout_s=timeout_s)
@@ -333,8 +350,11 @@
             logger.info("The heir of slot {} will find it free: {!r}.", slot, error)
 
     async def _serve_nudge(self, sender: str, payload: bytes) -> bytes:
+        nudge = msgspec.msgpack.decode(payload, type=Nudge)
+        if nudge.is_leaving:
+            self.leaving[sender] = self.app.clock.monotonic()
         self._balance()
-        owner = self.owners.get(msgspec.msgpack.decode(payload, type=int))
+        owner = self.owners.get(nudge.slot)
         if owner is not None:
             owner.nudge()
         return b""
--- a/lagoonring/tests/builders/bookings.py
+++ b/lagoonring/tests/builders/bookings.py
@@ -143,9 +143,12 @@
     fleet: ClaimsFleet, recorder: Recorder, rng: random.Random, n_instances: int
 ) -> None:
     """Put faults in, for ever; cancel it and call :func:`heal` to end them."""
+    kinds: list[str] = []
     while True:
         await asyncio.sleep(rng.uniform(0.1, 1.0))
-        kind = rng.choice(list(FAULTS))
+        # In rounds, so that no kind is missing.
+        kinds = kinds or rng.sample(list(FAULTS), len(FAULTS))
+        kind = kinds.pop()
         recorder.n_faults[kind] += 1
         await FAULTS[kind](fleet, rng)
         while len(fleet.instances) < n_instances:
@@ -168,6 +171,15 @@
     await fleet.kill(rng.choice(fleet.instances))
 
 
+async def _drain(fleet: ClaimsFleet, rng: random.Random) -> None:
+    instance = rng.choice(fleet.instances)
+    instance.app.draining = True
+    try:
+        await instance.app.drain(2)
+    finally:
+        await fleet.kill(instance)
+
+
 async def _pause(fleet: ClaimsFleet, rng: random.Random) -> None:
     instance = rng.choice(fleet.instances)
     fleet.pause(instance)
@@ -225,6 +237,7 @@
 
 FAULTS = {
     "kill": _kill,
+    "drain": _drain,
     "pause": _pause,
     "outage": _outage,
     "lost answers": _lose_answers,
--- a/lagoonring/tests/test_claims.py
+++ b/lagoonring/tests/test_claims.py
@@ -16,7 +16,7 @@
 from lagoonring.claims.records import ANSWER_LIMIT_BYTES
 from lagoonring.errors import Outcome
 from lagoonring.standins.log_standin import LogStandin
-from lagoonring.tests.builders.bookings import run_bookings
+from lagoonring.tests.builders.bookings import FAULTS, run_bookings
 from lagoonring.tests.builders.catalogues import make_catalogue
 from lagoonring.tests.builders.claims import FAST, CatalogueDouble, ClaimsFleet
 from lagoonring.tests.builders.logs import VirtualClock, run_virtual
@@ -69,7 +69,7 @@
     assert recorder.find_run_twice() == []
     assert recorder.find_falsely_not_run() == []
     assert recorder.wrong_answers == []
-    assert len(recorder.n_faults) == 8
+    assert set(recorder.n_faults) == set(FAULTS)
     assert recorder.n_forgotten == FAST.n_slots
     # After the faults every booking gets an answer; all ran that could.
     assert recorder.stuck == []
@@ -226,6 +226,14 @@
     run_virtual(check())
 
 
+def count_held(fleet):
+    return sum(
+        owner.lease.is_held()
+        for instance in fleet.instances
+        for owner in instance.claims.owners.values()
+    )
+
+
 def test_slots_spread_and_a_drained_instance_hands_its_slots_over_at_once():
     async def check():
         fleet = await make_fleet(3, n_slots=32)
@@ -235,15 +243,16 @@
         leaving.app.draining = True
         await leaving.app.drain(2)
         assert not leaving.claims.owners
-        await fleet.kill(leaving)
         # The heirs were told, so no time passes before they hold the slots.
         await asyncio.sleep(0.05)
+        assert count_held(fleet) == 32
+        # What it still serves can be claimed through the others.
+        await asyncio.sleep(FAST.balance_s)
+        for index in range(8):
+            assert (await claim(leaving, "0", key=f"late{index}")).state == "granted"
+        await fleet.kill(leaving)
         for index in range(64):
             assert (await claim(fleet.instances[0], "1", key=f"k{index}")).state
-        held = [
-            owner.lease for i in fleet.instances for owner in i.claims.owners.values()
-        ]
-        assert sum(lease.is_held() for lease in held) == 32
         await fleet.stop()
 
     run_virtual(check())
