Blame a version for crashes once the quarantine has cleared the request

Cause: a crash counts as suspect until the quarantine decides, and nobody took the decision back to the judge of versions; conversations had no affinity key, and suspects kept their endpoint to themselves until their end. Change: crashed attempts are kept, bounded, until decided; hash_conversation gives the affinity key; the first new token releases a suspect's endpoint. The crash case of test_streams_under_failure armed all engines and cleared them by polling; it is replaced by a crash of the one engine that holds the stream, before and after the first token. Conclusion: crashes are blamed on whoever caused them.

--- a/lagoonring/requests/messages.py
+++ b/lagoonring/requests/messages.py
@@ -37,6 +37,7 @@
 
     document: dict[str, Any]
     prefix_blocks: tuple[int, ...] = ()
+    affinity_key: int = 0
     n_prompt_bytes: int = 0
     n_tokens_most: int = 0
     is_streamed: bool = False
--- a/lagoonring/requests/parts.py
+++ b/lagoonring/requests/parts.py
@@ -15,6 +15,7 @@
 from lagoonring.kernel import Application
 from lagoonring.logs import make_logger
 from lagoonring.requests.options import RequestsOptions
+from lagoonring.requests.suspects import SuspectedAttempts
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine
@@ -100,6 +101,11 @@
     open_stream: Callable[..., Any] = open_stream
     call_plain: Callable[..., Any] = call
     background: set[asyncio.Task[None]] = attrs.field(factory=set)
+    suspects: SuspectedAttempts = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.suspects = SuspectedAttempts(self.observe)
+        self.retries.subscribe(self.suspects.decide)
 
     async def begin_attempt(
         self, request: CallerRequest, route: Route, route_request: RouteRequest
@@ -127,7 +133,11 @@
     def observe(
         self, request: CallerRequest, route: Route, result: AttemptResult
     ) -> None:
-        """Give the result of an attempt to the judge of versions."""
+        """Give the result of an attempt to the judge of versions.
+
+        A crash whose cause is open counts once the quarantine has decided it.
+        """
+        self.suspects.add(request, route, result)
         self.moves.observe(
             request.entry,
             route.version,
--- a/lagoonring/requests/producer.py
+++ b/lagoonring/requests/producer.py
@@ -97,6 +97,7 @@
         service_class=request.service_class,
         request_id=request.request_id,
         prefix_blocks=request.prefix_blocks,
+        affinity_key=request.affinity_key,
         n_prompt_bytes=request.n_prompt_bytes,
         n_tokens_most=request.n_tokens_most - stream.journal.n_tokens,
         version=stream.version if stream.journal.n_tokens else "",
@@ -175,7 +176,7 @@
         async with aclosing(checked_events(stream, source)) as batches:
             async for events in batches:
                 if stream.attempt_first_s is None:
-                    _note_first_token(parts, stream)
+                    _note_first_token(parts, stream, route)
                 await stream.deliver(events)
     except EndpointError as caught:
         error = caught
@@ -196,7 +197,8 @@
     return error
 
 
-def _note_first_token(parts: RequestParts, stream: Stream) -> None:
+def _note_first_token(parts: RequestParts, stream: Stream, route: Route) -> None:
+    parts.retries.progressed(stream.request.fingerprint, route.endpoint)
     now_s = parts.app.clock.monotonic()
     stream.attempt_first_s = now_s
     if stream.first_token_s is None:
--- a/lagoonring/requests/service.py
+++ b/lagoonring/requests/service.py
@@ -28,7 +28,7 @@
 from lagoonring.requests.streams import Stream
 from lagoonring.requests.traces import Trace, Traces
 from lagoonring.retries.messages import make_fingerprint
-from lagoonring.routing.prefixes import hash_blocks
+from lagoonring.routing.prefixes import hash_blocks, hash_conversation
 
 if TYPE_CHECKING:
     from lagoonring.catalogue import Entry
@@ -130,6 +130,7 @@
             route_name=route_name(document["messages"]),
             document=document,
             prefix_blocks=hash_blocks(prompt),
+            affinity_key=hash_conversation(prompt),
             n_prompt_bytes=len(prompt),
             n_tokens_most=n_tokens_most(document, self.parts.options.n_tokens_default),
             is_streamed=bool(document.get("stream")),
--- a/lagoonring/tests/test_move_sessions.py
+++ b/lagoonring/tests/test_move_sessions.py
@@ -138,3 +138,16 @@
             "catalogue", f"version of guide: {content.entries['guide'].version}"
         )
     transcript.check("move-done")
+
+
+async def test_version_that_crashes_its_engine_is_undone():
+    async with run_deployment(
+        n_entries=2, n_engines=4, entry=QUICK, sections=SECTIONS
+    ) as deployment:
+        await wait_for_members(deployment)
+        for engine in deployment.engines.values():
+            faults = {"2": VersionFaults(crash=True)}
+            engine.batch.set_faults(EngineFaults(versions=faults, restart_s=0.1))
+        move = await move_under_load(deployment, 30.0)
+        assert move["phase"] == "undone"
+        assert share_of_version(deployment, "2") <= EXPOSURE_MOST
--- a/lagoonring/tests/test_streams_under_failure.py
+++ b/lagoonring/tests/test_streams_under_failure.py
@@ -14,7 +14,7 @@
     wait_until_held,
 )
 from lagoonring.tests.builders.callers import Caller, ask, attach
-from lagoonring.tests.builders.deployments import Deployment, run_deployment
+from lagoonring.tests.builders.deployments import run_deployment
 
 N_TOKENS = 12
 HOLD = 5
@@ -28,9 +28,8 @@
         {"n_stalled": 1, "stall_at_token": 4},
         {"n_errors": 1},
         {"n_refused": 1},
-        {"crash_on": ["turtles"], "crash_at_token": 2, "restart_s": 60},
     ],
-    ids=["cut", "cut-first", "stall", "error", "refused", "crash"],
+    ids=["cut", "cut-first", "stall", "error", "refused"],
 )
 async def test_stream_is_whole_when_its_first_endpoint_fails(faults):
     timeouts = {"between_tokens_timeout_s": 0.2, "first_token_timeout_s": 1.0}
@@ -38,19 +37,19 @@
     async with run_deployment(n_engines=3, entry=entry) as deployment:
         for engine in deployment.engines.values():
             engine.batch.set_faults(EngineFaults(**faults))
-        hit = asyncio.create_task(ask(deployment, "when do turtles eat", N_TOKENS))
-        if "crash_on" in faults:
-            await _clear_after_crash(deployment)
-        caller = await hit
+        caller = await ask(deployment, "when do turtles eat", N_TOKENS)
         caller.assert_whole("when do turtles eat", N_TOKENS)
 
 
-async def _clear_after_crash(deployment: Deployment) -> None:
-    """Let only the first engine that the request reaches crash."""
-    engines = deployment.engines.values()
-    await wait_until(lambda: any(e.batch.counts.n_crashes for e in engines))
-    for engine in engines:
-        engine.batch.set_faults(EngineFaults())
+@pytest.mark.parametrize("n_before", [0, HOLD], ids=["first", "later"])
+async def test_stream_is_whole_when_its_endpoint_crashes(n_before):
+    async with run_deployment(n_engines=3) as deployment:
+        hold_all(deployment, n_before)
+        asking = asyncio.create_task(ask(deployment, "turtles", N_TOKENS))
+        held = await wait_until_held(deployment)
+        deployment.engines[held].crash()
+        release_all(deployment)
+        (await asking).assert_whole("turtles", N_TOKENS)
 
 
 async def test_crossed_answers_reach_their_own_callers():
