Let no swallowed cancellation hang a stop; quiet the demo

Cause: asyncio.wait_for of Python 3.11 can swallow a cancellation that comes with the event; Application.stop was seen to hang when a record was appended just before it. The demo's output was buried under the stand-ins' logs. Change: the log stand-in waits under asyncio.timeout; stop cancels until all tasks have ended; lagoonring-standin has log_level. Measured: test_application passes (order of hooks, failed start, a task that swallows one cancellation). Conclusion: a stop ends.

--- a/examples/demo/deployment.py
+++ b/examples/demo/deployment.py
@@ -60,7 +60,7 @@
         port = base_port + ENGINE_PORTS + index
         standins.append({"kind": "engine", "port": port, "options": options})
         standins.append({"kind": "plain", "port": base_port + PLAIN_PORTS + index})
-    return {"standins": standins}
+    return {"standins": standins, "log_level": "WARNING"}
 
 
 def make_entry(base_port: int, index: int) -> dict[str, Any]:
--- a/lagoonring/cli/standin_command.py
+++ b/lagoonring/cli/standin_command.py
@@ -46,7 +46,7 @@
     if check:
         typer.echo(f"Settings are valid: {len(checked.standins)} stand-ins.")
         return
-    with JsonLinesHandler(sys.stderr).applicationbound():
+    with JsonLinesHandler(sys.stderr, checked.log_level).applicationbound():
         try:
             asyncio.run(_serve(standins))
         except OSError as error:
--- a/lagoonring/kernel/application.py
+++ b/lagoonring/kernel/application.py
@@ -15,6 +15,7 @@
 
 RESTART_DELAY_S = 0.2
 RESTART_DELAY_LIMIT_S = 5.0
+STOP_STEP_S = 0.5
 
 logger = make_logger("kernel")
 
@@ -143,10 +144,15 @@
             await service.drain(grace_s)
 
     async def stop(self) -> None:
-        """Stop tasks and services; every one is tried, errors are logged."""
-        for task in list(self.tasks):
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        """Stop tasks and services; every one is tried, errors are logged.
+
+        Tasks are cancelled until all have ended: a library may swallow one
+        cancellation.
+        """
+        while self.tasks:
+            for task in self.tasks:
+                task.cancel()
+            await asyncio.wait(self.tasks, timeout=STOP_STEP_S)
         while self.started:
             service = self.started.pop()
             try:
--- a/lagoonring/standins/log_standin.py
+++ b/lagoonring/standins/log_standin.py
@@ -126,8 +126,10 @@
 
 
 async def _wait_for(event: asyncio.Event, wait_s: float) -> None:
+    # asyncio.wait_for can swallow a cancellation that comes with the event.
     try:
-        await asyncio.wait_for(event.wait(), wait_s)
+        async with asyncio.timeout(wait_s):
+            await event.wait()
     except TimeoutError:
         return
 
--- a/lagoonring/standins/options.py
+++ b/lagoonring/standins/options.py
@@ -10,6 +10,7 @@
 from lagoonring.settings.validators import between, is_port, one_of
 
 KINDS = ("engine", "plain", "log", "cloud", "weight_store", "instance_list", "link")
+LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
 MANY = 1_000_000_000
 HOUR_S = 3600.0
 
@@ -132,3 +133,4 @@
     """Settings of ``lagoonring-standin``."""
 
     standins: list[Standin]
+    log_level: str = attrs.field(default="INFO", validator=one_of(LEVELS))
--- /dev/null
+++ b/lagoonring/tests/test_application.py
@@ -0,0 +1,82 @@
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from lagoonring.kernel import Application, BaseService, UnknownServiceError
+
+
+class Recorder(BaseService):
+    """Writes down which hooks were called."""
+
+    def __init__(self, name: str, calls: list[str], *, fails: bool = False) -> None:
+        self.name = name
+        self.calls = calls
+        self.fails = fails
+
+    async def start(self) -> None:
+        self.calls.append(f"start {self.name}")
+        if self.fails:
+            raise ValueError("Got a fault on command.")
+
+    async def drain(self, grace_s: float) -> None:
+        self.calls.append(f"drain {self.name}")
+
+    async def stop(self) -> None:
+        self.calls.append(f"stop {self.name}")
+
+
+async def test_services_start_in_order_and_drain_and_stop_in_reverse():
+    calls: list[str] = []
+    app = Application()
+    for name in ("log", "peers"):
+        app.add(Recorder(name, calls))
+    await app.start()
+    await app.drain(1.0)
+    await app.stop()
+    assert calls == [
+        "start log",
+        "start peers",
+        "drain peers",
+        "drain log",
+        "stop peers",
+        "stop log",
+    ]
+
+
+async def test_a_failed_start_stops_what_was_started():
+    calls: list[str] = []
+    app = Application()
+    app.add(Recorder("log", calls))
+    app.add(Recorder("peers", calls, fails=True))
+    app.add(Recorder("routing", calls))
+    with pytest.raises(ValueError, match="on command"):
+        await app.start()
+    assert calls == ["start log", "start peers", "stop peers", "stop log"]
+
+
+async def test_a_task_that_swallows_a_cancellation_does_not_hang_the_stop():
+    app = Application()
+    swallowed = asyncio.Event()
+
+    async def stubborn() -> None:
+        try:
+            await asyncio.Event().wait()
+        except asyncio.CancelledError:
+            swallowed.set()
+        await asyncio.Event().wait()
+
+    app.spawn("stubborn", stubborn)
+    await asyncio.sleep(0)
+    async with asyncio.timeout(30):
+        await app.stop()
+    assert swallowed.is_set()
+    assert not app.tasks
+
+
+def test_an_unknown_service_names_those_that_are_known():
+    app = Application()
+    app.add(Recorder("log", []))
+    with pytest.raises(UnknownServiceError, match="expected one of: log"):
+        app.find("lag")
