--- a/lagoonring/peers/errors.py
+++ b/lagoonring/peers/errors.py
@@ -34,13 +34,14 @@
 
     code = "peer_call_failed"
     status = 502
+    outcome = Outcome.UNKNOWN
 
     def __init__(
         self, message: str, *, remote_code: str, outcome: Outcome, remedy: str
     ) -> None:
         super().__init__(message, remedy=remedy)
         self.remote_code = remote_code
-        self.outcome = outcome  # type: ignore[misc]
+        self.outcome = outcome
 
 
 class AddressNotUsableError(LagoonringError, OSError):
