--- a/lagoonring/tests/builders/fleet.py
+++ b/lagoonring/tests/builders/fleet.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import random
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import attrs
 
@@ -23,23 +23,18 @@
 from lagoonring.kernel import Application, BaseService, ManualClock
 from lagoonring.leases import LeaseOptions
 from lagoonring.leases.records import LeaseState, decode_record, fold
-from lagoonring.platform.cloud import (
-    CloudInstance,
-    CloudPrice,
-    NoticePage,
-    StartOrder,
-    StartRefusedError,
-)
-from lagoonring.platform.exchange import (
-    PlatformAnswerLostError,
-    PlatformUnavailableError,
-)
 from lagoonring.routing.messages import EndpointLoad, LeavingEndpoint
-from lagoonring.standins.cloud_model import CloudModel, NoCapacityError
+from lagoonring.standins.cloud_model import CloudModel
 from lagoonring.standins.log_standin import LogStandin
 from lagoonring.standins.options import CloudOptions, Price
 from lagoonring.tests.builders.claims import PeerNetwork
-from lagoonring.tests.builders.moves import Gate, GatedClock, GatedLog
+from lagoonring.tests.builders.clouds import CloudDouble, CloudFaults
+from lagoonring.tests.builders.gates import Gate, GatedClock, GatedLog
+
+if TYPE_CHECKING:
+    from lagoonring.platform.cloud import (
+        CloudInstance,
+    )
 
 
 def make_offer(**fields: Any) -> Offer:
@@ -83,79 +78,6 @@
 DATA_CENTRES = ("dc0", "dc1")
 
 
-class CloudDouble:
-    """The cloud model through a gate; counts of faults are used up."""
-
-    def __init__(self, model: CloudModel, gate: Gate, faults: CloudFaults) -> None:
-        self.model = model
-        self.gate = gate
-        self.faults = faults
-
-    async def start_instance(self, order: StartOrder) -> CloudInstance:
-        """Start an instance, or return the one started with this token."""
-        await self._pass()
-        is_new = order.token not in self.model.by_token
-        if is_new and order.market in self.faults.refused_markets:
-            raise StartRefusedError("Got no capacity.")
-        try:
-            instance = self.model.start(order)
-        except NoCapacityError:
-            raise StartRefusedError("Got no capacity.") from None
-        await self.gate.wait()
-        if self.faults.n_lost_answers > 0:
-            self.faults.n_lost_answers -= 1
-            raise PlatformAnswerLostError("Got no answer.")
-        return instance
-
-    async def stop_instance(self, instance: str) -> None:
-        """Stop an instance."""
-        await self._pass()
-        self.model.end(instance)
-        await self.gate.wait()
-
-    async def list_instances(self, token: str = "") -> list[CloudInstance]:
-        """Return instances; those gone are not listed."""
-        await self._pass()
-        return [
-            item
-            for item in self.model.instances.values()
-            if token in ("", item.token) and item.state != "gone"
-        ]
-
-    async def read_prices(self) -> list[CloudPrice]:
-        """Return the prices."""
-        await self._pass()
-        return [
-            CloudPrice(
-                data_centre=price.data_centre,
-                instance_class=price.instance_class,
-                reclaimable=price.reclaimable,
-                on_demand=price.on_demand,
-            )
-            for price in self.model.prices.values()
-        ]
-
-    async def read_notices(self, from_seq: int) -> NoticePage:
-        """Return notices."""
-        await self._pass()
-        notices = self.model.notices
-        return NoticePage(notices[from_seq:], len(notices))
-
-    async def _pass(self) -> None:
-        await self.gate.wait()
-        if self.faults.is_out:
-            raise PlatformUnavailableError("Got an outage.")
-
-
-@attrs.define
-class CloudFaults:
-    """Faults of :class:`CloudDouble`, for all instances."""
-
-    is_out: bool = False
-    n_lost_answers: int = 0
-    refused_markets: set[str] = attrs.field(factory=set)
-
-
 class RoutingDouble(BaseService):
     """Publishes leaving endpoints as routing does."""
 
--- a/lagoonring/tests/builders/moves.py
+++ b/lagoonring/tests/builders/moves.py
@@ -5,7 +5,7 @@
 import asyncio
 import itertools
 import random
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 import attrs
 import msgspec
@@ -35,9 +35,7 @@
 from lagoonring.settings import to_plain
 from lagoonring.standins.log_standin import LogStandin
 from lagoonring.tests.builders.claims import PeerNetwork
-
-if TYPE_CHECKING:
-    from lagoonring.platform.log import Page
+from lagoonring.tests.builders.gates import Gate, GatedClock, GatedLog
 
 
 def make_move(**fields: Any) -> Move:
@@ -96,94 +94,6 @@
 BETWEEN_TOKENS_S = 0.03
 
 
-@attrs.define
-class Gate:
-    """Stops an instance at its n-th call to the outside, as a pause does.
-
-    From ``stop_at`` on, or from an append to the stream ``stop_before``, every
-    call waits until :meth:`open`.
-    """
-
-    n_passed: int = 0
-    stop_at: int | None = None
-    stop_before: str = ""
-    stopped: bool = False
-    opened: asyncio.Event = attrs.field(factory=asyncio.Event)
-
-    async def wait(self) -> None:
-        """Pass one call, or wait."""
-        self.n_passed += 1
-        if self.n_passed == self.stop_at:
-            self.stopped = True
-        if self.stopped:
-            await self.opened.wait()
-
-    def open(self) -> None:
-        """Let the instance go on."""
-        self.stopped = False
-        self.stop_at = None
-        self.stop_before = ""
-        self.opened.set()
-
-
-class GatedClock(Clock):
-    """A shared manual clock whose sleepers wake through a gate."""
-
-    def __init__(self, clock: ManualClock, gate: Gate) -> None:
-        self.clock = clock
-        self.gate = gate
-
-    def monotonic(self) -> float:
-        """Return the shared clock's reading."""
-        return self.clock.monotonic()
-
-    def time(self) -> float:
-        """Return the shared clock's reading."""
-        return self.clock.time()
-
-    async def sleep(self, delay_s: float) -> None:
-        """Wait, then pass the gate."""
-        await self.clock.sleep(delay_s)
-        await self.gate.wait()
-
-
-class GatedLog:
-    """The log through a gate, before and after each request."""
-
-    name = "log"
-
-    def __init__(self, log: LogStandin, gate: Gate) -> None:
-        self.log = log
-        self.gate = gate
-
-    async def append(self, stream: str, data: str) -> int:
-        """Append through the gate."""
-        if stream == self.gate.stop_before:
-            self.gate.stopped = True
-        await self.gate.wait()
-        offset = await self.log.append(stream, data)
-        await self.gate.wait()
-        return offset
-
-    async def read(
-        self, stream: str, from_offset: int, *, limit: int = 500, wait_s: float = 0.0
-    ) -> Page:
-        """Read through the gate."""
-        await self.gate.wait()
-        page = await self.log.read(stream, from_offset, limit=limit, wait_s=wait_s)
-        await self.gate.wait()
-        return page
-
-    async def start(self) -> None:
-        """Do nothing."""
-
-    async def drain(self, grace_s: float) -> None:
-        """Do nothing."""
-
-    async def stop(self) -> None:
-        """Do nothing."""
-
-
 @attrs.define
 class EngineDouble:
     """An engine that obeys orders; ``is_out`` and ``n_lost_answers`` are faults."""
