--- a/benchmarks/capacity_deployment.py
+++ b/benchmarks/capacity_deployment.py
@@ -29,10 +29,12 @@
 
 @attrs.define
 class Forwarder:
-    """Passes TCP connections on to a port and counts the bytes, both ways."""
+    """Passes TCP connections on to a port and counts what passes, both ways."""
 
     target_port: int
     n_bytes: int = 0
+    n_reads: int = 0
+    n_posts: int = 0
 
     async def serve(self, reader, writer) -> None:
         """Pass one connection on until either side ends it."""
@@ -51,6 +53,8 @@
         try:
             while data := await reader.read(CHUNK_BYTES):
                 self.n_bytes += len(data)
+                self.n_reads += data.startswith(b"GET ")
+                self.n_posts += data.startswith(b"POST ")
                 writer.write(data)
                 await writer.drain()
         finally:
--- a/benchmarks/memory_slopes.py
+++ b/benchmarks/memory_slopes.py
@@ -19,6 +19,7 @@
 import os
 import subprocess
 import sys
+import tempfile
 import time
 from typing import TYPE_CHECKING, Any
 
@@ -54,18 +55,30 @@
 N_TOKENS = 375
 OPEN_ENGINE = {"token_s": 0.5, "batch_growth": 0, "n_slots": 1000}
 FAST_ENGINE = {"token_s": 0.0005, "batch_growth": 0, "n_slots": 1000}
+SETTINGS = {
+    "instance": "entry-0",
+    "data_centre": "plateau",
+    "log_url": "http://127.0.0.1:1",
+    "peers": {"address": "127.0.0.1:0", "keys": ["a-benchmark-peer-key"]},
+}
 IMPORT_CODE = """
 import json, os, sys
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 def mb():
     return int(open("/proc/self/statm").read().split()[1]) * PAGE_BYTES / 2**20
 grown = {"interpreter": mb()}
-for name in sys.argv[1:]:
+for name in sys.argv[2:]:
     before = mb()
     __import__(name)
     grown[name] = mb() - before
+before, known = mb(), set(sys.modules)
+import lagoonring.cli.entry_command as entry
+entry.run_logged = lambda settings: None
+entry.command(["--settings", sys.argv[1]], standalone_mode=False)
+grown["reading the command line"] = mb() - before
 grown["total"] = mb()
-print(json.dumps(grown))
+packages = {name.partition(".")[0] for name in set(sys.modules) - known}
+print(json.dumps([grown, sorted(packages)]))
 """
 
 
@@ -86,11 +99,20 @@
             print(json.dumps(row), flush=True)
 
 
-def measure_imports() -> dict[str, float]:
-    """Return the MB by which each import in turn grows a fresh process."""
-    command = [sys.executable, "-c", IMPORT_CODE, *IMPORTS]
-    grown = json.loads(subprocess.run(command, capture_output=True, check=True).stdout)
-    return {name: round(value, 1) for name, value in grown.items()}
+def measure_imports() -> dict[str, Any]:
+    """Return the MB by which each import in turn grows a fresh process.
+
+    At last the command line is read, with a stand-in for what runs after it, and
+    the packages that this imported are listed.
+    """
+    with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
+        json.dump(SETTINGS, file)
+        file.flush()
+        command = [sys.executable, "-c", IMPORT_CODE, file.name, *IMPORTS]
+        output = subprocess.run(command, capture_output=True, check=True).stdout
+    grown, packages = json.loads(output)
+    rounded = {name: round(value, 1) for name, value in grown.items()}
+    return {**rounded, "packages_at_run": packages}
 
 
 async def measure_endpoints(n_endpoints: int) -> dict[str, Any]:
