Count moves as finished by the phase of that name

Cause: the load tool waited for a phase 'done' that moves do not have, and kept only the last counts of a comparison. The settings no longer cut the trial. Conclusion: moves are measured with more requests.

--- a/examples/deployments.py
+++ b/examples/deployments.py
@@ -102,7 +102,8 @@
     """How a run differs: length, policy, data centre reclaimed at the peak.
 
     ``move`` is ``good``, ``bad`` or empty; ``bad`` versions fail three in ten
-    requests. ``rate`` multiplies all rates. ``schedule`` is a file of actions.
+    requests. ``rate`` multiplies all rates. ``schedule`` is a file of actions,
+    ``n_tokens`` the least and most tokens of answers in place of the user's.
     """
 
     duration_s: float = 30.0
@@ -110,6 +111,7 @@
     reclaim: str = ""
     move: str = ""
     schedule: str = ""
+    n_tokens: tuple[int, int] | None = None
     rate: float = 1.0
     n_cache_blocks: int = 256
     base_port: int = 9400
@@ -245,7 +247,7 @@
             "log_level": "WARNING",
             "peers": peers,
             "routing": {"policy": variant.policy},
-            "moves": {"trial_s": 20.0, "undo_s": 5.0, "drain_s": 5.0},
+            "moves": {"drain_s": 5.0},
         }
         entries.append(settings)
     return entries
--- a/examples/load_settings.py
+++ b/examples/load_settings.py
@@ -37,6 +37,8 @@
     assistant = attrs.asdict(user.assistant)
     assistant["entry"] = assistant.pop("name")
     assistant["conversations_per_s"] *= variant.rate
+    if variant.n_tokens:
+        assistant["n_tokens_least"], assistant["n_tokens_most"] = variant.n_tokens
     schedule = Path(variant.schedule).stem
     parts = [user.name, variant.reclaim and "reclaim", variant.move, schedule]
     return {
--- a/examples/running.py
+++ b/examples/running.py
@@ -91,6 +91,7 @@
         move=arguments.move,
         schedule=arguments.schedule,
         rate=arguments.rate,
+        n_tokens=arguments.tokens and tuple(arguments.tokens),
         n_cache_blocks=arguments.cache_blocks,
         base_port=arguments.base_port,
     )
@@ -108,6 +109,9 @@
     parser.add_argument("--move", choices=("good", "bad"), default="")
     parser.add_argument("--schedule", default="", help="JSON file of actions")
     parser.add_argument("--rate", type=float, default=1.0, help="factor on all rates")
+    parser.add_argument(
+        "--tokens", type=int, nargs=2, metavar=("LEAST", "MOST"), help="of answers"
+    )
     parser.add_argument("--cache-blocks", type=int, default=256)
     parser.add_argument("--base-port", type=int, default=9400)
     return parser.parse_args()
--- a/lagoonring/load/comparison.py
+++ b/lagoonring/load/comparison.py
@@ -52,7 +52,7 @@
         ("bill", report.costs.total),
         ("bill per 1,000 answers within target", report.costs.per_1000_in_target),
         ("moves ordered", len(report.moves)),
-        ("moves done in time", _count_moves(report, "done")),
+        ("moves finished in time", _count_moves(report, "finished")),
         ("moves taken back in time", _count_moves(report, "undone")),
         ("must be 0: answers lost", checks.n_lost),
         ("must be 0: tokens lost", checks.n_tokens_lost),
--- a/lagoonring/load/moves.py
+++ b/lagoonring/load/moves.py
@@ -16,7 +16,7 @@
 
 WATCH_S = 0.5
 MOVES_PATH = "/admin/moves"
-ENDED_PHASES = ("done", "undone", "cancelled", "refused")
+ENDED_PHASES = ("finished", "undone", "refused")
 
 
 class MovesWatcher:
@@ -36,6 +36,7 @@
         self.rows: dict[str, dict[str, Any]] = {}
         self.seen_s: dict[str, float] = {}
         self.ended_s: dict[str, float] = {}
+        self.n_compared: dict[str, tuple[int, int]] = {}
 
     def is_needed(self) -> bool:
         """Whether the schedule orders moves and they may be read."""
@@ -68,6 +69,9 @@
             name = str(row.get("name"))
             self.rows[name] = row
             self.seen_s.setdefault(name, now_s)
+            n_old, n_new = self.n_compared.get(name, (0, 0))
+            found = (int(row.get("n_old", 0)), int(row.get("n_new", 0)))
+            self.n_compared[name] = (max(n_old, found[0]), max(n_new, found[1]))
             if row.get("phase") in ENDED_PHASES:
                 self.ended_s.setdefault(name, now_s)
 
@@ -87,6 +91,6 @@
             reason=str(row.get("reason", "")),
             took_s=took_s,
             is_in_time=ended_s is not None and ended_s <= deadline_s,
-            n_old=int(row.get("n_old", 0)),
-            n_new=int(row.get("n_new", 0)),
+            n_old=self.n_compared[name][0],
+            n_new=self.n_compared[name][1],
         )
--- a/lagoonring/load/results.py
+++ b/lagoonring/load/results.py
@@ -109,9 +109,9 @@
 class MoveResult:
     """A version move at the end of the run.
 
-    ``took_s`` is the time until it was done or undone, None if it was neither;
+    ``took_s`` is the time until it was finished or undone, None if it was neither;
     ``is_in_time`` says that this was before its deadline. ``n_old`` and
-    ``n_new`` are requests compared on either version.
+    ``n_new`` are the most requests seen compared on either version.
     """
 
     name: str
--- a/lagoonring/tests/builders/load.py
+++ b/lagoonring/tests/builders/load.py
@@ -35,7 +35,7 @@
 FOREIGN_TOKEN = " x0000"
 REQUEST_ID = "entry-0.1"
 MOVE = MoveResult(
-    name="move-1", entry="guide", to_version="2", phase="done", is_in_time=True
+    name="move-1", entry="guide", to_version="2", phase="finished", is_in_time=True
 )
 
 
--- a/lagoonring/tests/test_load_moves.py
+++ b/lagoonring/tests/test_load_moves.py
@@ -11,9 +11,9 @@
 @pytest.mark.parametrize(
     ("phases", "took_s", "is_in_time"),
     [
-        (["ordered", "trial", "done", "done"], 20.0, True),
+        (["ordered", "trial", "finished", "finished"], 20.0, True),
         (["ordered", "undoing", "undone", "undone"], 20.0, True),
-        (["ordered", "trial", "ramp", "done"], 30.0, False),
+        (["ordered", "trial", "ramp", "finished"], 30.0, False),
         (["ordered", "trial", "ramp", "ramp"], None, False),
     ],
 )
