--- a/lagoonring/tests/builders/deployments.py
+++ b/lagoonring/tests/builders/deployments.py
@@ -74,6 +74,28 @@
     services: dict[str, PlainStandin] = attrs.field(factory=dict)
     cut: set[frozenset[str]] = attrs.field(factory=set)
     session: aiohttp.ClientSession
+    settings: list[EntrySettings] = attrs.field(factory=list)
+
+    async def start_entry(self, index: int) -> Application:
+        """Start an entry instance, or start it anew at its old addresses."""
+        settings = self.settings[index]
+        app = make_entry_application(
+            settings,
+            rng=random.Random(f"{settings.instance} {len(self.log_links)}"),
+            log=self.log_links[index],
+            allow=self.allows,
+        )
+        if index < len(self.entries):
+            self.entries[index] = app
+        else:
+            self.entries.append(app)
+        await app.start()
+        return app
+
+    async def stop_entries(self) -> None:
+        """Stop all entry instances."""
+        for app in self.entries:
+            await app.stop()
 
     def url(self, index: int) -> str:
         """Return the root URL of an entry instance."""
@@ -118,13 +140,14 @@
     plain: dict[str, Any] | None = None,
     entry: dict[str, Any] | None = None,
     sections: dict[str, Any] | None = None,
+    hang_s: float = HANG_S,
 ) -> AsyncIterator[Deployment]:
     """Run a deployment until the block ends.
 
     ``engine`` and ``plain`` are options of the stand-ins, ``entry`` settings of
     every instance, ``sections`` add to items of the catalogue.
     """
-    async with asyncio.timeout(HANG_S), contextlib.AsyncExitStack() as stack:
+    async with asyncio.timeout(hang_s), contextlib.AsyncExitStack() as stack:
         session = await stack.enter_async_context(aiohttp.ClientSession())
         deployment = Deployment(log=LogStandin(), session=session)
         for index in range(n_engines):
@@ -139,17 +162,11 @@
                 stack, PlainStandin(options, host=HOST, port=0)
             )
         await publish(deployment, make_catalogue(deployment, sections or {}))
-        for settings in make_settings(n_entries, entry or {}):
-            deployment.log_links.append(LogLink(deployment.log))
-            app = make_entry_application(
-                settings,
-                rng=random.Random(settings.instance),
-                log=deployment.log_links[-1],
-                allow=deployment.allows,
-            )
-            deployment.entries.append(app)
-            await app.start()
-            stack.push_async_callback(app.stop)
+        stack.push_async_callback(deployment.stop_entries)
+        deployment.settings = make_settings(n_entries, entry or {})
+        deployment.log_links = [LogLink(deployment.log) for _ in range(n_entries)]
+        for index in range(n_entries):
+            await deployment.start_entry(index)
         for app in deployment.entries:
             await app.find("catalogue").ready.wait()
         yield deployment
