Fall back to the version in force; answer for a holder that goes away

Cause: a retry that excluded the only endpoint of a version on trial tried that endpoint again until its attempts were used up. Change: after the untried endpoints of a version, those of the version in force; a holder that breaks off before its answer is passed over, one that breaks off later ends the caller's answer without its end mark. Measured: the trial test got a 5xx with the fallback taken out and passes with it; the relay test passes.

--- a/lagoonring/requests/handover.py
+++ b/lagoonring/requests/handover.py
@@ -184,14 +184,15 @@
             total=RELAY_TIMEOUT_S, sock_connect=CALL_TIMEOUT_S
         )
         try:
-            async with session.get(
+            answer = await session.get(
                 f"{url}/v1/streams/{request_id}", headers=headers, timeout=timeout
-            ) as answer:
-                if answer.status == 404:
-                    return None
-                return await _copy(request, answer)
-        except (aiohttp.ClientConnectorError, TimeoutError):
+            )
+        except (aiohttp.ClientConnectionError, TimeoutError):
             return None
+        async with answer:
+            if answer.status == 404:
+                return None
+            return await _copy(request, answer)
 
     def holders(self, request_id: str) -> list[str]:
         """Return the HTTP roots of instances that may hold a request."""
@@ -258,6 +259,10 @@
     headers = {name: answer.headers[name] for name in names if name in answer.headers}
     response = web.StreamResponse(status=answer.status, headers=headers)
     await response.prepare(request)
-    async for chunk in answer.content.iter_any():
-        await response.write(chunk)
+    try:
+        async for chunk in answer.content.iter_any():
+            await response.write(chunk)
+    except aiohttp.ClientError as error:
+        # The caller sees an answer without its end, and re-attaches.
+        raise ConnectionResetError("The holder's answer was cut.") from error
     return response
--- a/lagoonring/requests/producer.py
+++ b/lagoonring/requests/producer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from contextlib import aclosing
 from typing import TYPE_CHECKING
 
@@ -116,8 +117,25 @@
     try:
         return parts.routing.choose(request, exclude=frozenset(excluded))
     except NoEndpointError:
-        excluded.clear()
-        return parts.routing.choose(attrs.evolve(request, version=""))
+        return _choose_otherwise(parts, request, excluded)
+
+
+def _choose_otherwise(
+    parts: RequestParts, request: RouteRequest, excluded: set[str]
+) -> Route:
+    """Choose where the wanted version has no untried endpoint.
+
+    First the version in force at endpoints not tried yet, since a version on
+    trial may run at one endpoint only; then any endpoint again.
+    """
+    entry = parts.catalogue.content.entries.get(request.entry)
+    in_force = attrs.evolve(request, version=entry.version if entry else "")
+    unpinned = attrs.evolve(request, version="")
+    for wanted, exclude in ((in_force, frozenset(excluded)), (unpinned, frozenset())):
+        with contextlib.suppress(NoEndpointError):
+            return parts.routing.choose(wanted, exclude=exclude)
+    excluded.clear()
+    return parts.routing.choose(in_force)
 
 
 async def _attempt(
--- a/lagoonring/tests/test_handover_charges.py
+++ b/lagoonring/tests/test_handover_charges.py
@@ -12,7 +12,11 @@
     wait_until_held,
 )
 from lagoonring.tests.builders.callers import Caller, ask, attach
-from lagoonring.tests.builders.deployments import Deployment, run_deployment
+from lagoonring.tests.builders.deployments import (
+    Deployment,
+    headers_of,
+    run_deployment,
+)
 
 N_TOKENS = 12
 HOLD = 5
@@ -61,3 +65,23 @@
             for usage in app.find("charges").usage.values()
         ]
         assert charged == [1]
+
+
+async def test_holder_that_goes_away_is_not_a_fault_of_this_instance():
+    """A relay whose holder breaks the connection tells what to do next."""
+    async with run_deployment(n_entries=2) as deployment:
+        await wait_for_members(deployment)
+
+        async def break_off(reader, writer):
+            await reader.readline()
+            writer.close()
+
+        server = await asyncio.start_server(break_off, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        handover = deployment.entries[1].find("handover")
+        handover.holders = lambda request_id: [f"http://127.0.0.1:{port}"]
+        url = f"{deployment.url(1)}/v1/streams/entry-0.0123"
+        async with deployment.session.get(url, headers=headers_of()) as answer:
+            error = (await answer.json())["error"]
+            assert (answer.status, error["code"]) == (404, "unknown_request")
+        server.close()
--- a/lagoonring/tests/test_move_sessions.py
+++ b/lagoonring/tests/test_move_sessions.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, Any
 
 from lagoonring.standins.engine_faults import EngineFaults, VersionFaults
-from lagoonring.tests.builders.barriers import wait_for_members
+from lagoonring.tests.builders.barriers import wait_for_members, wait_until
 from lagoonring.tests.builders.deployments import (
     OPERATOR_TOKEN,
     Deployment,
@@ -151,3 +151,24 @@
         move = await move_under_load(deployment, 30.0)
         assert move["phase"] == "undone"
         assert share_of_version(deployment, "2") <= EXPOSURE_MOST
+
+
+async def test_trial_at_a_single_endpoint_costs_no_caller_an_answer():
+    """The only engine of the new version fails; retries use the old version."""
+    async with run_deployment(n_engines=3, sections=SECTIONS) as deployment:
+        engine = deployment.engines["guide-0"]
+        engine.orders.state.versions = ["1", "2"]
+        engine.batch.set_faults(
+            EngineFaults(versions={"2": VersionFaults(error_share=1.0)})
+        )
+        app = deployment.entries[0]
+        app.find("moves").choose_version = lambda entry, request_id: "2"
+        table = app.find("routing").table
+        await wait_until(lambda: table.states["guide-0"].runs("2"))
+        for index in range(4):
+            body = chat_body(f"question {index}", n_tokens=4)
+            async with deployment.session.post(
+                deployment.url(0) + CHAT, json=body, headers=headers_of()
+            ) as answer:
+                assert answer.status == 200, await answer.text()
+        assert engine.batch.n_requests_by_version["2"] > 0
