--- a/lagoonring/administration/messages.py
+++ b/lagoonring/administration/messages.py
@@ -21,7 +21,10 @@
 
 @attrs.frozen(kw_only=True)
 class MoveOrder:
-    """An order to move an entry to a version within ``deadline_in_s`` seconds."""
+    """An order to move an entry to a version within ``deadline_in_s`` seconds.
+
+    The same order may be sent again under its ``move_id``.
+    """
 
     move_id: str
     entry: str
--- a/lagoonring/administration/operators.py
+++ b/lagoonring/administration/operators.py
@@ -9,15 +9,24 @@
 from lagoonring.catalogue.entries import ROLES
 from lagoonring.errors import LagoonringError
 from lagoonring.requests.authentication import hash_key, key_from_headers
+from lagoonring.requests.errors import MissingKeyError
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
     from lagoonring.catalogue import CatalogueContent
 
+UNKNOWN_ACTOR = "unknown"
 ADMIN_SECTIONS = frozenset({"operators", "organisations"})
 
 
+class MissingTokenError(LagoonringError, PermissionError):
+    """The request carries no operator's token."""
+
+    code = "missing_token"
+    status = 401
+
+
 class WrongTokenError(LagoonringError, PermissionError):
     """No operator has the token."""
 
@@ -55,13 +64,13 @@
     """
 
     def authorise(headers: Mapping[str, str], role: str, action: str) -> Caller:
-        token_hash = hash_key(key_from_headers(headers))
+        token_hash = hash_key(_token_from_headers(headers))
         for name, operator in content().operators.items():
             if operator.token_hash == token_hash:
                 caller = Caller(name, operator.role)
                 break
         else:
-            refused("unknown", action, "wrong token")
+            refused(UNKNOWN_ACTOR, action, "wrong token")
             raise WrongTokenError(
                 "Got a token of no operator, expected one in the catalogue.",
                 remedy="Check the token, or ask an admin for a new one.",
@@ -77,6 +86,20 @@
     return authorise
 
 
+def _token_from_headers(headers: Mapping[str, str]) -> str:
+    try:
+        token = key_from_headers(headers)
+    except MissingKeyError:
+        token = ""
+    if not token:
+        raise MissingTokenError(
+            "Got no token, expected the header 'Authorization: Bearer TOKEN'.",
+            remedy="Send an operator's token; the command line takes it from "
+            "--token or LAGOONRING_TOKEN.",
+        )
+    return token
+
+
 def role_for_sections(sections: set[str]) -> str:
     """Return the role that an edit of these sections needs."""
     return "admin" if sections & ADMIN_SECTIONS else "operator"
--- a/lagoonring/administration/service.py
+++ b/lagoonring/administration/service.py
@@ -6,12 +6,13 @@
 
 from __future__ import annotations
 
+import contextlib
 from typing import TYPE_CHECKING, Any, TypeVar
 
-import attrs
 import msgspec
 from aiohttp import web
 
+from lagoonring.administration.elsewhere import find_trace
 from lagoonring.administration.history import read_history
 from lagoonring.administration.messages import (
     Applied,
@@ -20,22 +21,32 @@
     ShownConfig,
     ShownMember,
 )
+from lagoonring.administration.moves import (
+    check_order,
+    is_repeated,
+    make_cancellation,
+    make_move,
+)
 from lagoonring.administration.operators import (
+    UNKNOWN_ACTOR,
     Caller,
     make_authorise,
     role_for_sections,
 )
-from lagoonring.catalogue import CatalogueContent, Move
+from lagoonring.catalogue import CatalogueContent
 from lagoonring.catalogue.checks import find_reference_faults
 from lagoonring.catalogue.edits import Change, Edit
-from lagoonring.errors import LagoonringError
+from lagoonring.catalogue.errors import ConflictError
+from lagoonring.errors import LagoonringError, Outcome
 from lagoonring.kernel import BaseService
 from lagoonring.requests.answers import json_response
-from lagoonring.requests.errors import BadJsonError, UnknownRequestError
+from lagoonring.requests.errors import BadJsonError
 from lagoonring.requests.reading import read_body
 from lagoonring.settings import FaultyDocumentError, convert, to_plain
 
 if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator
+
     from lagoonring.kernel import Application
     from lagoonring.requests.http_server import HttpService
 
@@ -43,13 +54,7 @@
 
 N_SHOWN_DEFAULT = 50
 N_SHOWN_MOST = 1000
-
-
-class UnknownMoveError(LagoonringError, LookupError):
-    """No move has the name asked for."""
-
-    code = "unknown_move"
-    status = 404
+REFUSALS_INTERVAL_S = 10.0
 
 
 class AdministrationService(BaseService):
@@ -70,6 +75,8 @@
         self.catalogue = app.find("catalogue")
         self.audit = app.find("audit")
         self.requests = http.requests
+        self.n_unknown = 0
+        self.unknown_s = -REFUSALS_INTERVAL_S
         self.authorise = make_authorise(
             lambda: self.catalogue.content, self._record_refusal
         )
@@ -101,6 +108,7 @@
 
     async def post_config(self, request: web.Request) -> web.Response:
         """Apply an edit; answers once it is in force here."""
+        self.authorise(request.headers, "operator", "config.apply")
         order = await self._read(request, EditOrder)
         sections = {change.section for change in order.changes}
         role = role_for_sections(sections)
@@ -139,31 +147,33 @@
         """Order a version move."""
         caller = self.authorise(request.headers, "operator", "move.order")
         order = await self._read(request, MoveOrder)
-        entry = self.catalogue.content.entries.get(order.entry)
-        move = Move(
-            entry=order.entry,
-            to_version=order.to_version,
-            from_version=entry.version if entry else "",
-            deadline_s=self.app.clock.time() + order.deadline_in_s,
-            ordered_by=caller.name,
-        )
-        change = Change(section="moves", name=order.move_id, item=to_plain(move))
-        return await self._apply(caller, self._edit(caller, [change]), "move.order")
+        now_s = self.app.clock.time()
+
+        def make_change() -> Change:
+            content = self.catalogue.content
+            check_order(order, content, moves.status(), moves.options)
+            return make_move(order, content, author=caller.name, now_s=now_s)
+
+        moves = self.app.find("moves")
+        target = f"moves.{order.move_id}"
+        with self._recording(caller, "move.order", target):
+            content = self.catalogue.content
+            if is_repeated(order, content, moves.status(), caller.name):
+                return json_response(Applied(revision=self.catalogue.revision))
+        return await self._apply_change(caller, make_change, "move.order", target)
 
     async def cancel_move(self, request: web.Request) -> web.Response:
         """Cancel a move; it is undone."""
         caller = self.authorise(request.headers, "operator", "move.cancel")
         name = request.match_info["name"]
-        move = self.catalogue.content.moves.get(name)
-        if move is None:
-            known = ", ".join(sorted(self.catalogue.content.moves)) or "none"
-            raise UnknownMoveError(
-                f"Got move {name[:80]!r}, expected one of: {known}.",
-                remedy="See 'lagoonring move status'.",
-            )
-        item = to_plain(attrs.evolve(move, cancelled=True))
-        change = Change(section="moves", name=name, item=item)
-        return await self._apply(caller, self._edit(caller, [change]), "move.cancel")
+
+        def make_change() -> Change:
+            moves = self.app.find("moves").status()
+            return make_cancellation(name, self.catalogue.content, moves)
+
+        return await self._apply_change(
+            caller, make_change, "move.cancel", f"moves.{name}"
+        )
 
     async def get_fleet(self, request: web.Request) -> web.Response:
         """Show the fleet's goals and instances."""
@@ -189,17 +199,16 @@
         return json_response(shown)
 
     async def get_request(self, request: web.Request) -> web.Response:
-        """Show each decision about a request that this instance served."""
+        """Show each decision about a request, wherever it was served."""
         self.authorise(request.headers, "viewer", "why")
         request_id = request.match_info["request_id"]
         trace = self.requests.traces.get(request_id)
         if trace is None:
-            origin = request_id.partition(".")[0]
-            raise UnknownRequestError(
-                f"Got request id {request_id[:80]!r}, expected a recent one of "
-                "this instance.",
-                remedy=f"Ask the instance {origin[:80]!r}, or the one that took it "
-                "over; only the newest requests are kept.",
+            trace = await find_trace(
+                self.app.find("handover"),
+                self.requests.parts.session,
+                request_id,
+                request.headers,
             )
         return json_response(trace)
 
@@ -215,15 +224,42 @@
 
     async def _apply(self, caller: Caller, edit: Edit, action: str) -> web.Response:
         target = ", ".join(change.path for change in edit.changes)
-        try:
+        with self._recording(caller, action, target):
             revision = await self.catalogue.apply(edit)
+        self.audit.record(caller.name, action, target, detail=f"revision {revision}")
+        return json_response(Applied(revision=revision))
+
+    async def _apply_change(
+        self,
+        caller: Caller,
+        make_change: Callable[[], Change],
+        action: str,
+        target: str,
+    ) -> web.Response:
+        """Apply one change, made anew once if another item was in the way."""
+        with self._recording(caller, action, target):
+            edit = self._edit(caller, [make_change()])
+        try:
+            return await self._apply(caller, edit, action)
+        except ConflictError as error:
+            if error.path == target:
+                raise
+        with self._recording(caller, action, target):
+            edit = self._edit(caller, [make_change()])
+        return await self._apply(caller, edit, action)
+
+    @contextlib.contextmanager
+    def _recording(self, caller: Caller, action: str, target: str) -> Iterator[None]:
+        """Record what is refused inside, or has an unknown fate."""
+        try:
+            yield
         except LagoonringError as error:
+            is_unknown = error.outcome is Outcome.UNKNOWN
+            outcome = "unknown" if is_unknown else "refused"
             self.audit.record(
-                caller.name, action, target, outcome="refused", detail=error.code
+                caller.name, action, target, outcome=outcome, detail=error.code
             )
             raise
-        self.audit.record(caller.name, action, target, detail=f"revision {revision}")
-        return json_response(Applied(revision=revision))
 
     def _edit(self, caller: Caller, changes: list[Change]) -> Edit:
         return Edit(
@@ -238,6 +274,14 @@
         return convert(_decode(body), kind, name="order")
 
     def _record_refusal(self, actor: str, action: str, reason: str) -> None:
+        """Record a refusal; those of strangers are counted, one record a while."""
+        if actor == UNKNOWN_ACTOR:
+            self.n_unknown += 1
+            now_s = self.app.clock.monotonic()
+            if now_s - self.unknown_s < REFUSALS_INTERVAL_S:
+                return
+            reason = f"{reason}, {self.n_unknown} since the last record"
+            self.n_unknown, self.unknown_s = 0, now_s
         self.audit.record(actor, action, outcome="refused", detail=reason)
 
 
--- a/lagoonring/audit/messages.py
+++ b/lagoonring/audit/messages.py
@@ -5,7 +5,7 @@
 import attrs
 
 STREAM = "audit"
-OUTCOMES = ("done", "refused", "failed")
+OUTCOMES = ("done", "refused", "unknown")
 
 
 @attrs.frozen(kw_only=True)
--- a/lagoonring/audit/service.py
+++ b/lagoonring/audit/service.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from lagoonring.audit.messages import STREAM, AuditRecord
+from lagoonring.audit.reader import DecisionReader
 from lagoonring.kernel import BaseService
 from lagoonring.logs import make_logger
 from lagoonring.platform import LogAnswerLostError, LogTruncatedError
@@ -25,6 +26,8 @@
 N_QUEUED_MOST = 1000
 RETRY_S = 1.0
 PAGE_RECORDS = 200
+N_READ_MOST = 2000
+TEXT_LENGTH_MOST = 500
 
 logger = make_logger("audit")
 
@@ -47,6 +50,7 @@
         self.instance = instance
         self.queue: deque[AuditRecord] = deque()
         self.n_dropped = 0
+        self.decisions = DecisionReader(app)
         self.added = asyncio.Event()
         self.written = asyncio.Event()
         self.written.set()
@@ -72,7 +76,7 @@
         outcome: str = "done",
         detail: str = "",
     ) -> None:
-        """Add a record to the trail."""
+        """Add a record to the trail; long texts are cut."""
         if len(self.queue) >= N_QUEUED_MOST:
             self.queue.popleft()
             self.n_dropped += 1
@@ -81,11 +85,11 @@
                 audit_id=f"{self.app.rng.getrandbits(64):016x}",
                 time_s=self.app.clock.time(),
                 instance=self.instance,
-                actor=actor,
-                action=action,
-                target=target,
+                actor=_cut(actor),
+                action=_cut(action),
+                target=_cut(target),
                 outcome=outcome,
-                detail=detail,
+                detail=_cut(detail),
             )
         )
         self.written.clear()
@@ -94,28 +98,51 @@
     async def read(
         self, *, n_most: int = PAGE_RECORDS, actor: str = "", action: str = ""
     ) -> list[AuditRecord]:
-        """Return the newest records, oldest first, each id once."""
+        """Return the newest records, oldest first, each id once.
+
+        The decisions of moves and fleets are among them. Looks through the
+        newest :data:`N_READ_MOST` records of the audit stream and the newest
+        decisions of the others.
+
+        Raises
+        ------
+        LogUnavailableError
+            If the log does not answer.
+        """
+        records = await self._read_trail()
+        records += await self.decisions.read()
+        fitting = [
+            record
+            for record in records
+            if record.action.startswith(action) and actor in ("", record.actor)
+        ]
+        fitting.sort(key=lambda record: record.time_s)
+        return fitting[-n_most:]
+
+    async def _read_trail(self) -> list[AuditRecord]:
         log = self.app.find("log")
         found: dict[str, AuditRecord] = {}
         offset = 0
+        is_first = True
         while True:
             try:
                 page = await log.read(STREAM, offset)
             except LogTruncatedError as error:
                 offset = error.first_offset
                 continue
-            if offset == 0 and page.next_offset > PAGE_RECORDS * 10:
-                offset = max(page.first_offset, page.next_offset - PAGE_RECORDS * 10)
+            oldest = max(page.first_offset, page.next_offset - N_READ_MOST)
+            if is_first and offset < oldest:
+                is_first = False
+                offset = oldest
                 continue
+            is_first = False
             for record in page.records:
                 entry = _decode(record.data)
-                if entry is None or (actor and entry.actor != actor):
-                    continue
-                if not action or entry.action.startswith(action):
+                if entry is not None:
                     found.setdefault(entry.audit_id, entry)
             offset += len(page.records)
             if not page.records or offset >= page.next_offset:
-                return list(found.values())[-n_most:]
+                return list(found.values())
 
     async def _run(self) -> None:
         log = self.app.find("log")
@@ -137,6 +164,13 @@
                 self.record("system", "audit.dropped", detail=f"{n_dropped} records")
 
 
+def _cut(text: str) -> str:
+    """Return a text of bounded length, so that its record fits into the log."""
+    if len(text) <= TEXT_LENGTH_MOST:
+        return text
+    return f"{text[:TEXT_LENGTH_MOST]}... ({len(text)} characters)"
+
+
 def _decode(data: str) -> AuditRecord | None:
     try:
         return msgspec.json.decode(data, type=AuditRecord)
--- a/lagoonring/cli/client.py
+++ b/lagoonring/cli/client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from typing import Any
 
 import aiohttp
@@ -13,8 +14,11 @@
 from lagoonring.cli.exits import Exit
 
 TIMEOUT_S = 15.0
+PATIENCE_S = 60.0
+AGAIN_S = 1.0
 FAULTY_STATUSES = (400, 413, 422)
 REFUSED_STATUSES = (401, 403, 404, 409)
+UNREACHABLE_STATUSES = (502, 503, 504)
 
 
 @attrs.frozen
@@ -25,6 +29,15 @@
     token: str = attrs.field(repr=False)
 
 
+class CommandError(Exception):
+    """The API did not do what was asked; a message and an exit code."""
+
+    def __init__(self, message: str, code: Exit) -> None:
+        super().__init__(message)
+        self.message = message
+        self.code = code
+
+
 def ask(
     connection: Connection,
     method: str,
@@ -34,9 +47,52 @@
     params: dict[str, str] | None = None,
 ) -> Any:
     """Return the answer's JSON, or end the program with the fitting exit code."""
+    try:
+        return request(connection, method, path, content=content, params=params)
+    except CommandError as error:
+        raise fail(error.message, error.code) from None
+
+
+def request(
+    connection: Connection,
+    method: str,
+    path: str,
+    *,
+    content: Any = None,
+    params: dict[str, str] | None = None,
+) -> Any:
+    """Return the answer's JSON.
+
+    Raises
+    ------
+    CommandError
+        With the fitting exit code for every other end.
+    """
     return asyncio.run(_ask(connection, method, path, content, params))
 
 
+def keep_asking(
+    connection: Connection, path: str, *, params: dict[str, str] | None = None
+) -> Any:
+    """Return the answer's JSON; an instance that does not answer is asked again.
+
+    Ends the program after :data:`PATIENCE_S` without an answer.
+    """
+    since_s = time.monotonic()
+    is_told = False
+    while True:
+        try:
+            return request(connection, "GET", path, params=params)
+        except CommandError as error:
+            is_over = time.monotonic() - since_s > PATIENCE_S
+            if error.code != Exit.UNREACHABLE or is_over:
+                raise fail(error.message, error.code) from None
+            if not is_told:
+                typer.echo(f"lagoonring: {error.message} Asking again.", err=True)
+                is_told = True
+        time.sleep(AGAIN_S)
+
+
 async def _ask(
     connection: Connection,
     method: str,
@@ -57,31 +113,48 @@
         ):
             data = await answer.read()
             status = answer.status
+    except (aiohttp.InvalidURL, ValueError):
+        raise CommandError(
+            f"Got URL {connection.url!r}, expected one like http://HOST:PORT. "
+            "Correct --url or LAGOONRING_URL.",
+            Exit.USAGE,
+        ) from None
     except aiohttp.ClientConnectorError:
-        raise _fail(
+        raise CommandError(
             f"Got no connection to {connection.url}, expected an entry instance. "
             "Name another one with --url.",
             Exit.UNREACHABLE,
         ) from None
     except (TimeoutError, aiohttp.ClientError) as error:
-        raise _fail(
-            f"Got no answer of {connection.url} ({type(error).__name__}). "
-            "Look up what became of the order before giving it again.",
-            Exit.UNKNOWN if method != "GET" else Exit.UNREACHABLE,
-        ) from None
+        raise _no_answer(connection, method, type(error).__name__) from None
     return _decode(status, data)
 
 
+def _no_answer(connection: Connection, method: str, cause: str) -> CommandError:
+    got = f"Got no answer of {connection.url} ({cause}), expected one"
+    if method == "GET":
+        return CommandError(
+            f"{got}. Name another instance with --url.", Exit.UNREACHABLE
+        )
+    return CommandError(
+        f"{got} within {TIMEOUT_S:g} s; the order may have been taken.", Exit.UNKNOWN
+    )
+
+
 def _decode(status: int, data: bytes) -> Any:
     try:
         document = msgspec.json.decode(data)
     except msgspec.DecodeError:
-        raise _fail(f"Got status {status} without JSON.", Exit.FAILED) from None
+        raise CommandError(
+            f"Got status {status} without JSON, expected the administration API. "
+            "Check that --url is the root of an entry instance.",
+            Exit.FAILED,
+        ) from None
     if status < 400:
         return document
     error = document.get("error", {}) if isinstance(document, dict) else {}
     message = f"[{error.get('code')}] {error.get('message')} {error.get('remedy')}"
-    raise _fail(message, exit_for(status, error.get("outcome", "")))
+    raise CommandError(message, exit_for(status, error.get("outcome", "")))
 
 
 def exit_for(status: int, outcome: str) -> Exit:
@@ -92,9 +165,10 @@
         return Exit.FAULTY
     if status in REFUSED_STATUSES:
         return Exit.REFUSED
-    return Exit.UNREACHABLE if status in (502, 503, 504) else Exit.FAILED
+    return Exit.UNREACHABLE if status in UNREACHABLE_STATUSES else Exit.FAILED
 
 
-def _fail(message: str, code: Exit) -> typer.Exit:
+def fail(message: str, code: Exit) -> typer.Exit:
+    """Print a message on standard error; return what ends the program."""
     typer.echo(f"lagoonring: {message}", err=True)
     return typer.Exit(int(code))
--- a/lagoonring/cli/config_commands.py
+++ b/lagoonring/cli/config_commands.py
@@ -2,34 +2,52 @@
 
 from __future__ import annotations
 
+import shlex
 import uuid
 from pathlib import Path
 from typing import Annotated, Any
 
+import attrs
 import msgspec
 import typer
 
 from lagoonring.catalogue import CatalogueContent
 from lagoonring.catalogue.checks import find_reference_faults
-from lagoonring.cli.client import ask
-from lagoonring.cli.exits import Exit
+from lagoonring.cli.client import CommandError, Connection, ask, fail, request
+from lagoonring.cli.exits import EPILOG, Exit
 from lagoonring.cli.tables import show, show_json, show_time
 from lagoonring.settings import convert, find_faults, to_plain
 
-config = typer.Typer(no_args_is_help=True, help="The catalogue.")
+N_ITEMS_SHOWN = 3
+SHOWN_KEYS = {"revision", "content"}
+
+config = typer.Typer(no_args_is_help=True, help="The catalogue.", epilog=EPILOG)
 
 AsJson = Annotated[bool, typer.Option("--json", help="Print JSON.")]
-CatalogueFile = Annotated[Path, typer.Argument(help="The catalogue as JSON.")]
+CatalogueFile = Annotated[
+    Path, typer.Argument(help="The catalogue as JSON, or what 'config show' printed.")
+]
+
+
+@attrs.frozen
+class Wanted:
+    """A checked catalogue, and the revision that it was made from if known."""
+
+    content: CatalogueContent
+    revision: int | None
 
 
-@config.command()
-def validate(file: CatalogueFile) -> None:
+@config.command(epilog=EPILOG)
+def validate(file: CatalogueFile, as_json: AsJson = False) -> None:
     """Check a catalogue file without an instance; every fault is listed."""
-    _read_catalogue(file)
+    _read_catalogue(file, as_json=as_json)
+    if as_json:
+        show_json({"valid": True, "faults": []})
+        return
     typer.echo(f"{file}: valid")
 
 
-@config.command()
+@config.command(epilog=EPILOG)
 def apply(
     context: typer.Context,
     file: CatalogueFile,
@@ -37,36 +55,78 @@
     edit_id: Annotated[
         str, typer.Option(help="Repeat an edit whose fate is unknown under its id.")
     ] = "",
+    base_revision: Annotated[
+        int | None,
+        typer.Option(
+            help="The revision that the file was made from; changes by others since "
+            "then are a conflict. By default the one in a file that 'config show' "
+            "printed, else the one in force."
+        ),
+    ] = None,
     keep: Annotated[
         bool, typer.Option("--keep", help="Keep items that the file lacks.")
     ] = False,
+    as_json: AsJson = False,
 ) -> None:
-    """Make the catalogue what the file says; only differences are sent."""
-    wanted = _read_catalogue(file)
+    """Make the catalogue what the file says; only differences are sent.
+
+    Waits until the edit is in force at the instance asked.
+    """
+    wanted = _read_catalogue(file, as_json=as_json)
     shown = ask(context.obj, "GET", "/admin/config")
-    changes = find_changes(shown["content"], to_plain(wanted), is_keeping=keep)
+    changes = find_changes(shown["content"], to_plain(wanted.content), is_keeping=keep)
     if not changes:
-        typer.echo(f"revision {shown['revision']}: nothing to change")
+        _show_applied(shown["revision"], "nothing to change", 0, as_json=as_json)
         return
-    edit_id = edit_id or uuid.uuid4().hex
-    typer.echo(f"edit {edit_id}: {len(changes)} changes", err=True)
+    base_revision = wanted.revision if base_revision is None else base_revision
     order = {
-        "edit_id": edit_id,
-        "base_revision": shown["revision"],
+        "edit_id": edit_id or uuid.uuid4().hex,
+        "base_revision": shown["revision"] if base_revision is None else base_revision,
         "changes": changes,
         "note": note,
     }
-    applied = ask(context.obj, "POST", "/admin/config", content=order)
-    typer.echo(f"revision {applied['revision']}: in force")
+    paths = ", ".join(f"{change['section']}.{change['name']}" for change in changes)
+    typer.echo(f"edit {order['edit_id']}: {len(changes)} changes: {paths}", err=True)
+    typer.echo("waiting until it is in force", err=True)
+    applied = _send(context.obj, order, file, is_keeping=keep)
+    _show_applied(applied["revision"], "in force", len(changes), as_json=as_json)
 
 
-@config.command(name="show")
+def _send(
+    connection: Connection, order: dict[str, Any], file: Path, *, is_keeping: bool
+) -> Any:
+    """Send an edit; where its fate is unknown, say how to repeat it."""
+    try:
+        return request(connection, "POST", "/admin/config", content=order)
+    except CommandError as error:
+        message = error.message
+        if error.code == Exit.UNKNOWN:
+            words = ["lagoonring", "config", "apply", str(file)]
+            words += ["--edit-id", order["edit_id"]]
+            words += ["--base-revision", str(order["base_revision"])]
+            words += ["--note", order["note"]] if order["note"] else []
+            words += ["--keep"] if is_keeping else []
+            message += (
+                f"\nThe fate of edit {order['edit_id']} is unknown. It takes effect "
+                f"at most once; repeat it with:\n  {shlex.join(words)}"
+            )
+        raise fail(message, error.code) from None
+
+
+def _show_applied(revision: int, state: str, n_changes: int, *, as_json: bool) -> None:
+    if as_json:
+        show_json({"revision": revision, "state": state, "n_changes": n_changes})
+        return
+    typer.echo(f"revision {revision}: {state}")
+
+
+@config.command(name="show", epilog=EPILOG)
 def show_config(context: typer.Context) -> None:
-    """Print the catalogue in force."""
+    """Print the catalogue in force as JSON; 'config apply' takes it back."""
     show_json(ask(context.obj, "GET", "/admin/config"))
 
 
-@config.command()
+@config.command(epilog=EPILOG)
 def history(
     context: typer.Context,
     n: Annotated[int, typer.Option("-n", help="How many edits.")] = 20,
@@ -75,10 +135,14 @@
     """Show the newest edits and what became of them."""
     params = {"n": str(n)}
     rows = ask(context.obj, "GET", "/admin/config/history", params=params)
+    if as_json:
+        show_json(rows)
+        return
     for row in rows:
         row["time"] = show_time(row["time_s"])
+        row["items"] = _shorten(row["items"])
     columns = ["revision", "time", "author", "status", "items", "note"]
-    show(rows, columns, as_json=as_json)
+    show(rows, columns, as_json=False)
 
 
 def find_changes(
@@ -103,22 +167,44 @@
     return sorted(changes, key=lambda change: (change["section"], change["name"]))
 
 
-def _read_catalogue(file: Path) -> CatalogueContent:
+def _shorten(items: list[str]) -> str:
+    shown = ", ".join(items[:N_ITEMS_SHOWN])
+    n_more = len(items) - N_ITEMS_SHOWN
+    return f"{shown} and {n_more} more" if n_more > 0 else shown
+
+
+def _read_catalogue(file: Path, *, as_json: bool) -> Wanted:
     """Return a checked catalogue, or end the program listing every fault."""
     try:
         data = msgspec.json.decode(file.read_bytes())
     except OSError as error:
-        typer.echo(f"Got {error.strerror} for {file}, expected a file.", err=True)
-        raise typer.Exit(Exit.USAGE) from error
+        raise fail(
+            f"Got {error.strerror} for {file}, expected a readable file. Correct the "
+            "path.",
+            Exit.USAGE,
+        ) from error
     except msgspec.DecodeError as error:
-        typer.echo(f"Got {file} with {error}, expected JSON.", err=True)
-        raise typer.Exit(Exit.FAULTY) from error
+        raise fail(
+            f"Got {file} with {error}, expected JSON. Correct it there.", Exit.FAULTY
+        ) from error
+    revision = None
+    if isinstance(data, dict) and data.keys() == SHOWN_KEYS:
+        revision, data = data["revision"], data["content"]
+        if type(revision) is not int:
+            raise fail(
+                f"Got revision {revision!r} in {file}, expected a whole number. "
+                "Print the file anew with 'config show'.",
+                Exit.FAULTY,
+            )
     faults = find_faults(data, CatalogueContent)
     if not faults:
         content = convert(data, CatalogueContent)
         faults = find_reference_faults(content)
         if not faults:
-            return content
-    for fault in faults:
-        typer.echo(str(fault), err=True)
-    raise typer.Exit(Exit.FAULTY)
+            return Wanted(content, revision)
+    if as_json:
+        show_json({"valid": False, "faults": [attrs.asdict(each) for each in faults]})
+    lines = "\n".join(f"  {fault}" for fault in faults)
+    raise fail(
+        f"Got {file} with {len(faults)} faults, expected none:\n{lines}", Exit.FAULTY
+    )
--- a/lagoonring/cli/move_commands.py
+++ b/lagoonring/cli/move_commands.py
@@ -4,31 +4,56 @@
 
 import time
 import uuid
-from typing import Annotated, Any
+from typing import TYPE_CHECKING, Annotated, Any
+from urllib.parse import quote
 
 import typer
 
-from lagoonring.cli.client import ask
-from lagoonring.cli.exits import Exit
-from lagoonring.cli.tables import show
+from lagoonring.cli.client import (
+    CommandError,
+    Connection,
+    ask,
+    fail,
+    keep_asking,
+    request,
+)
+from lagoonring.cli.exits import EPILOG, Exit
+from lagoonring.cli.tables import show, show_json, show_line, show_time
 
-move = typer.Typer(no_args_is_help=True, help="Version moves.")
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+move = typer.Typer(no_args_is_help=True, help="Version moves.", epilog=EPILOG)
 
 WATCH_S = 1.0
-DONE_PHASES = ("finished",)
-UNDONE_PHASES = ("undone", "refused")
-COLUMNS = ["name", "entry", "to_version", "phase", "share", "deadline_s", "reason"]
+FINISHED = "finished"
+TAKEN_BACK = ("undone", "refused")
+COLUMNS = [
+    "name",
+    "entry",
+    "from_version",
+    "to_version",
+    "phase",
+    "share",
+    "deadline",
+    "reason",
+]
 
 AsJson = Annotated[bool, typer.Option("--json", help="Print JSON.")]
+MoveId = Annotated[str, typer.Argument(help="Its name.")]
 
 
-@move.command()
+@move.command(epilog=EPILOG)
 def order(
     context: typer.Context,
     entry: Annotated[str, typer.Argument(help="Entry to move.")],
     version: Annotated[str, typer.Argument(help="Version to move it to.")],
     within: Annotated[float, typer.Option(help="Seconds until the deadline.")] = 3600.0,
-    move_id: Annotated[str, typer.Option(help="Name of the move.")] = "",
+    move_id: Annotated[
+        str,
+        typer.Option(help="Name of the move; an order repeated under it counts once."),
+    ] = "",
+    as_json: AsJson = False,
 ) -> None:
     """Order a move; the system finishes or undoes it by the deadline."""
     move_id = move_id or f"{entry}-{version}-{uuid.uuid4().hex[:6]}"
@@ -38,46 +63,84 @@
         "to_version": version,
         "deadline_in_s": within,
     }
-    applied = ask(context.obj, "POST", "/admin/moves", content=content)
-    typer.echo(f"move {move_id}: ordered with revision {applied['revision']}")
+    try:
+        applied = request(context.obj, "POST", "/admin/moves", content=content)
+    except CommandError as error:
+        again = f"lagoonring move order {entry} {version} --within {within:g}"
+        again = f"{again} --move-id {move_id}"
+        raise _fail_order(error, move_id, again) from None
+    _show_order(move_id, "ordered", applied["revision"], as_json=as_json)
 
 
-@move.command()
+@move.command(epilog=EPILOG)
 def status(context: typer.Context, as_json: AsJson = False) -> None:
     """Show all moves."""
-    show(ask(context.obj, "GET", "/admin/moves"), COLUMNS, as_json=as_json)
+    rows = ask(context.obj, "GET", "/admin/moves")
+    if not as_json:
+        for row in rows:
+            row["deadline"] = show_time(row["deadline_s"])
+    show(rows, COLUMNS, as_json=as_json)
 
 
-@move.command()
-def cancel(
-    context: typer.Context, move_id: Annotated[str, typer.Argument(help="Its name.")]
-) -> None:
+@move.command(epilog=EPILOG)
+def cancel(context: typer.Context, move_id: MoveId, as_json: AsJson = False) -> None:
     """Cancel a move; it is undone."""
-    applied = ask(context.obj, "DELETE", f"/admin/moves/{move_id}")
-    typer.echo(f"move {move_id}: cancelled with revision {applied['revision']}")
+    path = f"/admin/moves/{quote(move_id, safe='')}"
+    try:
+        applied = request(context.obj, "DELETE", path)
+    except CommandError as error:
+        again = f"lagoonring move cancel {move_id}"
+        raise _fail_order(error, move_id, again) from None
+    _show_order(move_id, "cancelled", applied["revision"], as_json=as_json)
 
 
-@move.command()
-def watch(
-    context: typer.Context, move_id: Annotated[str, typer.Argument(help="Its name.")]
-) -> None:
-    """Print each change of a move until it is done (exit 0) or undone (exit 4)."""
+@move.command(epilog=EPILOG)
+def watch(context: typer.Context, move_id: MoveId, as_json: AsJson = False) -> None:
+    """Print each change of a move until it is finished (exit 0) or undone (exit 4).
+
+    With --json, one state a line.
+    """
+    for row in _states(context.obj, move_id):
+        show_line(row, ["time", "phase", "progress", "reason"], as_json=as_json)
+        if row["phase"] in TAKEN_BACK:
+            raise typer.Exit(Exit.REFUSED)
+
+
+def _states(connection: Connection, move_id: str) -> Iterator[dict[str, Any]]:
+    """Yield a move's state now and after each change, until it has ended."""
     shown: Any = None
     while True:
-        rows = ask(context.obj, "GET", "/admin/moves")
+        rows = keep_asking(connection, "/admin/moves")
         row = next((row for row in rows if row.get("name") == move_id), None)
         if row is None:
-            typer.echo(
-                f"Got no move {move_id}, see 'lagoonring move status'.", err=True
-            )
-            raise typer.Exit(Exit.REFUSED)
-        state = (row.get("phase"), row.get("share"))
+            names = ", ".join(sorted(row["name"] for row in rows)) or "none"
+            raise fail(f"Got move {move_id!r}, expected one of: {names}.", Exit.REFUSED)
+        state = (row["phase"], row["share"], row["reason"])
         if state != shown:
             shown = state
-            typer.echo(f"{move_id}: {state[0]}, share {state[1]}")
-        if state[0] in DONE_PHASES:
+            row["time"] = show_time(time.time())
+            row["progress"] = f"share {row['share']:.0%}, {row['n_new']} results"
+            yield row
+        if row["phase"] == FINISHED:
             return
-        if state[0] in UNDONE_PHASES:
-            typer.echo(f"{move_id}: {row.get('reason')}")
-            raise typer.Exit(Exit.REFUSED)
         time.sleep(WATCH_S)
+
+
+def _fail_order(error: CommandError, move_id: str, again: str) -> typer.Exit:
+    """Say how to repeat an order whose fate is unknown."""
+    message = error.message
+    if error.code == Exit.UNKNOWN:
+        message += (
+            f"\nThe fate of the order for move {move_id} is unknown. Repeating it has "
+            f"no further effect:\n  {again}"
+        )
+    return fail(message, error.code)
+
+
+def _show_order(name: str, state: str, revision: int, *, as_json: bool) -> None:
+    if as_json:
+        show_json({"move": name, "state": state, "revision": revision})
+        return
+    typer.echo(f"move {name}: {state} with revision {revision}")
+    if state == "ordered":
+        typer.echo(f"watch it with: lagoonring move watch {name}", err=True)
--- a/lagoonring/cli/operator_command.py
+++ b/lagoonring/cli/operator_command.py
@@ -2,20 +2,26 @@
 
 from __future__ import annotations
 
-from typing import Annotated
+import time
+from typing import TYPE_CHECKING, Annotated, Any
+from urllib.parse import quote
 
 import typer
 
 from lagoonring import __version__
-from lagoonring.cli.client import Connection, ask
+from lagoonring.cli.client import Connection, ask, keep_asking
 from lagoonring.cli.config_commands import config
+from lagoonring.cli.exits import EPILOG
 from lagoonring.cli.move_commands import move
-from lagoonring.cli.tables import show, show_json, show_time
+from lagoonring.cli.tables import show, show_json, show_line, show_time
 
-EPILOG = (
-    "Exit codes: 0 done, 1 failed, 2 wrong usage, 3 faulty input, 4 refused or "
-    "conflict, 5 not reachable, 6 fate unknown (look it up before repeating)."
-)
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+FOLLOW_S = 1.0
+INTERRUPTED_EXIT = 130
+N_FOLLOWED = 1000
+COLUMNS = ["time", "actor", "action", "target", "outcome", "detail", "instance"]
 
 command = typer.Typer(
     add_completion=False,
@@ -58,7 +64,7 @@
     context.obj = Connection(url, token)
 
 
-@command.command()
+@command.command(epilog=EPILOG)
 def fleet(context: typer.Context, as_json: AsJson = False) -> None:
     """Show the fleet's goals and instances."""
     rows = ask(context.obj, "GET", "/admin/fleet")
@@ -66,7 +72,7 @@
     show(rows, columns, as_json=as_json)
 
 
-@command.command()
+@command.command(epilog=EPILOG)
 def peers(context: typer.Context, as_json: AsJson = False) -> None:
     """Show the members that the instance knows."""
     rows = ask(context.obj, "GET", "/admin/peers")
@@ -74,14 +80,14 @@
     show(rows, columns, as_json=as_json)
 
 
-@command.command()
+@command.command(epilog=EPILOG)
 def why(
     context: typer.Context,
     request_id: Annotated[str, typer.Argument(help="Id that came with the answer.")],
     as_json: AsJson = False,
 ) -> None:
     """Show each decision about a recent request."""
-    trace = ask(context.obj, "GET", f"/admin/requests/{request_id}")
+    trace = ask(context.obj, "GET", f"/admin/requests/{quote(request_id, safe='')}")
     if as_json:
         show_json(trace)
         return
@@ -92,23 +98,53 @@
         typer.echo(f"{number}. {decision}")
 
 
-@command.command()
+@command.command(epilog=EPILOG)
 def audit(
     context: typer.Context,
     actor: Annotated[str, typer.Option(help="Only this operator or part.")] = "",
     action: Annotated[str, typer.Option(help="Only actions that begin so.")] = "",
     n: Annotated[int, typer.Option("-n", help="How many records.")] = 50,
+    follow: Annotated[
+        bool, typer.Option("--follow", "-f", help="Go on with new records.")
+    ] = False,
     as_json: AsJson = False,
 ) -> None:
-    """Show the newest records of the audit trail."""
+    """Show the newest records of the audit trail, moves and fleets included.
+
+    With --follow and --json, one record a line.
+    """
     params = {"actor": actor, "action": action, "n": str(n)}
+    if follow:
+        for row in _follow(context.obj, n, {**params, "n": str(N_FOLLOWED)}):
+            show_line(row, COLUMNS, as_json=as_json)
     rows = ask(context.obj, "GET", "/admin/audit", params=params)
+    _add_times(rows)
+    show(rows, COLUMNS, as_json=as_json)
+
+
+def _follow(
+    connection: Connection, n_first: int, params: dict[str, str]
+) -> Iterator[dict[str, Any]]:
+    """Yield the newest records and all later ones, each once, without end."""
+    rows = ask(connection, "GET", "/admin/audit", params=params)
+    seen = {row["audit_id"] for row in rows[: -n_first or None]}
+    while True:
+        new = [row for row in rows if row["audit_id"] not in seen]
+        _add_times(new)
+        yield from new
+        seen = {row["audit_id"] for row in rows}
+        time.sleep(FOLLOW_S)
+        rows = keep_asking(connection, "/admin/audit", params=params)
+
+
+def _add_times(rows: list[dict[str, Any]]) -> None:
     for row in rows:
         row["time"] = show_time(row["time_s"])
-    columns = ["time", "actor", "action", "target", "outcome", "detail", "instance"]
-    show(rows, columns, as_json=as_json)
 
 
 def main() -> None:
     """Run the command line."""
-    command()
+    try:
+        command()
+    except KeyboardInterrupt:
+        raise SystemExit(INTERRUPTED_EXIT) from None
--- a/lagoonring/cli/tables.py
+++ b/lagoonring/cli/tables.py
@@ -26,6 +26,15 @@
         typer.echo(GAP.join(cells).rstrip())
 
 
+def show_line(row: dict[str, Any], columns: list[str], *, as_json: bool) -> None:
+    """Print one row as soon as it is known."""
+    if as_json:
+        typer.echo(json.dumps(row, sort_keys=True))
+        return
+    cells = [_cell(row.get(name)) for name in columns]
+    typer.echo(GAP.join(cell for cell in cells if cell))
+
+
 def show_json(content: Any) -> None:
     """Print JSON, indented."""
     typer.echo(json.dumps(content, indent=2, sort_keys=True))
@@ -33,7 +42,10 @@
 
 def show_time(time_s: float) -> str:
     """Return epoch seconds as a UTC time to the second."""
-    moment = datetime.datetime.fromtimestamp(time_s, tz=datetime.UTC)
+    try:
+        moment = datetime.datetime.fromtimestamp(time_s, tz=datetime.UTC)
+    except (OverflowError, OSError, ValueError):
+        return f"{time_s:g} s"
     return moment.strftime("%Y-%m-%d %H:%M:%S")
 
 
--- /dev/null
+++ b/lagoonring/tests/test_audit.py
@@ -0,0 +1,172 @@
+"""The audit trail: each record once, whatever the log does."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import msgspec
+
+from lagoonring.audit import AuditService
+from lagoonring.audit.messages import STREAM
+from lagoonring.audit.reader import MOVES_STREAM
+from lagoonring.audit.service import N_QUEUED_MOST, N_READ_MOST, RETRY_S
+from lagoonring.fleet.messages import FleetRecord, Intent
+from lagoonring.kernel import Application, ManualClock
+from lagoonring.leases import Lease
+from lagoonring.moves.messages import MoveRecord
+from lagoonring.platform.log import RECORD_LIMIT_BYTES
+from lagoonring.tests.builders.catalogues import make_catalogue
+from lagoonring.tests.builders.operators import LogHolder, make_audit
+
+
+async def write_all(audit: AuditService, clock: ManualClock, n_tries: int = 1) -> None:
+    """Let queued records be appended, with so many tries after the first."""
+    for _ in range(n_tries):
+        await clock.advance(RETRY_S)
+    async with asyncio.timeout(10):
+        await audit.written.wait()
+
+
+async def test_a_record_whose_append_was_not_answered_is_shown_once():
+    clock = ManualClock()
+    log, audit = make_audit(clock)
+    await audit.start()
+    log.faults.n_lost_answers = 2
+    audit.record("awa", "config.apply", "entries.guide")
+    audit.record("awa", "move.order", "moves.m")
+    await write_all(audit, clock, n_tries=3)
+    assert log.streams[STREAM].next_offset == 4
+    actions = [record.action for record in await audit.read()]
+    assert actions == ["config.apply", "move.order"]
+    await audit.app.stop()
+
+
+async def test_records_of_an_outage_follow_in_order():
+    clock = ManualClock()
+    log, audit = make_audit(clock)
+    await audit.start()
+    log.faults.is_out = True
+    for number in range(5):
+        audit.record("awa", f"action.{number}")
+    await clock.advance(3 * RETRY_S)
+    assert not log.streams.get(STREAM)
+    log.faults.is_out = False
+    await write_all(audit, clock)
+    actions = [record.action for record in await audit.read()]
+    assert actions == [f"action.{number}" for number in range(5)]
+    await audit.app.stop()
+
+
+async def test_a_full_queue_drops_the_oldest_and_tells_how_many():
+    clock = ManualClock()
+    log, audit = make_audit(clock)
+    log.faults.is_out = True
+    await audit.start()
+    for number in range(N_QUEUED_MOST + 7):
+        audit.record("awa", f"action.{number}")
+    assert len(audit.queue) == N_QUEUED_MOST
+    log.faults.is_out = False
+    await write_all(audit, clock)
+    records = await audit.read(n_most=2 * N_QUEUED_MOST)
+    assert len(records) == N_QUEUED_MOST + 1
+    assert records[0].action == "action.7"
+    assert (records[-1].action, records[-1].detail) == ("audit.dropped", "7 records")
+    await audit.app.stop()
+
+
+async def test_a_long_text_does_not_stop_the_trail():
+    clock = ManualClock()
+    _, audit = make_audit(clock)
+    await audit.start()
+    audit.record("awa", "config.apply", "x" * (2 * RECORD_LIMIT_BYTES))
+    await write_all(audit, clock, n_tries=0)
+    (record,) = await audit.read()
+    assert len(record.target) < 1000
+    assert str(2 * RECORD_LIMIT_BYTES) in record.target
+    await audit.app.stop()
+
+
+async def test_newest_are_read_from_a_long_and_truncated_stream():
+    clock = ManualClock()
+    log, audit = make_audit(clock)
+    await audit.start()
+    for number in range(N_READ_MOST + 50):
+        await log.append(STREAM, "not a record")
+        if number % 100 == 0:
+            audit.record("awa", f"action.{number}")
+            await write_all(audit, clock, n_tries=0)
+    log.forget(STREAM, before=1000)
+    found = await audit.read(n_most=3, action="action")
+    assert [record.action for record in found] == [
+        f"action.{number}" for number in range(N_READ_MOST - 200, N_READ_MOST + 1, 100)
+    ]
+    await audit.app.stop()
+
+
+class CatalogueDouble:
+    """The content of a catalogue."""
+
+    name = "catalogue"
+
+    def __init__(self, content):
+        self.content = content
+
+
+def make_reading_application(log, clock) -> AuditService:
+    goal = {"entry": "guide", "data_centre": "plateau", "instance_class": "large"}
+    content = make_catalogue(fleet={"guide-plateau": goal})
+    app = Application(clock=clock, rng=random.Random(0))
+    app.services["log"] = LogHolder(log)
+    app.add(CatalogueDouble(content))
+    return app.add(AuditService(app, "entry-0"))
+
+
+def make_move(phase: str, reason: str = "") -> MoveRecord:
+    return MoveRecord(
+        key="m-1",
+        name="m",
+        entry="guide",
+        from_version="1",
+        to_version="2",
+        deadline_s=0.0,
+        phase=phase,
+        reason=reason,
+        holder="entry-1",
+    )
+
+
+async def test_decisions_of_moves_and_fleets_are_shown_if_they_count():
+    clock = ManualClock()
+    log, _ = make_audit(clock)
+    audit = make_reading_application(log, clock)
+    lease = Lease(log, MOVES_STREAM, "entry-1", clock)
+    assert await lease.acquire() is not None
+    await lease.append(make_move("loading"))
+    stale = log.streams[MOVES_STREAM].records[-1].data
+    await lease.append(make_move("undone", "first_token on chat"))
+    await lease.release()
+    # An instance that lost its lease writes late.
+    late = msgspec.json.decode(stale)
+    late["token"] = "late"
+    await log.append(MOVES_STREAM, msgspec.json.encode(late).decode())
+    fleet = Lease(log, "fleet-plateau", "entry-2", clock)
+    assert await fleet.acquire() is not None
+    intent = Intent(
+        token="lagoonring/plateau/1",
+        goal="guide-plateau",
+        entry="guide",
+        data_centre="plateau",
+        instance_class="large",
+        market="reclaimable",
+        reason="1 slot lacking",
+    )
+    await fleet.append(FleetRecord(intent=intent))
+    shown = [(each.action, each.detail) for each in await audit.read()]
+    assert shown == [
+        ("move.loading", "guide 1 to 2, share 0"),
+        ("move.undone", "guide 1 to 2, share 0: first_token on chat"),
+        ("fleet.wanted", "plateau large reclaimable: 1 slot lacking"),
+    ]
+    assert len(await audit.read(actor="system", action="move")) == 2
+    assert await audit.read(actor="awa") == []
