Stop the load with an interrupted example

Cause: after Ctrl-C the load went on and met the next deployment on the same ports. Change: the script ends the load that it started.

--- a/examples/running.py
+++ b/examples/running.py
@@ -130,7 +130,11 @@
         command += ["--out", str(out), "--seed", str(seed)]
         async with serve_signals(deployment, processes):
             load = await asyncio.create_subprocess_exec(*command)
-            return await load.wait()
+            try:
+                return await load.wait()
+            finally:
+                if load.returncode is None:
+                    load.terminate()
 
 
 @contextlib.asynccontextmanager
