Tell bookings by second in load runs

Cause: bookings waited seconds after a reclaim, and the report did not say when. Change: the 90th percentile of bookings by second, in report and plot. Conclusion: the next run with a reclaim shows it.

--- a/lagoonring/load/plots.py
+++ b/lagoonring/load/plots.py
@@ -4,6 +4,7 @@
 
 import base64
 import io
+import math
 from typing import TYPE_CHECKING, Any
 
 import matplotlib
@@ -45,14 +46,17 @@
     )
     axes.set(xlabel="planned arrival, s", ylabel="requests a second")
     times = axes.twinx()
-    timed = [row for row in report.seconds if row.first_token_p90_ms is not None]
-    times.plot(
-        [row.second for row in timed],
-        [row.first_token_p90_ms or 0.0 for row in timed],
-        color="grey",
-        linestyle=":",
-        label="first token p90",
-    )
+    for name, label, style in (
+        ("first_token_p90_ms", "first token p90", ":"),
+        ("booking_p90_ms", "booking p90", "--"),
+    ):
+        times.plot(
+            seconds,
+            [_or_gap(getattr(row, name)) for row in report.seconds],
+            color="grey",
+            linestyle=style,
+            label=label,
+        )
     times.set_ylabel("ms")
     _mark_actions(axes, report)
     axes.legend(loc="upper left", fontsize=7)
@@ -79,6 +83,10 @@
     return _encode(figure)
 
 
+def _or_gap(value: float | None) -> float:
+    return math.nan if value is None else value
+
+
 def _mark_actions(axes: Any, report: Report) -> None:
     """Draw a line with the names of all actions of a second."""
     names: dict[int, list[str]] = {}
--- a/lagoonring/load/recorder.py
+++ b/lagoonring/load/recorder.py
@@ -30,6 +30,7 @@
     n_refused: int = 0
     n_lost: int = 0
     first_token_ms: list[float] = attrs.field(factory=list)
+    booking_ms: list[float] = attrs.field(factory=list)
 
 
 class Recorder:
@@ -68,6 +69,8 @@
         second.n_lost += outcome.outcome == LOST
         if outcome.first_token_s is not None:
             second.first_token_ms.append(outcome.first_token_s * 1000)
+        if outcome.kind == "booking" and outcome.whole_s is not None:
+            second.booking_ms.append(outcome.whole_s * 1000)
         for organisation in (ALL, outcome.organisation):
             key = (outcome.kind, organisation)
             self.in_target[key] = self.in_target.get(key, 0) + is_in_target
--- a/lagoonring/load/results.py
+++ b/lagoonring/load/results.py
@@ -145,6 +145,7 @@
     n_refused: int
     n_lost: int
     first_token_p90_ms: float | None = None
+    booking_p90_ms: float | None = None
 
 
 @attrs.frozen(kw_only=True)
--- a/lagoonring/load/summary.py
+++ b/lagoonring/load/summary.py
@@ -171,6 +171,7 @@
             n_refused=second.n_refused,
             n_lost=second.n_lost,
             first_token_p90_ms=_p90(second.first_token_ms),
+            booking_p90_ms=_p90(second.booking_ms),
         )
         for number, second in sorted(recorder.seconds.items())
     ]
