Share server and faults routes between the stand-ins

Six stand-ins repeated url, start, stop and the routes of faults. They now come from HttpStandin; a subclass overrides what putting faults in force begins. Waits with a limit use asyncio.timeout, since asyncio.wait_for can swallow a cancellation in Python 3.11; a crossing uses asyncio.wait, so that an answer that arrives together with its time limit isn't lost.

--- a/lagoonring/standins/cloud_standin.py
+++ b/lagoonring/standins/cloud_standin.py
@@ -28,13 +28,8 @@
 )
 from lagoonring.standins.endpoint_pool import EndpointPool
 from lagoonring.standins.fault_counts import use_up
-from lagoonring.standins.http_server import (
-    StandinServer,
-    answer_error,
-    answer_json,
-    merge_faults,
-    read_json,
-)
+from lagoonring.standins.http_server import answer_error, answer_json, read_json
+from lagoonring.standins.http_standin import HttpStandin
 from lagoonring.standins.options import CloudOptions
 from lagoonring.standins.platform_faults import (
     MANY,
@@ -74,7 +69,7 @@
     price_factor: float = attrs.field(default=1.0, validator=between(0, 1000))
 
 
-class CloudStandin:
+class CloudStandin(HttpStandin[CloudFaults]):
     """The cloud on a port.
 
     Parameters
@@ -110,34 +105,21 @@
         self.faults = CloudFaults()
         self.rng = random.Random(0)
         app = web.Application(middlewares=[faults_middleware(lambda: self.faults)])
-        app.add_routes(
-            [
-                web.post("/instances", self._start),
-                web.get("/instances", self._list),
-                web.delete("/instances/{instance}", self._stop),
-                web.get("/prices", self._prices),
-                web.get("/notices", self._notices),
-                web.get("/costs", self._costs),
-                web.get("/faults", self._faults),
-                web.post("/faults", self._set_faults),
-            ]
-        )
-        self.server = StandinServer(app, host=host, port=port)
-
-    @property
-    def url(self) -> str:
-        """Root URL, without a trailing slash."""
-        return self.server.url
+        routes = [
+            web.post("/instances", self._start),
+            web.get("/instances", self._list),
+            web.delete("/instances/{instance}", self._stop),
+            web.get("/prices", self._prices),
+            web.get("/notices", self._notices),
+            web.get("/costs", self._costs),
+        ]
+        super().__init__(app, routes, host=host, port=port)
 
     async def start(self) -> None:
         """Listen; endpoints of the pool refuse until an instance runs them."""
-        await self.server.start()
+        await super().start()
         self.pool.end_unattached()
 
-    async def stop(self) -> None:
-        """Stop listening and close all connections."""
-        await self.server.stop()
-
     async def _start(self, request: web.Request) -> web.Response:
         order = await read_json(request, StartOrder)
         is_new = order.token not in self.model.by_token
@@ -200,15 +182,12 @@
     async def _costs(self, request: web.Request) -> web.Response:
         return answer_json(self.model.count_costs())
 
-    async def _faults(self, request: web.Request) -> web.Response:
-        return answer_json(self.faults)
-
-    async def _set_faults(self, request: web.Request) -> web.Response:
-        self.faults = await merge_faults(request, self.faults)
-        for wave in self.faults.waves:
+    async def set_faults(self, faults: CloudFaults) -> None:
+        """Put faults in force and begin their waves."""
+        self.faults = faults
+        for wave in faults.waves:
             self._begin_wave(wave)
-        self.faults.waves = []
-        return answer_json(self.faults)
+        faults.waves = []
 
     def _begin_wave(self, wave: Wave) -> None:
         names = self.model.find_reclaimable(wave.data_centre, wave.instance_class)
--- a/lagoonring/standins/crossing.py
+++ b/lagoonring/standins/crossing.py
@@ -26,9 +26,8 @@
         future: asyncio.Future[T] = asyncio.get_running_loop().create_future()
         self.first = (item, future)
         try:
-            return await asyncio.wait_for(future, CROSSING_TIMEOUT_S)
-        except TimeoutError:
-            return item
+            await asyncio.wait([future], timeout=CROSSING_TIMEOUT_S)
+            return future.result() if future.done() else item
         finally:
             if self.first is not None and self.first[1] is future:
                 self.first = None
--- a/lagoonring/standins/engine_standin.py
+++ b/lagoonring/standins/engine_standin.py
@@ -19,6 +19,7 @@
 from lagoonring.kernel import Clock
 from lagoonring.standins import engine_answers as answers
 from lagoonring.standins.engine_core import Batch, EngineError, StreamCutError
+from lagoonring.standins.engine_faults import EngineFaults
 from lagoonring.standins.engine_kv import KvCopy
 from lagoonring.standins.engine_load import LoadReports
 from lagoonring.standins.engine_orders import OldFencingNumberError, Orders
@@ -31,13 +32,12 @@
 from lagoonring.standins.fault_counts import use_up
 from lagoonring.standins.http_server import (
     BODY_LIMIT_BYTES,
-    StandinServer,
     answer_error,
     answer_json,
     answer_not_run,
-    merge_faults,
     read_json,
 )
+from lagoonring.standins.http_standin import HttpStandin
 from lagoonring.standins.options import EngineOptions
 
 HELD_TIMEOUT_S = 10.0
@@ -52,7 +52,7 @@
     handle: str
 
 
-class EngineStandin:
+class EngineStandin(HttpStandin[EngineFaults]):
     """A model engine on a port.
 
     Parameters
@@ -79,41 +79,28 @@
         self.orders = Orders(self.options, clock=self.clock)
         self.load = LoadReports(self.batch, self.orders.state, clock=self.clock)
         app = web.Application(client_max_size=BODY_LIMIT_BYTES)
-        app.add_routes(
-            [
-                web.post("/v1/chat/completions", self._chat),
-                web.get("/v1/models", self._models),
-                web.post("/requests/{attempt}/cancel", self._cancel),
-                web.post("/requests/{attempt}/export", self._export),
-                web.post("/kv/import", self._import),
-                web.get("/kv/{handle}", self._kv),
-                web.get("/load", self._load),
-                web.get("/cache/events", self._cache_events),
-                web.post("/orders", self._orders),
-                web.get("/state", self._state),
-                web.get("/counts", self._counts),
-                web.get("/held", self._held),
-                web.get("/faults", self._faults),
-                web.post("/faults", self._set_faults),
-            ]
-        )
-        self.server = StandinServer(app, host=host, port=port)
+        routes = [
+            web.post("/v1/chat/completions", self._chat),
+            web.get("/v1/models", self._models),
+            web.post("/requests/{attempt}/cancel", self._cancel),
+            web.post("/requests/{attempt}/export", self._export),
+            web.post("/kv/import", self._import),
+            web.get("/kv/{handle}", self._kv),
+            web.get("/load", self._load),
+            web.get("/cache/events", self._cache_events),
+            web.post("/orders", self._orders),
+            web.get("/state", self._state),
+            web.get("/counts", self._counts),
+            web.get("/held", self._held),
+        ]
+        super().__init__(app, routes, host=host, port=port)
         self.is_crashing = False
 
-    @property
-    def url(self) -> str:
-        """Root URL, without a trailing slash."""
-        return self.server.url
-
     async def start(self) -> None:
         """Listen and begin to sample the load."""
-        await self.server.start()
+        await super().start()
         self.server.spawn(self.load.run())
 
-    async def stop(self) -> None:
-        """Stop listening and close all connections."""
-        await self.server.stop()
-
     def crash(self) -> None:
         """Lose everything in memory, reset connections, refuse for a while.
 
@@ -215,7 +202,8 @@
         job = self._find(request)
         if job.transport is not None:
             job.transport.close()
-        await asyncio.wait_for(job.ended.wait(), CANCEL_TIMEOUT_S)
+        async with asyncio.timeout(CANCEL_TIMEOUT_S):
+            await job.ended.wait()
         return answer_json({"cancelled": True, "n_tokens": job.n_sent})
 
     async def _export(self, request: web.Request) -> web.Response:
@@ -269,16 +257,18 @@
     async def _held(self, request: web.Request) -> web.Response:
         n = _read_number(request, "n", 1)
         try:
-            await asyncio.wait_for(self.batch.wait_until_held(n), HELD_TIMEOUT_S)
+            async with asyncio.timeout(HELD_TIMEOUT_S):
+                await self.batch.wait_until_held(n)
         except TimeoutError:
             return answer_error("not_held", "Got too few streams held.", status=408)
         return answer_json({"n_held": self.batch.n_held})
 
-    async def _faults(self, request: web.Request) -> web.Response:
-        return answer_json(self.batch.faults)
+    def find_faults(self) -> EngineFaults:
+        """Return the faults in force, which the batch keeps."""
+        return self.batch.faults
 
-    async def _set_faults(self, request: web.Request) -> web.Response:
-        faults = await merge_faults(request, self.batch.faults)
+    async def set_faults(self, faults: EngineFaults) -> None:
+        """Put faults in force; crash or refuse at once if they say so."""
         self.batch.set_faults(faults)
         if faults.crash_now:
             faults.crash_now = False
@@ -286,7 +276,6 @@
         if faults.refuse_s > 0:
             duration_s, faults.refuse_s = faults.refuse_s, 0.0
             await self.server.refuse(duration_s)
-        return answer_json(faults)
 
     async def _go_down(self) -> None:
         restart_s = self.batch.faults.restart_s
--- a/lagoonring/standins/instance_list_standin.py
+++ b/lagoonring/standins/instance_list_standin.py
@@ -14,18 +14,13 @@
 
 from lagoonring.kernel import Clock
 from lagoonring.platform.instance_list import ListedInstance, ListPage
-from lagoonring.standins.http_server import (
-    StandinServer,
-    answer_error,
-    answer_json,
-    merge_faults,
-    read_json,
-)
+from lagoonring.standins.http_server import answer_error, answer_json, read_json
+from lagoonring.standins.http_standin import HttpStandin
 from lagoonring.standins.options import InstanceListOptions
 from lagoonring.standins.platform_faults import PlatformFaults, faults_middleware
 
 
-class InstanceListStandin:
+class InstanceListStandin(HttpStandin[PlatformFaults]):
     """The instance list on a port; changes show after a lag.
 
     Parameters
@@ -52,29 +47,12 @@
         self.shown = {row.instance: row for row in self.options.instances}
         self.changes: deque[tuple[float, str, ListedInstance | None]] = deque()
         app = web.Application(middlewares=[faults_middleware(lambda: self.faults)])
-        app.add_routes(
-            [
-                web.get("/instances", self._list),
-                web.put("/instances", self._put),
-                web.delete("/instances/{instance}", self._remove),
-                web.get("/faults", self._faults),
-                web.post("/faults", self._set_faults),
-            ]
-        )
-        self.server = StandinServer(app, host=host, port=port)
-
-    @property
-    def url(self) -> str:
-        """Root URL, without a trailing slash."""
-        return self.server.url
-
-    async def start(self) -> None:
-        """Listen."""
-        await self.server.start()
-
-    async def stop(self) -> None:
-        """Stop listening and close all connections."""
-        await self.server.stop()
+        routes = [
+            web.get("/instances", self._list),
+            web.put("/instances", self._put),
+            web.delete("/instances/{instance}", self._remove),
+        ]
+        super().__init__(app, routes, host=host, port=port)
 
     def put(self, instance: ListedInstance) -> None:
         """Note an instance that is new or changed."""
@@ -112,10 +90,3 @@
             return answer_error("faulty_name", "Got no name.", status=400)
         self.remove(name)
         return answer_json({"noted": True})
-
-    async def _faults(self, request: web.Request) -> web.Response:
-        return answer_json(self.faults)
-
-    async def _set_faults(self, request: web.Request) -> web.Response:
-        self.faults = await merge_faults(request, self.faults)
-        return answer_json(self.faults)
--- a/lagoonring/standins/log_server.py
+++ b/lagoonring/standins/log_server.py
@@ -19,12 +19,8 @@
     LogUnavailableError,
     Page,
 )
-from lagoonring.standins.http_server import (
-    StandinServer,
-    answer_error,
-    answer_json,
-    merge_faults,
-)
+from lagoonring.standins.http_server import answer_error, answer_json
+from lagoonring.standins.http_standin import HttpStandin
 from lagoonring.standins.log_standin import LogFaults, LogStandin
 from lagoonring.standins.options import LogOptions
 
@@ -72,7 +68,7 @@
         return True
 
 
-class LogServer:
+class LogServer(HttpStandin[ServerFaults]):
     """The log on a port.
 
     Parameters
@@ -99,29 +95,12 @@
         self.log.faults = ServerFaults()
         self.rate = RateLimit(self.options.appends_per_s, clock=clock)
         app = web.Application(client_max_size=2 * RECORD_LIMIT_BYTES)
-        app.add_routes(
-            [
-                web.post("/streams/{stream:.+}", self._append),
-                web.get("/streams/{stream:.+}", self._read),
-                web.get("/streams", self._streams),
-                web.get("/faults", self._faults),
-                web.post("/faults", self._set_faults),
-            ]
-        )
-        self.server = StandinServer(app, host=host, port=port)
-
-    @property
-    def url(self) -> str:
-        """Root URL, without a trailing slash."""
-        return self.server.url
-
-    async def start(self) -> None:
-        """Listen."""
-        await self.server.start()
-
-    async def stop(self) -> None:
-        """Stop listening and close all connections."""
-        await self.server.stop()
+        routes = [
+            web.post("/streams/{stream:.+}", self._append),
+            web.get("/streams/{stream:.+}", self._read),
+            web.get("/streams", self._streams),
+        ]
+        super().__init__(app, routes, host=host, port=port)
 
     async def _append(self, request: web.Request) -> web.Response:
         body = await request.read()
@@ -165,17 +144,17 @@
         streams = self.log.streams.items()
         return answer_json({name: state.next_offset for name, state in streams})
 
-    async def _faults(self, request: web.Request) -> web.Response:
-        return answer_json(self.log.faults)
+    def find_faults(self) -> ServerFaults:
+        """Return the faults in force, which the log keeps."""
+        assert isinstance(self.log.faults, ServerFaults)
+        return self.log.faults
 
-    async def _set_faults(self, request: web.Request) -> web.Response:
-        faults = await merge_faults(request, self.log.faults)
-        assert isinstance(faults, ServerFaults)
+    async def set_faults(self, faults: ServerFaults) -> None:
+        """Put faults in force and forget what they order to forget."""
         for stream, first_offset in faults.forget.items():
             self.log.forget(stream, before=first_offset)
         faults.forget = {}
         self.log.faults = faults
-        return answer_json(faults)
 
 
 def _answer_out(message: str) -> web.Response:
--- a/lagoonring/standins/plain_standin.py
+++ b/lagoonring/standins/plain_standin.py
@@ -21,12 +21,11 @@
 from lagoonring.standins.fault_counts import use_up
 from lagoonring.standins.http_server import (
     BODY_LIMIT_BYTES,
-    StandinServer,
     answer_json,
     answer_not_run,
-    merge_faults,
     wait_for_ever,
 )
+from lagoonring.standins.http_standin import HttpStandin
 from lagoonring.standins.options import PlainOptions
 
 READ_METHODS = ("GET", "HEAD", "OPTIONS")
@@ -87,7 +86,7 @@
     attempt_id: str
 
 
-class PlainStandin:
+class PlainStandin(HttpStandin[PlainFaults]):
     """A plain service on a port.
 
     Parameters
@@ -122,30 +121,13 @@
         self.n_held = 0
         self.held_changed = asyncio.Event()
         app = web.Application(client_max_size=BODY_LIMIT_BYTES)
-        app.add_routes(
-            [
-                web.get("/load", self._load),
-                web.get("/runs", self._runs),
-                web.get("/held", self._held),
-                web.get("/faults", self._faults),
-                web.post("/faults", self._set_faults),
-                web.route("*", "/{path:.*}", self._call),
-            ]
-        )
-        self.server = StandinServer(app, host=host, port=port)
-
-    @property
-    def url(self) -> str:
-        """Root URL, without a trailing slash."""
-        return self.server.url
-
-    async def start(self) -> None:
-        """Listen."""
-        await self.server.start()
-
-    async def stop(self) -> None:
-        """Stop listening and close all connections."""
-        await self.server.stop()
+        routes = [
+            web.get("/load", self._load),
+            web.get("/runs", self._runs),
+            web.get("/held", self._held),
+            web.route("*", "/{path:.*}", self._call),
+        ]
+        super().__init__(app, routes, host=host, port=port)
 
     def begin(self) -> None:
         """Serve on a new instance; what was booked is kept elsewhere."""
@@ -282,20 +264,18 @@
 
     async def _held(self, request: web.Request) -> web.Response:
         n = int(request.query.get("n", "1"))
-        await asyncio.wait_for(self.wait_until_held(n), HELD_TIMEOUT_S)
+        async with asyncio.timeout(HELD_TIMEOUT_S):
+            await self.wait_until_held(n)
         return answer_json({"n_held": self.n_held})
 
-    async def _faults(self, request: web.Request) -> web.Response:
-        return answer_json(self.faults)
-
-    async def _set_faults(self, request: web.Request) -> web.Response:
-        self.faults = await merge_faults(request, self.faults)
+    async def set_faults(self, faults: PlainFaults) -> None:
+        """Put faults in force; refuse connections at once if they say so."""
+        self.faults = faults
         self.faults_changed.set()
         self.faults_changed = asyncio.Event()
-        if self.faults.refuse_s > 0:
-            duration_s, self.faults.refuse_s = self.faults.refuse_s, 0.0
+        if faults.refuse_s > 0:
+            duration_s, faults.refuse_s = faults.refuse_s, 0.0
             await self.server.refuse(duration_s)
-        return answer_json(self.faults)
 
 
 async def _answer_half(
--- a/lagoonring/standins/platform_faults.py
+++ b/lagoonring/standins/platform_faults.py
@@ -11,12 +11,12 @@
 from lagoonring.settings.validators import between
 from lagoonring.standins.fault_counts import use_up
 from lagoonring.standins.http_server import answer_error, wait_for_ever
+from lagoonring.standins.http_standin import FAULTS_PATH
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
 MANY = 1_000_000_000
-FAULTS_PATH = "/faults"
 
 
 @attrs.define(kw_only=True)
--- a/lagoonring/standins/weight_store_standin.py
+++ b/lagoonring/standins/weight_store_standin.py
@@ -15,13 +15,8 @@
 from lagoonring.platform.weight_store import Fetch, WeightsPage
 from lagoonring.settings.validators import between
 from lagoonring.standins.fault_counts import use_up
-from lagoonring.standins.http_server import (
-    StandinServer,
-    answer_error,
-    answer_json,
-    merge_faults,
-    read_json,
-)
+from lagoonring.standins.http_server import answer_error, answer_json, read_json
+from lagoonring.standins.http_standin import HttpStandin
 from lagoonring.standins.options import WeightStoreOptions
 from lagoonring.standins.platform_faults import (
     MANY,
@@ -47,7 +42,7 @@
     weights: str
 
 
-class WeightStoreStandin:
+class WeightStoreStandin(HttpStandin[WeightStoreFaults]):
     """The weight store on a port; its rate is shared by concurrent fetches.
 
     Parameters
@@ -76,29 +71,12 @@
         self.n_waiting = 0
         self.n_fetches = 0
         app = web.Application(middlewares=[faults_middleware(lambda: self.faults)])
-        app.add_routes(
-            [
-                web.post("/fetches", self._start_fetch),
-                web.get("/fetches/{fetch}", self._read_fetch),
-                web.get("/weights", self._weights),
-                web.get("/faults", self._faults),
-                web.post("/faults", self._set_faults),
-            ]
-        )
-        self.server = StandinServer(app, host=host, port=port)
-
-    @property
-    def url(self) -> str:
-        """Root URL, without a trailing slash."""
-        return self.server.url
-
-    async def start(self) -> None:
-        """Listen."""
-        await self.server.start()
-
-    async def stop(self) -> None:
-        """Stop listening and close all connections."""
-        await self.server.stop()
+        routes = [
+            web.post("/fetches", self._start_fetch),
+            web.get("/fetches/{fetch}", self._read_fetch),
+            web.get("/weights", self._weights),
+        ]
+        super().__init__(app, routes, host=host, port=port)
 
     async def _start_fetch(self, request: web.Request) -> web.Response:
         order = await read_json(request, FetchOrder)
@@ -140,10 +118,3 @@
 
     async def _weights(self, request: web.Request) -> web.Response:
         return answer_json(WeightsPage(self.options.weights))
-
-    async def _faults(self, request: web.Request) -> web.Response:
-        return answer_json(self.faults)
-
-    async def _set_faults(self, request: web.Request) -> web.Response:
-        self.faults = await merge_faults(request, self.faults)
-        return answer_json(self.faults)
