Share the registry look-up and the set-up of platform clients

The four clients of platform services repeated url and session; they now come from PlatformClient.

Measured: the tests of platform, catalogue, claims, limits, routing, retries and quarantine pass (2 processes); ruff and mypy are clean.

--- a/lagoonring/catalogue/metrics.py
+++ b/lagoonring/catalogue/metrics.py
@@ -4,7 +4,9 @@
 
 from typing import TYPE_CHECKING
 
-from prometheus_client import CollectorRegistry, Counter, Gauge
+from prometheus_client import Counter, Gauge
+
+from lagoonring.metrics import find_registry
 
 if TYPE_CHECKING:
     from lagoonring.kernel import Application
@@ -20,8 +22,7 @@
     """
 
     def __init__(self, app: Application) -> None:
-        metrics = app.services.get("metrics")
-        registry = metrics.registry if metrics is not None else CollectorRegistry()
+        registry = find_registry(app)
         self.edits = Counter(
             "lagoonring_catalogue_edits",
             "Edits read from the log, by verdict.",
--- a/lagoonring/limits/metrics.py
+++ b/lagoonring/limits/metrics.py
@@ -4,7 +4,9 @@
 
 from typing import TYPE_CHECKING
 
-from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from prometheus_client import Counter, Gauge, Histogram
+
+from lagoonring.metrics import find_registry
 
 if TYPE_CHECKING:
     from lagoonring.kernel import Application
@@ -16,8 +18,7 @@
     """Counts of admitted and refused requests, and the queues' lengths."""
 
     def __init__(self, app: Application) -> None:
-        metrics = app.services.get("metrics")
-        registry = metrics.registry if metrics is not None else CollectorRegistry()
+        registry = find_registry(app)
         self.admitted = Counter(
             "lagoonring_limits_admitted",
             "Requests admitted.",
--- a/lagoonring/metrics/__init__.py
+++ b/lagoonring/metrics/__init__.py
@@ -2,6 +2,6 @@
 
 from __future__ import annotations
 
-from lagoonring.metrics.service import MetricsService
+from lagoonring.metrics.service import MetricsService, find_registry
 
-__all__ = ["MetricsService"]
+__all__ = ["MetricsService", "find_registry"]
--- a/lagoonring/metrics/service.py
+++ b/lagoonring/metrics/service.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 from prometheus_client import CollectorRegistry, PlatformCollector, ProcessCollector
 
 from lagoonring.kernel import BaseService
 
+if TYPE_CHECKING:
+    from lagoonring.kernel import Application
+
 
 class MetricsService(BaseService):
     """Owns the registry that all parts put their metrics in."""
@@ -16,3 +21,9 @@
         self.registry = CollectorRegistry()
         ProcessCollector(registry=self.registry)
         PlatformCollector(registry=self.registry)
+
+
+def find_registry(app: Application) -> CollectorRegistry:
+    """Return the registry of the service ``metrics``, or a new one without it."""
+    metrics = app.services.get("metrics")
+    return metrics.registry if metrics is not None else CollectorRegistry()
--- a/lagoonring/platform/cloud.py
+++ b/lagoonring/platform/cloud.py
@@ -13,19 +13,17 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Protocol
+from typing import Protocol
 
 import attrs
 
 from lagoonring.platform.exchange import (
+    PlatformClient,
     PlatformRejectedError,
     PlatformUnavailableError,
     ask,
 )
 
-if TYPE_CHECKING:
-    import aiohttp
-
 RECLAIMABLE = "reclaimable"
 ON_DEMAND = "on_demand"
 MARKETS = (RECLAIMABLE, ON_DEMAND)
@@ -126,20 +124,8 @@
         """Return notices of reclaims from a sequence number on."""
 
 
-class CloudClient:
-    """The cloud over HTTP; errors as in :mod:`lagoonring.platform.exchange`.
-
-    Parameters
-    ----------
-    url : str
-        Root of the service, without a trailing slash.
-    session : aiohttp.ClientSession
-        Owned by the caller.
-    """
-
-    def __init__(self, url: str, session: aiohttp.ClientSession) -> None:
-        self.url = url.rstrip("/")
-        self.session = session
+class CloudClient(PlatformClient):
+    """The cloud over HTTP; errors as in :mod:`lagoonring.platform.exchange`."""
 
     async def start_instance(self, order: StartOrder) -> CloudInstance:
         """Start an instance, or return the one started with this token.
--- a/lagoonring/platform/exchange.py
+++ b/lagoonring/platform/exchange.py
@@ -42,6 +42,22 @@
         self.status = status
 
 
+class PlatformClient:
+    """What the clients of the platform's services share.
+
+    Parameters
+    ----------
+    url : str
+        Root of the service.
+    session : aiohttp.ClientSession
+        Owned by the caller.
+    """
+
+    def __init__(self, url: str, session: aiohttp.ClientSession) -> None:
+        self.url = url.rstrip("/")
+        self.session = session
+
+
 async def ask(
     session: aiohttp.ClientSession,
     method: str,
--- a/lagoonring/platform/instance_list.py
+++ b/lagoonring/platform/instance_list.py
@@ -9,14 +9,11 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Protocol
+from typing import Protocol
 
 import attrs
 
-from lagoonring.platform.exchange import ask
-
-if TYPE_CHECKING:
-    import aiohttp
+from lagoonring.platform.exchange import PlatformClient, ask
 
 
 @attrs.frozen(kw_only=True)
@@ -47,20 +44,8 @@
         """Return the instances listed."""
 
 
-class InstanceListClient:
-    """The instance list over HTTP; errors as in ``platform.exchange``.
-
-    Parameters
-    ----------
-    url : str
-        Root of the service, without a trailing slash.
-    session : aiohttp.ClientSession
-        Owned by the caller.
-    """
-
-    def __init__(self, url: str, session: aiohttp.ClientSession) -> None:
-        self.url = url.rstrip("/")
-        self.session = session
+class InstanceListClient(PlatformClient):
+    """The instance list over HTTP; errors as in ``platform.exchange``."""
 
     async def read_instances(self) -> list[ListedInstance]:
         """Return the instances listed."""
--- a/lagoonring/platform/log.py
+++ b/lagoonring/platform/log.py
@@ -28,6 +28,7 @@
     LagoonringError,
     UnavailableError,
 )
+from lagoonring.platform.exchange import PlatformClient
 
 APPEND_TIMEOUT_S = 3.0
 READ_TIMEOUT_S = 3.0
@@ -111,20 +112,8 @@
         """Return records from an offset, waiting for the first if asked to."""
 
 
-class LogClient:
-    """The log over HTTP.
-
-    Parameters
-    ----------
-    url : str
-        Root of the service, without a trailing slash.
-    session : aiohttp.ClientSession
-        Owned by the caller.
-    """
-
-    def __init__(self, url: str, session: aiohttp.ClientSession) -> None:
-        self.url = url.rstrip("/")
-        self.session = session
+class LogClient(PlatformClient):
+    """The log over HTTP."""
 
     async def append(self, stream: str, data: str) -> int:
         """Append a record and return its offset.
--- a/lagoonring/platform/weight_store.py
+++ b/lagoonring/platform/weight_store.py
@@ -9,14 +9,9 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
 import attrs
 
-from lagoonring.platform.exchange import ask
-
-if TYPE_CHECKING:
-    import aiohttp
+from lagoonring.platform.exchange import PlatformClient, ask
 
 
 @attrs.frozen(kw_only=True)
@@ -36,20 +31,8 @@
     weights: dict[str, float]
 
 
-class WeightStoreClient:
-    """The weight store over HTTP; errors as in ``platform.exchange``.
-
-    Parameters
-    ----------
-    url : str
-        Root of the service, without a trailing slash.
-    session : aiohttp.ClientSession
-        Owned by the caller.
-    """
-
-    def __init__(self, url: str, session: aiohttp.ClientSession) -> None:
-        self.url = url.rstrip("/")
-        self.session = session
+class WeightStoreClient(PlatformClient):
+    """The weight store over HTTP; errors as in ``platform.exchange``."""
 
     async def start_fetch(self, weights: str) -> Fetch:
         """Order a fetch; ``PlatformUnavailableError`` if too many wait."""
--- a/lagoonring/retries/metrics.py
+++ b/lagoonring/retries/metrics.py
@@ -4,7 +4,9 @@
 
 from typing import TYPE_CHECKING
 
-from prometheus_client import CollectorRegistry, Counter, Gauge
+from prometheus_client import Counter, Gauge
+
+from lagoonring.metrics import find_registry
 
 if TYPE_CHECKING:
     from lagoonring.kernel import Application
@@ -14,8 +16,7 @@
     """Counts of retries and of the quarantine."""
 
     def __init__(self, app: Application) -> None:
-        metrics = app.services.get("metrics")
-        registry = metrics.registry if metrics is not None else CollectorRegistry()
+        registry = find_registry(app)
         self.retries = Counter(
             "lagoonring_retries",
             "Retries and hedges asked for, by whether the budget allowed them.",
--- a/lagoonring/routing/metrics.py
+++ b/lagoonring/routing/metrics.py
@@ -4,16 +4,10 @@
 
 from typing import TYPE_CHECKING
 
-from prometheus_client import CollectorRegistry, Counter, Gauge
+from prometheus_client import Counter, Gauge
 
 if TYPE_CHECKING:
-    from lagoonring.kernel import Application
-
-
-def find_registry(app: Application) -> CollectorRegistry:
-    """Return the registry of service ``metrics``, or one of its own."""
-    metrics = app.services.get("metrics")
-    return metrics.registry if metrics is not None else CollectorRegistry()
+    from prometheus_client import CollectorRegistry
 
 
 class RoutingMetrics:
--- a/lagoonring/routing/service.py
+++ b/lagoonring/routing/service.py
@@ -9,6 +9,7 @@
 from lagoonring.kernel import BaseService
 from lagoonring.limits.shares import DemandSummary
 from lagoonring.logs import make_logger
+from lagoonring.metrics import find_registry
 from lagoonring.routing import choosing, results
 from lagoonring.routing import health as health_rules
 from lagoonring.routing.cached import PrefixIndex
@@ -29,7 +30,7 @@
     Route,
     RouteRequest,
 )
-from lagoonring.routing.metrics import RoutingMetrics, find_registry
+from lagoonring.routing.metrics import RoutingMetrics
 from lagoonring.routing.options import RoutingOptions
 from lagoonring.routing.policies import Choice, Context, get_policy
 from lagoonring.routing.prefixes import affinity_key_of
