Set leases and their duties up in one place

The fleet and version moves built the lease, the duty and its task alike; both now call leases.compete_for_duty.

Measured: the tests of leases, fleet, moves and partitions pass (2 processes); ruff and mypy are clean.

--- a/lagoonring/fleet/service.py
+++ b/lagoonring/fleet/service.py
@@ -13,13 +13,13 @@
 from lagoonring.fleet.notices import LEAVING_KIND, NoticeReader
 from lagoonring.fleet.options import FleetOptions
 from lagoonring.kernel import BaseService
-from lagoonring.leases import Duty, Lease, is_among_first
+from lagoonring.leases import compete_for_duty, is_among_first
 from lagoonring.logs import make_logger
 from lagoonring.platform.cloud import CloudClient
 
 if TYPE_CHECKING:
     from lagoonring.kernel import Application
-    from lagoonring.leases import LeaseOptions
+    from lagoonring.leases import Lease, LeaseOptions
     from lagoonring.platform.cloud import Cloud
 
 METRICS_S = 5.0
@@ -90,22 +90,16 @@
         if "metrics" in self.app.services:
             self.metrics = FleetMetrics(self.app.find("metrics").registry)
             self.app.spawn("fleet metrics", self._show_metrics)
-        self.lease = Lease(
-            self.app.find("log"),
-            make_stream(self.data_centre),
-            self.peers.me.instance,
-            self.app.clock,
-            self.lease_options,
-            data=self.ledger,
-        )
-        duty = Duty(
-            self.lease,
+        self.app.spawn("fleet notices", self.reader.run)
+        self.lease = compete_for_duty(
+            self.app,
+            "fleet holder",
             self.holder.run,
-            rng=self.app.rng,
+            stream=make_stream(self.data_centre),
+            data=self.ledger,
             is_candidate=self._is_candidate,
+            options=self.lease_options,
         )
-        self.app.spawn("fleet notices", self.reader.run)
-        self.app.spawn("fleet holder", duty.compete)
 
     async def drain(self, grace_s: float) -> None:
         """Give the lease up, so that another instance goes on at once."""
--- a/lagoonring/leases/__init__.py
+++ b/lagoonring/leases/__init__.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from lagoonring.leases.duties import Duty, is_among_first, rank
+from lagoonring.leases.duties import Duty, compete_for_duty, is_among_first, rank
 from lagoonring.leases.errors import LeaseLostError
 from lagoonring.leases.lease import Lease
 from lagoonring.leases.options import LeaseOptions
@@ -15,6 +15,7 @@
     "LeaseLostError",
     "LeaseOptions",
     "LeaseStream",
+    "compete_for_duty",
     "is_among_first",
     "rank",
 ]
--- a/lagoonring/leases/duties.py
+++ b/lagoonring/leases/duties.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from lagoonring.leases.errors import LeaseLostError
+from lagoonring.leases.lease import Lease
 from lagoonring.logs import make_logger
 from lagoonring.platform.log import LogAnswerLostError, LogUnavailableError
 
@@ -14,7 +15,9 @@
     import random
     from collections.abc import Awaitable, Callable, Iterable
 
-    from lagoonring.leases.lease import Lease
+    from lagoonring.kernel import Application
+    from lagoonring.leases.options import LeaseOptions
+    from lagoonring.leases.stream import GuardedData
 
 N_CANDIDATES = 3
 DIGEST_BYTES = 8
@@ -22,6 +25,47 @@
 logger = make_logger("leases")
 
 
+def compete_for_duty(
+    app: Application,
+    name: str,
+    run: Callable[[Lease], Awaitable[None]],
+    *,
+    stream: str,
+    data: GuardedData,
+    is_candidate: Callable[[], bool],
+    options: LeaseOptions | None = None,
+) -> Lease:
+    """Compete for a duty as a task of the application, for ever.
+
+    Parameters
+    ----------
+    app : Application
+        Runs the task; its services ``log`` and ``peers`` are used.
+    name : str
+        Name of the task.
+    run : callable
+        Coroutine function of the duty, see :class:`Duty`.
+    stream : str
+        Stream of the log that keeps the lease and its data.
+    data : GuardedData
+        What the holder keeps in the stream.
+    is_candidate : callable
+        Whether this instance should compete now.
+    options : LeaseOptions or None
+        Times of the lease.
+
+    Returns
+    -------
+    Lease
+        What is competed for; to be released when this instance leaves.
+    """
+    me = app.find("peers").me.instance
+    lease = Lease(app.find("log"), stream, me, app.clock, options, data=data)
+    duty = Duty(lease, run, rng=app.rng, is_candidate=is_candidate)
+    app.spawn(name, duty.compete)
+    return lease
+
+
 class Duty:
     """Competes for a lease and runs a coroutine while it is held.
 
--- a/lagoonring/moves/service.py
+++ b/lagoonring/moves/service.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING
 
 from lagoonring.kernel import BaseService
-from lagoonring.leases import Duty, Lease, is_among_first
+from lagoonring.leases import compete_for_duty, is_among_first
 from lagoonring.logs import make_logger
 from lagoonring.moves.comparison import Comparison
 from lagoonring.moves.counts import CountsRow, Sample, VersionCounts, unpack
@@ -28,7 +28,7 @@
 if TYPE_CHECKING:
     from lagoonring.catalogue.entries import CatalogueContent
     from lagoonring.kernel import Application
-    from lagoonring.leases import LeaseOptions
+    from lagoonring.leases import Lease, LeaseOptions
     from lagoonring.moves.orders import EndpointControl
     from lagoonring.routing.messages import AttemptResult
 
@@ -98,22 +98,16 @@
         self.catalogue.subscribe(self._take_catalogue)
         self.peers.subscribe(NOTICE_KIND, MoveNotice, self._take_notice)
         self.peers.subscribe(COUNTS_KIND, CountsRow, self._take_counts)
-        self.lease = Lease(
-            self.app.find("log"),
-            STREAM,
-            self.peers.me.instance,
-            self.app.clock,
-            self.lease_options,
-            data=self.ledger,
-        )
-        duty = Duty(
-            self.lease,
+        self.app.spawn("moves comparison", self._compare)
+        self.lease = compete_for_duty(
+            self.app,
+            "moves holder",
             self.holder.run,
-            rng=self.app.rng,
+            stream=STREAM,
+            data=self.ledger,
             is_candidate=self._is_candidate,
+            options=self.lease_options,
         )
-        self.app.spawn("moves comparison", self._compare)
-        self.app.spawn("moves holder", duty.compete)
 
     async def drain(self, grace_s: float) -> None:
         """Give the lease up, so that another instance goes on at once."""
