--- a/lagoonring/retries/homes.py
+++ b/lagoonring/retries/homes.py
@@ -48,10 +48,10 @@
 class Homes:
     """Asks homes, and answers as one.
 
+    Until it serves peers, this instance is the home of everything.
+
     Parameters
     ----------
-    peers : PeersService or None
-        None makes this instance the home of everything.
     on_ask, on_end : callable
         What to do as a home.
     call_timeout_s : float
@@ -60,25 +60,24 @@
 
     def __init__(
         self,
-        peers: Any,
         *,
         on_ask: Callable[[AttemptAsk], AttemptAnswer],
         on_end: Callable[[AttemptEnd], None],
         call_timeout_s: float,
     ) -> None:
-        self.peers = peers
+        self.peers: Any = None
         self.on_ask = on_ask
         self.on_end = on_end
         self.call_timeout_s = call_timeout_s
         self.data_centres: dict[int, str] = {}
         self.instances: dict[str, dict[int, str]] = {}
 
-    def serve(self) -> None:
-        """Answer the peers' calls from now on."""
+    def serve(self, peers: Any) -> None:
+        """Ask the peers, and answer their calls, from now on."""
+        self.peers = peers
         self.refresh()
-        if self.peers is not None:
-            self.peers.serve(ASK_METHOD, self._serve_ask)
-            self.peers.serve(END_METHOD, self._serve_end)
+        peers.serve(ASK_METHOD, self._serve_ask)
+        peers.serve(END_METHOD, self._serve_end)
 
     def refresh(self) -> None:
         """Use the peers' present members to find homes."""
--- a/lagoonring/retries/service.py
+++ b/lagoonring/retries/service.py
@@ -5,21 +5,18 @@
 import itertools
 from typing import TYPE_CHECKING, Any
 
-import attrs
-
 from lagoonring.kernel import BaseService
 from lagoonring.logs import make_logger
 from lagoonring.retries.arbiter import Arbiter
 from lagoonring.retries.budget import RetryBudgets
-from lagoonring.retries.homes import Homes, HomeUnreachableError
+from lagoonring.retries.grants import Grants, OwnAttempt
+from lagoonring.retries.homes import Homes
 from lagoonring.retries.latencies import LatencyHistogram
 from lagoonring.retries.messages import (
-    BUSY,
     CAUSE_ENDPOINT,
     CAUSE_REQUEST,
     CAUSE_SUSPECT,
     CRASHED,
-    GRANTED,
     OTHER,
     WHOLE,
     AttemptAnswer,
@@ -27,12 +24,12 @@
     AttemptEnd,
     Crash,
     QuarantinedError,
-    SuspectBusyError,
     Suspicion,
 )
 from lagoonring.retries.metrics import RetriesMetrics
 from lagoonring.retries.options import RetriesOptions
 from lagoonring.retries.quarantine import QuarantineTable, Verdict
+from lagoonring.retries.rows import SuspicionRows
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -40,32 +37,10 @@
     from lagoonring.kernel import Application
 
 FLUSH_S = 0.25
-WAIT_STEP_S = 0.02
-WAIT_STEP_MOST_S = 0.4
-BUSY_RETRY_AFTER_S = 1.0
-ENDS_KEPT = 2_000
-ROWS_MOST = 512
-ENDPOINT_KEY = "endpoint:"
 
 logger = make_logger("retries")
 
 
-@attrs.define(eq=False)
-class OwnAttempt:
-    """An attempt of this instance that is in progress.
-
-    ``is_asked`` says that the home knows of it, ``is_supervised`` that it is the
-    only one of a suspected fingerprint, ``is_exclusive`` that it holds the
-    exclusive use of its endpoint among suspected requests.
-    """
-
-    grant_id: str
-    endpoint: str
-    is_asked: bool = False
-    is_supervised: bool = False
-    is_exclusive: bool = False
-
-
 class RetriesService(BaseService):
     """Retries as a service of the application."""
 
@@ -79,21 +54,32 @@
         self.budgets = RetryBudgets(app.clock, self.options)
         self.latencies: dict[str, LatencyHistogram] = {}
         self.attempts: dict[tuple[str, str], list[OwnAttempt]] = {}
-        self.ends: list[AttemptEnd] = []
-        self.published: dict[str, float] = {}
         self.listeners: list[Callable[[Verdict], None]] = []
         self.sequence = itertools.count()
         self.metrics = RetriesMetrics(app)
-        self.homes = self._make_homes(None)
+        self.rows = SuspicionRows(app.clock, self.options)
+        self.homes = Homes(
+            on_ask=self._answer_ask,
+            on_end=self._answer_end,
+            call_timeout_s=self.options.call_timeout_s,
+        )
+        self.grants = Grants(
+            app,
+            self.options,
+            table=self.table,
+            homes=self.homes,
+            metrics=self.metrics,
+            merge=self._merge,
+            check=self.check,
+        )
         self.peers: Any = None
 
     async def start(self) -> None:
         """Follow the peers' rows and serve as a home."""
         self.peers = self.app.services.get("peers")
-        self.homes = self._make_homes(self.peers)
-        self.homes.serve()
         if self.peers is not None:
-            self.peers.subscribe("quarantine", Suspicion, self._take_row)
+            self.homes.serve(self.peers)
+            self.rows.follow(self.peers, self._merge)
         self.app.spawn("retries-flush", self._flush_always)
 
     def subscribe(self, callback: Callable[[Verdict], None]) -> None:
@@ -140,7 +126,7 @@
         self.budgets.note_attempt(entry)
         own = OwnAttempt(f"{self._instance()}-{next(self.sequence)}", endpoint)
         if self._must_ask(fingerprint):
-            await self._ask_home(fingerprint, own)
+            await self.grants.obtain(fingerprint, own)
         self.attempts.setdefault((fingerprint, own.endpoint), []).append(own)
         return own.endpoint
 
@@ -151,7 +137,7 @@
             self.arbiter.note_completed(fingerprint)
             self._clear(fingerprint)
         if own is not None:
-            self._end(fingerprint, own, WHOLE if ok else OTHER)
+            self.grants.give_back(fingerprint, own, WHOLE if ok else OTHER)
 
     def crashed(self, fingerprint: str, endpoint: str) -> str:
         """Note that an endpoint went down with the request in progress.
@@ -165,7 +151,7 @@
         own = self._pop_attempt(fingerprint, endpoint)
         if self._is_leaving(endpoint):
             if own is not None:
-                self._end(fingerprint, own, OTHER)
+                self.grants.give_back(fingerprint, own, OTHER)
             return CAUSE_ENDPOINT
         is_supervised = own is not None and own.is_supervised
         is_strong = is_supervised or fingerprint not in self.arbiter.completed
@@ -173,9 +159,9 @@
         self._tell_verdicts(self.table.note_crash(fingerprint, crash))
         record = self.table.get(fingerprint)
         assert record is not None
-        self._publish(fingerprint, record.as_suspicion(), urgent=True)
+        self.rows.publish(fingerprint, record)
         if own is not None:
-            self._end(fingerprint, own, CRASHED)
+            self.grants.give_back(fingerprint, own, CRASHED)
         cause = CAUSE_REQUEST if record.is_condemned else CAUSE_SUSPECT
         self.metrics.crashes.labels(cause).inc()
         logger.warning("Endpoint {} went down with a request: {}.", endpoint, cause)
@@ -189,8 +175,8 @@
         """
         for own in self.attempts.get((fingerprint, endpoint), ()):
             if own.is_exclusive:
-                self._release_endpoint(own)
-                self.app.spawn("retries-flush-now", self.flush)
+                self.grants.release_endpoint(own)
+                self.grants.flush_soon()
 
     def may_retry(self, entry: str) -> bool:
         """Take a retry or hedge from the entry's budget, if one is left."""
@@ -221,16 +207,14 @@
 
     async def flush(self) -> None:
         """Tell the homes of attempts that have ended."""
-        ends, self.ends = self.ends, []
-        if ends:
-            await self.homes.end(ends)
+        await self.grants.flush()
 
     def _clear(self, fingerprint: str) -> None:
         record = self.table.get(fingerprint)
         if record is None or record.is_condemned or not record.is_suspected:
             return
         self._tell_verdicts(self.table.note_whole(fingerprint))
-        self._publish(fingerprint, record.as_suspicion(), urgent=True)
+        self.rows.publish(fingerprint, record)
 
     def _must_ask(self, fingerprint: str) -> bool:
         record = self.table.get(fingerprint)
@@ -240,73 +224,6 @@
             return False
         return fingerprint not in self.arbiter.completed
 
-    async def _ask_home(self, fingerprint: str, own: OwnAttempt) -> None:
-        """Ask until the attempt may start; own.endpoint is what to use.
-
-        Earlier attempts of the request are told to have ended first, so that
-        they do not count as in progress.
-        """
-        if any(end.key == fingerprint for end in self.ends):
-            await self.flush()
-        deadline_s = self.app.clock.monotonic() + self.options.wait_most_s
-        step_s = WAIT_STEP_S
-        try:
-            while await self._ask_once(fingerprint, own) == BUSY:
-                if self.app.clock.monotonic() + step_s > deadline_s:
-                    raise _busy("an equal request in progress")
-                await self.app.clock.sleep(step_s)
-                step_s = min(2 * step_s, WAIT_STEP_MOST_S)
-        except BaseException as error:
-            self._end(fingerprint, own, OTHER)
-            if isinstance(error, SuspectBusyError):
-                self.metrics.refused.labels("busy").inc()
-            raise
-
-    async def _ask_once(self, fingerprint: str, own: OwnAttempt) -> str:
-        """Ask the home once and return the state that it answered."""
-        record = self.table.get(fingerprint)
-        suspicion = record.as_suspicion() if record else Suspicion()
-        ask = AttemptAsk(
-            key=fingerprint,
-            grant_id=own.grant_id,
-            endpoint=own.endpoint,
-            suspicion=suspicion,
-        )
-        own.is_asked = True
-        try:
-            answer = await self.homes.ask(ask)
-        except HomeUnreachableError:
-            if record is not None and record.is_suspected:
-                raise _busy("no answer of the request's home") from None
-            return GRANTED
-        self.metrics.asked.labels(answer.state).inc()
-        self._merge(fingerprint, answer.suspicion)
-        self.check(fingerprint)
-        if answer.state == BUSY:
-            return BUSY
-        own.endpoint = answer.endpoint or own.endpoint
-        own.is_supervised = bool(answer.suspicion.crashes)
-        if not own.is_supervised or self.table.is_wave():
-            return answer.state
-        if not await self._hold_endpoint(own):
-            return BUSY
-        return answer.state
-
-    async def _hold_endpoint(self, own: OwnAttempt) -> bool:
-        """Get the exclusive use of an endpoint among suspected requests."""
-        ask = AttemptAsk(
-            key=ENDPOINT_KEY + own.endpoint,
-            grant_id=own.grant_id,
-            endpoint=own.endpoint,
-            is_exclusive=True,
-        )
-        try:
-            answer = await self.homes.ask(ask)
-        except HomeUnreachableError:
-            return False
-        own.is_exclusive = answer.state != BUSY
-        return own.is_exclusive
-
     def _pop_attempt(self, fingerprint: str, endpoint: str) -> OwnAttempt | None:
         attempts = self.attempts.get((fingerprint, endpoint))
         if not attempts:
@@ -316,30 +233,6 @@
             del self.attempts[fingerprint, endpoint]
         return own
 
-    def _end(self, fingerprint: str, own: OwnAttempt, result: str) -> None:
-        """Tell the homes of the end, soon where it matters."""
-        if own.is_asked:
-            record = self.table.get(fingerprint)
-            suspicion = record.as_suspicion() if record else Suspicion()
-            self.ends.append(
-                AttemptEnd(
-                    key=fingerprint,
-                    grant_id=own.grant_id,
-                    result=result,
-                    suspicion=suspicion,
-                )
-            )
-        if own.is_exclusive:
-            self._release_endpoint(own)
-        del self.ends[:-ENDS_KEPT]
-        if result == CRASHED or self.table.get(fingerprint) is not None:
-            self.app.spawn("retries-flush-now", self.flush)
-
-    def _release_endpoint(self, own: OwnAttempt) -> None:
-        key = ENDPOINT_KEY + own.endpoint
-        self.ends.append(AttemptEnd(key=key, grant_id=own.grant_id))
-        own.is_exclusive = False
-
     def _is_leaving(self, endpoint: str) -> bool:
         routing = self.app.services.get("routing")
         return routing is not None and routing.is_leaving(endpoint)
@@ -349,38 +242,9 @@
             await self.app.clock.sleep(FLUSH_S)
             self.homes.refresh()
             await self.flush()
-            self._withdraw_old_rows()
+            self.rows.withdraw_expired()
             self.metrics.suspected.set(len(self.table.records))
 
-    def _withdraw_old_rows(self) -> None:
-        now_s = self.app.clock.monotonic()
-        for fingerprint, until_s in list(self.published.items()):
-            if until_s <= now_s:
-                self._withdraw(fingerprint)
-
-    def _withdraw(self, fingerprint: str) -> None:
-        del self.published[fingerprint]
-        if self.peers is not None:
-            self.peers.publish("quarantine", fingerprint, None)
-
-    def _publish(
-        self, fingerprint: str, row: Suspicion, *, urgent: bool = False
-    ) -> None:
-        self.published.pop(fingerprint, None)
-        record = self.table.get(fingerprint)
-        is_condemned = record is not None and record.is_condemned
-        options = self.options
-        keep_s = options.quarantine_s if is_condemned else options.suspect_s
-        self.published[fingerprint] = self.app.clock.monotonic() + keep_s
-        if len(self.published) > ROWS_MOST:
-            self._withdraw(next(iter(self.published)))
-        if self.peers is not None:
-            self.peers.publish("quarantine", fingerprint, row, urgent=urgent)
-
-    def _take_row(self, origin: str, name: str, row: Suspicion | None) -> None:
-        if row is not None:
-            self._merge(name, row)
-
     def _merge(self, fingerprint: str, suspicion: Suspicion) -> None:
         if suspicion.crashes or suspicion.cleared_s:
             self._tell_verdicts(self.table.merge(fingerprint, suspicion))
@@ -402,21 +266,5 @@
     def _answer_end(self, end: AttemptEnd) -> None:
         self._tell_verdicts(self.arbiter.end(end))
 
-    def _make_homes(self, peers: Any) -> Homes:
-        return Homes(
-            peers,
-            on_ask=self._answer_ask,
-            on_end=self._answer_end,
-            call_timeout_s=self.options.call_timeout_s,
-        )
-
     def _instance(self) -> str:
         return self.peers.me.instance if self.peers is not None else "alone"
-
-
-def _busy(reason: str) -> SuspectBusyError:
-    return SuspectBusyError(
-        f"Got {reason}, expected leave to run a request that may crash endpoints.",
-        remedy="Send it again after Retry-After; it was not run.",
-        retry_after_s=BUSY_RETRY_AFTER_S,
-    )
