--- a/lagoonring/audit/reader.py
+++ b/lagoonring/audit/reader.py
@@ -80,6 +80,8 @@
     target = f"moves.{record.name}"
     versions = f"{record.entry} {record.from_version} to {record.to_version}"
     reason = f": {record.reason}" if record.reason else ""
+    if record.is_final and record.step > 0:
+        reason = ": the version given up is unloaded"
     return AuditRecord(
         audit_id=audit_id,
         time_s=time_s,
--- a/lagoonring/tests/test_operator_command.py
+++ b/lagoonring/tests/test_operator_command.py
@@ -137,53 +137,76 @@
 
 
 class SilentLog:
-    """A log that takes appends and never says so."""
+    """A log that never answers an append, and takes it or not."""
 
-    def __init__(self, log):
+    def __init__(self, log, *, is_taking):
         self.log = log
+        self.is_taking = is_taking
 
     async def append(self, stream, data):
-        """Append, then wait for ever."""
-        await self.log.append(stream, data)
+        """Wait for ever."""
+        if self.is_taking:
+            await self.log.append(stream, data)
         await asyncio.Event().wait()
 
 
-async def test_an_edit_of_unknown_fate_is_repeated_as_the_message_says(tmp_path):
-    async with run_deployment(n_entries=1, sections=make_sections()) as deployment:
+async def apply_without_answer(deployment, path, *, is_taking) -> list[str]:
+    """Apply a file while appends are not answered; return the words to repeat it."""
+    catalogue = deployment.entries[0].find("catalogue")
+    options = catalogue.options
+    may_read = asyncio.Event()
+
+    async def read_nothing(wait_s):
+        await may_read.wait()
+        return 0
+
+    # Nothing that is appended from here on is read back.
+    catalogue.follower.read_on = read_nothing
+    catalogue.given_log = SilentLog(deployment.log, is_taking=is_taking)
+    catalogue.options = type(options)(apply_timeout_s=0.05)
+    await deployment.log.append("config", "wakes the reader")
+    result = await run_command(deployment, "config", "apply", path, "--note", "a b")
+    assert result.exit_code == Exit.UNKNOWN
+    del catalogue.follower.read_on
+    may_read.set()
+    catalogue.options = options
+    catalogue.given_log = None
+    again = shlex.split(result.stderr.strip().splitlines()[-1])
+    assert again[:4] == ["lagoonring", "config", "apply", path]
+    assert f"edit {again[again.index('--edit-id') + 1]} is unknown" in result.stderr
+    return again[1:]
+
+
+@pytest.mark.parametrize("is_taking", [True, False])
+async def test_an_edit_of_unknown_fate_is_repeated_as_the_message_says(
+    tmp_path, is_taking
+):
+    async with run_deployment(sections=make_sections()) as deployment:
         path = await save_shown(deployment, tmp_path / "c.json", set_priority(2))
-        catalogue = deployment.entries[0].find("catalogue")
-        options = catalogue.options
-        may_read = asyncio.Event()
-
-        async def read_nothing(wait_s):
-            await may_read.wait()
-            return 0
-
-        # Nothing that is appended from here on is read back.
-        catalogue.follower.read_on = read_nothing
-        catalogue.given_log = SilentLog(deployment.log)
-        catalogue.options = type(options)(apply_timeout_s=0.05)
-        await deployment.log.append("config", "wakes the reader")
-        result = await run_command(deployment, "config", "apply", path, "--note", "a b")
-        assert result.exit_code == Exit.UNKNOWN
-        again = shlex.split(result.stderr.strip().splitlines()[-1])
-        assert again[:4] == ["lagoonring", "config", "apply", path]
-        edits = [
-            json.loads(record.data)["edit"]
-            for record in deployment.log.streams["config"].records
-            if "edit_id" in record.data
-        ]
-        assert edits[-1]["edit_id"] == again[again.index("--edit-id") + 1]
-        del catalogue.follower.read_on
-        may_read.set()
-        catalogue.options = options
-        catalogue.given_log = None
-        result = await run_command(deployment, *again[1:])
+        again = await apply_without_answer(deployment, path, is_taking=is_taking)
+        result = await run_command(deployment, *again)
         assert result.exit_code == Exit.DONE, result.stderr
         _, history = await ask(deployment, "GET", "config/history")
         assert [edit["status"] for edit in history] == ["applied"] * 2
 
 
+async def test_a_repeated_edit_does_not_undo_what_others_changed_since(tmp_path):
+    async with run_deployment(sections=make_sections()) as deployment:
+        path = tmp_path / "c.json"
+        await save_shown(deployment, path, set_priority(2))
+        other = await save_shown(deployment, tmp_path / "other.json", set_priority(3))
+        # Without the revision in the file, the one of the first sending counts.
+        path.write_text(json.dumps(json.loads(path.read_text())["content"]))
+        again = await apply_without_answer(deployment, str(path), is_taking=False)
+        result = await run_command(
+            deployment, "config", "apply", other, role="operator"
+        )
+        assert result.exit_code == Exit.DONE, result.stderr
+        result = await run_command(deployment, *again)
+        assert result.exit_code == Exit.REFUSED
+        assert "by operator" in result.stderr
+
+
 async def test_watch_tells_phases_and_why_a_move_was_taken_back(monkeypatch):
     monkeypatch.setattr(move_commands, "WATCH_S", 0.01)
     async with run_deployment(sections=make_sections()) as deployment:
