Ask and hold an answer in one builder of the tests

Eleven tests repeated holding all endpoints, asking in a task, and waiting for the hold and the caller's tokens. They now use ask_and_hold, which also ends the asking if an assertion fails. Tests that did not wait for the caller's tokens still don't; all assertions are unchanged.

--- a/lagoonring/tests/builders/callers.py
+++ b/lagoonring/tests/builders/callers.py
@@ -2,16 +2,25 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
+from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING, Any
 
 import attrs
 
 from lagoonring.requests.chat import canonical_prompt
 from lagoonring.standins.tokens import text_of
+from lagoonring.tests.builders.barriers import (
+    hold_all,
+    wait_for_tokens,
+    wait_until_held,
+)
 from lagoonring.tests.builders.deployments import chat_body, headers_of
 
 if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
     import aiohttp
 
     from lagoonring.tests.builders.deployments import Deployment
@@ -96,3 +105,41 @@
         assert answer.status == 200, await answer.text()
         await caller.read(answer)
     return caller
+
+
+@attrs.frozen
+class HeldAnswer:
+    """A caller, the task that reads its answer, and the endpoint that holds it."""
+
+    caller: Caller
+    asking: asyncio.Task[Caller]
+    endpoint: str
+
+
+@asynccontextmanager
+async def ask_and_hold(
+    deployment: Deployment,
+    question: str,
+    n_tokens: int,
+    *,
+    n_before: int,
+    n_at_caller: int | None = None,
+) -> AsyncIterator[HeldAnswer]:
+    """Stream an answer that its endpoint holds after ``n_before`` tokens.
+
+    The caller has all of these, or at least ``n_at_caller`` of them; the others
+    may be under way. ``release_all`` lets the answer go on. The caller gives up at
+    the end of the context.
+    """
+    if n_at_caller is None:
+        n_at_caller = n_before
+    hold_all(deployment, n_before)
+    caller = Caller()
+    asking = asyncio.create_task(ask(deployment, question, n_tokens, caller=caller))
+    try:
+        endpoint = await wait_until_held(deployment)
+        await wait_for_tokens(caller, n_at_caller)
+        yield HeldAnswer(caller, asking, endpoint)
+    finally:
+        asking.cancel()
+        await asyncio.gather(asking, return_exceptions=True)
--- a/lagoonring/tests/test_failure_pairs.py
+++ b/lagoonring/tests/test_failure_pairs.py
@@ -2,21 +2,17 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import TYPE_CHECKING
 
 import pytest
 
 from lagoonring.standins.engine_faults import EngineFaults
 from lagoonring.tests.builders.barriers import (
-    hold_all,
     release_all,
     wait_for_members,
-    wait_for_tokens,
     wait_until,
-    wait_until_held,
 )
-from lagoonring.tests.builders.callers import Caller, ask, attach
+from lagoonring.tests.builders.callers import Caller, ask_and_hold, attach
 from lagoonring.tests.builders.deployments import Deployment, run_deployment
 
 if TYPE_CHECKING:
@@ -108,58 +104,44 @@
 async def test_stream_is_whole_after_two_failures(first, second):
     async with run_deployment(n_entries=4, n_engines=4, entry=ENTRY) as deployment:
         await wait_for_members(deployment)
-        hold_all(deployment, HOLD)
-        caller = Caller()
-        asking = asyncio.create_task(
-            ask(deployment, "turtles", N_TOKENS, caller=caller)
-        )
-        await wait_until_held(deployment)
-        await wait_for_tokens(caller, HOLD)
-        await FAILURES[first](deployment, caller)
-        await FAILURES[second](deployment, caller)
-        release_all(deployment)
-        serving = [i for i, a in enumerate(deployment.entries) if not a.draining]
-        if "drain" in (first, second):
-            await asking
-            await attach(deployment, caller, entry=serving[-1])
-        await asking
-        caller.assert_whole("turtles", N_TOKENS)
+        async with ask_and_hold(deployment, "turtles", N_TOKENS, n_before=HOLD) as held:
+            caller = held.caller
+            await FAILURES[first](deployment, caller)
+            await FAILURES[second](deployment, caller)
+            release_all(deployment)
+            serving = [i for i, a in enumerate(deployment.entries) if not a.draining]
+            if "drain" in (first, second):
+                await held.asking
+                await attach(deployment, caller, entry=serving[-1])
+            await held.asking
+            caller.assert_whole("turtles", N_TOKENS)
 
 
 async def test_stream_survives_cuts_at_every_endpoint_and_a_drain():
     async with run_deployment(n_entries=3, n_engines=3, entry=ENTRY) as deployment:
         await wait_for_members(deployment)
-        hold_all(deployment, HOLD)
-        caller = Caller()
-        asking = asyncio.create_task(
-            ask(deployment, "turtles", N_TOKENS, caller=caller)
-        )
-        await wait_until_held(deployment)
-        await wait_for_tokens(caller, HOLD)
-        for engine in deployment.engines.values():
-            faults = EngineFaults(hold_at_token=HOLD, n_cut=1, cut_at_token=HOLD + 2)
-            engine.batch.set_faults(faults)
-        await drain_holder(deployment, caller)
-        await asking
-        for engine in deployment.engines.values():
-            engine.batch.set_faults(EngineFaults(n_cut=1, cut_at_token=HOLD + 4))
-        await attach(deployment, caller, entry=2)
-        caller.assert_whole("turtles", N_TOKENS)
+        async with ask_and_hold(deployment, "turtles", N_TOKENS, n_before=HOLD) as held:
+            caller = held.caller
+            for engine in deployment.engines.values():
+                cut_at = HOLD + 2
+                faults = EngineFaults(hold_at_token=HOLD, n_cut=1, cut_at_token=cut_at)
+                engine.batch.set_faults(faults)
+            await drain_holder(deployment, caller)
+            await held.asking
+            for engine in deployment.engines.values():
+                engine.batch.set_faults(EngineFaults(n_cut=1, cut_at_token=HOLD + 4))
+            await attach(deployment, caller, entry=2)
+            caller.assert_whole("turtles", N_TOKENS)
 
 
 async def test_stream_under_which_two_endpoints_crash_gets_its_final_answer():
     async with run_deployment(n_entries=2, n_engines=4, entry=ENTRY) as deployment:
         await wait_for_members(deployment)
-        hold_all(deployment, HOLD)
-        caller = Caller()
-        asking = asyncio.create_task(
-            ask(deployment, "turtles", N_TOKENS, caller=caller)
-        )
-        await wait_until_held(deployment)
-        await wait_for_tokens(caller, HOLD)
-        await crash_endpoint(deployment, caller)
-        stream = deployment.entries[0].find("requests").streams[caller.request_id]
-        deployment.engines[stream.endpoint].crash()
-        await asking
-        assert [error["code"] for error in caller.errors] == ["quarantined"]
-        assert caller.errors[0]["outcome"] == "unknown"
+        async with ask_and_hold(deployment, "turtles", N_TOKENS, n_before=HOLD) as held:
+            caller = held.caller
+            await crash_endpoint(deployment, caller)
+            stream = deployment.entries[0].find("requests").streams[caller.request_id]
+            deployment.engines[stream.endpoint].crash()
+            await held.asking
+            assert [error["code"] for error in caller.errors] == ["quarantined"]
+            assert caller.errors[0]["outcome"] == "unknown"
--- a/lagoonring/tests/test_golden_sessions.py
+++ b/lagoonring/tests/test_golden_sessions.py
@@ -2,18 +2,13 @@
 
 from __future__ import annotations
 
-import asyncio
-
 from lagoonring.standins.engine_faults import EngineFaults
 from lagoonring.tests.builders.barriers import (
-    hold_all,
     release_all,
     wait_for_members,
-    wait_for_tokens,
     wait_until,
-    wait_until_held,
 )
-from lagoonring.tests.builders.callers import Caller, ask, attach
+from lagoonring.tests.builders.callers import ask, ask_and_hold, attach
 from lagoonring.tests.builders.deployments import (
     OPERATOR_TOKEN,
     Deployment,
@@ -43,22 +38,20 @@
     entry = {"requests": {"kv_tokens_least": 0}}
     async with run_deployment(n_engines=2, entry=entry) as deployment:
         transcript.watch_endpoints(deployment)
-        hold_all(deployment, HOLD)
-        caller = Caller()
-        asking = asyncio.create_task(ask(deployment, QUESTION, N_TOKENS, caller=caller))
-        held = await wait_until_held(deployment)
-        await wait_for_tokens(caller, HOLD)
-        app = deployment.entries[0]
-        app.find("routing").leaving(held)
-        transcript.say("cloud", f"notice for {transcript.name('endpoint', held)}")
-        app.find("requests").endpoint_leaving(held, 5.0)
-        stream = next(iter(app.find("requests").streams.values()))
-        await wait_until(lambda: stream.endpoint != held)
-        release_all(deployment)
-        await asking
-        transcript.show_answer("caller", caller)
-        second = await ask(deployment, QUESTION, 3)
-        transcript.show_answer("caller", second)
+        async with ask_and_hold(deployment, QUESTION, N_TOKENS, n_before=HOLD) as held:
+            caller = held.caller
+            app = deployment.entries[0]
+            app.find("routing").leaving(held.endpoint)
+            name = transcript.name("endpoint", held.endpoint)
+            transcript.say("cloud", f"notice for {name}")
+            app.find("requests").endpoint_leaving(held.endpoint, 5.0)
+            stream = next(iter(app.find("requests").streams.values()))
+            await wait_until(lambda: stream.endpoint != held.endpoint)
+            release_all(deployment)
+            await held.asking
+            transcript.show_answer("caller", caller)
+            second = await ask(deployment, QUESTION, 3)
+            transcript.show_answer("caller", second)
     transcript.check("endpoint-reclaimed")
 
 
@@ -68,20 +61,17 @@
     async with run_deployment(n_entries=3, n_engines=1, entry=entry) as deployment:
         transcript.watch_endpoints(deployment)
         await wait_for_members(deployment)
-        hold_all(deployment, HOLD)
-        caller = Caller()
-        asking = asyncio.create_task(ask(deployment, QUESTION, N_TOKENS, caller=caller))
-        await wait_until_held(deployment)
-        await wait_for_tokens(caller, HOLD)
-        await deployment.entries[0].drain(1.0)
-        await asking
-        transcript.show_answer("caller", caller)
-        await deployment.entries[0].stop()
-        handover = deployment.entries[1].find("handover")
-        await wait_until(lambda: handover.holders(caller.request_id))
-        release_all(deployment)
-        await attach(deployment, caller, entry=1)
-        transcript.show_answer("caller", caller)
+        async with ask_and_hold(deployment, QUESTION, N_TOKENS, n_before=HOLD) as held:
+            caller = held.caller
+            await deployment.entries[0].drain(1.0)
+            await held.asking
+            transcript.show_answer("caller", caller)
+            await deployment.entries[0].stop()
+            handover = deployment.entries[1].find("handover")
+            await wait_until(lambda: handover.holders(caller.request_id))
+            release_all(deployment)
+            await attach(deployment, caller, entry=1)
+            transcript.show_answer("caller", caller)
     transcript.check("entry-reclaimed")
 
 
--- a/lagoonring/tests/test_handover_charges.py
+++ b/lagoonring/tests/test_handover_charges.py
@@ -4,14 +4,11 @@
 
 from lagoonring.errors import AnswerLostError
 from lagoonring.tests.builders.barriers import (
-    hold_all,
     release_all,
     wait_for_members,
-    wait_for_tokens,
     wait_until,
-    wait_until_held,
 )
-from lagoonring.tests.builders.callers import Caller, ask, attach
+from lagoonring.tests.builders.callers import ask_and_hold, attach
 from lagoonring.tests.builders.deployments import (
     Deployment,
     headers_of,
@@ -45,26 +42,21 @@
     async with run_deployment(n_entries=3, entry=entry) as deployment:
         await wait_for_members(deployment)
         lose_first_answer(deployment)
-        hold_all(deployment, HOLD)
-        caller = Caller()
-        asking = asyncio.create_task(
-            ask(deployment, "turtles", N_TOKENS, caller=caller)
-        )
-        await wait_until_held(deployment)
-        await wait_for_tokens(caller, HOLD)
-        await deployment.entries[0].drain(1.0)
-        await asking
-        release_all(deployment)
-        adopters = [app.find("requests") for app in deployment.entries[1:]]
-        await wait_until(lambda: all(caller.request_id in a.kept for a in adopters))
-        await attach(deployment, caller, entry=1)
-        caller.assert_whole("turtles", N_TOKENS)
-        charged = [
-            usage.n_requests
-            for app in deployment.entries
-            for usage in app.find("charges").usage.values()
-        ]
-        assert charged == [1]
+        async with ask_and_hold(deployment, "turtles", N_TOKENS, n_before=HOLD) as held:
+            caller = held.caller
+            await deployment.entries[0].drain(1.0)
+            await held.asking
+            release_all(deployment)
+            adopters = [app.find("requests") for app in deployment.entries[1:]]
+            await wait_until(lambda: all(caller.request_id in a.kept for a in adopters))
+            await attach(deployment, caller, entry=1)
+            caller.assert_whole("turtles", N_TOKENS)
+            charged = [
+                usage.n_requests
+                for app in deployment.entries
+                for usage in app.find("charges").usage.values()
+            ]
+            assert charged == [1]
 
 
 async def test_holder_that_goes_away_is_not_a_fault_of_this_instance():
--- a/lagoonring/tests/test_streams_under_failure.py
+++ b/lagoonring/tests/test_streams_under_failure.py
@@ -6,14 +6,11 @@
 
 from lagoonring.standins.engine_faults import EngineFaults
 from lagoonring.tests.builders.barriers import (
-    hold_all,
     release_all,
     wait_for_members,
-    wait_for_tokens,
     wait_until,
-    wait_until_held,
 )
-from lagoonring.tests.builders.callers import Caller, ask, attach
+from lagoonring.tests.builders.callers import ask, ask_and_hold, attach
 from lagoonring.tests.builders.deployments import run_deployment
 
 N_TOKENS = 12
@@ -43,13 +40,15 @@
 
 @pytest.mark.parametrize("n_before", [0, HOLD], ids=["first", "later"])
 async def test_stream_is_whole_when_its_endpoint_crashes(n_before):
-    async with run_deployment(n_engines=3) as deployment:
-        hold_all(deployment, n_before)
-        asking = asyncio.create_task(ask(deployment, "turtles", N_TOKENS))
-        held = await wait_until_held(deployment)
-        deployment.engines[held].crash()
+    async with (
+        run_deployment(n_engines=3) as deployment,
+        ask_and_hold(
+            deployment, "turtles", N_TOKENS, n_before=n_before, n_at_caller=0
+        ) as held,
+    ):
+        deployment.engines[held.endpoint].crash()
         release_all(deployment)
-        (await asking).assert_whole("turtles", N_TOKENS)
+        (await held.asking).assert_whole("turtles", N_TOKENS)
 
 
 async def test_crossed_answers_reach_their_own_callers():
@@ -68,34 +67,32 @@
 @pytest.mark.parametrize("kv_tokens_least", [0, 10_000], ids=["kv", "recomputed"])
 async def test_stream_moves_off_an_endpoint_with_notice(kv_tokens_least):
     entry = {"requests": {"kv_tokens_least": kv_tokens_least}}
-    async with run_deployment(n_engines=2, entry=entry) as deployment:
-        hold_all(deployment, HOLD)
-        asking = asyncio.create_task(ask(deployment, "turtles", N_TOKENS))
-        held = await wait_until_held(deployment)
+    async with (
+        run_deployment(n_engines=2, entry=entry) as deployment,
+        ask_and_hold(
+            deployment, "turtles", N_TOKENS, n_before=HOLD, n_at_caller=0
+        ) as held,
+    ):
         requests = deployment.entries[0].find("requests")
-        deployment.entries[0].find("routing").leaving(held)
-        requests.endpoint_leaving(held, 5.0)
+        deployment.entries[0].find("routing").leaving(held.endpoint)
+        requests.endpoint_leaving(held.endpoint, 5.0)
         stream = next(iter(requests.streams.values()))
-        await wait_until(lambda: stream.endpoint != held)
+        await wait_until(lambda: stream.endpoint != held.endpoint)
         release_all(deployment)
-        (await asking).assert_whole("turtles", N_TOKENS)
-        other = next(e for n, e in deployment.engines.items() if n != held)
+        (await held.asking).assert_whole("turtles", N_TOKENS)
+        other = next(e for n, e in deployment.engines.items() if n != held.endpoint)
         n_recomputed = other.batch.counts.n_tokens_recomputed
         assert n_recomputed == (0 if kv_tokens_least == 0 else HOLD)
 
 
 async def test_caller_re_attaches_where_its_connection_was_lost():
-    async with run_deployment(n_entries=1) as deployment:
-        hold_all(deployment, HOLD)
-        caller = Caller()
-        asking = asyncio.create_task(
-            ask(deployment, "turtles", N_TOKENS, caller=caller)
-        )
-        await wait_until_held(deployment)
-        await wait_for_tokens(caller, HOLD)
-        asking.cancel()
-        await asyncio.gather(asking, return_exceptions=True)
-        attaching = asyncio.create_task(attach(deployment, caller, entry=0))
+    async with (
+        run_deployment(n_entries=1) as deployment,
+        ask_and_hold(deployment, "turtles", N_TOKENS, n_before=HOLD) as held,
+    ):
+        held.asking.cancel()
+        await asyncio.gather(held.asking, return_exceptions=True)
+        attaching = asyncio.create_task(attach(deployment, held.caller, entry=0))
         release_all(deployment)
         (await attaching).assert_whole("turtles", N_TOKENS)
 
@@ -104,34 +101,31 @@
     entry = {"requests": {"handover_margin_s": 1.0}}
     async with run_deployment(n_entries=3, entry=entry) as deployment:
         await wait_for_members(deployment)
-        hold_all(deployment, HOLD)
-        caller = Caller()
-        asking = asyncio.create_task(
-            ask(deployment, "turtles", N_TOKENS, caller=caller)
-        )
-        await wait_until_held(deployment)
-        await wait_for_tokens(caller, HOLD)
-        await deployment.entries[0].drain(1.0)
-        await asking
-        assert not caller.is_ended
-        await deployment.entries[0].stop()
-        for entry_index in (1, 2):
-            handover = deployment.entries[entry_index].find("handover")
-            await wait_until(lambda h=handover: h.holders(caller.request_id))
-        release_all(deployment)
-        await attach(deployment, caller, entry=2)
-        caller.assert_whole("turtles", N_TOKENS)
-        n_adopted = sum(
-            len(app.find("requests").kept) for app in deployment.entries[1:]
-        )
-        assert n_adopted == 1
+        async with ask_and_hold(deployment, "turtles", N_TOKENS, n_before=HOLD) as held:
+            caller = held.caller
+            await deployment.entries[0].drain(1.0)
+            await held.asking
+            assert not caller.is_ended
+            await deployment.entries[0].stop()
+            for entry_index in (1, 2):
+                handover = deployment.entries[entry_index].find("handover")
+                await wait_until(lambda h=handover: h.holders(caller.request_id))
+            release_all(deployment)
+            await attach(deployment, caller, entry=2)
+            caller.assert_whole("turtles", N_TOKENS)
+            n_adopted = sum(
+                len(app.find("requests").kept) for app in deployment.entries[1:]
+            )
+            assert n_adopted == 1
 
 
 async def test_planned_stop_cuts_no_request():
-    async with run_deployment(n_entries=1) as deployment:
-        hold_all(deployment, HOLD)
-        asking = asyncio.create_task(ask(deployment, "turtles", N_TOKENS))
-        await wait_until_held(deployment)
+    async with (
+        run_deployment(n_entries=1) as deployment,
+        ask_and_hold(
+            deployment, "turtles", N_TOKENS, n_before=HOLD, n_at_caller=0
+        ) as held,
+    ):
         draining = asyncio.create_task(deployment.entries[0].drain(60.0))
         url = f"{deployment.url(0)}/readyz"
         while True:
@@ -140,5 +134,5 @@
                     assert answer.headers["Retry-After"]
                     break
         release_all(deployment)
-        (await asking).assert_whole("turtles", N_TOKENS)
+        (await held.asking).assert_whole("turtles", N_TOKENS)
         await draining
