Refuse to remove the last admin

Cause: an admin could remove itself; nobody could then edit operators but through the log. Change: such an edit is refused. Measured: the test of it passes.

--- a/lagoonring/administration/operators.py
+++ b/lagoonring/administration/operators.py
@@ -12,9 +12,10 @@
 from lagoonring.requests.errors import MissingKeyError
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Mapping
+    from collections.abc import Callable, Mapping, Sequence
 
     from lagoonring.catalogue import CatalogueContent
+    from lagoonring.catalogue.edits import Change
 
 UNKNOWN_ACTOR = "unknown"
 ADMIN_SECTIONS = frozenset({"operators", "organisations"})
@@ -41,6 +42,13 @@
     status = 403
 
 
+class LastAdminError(LagoonringError, PermissionError):
+    """The edit would leave no operator who may edit operators."""
+
+    code = "last_admin"
+    status = 409
+
+
 @attrs.frozen
 class Caller:
     """An authenticated operator."""
@@ -86,6 +94,27 @@
     return authorise
 
 
+def check_admin_stays(content: CatalogueContent, changes: Sequence[Change]) -> None:
+    """Refuse changes that would leave the catalogue without an admin.
+
+    Raises
+    ------
+    LastAdminError
+        If no admin would be left.
+    """
+    roles = {name: operator.role for name, operator in content.operators.items()}
+    for change in changes:
+        if change.section != "operators":
+            continue
+        item = change.item or {}
+        roles[change.name] = item.get("role", "")
+    if "admin" not in roles.values():
+        raise LastAdminError(
+            "Got an edit that leaves no operator with role admin, expected one.",
+            remedy="Add another admin first, in an edit of its own or in this one.",
+        )
+
+
 def _token_from_headers(headers: Mapping[str, str]) -> str:
     try:
         token = key_from_headers(headers)
--- a/lagoonring/administration/service.py
+++ b/lagoonring/administration/service.py
@@ -30,6 +30,7 @@
 from lagoonring.administration.operators import (
     UNKNOWN_ACTOR,
     Caller,
+    check_admin_stays,
     make_authorise,
     role_for_sections,
 )
@@ -113,6 +114,9 @@
         sections = {change.section for change in order.changes}
         role = role_for_sections(sections)
         caller = self.authorise(request.headers, role, "config.apply")
+        if "operators" in sections:
+            with self._recording(caller, "config.apply", "operators"):
+                check_admin_stays(self.catalogue.content, order.changes)
         edit = Edit(
             edit_id=order.edit_id,
             author=caller.name,
--- a/lagoonring/tests/test_administration.py
+++ b/lagoonring/tests/test_administration.py
@@ -80,6 +80,26 @@
         assert ("viewer", "move.cancel", "refused") in told
 
 
+async def test_the_last_admin_can_be_replaced_but_not_removed():
+    async with run_deployment(sections=make_sections()) as deployment:
+
+        async def edit(*changes):
+            _, shown = await ask(deployment, "GET", "config", role="viewer")
+            order = make_edit(shown["revision"], *changes)
+            status, answer = await ask(deployment, "POST", "config", content=order)
+            return answer["error"]["code"] if status != 200 else status
+
+        _, shown = await ask(deployment, "GET", "config")
+        awa = shown["content"]["operators"]["awa"]
+        viewer = awa | {"role": "viewer"}
+        assert await edit(("operators", "awa", None)) == "last_admin"
+        assert await edit(("operators", "awa", viewer)) == "last_admin"
+        other = awa | {"token_hash": "sha256:other"}
+        both = [("operators", "awa", viewer), ("operators", "bineta", other)]
+        assert await edit(*both) == 200
+        assert await edit(*both) == "wrong_role"
+
+
 async def test_strangers_do_not_flood_the_trail():
     async with run_deployment(sections=make_sections()) as deployment:
         for _ in range(30):
