Let a request meet a version on trial only once

Change: after a failed attempt a request goes on with the version in force, also plain calls. Conclusion: a bad version condemns no request.

--- a/lagoonring/requests/errors.py
+++ b/lagoonring/requests/errors.py
@@ -143,6 +143,14 @@
         )
 
 
+def unknown_request(request_id: str) -> UnknownRequestError:
+    """Return the error for a request id that is known nowhere in reach."""
+    return UnknownRequestError(
+        f"Got request id {request_id[:80]!r}, expected one in progress or kept.",
+        remedy="Finished answers are kept for a short time; send the request again.",
+    )
+
+
 def correct_outcome(error: LagoonringError, *, may_have_run: bool) -> LagoonringError:
     """Return the error; it no longer says "not run" if that is not certain."""
     if may_have_run and error.outcome is Outcome.NOT_RUN:
--- a/lagoonring/requests/handover.py
+++ b/lagoonring/requests/handover.py
@@ -14,8 +14,9 @@
 from lagoonring.kernel import BaseService
 from lagoonring.logs import make_logger
 from lagoonring.peers.messages import MemberState
-from lagoonring.requests.errors import HandedOverError, UnknownRequestError
+from lagoonring.requests.errors import HandedOverError, unknown_request
 from lagoonring.requests.messages import Handover, decode_handover, encode_handover
+from lagoonring.requests.reading import LAST_EVENT_HEADER
 from lagoonring.requests.streams import Stream
 
 if TYPE_CHECKING:
@@ -112,7 +113,7 @@
             request = self.requests.make_chat_request(
                 handover.body,
                 organisation=handover.organisation,
-                deadline_s=handover.grace_s,
+                allowed_s=handover.grace_s,
                 request_id=handover.request_id,
             )
             stream = Stream(request=request, may_charge=False)
@@ -151,11 +152,19 @@
                 response = await self._relay_from(request, url, request_id, n_tokens)
                 if response is not None:
                     return response
-        raise UnknownRequestError(
-            f"Got request id {request_id[:80]!r}, expected one in progress or kept.",
-            remedy="Finished answers are kept for a short time; "
-            "send the request again.",
-        )
+        raise unknown_request(request_id)
+
+    def holders(self, request_id: str) -> list[str]:
+        """Return the HTTP roots of instances that may hold a request."""
+        origin = request_id.partition(".")[0]
+        members = {member.instance: member for member in self.peers.members()}
+        urls = []
+        if origin in members and members[origin].http_address:
+            urls.append(f"http://{members[origin].http_address}")
+        for (_, name), row in self.peers.rows(ADOPTED_KIND, Adopted).items():
+            if name == origin and row.url not in urls:
+                urls.append(row.url)
+        return urls
 
     async def _confirm_to(self, target: str, request_id: str) -> None:
         """Let one instance charge; if that is not heard, nobody charges."""
@@ -174,9 +183,10 @@
     async def _relay_from(
         self, request: web.Request, url: str, request_id: str, n_tokens: int
     ) -> web.StreamResponse | None:
+        """Pass a stream on from one instance; None if it does not hold it."""
         headers = {
             RELAYED_HEADER: "1",
-            "Last-Event-ID": f"{request_id}:{n_tokens}",
+            LAST_EVENT_HEADER: f"{request_id}:{n_tokens}",
             "Authorization": request.headers.get("Authorization", ""),
         }
         session = self.requests.parts.session
@@ -194,18 +204,6 @@
                 return None
             return await _copy(request, answer)
 
-    def holders(self, request_id: str) -> list[str]:
-        """Return the HTTP roots of instances that may hold a request."""
-        origin = request_id.partition(".")[0]
-        members = {member.instance: member for member in self.peers.members()}
-        urls = []
-        if origin in members and members[origin].http_address:
-            urls.append(f"http://{members[origin].http_address}")
-        for (_, name), row in self.peers.rows(ADOPTED_KIND, Adopted).items():
-            if name == origin and row.url not in urls:
-                urls.append(row.url)
-        return urls
-
     def _targets(self, request_id: str) -> list[str]:
         """Return instances to hand a stream to, other data centres first."""
         me = self.peers.me
--- a/lagoonring/requests/http_server.py
+++ b/lagoonring/requests/http_server.py
@@ -4,7 +4,6 @@
 
 from typing import TYPE_CHECKING, Any
 
-import msgspec
 from aiohttp import web
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
@@ -18,8 +17,14 @@
     send_stream,
     whole_response,
 )
-from lagoonring.requests.errors import InternalFaultError, UnknownRequestError
-from lagoonring.requests.reading import read_body, read_deadline_s, read_key
+from lagoonring.requests.errors import InternalFaultError, unknown_request
+from lagoonring.requests.reading import (
+    LAST_EVENT_HEADER,
+    read_allowed_s,
+    read_body,
+    read_key,
+    read_position,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
@@ -29,10 +34,9 @@
     from lagoonring.requests.service import RequestsService
     from lagoonring.requests.streams import Stream
 
-LAST_EVENT_HEADER = "Last-Event-ID"
 HEADER_LIMIT_BYTES = 16 << 10
 SHUTDOWN_TIMEOUT_S = 2.0
-HOP_HEADERS = frozenset(
+WITHHELD_HEADERS = frozenset(
     {
         "authorization",
         "connection",
@@ -65,6 +69,10 @@
         From headers to an organisation; raises if there is none.
     registry : CollectorRegistry
         Shown under ``/metrics``.
+    host : str
+        IP number to listen on.
+    port : int
+        TCP port; 0 lets the system choose, ``port`` then tells which.
     """
 
     name = "http"
@@ -127,11 +135,8 @@
             return await self.get_stream(request)
         self.requests.check_ready()
         body = await read_body(request, self.requests.parts.options)
-        allowed_s = None
-        if "X-Deadline-Ms" in request.headers:
-            allowed_s = read_deadline_s(request, 0)
         chat = self.requests.make_chat_request(
-            body, organisation=organisation, deadline_s=allowed_s
+            body, organisation=organisation, allowed_s=read_allowed_s(request)
         )
         request[REQUEST_ID] = chat.request_id
         stream = await self.requests.start_stream(chat)
@@ -140,16 +145,16 @@
     async def get_stream(self, request: web.Request) -> web.StreamResponse:
         """Re-attach a caller to a stream, wherever it goes on."""
         organisation = self.authenticate(request.headers)
-        request_id, n_tokens = _position(request)
+        request_id, n_tokens = read_position(request)
         request[REQUEST_ID] = request_id
         stream = self.requests.find_stream(request_id)
         if stream is None:
             relay = self.requests.app.services.get("handover")
             if relay is None:
-                raise _unknown_request(request_id)
+                raise unknown_request(request_id)
             return await relay.relay(request, request_id, n_tokens)
         if stream.request.organisation != organisation:
-            raise _unknown_request(request_id)
+            raise unknown_request(request_id)
         return await self.answer_stream(request, stream, n_tokens)
 
     async def answer_stream(
@@ -169,10 +174,8 @@
         organisation = self.authenticate(request.headers)
         self.requests.check_ready()
         entry = request.match_info["entry"]
-        service = self.requests.find_entry(entry, "plain")
-        classes = self.requests.parts.catalogue.content.classes
-        default_ms = classes[service.service_class].deadline_ms
-        allowed_s = read_deadline_s(request, default_ms)
+        self.requests.find_entry(entry, "plain")
+        allowed_s = read_allowed_s(request)
         key = read_key(request)
         body = await read_body(request, self.requests.parts.options)
         path = request.match_info["tail"] or "/"
@@ -186,7 +189,7 @@
             headers=_passed_headers(request.headers),
             body=body,
             key=key,
-            deadline_s=allowed_s,
+            allowed_s=allowed_s,
         )
         request[REQUEST_ID] = call.request_id
         answer = await self.requests.call_plain(call)
@@ -199,7 +202,7 @@
         request_id = request.match_info["request_id"]
         trace = self.requests.traces.get(request_id)
         if trace is None or trace.organisation != organisation:
-            raise _unknown_request(request_id)
+            raise unknown_request(request_id)
         return json_response(trace)
 
     async def get_models(self, request: web.Request) -> web.StreamResponse:
@@ -263,36 +266,14 @@
         return error_response(InternalFaultError(), request.get(REQUEST_ID, ""))
 
 
-def _position(request: web.Request) -> tuple[str, int]:
-    """Return the request id and the last token that the caller has."""
-    last_event = request.headers.get(LAST_EVENT_HEADER, "")
-    event_request, _, number = last_event.rpartition(":")
-    request_id = request.match_info.get("request_id") or event_request
-    if not request_id:
-        raise UnknownRequestError(
-            f"Got {LAST_EVENT_HEADER} {last_event[:80]!r}, expected REQUEST_ID:N.",
-            remedy="Name the request id in the path or in Last-Event-ID.",
-        )
-    is_number = number.isascii() and number.isdigit()
-    return request_id, int(number[:9]) if is_number else 0
-
-
-def _unknown_request(request_id: str) -> UnknownRequestError:
-    return UnknownRequestError(
-        f"Got request id {request_id[:80]!r}, expected one in progress or kept.",
-        remedy="Finished answers are kept for a short time; send the request again.",
-    )
-
-
 def _passed_headers(headers: Mapping[str, str]) -> dict[str, str]:
+    """Return the caller's headers that a plain service gets."""
     return {
         name: value
         for name, value in headers.items()
-        if name.lower() not in HOP_HEADERS
+        if name.lower() not in WITHHELD_HEADERS
     }
 
 
 def _model(name: str, owner: str) -> dict[str, Any]:
-    return msgspec.to_builtins(
-        {"id": name, "object": "model", "created": 0, "owned_by": owner}
-    )
+    return {"id": name, "object": "model", "created": 0, "owned_by": owner}
--- a/lagoonring/requests/parts.py
+++ b/lagoonring/requests/parts.py
@@ -148,6 +148,15 @@
             load_share=self.load_share(route.endpoint),
         )
 
+    def version_in_force(self, entry: str) -> str:
+        """Return an entry's version in the catalogue; empty if it is gone.
+
+        A request that has failed once goes on with it, so that a version on
+        trial harms no request twice.
+        """
+        found = self.catalogue.content.entries.get(entry)
+        return found.version if found is not None else ""
+
     def load_share(self, endpoint: str) -> float:
         """Return the share of an endpoint's slots that are busy, 0 to 1."""
         state = self.routing.table.states.get(endpoint)
--- a/lagoonring/requests/plain.py
+++ b/lagoonring/requests/plain.py
@@ -200,7 +200,8 @@
     """Make one attempt and tell routing, quarantine and judge of its end."""
     clock = parts.app.clock
     request = run.request
-    route_request = _route_request(request)
+    version = parts.version_in_force(request.entry) if run.n_attempts else ""
+    route_request = _route_request(request, version)
     route = _choose(parts, route_request, run.used)
     route = await parts.begin_attempt(request, route, route_request)
     run.used.add(route.endpoint)
@@ -279,7 +280,7 @@
         return parts.routing.choose(request)
 
 
-def _route_request(request: PlainRequest) -> RouteRequest:
+def _route_request(request: PlainRequest, version: str) -> RouteRequest:
     return RouteRequest(
         entry=request.entry,
         service_class=request.service_class,
@@ -288,6 +289,7 @@
         n_prompt_bytes=len(request.body),
         n_tokens_most=0,
         method=request.method,
+        version=version,
     )
 
 
--- a/lagoonring/requests/producer.py
+++ b/lagoonring/requests/producer.py
@@ -80,6 +80,7 @@
         if error.kind == MOVED:
             continue
         excluded.add(route.endpoint)
+        stream.pinned_version = parts.version_in_force(stream.request.entry)
         last_error = error
         if not parts.retries.may_retry(stream.request.entry):
             break
@@ -101,10 +102,15 @@
         affinity_key=request.affinity_key,
         n_prompt_bytes=request.n_prompt_bytes,
         n_tokens_most=request.n_tokens_most - stream.journal.n_tokens,
-        version=stream.version if stream.journal.n_tokens else "",
+        version=stream.pinned_version or _begun_version(stream),
     )
 
 
+def _begun_version(stream: Stream) -> str:
+    """Return the version that the answer has begun on; empty if it has not."""
+    return stream.version if stream.journal.n_tokens else ""
+
+
 def _choose(
     parts: RequestParts, stream: Stream, request: RouteRequest, excluded: set[str]
 ) -> Route:
@@ -128,8 +134,8 @@
     First the version in force at endpoints not tried yet, since a version on
     trial may run at one endpoint only; then any endpoint again.
     """
-    entry = parts.catalogue.content.entries.get(request.entry)
-    in_force = attrs.evolve(request, version=entry.version if entry else "")
+    version = parts.version_in_force(request.entry)
+    in_force = attrs.evolve(request, version=version)
     unpinned = attrs.evolve(request, version="")
     for wanted, exclude in ((in_force, frozenset(excluded)), (unpinned, frozenset())):
         with contextlib.suppress(NoEndpointError):
--- a/lagoonring/requests/reading.py
+++ b/lagoonring/requests/reading.py
@@ -13,6 +13,7 @@
     BodyTooLargeError,
     SlowSenderError,
     UnfinishedUploadError,
+    UnknownRequestError,
 )
 
 if TYPE_CHECKING:
@@ -22,6 +23,7 @@
 
 DEADLINE_HEADER = "X-Deadline-Ms"
 KEY_HEADER = "Idempotency-Key"
+LAST_EVENT_HEADER = "Last-Event-ID"
 DEADLINE_LIMIT_MS = 3_600_000
 KEY_PATTERN = re.compile(r"[\x21-\x7e]{1,255}")
 
@@ -41,38 +43,28 @@
     limit = options.body_limit_bytes
     if request.content_length is not None and request.content_length > limit:
         raise _too_large(f"{request.content_length}", limit)
-    chunks: list[bytes] = []
-    n_bytes = 0
+    body = bytearray()
     try:
         async with asyncio.timeout(options.body_timeout_s):
-            async for chunk in request.content.iter_any():
-                n_bytes += len(chunk)
-                if n_bytes > limit:
-                    raise _too_large(f"over {limit}", limit)
-                chunks.append(chunk)
+            await _read_up_to(request.content, limit, body)
     except TimeoutError:
         raise SlowSenderError(
-            f"Got {n_bytes} bytes in {options.body_timeout_s} s, "
+            f"Got {len(body)} bytes in {options.body_timeout_s} s, "
             "expected the whole body.",
             remedy="Send the body faster, or split it.",
             retry_after_s=1.0,
         ) from None
     except (aiohttp.ClientError, aiohttp.http.HttpProcessingError, OSError) as error:
-        raise UnfinishedUploadError(
-            f"Got {n_bytes} bytes before the connection failed, "
-            "expected the whole body.",
-            remedy="Send the request again.",
+        raise _unfinished(
+            f"{len(body)} bytes before the connection failed", "the whole body"
         ) from error
-    if request.content_length is not None and n_bytes < request.content_length:
-        raise UnfinishedUploadError(
-            f"Got {n_bytes} bytes, expected {request.content_length}.",
-            remedy="Send the request again.",
-        )
-    return b"".join(chunks)
+    if request.content_length is not None and len(body) < request.content_length:
+        raise _unfinished(f"{len(body)} bytes", f"{request.content_length}")
+    return bytes(body)
 
 
-def read_deadline_s(request: web.BaseRequest, default_ms: float) -> float:
-    """Return the seconds that the caller allows.
+def read_allowed_s(request: web.BaseRequest) -> float | None:
+    """Return the seconds that the caller allows; None if it says nothing.
 
     Raises
     ------
@@ -81,7 +73,7 @@
     """
     text = request.headers.get(DEADLINE_HEADER)
     if text is None:
-        return default_ms / 1000
+        return None
     if not text.isascii() or not text.isdigit() or not int(text[:9]) >= 1:
         raise BadHeaderError(
             f"Got {DEADLINE_HEADER} {text[:40]!r}, expected whole milliseconds.",
@@ -109,6 +101,42 @@
     return key
 
 
+def read_position(request: web.Request) -> tuple[str, int]:
+    """Return the request id and how many tokens the caller has of its answer.
+
+    Raises
+    ------
+    UnknownRequestError
+        If neither the path nor the header names a request.
+    """
+    last_event = request.headers.get(LAST_EVENT_HEADER, "")
+    event_request, _, number = last_event.rpartition(":")
+    request_id = request.match_info.get("request_id") or event_request
+    if not request_id:
+        raise UnknownRequestError(
+            f"Got {LAST_EVENT_HEADER} {last_event[:80]!r}, expected REQUEST_ID:N.",
+            remedy="Name the request id in the path or in Last-Event-ID.",
+        )
+    is_number = number.isascii() and number.isdigit()
+    return request_id, int(number[:9]) if is_number else 0
+
+
+async def _read_up_to(
+    content: aiohttp.StreamReader, limit_bytes: int, body: bytearray
+) -> None:
+    """Append what arrives to ``body``, which keeps it if this fails."""
+    async for chunk in content.iter_any():
+        if len(body) + len(chunk) > limit_bytes:
+            raise _too_large(f"over {limit_bytes}", limit_bytes)
+        body += chunk
+
+
+def _unfinished(got: str, expected: str) -> UnfinishedUploadError:
+    return UnfinishedUploadError(
+        f"Got {got}, expected {expected}.", remedy="Send the request again."
+    )
+
+
 def _too_large(got: str, limit: int) -> BodyTooLargeError:
     return BodyTooLargeError(
         f"Got a body of {got} bytes, expected at most {limit}.",
--- a/lagoonring/requests/service.py
+++ b/lagoonring/requests/service.py
@@ -26,12 +26,12 @@
 from lagoonring.requests.plain import PlainRun, run_plain
 from lagoonring.requests.producer import produce
 from lagoonring.requests.streams import Stream
-from lagoonring.requests.traces import Trace, Traces
+from lagoonring.requests.traces import Trace, Traces, trace_of_stream
 from lagoonring.retries.messages import make_fingerprint
 from lagoonring.routing.prefixes import hash_blocks, hash_conversation
 
 if TYPE_CHECKING:
-    from lagoonring.catalogue import Entry
+    from lagoonring.catalogue import Entry, ServiceClass
     from lagoonring.requests.parts import RequestParts
 
 NOT_READY_RETRY_AFTER_S = 1.0
@@ -102,17 +102,23 @@
         body: bytes,
         *,
         organisation: str,
-        deadline_s: float | None,
+        allowed_s: float | None,
         request_id: str = "",
     ) -> ChatRequest:
         """Return a checked request for a model assistant.
 
-        ``deadline_s`` is the time allowed; None takes the class's.
+        ``allowed_s`` is the time until its deadline; None takes the class's.
+
+        Raises
+        ------
+        BadJsonError
+            If the body is not a chat completion request.
+        UnknownEntryError
+            If there is no model entry of that name.
         """
         document = parse_chat_body(body)
         entry = self.find_entry(document["model"], "model")
         service_class = self.parts.catalogue.content.classes[entry.service_class]
-        allowed_s = deadline_s or service_class.deadline_ms / 1000
         prompt = canonical_prompt(document["messages"])
         stream_options = document.get("stream_options")
         wants_usage = isinstance(stream_options, dict) and bool(
@@ -125,7 +131,7 @@
             service_class=entry.service_class,
             body=body,
             fingerprint=make_fingerprint(organisation, document["model"], body),
-            deadline_s=self.app.clock.monotonic() + allowed_s,
+            deadline_s=self._deadline_s(service_class, allowed_s),
             priority=service_class.priority,
             route_name=route_name(document["messages"]),
             document=document,
@@ -147,12 +153,19 @@
         headers: dict[str, str],
         body: bytes,
         key: str,
-        deadline_s: float | None,
+        allowed_s: float | None,
     ) -> PlainRequest:
-        """Return a checked call of a plain service."""
+        """Return a checked call of a plain service.
+
+        ``allowed_s`` is the time until its deadline; None takes the class's.
+
+        Raises
+        ------
+        UnknownEntryError
+            If there is no plain entry of that name.
+        """
         entry = self.find_entry(name, "plain")
         service_class = self.parts.catalogue.content.classes[entry.service_class]
-        allowed_s = deadline_s or service_class.deadline_ms / 1000
         call = b" ".join((method.encode(), path.encode(), body))
         return PlainRequest(
             request_id=self.new_request_id(),
@@ -161,7 +174,7 @@
             service_class=entry.service_class,
             body=body,
             fingerprint=make_fingerprint(organisation, name, call),
-            deadline_s=self.app.clock.monotonic() + allowed_s,
+            deadline_s=self._deadline_s(service_class, allowed_s),
             priority=service_class.priority,
             key=key,
             route_name=f"{method} {path.partition('?')[0].split('/')[1][:40]}",
@@ -172,7 +185,13 @@
         )
 
     async def start_stream(self, request: ChatRequest) -> Stream:
-        """Admit a request and begin to produce its answer."""
+        """Admit a request and begin to produce its answer.
+
+        Raises
+        ------
+        NotReadyError, QuarantinedError, RefusedError
+            If it is not taken; it was not run.
+        """
         self.check_ready()
         self.parts.retries.check(request.fingerprint)
         permit = await self.parts.limits.admit(_admit_request(request))
@@ -227,20 +246,44 @@
         finally:
             self._end()
             permit.release(0)
-            cost = self._charge_plain(request, outcome)
-            self.parts.metrics.requests.labels(request.entry, outcome).inc()
-            self.traces.add(
-                Trace(
-                    request_id=request.request_id,
-                    organisation=request.organisation,
-                    entry=request.entry,
-                    outcome=outcome,
-                    endpoint=answer.endpoint if answer else "",
-                    elapsed_s=self.app.clock.monotonic() - started_s,
-                    cost=cost,
-                    decisions=run.decisions,
-                )
-            )
+            endpoint = answer.endpoint if answer else ""
+            elapsed_s = self.app.clock.monotonic() - started_s
+            self._settle_plain(run, outcome, endpoint, elapsed_s)
+
+    def finish_stream(self, stream: Stream) -> None:
+        """Settle a stream that has ended: charge, keep, trace."""
+        request = stream.request
+        if not stream.is_done:
+            stream.end(NotReadyError("Got a stop, expected an answer."))
+        self.streams.pop(request.request_id, None)
+        self._end()
+        if stream.permit is not None:
+            stream.permit.release(stream.journal.n_tokens)
+            self.parts.metrics.streams.dec()
+        code = stream.error.code if stream.error else "ok"
+        if stream.may_charge and not stream.handed_to:
+            self.charge_stream(stream)
+        self._keep(stream)
+        self.parts.metrics.requests.labels(request.entry, code).inc()
+        self.parts.metrics.tokens.labels(request.entry).inc(stream.journal.n_tokens)
+        if stream.first_token_s is not None:
+            first_token = self.parts.metrics.first_token.labels(request.entry)
+            first_token.observe(stream.first_token_s)
+        elapsed_s = self.app.clock.monotonic() - stream.started_s
+        self.traces.add(trace_of_stream(stream, outcome=code, elapsed_s=elapsed_s))
+
+    def charge_stream(self, stream: Stream) -> None:
+        """Charge a whole answer; a failed one costs nothing."""
+        request = stream.request
+        entry = self.parts.catalogue.content.entries.get(request.entry)
+        if stream.error is not None or entry is None:
+            return
+        n_tokens = stream.journal.n_tokens
+        stream.cost = n_tokens * entry.price_per_1000_tokens / 1000
+        stream.cost += entry.price_per_request
+        self.parts.charges.add(
+            request.organisation, request.entry, n_tokens, stream.cost
+        )
 
     def find_stream(self, request_id: str) -> Stream | None:
         """Return a stream in progress or kept."""
@@ -283,43 +326,6 @@
         if stream.sink is None and not stream.is_done and stream.task is not None:
             stream.task.cancel()
 
-    def finish_stream(self, stream: Stream) -> None:
-        """Settle a stream that has ended: charge, keep, trace."""
-        request = stream.request
-        if not stream.is_done:
-            stream.end(NotReadyError("Got a stop, expected an answer."))
-        self.streams.pop(request.request_id, None)
-        self._end()
-        if stream.permit is not None:
-            stream.permit.release(stream.journal.n_tokens)
-            self.parts.metrics.streams.dec()
-        code = stream.error.code if stream.error else "ok"
-        if stream.may_charge and not stream.handed_to:
-            self.charge_stream(stream)
-        self._keep(stream)
-        self.parts.metrics.requests.labels(request.entry, code).inc()
-        self.parts.metrics.tokens.labels(request.entry).inc(stream.journal.n_tokens)
-        if stream.first_token_s is not None:
-            first_token = self.parts.metrics.first_token.labels(request.entry)
-            first_token.observe(stream.first_token_s)
-        self.traces.add(
-            Trace(
-                request_id=request.request_id,
-                organisation=request.organisation,
-                entry=request.entry,
-                outcome=code,
-                endpoint=stream.endpoint,
-                version=stream.version,
-                n_attempts=stream.n_attempts,
-                n_tokens=stream.journal.n_tokens,
-                n_tokens_recomputed=stream.n_tokens_recomputed,
-                first_token_s=stream.first_token_s,
-                elapsed_s=self.app.clock.monotonic() - stream.started_s,
-                cost=stream.cost,
-                decisions=stream.decisions,
-            )
-        )
-
     def _keep(self, stream: Stream) -> None:
         """Keep a finished stream for callers that lost their connection."""
         options = self.parts.options
@@ -334,17 +340,24 @@
             self.kept.popitem(last=False)
             self.n_kept_bytes -= first.journal.n_bytes
 
-    def charge_stream(self, stream: Stream) -> None:
-        """Charge a whole answer; a failed one costs nothing."""
-        request = stream.request
-        entry = self.parts.catalogue.content.entries.get(request.entry)
-        if stream.error is not None or entry is None:
-            return
-        n_tokens = stream.journal.n_tokens
-        stream.cost = n_tokens * entry.price_per_1000_tokens / 1000
-        stream.cost += entry.price_per_request
-        self.parts.charges.add(
-            request.organisation, request.entry, n_tokens, stream.cost
+    def _settle_plain(
+        self, run: PlainRun, outcome: str, endpoint: str, elapsed_s: float
+    ) -> None:
+        """Settle a call that has ended: charge, count, trace."""
+        request = run.request
+        cost = self._charge_plain(request, outcome)
+        self.parts.metrics.requests.labels(request.entry, outcome).inc()
+        self.traces.add(
+            Trace(
+                request_id=request.request_id,
+                organisation=request.organisation,
+                entry=request.entry,
+                outcome=outcome,
+                endpoint=endpoint,
+                elapsed_s=elapsed_s,
+                cost=cost,
+                decisions=run.decisions,
+            )
         )
 
     def _charge_plain(self, request: PlainRequest, outcome: str) -> float:
@@ -355,6 +368,14 @@
         self.parts.charges.add(request.organisation, request.entry, 0, cost)
         return cost
 
+    def _deadline_s(
+        self, service_class: ServiceClass, allowed_s: float | None
+    ) -> float:
+        """Return the deadline on the monotonic clock."""
+        if allowed_s is None:
+            allowed_s = service_class.deadline_ms / 1000
+        return self.app.clock.monotonic() + allowed_s
+
     def _begin(self) -> None:
         self.n_in_progress += 1
         self.idle.clear()
--- a/lagoonring/requests/streams.py
+++ b/lagoonring/requests/streams.py
@@ -24,9 +24,10 @@
     when the first event is there, and when the stream has ended. ``is_reading``
     tells that an attempt is being read; while ``is_moving`` it is being moved,
     and ``move_ready`` is set once the next one may begin; while ``is_paused``
-    the stream is being handed over. ``may_charge`` is unset while another
-    instance may charge the stream, and ``may_have_run`` is set unless every
-    attempt provably did not run.
+    the stream is being handed over. Once an attempt has failed, further ones
+    run ``pinned_version``. ``may_charge`` is unset while another instance may
+    charge the stream, and ``may_have_run`` is set unless every attempt provably
+    did not run.
     """
 
     request: ChatRequest
@@ -39,6 +40,7 @@
     task: asyncio.Task[None] | None = None
     endpoint: str = ""
     version: str = ""
+    pinned_version: str = ""
     attempt_id: str = ""
     n_attempts: int = 0
     may_have_run: bool = False
--- a/lagoonring/requests/traces.py
+++ b/lagoonring/requests/traces.py
@@ -3,13 +3,21 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from typing import TYPE_CHECKING
 
 import attrs
 
+if TYPE_CHECKING:
+    from lagoonring.requests.streams import Stream
+
 
 @attrs.frozen(kw_only=True)
 class Trace:
-    """What was decided about one request, in order."""
+    """What was decided about one request, in order.
+
+    ``first_token_s`` and ``elapsed_s`` count from the admission; ``outcome`` is
+    ``ok``, ``replayed`` or the code of the error.
+    """
 
     request_id: str
     organisation: str
@@ -42,3 +50,23 @@
     def get(self, request_id: str) -> Trace | None:
         """Return the trace of a request, if it is still kept."""
         return self.by_id.get(request_id)
+
+
+def trace_of_stream(stream: Stream, *, outcome: str, elapsed_s: float) -> Trace:
+    """Return the trace of a stream that has ended."""
+    request = stream.request
+    return Trace(
+        request_id=request.request_id,
+        organisation=request.organisation,
+        entry=request.entry,
+        outcome=outcome,
+        endpoint=stream.endpoint,
+        version=stream.version,
+        n_attempts=stream.n_attempts,
+        n_tokens=stream.journal.n_tokens,
+        n_tokens_recomputed=stream.n_tokens_recomputed,
+        first_token_s=stream.first_token_s,
+        elapsed_s=elapsed_s,
+        cost=stream.cost,
+        decisions=stream.decisions,
+    )
--- a/lagoonring/tests/test_move_sessions.py
+++ b/lagoonring/tests/test_move_sessions.py
@@ -172,3 +172,30 @@
             ) as answer:
                 assert answer.status == 200, await answer.text()
         assert engine.batch.n_requests_by_version["2"] > 0
+
+
+async def test_request_meets_a_failing_trial_only_once():
+    """A version that crashes its engines condemns no request."""
+    near = {f"guide-{n}": {"data_centre": "plateau"} for n in range(4)}
+    sections = {**SECTIONS, "endpoints": near}
+    async with run_deployment(n_engines=4, sections=sections) as deployment:
+        for engine in deployment.engines.values():
+            engine.orders.state.versions = ["1", "2"]
+            faults = {"2": VersionFaults(crash=True)}
+            engine.batch.set_faults(EngineFaults(versions=faults, restart_s=0.05))
+        app = deployment.entries[0]
+        app.find("moves").choose_version = lambda entry, request_id: "2"
+        states = app.find("routing").table.states
+        await wait_until(lambda: any(s.runs("2") for s in states.values()))
+        body = chat_body("question", n_tokens=4)
+        async with deployment.session.post(
+            deployment.url(0) + CHAT, json=body, headers=headers_of()
+        ) as answer:
+            assert answer.status == 200, await answer.text()
+        assert count_requests(deployment, "2") == 1
+
+
+def count_requests(deployment: Deployment, version: str) -> int:
+    """Return how many attempts began to run on a version."""
+    counts = [e.batch.n_requests_by_version for e in deployment.engines.values()]
+    return sum(count.get(version, 0) for count in counts)
