--- a/lagoonring/administration/elsewhere.py
+++ b/lagoonring/administration/elsewhere.py
@@ -1,24 +1,36 @@
-"""Asks other instances about a request that this one has not served."""
+"""Asks other instances about a request that this one has not served.
+
+An instance knows the members of its data centre and a few contacts in each
+other one. If it does not know where a request came in, it asks contacts, and
+they ask within their data centre; nobody asks further.
+"""
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING, Any
 from urllib.parse import quote
 
 import aiohttp
+import attrs
 import msgspec
 
 from lagoonring.errors import LagoonringError
+from lagoonring.peers.messages import MemberState
 from lagoonring.requests.errors import UnknownRequestError
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Iterable, Mapping
 
     from lagoonring.requests.handover import HandoverService
 
 RELAYED_HEADER = "X-Relayed"
+TO_HOLDER = "1"
+TO_DATA_CENTRE = "data-centre"
 ASK_TIMEOUT_S = 2.0
+CONTACT_TIMEOUT_S = 6.0
 N_ASKED_MOST = 4
+N_CONTACTS_MOST = 2
 
 
 class HolderUnreachableError(LagoonringError, ConnectionError):
@@ -28,6 +40,62 @@
     status = 503
 
 
+@attrs.define
+class _Search:
+    """A question to other instances; ``unreached`` are those without an answer."""
+
+    session: aiohttp.ClientSession
+    request_id: str
+    authorization: str
+    asked: list[str] = attrs.field(factory=list)
+    unreached: list[str] = attrs.field(factory=list)
+
+    async def ask_first(
+        self, urls: Iterable[str], relayed: str, timeout_s: float
+    ) -> Any:
+        """Return the first trace that one of the instances has, or None."""
+        for url in urls:
+            self.asked.append(url)
+            try:
+                trace = await self._ask(url, relayed, timeout_s)
+            except (aiohttp.ClientError, TimeoutError, msgspec.DecodeError):
+                self.unreached.append(url)
+                continue
+            if trace is not None:
+                return trace
+        return None
+
+    async def ask_contacts(self, contacts: dict[str, list[str]]) -> Any:
+        """Return the trace that one data centre has; all are asked at once."""
+        found = await asyncio.gather(
+            *(
+                self._ask_data_centre(urls[:N_CONTACTS_MOST])
+                for urls in contacts.values()
+            )
+        )
+        return next((trace for trace in found if trace is not None), None)
+
+    async def _ask_data_centre(self, urls: list[str]) -> Any:
+        """Ask one contact, the next one only if it does not answer."""
+        for url in urls:
+            n_unreached = len(self.unreached)
+            trace = await self.ask_first([url], TO_DATA_CENTRE, CONTACT_TIMEOUT_S)
+            if trace is not None or len(self.unreached) == n_unreached:
+                return trace
+        return None
+
+    async def _ask(self, url: str, relayed: str, timeout_s: float) -> Any:
+        headers = {RELAYED_HEADER: relayed, "Authorization": self.authorization}
+        timeout = aiohttp.ClientTimeout(total=timeout_s)
+        path = f"{url}/admin/requests/{quote(self.request_id, safe='')}"
+        async with self.session.get(path, headers=headers, timeout=timeout) as answer:
+            body = await answer.read()
+            if answer.status == 404:
+                return None
+            answer.raise_for_status()
+        return msgspec.json.decode(body)
+
+
 async def find_trace(
     handover: HandoverService,
     session: aiohttp.ClientSession,
@@ -36,8 +104,7 @@
 ) -> Any:
     """Return the trace that another instance has, as plain data.
 
-    An instance that is asked so does not ask further. The operator's token is
-    passed on, so that the other instance checks it.
+    The operator's token is passed on, so that the other instance checks it.
 
     Raises
     ------
@@ -46,52 +113,46 @@
     UnknownRequestError
         If all were asked and none knows it.
     """
-    unreached = []
-    urls = [] if RELAYED_HEADER in headers else handover.holders(request_id)
-    for url in urls[:N_ASKED_MOST]:
-        try:
-            trace = await _ask(session, url, request_id, headers)
-        except (aiohttp.ClientError, TimeoutError, msgspec.DecodeError):
-            unreached.append(url)
-            continue
-        if trace is not None:
-            return trace
-    if unreached:
+    relayed = headers.get(RELAYED_HEADER, "")
+    search = _Search(session, request_id, headers.get("Authorization", ""))
+    holders = handover.holders(request_id) if relayed != TO_HOLDER else []
+    trace = await search.ask_first(holders[:N_ASKED_MOST], TO_HOLDER, ASK_TIMEOUT_S)
+    if trace is None and not relayed and not _knows_origin(handover, request_id):
+        trace = await search.ask_contacts(_find_contacts(handover))
+    if trace is not None:
+        return trace
+    if search.unreached:
         raise HolderUnreachableError(
-            f"Got no answer of {', '.join(unreached)} about request "
+            f"Got no answer of {', '.join(search.unreached)} about request "
             f"{request_id[:80]!r}, expected what was decided there.",
             remedy="Try again; if the instance has ended, its decisions are gone.",
             retry_after_s=ASK_TIMEOUT_S,
         )
-    raise _unknown(request_id, urls)
+    raise _unknown(request_id, len(search.asked))
 
 
-async def _ask(
-    session: aiohttp.ClientSession,
-    url: str,
-    request_id: str,
-    headers: Mapping[str, str],
-) -> Any:
-    """Return an instance's trace, or None if it has none."""
-    passed = {
-        RELAYED_HEADER: "1",
-        "Authorization": headers.get("Authorization", ""),
-    }
-    timeout = aiohttp.ClientTimeout(total=ASK_TIMEOUT_S)
-    path = f"{url}/admin/requests/{quote(request_id, safe='')}"
-    async with session.get(path, headers=passed, timeout=timeout) as answer:
-        body = await answer.read()
-        if answer.status == 404:
-            return None
-        answer.raise_for_status()
-    return msgspec.json.decode(body)
-
-
-def _unknown(request_id: str, urls: list[str]) -> UnknownRequestError:
-    asked = f"this instance and {', '.join(urls)}" if urls else "this instance"
+def _knows_origin(handover: HandoverService, request_id: str) -> bool:
+    origin = request_id.partition(".")[0]
+    members = [handover.peers.me, *handover.peers.members()]
+    return any(member.instance == origin for member in members)
+
+
+def _find_contacts(handover: HandoverService) -> dict[str, list[str]]:
+    """Return the roots of contacts by data centre, without the own one."""
+    contacts: dict[str, list[str]] = {}
+    for member in handover.peers.members():
+        is_other = member.data_centre != handover.peers.me.data_centre
+        if is_other and member.http_address and member.state is MemberState.ALIVE:
+            url = f"http://{member.http_address}"
+            contacts.setdefault(member.data_centre, []).append(url)
+    return contacts
+
+
+def _unknown(request_id: str, n_asked: int) -> UnknownRequestError:
     origin = request_id.partition(".")[0]
     return UnknownRequestError(
-        f"Got request id {request_id[:80]!r}, expected a recent one of {asked}.",
-        remedy=f"Check the id, and see 'lagoonring peers' for {origin[:80]!r}; only "
-        "the newest requests are kept, and only while their instance runs.",
+        f"Got request id {request_id[:80]!r}, expected a recent one of this instance "
+        f"or of {n_asked} others that were asked.",
+        remedy=f"Check the id and whether {origin[:80]!r} still runs; only the newest "
+        "requests are kept, and only while their instance runs.",
     )
--- a/lagoonring/administration/service.py
+++ b/lagoonring/administration/service.py
@@ -186,7 +186,7 @@
         return json_response(fleet.status() if fleet is not None else [])
 
     async def get_peers(self, request: web.Request) -> web.Response:
-        """Show the members that this instance knows."""
+        """Show the members of this data centre and contacts in the others."""
         self.authorise(request.headers, "viewer", "peers")
         peers = self.app.find("peers")
         shown = [
--- a/lagoonring/cli/operator_command.py
+++ b/lagoonring/cli/operator_command.py
@@ -74,7 +74,7 @@
 
 @command.command(epilog=EPILOG)
 def peers(context: typer.Context, as_json: AsJson = False) -> None:
-    """Show the members that the instance knows."""
+    """Show the instance's data centre and its contacts in the others."""
     rows = ask(context.obj, "GET", "/admin/peers")
     columns = ["instance", "data_centre", "region", "address", "incarnation", "state"]
     show(rows, columns, as_json=as_json)
--- a/lagoonring/tests/test_administration.py
+++ b/lagoonring/tests/test_administration.py
@@ -216,6 +216,27 @@
         assert (status, answer["error"]["code"]) == (503, "holder_unreachable")
 
 
+async def test_why_finds_an_instance_that_only_its_data_centre_knows(monkeypatch):
+    async with run_deployment(n_entries=4, sections=make_sections()) as deployment:
+        await wait_for_members(deployment)
+        # entry-3 is in the data centre of entry-0 and no contact of entry-1.
+        peers = deployment.entries[1].find("peers")
+        known = [each for each in peers.members() if each.instance != "entry-3"]
+        monkeypatch.setattr(peers, "members", lambda: known)
+        async with deployment.session.post(
+            f"{deployment.url(3)}/v1/chat/completions",
+            json=chat_body(),
+            headers=headers_of(),
+        ) as answer:
+            request_id = answer.headers["X-Request-Id"]
+        path = f"requests/{request_id}"
+        status, trace = await ask(deployment, "GET", path, index=1)
+        assert (status, trace["request_id"]) == (200, request_id)
+        await deployment.entries[3].find("http").stop()
+        status, answer = await ask(deployment, "GET", path, index=1)
+        assert (status, answer["error"]["code"]) == (503, "holder_unreachable")
+
+
 async def test_an_instance_asked_by_another_does_not_ask_further():
     async with run_deployment(n_entries=2, sections=make_sections()) as deployment:
         await wait_for_members(deployment)
