Say what the options of requests and the charges mean

The options listed times and sizes of which half went unexplained; the sums of charges had no unit.

Measured: 13 files of tests of the request path pass (2 processes).

--- a/lagoonring/requests/charges.py
+++ b/lagoonring/requests/charges.py
@@ -33,7 +33,7 @@
 
 @attrs.define
 class Usage:
-    """Sums for one organisation and entry."""
+    """Sums for one organisation and entry; ``cost`` at the entry's prices."""
 
     n_requests: int = 0
     n_tokens: int = 0
@@ -50,7 +50,15 @@
 
 
 class ChargesService(BaseService):
-    """Adds up usage and appends it to the log."""
+    """Adds up usage and appends it to the log.
+
+    Parameters
+    ----------
+    app : Application
+        Finds ``log``.
+    instance : str
+        Name of this instance, for the batches.
+    """
 
     name = "charges"
 
--- a/lagoonring/requests/options.py
+++ b/lagoonring/requests/options.py
@@ -11,9 +11,13 @@
 class RequestsOptions:
     """How requests are read, tried and kept.
 
-    Sizes are bytes, times seconds. ``kept_answers_bytes`` bounds the finished
-    answers that callers may fetch again for ``keep_answers_s``. A KV cache is moved
-    if it holds ``kv_tokens_least`` tokens and the notice is ``kv_notice_s`` long.
+    Sizes are bytes, times seconds. A request is tried at most ``n_attempts_most``
+    times. A stream whose caller has gone ends after ``detached_grace_s``;
+    ``kept_answers_bytes`` bounds the finished answers that callers may fetch again
+    for ``keep_answers_s``. An instance that leaves hands over what is unfinished
+    ``handover_margin_s`` before its end. A KV cache is moved if it holds
+    ``kv_tokens_least`` tokens and the notice is ``kv_notice_s`` long.
+    ``n_tokens_default`` is the answer's limit if the caller names none.
     """
 
     body_limit_bytes: int = attrs.field(
