Say what the command fleet shows

Cause: the help spoke of goals, which it does not show. Change: the words. Measured: the tests of the operators' tools pass.

--- a/lagoonring/administration/service.py
+++ b/lagoonring/administration/service.py
@@ -180,7 +180,7 @@
         )
 
     async def get_fleet(self, request: web.Request) -> web.Response:
-        """Show the fleet's goals and instances."""
+        """Show the instances that the fleet wants in the data centre asked."""
         self.authorise(request.headers, "viewer", "fleet.status")
         fleet = self.app.services.get("fleet")
         return json_response(fleet.status() if fleet is not None else [])
--- a/lagoonring/cli/operator_command.py
+++ b/lagoonring/cli/operator_command.py
@@ -66,7 +66,7 @@
 
 @command.command(epilog=EPILOG)
 def fleet(context: typer.Context, as_json: AsJson = False) -> None:
-    """Show the fleet's goals and instances."""
+    """Show the instances that the fleet wants in the data centre asked."""
     rows = ask(context.obj, "GET", "/admin/fleet")
     columns = sorted({name for row in rows for name in row})
     show(rows, columns, as_json=as_json)
