--- a/lagoonring/tests/builders/load.py
+++ b/lagoonring/tests/builders/load.py
@@ -169,6 +169,7 @@
     n_refused: int = 0
     n_held: int = 0
     n_asked: int = 0
+    is_ready: bool = True
     deadlines: list[int] = attrs.field(factory=list)
     positions: list[str] = attrs.field(factory=list)
     all_came: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -192,6 +193,10 @@
         start = int(self.positions[-1].rpartition(":")[2])
         return await self._send(request, start, None)
 
+    async def get_ready(self, request: web.Request) -> web.Response:
+        """Tell whether requests are taken."""
+        return web.json_response({}, status=200 if self.is_ready else 503)
+
     async def _send(
         self, request: web.Request, start: int, stop: int | None
     ) -> web.StreamResponse:
@@ -213,6 +218,7 @@
         [
             web.post("/v1/chat/completions", entry.ask),
             web.get("/v1/streams/{request_id}", entry.attach),
+            web.get("/readyz", entry.get_ready),
         ]
     )
     runner = web.AppRunner(app, access_log=None)
--- a/lagoonring/tests/test_load_run.py
+++ b/lagoonring/tests/test_load_run.py
@@ -129,3 +129,23 @@
     checks = summarise(data).checks
     assert checks.n_stands_unread == 1
     assert checks.bookings.n_done_but_not_run > 0
+
+
+async def test_balancer_gives_ready_instances_and_any_if_none_is_ready():
+    entry = SmallEntry(make_chat())
+    async with serve(entry) as url, aiohttp.ClientSession() as session:
+        targets = [make_target("up", url), make_target("down", "http://127.0.0.1:1")]
+        settings = make_load_settings(entries=targets)
+        balancer = Balancer(settings.entries, session)
+        up, down = settings.entries
+        rng = random.Random(2)
+        assert {balancer.choose(rng).instance for _ in range(50)} == {"up", "down"}
+        await asyncio.gather(*map(balancer.probe, settings.entries))
+        assert {balancer.choose(rng, down).instance for _ in range(50)} == {"up"}
+        assert balancer.choose(rng, up) is up
+        entry.is_ready = False
+        await balancer.probe(up)
+        assert {balancer.choose(rng).instance for _ in range(50)} == {"up", "down"}
+        entry.is_ready = True
+        await balancer.probe(up)
+        assert {balancer.choose(rng).instance for _ in range(50)} == {"up"}
