Give the request path's metrics a module; estimate prompt tokens once

RequestMetrics stood among the parts of the path, unlike all other metrics. Four bytes a token was written twice, once as a bare number; ChatRequest.n_prompt_tokens now says it.

--- a/lagoonring/entry/application.py
+++ b/lagoonring/entry/application.py
@@ -23,7 +23,8 @@
 from lagoonring.requests.charges import ChargesService
 from lagoonring.requests.handover import HandoverService
 from lagoonring.requests.http_server import HttpService
-from lagoonring.requests.parts import RequestMetrics, RequestParts
+from lagoonring.requests.metrics import RequestMetrics
+from lagoonring.requests.parts import RequestParts
 from lagoonring.requests.service import RequestsService
 from lagoonring.retries.service import RetriesService
 from lagoonring.routing.service import RoutingService
--- a/lagoonring/entry/process.py
+++ b/lagoonring/entry/process.py
@@ -5,12 +5,14 @@
 import asyncio
 import gc
 import signal
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from lagoonring.entry.application import make_entry_application
 from lagoonring.logs import JsonLinesHandler, make_logger
 
 if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
     from lagoonring.settings.entry_settings import EntrySettings
 
 COLLECTOR_THRESHOLDS = (5_000, 20, 50)
@@ -60,7 +62,8 @@
     gc.set_threshold(*COLLECTOR_THRESHOLDS)
 
 
-async def _drain(drain, hurried: asyncio.Event) -> None:
+async def _drain(drain: Coroutine[Any, Any, None], hurried: asyncio.Event) -> None:
+    """Run the drain until it is done or hurried."""
     drained = asyncio.ensure_future(drain)
     hurry = asyncio.ensure_future(hurried.wait())
     await asyncio.wait({drained, hurry}, return_when=asyncio.FIRST_COMPLETED)
--- a/lagoonring/requests/messages.py
+++ b/lagoonring/requests/messages.py
@@ -7,6 +7,7 @@
 import attrs
 import msgspec
 
+BYTES_PER_TOKEN = 4
 REQUEST_PREFIX = b'data: {"id":"chatcmpl-'
 
 
@@ -43,6 +44,11 @@
     is_streamed: bool = False
     wants_usage: bool = False
 
+    @property
+    def n_prompt_tokens(self) -> int:
+        """Estimate of the prompt's length in tokens."""
+        return self.n_prompt_bytes // BYTES_PER_TOKEN
+
 
 @attrs.define(kw_only=True)
 class PlainRequest(CallerRequest):
--- a/lagoonring/requests/moving.py
+++ b/lagoonring/requests/moving.py
@@ -20,7 +20,6 @@
     from lagoonring.requests.parts import RequestParts
     from lagoonring.requests.streams import Stream
 
-BYTES_PER_TOKEN = 4
 KV_SHARE_OF_NOTICE = 0.5
 
 logger = make_logger("moving")
@@ -54,8 +53,7 @@
 
 
 def _is_worth_kv(parts: RequestParts, stream: Stream, seconds_left: float) -> bool:
-    n_context = stream.request.n_prompt_bytes // BYTES_PER_TOKEN
-    n_context += stream.journal.n_tokens
+    n_context = stream.request.n_prompt_tokens + stream.journal.n_tokens
     options = parts.options
     return n_context >= options.kv_tokens_least and seconds_left >= options.kv_notice_s
 
--- a/lagoonring/requests/parts.py
+++ b/lagoonring/requests/parts.py
@@ -8,81 +8,27 @@
 
 import aiohttp
 import attrs
-from prometheus_client import Counter, Gauge, Histogram
 
 from lagoonring.endpoints import call, cancel, open_stream
 from lagoonring.errors import LagoonringError
 from lagoonring.kernel import Application
 from lagoonring.logs import make_logger
+from lagoonring.requests.metrics import RequestMetrics
 from lagoonring.requests.options import RequestsOptions
 from lagoonring.requests.suspects import SuspectedAttempts
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine
 
-    from prometheus_client import CollectorRegistry
-
     from lagoonring.requests.messages import CallerRequest
     from lagoonring.routing.messages import AttemptResult, Route, RouteRequest
 
 PROBE_TIMEOUT_S = 0.5
 CANCEL_TIMEOUT_S = 2.0
-FIRST_TOKEN_BUCKETS_S = (0.05, 0.1, 0.2, 0.35, 0.5, 1, 2, 5, 10)
 
 logger = make_logger("requests")
 
 
-class RequestMetrics:
-    """Metrics of the request path."""
-
-    def __init__(self, registry: CollectorRegistry) -> None:
-        self.requests = Counter(
-            "lagoonring_requests",
-            "Requests answered, by entry and outcome code.",
-            ["entry", "code"],
-            registry=registry,
-        )
-        self.tokens = Counter(
-            "lagoonring_tokens", "Tokens relayed.", ["entry"], registry=registry
-        )
-        self.tokens_recomputed = Counter(
-            "lagoonring_tokens_recomputed",
-            "Tokens that another endpoint had to compute again.",
-            registry=registry,
-        )
-        self.kv_moved = Counter(
-            "lagoonring_kv_moved",
-            "Streams whose KV cache was moved.",
-            registry=registry,
-        )
-        self.handed_over = Counter(
-            "lagoonring_handed_over",
-            "Streams handed to another instance.",
-            registry=registry,
-        )
-        self.adopted = Counter(
-            "lagoonring_adopted",
-            "Streams taken over from another instance.",
-            registry=registry,
-        )
-        self.attempts_failed = Counter(
-            "lagoonring_attempts_failed",
-            "Attempts at endpoints that failed, by kind.",
-            ["kind"],
-            registry=registry,
-        )
-        self.streams = Gauge(
-            "lagoonring_streams", "Streams in progress.", registry=registry
-        )
-        self.first_token = Histogram(
-            "lagoonring_first_token_seconds",
-            "Time to the first token.",
-            ["entry"],
-            buckets=FIRST_TOKEN_BUCKETS_S,
-            registry=registry,
-        )
-
-
 @attrs.define(kw_only=True)
 class RequestParts:
     """The services and functions that a request meets."""
--- a/lagoonring/requests/producer.py
+++ b/lagoonring/requests/producer.py
@@ -235,7 +235,7 @@
     stream.attempt_id = f"{_id(stream)}-{stream.n_attempts}"
     stream.decisions.append(f"{route.endpoint} chosen: {route.reason}")
     if stream.journal.n_tokens and stream.kv is None:
-        n_recomputed = stream.journal.n_tokens + stream.request.n_prompt_bytes // 4
+        n_recomputed = stream.journal.n_tokens + stream.request.n_prompt_tokens
         stream.n_tokens_recomputed += n_recomputed
         parts.metrics.tokens_recomputed.inc(n_recomputed)
 
