Give an attempt back that is cancelled while its endpoint is probed

Cause: after a cut the endpoint is probed to find who is to blame. A deadline, handover or hedge that cancelled the probe left the attempt counted: for streams as load of the endpoint in routing and as in progress in retries, for calls in retries only. Change: a cancelled probe settles the attempt as one that the caller ended.

--- a/lagoonring/requests/plain.py
+++ b/lagoonring/requests/plain.py
@@ -219,7 +219,6 @@
         parts.retries.ended(request.fingerprint, route.endpoint, ok=True)
     except EndpointError as error:
         kind = error.kind
-        cause = ""
         parts.metrics.attempts_failed.labels(kind).inc()
         run.decisions.append(f"attempt at {route.endpoint} ended: {kind}")
         if error.outcome is Outcome.NOT_RUN:
--- a/lagoonring/requests/producer.py
+++ b/lagoonring/requests/producer.py
@@ -158,14 +158,15 @@
     stream.attempt_first_s = None
     try:
         error = await _read(parts, stream, route)
+        elapsed_s = clock.monotonic() - started_s
+        if error is not None and error.outcome is Outcome.NOT_RUN:
+            stream.may_have_run = had_run
+        cause = await _find_cause(parts, stream, route, error)
     except asyncio.CancelledError:
         _settle(parts, stream, route, route_request)
         parts.cancel_attempt(route, stream.attempt_id)
         raise
-    if error is not None and error.outcome is Outcome.NOT_RUN:
-        stream.may_have_run = had_run
     n_tokens = stream.journal.n_tokens - n_tokens_before
-    elapsed_s = clock.monotonic() - started_s
     first_s = stream.attempt_first_s
     first_token_s = None if first_s is None else first_s - started_s
     result = AttemptResult(
@@ -174,7 +175,7 @@
         n_tokens=n_tokens,
         first_token_s=first_token_s,
         between_tokens_s=_between_tokens_s(elapsed_s, first_token_s, n_tokens),
-        cause=await _find_cause(parts, stream, route, error),
+        cause=cause,
     )
     parts.routing.ended(route, route_request, result)
     if error is None or error.kind != MOVED:
