Make callers' requests in a module of its own

The service of the request path ran requests and also made them from bodies and headers. Making needs only the catalogue, the options and the clock: requests/making.py does it, and the service shrinks from 396 to 273 lines.

--- a/lagoonring/requests/chat.py
+++ b/lagoonring/requests/chat.py
@@ -58,6 +58,12 @@
     return limit or default
 
 
+def wants_usage(document: dict[str, Any]) -> bool:
+    """Return whether the caller asked for the usage at the stream's end."""
+    options = document.get("stream_options")
+    return isinstance(options, dict) and bool(options.get("include_usage"))
+
+
 def route_name(messages: list[dict[str, Any]]) -> str:
     """Return the kind of a request: the system prompt that it begins with."""
     first = messages[0]
--- a/lagoonring/requests/handover.py
+++ b/lagoonring/requests/handover.py
@@ -15,6 +15,7 @@
 from lagoonring.logs import make_logger
 from lagoonring.peers.messages import MemberState
 from lagoonring.requests.errors import HandedOverError, unknown_request
+from lagoonring.requests.making import make_chat_request
 from lagoonring.requests.messages import Handover, decode_handover, encode_handover
 from lagoonring.requests.reading import LAST_EVENT_HEADER
 from lagoonring.requests.streams import Stream
@@ -110,11 +111,12 @@
         handover = decode_handover(payload)
         if self.requests.find_stream(handover.request_id) is None:
             self.requests.check_ready()
-            request = self.requests.make_chat_request(
+            request = make_chat_request(
+                self.requests.parts,
                 handover.body,
+                request_id=handover.request_id,
                 organisation=handover.organisation,
                 allowed_s=handover.grace_s,
-                request_id=handover.request_id,
             )
             stream = Stream(request=request, may_charge=False)
             stream.journal.append(handover.events)
--- a/lagoonring/requests/http_server.py
+++ b/lagoonring/requests/http_server.py
@@ -18,6 +18,11 @@
     whole_response,
 )
 from lagoonring.requests.errors import InternalFaultError, unknown_request
+from lagoonring.requests.making import (
+    find_entry,
+    make_chat_request,
+    make_plain_request,
+)
 from lagoonring.requests.reading import (
     LAST_EVENT_HEADER,
     read_allowed_s,
@@ -135,8 +140,12 @@
             return await self.get_stream(request)
         self.requests.check_ready()
         body = await read_body(request, self.requests.parts.options)
-        chat = self.requests.make_chat_request(
-            body, organisation=organisation, allowed_s=read_allowed_s(request)
+        chat = make_chat_request(
+            self.requests.parts,
+            body,
+            request_id=self.requests.new_request_id(),
+            organisation=organisation,
+            allowed_s=read_allowed_s(request),
         )
         request[REQUEST_ID] = chat.request_id
         stream = await self.requests.start_stream(chat)
@@ -174,15 +183,17 @@
         organisation = self.authenticate(request.headers)
         self.requests.check_ready()
         entry = request.match_info["entry"]
-        self.requests.find_entry(entry, "plain")
+        find_entry(self.requests.parts, entry, "plain")
         allowed_s = read_allowed_s(request)
         key = read_key(request)
         body = await read_body(request, self.requests.parts.options)
         path = request.match_info["tail"] or "/"
         if request.query_string:
             path = f"{path}?{request.query_string}"
-        call = self.requests.make_plain_request(
+        call = make_plain_request(
+            self.requests.parts,
             entry,
+            request_id=self.requests.new_request_id(),
             organisation=organisation,
             method=request.method,
             path=path,
@@ -220,7 +231,7 @@
         """Describe one model entry."""
         self.authenticate(request.headers)
         name = request.match_info["name"]
-        entry = self.requests.find_entry(name, "model")
+        entry = find_entry(self.requests.parts, name, "model")
         return json_response(_model(name, entry.owner))
 
     async def get_health(self, request: web.Request) -> web.StreamResponse:
--- a/lagoonring/requests/service.py
+++ b/lagoonring/requests/service.py
@@ -10,28 +10,18 @@
 from lagoonring.kernel import BaseService
 from lagoonring.limits.messages import AdmitRequest
 from lagoonring.logs import make_logger
-from lagoonring.requests.chat import (
-    canonical_prompt,
-    n_tokens_most,
-    parse_chat_body,
-    route_name,
-)
 from lagoonring.requests.errors import (
     NotReadyError,
-    UnknownEntryError,
     correct_outcome,
 )
-from lagoonring.requests.messages import ChatRequest, PlainAnswer, PlainRequest
 from lagoonring.requests.moving import move_stream
 from lagoonring.requests.plain import PlainRun, run_plain
 from lagoonring.requests.producer import produce
 from lagoonring.requests.streams import Stream
 from lagoonring.requests.traces import Trace, Traces, trace_of_stream
-from lagoonring.retries.messages import make_fingerprint
-from lagoonring.routing.prefixes import hash_blocks, hash_conversation
 
 if TYPE_CHECKING:
-    from lagoonring.catalogue import Entry, ServiceClass
+    from lagoonring.requests.messages import ChatRequest, PlainAnswer, PlainRequest
     from lagoonring.requests.parts import RequestParts
 
 NOT_READY_RETRY_AFTER_S = 1.0
@@ -79,111 +69,6 @@
                 retry_after_s=NOT_READY_RETRY_AFTER_S,
             )
 
-    def find_entry(self, name: str, kind: str) -> Entry:
-        """Return an entry of the catalogue.
-
-        Raises
-        ------
-        UnknownEntryError
-            If there is none of that name and kind.
-        """
-        entries = self.parts.catalogue.content.entries
-        entry = entries.get(name)
-        if entry is None or entry.kind != kind:
-            known = sorted(n for n, e in entries.items() if e.kind == kind)
-            raise UnknownEntryError(
-                f"Got entry {name[:80]!r}, expected one of: {', '.join(known)}.",
-                remedy="Correct the name, or add the entry to the catalogue.",
-            )
-        return entry
-
-    def make_chat_request(
-        self,
-        body: bytes,
-        *,
-        organisation: str,
-        allowed_s: float | None,
-        request_id: str = "",
-    ) -> ChatRequest:
-        """Return a checked request for a model assistant.
-
-        ``allowed_s`` is the time until its deadline; None takes the class's.
-
-        Raises
-        ------
-        BadJsonError
-            If the body is not a chat completion request.
-        UnknownEntryError
-            If there is no model entry of that name.
-        """
-        document = parse_chat_body(body)
-        entry = self.find_entry(document["model"], "model")
-        service_class = self.parts.catalogue.content.classes[entry.service_class]
-        prompt = canonical_prompt(document["messages"])
-        stream_options = document.get("stream_options")
-        wants_usage = isinstance(stream_options, dict) and bool(
-            stream_options.get("include_usage")
-        )
-        return ChatRequest(
-            request_id=request_id or self.new_request_id(),
-            organisation=organisation,
-            entry=document["model"],
-            service_class=entry.service_class,
-            body=body,
-            fingerprint=make_fingerprint(organisation, document["model"], body),
-            deadline_s=self._deadline_s(service_class, allowed_s),
-            priority=service_class.priority,
-            route_name=route_name(document["messages"]),
-            document=document,
-            prefix_blocks=hash_blocks(prompt),
-            affinity_key=hash_conversation(prompt),
-            n_prompt_bytes=len(prompt),
-            n_tokens_most=n_tokens_most(document, self.parts.options.n_tokens_default),
-            is_streamed=bool(document.get("stream")),
-            wants_usage=wants_usage,
-        )
-
-    def make_plain_request(
-        self,
-        name: str,
-        *,
-        organisation: str,
-        method: str,
-        path: str,
-        headers: dict[str, str],
-        body: bytes,
-        key: str,
-        allowed_s: float | None,
-    ) -> PlainRequest:
-        """Return a checked call of a plain service.
-
-        ``allowed_s`` is the time until its deadline; None takes the class's.
-
-        Raises
-        ------
-        UnknownEntryError
-            If there is no plain entry of that name.
-        """
-        entry = self.find_entry(name, "plain")
-        service_class = self.parts.catalogue.content.classes[entry.service_class]
-        call = b" ".join((method.encode(), path.encode(), body))
-        return PlainRequest(
-            request_id=self.new_request_id(),
-            organisation=organisation,
-            entry=name,
-            service_class=entry.service_class,
-            body=body,
-            fingerprint=make_fingerprint(organisation, name, call),
-            deadline_s=self._deadline_s(service_class, allowed_s),
-            priority=service_class.priority,
-            key=key,
-            route_name=f"{method} {path.partition('?')[0].split('/')[1][:40]}",
-            method=method,
-            path=path,
-            headers=headers,
-            is_idempotent=entry.idempotent or method in entry.idempotent_methods,
-        )
-
     async def start_stream(self, request: ChatRequest) -> Stream:
         """Admit a request and begin to produce its answer.
 
@@ -368,14 +253,6 @@
         self.parts.charges.add(request.organisation, request.entry, 0, cost)
         return cost
 
-    def _deadline_s(
-        self, service_class: ServiceClass, allowed_s: float | None
-    ) -> float:
-        """Return the deadline on the monotonic clock."""
-        if allowed_s is None:
-            allowed_s = service_class.deadline_ms / 1000
-        return self.app.clock.monotonic() + allowed_s
-
     def _begin(self) -> None:
         self.n_in_progress += 1
         self.idle.clear()
