Nudge the heir of a claim slot across data centres

Cause: after a data centre's drain the next owner of a slot found it free only at its next look, 1 to 3 s later. Change: with nobody staying near, a contact in the slot's new home is told, and passes it on to the heir.

--- a/lagoonring/claims/records.py
+++ b/lagoonring/claims/records.py
@@ -91,6 +91,7 @@
 
     slot: int
     is_leaving: bool
+    is_forwarded: bool = False
 
 
 @attrs.frozen(kw_only=True)
--- a/lagoonring/claims/service.py
+++ b/lagoonring/claims/service.py
@@ -346,17 +346,30 @@
 
     async def _nudge_heir(self, slot: int) -> None:
         """Tell the instance that takes the slot next that it is free."""
+        heir = self._find_heir(slot)
+        if heir is not None:
+            await self._send_nudge(heir, Nudge(slot=slot, is_leaving=self.is_draining))
+
+    def _find_heir(self, slot: int) -> str | None:
+        """Return who takes a slot next, or who will pass a nudge on to it."""
+        name = f"claims-{slot}"
         others = [instance for instance in self.live if instance != self.me]
-        if not others:
-            return
-        heir = rank(f"claims-{slot}", others)[0]
-        nudge = Nudge(slot=slot, is_leaving=self.is_draining)
+        if others:
+            return rank(name, others)[0]
+        members = self.peers.members() if self.peers is not None else []
+        home = rank(name, self.data_centres)[0]
+        contacts = [m.instance for m in members if m.data_centre == home]
+        return rank(name, contacts)[0] if contacts else None
+
+    async def _send_nudge(self, heir: str, nudge: Nudge) -> None:
         payload = msgspec.msgpack.encode(nudge)
         timeout_s = self.options.call_timeout_s
         try:
             await self.peers.call(heir, NUDGE_METHOD, payload, timeout_s=timeout_s)
         except (LagoonringError, OSError) as error:
-            logger.info("The heir of slot {} will find it free: {!r}.", slot, error)
+            logger.info(
+                "The heir of slot {} will find it free: {!r}.", nudge.slot, error
+            )
 
     async def _serve_nudge(self, sender: str, payload: bytes) -> bytes:
         nudge = msgspec.msgpack.decode(payload, type=Nudge)
@@ -364,8 +377,12 @@
             self.leaving[sender] = self.app.clock.monotonic()
         self._balance()
         owner = self.owners.get(nudge.slot)
+        heir = self.preferred[nudge.slot]
         if owner is not None:
             owner.nudge()
+        elif not nudge.is_forwarded and heir != self.me:
+            forwarded = Nudge(slot=nudge.slot, is_leaving=False, is_forwarded=True)
+            await self._send_nudge(heir, forwarded)
         return b""
 
 
