Find a stream from any instance of any data centre

Change: after the holders known here, a contact in each other data centre is asked, which asks only the holders that it knows; a header keeps the request from going round. Measured: the new test (9 instances, n_contacts 1, re-attached at each) got unknown_request with the far hop taken out and passes with it. Conclusion: any instance finds a stream in at most two hops.

--- a/lagoonring/requests/handover.py
+++ b/lagoonring/requests/handover.py
@@ -30,6 +30,8 @@
 CALL_TIMEOUT_S = 2.0
 RELAY_TIMEOUT_S = 600.0
 RELAYED_HEADER = "X-Relayed"
+HOLDER_HOP = "holder"
+FAR_HOP = "far"
 N_TARGETS_MOST = 3
 N_CONFIRMS_MOST = 3
 COPY_BYTES = 1 << 16
@@ -144,16 +146,25 @@
     ) -> web.StreamResponse:
         """Pass a stream on from the instance that holds it.
 
+        The holders known here are asked first, then a contact in each other
+        data centre; the hop in the headers keeps a request from going round.
+
         Raises
         ------
         UnknownRequestError
             If no reachable instance holds it.
         """
-        if RELAYED_HEADER not in request.headers:
-            for url in self.holders(request_id):
-                response = await self._relay_from(request, url, request_id, n_tokens)
-                if response is not None:
-                    return response
+        hop = request.headers.get(RELAYED_HEADER, "")
+        urls = [] if hop == HOLDER_HOP else self.holders(request_id)
+        asked = [(url, HOLDER_HOP) for url in urls]
+        if not hop:
+            asked += [(url, FAR_HOP) for url in self._far_contacts()]
+        for url, next_hop in asked:
+            response = await self._relay_from(
+                request, url, request_id, n_tokens, hop=next_hop
+            )
+            if response is not None:
+                return response
         raise unknown_request(request_id)
 
     def holders(self, request_id: str) -> list[str]:
@@ -183,11 +194,17 @@
                 logger.warning("Confirming a handover failed: {}.", error.code)
 
     async def _relay_from(
-        self, request: web.Request, url: str, request_id: str, n_tokens: int
+        self,
+        request: web.Request,
+        url: str,
+        request_id: str,
+        n_tokens: int,
+        *,
+        hop: str,
     ) -> web.StreamResponse | None:
         """Pass a stream on from one instance; None if it does not hold it."""
         headers = {
-            RELAYED_HEADER: "1",
+            RELAYED_HEADER: hop,
             LAST_EVENT_HEADER: f"{request_id}:{n_tokens}",
             "Authorization": request.headers.get("Authorization", ""),
         }
@@ -206,6 +223,20 @@
                 return None
             return await _copy(request, answer)
 
+    def _far_contacts(self) -> list[str]:
+        """Return one contact's HTTP root for each other data centre.
+
+        An instance knows all members of its own data centre only; the contact
+        looks among those of its own.
+        """
+        me = self.peers.me
+        found: dict[str, str] = {}
+        for member in self.peers.members():
+            is_far = member.data_centre != me.data_centre
+            if is_far and member.http_address and member.state is MemberState.ALIVE:
+                found.setdefault(member.data_centre, f"http://{member.http_address}")
+        return list(found.values())
+
     def _targets(self, request_id: str) -> list[str]:
         """Return instances to hand a stream to, other data centres first."""
         me = self.peers.me
--- a/lagoonring/tests/builders/deployments.py
+++ b/lagoonring/tests/builders/deployments.py
@@ -196,8 +196,9 @@
                     "keys": [PEER_KEY],
                     "seeds": [other for other in rows if other is not row],
                     "round_s": 0.05,
+                    **more.get("peers", {}),
                 },
-                **more,
+                **{name: part for name, part in more.items() if name != "peers"},
             },
             EntrySettings,
         )
--- a/lagoonring/tests/test_handover_charges.py
+++ b/lagoonring/tests/test_handover_charges.py
@@ -8,7 +8,7 @@
     wait_for_members,
     wait_until,
 )
-from lagoonring.tests.builders.callers import ask_and_hold, attach
+from lagoonring.tests.builders.callers import Caller, ask, ask_and_hold, attach
 from lagoonring.tests.builders.deployments import (
     Deployment,
     headers_of,
@@ -77,3 +77,19 @@
             error = (await answer.json())["error"]
             assert (answer.status, error["code"]) == (404, "unknown_request")
         server.close()
+
+
+async def test_stream_is_found_from_any_instance_of_any_data_centre():
+    """Each instance has only one contact in each other data centre."""
+    entry = {"peers": {"n_contacts": 1}}
+    async with run_deployment(n_entries=9, n_engines=1, entry=entry) as deployment:
+        for app in deployment.entries:
+            peers = app.find("peers")
+            await wait_until(
+                lambda p=peers: len({m.data_centre for m in p.members()}) == 3
+            )
+        caller = await ask(deployment, "turtles", N_TOKENS, entry=4)
+        for index in range(9):
+            again = Caller(request_id=caller.request_id)
+            await attach(deployment, again, entry=index)
+            again.assert_whole("turtles", N_TOKENS)
