--- a/lagoonring/tests/test_entry_command.py
+++ b/lagoonring/tests/test_entry_command.py
@@ -7,13 +7,13 @@
 import json
 import signal
 import socket
+import subprocess
 import sys
 
 import aiohttp
 import pytest
-from typer.testing import CliRunner
 
-from lagoonring.cli.entry_command import command
+from lagoonring.cli.entry_command import main
 from lagoonring.cli.exits import EntryExit
 from lagoonring.tests.builders.deployments import HOST, PEER_KEY, free_ports
 from lagoonring.tests.builders.processes import run_processes
@@ -35,10 +35,18 @@
     return str(path)
 
 
-def test_check_lists_every_fault(tmp_path):
+def run_here(capsys, words: list[str]) -> tuple[int, str, str]:
+    """Run the command line in this process; return code, output and errors."""
+    with pytest.raises(SystemExit) as ended:
+        main(words)
+    shown = capsys.readouterr()
+    return ended.value.code, shown.out, shown.err
+
+
+def test_check_lists_every_fault(tmp_path, capsys):
     good = write_settings(tmp_path / "good.json")
-    result = CliRunner().invoke(command, ["--settings", good, "--check"])
-    assert (result.exit_code, "valid" in result.stdout) == (EntryExit.STOPPED, True)
+    code, output, _ = run_here(capsys, ["--settings", good, "--check"])
+    assert (code, "valid" in output) == (EntryExit.STOPPED, True)
     bad = write_settings(
         tmp_path / "bad.json",
         instance="a b",
@@ -46,16 +54,31 @@
         log_urll="x",
         peers={"keys": ["short"]},
     )
-    result = CliRunner().invoke(command, ["--settings", bad, "--check"])
-    assert result.exit_code == EntryExit.FAULTY_SETTINGS
+    code, _, errors = run_here(capsys, ["--settings", bad, "--check"])
+    assert code == EntryExit.FAULTY_SETTINGS
     for path in ("instance:", "port:", "log_urll:", "peers.keys:"):
-        assert f"  {path}" in result.stderr
+        assert f"  {path}" in errors
     (tmp_path / "text.json").write_text("{")
     for name in ("text.json", "none.json"):
         words = ["--settings", str(tmp_path / name)]
-        result = CliRunner().invoke(command, words)
-        assert result.exit_code == EntryExit.FAULTY_SETTINGS
-        assert "unreadable_settings" in result.stderr
+        code, _, errors = run_here(capsys, words)
+        assert code == EntryExit.FAULTY_SETTINGS
+        assert "unreadable_settings" in errors
+
+
+def test_an_entry_instance_keeps_the_command_line_small():
+    """What reads the command line stays in the memory of every instance."""
+    code = (
+        "import sys, contextlib\n"
+        "from lagoonring.cli.entry_command import main\n"
+        "with contextlib.suppress(SystemExit): main(['--help'])\n"
+        "heavy = {'typer', 'pydantic', 'rich', 'matplotlib'} & set(sys.modules)\n"
+        "sys.exit(f'heavy: {heavy}' if heavy else 0)\n"
+    )
+    ended = subprocess.run(
+        [sys.executable, "-c", code], capture_output=True, text=True, check=False
+    )
+    assert ended.returncode == 0, ended.stderr
 
 
 async def run_entry(path: str) -> tuple[int, str]:
