--- a/Makefile
+++ b/Makefile
@@ -43,4 +43,4 @@
 
 .PHONY: golden
 golden: setup
-	LAGOONRING_WRITE_GOLDEN=1 $(BIN)/python -m pytest -n 0 lagoonring/tests/test_golden_sessions.py lagoonring/tests/test_move_sessions.py
+	LAGOONRING_WRITE_GOLDEN=1 $(BIN)/python -m pytest -n 0 lagoonring/tests/test_golden_sessions.py lagoonring/tests/test_move_sessions.py lagoonring/tests/test_metrics_page.py
