End the demo's processes on SIGTERM; tell regions in its settings

Cause: make serve left its processes running when it was terminated; peers in other data centres showed no region. Change: SIGTERM ends run_demo.py by way of its clean-up; seeds carry the region.

--- a/examples/demo/deployment.py
+++ b/examples/demo/deployment.py
@@ -24,6 +24,7 @@
 ENGINE_PORTS = 30
 PLAIN_PORTS = 40
 HOST = "127.0.0.1"
+REGION = "dakar"
 
 
 @attrs.frozen(kw_only=True)
@@ -70,6 +71,7 @@
         {
             "instance": f"entry-{other}",
             "data_centre": other,
+            "region": REGION,
             "address": f"{HOST}:{base_port + PEER_PORTS + number}",
             "http_address": f"{HOST}:{base_port + number}",
         }
@@ -79,6 +81,7 @@
     return {
         "instance": f"entry-{data_centre}",
         "data_centre": data_centre,
+        "region": REGION,
         "host": HOST,
         "port": base_port + index,
         "log_url": f"http://{HOST}:{base_port + PLATFORM_PORTS}",
--- a/examples/demo/run_demo.py
+++ b/examples/demo/run_demo.py
@@ -44,6 +44,7 @@
     parser.add_argument("--stay", action="store_true")
     options = parser.parse_args()
     deployment = make_deployment(options.base_port)
+    signal.signal(signal.SIGTERM, stop_as_asked)
     with (
         tempfile.TemporaryDirectory() as folder,
         run_processes(deployment, Path(folder)) as processes,
@@ -55,6 +56,11 @@
     return 0
 
 
+def stop_as_asked(number: int, frame: object) -> None:
+    """End the program by way of its clean-up, which ends the processes."""
+    raise KeyboardInterrupt
+
+
 @contextlib.contextmanager
 def run_processes(
     deployment: Deployment, folder: Path
