Keep a crashing request from a third endpoint when a pinned one fails

Cause: a request pinned to an endpoint where equal requests are in progress went to one of its own choice if that endpoint took no work. Ruled out: the fast restart of the test's engines (as often with 60 s). Change: only an endpoint that leaves is passed over; otherwise the home is asked again for a second, then the request is refused as not run.

--- a/lagoonring/requests/parts.py
+++ b/lagoonring/requests/parts.py
@@ -16,6 +16,7 @@
 from lagoonring.requests.metrics import RequestMetrics
 from lagoonring.requests.options import RequestsOptions
 from lagoonring.requests.suspects import SuspectedAttempts
+from lagoonring.retries.messages import SuspectBusyError
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine
@@ -25,6 +26,9 @@
 
 PROBE_TIMEOUT_S = 0.5
 CANCEL_TIMEOUT_S = 2.0
+N_PINNED_ASKS = 5
+PINNED_STEP_S = 0.2
+PINNED_RETRY_AFTER_S = 2.0
 
 logger = make_logger("requests")
 
@@ -56,18 +60,34 @@
     async def begin_attempt(
         self, request: CallerRequest, route: Route, route_request: RouteRequest
     ) -> Route:
-        """Get leave for an attempt; the route may change to another endpoint."""
-        endpoint = await self.retries.attempt(
-            request.fingerprint, route.endpoint, entry=request.entry
+        """Get leave for an attempt; the route may change to another endpoint.
+
+        Raises
+        ------
+        SuspectBusyError
+            If equal requests are in progress at an endpoint that fails; going
+            elsewhere could bring down a third one.
+        """
+        for _ in range(N_PINNED_ASKS):
+            endpoint = await self.retries.attempt(
+                request.fingerprint, route.endpoint, entry=request.entry
+            )
+            if endpoint == route.endpoint:
+                return route
+            pinned = self.routing.route_to(endpoint, route_request)
+            if pinned is not None:
+                return pinned
+            self.retries.ended(request.fingerprint, endpoint, ok=False)
+            if self.routing.is_leaving(endpoint):
+                # Nothing more is sent there, whoever else has been.
+                return route
+            await self.app.clock.sleep(PINNED_STEP_S)
+        raise SuspectBusyError(
+            f"Got equal requests in progress at {endpoint}, which takes no work, "
+            "expected them to end.",
+            remedy="Send it again after Retry-After; it was not run.",
+            retry_after_s=PINNED_RETRY_AFTER_S,
         )
-        if endpoint == route.endpoint:
-            return route
-        other = self.routing.route_to(endpoint, route_request)
-        if other is not None:
-            return other
-        # An endpoint that takes no work can't be used, whoever else is there.
-        self.retries.ended(request.fingerprint, endpoint, ok=False)
-        return route
 
     async def blame(self, request: CallerRequest, route: Route, kind: str) -> str:
         """Return the cause of a failed attempt and tell the quarantine."""
