Take test ports from below the range of outgoing connections

Cause: test_data_centre_reclaimed failed once with an address in use: ports picked by the system come from the range of outgoing connections, which took one before the instance listened. Change: ports are drawn from 10,000 to 32,000. Conclusion: two runs at once can still draw the same port, rarely.

--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -5,6 +5,7 @@
 import contextlib
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -20,6 +21,9 @@
     from collections.abc import Iterator
 
 HOST = "127.0.0.1"
+PORT_FIRST = 10_000
+PORT_LAST = 32_000
+PORTS = random.SystemRandom()
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 20.0
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
@@ -39,12 +43,20 @@
 
 
 def free_ports(n_ports: int) -> list[int]:
-    """Return ports that were free a moment ago."""
+    """Return ports that were free a moment ago.
+
+    They are below the range from which the system takes the ports of outgoing
+    connections, so that none of those takes them meanwhile.
+    """
+    ports: list[int] = []
     with contextlib.ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(n_ports)]
-        for one in sockets:
-            one.bind((HOST, 0))
-        return [one.getsockname()[1] for one in sockets]
+        while len(ports) < n_ports:
+            port = PORTS.randrange(PORT_FIRST, PORT_LAST)
+            one = stack.enter_context(socket.socket())
+            with contextlib.suppress(OSError):
+                one.bind((HOST, port))
+                ports.append(port)
+    return ports
 
 
 @contextlib.contextmanager
--- a/lagoonring/tests/builders/deployments.py
+++ b/lagoonring/tests/builders/deployments.py
@@ -29,6 +29,9 @@
 
 HANG_S = 60.0
 HOST = "127.0.0.1"
+PORT_FIRST = 10_000
+PORT_LAST = 32_000
+PORTS = random.SystemRandom()
 KEYS = {"hann": "hann-key", "ngor": "ngor-key"}
 OPERATOR_TOKEN = "awa-token"
 DATA_CENTRES = ("plateau", "almadies", "rufisque")
@@ -259,12 +262,20 @@
 
 
 def free_ports(n_ports: int) -> list[int]:
-    """Return ports that were free a moment ago."""
+    """Return ports that were free a moment ago.
+
+    They are below the range from which the system takes the ports of outgoing
+    connections, so that none of those takes them meanwhile.
+    """
+    ports: list[int] = []
     with contextlib.ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(n_ports)]
-        for one in sockets:
-            one.bind((HOST, 0))
-        return [one.getsockname()[1] for one in sockets]
+        while len(ports) < n_ports:
+            port = PORTS.randrange(PORT_FIRST, PORT_LAST)
+            one = stack.enter_context(socket.socket())
+            with contextlib.suppress(OSError):
+                one.bind((HOST, port))
+                ports.append(port)
+    return ports
 
 
 async def _start(stack: contextlib.AsyncExitStack, standin: Any) -> Any:
