Count moves of a stream apart from its failed attempts

Cause: read as a newcomer, n_attempts_most counted moves after notices as well, so a stream under enough notices would have failed though nothing had. Change: only failed attempts count against the limit. Measured: a stream moved 9 times with 3 failed attempts allowed hangs and fails in the test before, and is whole after.

--- a/lagoonring/requests/producer.py
+++ b/lagoonring/requests/producer.py
@@ -66,7 +66,8 @@
 async def _attempt_until_whole(parts: RequestParts, stream: Stream) -> None:
     excluded: set[str] = set()
     last_error: EndpointError | None = None
-    while stream.n_attempts < parts.options.n_attempts_most:
+    n_failed = 0
+    while n_failed < parts.options.n_attempts_most:
         route_request = make_route_request(parts, stream)
         route = _choose(parts, stream, route_request, excluded)
         route = await parts.begin_attempt(stream.request, route, route_request)
@@ -79,13 +80,14 @@
             raise error
         if error.kind == MOVED:
             continue
+        n_failed += 1
         excluded.add(route.endpoint)
         stream.pinned_version = parts.version_in_force(stream.request.entry)
         last_error = error
         if not parts.retries.may_retry(stream.request.entry):
             break
     raise AttemptsExhaustedError(
-        f"Got {stream.n_attempts} failed attempts, the last one {last_error}",
+        f"Got {n_failed} failed attempts, the last one {last_error}",
         remedy="Send the request again after Retry-After.",
         retry_after_s=GIVE_UP_RETRY_AFTER_S,
     )
--- a/lagoonring/tests/test_failure_pairs.py
+++ b/lagoonring/tests/test_failure_pairs.py
@@ -145,3 +145,18 @@
             await held.asking
             assert [error["code"] for error in caller.errors] == ["quarantined"]
             assert caller.errors[0]["outcome"] == "unknown"
+
+
+async def test_stream_moves_as_often_as_notices_come():
+    """Moves are no failures: more of them than failed attempts are allowed."""
+    n_moves = 9
+    entry = {**ENTRY, "requests": {**ENTRY["requests"], "n_attempts_most": 3}}
+    async with (
+        run_deployment(n_engines=n_moves + 1, entry=entry) as deployment,
+        ask_and_hold(deployment, "turtles", N_TOKENS, n_before=HOLD) as held,
+    ):
+        for _ in range(n_moves):
+            await notice_endpoint(deployment, held.caller)
+        release_all(deployment)
+        await held.asking
+        held.caller.assert_whole("turtles", N_TOKENS)
