--- a/lagoonring/requests/producer.py
+++ b/lagoonring/requests/producer.py
@@ -45,6 +45,8 @@
     try:
         async with asyncio.timeout(stream.request.deadline_s - clock.monotonic()):
             await _attempt_until_whole(parts, stream)
+    except LagoonringError as error:
+        stream.end(error)
     except TimeoutError:
         stream.end(
             DeadlineError(
@@ -53,8 +55,6 @@
                 remedy="Ask for fewer tokens or allow more time in X-Deadline-Ms.",
             )
         )
-    except LagoonringError as error:
-        stream.end(error)
     except Exception:
         logger.exception("Stream failed.", extra={"request_id": _id(stream)})
         stream.end(InternalFaultError())
