Draw test ports and name relay hops in one place each; drop what nothing uses

Cause: reading the change again found free_ports twice (tests, benchmarks), the header and hops of relayed questions twice with different words (administration, handover), and an error kind and a constant that nothing uses. Conclusion: behaviour unchanged, but for the value of the hop's header between instances.

--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -5,9 +5,7 @@
 import contextlib
 import json
 import os
-import random
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -17,13 +15,21 @@
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
+from lagoonring.tests.builders.ports import HOST, free_ports
+
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-HOST = "127.0.0.1"
-PORT_FIRST = 10_000
-PORT_LAST = 32_000
-PORTS = random.SystemRandom()
+__all__ = [
+    "HOST",
+    "cpu_s",
+    "free_ports",
+    "memory_mb",
+    "run_program",
+    "run_with_settings",
+    "wait_for",
+]
+
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 20.0
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
@@ -42,23 +48,6 @@
     return int(fields[1]) * PAGE_BYTES / 2**20
 
 
-def free_ports(n_ports: int) -> list[int]:
-    """Return ports that were free a moment ago.
-
-    They are below the range from which the system takes the ports of outgoing
-    connections, so that none of those takes them meanwhile.
-    """
-    ports: list[int] = []
-    with contextlib.ExitStack() as stack:
-        while len(ports) < n_ports:
-            port = PORTS.randrange(PORT_FIRST, PORT_LAST)
-            one = stack.enter_context(socket.socket())
-            with contextlib.suppress(OSError):
-                one.bind((HOST, port))
-                ports.append(port)
-    return ports
-
-
 @contextlib.contextmanager
 def run_program(arguments: list[str]) -> Iterator[subprocess.Popen]:
     """Run a Python program until the block ends."""
--- a/lagoonring/administration/elsewhere.py
+++ b/lagoonring/administration/elsewhere.py
@@ -18,15 +18,13 @@
 from lagoonring.errors import LagoonringError
 from lagoonring.peers.messages import MemberState
 from lagoonring.requests.errors import UnknownRequestError
+from lagoonring.requests.relaying import RELAYED_HEADER, TO_DATA_CENTRE, TO_HOLDER
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
 
     from lagoonring.requests.handover import HandoverService
 
-RELAYED_HEADER = "X-Relayed"
-TO_HOLDER = "1"
-TO_DATA_CENTRE = "data-centre"
 ASK_TIMEOUT_S = 2.0
 CONTACT_TIMEOUT_S = 6.0
 N_ASKED_MOST = 4
--- a/lagoonring/requests/errors.py
+++ b/lagoonring/requests/errors.py
@@ -122,14 +122,6 @@
     outcome = Outcome.RUN
 
 
-class AnswerTooLargeError(LagoonringError):
-    """The endpoint's answer exceeds the limit."""
-
-    code = "answer_too_large"
-    status = 502
-    outcome = Outcome.RUN
-
-
 class InternalFaultError(LagoonringError, RuntimeError):
     """A fault of this program; the request may have run."""
 
--- a/lagoonring/requests/handover.py
+++ b/lagoonring/requests/handover.py
@@ -18,6 +18,7 @@
 from lagoonring.requests.making import make_chat_request
 from lagoonring.requests.messages import Handover, decode_handover, encode_handover
 from lagoonring.requests.reading import LAST_EVENT_HEADER
+from lagoonring.requests.relaying import RELAYED_HEADER, TO_DATA_CENTRE, TO_HOLDER
 from lagoonring.requests.streams import Stream
 
 if TYPE_CHECKING:
@@ -29,12 +30,8 @@
 ADOPTED_KIND = "adopted"
 CALL_TIMEOUT_S = 2.0
 RELAY_TIMEOUT_S = 600.0
-RELAYED_HEADER = "X-Relayed"
-HOLDER_HOP = "holder"
-FAR_HOP = "far"
 N_TARGETS_MOST = 3
 N_CONFIRMS_MOST = 3
-COPY_BYTES = 1 << 16
 
 logger = make_logger("handover")
 
@@ -155,10 +152,10 @@
             If no reachable instance holds it.
         """
         hop = request.headers.get(RELAYED_HEADER, "")
-        urls = [] if hop == HOLDER_HOP else self.holders(request_id)
-        asked = [(url, HOLDER_HOP) for url in urls]
+        urls = [] if hop == TO_HOLDER else self.holders(request_id)
+        asked = [(url, TO_HOLDER) for url in urls]
         if not hop:
-            asked += [(url, FAR_HOP) for url in self._far_contacts()]
+            asked += [(url, TO_DATA_CENTRE) for url in self._far_contacts()]
         for url, next_hop in asked:
             response = await self._relay_from(
                 request, url, request_id, n_tokens, hop=next_hop
--- a/lagoonring/tests/builders/deployments.py
+++ b/lagoonring/tests/builders/deployments.py
@@ -5,7 +5,6 @@
 import asyncio
 import contextlib
 import random
-import socket
 from typing import TYPE_CHECKING, Any
 
 import aiohttp
@@ -22,16 +21,13 @@
 from lagoonring.standins.log_standin import LogStandin
 from lagoonring.standins.options import EngineOptions, PlainOptions
 from lagoonring.standins.plain_standin import PlainStandin
+from lagoonring.tests.builders.ports import HOST, free_ports
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
 
 HANG_S = 60.0
-HOST = "127.0.0.1"
-PORT_FIRST = 10_000
-PORT_LAST = 32_000
-PORTS = random.SystemRandom()
 KEYS = {"hann": "hann-key", "ngor": "ngor-key"}
 OPERATOR_TOKEN = "awa-token"
 DATA_CENTRES = ("plateau", "almadies", "rufisque")
@@ -261,23 +257,6 @@
     await deployment.log.append("config", encode_edit(edit))
 
 
-def free_ports(n_ports: int) -> list[int]:
-    """Return ports that were free a moment ago.
-
-    They are below the range from which the system takes the ports of outgoing
-    connections, so that none of those takes them meanwhile.
-    """
-    ports: list[int] = []
-    with contextlib.ExitStack() as stack:
-        while len(ports) < n_ports:
-            port = PORTS.randrange(PORT_FIRST, PORT_LAST)
-            one = stack.enter_context(socket.socket())
-            with contextlib.suppress(OSError):
-                one.bind((HOST, port))
-                ports.append(port)
-    return ports
-
-
 async def _start(stack: contextlib.AsyncExitStack, standin: Any) -> Any:
     await standin.start()
     stack.push_async_callback(standin.stop)
