--- /dev/null
+++ b/lagoonring/cli/instance_command.py
@@ -0,0 +1,69 @@
+"""``lagoonring-instance``: runs one instance on the platform.
+
+The command line is read by argparse: typer imports pydantic, which would stay
+in the memory of every instance.
+"""
+
+from __future__ import annotations
+
+import argparse
+import os
+import sys
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from lagoonring import __version__
+from lagoonring.cli.exits import EntryExit
+from lagoonring.errors import LagoonringError
+from lagoonring.platform.boot import PATH_VARIABLE, load_boot_file
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+METRICS_PORT = 9464
+
+
+def make_parser() -> argparse.ArgumentParser:
+    """Return the parser of the command line."""
+    parser = argparse.ArgumentParser(
+        prog="lagoonring-instance",
+        description="Serve callers on the platform until SIGTERM.",
+        epilog="Exit codes: 0 stopped or valid, 1 failed, 2 faulty settings.",
+    )
+    parser.add_argument(
+        "--settings",
+        type=Path,
+        default=os.environ.get(PATH_VARIABLE),
+        help=f"The platform's settings file; {PATH_VARIABLE} by default.",
+    )
+    parser.add_argument(
+        "--metrics-port", type=int, default=METRICS_PORT, help="TCP port of /metrics."
+    )
+    parser.add_argument(
+        "--check", action="store_true", help="Only validate the settings."
+    )
+    parser.add_argument("--version", action="version", version=__version__)
+    return parser
+
+
+def main(words: Sequence[str] | None = None) -> None:
+    """Run the command line and exit with its code."""
+    options = make_parser().parse_args(words)
+    if options.settings is None:
+        print(f"Got no settings file; name it in {PATH_VARIABLE}.", file=sys.stderr)
+        sys.exit(int(EntryExit.FAULTY_SETTINGS))
+    try:
+        settings = load_boot_file(Path(options.settings))
+    except LagoonringError as error:
+        print(f"lagoonring-instance: {error}", file=sys.stderr)
+        sys.exit(int(EntryExit.FAULTY_SETTINGS))
+    if options.check:
+        print(f"{options.settings}: valid")
+        return
+    from lagoonring.platform.process import run_logged
+
+    run_logged(settings, metrics_port=options.metrics_port)
+
+
+if __name__ == "__main__":
+    main()
--- a/lagoonring/endpoints/transport.py
+++ b/lagoonring/endpoints/transport.py
@@ -21,6 +21,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator, Mapping
 
+    from yarl import URL
+
 ECHOED_HEADERS = ("X-Request-Id", "X-Attempt-Id")
 CONNECT_TIMEOUT_S = 1.0
 SHOWN_BYTES = 200
@@ -57,7 +59,7 @@
 async def send(
     session: aiohttp.ClientSession,
     method: str,
-    url: str,
+    url: str | URL,
     *,
     body: bytes | None = None,
     headers: Mapping[str, str] | None = None,
@@ -76,7 +78,7 @@
         If the answer did not come: the request may have been run.
     """
     timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=connect_timeout_s)
-    with typed_errors(url):
+    with typed_errors(str(url)):
         return await session.request(
             method,
             url,
--- a/lagoonring/kernel/clock.py
+++ b/lagoonring/kernel/clock.py
@@ -19,6 +19,10 @@
         """Return seconds from an arbitrary start; never goes back."""
         return time.monotonic()
 
+    def boottime(self) -> float:
+        """Return seconds from an arbitrary start, time asleep included."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
     def time(self) -> float:
         """Return seconds since the epoch."""
         return time.time()
@@ -46,6 +50,10 @@
         """Return the current reading in seconds."""
         return self.now_s
 
+    def boottime(self) -> float:
+        """Return the current reading in seconds."""
+        return self.now_s
+
     def time(self) -> float:
         """Return the current reading in seconds."""
         return self.now_s
--- a/lagoonring/leases/lease.py
+++ b/lagoonring/leases/lease.py
@@ -1,8 +1,8 @@
 """A lease by log order, with fencing numbers and without shared clocks.
 
-The challenger waits by its own monotonic clock from when it *saw* the newest
-renewal; the holder counts from before it *sent* it, so the holder gives up
-first. Should clocks mislead both, log order still decides: a take that names
+The challenger waits by its own steady clock, which goes on while the machine is
+suspended, from when it *saw* the newest renewal; the holder counts from before it
+*sent* it, so the holder gives up first. Should clocks mislead both, log order still decides: a take that names
 an older epoch or renewal is void, and so are records of an epoch that ended.
 """
 
@@ -97,10 +97,10 @@
         return "" if state.is_released else state.holder
 
     def is_held(self) -> bool:
-        """Whether the lease is held, by this process's monotonic clock."""
+        """Whether the lease is held, by this process's steady clock."""
         if self.epoch is None or not self._is_current():
             return False
-        held_s = self.clock.monotonic() - self.held_from_s
+        held_s = self.clock.boottime() - self.held_from_s
         return held_s < self.options.duration_s - self.options.margin_s
 
     def remaining_s(self) -> float:
@@ -108,7 +108,7 @@
         if not self.is_held():
             return 0.0
         end_s = self.held_from_s + self.options.duration_s - self.options.margin_s
-        return max(0.0, end_s - self.clock.monotonic())
+        return max(0.0, end_s - self.clock.boottime())
 
     async def acquire(self, *, patience_s: float = 0.0) -> int | None:
         """Try once to take the lease; return the fencing number or None.
@@ -216,7 +216,7 @@
         return await self._write(record)
 
     async def _write(self, record: LeaseRecord) -> int:
-        sent_s = self.clock.monotonic()
+        sent_s = self.clock.boottime()
         sighting = await self._append_and_find(record)
         if not sighting.counts:
             raise self._lost()
@@ -277,7 +277,7 @@
         raise self._fate_unknown()
 
     def _remember_take(self, token: str) -> None:
-        self.takes[token] = self.clock.monotonic()
+        self.takes[token] = self.clock.boottime()
         while len(self.takes) > N_TAKES_REMEMBERED:
             oldest = next(iter(self.takes))
             del self.takes[oldest]
@@ -301,7 +301,7 @@
 
     def _is_free(self, patience_s: float) -> bool:
         state = self.stream.state
-        silent_s = self.clock.monotonic() - self.stream.seen_s
+        silent_s = self.clock.boottime() - self.stream.seen_s
         if state.is_known and state.is_released:
             return silent_s >= patience_s
         return silent_s >= self.options.duration_s + patience_s
--- a/lagoonring/leases/stream.py
+++ b/lagoonring/leases/stream.py
@@ -87,7 +87,7 @@
         self.state = LeaseState()
         self.next_offset = 0
         self.first_offset = 0
-        self.seen_s = clock.monotonic()
+        self.seen_s = clock.boottime()
         self.time_s = 0.0
         self.snapshot_time_s = 0.0
         self.is_at_end = False
@@ -157,9 +157,9 @@
         before = self.state
         self.state, counts = fold(before, decoded, record.offset)
         if self.state.renewal != before.renewal:
-            self.seen_s = self.clock.monotonic()
+            self.seen_s = self.clock.boottime()
         if not self.state.is_known:
-            self.seen_s = self.clock.monotonic()
+            self.seen_s = self.clock.boottime()
         if counts and decoded.kind == "data" and self.data is not None:
             self.data.on_data(record.offset, record.time_s, decoded.payload)
         if decoded.token in self.sightings:
@@ -168,7 +168,7 @@
     async def _start_again(self, first_offset: int) -> None:
         """Begin at the newest state that the log has kept."""
         newest = await self._find_newest(first_offset)
-        self.seen_s = self.clock.monotonic()
+        self.seen_s = self.clock.boottime()
         parts = newest.find_parts(self.first_offset)
         anchor = parts[0] if parts else newest.anchor
         if anchor is None or not _is_anchor(anchor, self.first_offset):
--- a/lagoonring/peers/transport.py
+++ b/lagoonring/peers/transport.py
@@ -22,7 +22,6 @@
 if TYPE_CHECKING:
     from lagoonring.kernel import Clock
     from lagoonring.peers.metrics import PeersMetrics
-    from lagoonring.peers.options import PeersOptions
 
     Receive = Callable[[bytes], None]
 
@@ -39,6 +38,26 @@
 logger = make_logger("peers")
 
 
+class LinkOptions(Protocol):
+    """Options of a transport; times in seconds."""
+
+    @property
+    def address(self) -> str:
+        """IP number and port to listen on."""
+
+    @property
+    def connect_timeout_s(self) -> float:
+        """How long a frame waits for a connection."""
+
+    @property
+    def idle_link_s(self) -> float:
+        """Time after which an unused link is closed."""
+
+    @property
+    def frame_limit_bytes(self) -> int:
+        """Largest frame accepted."""
+
+
 class Transport(Protocol):
     """What the service needs of its network; tests pass one in memory."""
 
@@ -75,7 +94,7 @@
     """The connection to one peer and the frames that wait for it."""
 
     def __init__(
-        self, address: str, clock: Clock, options: PeersOptions, metrics: PeersMetrics
+        self, address: str, clock: Clock, options: LinkOptions, metrics: PeersMetrics
     ) -> None:
         self.metrics = metrics
         self.address = address
@@ -168,13 +187,13 @@
     ----------
     clock : Clock
         Times how long frames wait for a connection.
-    options : PeersOptions
+    options : LinkOptions
         ``address`` is listened on; after :meth:`start` the attribute ``address``
         has the port in use.
     """
 
     def __init__(
-        self, clock: Clock, options: PeersOptions, metrics: PeersMetrics
+        self, clock: Clock, options: LinkOptions, metrics: PeersMetrics
     ) -> None:
         self.metrics = metrics
         self.clock = clock
--- /dev/null
+++ b/lagoonring/platform/application.py
@@ -0,0 +1,242 @@
+"""Puts together the application of an instance on the platform."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import aiohttp
+
+from lagoonring.kernel import Application, BaseService
+from lagoonring.metrics import MetricsService
+from lagoonring.platform import documents
+from lagoonring.platform.callers import Callers
+from lagoonring.platform.duty_client import Authority, DutyClient
+from lagoonring.platform.sending import HttpSender, make_session, make_socket
+from lagoonring.platform.store import ENDPOINT_TOPIC, OPERATOR_TOPIC, StoreClient
+from lagoonring.platform.store_log import StoreLog
+from lagoonring.platform.topics import KeyedTopic
+from lagoonring.serving.demand import Demand
+from lagoonring.serving.duties import Duties
+from lagoonring.serving.endpoints import EndpointTable
+from lagoonring.serving.exchange import Exchange
+from lagoonring.serving.fleet import FleetDuty
+from lagoonring.serving.follower import Follower
+from lagoonring.serving.metrics import ServingMetrics
+from lagoonring.serving.news import connect_news
+from lagoonring.serving.parts import ServingParts
+from lagoonring.serving.path import RequestPath
+from lagoonring.serving.placer import Placer
+from lagoonring.serving.quotas import Quotas
+from lagoonring.serving.repeats import RepeatBudget
+from lagoonring.serving.reporting import UsageReports
+from lagoonring.serving.suspects import Suspects
+from lagoonring.serving.true_time import TrueClock
+from lagoonring.serving.usage import UsageCounts
+
+if TYPE_CHECKING:
+    import random
+
+    from lagoonring.kernel import Clock
+    from lagoonring.leases.lease import Lease
+    from lagoonring.serving.duties import DutyLedger, DutyPart
+    from lagoonring.serving.settings import NodeSettings
+    from lagoonring.serving.sizing import Order
+
+
+class Sessions(BaseService):
+    """Owns the HTTP sessions to endpoints and to the platform."""
+
+    name = "sessions"
+
+    def __init__(self) -> None:
+        self.endpoints: aiohttp.ClientSession | None = None
+        self.platform: aiohttp.ClientSession | None = None
+
+    async def start(self) -> None:
+        """Open both sessions."""
+        self.endpoints = make_session()
+        connector = aiohttp.TCPConnector(
+            limit=0, use_dns_cache=False, socket_factory=make_socket
+        )
+        self.platform = aiohttp.ClientSession(connector=connector)
+
+    async def stop(self) -> None:
+        """Close both sessions."""
+        for session in (self.endpoints, self.platform):
+            if session is not None:
+                await session.close()
+
+
+class Serving(BaseService):
+    """Builds what needs the open sessions, and runs it."""
+
+    name = "serving"
+
+    def __init__(self, app: Application, settings: NodeSettings) -> None:
+        self.app = app
+        self.settings = settings
+        self.started: list[BaseService] = []
+
+    async def start(self) -> None:
+        """Build the parts and start them in order."""
+        sessions = self.app.find("sessions")
+        store = StoreClient(self.settings.store_address, sessions.platform)
+        table = EndpointTable()
+        metrics = ServingMetrics(self.app.find("metrics").registry)
+        follower = Follower(
+            self.app,
+            table,
+            metrics,
+            documents=KeyedTopic(store, OPERATOR_TOPIC),
+            records=KeyedTopic(store, ENDPOINT_TOPIC),
+            read_document=documents.decode_document,
+            read_record=documents.decode_endpoint,
+        )
+        exchange = Exchange(self.app, self.settings)
+        true_clock = TrueClock(self.app.clock)
+        parts = make_parts(
+            self.app,
+            self.settings,
+            follower=follower,
+            table=table,
+            exchange=exchange,
+            metrics=metrics,
+            true_clock=true_clock,
+        )
+        connect_news(parts, true_clock)
+        path = RequestPath(parts)
+        duties = make_duties(self.app, self.settings, parts, store)
+        callers = Callers(self.app, self.settings, path)
+        for service in (exchange, follower, duties, path, callers):
+            self.app.add(service)
+            self.started.append(service)
+            await service.start()
+
+    async def retire(self) -> None:
+        """Give up duties and new connections."""
+        for service in self.started:
+            await service.retire()
+
+    async def drain(self, grace_s: float) -> None:
+        """Let requests finish."""
+        for service in reversed(self.started):
+            await service.drain(grace_s)
+
+    async def stop(self) -> None:
+        """Stop in reverse order."""
+        for service in reversed(self.started):
+            await service.stop()
+
+
+def make_parts(
+    app: Application,
+    settings: NodeSettings,
+    *,
+    follower: Follower,
+    table: EndpointTable,
+    exchange: Exchange,
+    metrics: ServingMetrics,
+    true_clock: TrueClock,
+) -> ServingParts:
+    """Return what the request path uses."""
+    bounds = settings.bounds
+    demand = Demand(app.clock)
+    return ServingParts(
+        app=app,
+        follower=follower,
+        table=table,
+        placer=Placer(
+            table,
+            app.clock,
+            app.rng,
+            data_centre=settings.data_centre,
+            is_allowed=lambda service, version, request_id: True,
+            demand=demand,
+        ),
+        sender=HttpSender(app.find("sessions").endpoints),
+        exchange=exchange,
+        quotas=Quotas(),
+        repeats=RepeatBudget(
+            ratio=bounds.retry_ratio,
+            slack=bounds.retry_slack,
+            window_s=bounds.retry_window_s,
+        ),
+        suspects=Suspects(),
+        usage=UsageCounts(bounds.usage_window_s, true_clock.now),
+        demand=demand,
+        metrics=metrics,
+    )
+
+
+def make_duties(
+    app: Application, settings: NodeSettings, parts: ServingParts, store: StoreClient
+) -> Duties:
+    """Return the service of what one instance does for all."""
+    session = app.find("sessions").platform
+    client = DutyClient(f"http://{settings.cloud_address}", session)
+
+    def authority(lease: Lease) -> Authority:
+        return Authority(settings.instance, lease.fencing_number)
+
+    async def report(lease: Lease, window: int, counts: dict[str, int]) -> None:
+        await client.report_usage(authority(lease), window, counts)
+
+    async def order(lease: Lease, service: str, wanted: Order) -> None:
+        await client.order_endpoints(
+            authority(lease),
+            service=service,
+            data_centre=wanted.data_centre,
+            n_endpoints=wanted.n_endpoints,
+            is_reclaimable=wanted.is_reclaimable,
+        )
+
+    def make_duty_parts(ledger: DutyLedger) -> list[DutyPart]:
+        made: list[DutyPart] = []
+        if "usage" in settings.duties:
+            made.append(
+                UsageReports(
+                    ledger,
+                    parts.usage,
+                    parts.exchange,
+                    app.clock,
+                    parts.metrics,
+                    report=report,
+                    due_s=settings.bounds.usage_due_s,
+                )
+            )
+        if "scaling" in settings.duties:
+            made.append(
+                FleetDuty(
+                    parts.follower,
+                    parts.table,
+                    parts.demand,
+                    app.clock,
+                    parts.metrics,
+                    data_centres=settings.data_centres,
+                    order=order,
+                )
+            )
+        return made
+
+    return Duties(
+        app,
+        StoreLog(store, app.clock),
+        parts.exchange,
+        instance=settings.instance,
+        lease_s=settings.bounds.lease_s,
+        make_parts=make_duty_parts,
+    )
+
+
+def make_application(
+    settings: NodeSettings,
+    *,
+    clock: Clock | None = None,
+    rng: random.Random | None = None,
+) -> Application:
+    """Return the application of an instance, not yet started."""
+    app = Application(settings, clock=clock, rng=rng)
+    app.add(MetricsService())
+    app.add(Sessions())
+    app.add(Serving(app, settings))
+    return app
--- /dev/null
+++ b/lagoonring/platform/callers.py
@@ -0,0 +1,274 @@
+"""The platform's front end: callers' requests over HTTP, and their answers."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+from aiohttp import web
+
+from lagoonring.errors import LagoonringError
+from lagoonring.kernel import BaseService
+from lagoonring.logs import make_logger
+from lagoonring.platform import headers as names
+from lagoonring.requests.errors import (
+    BadHeaderError,
+    BodyTooLargeError,
+    InternalFaultError,
+    UnfinishedUploadError,
+)
+from lagoonring.serving.requests import CallerRequest
+
+if TYPE_CHECKING:
+    from lagoonring.kernel import Application
+    from lagoonring.serving.path import RequestPath
+    from lagoonring.serving.settings import NodeSettings
+
+HEADER_LIMIT_BYTES = 16384  # the platform's usual limit of a request's head
+BODY_LIMIT_BYTES = 4 << 20  # until a configuration gives one
+IDLE_TIMEOUT_S = 75.0  # longer than any idle time that callers are promised
+READ_BUFFER_BYTES = 16384  # per connection; bodies are mostly shorter
+BACKLOG = 1024  # a full queue drops the opening packet, which comes again after 1 s
+LEAVING_IDLE_S = 0.3  # a request that crosses the close is sent again by its caller
+
+logger = make_logger("callers")
+
+
+class HttpSink:
+    """Sends one answer to a caller; see `lagoonring.serving.requests.Sink`."""
+
+    def __init__(self, request: web.BaseRequest, request_id: str | None) -> None:
+        self.request = request
+        self.request_id = request_id
+        self.response: web.StreamResponse | None = None
+        self.is_last = False
+
+    async def send_whole(
+        self, status: int, headers: list[tuple[str, str]], body: bytes
+    ) -> None:
+        """Send an answer whose body is at hand."""
+        response = web.Response(status=status, body=body)
+        await self._start(response, headers)
+        await response.write_eof()
+
+    async def send_error(self, error: LagoonringError) -> None:
+        """Say what went wrong, whether the request was run, and the remedy."""
+        content = {
+            "error": {
+                "code": error.code,
+                "message": error.message,
+                "remedy": error.remedy,
+                "outcome": error.outcome.value,
+                "request_id": self.request_id,
+            }
+        }
+        headers = [("Content-Type", "application/json")]
+        if self.request_id is not None:
+            headers.append((names.REQUEST_ID, self.request_id))
+        if error.retry_after_s is not None:
+            headers.append(("Retry-After", f"{error.retry_after_s:.3f}"))
+        await self.send_whole(error.status, headers, msgspec.json.encode(content))
+
+    async def begin(self, status: int, headers: list[tuple[str, str]]) -> None:
+        """Begin an answer whose end is not known yet."""
+        response = web.StreamResponse(status=status)
+        if self.request.version >= (1, 1):
+            response.enable_chunked_encoding()
+        await self._start(response, headers)
+
+    async def write(self, data: bytes) -> None:
+        """Send a part of the body."""
+        assert self.response is not None
+        await self.response.write(data)
+
+    async def end(self) -> None:
+        """End the body properly."""
+        assert self.response is not None
+        await self.response.write_eof()
+
+    def abort(self) -> None:
+        """Break the connection, so that the answer can't look complete."""
+        if self.request.transport is not None:
+            self.request.transport.abort()
+
+    async def _start(
+        self, response: web.StreamResponse, headers: list[tuple[str, str]]
+    ) -> None:
+        response.headers.extend(headers)
+        if self.is_last:
+            response.force_close()
+        self.response = response
+        await response.prepare(self.request)
+
+
+class Callers(BaseService):
+    """Listens for callers, and for the platform's question whether it may send some.
+
+    Parameters
+    ----------
+    path : RequestPath
+        Serves the requests.
+    """
+
+    name = "callers"
+
+    def __init__(
+        self, app: Application, settings: NodeSettings, path: RequestPath
+    ) -> None:
+        self.app = app
+        self.settings = settings
+        self.path = path
+        self.runners: list[web.ServerRunner] = []
+        self.is_leaving = False
+
+    async def start(self) -> None:
+        """Listen on both addresses."""
+        await self._listen(
+            web.Server(
+                self.handle,
+                handler_cancellation=True,
+                access_log=None,
+                keepalive_timeout=IDLE_TIMEOUT_S,
+                max_line_size=HEADER_LIMIT_BYTES,
+                max_field_size=HEADER_LIMIT_BYTES,
+                read_bufsize=READ_BUFFER_BYTES,
+                auto_decompress=False,
+            ),
+            self.settings.caller_address,
+        )
+        await self._listen(
+            web.Server(self.answer_ready, access_log=None), self.settings.ready_address
+        )
+
+    async def retire(self) -> None:
+        """Say from now on that no new connections are wanted."""
+        self.is_leaving = True
+
+    async def stop(self) -> None:
+        """Close both addresses and all connections."""
+        for runner in self.runners:
+            await runner.cleanup()
+
+    async def answer_ready(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer 200 while new connections are wanted."""
+        is_ready = (
+            not self.is_leaving and self.path.parts.follower.configuration is not None
+        )
+        return web.Response(status=200 if is_ready else 503)
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one request."""
+        received_s = self.app.clock.monotonic()
+        request_id = request.headers.get(names.REQUEST_ID)
+        sink = HttpSink(request, request_id)
+        sink.is_last = self.is_leaving
+        try:
+            decoded = await self._decode(request, received_s)
+            await self.path.serve(decoded, sink)
+        except LagoonringError as error:
+            logger.info(
+                "Refused a request.",
+                extra={
+                    "request_id": request_id,
+                    "code": error.code,
+                    "status": error.status,
+                    "error": error.message,
+                },
+            )
+            await sink.send_error(error)
+        except ConnectionError:
+            logger.info("Caller gone.", extra={"request_id": request_id})
+            sink.abort()
+        except Exception:
+            logger.exception("Request failed.", extra={"request_id": request_id})
+            if sink.response is None:
+                await sink.send_error(InternalFaultError())
+            else:
+                sink.abort()
+        if sink.response is None:
+            sink.abort()
+            raise asyncio.CancelledError
+        return sink.response
+
+    async def _decode(
+        self, request: web.BaseRequest, received_s: float
+    ) -> CallerRequest:
+        """Return a request as the path knows it.
+
+        Raises
+        ------
+        BadHeaderError, BodyTooLargeError, UnfinishedUploadError
+            If it can't be passed on.
+        """
+        headers = request.headers
+        names.check_unique(headers)
+        request_id = headers.get(names.REQUEST_ID)
+        if not request_id:
+            raise BadHeaderError(
+                f"Got no {names.REQUEST_ID}, expected one.",
+                remedy="Send an id with each request.",
+            )
+        allowed_ms = names.read_number(headers, names.DEADLINE)
+        tokens = names.read_token_count(headers)
+        target = request.raw_path
+        if not target.startswith("/"):
+            raise BadHeaderError(
+                f"Got target {target[:80]!r}, expected a path.",
+                remedy="Send the path and query alone.",
+            )
+        n_prompt, n_output = tokens or (0, 0)
+        return CallerRequest(
+            request_id=request_id,
+            method=request.method,
+            host=headers.get("Host", ""),
+            path=target.partition("?")[0],
+            target=target,
+            headers=names.forwarded(
+                headers.items(), headers.get("Connection", ""), names.RESERVED
+            ),
+            body=await self._read_body(request),
+            has_body=request.body_exists,
+            key=names.read_key(headers),
+            received_s=received_s,
+            allowed_s=None if allowed_ms is None else allowed_ms / 1000,
+            n_prompt_tokens=n_prompt,
+            n_output_tokens=n_output,
+            counts_tokens=tokens is not None,
+            prompt_parts=names.read_prompt_parts(headers),
+            resume_after=names.read_number(headers, names.LAST_EVENT),
+        )
+
+    async def _read_body(self, request: web.BaseRequest) -> bytes:
+        configuration = self.path.parts.follower.configuration
+        limit = configuration.limits.n_body_bytes if configuration else BODY_LIMIT_BYTES
+        if (request.content_length or 0) > limit:
+            raise _too_large(limit)
+        parts: list[bytes] = []
+        n_bytes = 0
+        try:
+            async for chunk in request.content.iter_any():
+                n_bytes += len(chunk)
+                if n_bytes > limit:
+                    raise _too_large(limit)
+                parts.append(chunk)
+        except (web.RequestPayloadError, ConnectionError) as error:
+            raise UnfinishedUploadError(
+                f"Got a body that breaks off ({error!r}), expected the whole.",
+                remedy="Send the request again.",
+            ) from error
+        return b"".join(parts)
+
+    async def _listen(self, server: Any, address: str) -> None:
+        host, _, port = address.rpartition(":")
+        runner = web.ServerRunner(server, shutdown_timeout=0.1)
+        await runner.setup()
+        self.runners.append(runner)
+        await web.TCPSite(runner, host, int(port), backlog=BACKLOG).start()
+
+
+def _too_large(limit: int) -> BodyTooLargeError:
+    return BodyTooLargeError(
+        f"Got a body over {limit} bytes, expected at most that.",
+        remedy="Send less, or ask for a higher limit.",
+    )
--- /dev/null
+++ b/lagoonring/platform/documents.py
@@ -0,0 +1,289 @@
+"""Decodes operators' documents and endpoints' records from the platform's form."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from lagoonring.errors import InvalidInputError
+from lagoonring.serving.configuration import (
+    CallerLimits,
+    Configuration,
+    EngineTraits,
+    Organisation,
+    RequestKind,
+    RouteEntry,
+    ScalingTraits,
+    ServiceEntry,
+    WeightedService,
+)
+from lagoonring.serving.endpoints import EndpointRecord, EndpointState
+from lagoonring.serving.moves import MoveOrder, MoveState
+
+KINDS = {
+    "safe": RequestKind.IDEMPOTENT,
+    "unsafe": RequestKind.ONCE,
+    "streaming": RequestKind.STREAM,
+}
+ROLLOUT_PREFIX = "rollout/"
+CONFIG_KEY = "config"
+SHOWN_BYTES = 200
+# When callers abandon a stream, as the platform's protocol tells.
+PATIENCE_LEAST_S = 2.0
+PATIENCE_OBJECTIVES = 4
+PATIENCE_GAPS = 8
+
+
+class FaultyDocumentError(InvalidInputError):
+    """A document in the platform's store can't be read."""
+
+    code = "faulty_document"
+
+
+class _Split(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct):
+    name: str
+    host: str
+    pathPrefix: str
+    kind: str
+    timeoutMs: float
+    sloMs: float
+    priority: int = 0
+    service: str | None = None
+    trafficSplit: list[_Split] | None = None
+    maxAttempts: int = 1
+    public: bool = False
+    canResume: bool = False
+    # The longest pause between events of an answer that is on time.
+    gapTargetMs: float | None = None
+
+
+class _Engine(msgspec.Struct):
+    slots: int
+    kvTokens: int
+    moves: bool = False
+
+
+class _Scaling(msgspec.Struct):
+    # Per data centre; reclaimable and on-demand endpoints together.
+    min: int
+    max: int
+    bootS: float = 4.0
+    spotPrice: float | None = None
+    zonePrices: dict[str, float] = {}
+
+
+class _Service(msgspec.Struct):
+    name: str
+    maxConns: int = 100
+    engine: _Engine | None = None
+    scaling: _Scaling | None = None
+
+
+class _Tenant(msgspec.Struct):
+    name: str
+    apiKeys: list[str] = []
+    priority: int | None = None
+    unit: str = "requests"
+    plainTokens: float = 0
+    ratePerS: float = 0
+    burst: float = 0
+
+
+class _Limits(msgspec.Struct):
+    maxHeaderBytes: int = 16384
+    maxBodyBytes: int = 4194304
+    headerTimeoutMs: float = 3000
+    idleTimeoutMs: float = 15000
+
+
+class _Config(msgspec.Struct):
+    version: int
+    routes: list[_Route] = []
+    services: list[_Service] = []
+    tenants: list[_Tenant] = []
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+class _Beat(msgspec.Struct):
+    service: str
+    address: str
+    zone: str
+    version: str
+    slots: int
+    state: str
+    seq: int
+    # Milliseconds since the epoch; a whole number, so that floats are refused.
+    born: int = 0
+    coldLeftMs: float = 0
+    useSpot: bool = False
+    # Time until the platform takes the machine away.
+    leaves_ms: float | None = None
+
+
+class _Rollout(msgspec.Struct):
+    service: str
+    target: str
+    durationS: float
+
+
+def decode_configuration(content: bytes) -> Configuration:
+    """Return the configuration that an operator wrote.
+
+    Raises
+    ------
+    FaultyDocumentError
+        If it can't be read; the one before stays in force.
+    """
+    raw = _decode(content, _Config)
+    return Configuration(
+        version=raw.version,
+        routes=tuple(_convert_route(route) for route in raw.routes),
+        services={service.name: _convert_service(service) for service in raw.services},
+        organisations=tuple(_convert_tenant(tenant) for tenant in raw.tenants),
+        limits=CallerLimits(
+            n_header_bytes=raw.limits.maxHeaderBytes,
+            n_body_bytes=raw.limits.maxBodyBytes,
+            header_timeout_s=raw.limits.headerTimeoutMs / 1000,
+            idle_timeout_s=raw.limits.idleTimeoutMs / 1000,
+        ),
+    )
+
+
+def decode_document(key: str, content: bytes) -> Configuration | MoveOrder | None:
+    """Return an operator's document, or None for one that has no meaning here.
+
+    Raises
+    ------
+    FaultyDocumentError
+        If it can't be read.
+    """
+    if key == CONFIG_KEY:
+        return decode_configuration(content)
+    if key.startswith(ROLLOUT_PREFIX):
+        return decode_move_order(content)
+    return None
+
+
+def decode_endpoint(endpoint: str, content: bytes) -> EndpointRecord:
+    """Return what an endpoint says of itself.
+
+    Raises
+    ------
+    FaultyDocumentError
+        If a field is missing or of another form; such a record names no endpoint.
+    """
+    raw = _decode(content, _Beat)
+    if raw.state not in ("ready", "draining") or not raw.address.count(":") == 1:
+        raise FaultyDocumentError(
+            f"Got state {raw.state!r} and address {raw.address!r} of {endpoint}, "
+            "expected ready or draining and IP:port.",
+            remedy="Find who writes this record; the endpoint's own ones hold.",
+        )
+    return EndpointRecord(
+        endpoint=endpoint,
+        service=raw.service,
+        address=raw.address,
+        data_centre=raw.zone,
+        version=raw.version,
+        n_slots=raw.slots,
+        state=EndpointState(raw.state),
+        born_ms=raw.born,
+        sequence=raw.seq,
+        is_reclaimable=raw.useSpot,
+        leaves_in_s=None if raw.leaves_ms is None else raw.leaves_ms / 1000,
+    )
+
+
+def decode_move_order(content: bytes) -> MoveOrder:
+    """Return an operator's order to move a service to another version."""
+    raw = _decode(content, _Rollout)
+    return MoveOrder(service=raw.service, target=raw.target, duration_s=raw.durationS)
+
+
+def encode_move_status(target: str, state: MoveState) -> bytes:
+    """Return the record that tells the operator how a move stands."""
+    return msgspec.json.encode({"state": state.value, "target": target})
+
+
+def _decode(content: bytes, kind: Any) -> Any:
+    try:
+        return msgspec.json.decode(content, type=kind)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        shown = content[:SHOWN_BYTES].decode(errors="replace")
+        raise FaultyDocumentError(
+            f"Got {shown!r}: {error}.",
+            remedy="Write the document anew; the one before stays in force.",
+        ) from error
+
+
+def _convert_route(raw: _Route) -> RouteEntry:
+    if raw.trafficSplit:
+        targets = tuple(
+            WeightedService(service=split.service, weight=split.weight)
+            for split in raw.trafficSplit
+        )
+    else:
+        targets = (WeightedService(service=raw.service or "", weight=1.0),)
+    kind = KINDS.get(raw.kind, RequestKind.ONCE)
+    return RouteEntry(
+        name=raw.name,
+        host=raw.host.lower(),
+        path_prefix=raw.pathPrefix,
+        kind=kind,
+        timeout_s=raw.timeoutMs / 1000,
+        objective_s=raw.sloMs / 1000,
+        patience_s=_patience_s(raw, kind),
+        rank=raw.priority,
+        targets=targets,
+        max_attempts=max(1, raw.maxAttempts),
+        is_public=raw.public,
+        may_resume=raw.canResume and kind is RequestKind.STREAM,
+    )
+
+
+def _patience_s(raw: _Route, kind: RequestKind) -> float:
+    """Return how long callers wait for a part of an answer."""
+    if kind is not RequestKind.STREAM:
+        return raw.timeoutMs / 1000
+    by_objective_s = PATIENCE_OBJECTIVES * raw.sloMs / 1000
+    by_gap_s = PATIENCE_GAPS * (raw.gapTargetMs or 0) / 1000
+    return max(PATIENCE_LEAST_S, by_objective_s, by_gap_s)
+
+
+def _convert_service(raw: _Service) -> ServiceEntry:
+    engine = scaling = None
+    if raw.engine is not None:
+        engine = EngineTraits(
+            n_slots=raw.engine.slots,
+            n_cache_tokens=raw.engine.kvTokens,
+            may_move=raw.engine.moves,
+        )
+    if raw.scaling is not None:
+        scaling = ScalingTraits(
+            n_least=raw.scaling.min,
+            n_most=raw.scaling.max,
+            boot_s=raw.scaling.bootS,
+            reclaimable_price=raw.scaling.spotPrice,
+            prices=raw.scaling.zonePrices,
+        )
+    return ServiceEntry(
+        name=raw.name, max_connections=raw.maxConns, engine=engine, scaling=scaling
+    )
+
+
+def _convert_tenant(raw: _Tenant) -> Organisation:
+    return Organisation(
+        name=raw.name,
+        keys=frozenset(raw.apiKeys),
+        rank=raw.priority,
+        rate_per_s=raw.ratePerS,
+        burst=raw.burst,
+        counts_tokens=raw.unit == "tokens",
+        n_plain_tokens=raw.plainTokens,
+    )
--- a/lagoonring/platform/exchange.py
+++ b/lagoonring/platform/exchange.py
@@ -66,6 +66,7 @@
     *,
     content: Any = None,
     params: Mapping[str, str] | None = None,
+    headers: Mapping[str, str] | None = None,
     timeout_s: float = TIMEOUT_S,
 ) -> T:
     """Return the answer of a platform service as an instance of ``kind``.
@@ -81,15 +82,22 @@
         For status 400 to 499.
     """
     body = None if content is None else msgspec.json.encode(content)
-    headers = None if content is None else {"Content-Type": "application/json"}
+    sent_headers = dict(headers or {})
+    if content is not None:
+        sent_headers["Content-Type"] = "application/json"
     timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=CONNECT_TIMEOUT_S)
     try:
         async with session.request(
-            method, url, data=body, params=params, headers=headers, timeout=timeout
+            method,
+            url,
+            data=body,
+            params=params,
+            headers=sent_headers,
+            timeout=timeout,
         ) as response:
             answer = await response.read()
             _raise_unless_ok(response, answer)
-            return msgspec.json.decode(answer, type=kind)
+            return msgspec.json.decode(answer or b"null", type=kind)
     except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
         raise _unavailable(url, repr(error), RETRY_AFTER_S) from error
     except (TimeoutError, aiohttp.ClientError, msgspec.MsgspecError) as error:
--- /dev/null
+++ b/lagoonring/platform/topics.py
@@ -0,0 +1,35 @@
+"""The platform's keyed topics, read through its one client."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from lagoonring.platform.store import KeyedRecord, StoreClient, split_keyed
+
+if TYPE_CHECKING:
+    from lagoonring.platform.store import Snapshot
+
+
+@attrs.frozen
+class KeyedTopic:
+    """One keyed topic, as `lagoonring.serving.feeds.KeyedLog`."""
+
+    client: StoreClient
+    topic: str
+
+    async def read(
+        self, offset: int, *, wait_s: float = 0.0
+    ) -> tuple[list[KeyedRecord], int]:
+        """Return records from an offset on, and the offset after them."""
+        page = await self.client.read(self.topic, offset, wait_s=wait_s)
+        records = [
+            split_keyed(record, offset + index)
+            for index, record in enumerate(page.records)
+        ]
+        return records, offset + len(records)
+
+    async def read_newest(self) -> Snapshot:
+        """Return the newest record of each key."""
+        return await self.client.read_newest(self.topic)
--- /dev/null
+++ b/lagoonring/serving/configuration.py
@@ -0,0 +1,153 @@
+"""The configuration in force: routes, services, organisations and limits."""
+
+from __future__ import annotations
+
+import enum
+import hashlib
+
+import attrs
+
+
+class RequestKind(enum.Enum):
+    """What may be repeated of a route's requests."""
+
+    IDEMPOTENT = "idempotent"
+    ONCE = "once"
+    STREAM = "stream"
+
+
+@attrs.frozen(kw_only=True)
+class WeightedService:
+    """A service that gets a share of a route's requests."""
+
+    service: str
+    weight: float
+
+
+@attrs.frozen(kw_only=True)
+class RouteEntry:
+    """Where requests for a host and path go, and within which limits.
+
+    ``rank`` 0 is the most urgent; ``max_attempts`` bounds the endpoints on which
+    one request may run. ``patience_s`` is how long a caller waits for the first
+    part of an answer, and for each next one.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: RequestKind
+    timeout_s: float
+    objective_s: float
+    patience_s: float
+    rank: int
+    targets: tuple[WeightedService, ...]
+    max_attempts: int
+    is_public: bool
+    may_resume: bool
+
+    @property
+    def may_repeat(self) -> bool:
+        """Whether a request may run more than once from its start."""
+        return self.kind is RequestKind.IDEMPOTENT
+
+    def choose_service(self, request_id: str) -> str:
+        """Return the service for a request; the same id gives the same one."""
+        if len(self.targets) == 1:
+            return self.targets[0].service
+        total = sum(target.weight for target in self.targets)
+        digest = hashlib.blake2b(request_id.encode(), digest_size=8).digest()
+        point = int.from_bytes(digest) / 2**64 * total
+        for target in self.targets:
+            point -= target.weight
+            if point < 0:
+                return target.service
+        return self.targets[-1].service
+
+
+@attrs.frozen(kw_only=True)
+class EngineTraits:
+    """What all model engines of a service share."""
+
+    n_slots: int
+    n_cache_tokens: int
+    may_move: bool
+
+
+@attrs.frozen(kw_only=True)
+class ScalingTraits:
+    """Bounds and prices of a service's endpoints, per data centre.
+
+    ``reclaimable_price`` is the share of the on-demand price.
+    """
+
+    n_least: int
+    n_most: int
+    boot_s: float
+    reclaimable_price: float | None
+    prices: dict[str, float]
+
+
+@attrs.frozen(kw_only=True)
+class ServiceEntry:
+    """A service that endpoints run."""
+
+    name: str
+    max_connections: int
+    engine: EngineTraits | None = None
+    scaling: ScalingTraits | None = None
+
+
+@attrs.frozen(kw_only=True)
+class Organisation:
+    """Whose requests count together; ``rate_per_s`` 0 is unlimited.
+
+    ``rate_per_s`` and ``burst`` are tokens if ``counts_tokens``, else requests.
+    """
+
+    name: str
+    keys: frozenset[str]
+    rank: int | None
+    rate_per_s: float
+    burst: float
+    counts_tokens: bool
+    n_plain_tokens: float
+
+
+@attrs.frozen(kw_only=True)
+class CallerLimits:
+    """What a caller may send, and how long a connection may stay idle."""
+
+    n_header_bytes: int
+    n_body_bytes: int
+    header_timeout_s: float
+    idle_timeout_s: float
+
+
+@attrs.define(kw_only=True)
+class Configuration:
+    """One version of the configuration, with its look-ups."""
+
+    version: int
+    routes: tuple[RouteEntry, ...]
+    services: dict[str, ServiceEntry]
+    organisations: tuple[Organisation, ...]
+    limits: CallerLimits
+    by_host: dict[str, list[RouteEntry]] = attrs.field(init=False, factory=dict)
+    by_key: dict[str, Organisation] = attrs.field(init=False, factory=dict)
+
+    def __attrs_post_init__(self) -> None:
+        for route in self.routes:
+            self.by_host.setdefault(route.host, []).append(route)
+        for routes in self.by_host.values():
+            routes.sort(key=lambda route: -len(route.path_prefix))
+        for organisation in self.organisations:
+            for key in organisation.keys:
+                self.by_key[key] = organisation
+
+    def match(self, host: str, path: str) -> RouteEntry | None:
+        """Return the route with the longest prefix of a path, if there is one."""
+        for route in self.by_host.get(host.lower(), ()):
+            if path.startswith(route.path_prefix):
+                return route
+        return None
--- /dev/null
+++ b/lagoonring/serving/endpoints.py
@@ -0,0 +1,240 @@
+"""Endpoints as they report themselves, and what this instance learned of them."""
+
+from __future__ import annotations
+
+import enum
+from collections import OrderedDict
+from typing import TYPE_CHECKING
+
+import attrs
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+LEARNING_WEIGHT = 0.2  # share of the newest sample in a moving average
+FAILURE_WEIGHT = 0.12  # a fault of 4 in 10 shows after about five results
+BACKOFF_S = 0.4  # a crashed endpoint is back after some seconds
+BACKOFF_MOST_S = 3.0  # one failed connection in three seconds costs little
+PEER_LOAD_AGE_S = 1.5  # several rounds of the exchange between instances
+
+
+class EndpointState(enum.Enum):
+    """Whether an endpoint takes new work."""
+
+    READY = "ready"
+    DRAINING = "draining"
+
+
+@attrs.frozen(kw_only=True)
+class EndpointRecord:
+    """What an endpoint says of itself.
+
+    ``born_ms`` tells one life of an endpoint from the next, ``sequence`` orders
+    the records of one life. ``leaves_in_s`` is known for reclaimed endpoints.
+    """
+
+    endpoint: str
+    service: str
+    address: str
+    data_centre: str
+    version: str
+    n_slots: int
+    state: EndpointState
+    born_ms: int
+    sequence: int
+    is_reclaimable: bool = False
+    leaves_in_s: float | None = None
+
+    def is_older_than(self, other: EndpointRecord) -> bool:
+        """Whether ``other`` was written after this record."""
+        mine = (self.born_ms, self.sequence)
+        return mine < (other.born_ms, other.sequence)
+
+
+@attrs.define
+class PeerLoad:
+    """Work that another instance has in progress at an endpoint."""
+
+    n_running: int
+    n_waiting_tokens: int
+    heard_s: float
+
+
+class PromptCache:
+    """Which prompt parts an endpoint has read, by this instance's own requests.
+
+    Parameters
+    ----------
+    n_tokens_most : int
+        Capacity; the parts used least recently are dropped beyond it.
+    """
+
+    def __init__(self, n_tokens_most: int) -> None:
+        self.n_tokens_most = n_tokens_most
+        self.parts: OrderedDict[str, int] = OrderedDict()
+        self.n_tokens = 0
+
+    def count_cached(self, parts: tuple[tuple[str, int], ...]) -> int:
+        """Return the tokens of the leading parts that are cached."""
+        n_cached = 0
+        for part, _ in parts:
+            n_tokens = self.parts.get(part)
+            if n_tokens is None:
+                break
+            n_cached += n_tokens
+        return n_cached
+
+    def add(self, parts: tuple[tuple[str, int], ...]) -> None:
+        """Note that the parts were read just now."""
+        for part, n_tokens in parts:
+            self.n_tokens += n_tokens - self.parts.pop(part, 0)
+            self.parts[part] = n_tokens
+        while self.n_tokens > self.n_tokens_most and len(self.parts) > 1:
+            _, n_tokens = self.parts.popitem(last=False)
+            self.n_tokens -= n_tokens
+
+
+@attrs.define
+class Endpoint:
+    """One life of an endpoint, and this instance's view of its work and health."""
+
+    record: EndpointRecord
+    cache: PromptCache
+    n_running: int = 0
+    n_waiting_tokens: int = 0
+    peer_loads: dict[str, PeerLoad] = attrs.field(factory=dict)
+    seconds_per_token: float | None = None
+    service_s: float | None = None
+    learned_s: float = 0.0
+    failure_share: float = 0.0
+    failed_s: float = 0.0
+    n_connect_failures: int = 0
+    down_until_s: float = 0.0
+    leaving_since_s: float | None = None
+    full_until_s: float = 0.0
+
+    @property
+    def name(self) -> str:
+        """The endpoint's id."""
+        return self.record.endpoint
+
+    def count_running(self, now_s: float) -> int:
+        """Return the requests in progress, of all instances heard lately."""
+        return self.n_running + sum(load.n_running for load in self._fresh_loads(now_s))
+
+    def count_waiting_tokens(self, now_s: float) -> int:
+        """Return the prompt tokens not yet read, of all instances heard lately."""
+        return self.n_waiting_tokens + sum(
+            load.n_waiting_tokens for load in self._fresh_loads(now_s)
+        )
+
+    def note_result(self, *, ok: bool, now_s: float) -> None:
+        """Count a result towards the share of failures."""
+        self.failure_share += FAILURE_WEIGHT * ((not ok) - self.failure_share)
+        if not ok:
+            self.failed_s = now_s
+        else:
+            self.n_connect_failures = 0
+            self.down_until_s = 0.0
+
+    def note_unreachable(self, now_s: float) -> None:
+        """Avoid the endpoint for a time that grows with failures in a row."""
+        self.n_connect_failures += 1
+        delay_s = BACKOFF_S * 2 ** min(self.n_connect_failures - 1, 8)
+        self.down_until_s = now_s + min(delay_s, BACKOFF_MOST_S)
+
+    def learn_token_time(self, seconds: float, now_s: float) -> None:
+        """Take in a sample of the time to read one prompt token."""
+        self.learned_s = now_s
+        self.seconds_per_token = _average(self.seconds_per_token, seconds)
+
+    def learn_service_time(self, seconds: float, now_s: float) -> None:
+        """Take in a sample of the time that a whole request takes."""
+        self.learned_s = now_s
+        self.service_s = _average(self.service_s, seconds)
+
+    def _fresh_loads(self, now_s: float) -> Iterator[PeerLoad]:
+        for load in self.peer_loads.values():
+            if now_s - load.heard_s < PEER_LOAD_AGE_S:
+                yield load
+
+
+class EndpointTable:
+    """The endpoints of all services, by the newest records read."""
+
+    def __init__(self) -> None:
+        self.endpoints: dict[str, Endpoint] = {}
+        self.by_service: dict[str, dict[str, Endpoint]] = {}
+
+    def find(self, name: str) -> Endpoint | None:
+        """Return an endpoint by its id."""
+        return self.endpoints.get(name)
+
+    def of_service(self, service: str) -> list[Endpoint]:
+        """Return the endpoints of a service, those that leave included."""
+        return list(self.by_service.get(service, {}).values())
+
+    def apply(
+        self, record: EndpointRecord, now_s: float, *, n_cache_tokens: int
+    ) -> str:
+        """Take in a record; return what it changes, or "" for nothing.
+
+        A record older than the one in force changes nothing. Another life under
+        the same id begins with nothing learned.
+        """
+        endpoint = self.endpoints.get(record.endpoint)
+        if endpoint is not None and record.is_older_than(endpoint.record):
+            return ""
+        if endpoint is None or _is_other_life(endpoint.record, record):
+            if endpoint is not None:
+                self.remove(record.endpoint)
+            endpoint = Endpoint(record, PromptCache(n_cache_tokens))
+            self.endpoints[record.endpoint] = endpoint
+            self.by_service.setdefault(record.service, {})[record.endpoint] = endpoint
+            change = "appeared"
+        else:
+            change = _describe_change(endpoint.record, record)
+            endpoint.record = record
+        if record.state is EndpointState.READY:
+            endpoint.leaving_since_s = None
+        elif endpoint.leaving_since_s is None:
+            endpoint.leaving_since_s = now_s
+        return change
+
+    def remove(self, name: str) -> Endpoint | None:
+        """Forget an endpoint; return it, if it was known."""
+        endpoint = self.endpoints.pop(name, None)
+        if endpoint is not None:
+            self.by_service[endpoint.record.service].pop(name, None)
+        return endpoint
+
+    def note_peer_load(
+        self, peer: str, loads: dict[str, tuple[int, int]], now_s: float
+    ) -> None:
+        """Take in what a peer has in progress at each endpoint."""
+        for name, endpoint in self.endpoints.items():
+            load = loads.get(name)
+            if load is not None:
+                endpoint.peer_loads[peer] = PeerLoad(load[0], load[1], now_s)
+            else:
+                endpoint.peer_loads.pop(peer, None)
+
+
+def _is_other_life(before: EndpointRecord, after: EndpointRecord) -> bool:
+    return before.born_ms != after.born_ms or before.service != after.service
+
+
+def _describe_change(before: EndpointRecord, after: EndpointRecord) -> str:
+    if before.state is not after.state:
+        return after.state.value
+    if before.address != after.address:
+        return "moved"
+    if before.version != after.version:
+        return "version"
+    return ""
+
+
+def _average(before: float | None, sample: float) -> float:
+    if before is None:
+        return sample
+    return before + LEARNING_WEIGHT * (sample - before)
--- /dev/null
+++ b/lagoonring/serving/exchange.py
@@ -0,0 +1,255 @@
+"""What instances tell each other several times a second.
+
+Every instance sends its load, what it admitted and what it counted to all others.
+News are totals since its start, so that a frame that is lost or comes twice does no
+harm. Addresses come from the settings, the store and the frames themselves.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+import msgspec
+
+from lagoonring.kernel import BaseService
+from lagoonring.logs import make_logger
+from lagoonring.peers.metrics import PeersMetrics
+from lagoonring.peers.transport import NngTransport
+from lagoonring.settings.validators import between
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from lagoonring.kernel import Application
+    from lagoonring.peers.transport import Transport
+    from lagoonring.serving.settings import NodeSettings
+
+SILENT_S = 1.5  # several intervals; a shorter one takes slow machines for cut off
+FORGET_S = 30.0  # longer than cuts between data centres usually last
+
+logger = make_logger("exchange")
+
+
+@attrs.frozen(kw_only=True)
+class ExchangeOptions:
+    """Options of the exchange; those of `NngTransport` besides.
+
+    Parameters
+    ----------
+    interval_s : float
+        Time between two frames to each other instance.
+    interval_per_instance_s : float
+        Added for each instance, so that frames don't grow with their square.
+    """
+
+    address: str
+    interval_s: float = attrs.field(default=0.2, validator=between(0.01, 60))
+    interval_per_instance_s: float = attrs.field(default=0.01, validator=between(0, 1))
+    connect_timeout_s: float = attrs.field(default=0.5, validator=between(0.01, 60))
+    idle_link_s: float = attrs.field(default=60.0, validator=between(1, 3600))
+    frame_limit_bytes: int = attrs.field(
+        default=1 << 20, validator=between(4096, 1 << 24)
+    )
+
+
+@attrs.define(kw_only=True)
+class Frame:
+    """One instance's news; ``life`` tells one start of it from the next.
+
+    ``loads`` holds requests in progress and prompt tokens waiting by endpoint,
+    ``taken`` what was admitted by organisation, ``started`` the requests begun by
+    window and organisation, ``crashes`` endpoints by fingerprint of a request,
+    ``demand`` seconds of endpoint time that arrive per second by service,
+    ``versions`` the counts of moves by service. ``time_s`` is the wall clock.
+    """
+
+    instance: str
+    life: int
+    address: str
+    time_s: float
+    peers: dict[str, str]
+    loads: dict[str, tuple[int, int]] = attrs.field(factory=dict)
+    taken: dict[str, float] = attrs.field(factory=dict)
+    started: dict[int, dict[str, int]] = attrs.field(factory=dict)
+    crashes: dict[str, list[str]] = attrs.field(factory=dict)
+    demand: dict[str, float] = attrs.field(factory=dict)
+    versions: dict[str, list[int]] = attrs.field(factory=dict)
+
+
+@attrs.define
+class Peer:
+    """Another instance; times on the monotonic clock."""
+
+    address: str
+    life: int = 0
+    heard_s: float | None = None
+    noted_s: float = 0.0
+
+
+class Exchange(BaseService):
+    """Sends and receives frames.
+
+    Parameters
+    ----------
+    fill : callable
+        Puts this instance's news into a frame.
+    take : callable
+        Takes in the news of a frame.
+    """
+
+    name = "exchange"
+
+    def __init__(
+        self,
+        app: Application,
+        settings: NodeSettings,
+        *,
+        transport: Transport | None = None,
+        options: ExchangeOptions | None = None,
+    ) -> None:
+        self.app = app
+        self.settings = settings
+        address = f"{settings.ip}:{settings.peer_port}"
+        self.options = options or ExchangeOptions(address=address)
+        self.transport = transport or NngTransport(
+            app.clock, self.options, PeersMetrics(app.find("metrics").registry)
+        )
+        self.address = address
+        self.life = app.rng.getrandbits(53)
+        self.peers: dict[str, Peer] = {}
+        self.seeds = {f"{ip}:{settings.peer_port}" for ip in settings.seed_ips}
+        self.fillers: list[Callable[[Frame], None]] = []
+        self.takers: list[Callable[[Frame, float], None]] = []
+        self.on_joined: list[Callable[[str], None]] = []
+
+    async def start(self) -> None:
+        """Listen and begin to send."""
+        await self.transport.start(self.receive)
+        self.app.spawn("exchange", self._run)
+
+    async def stop(self) -> None:
+        """Close the links."""
+        await self.transport.stop()
+
+    def note_address(self, instance: str, address: str) -> None:
+        """Learn where an instance listens."""
+        if instance == self.settings.instance:
+            return
+        peer = self.peers.get(instance)
+        now_s = self.app.clock.monotonic()
+        if peer is None:
+            self.peers[instance] = Peer(address, noted_s=now_s)
+        elif peer.address != address:
+            peer.address = address
+            peer.noted_s = now_s
+
+    def count_instances(self) -> int:
+        """Return the instances known, this one included."""
+        n_heard = sum(peer.heard_s is not None for peer in self.peers.values())
+        return 1 + n_heard
+
+    def share_heard(self) -> float:
+        """Return the share of the known instances that are heard now."""
+        n_heard, n_known = 1, 1
+        now_s = self.app.clock.monotonic()
+        for peer in self.peers.values():
+            if peer.heard_s is None:
+                continue
+            n_known += 1
+            n_heard += now_s - peer.heard_s < SILENT_S
+        return n_heard / n_known
+
+    def heard_lately(self) -> list[str]:
+        """Return the names of the instances heard now, this one included."""
+        now_s = self.app.clock.monotonic()
+        names = [
+            name
+            for name, peer in self.peers.items()
+            if peer.heard_s is not None and now_s - peer.heard_s < SILENT_S
+        ]
+        return sorted([*names, self.settings.instance])
+
+    def receive(self, content: bytes) -> None:
+        """Take in a frame."""
+        try:
+            frame = msgspec.msgpack.decode(content, type=Frame)
+        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            logger.warning(
+                "Dropped a frame that can't be read.", extra={"error": str(error)}
+            )
+            return
+        if frame.instance == self.settings.instance:
+            return
+        now_s = self.app.clock.monotonic()
+        self.note_address(frame.instance, frame.address)
+        peer = self.peers[frame.instance]
+        if (
+            peer.heard_s is None
+            or now_s - peer.heard_s >= SILENT_S
+            or peer.life != frame.life
+        ):
+            logger.info(
+                "Instance heard.",
+                extra={
+                    "instance": frame.instance,
+                    "address": frame.address,
+                    "silent_s": None
+                    if peer.heard_s is None
+                    else round(now_s - peer.heard_s, 2),
+                    "life": frame.life,
+                },
+            )
+        peer.life = frame.life
+        peer.heard_s = now_s
+        for name, address in frame.peers.items():
+            if name not in self.peers:
+                self.note_address(name, address)
+        for take in self.takers:
+            take(frame, now_s)
+
+    def make_frame(self) -> Frame:
+        """Return this instance's news."""
+        now_s = self.app.clock.monotonic()
+        frame = Frame(
+            instance=self.settings.instance,
+            life=self.life,
+            address=self.address,
+            time_s=self.app.clock.time(),
+            peers={
+                name: peer.address
+                for name, peer in self.peers.items()
+                if peer.heard_s is not None and now_s - peer.heard_s < SILENT_S
+            },
+        )
+        for fill in self.fillers:
+            fill(frame)
+        return frame
+
+    def send_round(self) -> None:
+        """Send the news to all instances known."""
+        content = msgspec.msgpack.encode(self.make_frame())
+        addresses = {peer.address for peer in self.peers.values()}
+        if len(addresses) < len(self.seeds):
+            addresses |= self.seeds
+        addresses.discard(self.address)
+        for address in addresses:
+            self.transport.post(address, content)
+
+    async def _run(self) -> None:
+        while True:
+            self._forget()
+            self.send_round()
+            n_peers = len(self.peers)
+            interval_s = self.options.interval_s
+            interval_s += n_peers * self.options.interval_per_instance_s
+            await self.app.clock.sleep(interval_s * (0.9 + 0.2 * self.app.rng.random()))
+
+    def _forget(self) -> None:
+        """Drop instances that have been silent for long."""
+        now_s = self.app.clock.monotonic()
+        for name, peer in list(self.peers.items()):
+            since_s = peer.noted_s if peer.heard_s is None else peer.heard_s
+            if now_s - since_s > FORGET_S:
+                del self.peers[name]
+                logger.info("Instance forgotten.", extra={"instance": name})
--- /dev/null
+++ b/lagoonring/serving/fleet.py
@@ -0,0 +1,162 @@
+"""Orders endpoints so that each service's load is carried at the least bill."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from lagoonring.errors import LagoonringError
+from lagoonring.logs import make_logger
+from lagoonring.serving.endpoints import EndpointState
+from lagoonring.serving.sizing import DataCentreFleet, Order, plan
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from lagoonring.kernel import Clock
+    from lagoonring.leases.lease import Lease
+    from lagoonring.serving.configuration import Configuration, ServiceEntry
+    from lagoonring.serving.demand import Demand
+    from lagoonring.serving.endpoints import EndpointTable
+    from lagoonring.serving.follower import Follower
+    from lagoonring.serving.metrics import ServingMetrics
+
+PART = "fleet"
+REPEAT_S = 2.0  # after a refusal; reclaimable endpoints are gone for ten seconds
+LESS_AFTER_S = 6.0  # longer than a boot, so that a short lull stops no endpoint
+RECLAIMABLE_SPARE = 2  # in each data centre, for a burst while another one's are gone
+CALL_LEAST_S = 0.3  # a call begun with less could outlive the lease
+
+logger = make_logger("fleet")
+
+
+@attrs.define
+class Ordered:
+    """The last order for a kind of endpoint in a data centre."""
+
+    n_endpoints: int
+    at_s: float
+    is_accepted: bool
+
+
+class FleetDuty:
+    """The part of the duties that orders endpoints.
+
+    Parameters
+    ----------
+    order : callable
+        ``await order(lease, service, Order)`` tells the platform.
+    """
+
+    name = PART
+
+    def __init__(
+        self,
+        follower: Follower,
+        table: EndpointTable,
+        demand: Demand,
+        clock: Clock,
+        metrics: ServingMetrics,
+        *,
+        data_centres: tuple[str, ...],
+        order,
+    ) -> None:
+        self.follower = follower
+        self.table = table
+        self.demand = demand
+        self.clock = clock
+        self.metrics = metrics
+        self.data_centres = data_centres
+        self.order = order
+        self.ordered: dict[tuple[str, str, bool], Ordered] = {}
+        self.less_since_s: dict[tuple[str, str, bool], float] = {}
+
+    async def step(self, lease: Lease) -> None:
+        """Order what the plan wants and has not been ordered."""
+        configuration = self.follower.configuration
+        if configuration is None:
+            return
+        for service, order in self._wanted(configuration):
+            if lease.remaining_s() < CALL_LEAST_S:
+                return
+            if self._is_due(service, order):
+                await self._send(lease, service, order)
+
+    def _wanted(self, configuration: Configuration) -> Iterator[tuple[str, Order]]:
+        for entry in configuration.services.values():
+            if entry.scaling is None:
+                continue
+            fleets = list(self._fleets(entry))
+            load = self.demand.busy_endpoints(entry.name)
+            for order in plan(
+                fleets, entry.scaling, load=load, spare=RECLAIMABLE_SPARE
+            ):
+                yield entry.name, order
+
+    def _fleets(self, entry: ServiceEntry) -> Iterator[DataCentreFleet]:
+        assert entry.scaling is not None
+        counts: dict[tuple[str, bool], int] = {}
+        for endpoint in self.table.of_service(entry.name):
+            record = endpoint.record
+            if record.state is EndpointState.READY:
+                key = (record.data_centre, record.is_reclaimable)
+                counts[key] = counts.get(key, 0) + 1
+        for data_centre in self.data_centres:
+            price = entry.scaling.prices.get(data_centre)
+            if price is None:
+                continue
+            yield DataCentreFleet(
+                data_centre=data_centre,
+                price=price,
+                n_on_demand=counts.get((data_centre, False), 0),
+                n_reclaimable=counts.get((data_centre, True), 0),
+            )
+
+    def _is_due(self, service: str, order: Order) -> bool:
+        key = (service, order.data_centre, order.is_reclaimable)
+        now_s = self.clock.monotonic()
+        last = self.ordered.get(key)
+        if last is not None and last.n_endpoints == order.n_endpoints:
+            self.less_since_s.pop(key, None)
+            return not last.is_accepted and now_s - last.at_s >= REPEAT_S
+        n_before = last.n_endpoints if last else self._count(service, order)
+        if order.n_endpoints >= n_before:
+            self.less_since_s.pop(key, None)
+            return True
+        since_s = self.less_since_s.setdefault(key, now_s)
+        return now_s - since_s >= LESS_AFTER_S
+
+    def _count(self, service: str, order: Order) -> int:
+        return sum(
+            endpoint.record.data_centre == order.data_centre
+            and endpoint.record.is_reclaimable == order.is_reclaimable
+            for endpoint in self.table.of_service(service)
+        )
+
+    async def _send(self, lease: Lease, service: str, order: Order) -> None:
+        key = (service, order.data_centre, order.is_reclaimable)
+        result = "ok"
+        error_text = ""
+        try:
+            await self.order(lease, service, order)
+        except LagoonringError as error:
+            result = error.code
+            error_text = str(error)
+        self.ordered[key] = Ordered(
+            order.n_endpoints, self.clock.monotonic(), result == "ok"
+        )
+        self.metrics.duty_calls.labels(PART, result).inc()
+        logger.info(
+            "Ordered endpoints.",
+            extra={
+                "service": service,
+                "data_centre": order.data_centre,
+                "reclaimable": order.is_reclaimable,
+                "n_endpoints": order.n_endpoints,
+                "load": round(self.demand.busy_endpoints(service), 2),
+                "result": result,
+                "error": error_text,
+                "fencing_number": lease.fencing_number,
+            },
+        )
--- /dev/null
+++ b/lagoonring/serving/follower.py
@@ -0,0 +1,227 @@
+"""Follows the operators' documents and the endpoints' records in the store."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from lagoonring.errors import InvalidInputError, LagoonringError
+from lagoonring.kernel import BaseService
+from lagoonring.logs import make_logger
+from lagoonring.serving.configuration import Configuration
+from lagoonring.serving.feeds import KeyedFeed
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from lagoonring.kernel import Application
+    from lagoonring.platform.store import KeyedRecord
+    from lagoonring.serving.endpoints import EndpointRecord, EndpointTable
+    from lagoonring.serving.feeds import KeyedLog
+    from lagoonring.serving.metrics import ServingMetrics
+    from lagoonring.serving.moves import MoveOrder
+
+DOCUMENT_WAIT_S = 1.0  # a silent connection is found well inside config_s
+ENDPOINT_POLL_S = 0.6  # a third of the time after which leaving endpoints count
+RETRY_S = 0.25  # an eighth of config_s, so that a short outage goes unnoticed
+RETURN_S = 2.2  # endpoints are back in the store two seconds after an outage
+DEFAULT_CACHE_TOKENS = 100_000  # of services whose engine is not described
+
+logger = make_logger("follower")
+
+
+class Follower(BaseService):
+    """Keeps the configuration, the moves ordered and the endpoints up to date.
+
+    Parameters
+    ----------
+    documents, records : KeyedLog
+        The operators' documents and the endpoints' records.
+    read_document : callable
+        From a key and content to a `Configuration`, a `MoveOrder` or None for a
+        document that does not concern an instance.
+    read_record : callable
+        From an id and content to an `EndpointRecord`.
+    """
+
+    name = "follower"
+
+    def __init__(
+        self,
+        app: Application,
+        table: EndpointTable,
+        metrics: ServingMetrics,
+        *,
+        documents: KeyedLog,
+        records: KeyedLog,
+        read_document: Callable[[str, bytes], Configuration | MoveOrder | None],
+        read_record: Callable[[str, bytes], EndpointRecord],
+    ) -> None:
+        self.app = app
+        self.table = table
+        self.metrics = metrics
+        self.documents = KeyedFeed(documents)
+        self.records = KeyedFeed(records)
+        self.read_document = read_document
+        self.read_record = read_record
+        self.configuration: Configuration | None = None
+        self.orders: dict[str, MoveOrder] = {}
+        self.listeners: list[Callable[[], None]] = []
+        self.failed_at_s: dict[str, float] = {}
+        self.is_lost: dict[str, bool] = {}
+        self.due_removals: dict[str, float] = {}
+
+    async def start(self) -> None:
+        """Begin to follow."""
+        self.app.spawn("documents", self._follow_documents)
+        self.app.spawn("records", self._follow_records)
+
+    def subscribe(self, listener: Callable[[], None]) -> None:
+        """Call ``listener`` after each change of configuration or orders."""
+        self.listeners.append(listener)
+
+    async def _follow_documents(self) -> None:
+        while True:
+            changes = await self._poll("documents", self.documents, DOCUMENT_WAIT_S)
+            if changes is None:
+                await self.app.clock.sleep(RETRY_S)
+                continue
+            for record in changes:
+                self.apply_document(record)
+            if not changes:
+                # A read that answers early with nothing must not be asked at once.
+                await self.app.clock.sleep(0.05)
+
+    async def _follow_records(self) -> None:
+        while True:
+            changes = await self._poll("records", self.records, 0.0)
+            for record in changes or ():
+                self.apply_record(record)
+            self._remove_due()
+            await self.app.clock.sleep(
+                ENDPOINT_POLL_S if changes is not None else RETRY_S
+            )
+
+    async def _poll(
+        self, name: str, feed: KeyedFeed, wait_s: float
+    ) -> list[KeyedRecord] | None:
+        """Return changes, or None if the store can't be read now."""
+        try:
+            changes = await feed.poll(wait_s=wait_s)
+        except LagoonringError as error:
+            self.failed_at_s[name] = self.app.clock.monotonic()
+            if not self.is_lost.get(name):
+                self.is_lost[name] = True
+                logger.warning(
+                    "Lost the store's {}.", name, extra={"error": str(error)}
+                )
+            return None
+        if self.is_lost.get(name):
+            self.is_lost[name] = False
+            logger.info("Regained the store's {}.", name, extra={"offset": feed.offset})
+        return changes
+
+    def apply_document(self, record: KeyedRecord) -> None:
+        """Put a document in force; a faulty one leaves what is in force."""
+        if record.value is None:
+            return
+        try:
+            document = self.read_document(record.key, record.value)
+        except InvalidInputError as error:
+            self.metrics.faulty_documents.labels("document").inc()
+            logger.error(
+                "Refused a document.", extra={"key": record.key, "error": str(error)}
+            )
+            return
+        if document is None:
+            return
+        if isinstance(document, Configuration):
+            self._apply_configuration(document, record.offset)
+        else:
+            self.orders[document.service] = document
+            logger.info(
+                "Got a move order.",
+                extra={
+                    "service": document.service,
+                    "target": document.target,
+                    "duration_s": document.duration_s,
+                    "offset": record.offset,
+                },
+            )
+        for listener in self.listeners:
+            listener()
+
+    def _apply_configuration(self, configuration: Configuration, offset: int) -> None:
+        before = self.configuration.version if self.configuration else None
+        if before is not None and configuration.version <= before:
+            return
+        self.configuration = configuration
+        self.metrics.configuration_version.set(configuration.version)
+        logger.info(
+            "Configuration in force.",
+            extra={
+                "version": configuration.version,
+                "before": before,
+                "offset": offset,
+                "n_routes": len(configuration.routes),
+            },
+        )
+
+    def apply_record(self, record: KeyedRecord) -> None:
+        """Take in an endpoint's record or its removal."""
+        now_s = self.app.clock.monotonic()
+        if record.value is None:
+            self._note_removal(record.key, now_s)
+            return
+        try:
+            content = self.read_record(record.key, record.value)
+        except InvalidInputError as error:
+            self.metrics.faulty_documents.labels("record").inc()
+            logger.warning(
+                "Refused an endpoint's record.",
+                extra={"endpoint": record.key, "error": str(error)},
+            )
+            return
+        self.due_removals.pop(record.key, None)
+        change = self.table.apply(
+            content, now_s, n_cache_tokens=self._cache_tokens(content.service)
+        )
+        if change:
+            logger.info(
+                "Endpoint {}.",
+                change,
+                extra={
+                    "endpoint": content.endpoint,
+                    "service": content.service,
+                    "address": content.address,
+                    "version": content.version,
+                    "state": content.state.value,
+                    "offset": record.offset,
+                    "reclaimable": content.is_reclaimable,
+                    "leaves_in_s": content.leaves_in_s,
+                },
+            )
+
+    def _cache_tokens(self, service: str) -> int:
+        entry = self.configuration.services.get(service) if self.configuration else None
+        if entry is None or entry.engine is None:
+            return DEFAULT_CACHE_TOKENS
+        return entry.engine.n_cache_tokens
+
+    def _note_removal(self, name: str, now_s: float) -> None:
+        """Remove an endpoint; after an outage of the store only if it stays away."""
+        due_s = self.failed_at_s.get("records", -RETURN_S) + RETURN_S
+        if now_s < due_s:
+            self.due_removals[name] = due_s
+        else:
+            self._remove(name, "removed")
+
+    def _remove_due(self) -> None:
+        now_s = self.app.clock.monotonic()
+        for name, due_s in list(self.due_removals.items()):
+            if now_s >= due_s:
+                del self.due_removals[name]
+                self._remove(name, "missing after an outage")
+
+    def _remove(self, name: str, reason: str) -> None:
+        if self.table.remove(name) is not None:
+            logger.info("Endpoint gone.", extra={"endpoint": name, "reason": reason})
--- /dev/null
+++ b/lagoonring/serving/metrics.py
@@ -0,0 +1,76 @@
+"""Metrics of the request path and of what an instance follows."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from prometheus_client import Counter, Gauge, Histogram
+
+if TYPE_CHECKING:
+    from prometheus_client import CollectorRegistry
+
+LATENCY_BUCKETS_S = (0.01, 0.03, 0.1, 0.2, 0.4, 0.6, 1.0, 2.0, 4.0, 8.0, 16.0)
+
+
+class ServingMetrics:
+    """Counters, gauges and latency histograms of one instance."""
+
+    def __init__(self, registry: CollectorRegistry) -> None:
+        self.requests = Counter(
+            "lagoonring_serving_requests_total",
+            "Requests of callers, by route and outcome.",
+            ["route", "outcome"],
+            registry=registry,
+        )
+        self.attempts = Counter(
+            "lagoonring_serving_attempts_total",
+            "Sends to endpoints, by service and result.",
+            ["service", "result"],
+            registry=registry,
+        )
+        self.answer_s = Histogram(
+            "lagoonring_serving_answer_seconds",
+            "Time to the end of an answer, by route.",
+            ["route"],
+            buckets=LATENCY_BUCKETS_S,
+            registry=registry,
+        )
+        self.first_s = Histogram(
+            "lagoonring_serving_first_event_seconds",
+            "Time to the first event of a stream, by route.",
+            ["route"],
+            buckets=LATENCY_BUCKETS_S,
+            registry=registry,
+        )
+        self.in_progress = Gauge(
+            "lagoonring_serving_in_progress",
+            "Requests of callers in progress.",
+            registry=registry,
+        )
+        self.configuration_version = Gauge(
+            "lagoonring_serving_configuration_version",
+            "Version of the configuration in force.",
+            registry=registry,
+        )
+        self.faulty_documents = Counter(
+            "lagoonring_serving_faulty_documents_total",
+            "Documents and records that could not be read, by sort.",
+            ["sort"],
+            registry=registry,
+        )
+        self.instances_heard = Gauge(
+            "lagoonring_serving_instances_heard",
+            "Instances heard lately, this one included.",
+            registry=registry,
+        )
+        self.duty_calls = Counter(
+            "lagoonring_serving_duty_calls_total",
+            "Calls of singleton duties, by duty and result.",
+            ["duty", "result"],
+            registry=registry,
+        )
+        self.log_lines_dropped = Counter(
+            "lagoonring_log_lines_dropped_total",
+            "Log lines dropped because standard output did not keep up.",
+            registry=registry,
+        )
--- /dev/null
+++ b/lagoonring/serving/news.py
@@ -0,0 +1,36 @@
+"""Connects what instances tell each other with the parts that need it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from lagoonring.serving.exchange import Frame
+    from lagoonring.serving.parts import ServingParts
+    from lagoonring.serving.true_time import TrueClock
+
+
+def connect_news(parts: ServingParts, true_clock: TrueClock) -> None:
+    """Fill this instance's frames, and take in those of the others."""
+
+    def fill(frame: Frame) -> None:
+        frame.loads = {
+            endpoint.name: (endpoint.n_running, endpoint.n_waiting_tokens)
+            for endpoint in parts.table.endpoints.values()
+            if endpoint.n_running
+        }
+        frame.taken = parts.quotas.totals()
+        frame.started = parts.usage.own
+        frame.crashes = parts.suspects.take_news()
+        frame.demand = parts.demand.own()
+
+    def take(frame: Frame, now_s: float) -> None:
+        true_clock.note_peer(frame.instance, frame.time_s)
+        parts.table.note_peer_load(frame.instance, frame.loads, now_s)
+        parts.quotas.note_peer(frame.instance, frame.life, frame.taken)
+        parts.usage.note_peer(frame.instance, frame.life, frame.started)
+        parts.suspects.note_peer(frame.crashes)
+        parts.demand.note_peer(frame.instance, frame.demand)
+
+    parts.exchange.fillers.append(fill)
+    parts.exchange.takers.append(take)
--- /dev/null
+++ b/lagoonring/serving/parts.py
@@ -0,0 +1,62 @@
+"""What the request path uses, gathered in one place."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from lagoonring.kernel import Application
+from lagoonring.serving.demand import Demand
+from lagoonring.serving.endpoints import EndpointTable
+from lagoonring.serving.exchange import Exchange
+from lagoonring.serving.follower import Follower
+from lagoonring.serving.metrics import ServingMetrics
+from lagoonring.serving.placer import Placer
+from lagoonring.serving.quotas import Quotas
+from lagoonring.serving.repeats import RepeatBudget
+from lagoonring.serving.requests import Sender
+from lagoonring.serving.suspects import Suspects
+from lagoonring.serving.usage import UsageCounts
+
+if TYPE_CHECKING:
+    from lagoonring.serving.endpoints import Endpoint
+    from lagoonring.serving.requests import Job
+
+ORGANISATION_RANKS = 3  # ranks of routes within one rank of organisations
+URGENCY_LAST = 9
+
+
+@attrs.define(kw_only=True)
+class ServingParts:
+    """The parts of one instance that requests pass through."""
+
+    app: Application
+    follower: Follower
+    table: EndpointTable
+    placer: Placer
+    sender: Sender
+    exchange: Exchange
+    quotas: Quotas
+    repeats: RepeatBudget
+    suspects: Suspects
+    usage: UsageCounts
+    demand: Demand
+    metrics: ServingMetrics
+
+    def urgency_of(self, job: Job) -> int:
+        """Return the urgency at an endpoint, 0 first; organisations go first."""
+        urgency = job.route.rank
+        if job.organisation is not None and job.organisation.rank is not None:
+            urgency += ORGANISATION_RANKS * job.organisation.rank
+        return min(max(urgency, 0), URGENCY_LAST)
+
+    def count_started(self, job: Job) -> None:
+        """Count a request that an endpoint began to run."""
+        if job.organisation is not None:
+            self.usage.note_start(job.organisation.name)
+
+    def note_outcome(
+        self, job: Job, endpoint: Endpoint, *, ok: bool, latency_s: float | None
+    ) -> None:
+        """Count an outcome towards the comparison of versions."""
--- /dev/null
+++ b/lagoonring/serving/reporting.py
@@ -0,0 +1,120 @@
+"""Reports the usage of each window once, with the same figures ever after."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from lagoonring.errors import LagoonringError
+from lagoonring.logs import make_logger
+from lagoonring.serving.duties import record_first
+
+if TYPE_CHECKING:
+    from lagoonring.kernel import Clock
+    from lagoonring.leases.lease import Lease
+    from lagoonring.serving.duties import DutyLedger
+    from lagoonring.serving.exchange import Exchange
+    from lagoonring.serving.metrics import ServingMetrics
+    from lagoonring.serving.usage import UsageCounts
+
+PART = "usage"
+SETTLE_S = 0.6  # three rounds of the exchange after a window's end
+WAIT_SHARE = 0.62  # of the time to the report, for counts of instances cut off
+CALL_LEAST_S = 0.3  # a call begun with less could outlive the lease
+
+logger = make_logger("usage")
+
+
+class UsageReports:
+    """The part of the duties that reports usage.
+
+    Parameters
+    ----------
+    report : callable
+        ``await report(lease, window, counts)`` tells the platform.
+    due_s : float
+        Time after a window's end when its report is due.
+    """
+
+    name = PART
+
+    def __init__(
+        self,
+        ledger: DutyLedger,
+        usage: UsageCounts,
+        exchange: Exchange,
+        clock: Clock,
+        metrics: ServingMetrics,
+        *,
+        report,
+        due_s: float,
+    ) -> None:
+        self.ledger = ledger
+        self.usage = usage
+        self.exchange = exchange
+        self.clock = clock
+        self.metrics = metrics
+        self.report = report
+        self.due_s = due_s
+        self.told: set[int] = set()
+
+    async def step(self, lease: Lease) -> None:
+        """Report the windows that are complete and not yet told."""
+        now_s = self.usage.true_time()
+        window_s = self.usage.window_s
+        last = int(now_s // window_s) - 1
+        n_windows = int(self.due_s // window_s) + 1
+        for window in range(last - n_windows + 1, last + 1):
+            ended_s = now_s - (window + 1) * window_s
+            if window not in self.told and ended_s < self.due_s:
+                await self._tell(lease, window, ended_s)
+        self.told = {window for window in self.told if window > last - 2 * n_windows}
+
+    async def _tell(self, lease: Lease, window: int, ended_s: float) -> None:
+        counts = self._recorded(window)
+        if counts is None:
+            if not self._is_complete(ended_s):
+                return
+            counts = self.usage.total(window)
+            await record_first(lease, PART, str(window), counts)
+        if lease.remaining_s() < CALL_LEAST_S:
+            return
+        try:
+            await self.report(lease, window, counts)
+        except LagoonringError as error:
+            self.metrics.duty_calls.labels(PART, error.code).inc()
+            logger.info(
+                "Usage report failed.",
+                extra={"window": window, "counts": counts, "error": str(error)},
+            )
+            return
+        self.told.add(window)
+        self.metrics.duty_calls.labels(PART, "ok").inc()
+        logger.info(
+            "Usage reported.",
+            extra={
+                "window": window,
+                "counts": counts,
+                "ended_s": round(ended_s, 2),
+                "fencing_number": lease.fencing_number,
+            },
+        )
+
+    def _recorded(self, window: int) -> dict[str, int] | None:
+        recorded = self.ledger.find(PART, str(window))
+        if recorded is None:
+            return None
+        return msgspec.json.decode(recorded, type=dict[str, int])
+
+    def _is_complete(self, ended_s: float) -> bool:
+        """Whether all instances have told their counts, or no more can be waited."""
+        if ended_s < SETTLE_S:
+            return False
+        if ended_s >= WAIT_SHARE * self.due_s:
+            return True
+        heard_after_s = self.clock.monotonic() - (ended_s - SETTLE_S / 2)
+        return all(
+            peer.heard_s is None or peer.heard_s >= heard_after_s
+            for peer in self.exchange.peers.values()
+        )
--- /dev/null
+++ b/lagoonring/serving/requests.py
@@ -0,0 +1,154 @@
+"""Requests and answers as the request path sees them, whatever the front end."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Protocol
+
+import attrs
+import xxhash
+
+from lagoonring.serving.configuration import Organisation, RouteEntry
+from lagoonring.serving.endpoints import EndpointRecord
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncGenerator
+
+    from lagoonring.errors import LagoonringError
+
+
+PromptParts = tuple[tuple[str, int], ...]
+
+
+@attrs.frozen(kw_only=True)
+class CallerRequest:
+    """A whole request of a caller, checked and decoded by a front end.
+
+    ``headers`` holds those that go on to an endpoint unchanged. ``received_s``
+    is on the monotonic clock; ``allowed_s`` is how long the caller waits.
+    ``resume_after`` is the last event that the caller has of a stream.
+    """
+
+    request_id: str
+    method: str
+    host: str
+    path: str
+    target: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    has_body: bool
+    key: str | None
+    received_s: float
+    allowed_s: float | None
+    n_prompt_tokens: int = 0
+    n_output_tokens: int = 0
+    counts_tokens: bool = False
+    prompt_parts: PromptParts = ()
+    resume_after: int | None = None
+
+    def fingerprint(self) -> str:
+        """Return a text equal for the same call of the same caller."""
+        digest = xxhash.xxh3_128()
+        for text in (self.key or "", self.method, self.host, self.target):
+            digest.update(text.encode(errors="surrogateescape"))
+            digest.update(b"\x00")
+        digest.update(self.body)
+        return digest.hexdigest()
+
+
+@attrs.define(kw_only=True)
+class Job:
+    """A request that was accepted, and what has become of it so far.
+
+    ``n_runs`` counts the endpoints on which it may have run, ``n_sends`` all
+    endpoints that it was sent to. ``deadline_s`` is on the monotonic clock.
+    """
+
+    request: CallerRequest
+    route: RouteEntry
+    service: str
+    organisation: Organisation | None
+    deadline_s: float
+    fingerprint: str
+    n_runs: int = 0
+    n_sends: int = 0
+    tried: set[str] = attrs.field(factory=set)
+    last_event: int | None = None
+    has_begun: bool = False
+    is_counted: bool = False
+
+    @property
+    def may_send_again(self) -> bool:
+        """Whether it may run on one more endpoint after it may have run."""
+        may_repeat = self.route.may_repeat or self.route.may_resume
+        return may_repeat and self.n_runs < self.route.max_attempts
+
+
+@attrs.frozen(kw_only=True)
+class SendOrder:
+    """What the system adds to a request for one endpoint; urgency 0 is first."""
+
+    endpoint: EndpointRecord
+    left_s: float
+    urgency: int
+    organisation: str | None
+    resume_after: int | None
+
+
+@attrs.frozen
+class LoadReport:
+    """What an endpoint told of its load with an answer."""
+
+    n_running: int
+    n_waiting: int
+    n_slots: int
+
+
+class EndpointAnswer(Protocol):
+    """An endpoint's answer, whose body is read as it comes."""
+
+    status: int
+    headers: list[tuple[str, str]]
+    is_not_run: bool
+    is_other_endpoint: bool
+    is_signed: bool
+    load: LoadReport | None
+
+    async def read(self) -> bytes:
+        """Return the whole body; raises an ``EndpointError`` if it breaks off."""
+
+    def chunks(self) -> AsyncGenerator[bytes, None]:
+        """Yield the body as it comes; raises an ``EndpointError`` if it breaks."""
+
+    def close(self) -> None:
+        """Give the connection back, or close it if the body was not read."""
+
+
+class Sender(Protocol):
+    """Sends requests to endpoints in the platform's form."""
+
+    async def send(self, request: CallerRequest, order: SendOrder) -> EndpointAnswer:
+        """Send a request once; raises an ``EndpointError`` if no answer begins."""
+
+
+class Sink(Protocol):
+    """Where an answer goes to the caller."""
+
+    async def send_whole(
+        self, status: int, headers: list[tuple[str, str]], body: bytes
+    ) -> None:
+        """Send an answer whose body is at hand."""
+
+    async def send_error(self, error: LagoonringError) -> None:
+        """Say what went wrong, and whether the request was run."""
+
+    async def begin(self, status: int, headers: list[tuple[str, str]]) -> None:
+        """Begin an answer whose end is not known yet."""
+
+    async def write(self, data: bytes) -> None:
+        """Send a part of the body."""
+
+    async def end(self) -> None:
+        """End the body properly."""
+
+    def abort(self) -> None:
+        """Break the connection, so that the answer can't look complete."""
--- /dev/null
+++ b/lagoonring/serving/settings.py
@@ -0,0 +1,76 @@
+"""Settings of an instance on a platform, decoded by the adapter."""
+
+from __future__ import annotations
+
+import attrs
+
+from lagoonring.settings.validators import between
+
+
+@attrs.frozen(kw_only=True)
+class Bounds:
+    """What the platform's operators hold the system to.
+
+    Parameters
+    ----------
+    drain_s : float
+        Time after which an endpoint that leaves gets no new request.
+    grace_s : float
+        Time from SIGTERM to SIGKILL.
+    config_s : float
+        Time after which a new configuration is in force everywhere.
+    retry_ratio, retry_slack, retry_window_s : float
+        Repeated sends allowed per window, of all instances together: the ratio
+        of the requests, and the slack beside it.
+    quota_window_s, quota_overshoot, quota_slack : float
+        Window over which limits of organisations are checked, and by how much
+        they may be exceeded: a share, and an amount beside it.
+    lease_s : float
+        Duration of the lease on singleton duties.
+    usage_window_s, usage_due_s : float
+        Length of a window of usage, and the time after its end when its report
+        is due.
+    exposure_share, exposure_slack : float
+        Share and number of requests that a faulty version may get.
+    rollback_s : float
+        Time after which a version whose fault shows gets no more requests.
+    """
+
+    drain_s: float = attrs.field(default=2.0, validator=between(0, 3600))
+    grace_s: float = attrs.field(default=8.0, validator=between(0, 3600))
+    config_s: float = attrs.field(default=2.0, validator=between(0, 3600))
+    retry_ratio: float = attrs.field(default=0.2, validator=between(0, 10))
+    retry_window_s: float = attrs.field(default=10.0, validator=between(0.1, 3600))
+    retry_slack: float = attrs.field(default=50.0, validator=between(0, 1e9))
+    quota_window_s: float = attrs.field(default=8.0, validator=between(0.1, 3600))
+    quota_overshoot: float = attrs.field(default=0.1, validator=between(0, 10))
+    quota_slack: float = attrs.field(default=0.0, validator=between(0, 1e12))
+    lease_s: float = attrs.field(default=3.0, validator=between(0.1, 3600))
+    usage_window_s: float = attrs.field(default=5.0, validator=between(0.1, 3600))
+    usage_due_s: float = attrs.field(default=10.0, validator=between(0.1, 3600))
+    exposure_share: float = attrs.field(default=0.1, validator=between(0, 1))
+    exposure_slack: float = attrs.field(default=50.0, validator=between(0, 1e9))
+    rollback_s: float = attrs.field(default=5.0, validator=between(0, 3600))
+
+
+@attrs.frozen(kw_only=True)
+class NodeSettings:
+    """Who this instance is, its addresses and those it depends on.
+
+    Addresses are ``IP:port``.
+    """
+
+    instance: str
+    ip: str
+    data_centre: str
+    data_centres: tuple[str, ...]
+    caller_address: str
+    ready_address: str
+    peer_port: int
+    metrics_port: int
+    seed_ips: tuple[str, ...] = ()
+    store_address: str
+    cloud_address: str | None = None
+    duties: tuple[str, ...] = ()
+    heartbeat_s: float = attrs.field(default=1.2, validator=between(0.01, 600))
+    bounds: Bounds = attrs.field(factory=Bounds)
--- /dev/null
+++ b/lagoonring/serving/suspects.py
@@ -0,0 +1,58 @@
+"""Requests that crash the endpoints that run them, over plain data.
+
+A request counts a crash at an endpoint when its connection breaks there before
+its answer is whole. Three endpoints are enough to refuse it everywhere: a fourth
+would cost the requests of other callers that run there.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+
+N_CRASHES_MOST = 3
+N_SUSPECTS_MOST = 2000  # some 100 bytes each
+
+
+class Suspects:
+    """Endpoints that broke off, by the fingerprint of the request."""
+
+    def __init__(self) -> None:
+        self.crashes: OrderedDict[str, set[str]] = OrderedDict()
+        self.news: dict[str, list[str]] = {}
+
+    def note_crash(self, fingerprint: str, endpoint: str) -> int:
+        """Count a broken attempt; return the endpoints counted so far."""
+        n_crashes = self._add(fingerprint, {endpoint})
+        self.news.setdefault(fingerprint, []).append(endpoint)
+        return n_crashes
+
+    def note_success(self, fingerprint: str) -> None:
+        """Clear a request that was answered in full."""
+        self.crashes.pop(fingerprint, None)
+
+    def note_peer(self, crashes: dict[str, list[str]]) -> None:
+        """Take in what a peer has counted lately."""
+        for fingerprint, endpoints in crashes.items():
+            self._add(fingerprint, set(endpoints))
+
+    def is_condemned(self, fingerprint: str) -> bool:
+        """Whether the request may run nowhere any more."""
+        return len(self.crashes.get(fingerprint, ())) >= N_CRASHES_MOST
+
+    def count(self, fingerprint: str) -> int:
+        """Return the endpoints that the request is known to have broken."""
+        return len(self.crashes.get(fingerprint, ()))
+
+    def take_news(self) -> dict[str, list[str]]:
+        """Return what was counted here since the last call."""
+        news = self.news
+        self.news = {}
+        return news
+
+    def _add(self, fingerprint: str, endpoints: set[str]) -> int:
+        known = self.crashes.setdefault(fingerprint, set())
+        known |= endpoints
+        self.crashes.move_to_end(fingerprint)
+        while len(self.crashes) > N_SUSPECTS_MOST:
+            self.crashes.popitem(last=False)
+        return len(known)
--- /dev/null
+++ b/lagoonring/serving/usage.py
@@ -0,0 +1,65 @@
+"""Counts the requests that began to run, by window of true time and organisation."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+N_WINDOWS_KEPT = 6  # a report may come two windows after its window's end
+
+
+class UsageCounts:
+    """What this instance counted, and what the others told.
+
+    Parameters
+    ----------
+    window_s : float
+        Length of a window.
+    true_time : callable
+        Returns seconds since the epoch, whatever this machine's clock does.
+    """
+
+    def __init__(self, window_s: float, true_time: Callable[[], float]) -> None:
+        self.window_s = window_s
+        self.true_time = true_time
+        self.own: dict[int, dict[str, int]] = {}
+        self.told: dict[tuple[str, int], dict[int, dict[str, int]]] = {}
+
+    def window(self) -> int:
+        """Return the number of the window that the present is in."""
+        return int(self.true_time() // self.window_s)
+
+    def note_start(self, organisation: str) -> None:
+        """Count a request that began to run now."""
+        counts = self.own.setdefault(self.window(), {})
+        counts[organisation] = counts.get(organisation, 0) + 1
+        _keep_newest(self.own)
+
+    def note_peer(
+        self, peer: str, life: int, started: dict[int, dict[str, int]]
+    ) -> None:
+        """Take in a peer's counts; those of its earlier lives stay."""
+        known = self.told.setdefault((peer, life), {})
+        known.update(started)
+        _keep_newest(known)
+
+    def total(self, window: int) -> dict[str, int]:
+        """Return the requests of all instances that began in a window."""
+        total: dict[str, int] = dict(self.own.get(window, {}))
+        for counts in self.told.values():
+            for organisation, n_started in counts.get(window, {}).items():
+                total[organisation] = total.get(organisation, 0) + n_started
+        return total
+
+    def forget_before(self, window: int) -> None:
+        """Drop instances that told nothing since a window."""
+        for key, counts in list(self.told.items()):
+            if not counts or max(counts) < window:
+                del self.told[key]
+
+
+def _keep_newest(counts: dict[int, dict[str, int]]) -> None:
+    while len(counts) > N_WINDOWS_KEPT:
+        del counts[min(counts)]
--- a/lagoonring/tests/builders/gates.py
+++ b/lagoonring/tests/builders/gates.py
@@ -55,6 +55,10 @@
         """Return the shared clock's reading."""
         return self.clock.monotonic()
 
+    def boottime(self) -> float:
+        """Return the shared clock's reading."""
+        return self.clock.boottime()
+
     def time(self) -> float:
         """Return the shared clock's reading."""
         return self.clock.time()
--- a/lagoonring/tests/builders/logs.py
+++ b/lagoonring/tests/builders/logs.py
@@ -48,6 +48,10 @@
         """Return the loop's time."""
         return asyncio.get_running_loop().time()
 
+    def boottime(self) -> float:
+        """Return the loop's time."""
+        return asyncio.get_running_loop().time()
+
     def time(self) -> float:
         """Return the loop's time."""
         return asyncio.get_running_loop().time()
