--- a/lagoonring/leases/lease.py
+++ b/lagoonring/leases/lease.py
@@ -2,8 +2,9 @@
 
 The challenger waits by its own steady clock, which goes on while the machine is
 suspended, from when it *saw* the newest renewal; the holder counts from before it
-*sent* it, so the holder gives up first. Should clocks mislead both, log order still decides: a take that names
-an older epoch or renewal is void, and so are records of an epoch that ended.
+*sent* it, so the holder gives up first. Should clocks mislead both, log order still
+decides: a take that names an older epoch or renewal is void, and so are records of
+an epoch that ended.
 """
 
 from __future__ import annotations
