--- a/lagoonring/platform/sending.py
+++ b/lagoonring/platform/sending.py
@@ -9,12 +9,13 @@
 from multidict import CIMultiDict
 from yarl import URL
 
-from lagoonring.endpoints.errors import EndpointCrossedError
+from lagoonring.endpoints.errors import EndpointCrossedError, EndpointCutError
 from lagoonring.endpoints.transport import send, typed_errors
 from lagoonring.platform import headers as names
 from lagoonring.serving.requests import LoadReport
 
 if TYPE_CHECKING:
+    import asyncio
     from collections.abc import AsyncGenerator
 
     from lagoonring.serving.requests import CallerRequest, SendOrder
@@ -75,11 +76,14 @@
         self.is_not_run = names.NOT_RUN in response.headers
         self.is_signed = names.SIGNATURE in response.headers
         self.load = _read_load(response.headers.get(names.LOAD))
+        self.closed = _watch_end(response)
 
     async def read(self) -> bytes:
         """Return the whole body."""
         with typed_errors(str(self.response.url)):
-            return await self.response.read()
+            body = await self.response.read()
+        self._check_end()
+        return body
 
     async def chunks(self) -> AsyncGenerator[bytes, None]:
         """Yield the body as it comes."""
@@ -87,9 +91,21 @@
             with typed_errors(str(self.response.url)):
                 chunk = await self.response.content.readany()
             if not chunk:
+                self._check_end()
                 return
             yield chunk
 
+    def _check_end(self) -> None:
+        """Raise ``EndpointCutError`` if a body without length was not ended."""
+        if self.closed is None:
+            return
+        if not self.closed.done() or self.closed.exception() is not None:
+            raise EndpointCutError(
+                f"Got a body of {self.response.url} that ends with a reset, "
+                "expected a closed connection.",
+                remedy="Repeat the request only if it is idempotent.",
+            )
+
     def close(self) -> None:
         """Give the connection back, or close it if the body was not read."""
         if self.response.content.at_eof():
@@ -132,6 +148,21 @@
         return HttpAnswer(response)
 
 
+def _watch_end(response: aiohttp.ClientResponse) -> asyncio.Future[None] | None:
+    """Return what tells how the connection ended, if that ends the body.
+
+    The HTTP library takes a reset for the end of a body that has no length.
+    """
+    is_framed = (
+        "Content-Length" in response.headers
+        or "chunked" in response.headers.get("Transfer-Encoding", "").lower()
+    )
+    connection = response.connection
+    if is_framed or connection is None or connection.protocol is None:
+        return None
+    return connection.protocol.closed
+
+
 def _make_headers(request: CallerRequest, order: SendOrder) -> CIMultiDict[str]:
     made = CIMultiDict(request.headers)
     made[names.DEADLINE] = str(max(1, int(order.left_s * 1000)))
