--- /dev/null
+++ b/lagoonring/tests/builders/serving.py
@@ -0,0 +1,388 @@
+"""Builders for the request path on a platform: documents, endpoints, parts."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING, Any
+
+import attrs
+import msgspec
+from prometheus_client import CollectorRegistry
+
+from lagoonring.errors import LagoonringError
+from lagoonring.kernel import Application, ManualClock
+from lagoonring.serving.configuration import (
+    CallerLimits,
+    Configuration,
+    EngineTraits,
+    Organisation,
+    RequestKind,
+    RouteEntry,
+    ScalingTraits,
+    ServiceEntry,
+    WeightedService,
+)
+from lagoonring.serving.demand import Demand
+from lagoonring.serving.endpoints import (
+    EndpointRecord,
+    EndpointState,
+    EndpointTable,
+)
+from lagoonring.serving.metrics import ServingMetrics
+from lagoonring.serving.parts import ServingParts
+from lagoonring.serving.path import RequestPath
+from lagoonring.serving.placer import Placer
+from lagoonring.serving.quotas import Quotas
+from lagoonring.serving.repeats import RepeatBudget
+from lagoonring.serving.requests import CallerRequest, LoadReport
+from lagoonring.serving.suspects import Suspects
+from lagoonring.serving.usage import UsageCounts
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncGenerator, AsyncIterator, Callable
+
+    from lagoonring.serving.requests import SendOrder
+
+KEY = "key-of-one"
+HOST = "desk.example"
+SIGNED = [("Lagoonring-Response-Stamp", "signed")]
+
+
+def make_route(**changes: Any) -> RouteEntry:
+    """Return a route of an idempotent kind unless told otherwise."""
+    values: dict[str, Any] = {
+        "name": "lookup",
+        "host": HOST,
+        "path_prefix": "/lookup/",
+        "kind": RequestKind.IDEMPOTENT,
+        "timeout_s": 2.0,
+        "objective_s": 0.3,
+        "patience_s": 2.0,
+        "rank": 0,
+        "targets": (WeightedService(service="desk", weight=1.0),),
+        "max_attempts": 2,
+        "is_public": False,
+        "may_resume": False,
+    }
+    return RouteEntry(**(values | changes))
+
+
+def make_organisation(**changes: Any) -> Organisation:
+    """Return an organisation without a limit unless told otherwise."""
+    values: dict[str, Any] = {
+        "name": "one",
+        "keys": frozenset({KEY}),
+        "rank": None,
+        "rate_per_s": 0.0,
+        "burst": 0.0,
+        "counts_tokens": False,
+        "n_plain_tokens": 0.0,
+    }
+    return Organisation(**(values | changes))
+
+
+def make_configuration(
+    *routes: RouteEntry,
+    version: int = 1,
+    organisations: tuple[Organisation, ...] | None = None,
+    services: dict[str, ServiceEntry] | None = None,
+) -> Configuration:
+    """Return a configuration with the routes, or one route."""
+    return Configuration(
+        version=version,
+        routes=routes or (make_route(),),
+        services=services or {"desk": ServiceEntry(name="desk", max_connections=50)},
+        organisations=(
+            (make_organisation(),) if organisations is None else organisations
+        ),
+        limits=CallerLimits(
+            n_header_bytes=16384,
+            n_body_bytes=4096,
+            header_timeout_s=3.0,
+            idle_timeout_s=15.0,
+        ),
+    )
+
+
+def make_scaling(**changes: Any) -> ScalingTraits:
+    """Return bounds of one to four endpoints in each of three data centres."""
+    values: dict[str, Any] = {
+        "n_least": 1,
+        "n_most": 4,
+        "boot_s": 4.0,
+        "reclaimable_price": 0.2,
+        "prices": {"east": 0.85, "north": 1.2, "west": 1.0},
+    }
+    return ScalingTraits(**(values | changes))
+
+
+def make_engine_service(name: str = "assistant") -> ServiceEntry:
+    """Return a service of model engines that scales."""
+    return ServiceEntry(
+        name=name,
+        max_connections=100,
+        engine=EngineTraits(n_slots=8, n_cache_tokens=50_000, may_move=True),
+        scaling=make_scaling(),
+    )
+
+
+def make_record(name: str = "a", **changes: Any) -> EndpointRecord:
+    """Return the record of an endpoint that serves."""
+    values: dict[str, Any] = {
+        "endpoint": name,
+        "service": "desk",
+        "address": "127.0.0.1:9",
+        "data_centre": "east",
+        "version": "v1",
+        "n_slots": 6,
+        "state": EndpointState.READY,
+        "born_ms": 1000,
+        "sequence": 1,
+    }
+    return EndpointRecord(**(values | changes))
+
+
+def make_table(*records: EndpointRecord) -> EndpointTable:
+    """Return a table with the endpoints."""
+    table = EndpointTable()
+    for record in records:
+        table.apply(record, 0.0, n_cache_tokens=50_000)
+    return table
+
+
+def make_request(**changes: Any) -> CallerRequest:
+    """Return a request that the usual configuration allows."""
+    values: dict[str, Any] = {
+        "request_id": "0123456789abcdef",
+        "method": "GET",
+        "host": HOST,
+        "path": "/lookup/7",
+        "target": "/lookup/7",
+        "headers": (),
+        "body": b"",
+        "has_body": False,
+        "key": KEY,
+        "received_s": 1_000_000.0,
+        "allowed_s": 2.0,
+    }
+    return CallerRequest(**(values | changes))
+
+
+@attrs.define
+class FakeFollower:
+    """Holds a configuration that a test sets."""
+
+    configuration: Configuration | None
+
+
+@attrs.define
+class FakeExchange:
+    """Tells how many instances there are and which share is heard."""
+
+    n_instances: int = 3
+    share: float = 1.0
+    peers: dict[str, Any] = attrs.field(factory=dict)
+
+    def count_instances(self) -> int:
+        """Return the instances known."""
+        return self.n_instances
+
+    def share_heard(self) -> float:
+        """Return the share that is heard."""
+        return self.share
+
+
+@attrs.define(slots=False)
+class FakeAnswer:
+    """An answer made of chunks; an exception among them is raised there."""
+
+    chunks_made: list[bytes | Exception] = attrs.field(factory=list)
+    status: int = 200
+    headers: list[tuple[str, str]] = attrs.field(factory=lambda: list(SIGNED))
+    is_not_run: bool = False
+    is_other_endpoint: bool = False
+    is_signed: bool = True
+    load: LoadReport | None = None
+    is_closed: bool = False
+
+    async def read(self) -> bytes:
+        """Return all chunks joined."""
+        return b"".join([chunk async for chunk in self.chunks()])
+
+    async def chunks(self) -> AsyncGenerator[bytes, None]:
+        """Yield the chunks."""
+        for chunk in self.chunks_made:
+            if isinstance(chunk, Exception):
+                raise chunk
+            yield chunk
+
+    def close(self) -> None:
+        """Note that the answer was closed."""
+        self.is_closed = True
+
+
+class FakeSender:
+    """Answers sends by a function of the order; keeps the orders.
+
+    ``answer(order)`` returns an answer, or an exception that is raised.
+    """
+
+    def __init__(self, answer: Callable[[SendOrder], Any]) -> None:
+        self.answer = answer
+        self.orders: list[SendOrder] = []
+
+    async def send(self, request: CallerRequest, order: SendOrder) -> Any:
+        """Answer by the function."""
+        self.orders.append(order)
+        answer = self.answer(order)
+        if asyncio.iscoroutine(answer):
+            answer = await answer
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+
+@attrs.define
+class CapturingSink:
+    """Keeps what a caller gets."""
+
+    status: int | None = None
+    headers: list[tuple[str, str]] = attrs.field(factory=list)
+    body: bytes = b""
+    error: LagoonringError | None = None
+    is_whole: bool = False
+    is_aborted: bool = False
+
+    async def send_whole(
+        self, status: int, headers: list[tuple[str, str]], body: bytes
+    ) -> None:
+        """Keep a whole answer."""
+        self.status, self.headers, self.body = status, headers, body
+        self.is_whole = True
+
+    async def send_error(self, error: LagoonringError) -> None:
+        """Keep an error."""
+        self.status, self.error, self.is_whole = error.status, error, True
+
+    async def begin(self, status: int, headers: list[tuple[str, str]]) -> None:
+        """Keep the head."""
+        assert self.status is None
+        self.status, self.headers = status, headers
+
+    async def write(self, data: bytes) -> None:
+        """Keep a part of the body."""
+        self.body += data
+
+    async def end(self) -> None:
+        """Note the proper end."""
+        self.is_whole = True
+
+    def abort(self) -> None:
+        """Note the break."""
+        self.is_aborted = True
+
+
+def make_parts(
+    sender: Any,
+    *records: EndpointRecord,
+    configuration: Configuration | None = None,
+    clock: Any = None,
+    is_allowed: Callable[[str, str, str], bool] | None = None,
+) -> ServingParts:
+    """Return parts around a sender and the endpoints, or two endpoints."""
+    app = Application(clock=clock or ManualClock(), rng=random.Random(7))
+    table = make_table(*(records or (make_record("a"), make_record("b"))))
+    demand = Demand(app.clock)
+    return ServingParts(
+        app=app,
+        follower=FakeFollower(configuration or make_configuration()),
+        table=table,
+        placer=Placer(
+            table,
+            app.clock,
+            app.rng,
+            data_centre="east",
+            is_allowed=is_allowed or (lambda service, version, request_id: True),
+            demand=demand,
+        ),
+        sender=sender,
+        exchange=FakeExchange(),
+        quotas=Quotas(),
+        repeats=RepeatBudget(ratio=0.2, slack=60, window_s=10),
+        suspects=Suspects(),
+        usage=UsageCounts(5.0, app.clock.time),
+        demand=demand,
+        metrics=ServingMetrics(CollectorRegistry()),
+    )
+
+
+async def serve(
+    parts: ServingParts, request: CallerRequest | None = None
+) -> CapturingSink:
+    """Serve one request and return what its caller got."""
+    sink = CapturingSink()
+    await RequestPath(parts).serve(request or make_request(), sink)
+    return sink
+
+
+def make_event(number: int, text: str = "word") -> bytes:
+    """Return an event of a stream."""
+    return f"id: {number}\ndata: {text}\n\n".encode()
+
+
+@asynccontextmanager
+async def raw_endpoint(
+    answer: Callable[[asyncio.StreamWriter, bytes], Any],
+) -> AsyncIterator[tuple[str, list[bytes]]]:
+    """Run a TCP server that answers each request head by a function.
+
+    Yields its address and the heads of the requests received.
+    """
+    heads: list[bytes] = []
+
+    async def serve_connection(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                heads.append(head)
+                made = answer(writer, head)
+                if asyncio.iscoroutine(made):
+                    await made
+                if writer.is_closing():
+                    return
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+    server = await asyncio.start_server(serve_connection, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    try:
+        yield f"{host}:{port}", heads
+    finally:
+        server.close()
+
+
+def make_boot(**changes: Any) -> dict[str, Any]:
+    """Return a settings file of the platform, as decoded JSON."""
+    boot: dict[str, Any] = {
+        "node": "front-east-1",
+        "ip": "127.0.0.1",
+        "zone": "east",
+        "zones": {"east": "coast", "west": "coast"},
+        "listen": {"front": "127.0.0.1:0", "ready": "127.0.0.1:0"},
+        "internalPorts": [7500, 7515],
+        "platform": {"address": "127.0.0.1:1"},
+        "bounds": {"drainMs": 1500, "leaseMs": 3000},
+        "limits": {"memoryMb": 300},
+        "cloud": {"address": "127.0.0.1:2", "duties": ["usage", "scaling"]},
+    }
+    return boot | changes
+
+
+def encode_boot(**changes: Any) -> bytes:
+    """Return the content of a settings file."""
+    return msgspec.json.encode(make_boot(**changes))
--- /dev/null
+++ b/lagoonring/tests/test_serving_path.py
@@ -0,0 +1,337 @@
+"""The request path: what callers get when endpoints answer, fail or vanish."""
+
+from __future__ import annotations
+
+import asyncio
+
+import attrs
+import pytest
+
+from lagoonring.endpoints.errors import (
+    EndpointConnectError,
+    EndpointCutError,
+    EndpointTimeoutError,
+)
+from lagoonring.errors import Outcome
+from lagoonring.kernel import Clock
+from lagoonring.serving.configuration import RequestKind
+from lagoonring.serving.path import RequestPath
+from lagoonring.tests.builders.serving import (
+    KEY,
+    CapturingSink,
+    FakeAnswer,
+    FakeSender,
+    make_configuration,
+    make_event,
+    make_organisation,
+    make_parts,
+    make_record,
+    make_request,
+    make_route,
+    serve,
+)
+
+ONCE = make_route(kind=RequestKind.ONCE, max_attempts=1)
+STREAM = make_route(
+    kind=RequestKind.STREAM, may_resume=True, max_attempts=2, objective_s=0.5
+)
+NO_RESUME = attrs.evolve(STREAM, may_resume=False, max_attempts=1)
+CUT = EndpointCutError("cut")
+
+
+def answers(*made):
+    """Return a sender that gives these answers in turn."""
+    left = list(made)
+    return FakeSender(lambda order: left.pop(0))
+
+
+async def test_passes_on_a_whole_answer():
+    sender = answers(FakeAnswer([b"wh", b"ole"]))
+    sink = await serve(make_parts(sender))
+    assert (sink.status, sink.body, sink.is_whole) == (200, b"whole", True)
+    assert sender.orders[0].organisation == "one"
+    assert sender.orders[0].left_s == pytest.approx(2.0)
+
+
+async def test_repeats_an_idempotent_request_on_another_endpoint():
+    sender = answers(CUT, FakeAnswer([b"ok"]))
+    sink = await serve(make_parts(sender))
+    assert sink.status == 200
+    first, second = (order.endpoint.endpoint for order in sender.orders)
+    assert first != second
+
+
+async def test_never_repeats_what_may_have_run_once():
+    sender = answers(CUT)
+    parts = make_parts(sender, configuration=make_configuration(ONCE))
+    sink = await serve(parts)
+    assert sink.status == 502
+    assert sink.error.outcome is Outcome.UNKNOWN
+    assert len(sender.orders) == 1
+
+
+@pytest.mark.parametrize(
+    "refusal",
+    [
+        EndpointConnectError("no connection"),
+        FakeAnswer(status=503, is_not_run=True),
+        FakeAnswer(status=421, is_other_endpoint=True),
+    ],
+)
+async def test_sends_what_was_not_run_elsewhere(refusal):
+    sender = answers(refusal, FakeAnswer([b"ok"]))
+    parts = make_parts(sender, configuration=make_configuration(ONCE))
+    sink = await serve(parts)
+    assert sink.status == 200
+    assert len(sender.orders) == 2
+
+
+async def test_says_not_run_only_when_no_endpoint_ran_it():
+    sender = FakeSender(lambda order: FakeAnswer(status=503, is_not_run=True))
+    sink = await serve(make_parts(sender, configuration=make_configuration(ONCE)))
+    assert sink.status == 503
+    assert sink.error.outcome is Outcome.NOT_RUN
+    assert 0 < sink.error.retry_after_s <= 2.0 / 3
+
+
+async def test_says_unknown_when_a_repeat_was_not_run_but_the_first_may_have():
+    refused = FakeAnswer(status=503, is_not_run=True)
+    sender = answers(CUT, refused, refused, refused)
+    sink = await serve(make_parts(sender))
+    assert sink.status == 502
+    assert sink.error.outcome is Outcome.UNKNOWN
+
+
+async def test_drops_a_failure_of_an_idempotent_request_for_another_try():
+    sender = answers(FakeAnswer([b"fault"], status=500), FakeAnswer([b"ok"]))
+    sink = await serve(make_parts(sender))
+    assert (sink.status, sink.body) == (200, b"ok")
+
+
+async def test_passes_on_the_failure_of_a_request_that_may_not_be_repeated():
+    sender = answers(FakeAnswer([b"fault"], status=500))
+    sink = await serve(make_parts(sender, configuration=make_configuration(ONCE)))
+    assert (sink.status, sink.body) == (500, b"fault")
+
+
+async def test_never_passes_on_a_success_that_is_not_signed():
+    sender = answers(FakeAnswer([b"forged"], is_signed=False))
+    sink = await serve(make_parts(sender, configuration=make_configuration(ONCE)))
+    assert sink.status == 502
+    assert sink.body == b""
+
+
+@pytest.mark.parametrize("status", [408, 421, 429, 503])
+async def test_never_passes_on_a_status_that_would_promise_not_run(status):
+    sender = answers(FakeAnswer([b"full"], status=status))
+    sink = await serve(make_parts(sender, configuration=make_configuration(ONCE)))
+    assert sink.status == 502
+
+
+async def test_relays_whole_events_as_they_come():
+    first, second = make_event(0), make_event(1)
+    sender = answers(FakeAnswer([first[:5], first[5:] + second]))
+    sink = await serve(make_parts(sender, configuration=make_configuration(STREAM)))
+    assert sink.body == first + second
+    assert sink.is_whole
+
+
+async def test_resumes_a_stream_after_the_last_event_passed_on():
+    sender = answers(
+        FakeAnswer([make_event(0), make_event(1) + b"id: 2\nda", CUT]),
+        FakeAnswer([make_event(2), make_event(3)]),
+    )
+    sink = await serve(make_parts(sender, configuration=make_configuration(STREAM)))
+    assert sender.orders[1].resume_after == 1
+    assert sink.body == b"".join(make_event(number) for number in range(4))
+    assert sink.is_whole
+
+
+async def test_breaks_a_stream_that_may_not_be_resumed():
+    sender = answers(FakeAnswer([make_event(0), CUT]))
+    sink = await serve(make_parts(sender, configuration=make_configuration(NO_RESUME)))
+    assert sink.body == make_event(0)
+    assert sink.is_aborted
+    assert not sink.is_whole
+
+
+async def test_breaks_a_stream_that_ends_within_an_event():
+    sender = answers(FakeAnswer([make_event(0), b"id: 1\n"]))
+    sink = await serve(make_parts(sender, configuration=make_configuration(NO_RESUME)))
+    assert sink.is_aborted
+
+
+async def test_breaks_a_stream_in_which_an_event_is_missing():
+    sender = answers(FakeAnswer([make_event(0), make_event(2)]))
+    sink = await serve(make_parts(sender, configuration=make_configuration(NO_RESUME)))
+    assert sink.body == make_event(0)
+    assert sink.is_aborted
+
+
+async def test_answers_a_stream_that_fails_before_its_first_event():
+    sender = answers(CUT)
+    sink = await serve(make_parts(sender, configuration=make_configuration(NO_RESUME)))
+    assert sink.status == 502
+    assert not sink.is_aborted
+
+
+@pytest.mark.parametrize(
+    ("changes", "status", "code"),
+    [
+        ({"path": "/other/1"}, 404, "unknown_route"),
+        ({"host": "elsewhere.example"}, 404, "unknown_route"),
+        ({"key": None}, 401, "missing_key"),
+        ({"key": "stale"}, 401, "wrong_key"),
+    ],
+)
+async def test_refuses_what_the_configuration_does_not_allow(changes, status, code):
+    sender = answers()
+    sink = await serve(make_parts(sender), make_request(**changes))
+    assert (sink.status, sink.error.code) == (status, code)
+    assert sender.orders == []
+
+
+async def test_answers_503_before_the_first_configuration():
+    parts = make_parts(answers())
+    parts.follower.configuration = None
+    sink = await serve(parts)
+    assert (sink.status, sink.error.code) == (503, "not_ready")
+    assert sink.error.retry_after_s > 0
+
+
+async def test_needs_no_key_on_a_public_route():
+    sender = answers(FakeAnswer([b"ok"]))
+    configuration = make_configuration(make_route(is_public=True))
+    sink = await serve(
+        make_parts(sender, configuration=configuration), make_request(key=None)
+    )
+    assert sink.status == 200
+    assert sender.orders[0].organisation is None
+
+
+async def test_refuses_at_once_when_there_is_no_endpoint():
+    parts = make_parts(answers())
+    for name in ("a", "b"):
+        parts.table.remove(name)
+    sink = await serve(parts)
+    assert (sink.status, sink.error.code) == (503, "overload")
+    assert 0 < sink.error.retry_after_s <= 2.0 / 3
+
+
+async def test_refuses_beyond_the_limit_with_the_time_to_return():
+    organisation = make_organisation(rate_per_s=10.0, burst=2.0)
+    configuration = make_configuration(organisations=(organisation,))
+    sender = FakeSender(lambda order: FakeAnswer([b"ok"]))
+    parts = make_parts(sender, configuration=configuration)
+    statuses = [(await serve(parts)).status for _ in range(3)]
+    assert statuses == [200, 200, 429]
+
+
+async def test_runs_a_crashing_request_on_three_endpoints_at_most():
+    sender = FakeSender(lambda order: EndpointCutError("crash"))
+    records = [make_record(name) for name in "abcdef"]
+    parts = make_parts(sender, *records)
+    for _ in range(4):
+        sink = await serve(parts)
+    assert sink.error.code == "crashing_request"
+    assert len({order.endpoint.endpoint for order in sender.orders}) <= 4
+    other = await serve(parts, make_request(target="/lookup/8", path="/lookup/8"))
+    assert other.error.code != "crashing_request"
+
+
+async def test_spreads_repeats_only_within_the_budget():
+    sender = FakeSender(lambda order: EndpointCutError("cut"))
+    parts = make_parts(sender)
+    parts.repeats.slack = 0
+    n_requests = 50
+    for number in range(n_requests):
+        path = f"/lookup/{number}"
+        await serve(parts, make_request(target=path, path=path))
+    n_repeats = len(sender.orders) - n_requests
+    assert n_repeats <= parts.repeats.ratio * n_requests
+
+
+async def test_tells_each_endpoint_only_the_time_that_is_left():
+    clock = Clock()
+
+    async def slow_then_cut(order):
+        await asyncio.sleep(0.05)
+        return CUT
+
+    left = [slow_then_cut, lambda order: FakeAnswer([b"ok"])]
+    sender = FakeSender(lambda order: left.pop(0)(order))
+    parts = make_parts(sender, clock=clock)
+    request = make_request(received_s=clock.monotonic(), allowed_s=1.0)
+    await serve(parts, request)
+    first, second = (order.left_s for order in sender.orders)
+    assert second < first <= 1.0
+
+
+async def test_gives_up_at_the_routes_time_limit_with_a_final_answer():
+    clock = Clock()
+    sender = FakeSender(lambda order: asyncio.sleep(60))
+    route = make_route(kind=RequestKind.ONCE, max_attempts=1, timeout_s=0.2)
+    parts = make_parts(sender, configuration=make_configuration(route), clock=clock)
+    sink = await serve(parts, make_request(received_s=clock.monotonic()))
+    assert (sink.status, sink.error.code) == (504, "answer_timeout")
+
+
+async def test_tries_another_endpoint_when_the_first_does_not_begin():
+    clock = Clock()
+    left = [lambda: asyncio.sleep(60), lambda: FakeAnswer([b"ok"])]
+    sender = FakeSender(lambda order: left.pop(0)())
+    route = make_route(objective_s=0.02)
+    parts = make_parts(sender, configuration=make_configuration(route), clock=clock)
+    for endpoint in parts.table.endpoints.values():
+        endpoint.service_s = 0.01
+        endpoint.learned_s = clock.monotonic()
+    sink = await serve(parts, make_request(received_s=clock.monotonic()))
+    assert sink.status == 200
+    assert len(sender.orders) == 2
+
+
+async def test_closes_the_answer_when_its_caller_goes():
+    answer = FakeAnswer()
+
+    async def endless():
+        yield make_event(0)
+        await asyncio.sleep(60)
+
+    answer.chunks = endless
+    parts = make_parts(
+        answers(answer), configuration=make_configuration(STREAM), clock=Clock()
+    )
+    request = make_request(received_s=parts.app.clock.monotonic(), allowed_s=30.0)
+    path = RequestPath(parts)
+    task = asyncio.create_task(path.serve(request, CapturingSink()))
+    await asyncio.sleep(0.02)
+    task.cancel()
+    with pytest.raises(asyncio.CancelledError):
+        await task
+    assert answer.is_closed
+    assert all(not e.n_running for e in parts.table.endpoints.values())
+
+
+async def test_counts_a_request_once_however_often_it_is_sent():
+    sender = answers(CUT, FakeAnswer([b"ok"]))
+    parts = make_parts(sender)
+    await serve(parts)
+    assert parts.usage.total(parts.usage.window()) == {"one": 1}
+
+
+async def test_counts_nothing_for_a_request_that_was_not_run():
+    sender = FakeSender(lambda order: EndpointConnectError("none"))
+    parts = make_parts(sender)
+    await serve(parts)
+    assert parts.usage.total(parts.usage.window()) == {}
+
+
+async def test_reports_a_timeout_of_the_endpoint_as_unknown():
+    sender = answers(EndpointTimeoutError("silent"))
+    sink = await serve(make_parts(sender, configuration=make_configuration(ONCE)))
+    assert (sink.status, sink.error.outcome) == (504, Outcome.UNKNOWN)
+
+
+def test_the_key_is_never_among_the_headers_that_go_on():
+    request = make_request()
+    assert KEY not in str(request.headers)
