Hold organisations to their limit over windows; size an on-demand floor

Change: use is summed over a window at all instances, within part of the tolerance; the on-demand floor is spread over the cheapest data centres, reclaimable endpoints in all, and on-demand ones stand in while those are gone. Tests: loads played against quotas, placing, refusing, repeats and sizing.

--- a/lagoonring/platform/application.py
+++ b/lagoonring/platform/application.py
@@ -155,7 +155,11 @@
         ),
         sender=HttpSender(app.find("sessions").endpoints),
         exchange=exchange,
-        quotas=Quotas(),
+        quotas=Quotas(
+            bounds.quota_window_s,
+            overshoot=bounds.quota_overshoot,
+            slack=bounds.quota_slack,
+        ),
         repeats=RepeatBudget(
             ratio=bounds.retry_ratio,
             slack=bounds.retry_slack,
--- a/lagoonring/serving/accepting.py
+++ b/lagoonring/serving/accepting.py
@@ -108,13 +108,18 @@
         return
     now_s = parts.app.clock.monotonic()
     share = parts.exchange.share_heard()
-    wait_s = parts.quotas.take(job.organisation, amount_of(job), now_s, share)
+    amount = amount_of(job)
+    wait_s = parts.quotas.take(job.organisation, amount, now_s, share)
     if wait_s is None:
+        job.taken = amount
         return
     left_s = job.deadline_s - now_s
     spread_s = wait_s * (1 + QUOTA_RETRY_SPREAD * parts.app.rng.random())
     raise QuotaExceededError(
-        f"Got a request of {job.organisation.name} beyond its limit.",
+        f"Got a request of {job.organisation.name} for {amount:.0f}, expected "
+        f"its limit of {job.organisation.rate_per_s:.0f} a second and a burst of "
+        f"{job.organisation.burst:.0f} to have as much left; {share:.0%} of the "
+        "instances are heard.",
         remedy="Send it again after the time told, or ask for a higher limit.",
         retry_after_s=max(min(spread_s, left_s / 3), 0.01),
     )
--- a/lagoonring/serving/exchange.py
+++ b/lagoonring/serving/exchange.py
@@ -44,7 +44,7 @@
     """
 
     address: str
-    interval_s: float = attrs.field(default=0.2, validator=between(0.01, 60))
+    interval_s: float = attrs.field(default=0.15, validator=between(0.01, 60))
     interval_per_instance_s: float = attrs.field(default=0.01, validator=between(0, 1))
     connect_timeout_s: float = attrs.field(default=0.5, validator=between(0.01, 60))
     idle_link_s: float = attrs.field(default=60.0, validator=between(1, 3600))
@@ -70,7 +70,7 @@
     time_s: float
     peers: dict[str, str]
     loads: dict[str, tuple[int, int]] = attrs.field(factory=dict)
-    taken: dict[str, float] = attrs.field(factory=dict)
+    taken: dict[str, tuple[float, float]] = attrs.field(factory=dict)
     started: dict[int, dict[str, int]] = attrs.field(factory=dict)
     crashes: dict[str, list[str]] = attrs.field(factory=dict)
     demand: dict[str, float] = attrs.field(factory=dict)
--- a/lagoonring/serving/news.py
+++ b/lagoonring/serving/news.py
@@ -19,7 +19,7 @@
             for endpoint in parts.table.endpoints.values()
             if endpoint.n_running
         }
-        frame.taken = parts.quotas.totals()
+        frame.taken = parts.quotas.totals(parts.app.clock.monotonic())
         frame.started = parts.usage.own
         frame.crashes = parts.suspects.take_news()
         frame.demand = parts.demand.own()
@@ -27,7 +27,7 @@
     def take(frame: Frame, now_s: float) -> None:
         true_clock.note_peer(frame.instance, frame.time_s)
         parts.table.note_peer_load(frame.instance, frame.loads, now_s)
-        parts.quotas.note_peer(frame.instance, frame.life, frame.taken)
+        parts.quotas.note_peer(frame.instance, frame.life, frame.taken, now_s)
         parts.usage.note_peer(frame.instance, frame.life, frame.started)
         parts.suspects.note_peer(frame.crashes)
         parts.demand.note_peer(frame.instance, frame.demand)
--- a/lagoonring/serving/path.py
+++ b/lagoonring/serving/path.py
@@ -419,6 +419,10 @@
         self.parts.metrics.in_progress.set(self.n_in_progress)
 
     def _end(self, request: CallerRequest, job: Job | None, outcome: str) -> None:
+        if job is not None and job.organisation is not None and not job.is_counted:
+            self.parts.quotas.give_back(
+                job.organisation.name, job.taken, self.clock.monotonic()
+            )
         self.n_in_progress -= 1
         self.parts.metrics.in_progress.set(self.n_in_progress)
         if self.n_in_progress == 0:
--- a/lagoonring/serving/placer.py
+++ b/lagoonring/serving/placer.py
@@ -102,8 +102,7 @@
             endpoint, n_missing, endpoint.count_waiting_tokens(now_s), now_s
         )
         if job.n_sends == 0:
-            token_s = endpoint.seconds_per_token or TOKEN_S
-            self.demand.note_arrival(job.service, n_missing * token_s)
+            self._note_demand(job)
         endpoint.n_running += 1
         endpoint.n_waiting_tokens += n_missing
         endpoint.cache.add(shared_parts(job.request.prompt_parts))
@@ -140,6 +139,18 @@
         """Avoid an endpoint that refused for lack of places."""
         endpoint.full_until_s = self.clock.monotonic() + FULL_S
 
+    def _note_demand(self, job: Job) -> None:
+        """Count a job's prompt, but for parts that some endpoint has read."""
+        parts = job.request.prompt_parts
+        n_cached = 0
+        token_s = TOKEN_S
+        for endpoint in self.table.of_service(job.service):
+            n_cached = max(n_cached, endpoint.cache.count_cached(parts))
+            # The fastest endpoint is the one that reads alone.
+            token_s = min(token_s, endpoint.seconds_per_token or TOKEN_S)
+        n_missing = max(0, job.request.n_prompt_tokens - n_cached)
+        self.demand.note_arrival(job.service, n_missing * token_s)
+
     def _usable(self, job: Job) -> list[Endpoint]:
         """Return the endpoints that may get a job, those not tried before first."""
         usable = [
--- a/lagoonring/serving/quotas.py
+++ b/lagoonring/serving/quotas.py
@@ -1,14 +1,16 @@
 """Limits of organisations over all instances, over plain data.
 
-Each instance keeps the level of the one bucket that an organisation has: it takes
-from it what is admitted here, and what the others tell that they admitted. News
-of others are a fraction of a second old, so the level can fall below zero, which
-later requests make up for. While instances are silent, the share of the rate that
-they may be using is left to them.
+An organisation may use its rate times a window, and its burst, in any window.
+Each instance adds up what was admitted in the last window here, and what the
+others tell that they admitted. News of others are a fraction of a second old: part
+of the tolerance that operators allow covers what is not known yet, the rest goes to
+callers. While instances are silent, the share that they may be using is left to
+them.
 """
 
 from __future__ import annotations
 
+from collections import deque
 from typing import TYPE_CHECKING
 
 import attrs
@@ -16,84 +18,136 @@
 if TYPE_CHECKING:
     from lagoonring.serving.configuration import Organisation
 
-DEBT_SHARE = 0.5  # bounds how long one burst of late news refuses requests
+SLOT_S = 0.25  # amounts of this time are kept as one; two rounds of the exchange
+TOLERANCE_SHARE = 0.3  # of what may be exceeded; the rest covers late news
+WAIT_LEAST_S = 0.05  # below it a return finds as little left as before
 
-WAIT_LEAST_S = 0.05  # below it a return finds the bucket as empty as before
+
+@attrs.define
+class WindowSum:
+    """Amounts of the last window, as pairs of time and amount."""
+
+    window_s: float
+    slots: deque[list[float]] = attrs.field(factory=deque)
+    total: float = 0.0
+
+    def add(self, amount: float, now_s: float) -> None:
+        """Count an amount now; negative ones take back."""
+        if self.slots and now_s - self.slots[-1][0] < SLOT_S:
+            self.slots[-1][1] += amount
+        else:
+            self.slots.append([now_s, amount])
+        self.total += amount
+
+    def read(self, now_s: float) -> float:
+        """Return the sum of the last window."""
+        oldest_s = now_s - self.window_s - SLOT_S
+        while self.slots and self.slots[0][0] < oldest_s:
+            self.total -= self.slots.popleft()[1]
+        return self.total
+
+    def wait_s(self, excess: float, now_s: float) -> float:
+        """Return the seconds until the sum has gone down by ``excess``."""
+        for at_s, amount in self.slots:
+            excess -= amount
+            if excess <= 0:
+                return at_s + self.window_s + SLOT_S - now_s
+        return self.window_s
 
 
 @attrs.define
-class Bucket:
-    """The level of one organisation's bucket, as this instance sees it."""
+class Use:
+    """What one organisation uses, as this instance sees it."""
 
-    level: float
-    updated_s: float
+    everywhere: WindowSum
+    here: WindowSum
     n_taken: float = 0.0
     told: dict[str, tuple[int, float]] = attrs.field(factory=dict)
 
 
 class Quotas:
-    """The buckets of all organisations."""
-
-    def __init__(self) -> None:
-        self.buckets: dict[str, Bucket] = {}
+    """The use of all organisations.
+
+    Parameters
+    ----------
+    window_s : float
+        Length of the window.
+    overshoot, slack : float
+        By which share, and which amount besides, a limit may be exceeded.
+    """
+
+    def __init__(
+        self, window_s: float = 8.0, *, overshoot: float = 0.0, slack: float = 0.0
+    ) -> None:
+        self.window_s = window_s
+        self.overshoot = overshoot * TOLERANCE_SHARE
+        self.slack = slack * TOLERANCE_SHARE
+        self.uses: dict[str, Use] = {}
+
+    def allowed(self, organisation: Organisation) -> float:
+        """Return what an organisation may use in a window."""
+        amount = organisation.rate_per_s * self.window_s + organisation.burst
+        return amount * (1 + self.overshoot) + self.slack
 
     def take(
         self, organisation: Organisation, amount: float, now_s: float, share: float
     ) -> float | None:
-        """Take from a bucket; return None, or the seconds until there is enough.
+        """Count an amount; return None, or the seconds until there is room.
 
         Parameters
         ----------
         amount : float
             Tokens or requests, as the organisation counts.
         share : float
-            Share of the instances that are heard; the rate is cut down to it.
+            Share of the instances that are heard; the limit is cut down to it.
         """
         if organisation.rate_per_s <= 0:
             return None
-        bucket = self._refill(organisation, now_s, share)
-        # A request larger than the burst is let through from a full bucket.
-        missing = min(amount, organisation.burst) - bucket.level
-        if missing > 0:
-            rate = max(organisation.rate_per_s * share, 1e-9)
-            return max(missing / rate, WAIT_LEAST_S)
-        bucket.level -= amount
-        bucket.n_taken += amount
+        use = self._use(organisation.name)
+        used = use.everywhere.read(now_s)
+        excess = used + amount - self.allowed(organisation) * share
+        if excess > 0 and used > 0:
+            return max(use.everywhere.wait_s(excess, now_s), WAIT_LEAST_S)
+        self._add(use, amount, now_s)
         return None
 
-    def give_back(self, organisation: Organisation, amount: float) -> None:
-        """Return what a request took that was not run."""
-        bucket = self.buckets.get(organisation.name)
-        if bucket is not None:
-            bucket.level += amount
-            bucket.n_taken -= amount
-
-    def totals(self) -> dict[str, float]:
-        """Return what was taken here since the start, by organisation."""
-        return {name: bucket.n_taken for name, bucket in self.buckets.items()}
-
-    def note_peer(self, peer: str, life: int, totals: dict[str, float]) -> None:
-        """Take in what a peer has taken since its start.
-
-        What it took before it was first heard is not known to be recent, and is
-        left out.
-        """
-        for name, total in totals.items():
-            bucket = self.buckets.get(name)
-            if bucket is None:
-                continue
-            known_life, known_total = bucket.told.get(peer, (life, total))
-            if known_life == life:
-                bucket.level -= total - known_total
-            bucket.told[peer] = (life, total)
-
-    def _refill(self, organisation: Organisation, now_s: float, share: float) -> Bucket:
-        bucket = self.buckets.get(organisation.name)
-        if bucket is None:
-            bucket = Bucket(organisation.burst, now_s)
-            self.buckets[organisation.name] = bucket
-        gained = (now_s - bucket.updated_s) * organisation.rate_per_s * share
-        least = -organisation.burst * DEBT_SHARE
-        bucket.level = min(max(bucket.level, least) + gained, organisation.burst)
-        bucket.updated_s = now_s
-        return bucket
+    def give_back(self, organisation: str, amount: float, now_s: float) -> None:
+        """Take back what a request counted that was not run."""
+        use = self.uses.get(organisation)
+        if use is not None:
+            self._add(use, -amount, now_s)
+
+    def totals(self, now_s: float) -> dict[str, tuple[float, float]]:
+        """Return by organisation what was taken here: ever, and in the window."""
+        return {
+            name: (use.n_taken, use.here.read(now_s)) for name, use in self.uses.items()
+        }
+
+    def note_peer(
+        self,
+        peer: str,
+        life: int,
+        totals: dict[str, tuple[float, float]],
+        now_s: float,
+    ) -> None:
+        """Take in what a peer has taken, as its `totals` tell."""
+        for name, (total, recent) in totals.items():
+            use = self._use(name)
+            known = use.told.get(peer)
+            is_known = known is not None and known[0] == life
+            amount = total - known[1] if is_known and known else recent
+            use.told[peer] = (life, total)
+            if amount:
+                use.everywhere.add(amount, now_s)
+
+    def _use(self, name: str) -> Use:
+        use = self.uses.get(name)
+        if use is None:
+            use = Use(WindowSum(self.window_s), WindowSum(self.window_s))
+            self.uses[name] = use
+        return use
+
+    def _add(self, use: Use, amount: float, now_s: float) -> None:
+        use.everywhere.add(amount, now_s)
+        use.here.add(amount, now_s)
+        use.n_taken += amount
--- a/lagoonring/serving/requests.py
+++ b/lagoonring/serving/requests.py
@@ -60,7 +60,8 @@
     """A request that was accepted, and what has become of it so far.
 
     ``n_runs`` counts the endpoints on which it may have run, ``n_sends`` all
-    endpoints that it was sent to. ``deadline_s`` is on the monotonic clock.
+    endpoints that it was sent to. ``deadline_s`` is on the monotonic clock,
+    ``taken`` what the request counts towards its organisation's limit.
     """
 
     request: CallerRequest
@@ -75,6 +76,7 @@
     last_event: int | None = None
     has_begun: bool = False
     is_counted: bool = False
+    taken: float = 0.0
 
     @property
     def may_send_again(self) -> bool:
--- a/lagoonring/serving/sizing.py
+++ b/lagoonring/serving/sizing.py
@@ -14,17 +14,19 @@
 import attrs
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator, Sequence
+    from collections.abc import Sequence
 
     from lagoonring.serving.configuration import ScalingTraits
 
 LOAD_MOST = 0.45  # of an endpoint's time reading prompts; beyond it first tokens wait
-FLOOR_LOAD_MOST = 0.9  # until reclaimable endpoints are back, a boot time or two
+SHORT_LOAD_MOST = 0.7  # while reclaimable endpoints can't be had
+FLOOR_LOAD_MOST = 0.9  # for the seconds until an on-demand endpoint has started
+FLOOR_LEAST = 2  # so that one crash leaves an endpoint when all others were reclaimed
 
 
 @attrs.frozen(kw_only=True)
 class DataCentreFleet:
-    """Endpoints of a service in a data centre: those that serve, and the order."""
+    """Endpoints of a service that serve in a data centre, and its price."""
 
     data_centre: str
     price: float
@@ -55,53 +57,92 @@
     load : float
         Work that arrives, in endpoints that are fully busy reading prompts.
     spare : int
-        Reclaimable endpoints kept in each data centre beyond the load.
+        Reclaimable endpoints kept in each data centre whatever the load.
+
+    Returns
+    -------
+    list of Order
+        For each data centre and kind, reclaimable ones first.
     """
     if traits.reclaimable_price is None:
-        return list(_plan_on_demand(fleets, traits, math.ceil(load / LOAD_MOST)))
-    n_floor = math.ceil(load / FLOOR_LOAD_MOST)
-    n_wanted = math.ceil(load / LOAD_MOST)
-    on_demand = {
-        order.data_centre: order.n_endpoints
-        for order in _plan_on_demand(fleets, traits, n_floor)
-    }
-    n_missing = max(0, n_wanted - sum(on_demand.values()))
-    per_data_centre = math.ceil(n_missing / max(len(fleets), 1)) + spare
-    orders = []
+        n_wanted = max(math.ceil(load / LOAD_MOST), traits.n_least * len(fleets))
+        on_demand = _spread_on_demand(fleets, traits, n_wanted, n_each=traits.n_least)
+        return [_order(fleet, on_demand, False) for fleet in fleets]
+    floor = _spread_on_demand(fleets, traits, _count_floor(fleets, load))
+    reclaimable = _spread_reclaimable(fleets, traits, floor, load, spare)
+    on_demand = _cover_missing(fleets, traits, floor, load)
+    for fleet in fleets:
+        # What serves now goes only once reclaimable endpoints serve in its place.
+        name = fleet.data_centre
+        n_planned = floor[name] + reclaimable[name]
+        n_kept = min(n_planned - fleet.n_reclaimable, fleet.n_on_demand)
+        on_demand[name] = min(max(on_demand[name], n_kept), traits.n_most)
+    return [
+        *(_order(fleet, reclaimable, True) for fleet in fleets),
+        *(_order(fleet, on_demand, False) for fleet in fleets),
+    ]
+
+
+def _count_floor(fleets: Sequence[DataCentreFleet], load: float) -> int:
+    """Return the on-demand endpoints that serve when all others are reclaimed."""
+    return max(math.ceil(load / FLOOR_LOAD_MOST), min(FLOOR_LEAST, len(fleets)))
+
+
+def _spread_on_demand(
+    fleets: Sequence[DataCentreFleet],
+    traits: ScalingTraits,
+    n_wanted: int,
+    *,
+    n_each: int = 0,
+) -> dict[str, int]:
+    """Return numbers by data centre: one after the other, the cheapest first."""
+    spread = {fleet.data_centre: n_each for fleet in fleets}
+    n_left = n_wanted - sum(spread.values())
+    by_price = sorted(fleets, key=lambda fleet: fleet.price)
+    while n_left > 0 and min(spread.values(), default=traits.n_most) < traits.n_most:
+        for fleet in by_price:
+            if n_left > 0 and spread[fleet.data_centre] < traits.n_most:
+                spread[fleet.data_centre] += 1
+                n_left -= 1
+    return spread
+
+
+def _spread_reclaimable(
+    fleets: Sequence[DataCentreFleet],
+    traits: ScalingTraits,
+    floor: dict[str, int],
+    load: float,
+    spare: int,
+) -> dict[str, int]:
+    """Return numbers by data centre: all alike, as a whole one may be lost."""
+    n_missing = max(0, math.ceil(load / LOAD_MOST) - sum(floor.values()))
+    n_each = max(math.ceil(n_missing / max(len(fleets), 1)), spare)
+    spread = {}
     for fleet in fleets:
-        n_on_demand = on_demand[fleet.data_centre]
-        n_reclaimable = min(per_data_centre, traits.n_most - n_on_demand)
-        orders.append(
-            Order(
-                data_centre=fleet.data_centre,
-                is_reclaimable=True,
-                n_endpoints=max(n_reclaimable, 0),
-            )
-        )
-        # What serves now goes only once reclaimable endpoints serve beside it.
-        n_kept = min(
-            n_on_demand + n_reclaimable - fleet.n_reclaimable, fleet.n_on_demand
-        )
-        orders.append(
-            Order(
-                data_centre=fleet.data_centre,
-                is_reclaimable=False,
-                n_endpoints=max(n_on_demand, n_kept),
-            )
-        )
-    return orders
-
-
-def _plan_on_demand(
-    fleets: Sequence[DataCentreFleet], traits: ScalingTraits, n_wanted: int
-) -> Iterator[Order]:
-    """Yield the least everywhere, and more where it is cheapest."""
-    n_more = max(0, n_wanted - traits.n_least * len(fleets))
-    for fleet in sorted(fleets, key=lambda fleet: fleet.price):
-        n_here = min(n_more, traits.n_most - traits.n_least)
-        n_more -= n_here
-        yield Order(
-            data_centre=fleet.data_centre,
-            is_reclaimable=False,
-            n_endpoints=traits.n_least + n_here,
-        )
+        n_floor = floor[fleet.data_centre]
+        n_wanted = max(n_each, traits.n_least - n_floor)
+        spread[fleet.data_centre] = max(0, min(n_wanted, traits.n_most - n_floor))
+    return spread
+
+
+def _cover_missing(
+    fleets: Sequence[DataCentreFleet],
+    traits: ScalingTraits,
+    floor: dict[str, int],
+    load: float,
+) -> dict[str, int]:
+    """Return on-demand numbers that stand in for reclaimable ones not there."""
+    n_reclaimable = sum(fleet.n_reclaimable for fleet in fleets)
+    n_wanted = math.ceil(load / SHORT_LOAD_MOST) - n_reclaimable
+    n_wanted = max(n_wanted, sum(floor.values()))
+    return _spread_on_demand(fleets, traits, n_wanted)
+
+
+def _order(
+    fleet: DataCentreFleet, numbers: dict[str, int], is_reclaimable: bool
+) -> Order:
+    return Order(
+        data_centre=fleet.data_centre,
+        is_reclaimable=is_reclaimable,
+        n_endpoints=numbers[fleet.data_centre],
+    )
--- /dev/null
+++ b/lagoonring/tests/test_serving_decisions.py
@@ -0,0 +1,435 @@
+"""Queueing, refusing, placing, limiting and sizing, played without a network."""
+
+from __future__ import annotations
+
+import heapq
+import random
+
+import attrs
+import pytest
+
+from lagoonring.serving.admitting import Prospect, decide
+from lagoonring.serving.placing import Candidate, Work, choose, prefer_by_part
+from lagoonring.serving.quotas import Quotas
+from lagoonring.serving.repeats import RepeatBudget
+from lagoonring.serving.sizing import DataCentreFleet, plan
+from lagoonring.serving.suspects import Suspects
+from lagoonring.tests.builders.serving import make_organisation, make_scaling
+
+PROMPT = Work(n_prompt_tokens=10_000, is_generation=True, may_repeat=False)
+CALL = Work(n_prompt_tokens=0, is_generation=False, may_repeat=False)
+TOKEN_S = 1e-5
+
+
+def make_candidate(name: str = "a", **changes) -> Candidate:
+    values = {
+        "name": name,
+        "n_slots": 8,
+        "n_running": 0,
+        "n_waiting_tokens": 0,
+        "n_cached_tokens": 0,
+        "seconds_per_token": TOKEN_S,
+        "service_s": 0.1,
+        "failure_share": 0.0,
+        "is_local": True,
+        "is_avoided": False,
+    }
+    return Candidate(**(values | changes))
+
+
+def choose_often(candidates, work, n=200):
+    rng = random.Random(1)
+    return [choose(candidates, work, rng).name for _ in range(n)]
+
+
+# Placing
+
+
+def test_places_long_prompts_behind_the_shortest_queue_of_tokens():
+    busy = make_candidate("busy", n_waiting_tokens=50_000, n_running=1)
+    free = make_candidate("free", n_running=5)
+    assert set(choose_often([busy, free], PROMPT)) == {"free"}
+
+
+def test_places_a_prompt_where_its_parts_were_read():
+    cold = make_candidate("cold")
+    warm = make_candidate("warm", n_cached_tokens=8_000)
+    assert set(choose_often([cold, warm], PROMPT)) == {"warm"}
+
+
+def test_leaves_a_warm_endpoint_when_its_queue_costs_more_than_reading_again():
+    cold = make_candidate("cold")
+    warm = make_candidate("warm", n_cached_tokens=8_000, n_waiting_tokens=20_000)
+    assert set(choose_often([cold, warm], PROMPT)) == {"cold"}
+
+
+def test_avoids_an_endpoint_that_fails_some_of_its_calls():
+    grey = make_candidate("grey", failure_share=0.3)
+    sound = make_candidate("sound", n_running=4)
+    assert set(choose_often([grey, sound], CALL)) == {"sound"}
+
+
+def test_uses_an_avoided_endpoint_when_there_is_no_other():
+    only = make_candidate("only", is_avoided=True)
+    assert set(choose_often([only], CALL)) == {"only"}
+
+
+def test_avoids_a_slow_endpoint():
+    slow = make_candidate("slow", service_s=0.5)
+    assert set(choose_often([slow, make_candidate("fast")], CALL)) == {"fast"}
+
+
+def test_has_no_place_without_endpoints():
+    assert choose([], CALL, random.Random(1)) is None
+
+
+def test_a_part_moves_only_if_its_endpoint_goes():
+    names = ["a", "b", "c", "d"]
+    before = {part: prefer_by_part(part, names) for part in "klmnopqrstuvw"}
+    after = {part: prefer_by_part(part, names[:-1]) for part in before}
+    moved = [part for part in before if before[part] != after[part]]
+    assert moved
+    assert all(before[part] == "d" for part in moved)
+
+
+@attrs.define
+class PlayedEngine:
+    """An engine that reads prompts one after the other and keeps their parts."""
+
+    name: str
+    free_at_s: float = 0.0
+    parts: set[str] = attrs.field(factory=set)
+
+
+def play_placing(policy, *, n_requests=400, seed=3):
+    """Play prompts with shared parts against engines; return waits to first tokens."""
+    rng = random.Random(seed)
+    engines = [PlayedEngine(name) for name in "abcd"]
+    now_s, waits_s = 0.0, []
+    for _ in range(n_requests):
+        now_s += rng.expovariate(70.0)
+        part = f"part-{min(int(rng.paretovariate(0.9)), 30)}"
+        engine = policy(engines, part, now_s, rng)
+        n_tokens = 4_000 + (0 if part in engine.parts else 6_000)
+        engine.parts.add(part)
+        engine.free_at_s = max(engine.free_at_s, now_s) + n_tokens * TOKEN_S
+        waits_s.append(engine.free_at_s - now_s)
+    return sorted(waits_s)
+
+
+def place_by_candidates(engines, part, now_s, rng):
+    names = [engine.name for engine in engines]
+    candidates = [
+        make_candidate(
+            engine.name,
+            n_waiting_tokens=int(max(engine.free_at_s - now_s, 0) / TOKEN_S),
+            n_cached_tokens=6_000
+            if part in engine.parts or engine.name == prefer_by_part(part, names)
+            else 0,
+        )
+        for engine in engines
+    ]
+    name = choose(candidates, PROMPT, rng).name
+    return next(engine for engine in engines if engine.name == name)
+
+
+def place_at_random(engines, part, now_s, rng):
+    return rng.choice(engines)
+
+
+def test_callers_wait_less_for_first_tokens_than_with_random_placing():
+    placed = play_placing(place_by_candidates)
+    at_random = play_placing(place_at_random)
+    assert sum(placed) < sum(at_random)
+    late = int(0.95 * len(placed))
+    assert placed[late] < at_random[late]
+
+
+# Refusing
+
+
+def test_takes_what_can_be_answered_in_time():
+    prospect = Prospect(estimate_s=0.5, left_s=2.0, first_answer_s=2.0)
+    assert decide(prospect, random.Random(1)) is None
+
+
+@pytest.mark.parametrize(
+    ("estimate_s", "left_s", "reason"),
+    [(None, 2.0, "no_endpoint"), (5.0, 2.0, "overload"), (0.1, 0.0, "too_late")],
+)
+def test_refuses_what_can_not(estimate_s, left_s, reason):
+    prospect = Prospect(estimate_s=estimate_s, left_s=left_s, first_answer_s=2.0)
+    assert decide(prospect, random.Random(1)).reason == reason
+
+
+def test_refused_callers_return_spread_and_in_time():
+    prospect = Prospect(estimate_s=4.0, left_s=3.0, first_answer_s=3.0)
+    rng = random.Random(1)
+    times_s = [decide(prospect, rng).retry_after_s for _ in range(100)]
+    assert all(0 < time_s <= 1.0 for time_s in times_s)
+    assert max(times_s) > 1.5 * min(times_s)
+
+
+def play_burst(*, refuses, n_requests=300, n_slots=10, service_s=0.2, patience_s=1.0):
+    """Play a burst against one pool; return how many callers were answered in time."""
+    rng = random.Random(5)
+    ends_s: list[float] = []
+    now_s, n_in_time = 0.0, 0
+    for _ in range(n_requests):
+        now_s += rng.expovariate(150.0)
+        while ends_s and ends_s[0] <= now_s:
+            heapq.heappop(ends_s)
+        n_beyond = max(0, len(ends_s) - n_slots + 1)
+        estimate_s = service_s * (1 + n_beyond / n_slots)
+        prospect = Prospect(
+            estimate_s=estimate_s, left_s=patience_s, first_answer_s=patience_s
+        )
+        if refuses and decide(prospect, rng) is not None:
+            continue
+        starts_s = sorted(ends_s)[-n_slots] if len(ends_s) >= n_slots else now_s
+        heapq.heappush(ends_s, max(starts_s, now_s) + service_s)
+        n_in_time += max(starts_s, now_s) + service_s - now_s <= patience_s
+    return n_in_time
+
+
+def test_a_burst_leaves_more_callers_answered_in_time_than_taking_all():
+    assert play_burst(refuses=True) > 1.5 * play_burst(refuses=False)
+
+
+# Limits of organisations
+
+
+LIMITED = make_organisation(rate_per_s=100.0, burst=200.0, counts_tokens=True)
+
+
+def play_quota(*, n_instances, delay_s, demand_per_s, seconds=40.0, told=True):
+    """Play one organisation's demand at several instances; return times admitted."""
+    rng = random.Random(2)
+    instances = [Quotas(8.0, overshoot=0.1, slack=170.0) for _ in range(n_instances)]
+    now_s, next_news_s, admitted_s = 0.0, 0.0, []
+    while now_s < seconds:
+        now_s += rng.expovariate(demand_per_s / 10)
+        if told and now_s >= next_news_s:
+            next_news_s = now_s + delay_s
+            news = [quotas.totals(now_s) for quotas in instances]
+            for index, quotas in enumerate(instances):
+                for other, totals in enumerate(news):
+                    if other != index:
+                        quotas.note_peer(str(other), 1, totals, now_s)
+        quotas = rng.choice(instances)
+        if quotas.take(LIMITED, 10.0, now_s, 1.0) is None:
+            admitted_s.append(now_s)
+    return admitted_s
+
+
+def most_in_window(times_s, window_s=8.0):
+    return max(
+        sum(start_s <= time_s < start_s + window_s for time_s in times_s)
+        for start_s in times_s
+    )
+
+
+def test_a_hot_organisation_stays_within_its_limit_over_all_instances():
+    admitted_s = play_quota(n_instances=9, delay_s=0.25, demand_per_s=600.0)
+    bound = (100.0 * 8 + 200.0) * 1.1 + 170.0
+    assert most_in_window(admitted_s) * 10.0 <= bound
+
+
+def test_an_organisation_within_its_limit_is_never_refused():
+    rng = random.Random(2)
+    quotas = Quotas(8.0, overshoot=0.1, slack=100.0)
+    now_s = 0.0
+    for _ in range(500):
+        now_s += rng.uniform(0.1, 0.14)
+        assert quotas.take(LIMITED, 10.0, now_s, 1.0) is None
+
+
+def test_an_instance_that_hears_nobody_leaves_the_others_their_share():
+    quotas = Quotas(8.0)
+    n_taken = 0
+    while quotas.take(LIMITED, 10.0, 1.0, 1 / 4) is None:
+        n_taken += 1
+    assert n_taken * 10.0 <= quotas.allowed(LIMITED) / 4
+
+
+def test_a_request_above_the_limit_is_taken_when_nothing_else_was():
+    quotas = Quotas(8.0)
+    assert quotas.take(LIMITED, 1e6, 1.0, 1.0) is None
+    assert quotas.take(LIMITED, 1.0, 1.1, 1.0) > 0
+
+
+def test_what_was_not_run_is_given_back():
+    quotas = Quotas(8.0)
+    quotas.take(LIMITED, 1000.0, 1.0, 1.0)
+    assert quotas.take(LIMITED, 10.0, 1.0, 1.0) > 0
+    quotas.give_back("one", 1000.0, 1.0)
+    assert quotas.take(LIMITED, 10.0, 1.0, 1.0) is None
+
+
+def test_there_is_room_after_the_time_told():
+    quotas = Quotas(8.0)
+    quotas.take(LIMITED, 1000.0, 1.0, 1.0)
+    wait_s = quotas.take(LIMITED, 500.0, 2.0, 1.0)
+    assert quotas.take(LIMITED, 500.0, 2.0 + wait_s + 0.01, 1.0) is None
+
+
+def test_a_restarted_instance_learns_what_others_have_used():
+    old, new = Quotas(8.0), Quotas(8.0)
+    old.take(LIMITED, 900.0, 1.0, 1.0)
+    new.note_peer("old", 5, old.totals(2.0), 2.0)
+    assert new.take(LIMITED, 500.0, 2.0, 1.0) > 0
+
+
+def test_news_that_come_twice_count_once():
+    old, new = Quotas(8.0), Quotas(8.0)
+    old.take(LIMITED, 400.0, 1.0, 1.0)
+    for _ in range(5):
+        new.note_peer("old", 5, old.totals(2.0), 2.0)
+    assert new.take(LIMITED, 500.0, 2.0, 1.0) is None
+
+
+def test_an_organisation_without_limit_is_not_counted():
+    quotas = Quotas(8.0)
+    free = make_organisation()
+    assert all(quotas.take(free, 1e9, 1.0, 1.0) is None for _ in range(10))
+
+
+# Repeated sends
+
+
+def test_all_instances_together_repeat_within_the_budget():
+    n_instances, ratio, slack = 9, 0.2, 58
+    budgets = [
+        RepeatBudget(ratio=ratio, slack=slack, window_s=10.0)
+        for _ in range(n_instances)
+    ]
+    n_requests, n_repeats = 0, 0
+    for step in range(900):
+        now_s = step / 90
+        budget = budgets[step % n_instances]
+        budget.note_request("desk", now_s)
+        n_requests += 1
+        n_repeats += budget.take("desk", now_s, n_instances)
+    assert 0 < n_repeats <= ratio * n_requests + slack
+
+
+def test_repeats_are_allowed_again_after_the_window():
+    budget = RepeatBudget(ratio=0.0, slack=10, window_s=10.0)
+    while budget.take("desk", 1.0, 1):
+        pass
+    assert budget.take("desk", 11.5, 1)
+
+
+# Requests that crash endpoints
+
+
+def test_a_request_is_condemned_by_crashes_seen_at_several_instances():
+    here, there = Suspects(), Suspects()
+    here.note_crash("request", "a")
+    there.note_crash("request", "b")
+    here.note_peer(there.take_news())
+    assert not here.is_condemned("request")
+    here.note_crash("request", "c")
+    assert here.is_condemned("request")
+    assert not here.is_condemned("other")
+
+
+def test_the_same_endpoint_counts_once():
+    suspects = Suspects()
+    for _ in range(5):
+        suspects.note_crash("request", "a")
+    assert not suspects.is_condemned("request")
+
+
+def test_a_whole_answer_clears_a_request():
+    suspects = Suspects()
+    suspects.note_crash("request", "a")
+    suspects.note_crash("request", "b")
+    suspects.note_success("request")
+    suspects.note_crash("request", "c")
+    assert not suspects.is_condemned("request")
+
+
+# Sizing
+
+
+def make_fleets(**numbers):
+    """Return the fleets of three data centres; numbers are (on demand, other)."""
+    scaling = make_scaling()
+    return [
+        DataCentreFleet(
+            data_centre=name,
+            price=price,
+            n_on_demand=numbers.get(name, (0, 0))[0],
+            n_reclaimable=numbers.get(name, (0, 0))[1],
+        )
+        for name, price in scaling.prices.items()
+    ]
+
+
+def numbers_of(orders, *, is_reclaimable):
+    return {
+        order.data_centre: order.n_endpoints
+        for order in orders
+        if order.is_reclaimable == is_reclaimable
+    }
+
+
+STEADY = {"east": (1, 1), "north": (0, 1), "west": (1, 1)}
+
+
+def test_a_calm_fleet_is_a_floor_on_demand_and_reclaimable_ones_beside_it():
+    orders = plan(make_fleets(**STEADY), make_scaling(), load=0.8, spare=1)
+    assert numbers_of(orders, is_reclaimable=False) == {
+        "east": 1,
+        "north": 0,
+        "west": 1,
+    }
+    assert numbers_of(orders, is_reclaimable=True) == {"east": 1, "north": 1, "west": 1}
+
+
+def test_every_data_centre_has_the_least_of_both_kinds_together():
+    orders = plan(make_fleets(**STEADY), make_scaling(n_least=2), load=0.1, spare=0)
+    on_demand = numbers_of(orders, is_reclaimable=False)
+    reclaimable = numbers_of(orders, is_reclaimable=True)
+    assert all(on_demand[name] + reclaimable[name] >= 2 for name in on_demand)
+
+
+@pytest.mark.parametrize("load", [0.0, 1.0, 3.0, 9.0, 100.0])
+def test_no_data_centre_has_more_than_the_most_of_both_kinds_together(load):
+    orders = plan(make_fleets(**STEADY), make_scaling(), load=load, spare=2)
+    on_demand = numbers_of(orders, is_reclaimable=False)
+    reclaimable = numbers_of(orders, is_reclaimable=True)
+    assert all(reclaimable[name] >= 0 for name in reclaimable)
+    assert all(number <= 4 for number in on_demand.values())
+
+
+@pytest.mark.parametrize("load", [0.5, 1.5, 2.5])
+def test_the_floor_carries_the_load_when_all_others_are_reclaimed(load):
+    orders = plan(make_fleets(**STEADY), make_scaling(), load=load, spare=1)
+    assert sum(numbers_of(orders, is_reclaimable=False).values()) >= load
+
+
+def test_on_demand_endpoints_stand_in_while_reclaimable_ones_are_gone():
+    alone = {"east": (1, 0), "north": (0, 0), "west": (1, 0)}
+    calm = plan(make_fleets(**STEADY), make_scaling(), load=2.7, spare=1)
+    short = plan(make_fleets(**alone), make_scaling(), load=2.7, spare=1)
+    n_calm = sum(numbers_of(calm, is_reclaimable=False).values())
+    n_short = sum(numbers_of(short, is_reclaimable=False).values())
+    assert n_short > n_calm
+
+
+def test_what_serves_goes_only_when_reclaimable_ones_serve_in_its_place():
+    found = {"east": (3, 0), "north": (2, 0), "west": (2, 0)}
+    before = plan(make_fleets(**found), make_scaling(), load=0.5, spare=1)
+    assert numbers_of(before, is_reclaimable=False)["east"] >= 2
+    replaced = {"east": (3, 1), "north": (2, 1), "west": (2, 1)}
+    after = plan(make_fleets(**replaced), make_scaling(), load=0.5, spare=1)
+    assert numbers_of(after, is_reclaimable=False) == {"east": 1, "north": 0, "west": 1}
+
+
+def test_a_service_without_reclaimable_endpoints_is_sized_on_demand():
+    scaling = make_scaling(reclaimable_price=None)
+    orders = plan(make_fleets(), scaling, load=2.0, spare=1)
+    assert not any(order.is_reclaimable for order in orders)
+    assert sum(order.n_endpoints for order in orders) >= 2.0
