Take no stream that a stop would cut; test the edges of HTTP

Change: idle connections of callers are closed 2.2 s after SIGTERM, streams are refused as not run from 3 s on, and the grace counts once for all parts. Test: test_a_leaving_instance_takes_streams_only_while_they_can_end; edges of HTTP towards callers and endpoints, feeds, follower, usage and reports.

--- a/lagoonring/platform/application.py
+++ b/lagoonring/platform/application.py
@@ -118,9 +118,10 @@
             await service.retire()
 
     async def drain(self, grace_s: float) -> None:
-        """Let requests finish."""
+        """Let requests finish within the grace, counted from now."""
+        end_s = self.app.clock.monotonic() + grace_s
         for service in reversed(self.started):
-            await service.drain(grace_s)
+            await service.drain(max(end_s - self.app.clock.monotonic(), 0.0))
 
     async def stop(self) -> None:
         """Stop in reverse order."""
--- a/lagoonring/platform/callers.py
+++ b/lagoonring/platform/callers.py
@@ -30,7 +30,8 @@
 IDLE_TIMEOUT_S = 75.0  # longer than any idle time that callers are promised
 READ_BUFFER_BYTES = 16384  # per connection; bodies are mostly shorter
 BACKLOG = 1024  # a full queue drops the opening packet, which comes again after 1 s
-LEAVING_IDLE_S = 0.3  # a request that crosses the close is sent again by its caller
+LINGER_S = 2.0  # for the rest of a refused body, so that its sender gets the answer
+CLOSE_IDLE_S = 2.2  # after two checks of a second each no more connections are sent
 
 logger = make_logger("callers")
 
@@ -133,6 +134,7 @@
                 max_line_size=HEADER_LIMIT_BYTES,
                 max_field_size=HEADER_LIMIT_BYTES,
                 read_bufsize=READ_BUFFER_BYTES,
+                lingering_time=LINGER_S,
                 auto_decompress=False,
             ),
             self.settings.caller_address,
@@ -145,6 +147,17 @@
         """Say from now on that no new connections are wanted."""
         self.is_leaving = True
 
+    async def drain(self, grace_s: float) -> None:
+        """Close idle connections once no more requests are due on them.
+
+        A request that crosses the close has not been read; its caller sends it
+        again elsewhere.
+        """
+        await self.app.clock.sleep(min(CLOSE_IDLE_S, grace_s))
+        for runner in self.runners[:1]:
+            for connection in runner.server.connections if runner.server else ():
+                connection.close()
+
     async def stop(self) -> None:
         """Close both addresses and all connections."""
         for runner in self.runners:
--- a/lagoonring/platform/process.py
+++ b/lagoonring/platform/process.py
@@ -15,7 +15,6 @@
     from lagoonring.serving.settings import NodeSettings
 
 GRACE_RESERVE_S = 0.7  # of the time to SIGKILL, for closing what is open
-ARRIVALS_S = 3.2  # the platform sends connections for two checks of a second each
 COLLECTOR_THRESHOLDS = (5_000, 20, 50)
 
 logger = make_logger("instance")
@@ -39,13 +38,7 @@
     )
     await app.leaving.wait()
     logger.info("Leaving.", extra={"grace_s": grace_s})
-    started_s = app.clock.monotonic()
-    drain = asyncio.create_task(app.drain(grace_s))
-    await app.clock.sleep(min(ARRIVALS_S, grace_s))
-    left_s = grace_s - (app.clock.monotonic() - started_s)
-    await asyncio.wait({drain}, timeout=max(left_s, 0))
-    path = app.find("path")
-    await path.drain(max(grace_s - (app.clock.monotonic() - started_s), 0))
+    await app.drain(grace_s)
     await app.stop()
     logger.info("Stopped.")
 
--- a/lagoonring/serving/path.py
+++ b/lagoonring/serving/path.py
@@ -18,6 +18,7 @@
 from lagoonring.errors import LagoonringError, Outcome
 from lagoonring.kernel import BaseService
 from lagoonring.logs import make_logger
+from lagoonring.requests.errors import NotReadyError
 from lagoonring.serving.accepting import accept
 from lagoonring.serving.admitting import Prospect, decide
 from lagoonring.serving.configuration import RequestKind
@@ -38,6 +39,8 @@
 STALL_S = 1.5  # of a stream that can be resumed; callers give up after two
 FIRST_ANSWER_OBJECTIVES = 1.5  # a repeat within the rest of an objective is late
 FIRST_ANSWER_ESTIMATES = 3.0  # answers slower than this are rare at a sound one
+ARRIVALS_S = 3.0  # two missed checks of a second each, and one under way
+LEAVING_RETRY_S = 0.05  # another instance takes the request at once
 RESULT_OK = "ok"
 
 logger = make_logger("path")
@@ -60,6 +63,7 @@
         self.n_in_progress = 0
         self.idle = asyncio.Event()
         self.idle.set()
+        self.leaving_s: float | None = None
 
     async def serve(self, request: CallerRequest, sink: Sink) -> None:
         """Answer a request; errors are answered too, once each."""
@@ -68,6 +72,7 @@
         self._begin()
         try:
             job = accept(self.parts, request)
+            self._check_time_to_serve(job)
             await self._run(job, sink)
             outcome = RESULT_OK
         except LagoonringError as error:
@@ -83,16 +88,38 @@
         finally:
             self._end(request, job, outcome)
 
+    async def retire(self) -> None:
+        """Take no new request that may not end before the process does."""
+        self.leaving_s = self.clock.monotonic()
+
     async def drain(self, grace_s: float) -> None:
-        """Wait until the requests in progress have been answered."""
+        """Wait until no more requests are due and those in progress are answered."""
+        left_s = self._until_arrivals_end_s()
+        await self.clock.sleep(min(left_s, grace_s))
         try:
-            async with asyncio.timeout(grace_s):
+            async with asyncio.timeout(max(grace_s - left_s, 0.0)):
                 await self.idle.wait()
         except TimeoutError:
             logger.warning(
                 "Requests in progress at the end.", extra={"n": self.n_in_progress}
             )
 
+    def _until_arrivals_end_s(self) -> float:
+        """Return the seconds until only few requests may still arrive."""
+        if self.leaving_s is None:
+            return 0.0
+        return max(self.leaving_s + ARRIVALS_S - self.clock.monotonic(), 0.0)
+
+    def _check_time_to_serve(self, job: Job) -> None:
+        """Refuse a stream that would be cut when the process ends."""
+        is_late = self.leaving_s is not None and not self._until_arrivals_end_s()
+        if is_late and job.route.kind is RequestKind.STREAM:
+            raise NotReadyError(
+                "Got a stream while the instance stops, expected it earlier.",
+                remedy="Send it again; another instance takes it.",
+                retry_after_s=LEAVING_RETRY_S,
+            )
+
     async def _run(self, job: Job, sink: Sink) -> None:
         """Send a job until it is answered or may not be sent again."""
         error: LagoonringError | None = None
--- /dev/null
+++ b/lagoonring/tests/test_callers.py
@@ -0,0 +1,282 @@
+"""The platform's front end: what callers may send, and what they get."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from contextlib import asynccontextmanager
+
+import pytest
+
+from lagoonring.platform.callers import Callers
+from lagoonring.platform.sending import HttpSender, make_session
+from lagoonring.serving.configuration import RequestKind
+from lagoonring.serving.path import RequestPath
+from lagoonring.tests.builders.serving import (
+    HOST,
+    KEY,
+    FakeAnswer,
+    FakeSender,
+    make_configuration,
+    make_event,
+    make_parts,
+    make_record,
+    make_route,
+    raw_endpoint,
+)
+
+ID = "0123456789abcdef"
+STREAM = make_route(
+    name="stream", path_prefix="/stream/", kind=RequestKind.STREAM, max_attempts=1
+)
+ROUTES = (make_route(), STREAM)
+
+
+class Clockless:
+    """The running loop's clock, with no other methods than the path uses."""
+
+    def monotonic(self):
+        return asyncio.get_running_loop().time()
+
+    time = boottime = monotonic
+
+    async def sleep(self, delay_s):
+        await asyncio.sleep(delay_s)
+
+
+@asynccontextmanager
+async def serving(answer, **options):
+    """Run the front end before a sender; yields the front end and its addresses."""
+    sender = answer if hasattr(answer, "send") else FakeSender(answer)
+    parts = make_parts(
+        sender,
+        *options.pop("records", ()),
+        configuration=options.pop("configuration", make_configuration(*ROUTES)),
+        clock=Clockless(),
+    )
+    settings = type(
+        "Settings",
+        (),
+        {"caller_address": "127.0.0.1:0", "ready_address": "127.0.0.1:0"},
+    )
+    front = Callers(parts.app, settings, RequestPath(parts))
+    await front.start()
+    front.addresses = [runner.addresses[0] for runner in front.runners]
+    try:
+        yield front
+    finally:
+        await front.stop()
+
+
+async def read_answer(reader):
+    """Return all that comes, at least an answer whose length is told."""
+    answer = b""
+    while chunk := await reader.read(65536):
+        answer += chunk
+        head, separator, body = answer.partition(b"\r\n\r\n")
+        for line in head.split(b"\r\n") if separator else ():
+            name, _, value = line.partition(b": ")
+            if name == b"Content-Length" and len(body) >= int(value):
+                return answer
+    return answer
+
+
+async def ask(front, content, *, n=1, index=0):
+    """Send bytes and return all that comes back until the connection ends."""
+    host, port = front.addresses[index]
+    reader, writer = await asyncio.open_connection(host, port)
+    writer.write(content)
+    try:
+        async with asyncio.timeout(5):
+            return await read_answer(reader)
+    finally:
+        writer.close()
+
+
+def make_head(path="/lookup/7", method="GET", *more, key=KEY, close=True):
+    lines = [
+        f"{method} {path} HTTP/1.1",
+        f"Host: {HOST}",
+        f"Lagoonring-Request-Id: {ID}",
+    ]
+    if key:
+        lines.append(f"Authorization: Token {key}")
+    if close:
+        lines.append("Connection: close")
+    return ("\r\n".join([*lines, *more]) + "\r\n\r\n").encode()
+
+
+def split(answer):
+    head, _, body = answer.partition(b"\r\n\r\n")
+    status = int(head.split()[1])
+    return status, head.decode(), body
+
+
+async def test_answers_with_what_the_endpoint_said():
+    headers = [("Lagoonring-Response-Stamp", "signed"), ("Content-Type", "text/odd")]
+    async with serving(lambda order: FakeAnswer([b"ok"], headers=headers)) as front:
+        status, head, body = split(await ask(front, make_head()))
+    assert (status, body) == (200, b"ok")
+    assert "Lagoonring-Response-Stamp: signed" in head
+    assert "Content-Type: text/odd" in head
+
+
+async def test_the_key_and_reserved_headers_never_reach_an_endpoint():
+    async with (
+        raw_endpoint(
+            lambda writer, head: writer.write(
+                b"HTTP/1.1 200 OK\r\nLagoonring-Request-Id: " + ID.encode() + b"\r\n"
+                b"Lagoonring-Response-Stamp: s\r\nContent-Length: 0\r\n\r\n"
+            )
+        ) as (address, heads),
+        make_session() as session,
+    ):
+        record = make_record("a", address=address)
+        async with serving(HttpSender(session), records=(record,)) as front:
+            forged = [
+                "Lagoonring-Tenant: other",
+                "Lagoonring-Hold: h",
+                "Kv-From: 1.2.3.4:5/6",
+                "Lagoonring-Pin-Ms: 4000",
+                "Lagoonring-Kv-Backup: 1.2.3.4:5",
+                "Lagoonring-Expect-Instance: b",
+                "Connection: close, X-Hop",
+                "X-Hop: 1",
+                "X-End: 2",
+            ]
+            await ask(front, make_head("/lookup/7", "GET", *forged, close=False))
+    text = heads[0].decode()
+    assert KEY not in text
+    assert "Lagoonring-Tenant: one" in text
+    assert "Lagoonring-Expect-Instance: a" in text
+    assert "X-End: 2" in text
+    for name in ("other", "Hold", "Kv-From", "Pin-Ms", "Backup", "X-Hop"):
+        assert name not in text
+
+
+@pytest.mark.parametrize(
+    ("head", "status"),
+    [
+        (make_head("/none/7"), 404),
+        (make_head(key="stale"), 401),
+        (make_head(key=None), 401),
+        (make_head("/lookup/7", "GET", f"Lagoonring-Request-Id: {ID}"), 400),
+        (make_head("/lookup/7", "GET", "Lagoonring-Deadline-Ms: soon"), 400),
+        (make_head("/lookup/7", "GET", "Lagoonring-Token-Count: 1"), 400),
+        (make_head("/lookup/7", "POST", "Content-Length: 5000"), 413),
+        (make_head("http://desk.example/lookup/7"), 400),
+        (b"GET /lookup/7 HTTP/1.1\r\nHost: desk.example\r\n\r\n", 400),
+        (b"nonsense\r\n\r\n", 400),
+    ],
+)
+async def test_refuses_what_can_not_be_passed_on(head, status):
+    sender = FakeSender(lambda order: FakeAnswer([b"ok"]))
+    async with serving(sender) as front:
+        got, _, _ = split(await ask(front, head))
+    assert got == status
+    assert sender.orders == []
+
+
+@pytest.mark.parametrize(
+    "framing",
+    [
+        "Content-Length: 4\r\nTransfer-Encoding: chunked",
+        "Content-Length: 4\r\nContent-Length: 40",
+        "Transfer-Encoding: chunked, identity",
+        "Content-Length: +4",
+    ],
+)
+async def test_a_request_inside_another_is_never_run(framing):
+    sender = FakeSender(lambda order: FakeAnswer([b"ok"]))
+    inner = make_head("/lookup/8")
+    async with serving(sender) as front:
+        content = make_head("/lookup/7", "POST", framing, close=False)
+        await ask(front, content + b"0\r\n\r\n" + inner)
+    assert len(sender.orders) <= 1
+
+
+async def test_an_unfinished_body_reaches_no_endpoint():
+    sender = FakeSender(lambda order: FakeAnswer([b"ok"]))
+    async with serving(sender) as front:
+        host, port = front.addresses[0]
+        _, writer = await asyncio.open_connection(host, port)
+        writer.write(make_head("/lookup/7", "POST", "Content-Length: 10") + b"half")
+        await writer.drain()
+        writer.close()
+        await asyncio.sleep(0.05)
+    assert sender.orders == []
+
+
+async def test_tells_errors_with_remedy_outcome_and_time_to_return():
+    sender = FakeSender(lambda order: FakeAnswer(status=503, is_not_run=True))
+    async with serving(sender) as front:
+        status, head, body = split(await ask(front, make_head()))
+    error = json.loads(body)["error"]
+    assert status == 503
+    assert "Retry-After: " in head
+    assert error["outcome"] == "not_run"
+    assert error["request_id"] == ID
+    assert error["remedy"]
+
+
+async def test_streams_events_and_ends_them_properly():
+    answer = FakeAnswer([make_event(0), make_event(1)])
+    async with serving(lambda order: answer) as front:
+        status, head, body = split(await ask(front, make_head("/stream/1")))
+    assert status == 200
+    assert "chunked" in head
+    assert make_event(0) in body
+    assert body.endswith(b"0\r\n\r\n")
+
+
+async def test_a_broken_stream_never_looks_whole():
+    answer = FakeAnswer([make_event(0), b"id: 1\n"])
+    async with serving(lambda order: answer) as front:
+        try:
+            got = await ask(front, make_head("/stream/1"))
+        except ConnectionResetError:
+            got = b""
+    assert not got.endswith(b"0\r\n\r\n")
+
+
+async def test_a_caller_that_goes_stops_the_work():
+    begun = asyncio.Event()
+    ended = asyncio.Event()
+
+    async def endless(order):
+        begun.set()
+        try:
+            await asyncio.sleep(30)
+        finally:
+            ended.set()
+
+    async with serving(lambda order: endless(order)) as front:
+        host, port = front.addresses[0]
+        _, writer = await asyncio.open_connection(host, port)
+        writer.write(make_head("/stream/1", close=False))
+        async with asyncio.timeout(5):
+            await begun.wait()
+            writer.close()
+            await ended.wait()
+
+
+async def test_is_ready_once_a_configuration_is_known_and_until_it_leaves():
+    sender = FakeSender(lambda order: FakeAnswer([b"ok"]))
+    question = b"GET /ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+    async with serving(sender) as front:
+        known = front.path.parts.follower.configuration
+        front.path.parts.follower.configuration = None
+        assert split(await ask(front, question, index=1))[0] == 503
+        front.path.parts.follower.configuration = known
+        assert split(await ask(front, question, index=1))[0] == 200
+        await front.retire()
+        assert split(await ask(front, question, index=1))[0] == 503
+
+
+async def test_a_leaving_instance_still_answers_and_asks_to_close():
+    sender = FakeSender(lambda order: FakeAnswer([b"ok"]))
+    async with serving(sender) as front:
+        await front.retire()
+        status, head, body = split(await ask(front, make_head(close=False)))
+    assert (status, body) == (200, b"ok")
+    assert "Connection: close" in head
--- /dev/null
+++ b/lagoonring/tests/test_feeds.py
@@ -0,0 +1,100 @@
+"""Following keyed topics through truncation, stale answers and removals."""
+
+from __future__ import annotations
+
+import attrs
+
+from lagoonring.platform.log import LogTruncatedError
+from lagoonring.platform.store import KeyedRecord, Snapshot
+from lagoonring.serving.feeds import KeyedFeed
+
+
+@attrs.define
+class MemoryTopic:
+    """A topic in memory that can forget and answer from the past."""
+
+    records: list[KeyedRecord] = attrs.field(factory=list)
+    first: int = 0
+    stale_end: int | None = None
+
+    def write(self, key, value):
+        self.records.append(KeyedRecord(key, value, len(self.records)))
+
+    async def read(self, offset, *, wait_s):
+        if offset < self.first:
+            raise LogTruncatedError("topic", offset, self.first)
+        records = self.records[offset : self.stale_end]
+        return records, offset + len(records)
+
+    async def read_newest(self):
+        seen = self.records[: self.stale_end]
+        newest = {record.key: record for record in seen}
+        kept = [record for record in newest.values() if record.value is not None]
+        return Snapshot(kept, len(seen))
+
+
+def values(records):
+    return {record.key: record.value for record in records}
+
+
+async def test_reads_all_keys_first_and_then_only_changes():
+    topic = MemoryTopic()
+    topic.write("a", b"1")
+    topic.write("b", b"1")
+    feed = KeyedFeed(topic)
+    assert values(await feed.poll()) == {"a": b"1", "b": b"1"}
+    assert await feed.poll() == []
+    topic.write("a", b"2")
+    topic.write("a", b"3")
+    assert values(await feed.poll()) == {"a": b"3"}
+
+
+async def test_tells_a_removal():
+    topic = MemoryTopic()
+    topic.write("a", b"1")
+    feed = KeyedFeed(topic)
+    await feed.poll()
+    topic.write("a", None)
+    assert values(await feed.poll()) == {"a": None}
+
+
+async def test_tells_what_changed_and_went_in_a_gap():
+    topic = MemoryTopic()
+    for key in "abc":
+        topic.write(key, b"1")
+    feed = KeyedFeed(topic)
+    await feed.poll()
+    topic.write("a", None)
+    topic.write("b", b"2")
+    topic.first = 5
+    assert values(await feed.poll()) == {"a": None, "b": b"2"}
+    assert await feed.poll() == []
+
+
+async def test_never_goes_back_to_an_older_answer():
+    topic = MemoryTopic()
+    topic.write("config", b"1")
+    topic.write("config", b"2")
+    feed = KeyedFeed(topic)
+    assert values(await feed.poll()) == {"config": b"2"}
+    topic.write("config", b"3")
+    await feed.poll()
+    topic.stale_end = 1
+    topic.first = 9
+    assert await feed.poll() == []
+    topic.first = 0
+    assert await feed.poll() == []
+    topic.stale_end = None
+    topic.write("config", b"4")
+    assert values(await feed.poll()) == {"config": b"4"}
+
+
+async def test_a_key_that_returns_counts_as_new():
+    topic = MemoryTopic()
+    topic.write("a", b"1")
+    feed = KeyedFeed(topic)
+    await feed.poll()
+    topic.write("a", None)
+    await feed.poll()
+    topic.write("a", b"2")
+    assert values(await feed.poll()) == {"a": b"2"}
--- /dev/null
+++ b/lagoonring/tests/test_follower.py
@@ -0,0 +1,158 @@
+"""What an instance believes of configuration and endpoints."""
+
+from __future__ import annotations
+
+import pytest
+from prometheus_client import CollectorRegistry
+
+from lagoonring.errors import InvalidInputError, UnavailableError
+from lagoonring.kernel import Application, ManualClock
+from lagoonring.platform.store import KeyedRecord
+from lagoonring.serving.endpoints import EndpointState, EndpointTable
+from lagoonring.serving.follower import RETURN_S, Follower
+from lagoonring.serving.metrics import ServingMetrics
+from lagoonring.serving.moves import MoveOrder
+from lagoonring.tests.builders.serving import make_configuration, make_record
+
+FAULTY = b"faulty"
+
+
+class ScriptedTopic:
+    """Gives pages, or raises the errors among them, one a read."""
+
+    def __init__(self):
+        self.pages = []
+        self.offset = 0
+
+    async def read(self, offset, *, wait_s):
+        page = self.pages.pop(0)
+        if isinstance(page, Exception):
+            raise page
+        return page, offset + len(page)
+
+
+@pytest.fixture
+def documents():
+    return {}
+
+
+@pytest.fixture
+def follower(documents):
+    def read(key, value):
+        if value == FAULTY:
+            raise InvalidInputError("faulty")
+        return documents[value]
+
+    app = Application(clock=ManualClock())
+    made = Follower(
+        app,
+        EndpointTable(),
+        ServingMetrics(CollectorRegistry()),
+        documents=ScriptedTopic(),
+        records=ScriptedTopic(),
+        read_document=read,
+        read_record=read,
+    )
+    made.records.offset = 0
+    return made
+
+
+def put(documents, content):
+    value = str(len(documents)).encode()
+    documents[value] = content
+    return value
+
+
+def record(key, value, offset=0):
+    return KeyedRecord(key, value, offset)
+
+
+def test_puts_newer_configurations_in_force_and_never_an_older_one(follower, documents):
+    for version in (3, 2, 5, 4):
+        value = put(documents, make_configuration(version=version))
+        follower.apply_document(record("config", value))
+    assert follower.configuration.version == 5
+
+
+def test_a_faulty_document_leaves_what_is_in_force(follower, documents):
+    value = put(documents, make_configuration(version=1))
+    follower.apply_document(record("config", value))
+    follower.apply_document(record("config", FAULTY))
+    assert follower.configuration.version == 1
+
+
+def test_keeps_the_newest_order_of_each_service(follower, documents):
+    order = MoveOrder(service="desk", target="v2", duration_s=10.0)
+    follower.apply_document(record("rollout/desk", put(documents, order)))
+    assert follower.orders == {"desk": order}
+
+
+def test_tells_listeners_of_a_change(follower, documents):
+    told = []
+    follower.subscribe(lambda: told.append(follower.configuration.version))
+    value = put(documents, make_configuration(version=1))
+    follower.apply_document(record("config", value))
+    assert told == [1]
+
+
+def test_a_faulty_record_leaves_the_endpoint_as_it_was(follower, documents):
+    follower.apply_record(record("a", put(documents, make_record("a"))))
+    follower.apply_record(record("a", FAULTY))
+    assert follower.table.find("a").record.state is EndpointState.READY
+
+
+def test_an_older_record_of_the_same_life_changes_nothing(follower, documents):
+    draining = make_record("a", state=EndpointState.DRAINING, sequence=9)
+    follower.apply_record(record("a", put(documents, draining)))
+    follower.apply_record(record("a", put(documents, make_record("a", sequence=8))))
+    assert follower.table.find("a").record.state is EndpointState.DRAINING
+
+
+def test_another_life_under_the_same_id_begins_with_nothing_learned(
+    follower, documents
+):
+    follower.apply_record(record("a", put(documents, make_record("a", sequence=9))))
+    follower.table.find("a").service_s = 7.0
+    reborn = make_record("a", born_ms=2000, sequence=1)
+    follower.apply_record(record("a", put(documents, reborn)))
+    assert follower.table.find("a").service_s is None
+    old = make_record("a", sequence=10)
+    follower.apply_record(record("a", put(documents, old)))
+    assert follower.table.find("a").record.born_ms == 2000
+
+
+def test_a_removed_endpoint_gets_no_more_work(follower, documents):
+    follower.apply_record(record("a", put(documents, make_record("a"))))
+    follower.apply_record(record("a", None))
+    assert follower.table.of_service("desk") == []
+
+
+async def follow_for(follower, seconds):
+    follower.app.spawn("records", follower._follow_records)
+    await follower.app.clock.advance(seconds)
+
+
+async def test_keeps_an_endpoint_that_lapsed_while_the_store_was_away(
+    follower, documents
+):
+    follower.apply_record(record("a", put(documents, make_record("a"))))
+    back = put(documents, make_record("a", sequence=2))
+    pages = follower.records.log.pages
+    pages += [UnavailableError("away"), [record("a", None, 0)], [record("a", back, 1)]]
+    pages += [[]] * 20
+    await follow_for(follower, RETURN_S + 3)
+    assert follower.table.find("a") is not None
+    await follower.app.stop()
+
+
+async def test_drops_an_endpoint_that_stays_away_after_the_store_is_back(
+    follower, documents
+):
+    follower.apply_record(record("a", put(documents, make_record("a"))))
+    pages = follower.records.log.pages
+    pages += [UnavailableError("away"), [record("a", None, 0)]] + [[]] * 20
+    await follow_for(follower, 1.0)
+    assert follower.table.find("a") is not None
+    await follower.app.clock.advance(RETURN_S)
+    assert follower.table.find("a") is None
+    await follower.app.stop()
--- a/lagoonring/tests/test_serving_path.py
+++ b/lagoonring/tests/test_serving_path.py
@@ -326,6 +326,23 @@
     assert parts.usage.total(parts.usage.window()) == {}
 
 
+async def test_a_leaving_instance_takes_streams_only_while_they_can_end():
+    sender = FakeSender(lambda order: FakeAnswer([make_event(0)]))
+    route = attrs.evolve(STREAM, path_prefix="/stream/")
+    parts = make_parts(sender, configuration=make_configuration(make_route(), route))
+    path = RequestPath(parts)
+    await path.retire()
+    stream = make_request(path="/stream/1", target="/stream/1")
+    early, late, call = CapturingSink(), CapturingSink(), CapturingSink()
+    await path.serve(stream, early)
+    await parts.app.clock.advance(3.1)
+    later_s = parts.app.clock.monotonic()
+    await path.serve(attrs.evolve(stream, received_s=later_s), late)
+    await path.serve(make_request(received_s=later_s), call)
+    assert early.status == call.status == 200
+    assert (late.status, late.error.outcome) == (503, Outcome.NOT_RUN)
+
+
 async def test_reports_a_timeout_of_the_endpoint_as_unknown():
     sender = answers(EndpointTimeoutError("silent"))
     sink = await serve(make_parts(sender, configuration=make_configuration(ONCE)))
--- /dev/null
+++ b/lagoonring/tests/test_usage_counts.py
@@ -0,0 +1,209 @@
+"""Usage windows, their reports, true time and demand."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+import msgspec
+import pytest
+from prometheus_client import CollectorRegistry
+
+from lagoonring.errors import UnavailableError
+from lagoonring.kernel import ManualClock
+from lagoonring.serving.demand import Demand
+from lagoonring.serving.duties import DutyLedger
+from lagoonring.serving.exchange import Peer
+from lagoonring.serving.metrics import ServingMetrics
+from lagoonring.serving.reporting import UsageReports
+from lagoonring.serving.true_time import TrueClock
+from lagoonring.serving.usage import UsageCounts
+from lagoonring.tests.builders.serving import FakeExchange
+
+if TYPE_CHECKING:
+    from lagoonring.leases import Lease
+
+WINDOW_S = 5.0
+START_S = 1_000_000.0
+
+
+@pytest.fixture
+def clock():
+    return ManualClock(START_S)
+
+
+@pytest.fixture
+def usage(clock):
+    return UsageCounts(WINDOW_S, clock.time)
+
+
+async def test_counts_by_window(usage, clock):
+    usage.note_start("one")
+    await clock.advance(WINDOW_S)
+    usage.note_start("one")
+    usage.note_start("two")
+    window = usage.window()
+    assert usage.total(window - 1) == {"one": 1}
+    assert usage.total(window) == {"one": 1, "two": 1}
+
+
+def test_news_of_a_killed_instance_stay(usage):
+    window = usage.window()
+    usage.note_peer("b", 1, {window: {"one": 4}})
+    usage.note_peer("b", 2, {window: {"one": 2}})
+    usage.note_peer("b", 2, {window: {"one": 3}})
+    assert usage.total(window) == {"one": 7}
+
+
+def test_true_time_is_that_of_most_clocks(clock):
+    true_clock = TrueClock(clock)
+    for peer, step_s in {"b": 0.01, "c": -0.02, "d": 2.4}.items():
+        true_clock.note_peer(peer, clock.time() + step_s)
+    assert true_clock.now() == pytest.approx(START_S, abs=0.05)
+
+
+def test_a_jump_of_the_own_clock_does_not_move_true_time():
+    @attrs.define
+    class JumpedClock(ManualClock):
+        def __init__(self):
+            super().__init__(START_S)
+
+        def time(self):
+            return self.now_s - 2.4
+
+    true_clock = TrueClock(JumpedClock())
+    for peer in "bcd":
+        true_clock.note_peer(peer, START_S)
+    assert true_clock.now() == pytest.approx(START_S)
+
+
+async def test_demand_of_all_instances_fades(clock):
+    demand = Demand(clock)
+    for _ in range(100):
+        demand.note_arrival("desk", 0.1)
+        await clock.advance(0.2)
+    assert demand.busy_endpoints("desk") == pytest.approx(0.5, rel=0.3)
+    demand.note_peer("b", {"desk": 1.5})
+    assert demand.busy_endpoints("desk") > 1.8
+    await clock.advance(60.0)
+    assert demand.busy_endpoints("desk") < 0.01
+
+
+class FakeLease:
+    """A lease that is held; keeps what is appended in a ledger."""
+
+    fencing_number = 3
+
+    def __init__(self, ledger):
+        self.ledger = ledger
+
+    def remaining_s(self):
+        return 2.0
+
+    async def append(self, data):
+        self.ledger.on_data(0, 0.0, msgspec.Raw(msgspec.json.encode(data)))
+        return 0
+
+
+class Reported:
+    """Keeps reports; fails while told to."""
+
+    def __init__(self):
+        self.calls = []
+        self.fails = False
+
+    async def __call__(self, lease: Lease, window, counts):
+        self.calls.append((window, dict(counts)))
+        if self.fails:
+            raise UnavailableError("away")
+
+
+@pytest.fixture
+def reported():
+    return Reported()
+
+
+@pytest.fixture
+def ledger():
+    return DutyLedger()
+
+
+def make_reports(ledger, usage, clock, reported, exchange=None):
+    return UsageReports(
+        ledger,
+        usage,
+        exchange or FakeExchange(),
+        clock,
+        ServingMetrics(CollectorRegistry()),
+        report=reported,
+        due_s=10.0,
+    )
+
+
+async def test_reports_a_window_once_after_its_end(ledger, usage, clock, reported):
+    window = usage.window()
+    usage.note_start("one")
+    reports = make_reports(ledger, usage, clock, reported)
+    await clock.advance(WINDOW_S + 1.0)
+    for _ in range(3):
+        await reports.step(FakeLease(ledger))
+    assert [call for call in reported.calls if call[0] == window] == [
+        (window, {"one": 1})
+    ]
+
+
+async def test_repeats_the_same_figures_when_an_answer_was_lost(
+    ledger, usage, clock, reported
+):
+    window = usage.window()
+    usage.note_start("one")
+    reports = make_reports(ledger, usage, clock, reported)
+    await clock.advance(WINDOW_S + 1.0)
+    reported.fails = True
+    await reports.step(FakeLease(ledger))
+    usage.note_peer("late", 1, {window: {"one": 5}})
+    reported.fails = False
+    await reports.step(FakeLease(ledger))
+    told = [counts for number, counts in reported.calls if number == window]
+    assert told == [{"one": 1}, {"one": 1}]
+
+
+async def test_the_next_holder_tells_the_same_figures(ledger, usage, clock, reported):
+    window = usage.window()
+    usage.note_start("one")
+    await clock.advance(WINDOW_S + 1.0)
+    first = make_reports(ledger, usage, clock, reported)
+    await first.step(FakeLease(ledger))
+    usage.note_peer("late", 1, {window: {"one": 5}})
+    second = make_reports(ledger, usage, clock, reported)
+    await second.step(FakeLease(ledger))
+    told = [counts for number, counts in reported.calls if number == window]
+    assert told == [{"one": 1}, {"one": 1}]
+
+
+async def test_waits_for_the_counts_of_an_instance_that_is_cut_off(
+    ledger, usage, clock, reported
+):
+    window = usage.window()
+    silent = Peer("address", life=1, heard_s=clock.monotonic())
+    exchange = FakeExchange(peers={"b": silent})
+    reports = make_reports(ledger, usage, clock, reported, exchange)
+    await clock.advance(WINDOW_S + 2.0)
+    await reports.step(FakeLease(ledger))
+    assert window not in dict(reported.calls)
+    silent.heard_s = clock.monotonic()
+    usage.note_peer("b", 1, {window: {"one": 2}})
+    await reports.step(FakeLease(ledger))
+    assert dict(reported.calls)[window] == {"one": 2}
+
+
+async def test_reports_in_time_without_an_instance_that_stays_away(
+    ledger, usage, clock, reported
+):
+    window = usage.window()
+    silent = Peer("address", life=1, heard_s=clock.monotonic())
+    exchange = FakeExchange(peers={"b": silent})
+    reports = make_reports(ledger, usage, clock, reported, exchange)
+    await clock.advance(WINDOW_S + 8.0)
+    await reports.step(FakeLease(ledger))
+    assert window in dict(reported.calls)
