Carry version moves on the platform: gate, share, comparison, status

Cause: the contract of roll-outs was in force and unserved. Change: a request runs on the target only while fresh news of its move give it a share; the holder of the duties spends a bounded exposure, compares both versions by the landed judge and completes late or rolls back; decisions stand in the duties' log and in the operator's status.

--- a/lagoonring/platform/application.py
+++ b/lagoonring/platform/application.py
@@ -12,7 +12,12 @@
 from lagoonring.platform.callers import Callers
 from lagoonring.platform.duty_client import Authority, DutyClient
 from lagoonring.platform.sending import HttpSender, make_session, make_socket
-from lagoonring.platform.store import ENDPOINT_TOPIC, OPERATOR_TOPIC, StoreClient
+from lagoonring.platform.store import (
+    ENDPOINT_TOPIC,
+    OPERATOR_TOPIC,
+    STATUS_TOPIC,
+    StoreClient,
+)
 from lagoonring.platform.store_log import StoreLog
 from lagoonring.platform.topics import KeyedTopic
 from lagoonring.serving.demand import Demand
@@ -22,6 +27,7 @@
 from lagoonring.serving.fleet import FleetDuty
 from lagoonring.serving.follower import Follower
 from lagoonring.serving.metrics import ServingMetrics
+from lagoonring.serving.moves import MoveGate, MoveState
 from lagoonring.serving.news import connect_news
 from lagoonring.serving.parts import ServingParts
 from lagoonring.serving.path import RequestPath
@@ -32,6 +38,7 @@
 from lagoonring.serving.suspects import Suspects
 from lagoonring.serving.true_time import TrueClock
 from lagoonring.serving.usage import UsageCounts
+from lagoonring.serving.versions import MovesDuty, VersionCounters
 
 if TYPE_CHECKING:
     import random
@@ -103,9 +110,10 @@
             metrics=metrics,
             true_clock=true_clock,
         )
-        connect_news(parts, true_clock)
         path = RequestPath(parts)
-        duties = make_duties(self.app, self.settings, parts, store)
+        duties = make_duties(self.app, self.settings, parts, store, true_clock)
+        moves = next((it for it in duties.parts if isinstance(it, MovesDuty)), None)
+        connect_news(parts, true_clock, moves)
         callers = Callers(self.app, self.settings, path)
         for service in (exchange, follower, duties, path, callers):
             self.app.add(service)
@@ -142,6 +150,7 @@
     """Return what the request path uses."""
     bounds = settings.bounds
     demand = Demand(app.clock)
+    gate = MoveGate(follower, app.clock)
     return ServingParts(
         app=app,
         follower=follower,
@@ -151,7 +160,7 @@
             app.clock,
             app.rng,
             data_centre=settings.data_centre,
-            is_allowed=lambda service, version, request_id: True,
+            allowed=gate.allowed,
             demand=demand,
         ),
         sender=HttpSender(app.find("sessions").endpoints),
@@ -169,12 +178,18 @@
         suspects=Suspects(),
         usage=UsageCounts(bounds.usage_window_s, true_clock.now),
         demand=demand,
+        gate=gate,
+        counters=VersionCounters(follower, app.clock),
         metrics=metrics,
     )
 
 
 def make_duties(
-    app: Application, settings: NodeSettings, parts: ServingParts, store: StoreClient
+    app: Application,
+    settings: NodeSettings,
+    parts: ServingParts,
+    store: StoreClient,
+    true_clock: TrueClock,
 ) -> Duties:
     """Return the service of what one instance does for all."""
     session = app.find("sessions").platform
@@ -195,8 +210,33 @@
             is_reclaimable=wanted.is_reclaimable,
         )
 
+    async def tell(service: str, target: str, state: MoveState) -> None:
+        value = documents.encode_move_status(target, state)
+        await store.append_keyed(STATUS_TOPIC, documents.move_key(service), value)
+
+    async def read_status(service: str) -> tuple[str, MoveState] | None:
+        snapshot = await store.read_newest(STATUS_TOPIC)
+        for record in snapshot.records:
+            if record.key == documents.move_key(service) and record.value:
+                return documents.decode_move_status(record.value)
+        return None
+
     def make_duty_parts(ledger: DutyLedger) -> list[DutyPart]:
-        made: list[DutyPart] = []
+        made: list[DutyPart] = [
+            MovesDuty(
+                ledger,
+                parts.follower,
+                parts.gate,
+                parts.table,
+                parts.counters,
+                app.clock,
+                tell=tell,
+                read_status=read_status,
+                exposure_share=settings.bounds.exposure_share,
+                exposure_slack=settings.bounds.exposure_slack,
+                true_time=true_clock.now,
+            )
+        ]
         if "usage" in settings.duties:
             made.append(
                 UsageReports(
--- a/lagoonring/platform/documents.py
+++ b/lagoonring/platform/documents.py
@@ -126,6 +126,11 @@
     leaves_ms: float | None = None
 
 
+class _Status(msgspec.Struct):
+    target: str
+    state: MoveState
+
+
 class _Rollout(msgspec.Struct):
     service: str
     target: str
@@ -211,6 +216,17 @@
     return msgspec.json.encode({"state": state.value, "target": target})
 
 
+def move_key(service: str) -> str:
+    """Return the key of a service's order and of its status."""
+    return ROLLOUT_PREFIX + service
+
+
+def decode_move_status(content: bytes) -> tuple[str, MoveState]:
+    """Return the target and state that a status record tells."""
+    raw = _decode(content, _Status)
+    return raw.target, raw.state
+
+
 def _decode(content: bytes, kind: Any) -> Any:
     try:
         return msgspec.json.decode(content, type=kind)
--- a/lagoonring/serving/exchange.py
+++ b/lagoonring/serving/exchange.py
@@ -14,8 +14,10 @@
 
 from lagoonring.kernel import BaseService
 from lagoonring.logs import make_logger
+from lagoonring.moves.counts import CountsRow
 from lagoonring.peers.metrics import PeersMetrics
 from lagoonring.peers.transport import NngTransport
+from lagoonring.serving.moves import MoveView
 from lagoonring.settings.validators import between
 
 if TYPE_CHECKING:
@@ -61,7 +63,8 @@
     ``taken`` what was admitted by organisation, ``started`` the requests begun by
     window and organisation, ``crashes`` endpoints by fingerprint of a request,
     ``demand`` seconds of endpoint time that arrive per second by service,
-    ``versions`` the counts of moves by service. ``time_s`` is the wall clock.
+    ``versions`` the counts of moves and ``moves``
+    their views by service. ``time_s`` is the wall clock.
     """
 
     instance: str
@@ -74,7 +77,8 @@
     started: dict[int, dict[str, int]] = attrs.field(factory=dict)
     crashes: dict[str, list[str]] = attrs.field(factory=dict)
     demand: dict[str, float] = attrs.field(factory=dict)
-    versions: dict[str, list[int]] = attrs.field(factory=dict)
+    versions: dict[str, CountsRow] = attrs.field(factory=dict)
+    moves: dict[str, MoveView] = attrs.field(factory=dict)
 
 
 @attrs.define
--- a/lagoonring/serving/feeds.py
+++ b/lagoonring/serving/feeds.py
@@ -30,12 +30,18 @@
     ----------
     log : KeyedLog
         Where the records are.
+
+    Attributes
+    ----------
+    n_reads : int
+        Reads of changes since the start; 0 while only the first keys were read.
     """
 
     def __init__(self, log: KeyedLog) -> None:
         self.log = log
         self.offset: int | None = None
         self.offsets: dict[str, int] = {}
+        self.n_reads = 0
 
     async def poll(self, *, wait_s: float = 0.0) -> list[KeyedRecord]:
         """Return the newest record of each key that changed.
@@ -44,6 +50,7 @@
         """
         if self.offset is None:
             return await self._reload()
+        self.n_reads += 1
         try:
             records, next_offset = await self.log.read(self.offset, wait_s=wait_s)
         except LogTruncatedError:
--- a/lagoonring/serving/follower.py
+++ b/lagoonring/serving/follower.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+import attrs
+
 from lagoonring.errors import InvalidInputError, LagoonringError
 from lagoonring.kernel import BaseService
 from lagoonring.logs import make_logger
@@ -137,6 +139,8 @@
         if isinstance(document, Configuration):
             self._apply_configuration(document, record.offset)
         else:
+            is_old = self.documents.n_reads == 0
+            document = attrs.evolve(document, offset=record.offset, is_old=is_old)
             self.orders[document.service] = document
             logger.info(
                 "Got a move order.",
--- a/lagoonring/serving/news.py
+++ b/lagoonring/serving/news.py
@@ -8,9 +8,12 @@
     from lagoonring.serving.exchange import Frame
     from lagoonring.serving.parts import ServingParts
     from lagoonring.serving.true_time import TrueClock
+    from lagoonring.serving.versions import MovesDuty
 
 
-def connect_news(parts: ServingParts, true_clock: TrueClock) -> None:
+def connect_news(
+    parts: ServingParts, true_clock: TrueClock, moves: MovesDuty | None
+) -> None:
     """Fill this instance's frames, and take in those of the others."""
 
     def fill(frame: Frame) -> None:
@@ -23,6 +26,8 @@
         frame.started = parts.usage.own
         frame.crashes = parts.suspects.take_news()
         frame.demand = parts.demand.own()
+        frame.versions = parts.counters.rows()
+        frame.moves = {name: it.view for name, it in parts.gate.views.items()}
 
     def take(frame: Frame, now_s: float) -> None:
         true_clock.note_peer(frame.instance, frame.time_s)
@@ -31,6 +36,10 @@
         parts.usage.note_peer(frame.instance, frame.life, frame.started)
         parts.suspects.note_peer(frame.crashes)
         parts.demand.note_peer(frame.instance, frame.demand)
+        for service, view in frame.moves.items():
+            parts.gate.note(service, view)
+        if moves is not None:
+            moves.note_peer(frame.instance, frame.versions)
 
     parts.exchange.fillers.append(fill)
     parts.exchange.takers.append(take)
--- a/lagoonring/serving/parts.py
+++ b/lagoonring/serving/parts.py
@@ -12,12 +12,14 @@
 from lagoonring.serving.exchange import Exchange
 from lagoonring.serving.follower import Follower
 from lagoonring.serving.metrics import ServingMetrics
+from lagoonring.serving.moves import MoveGate
 from lagoonring.serving.placer import Placer
 from lagoonring.serving.quotas import Quotas
 from lagoonring.serving.repeats import RepeatBudget
 from lagoonring.serving.requests import Sender
 from lagoonring.serving.suspects import Suspects
 from lagoonring.serving.usage import UsageCounts
+from lagoonring.serving.versions import VersionCounters
 
 if TYPE_CHECKING:
     from lagoonring.serving.endpoints import Endpoint
@@ -41,6 +43,8 @@
     repeats: RepeatBudget
     suspects: Suspects
     usage: UsageCounts
+    gate: MoveGate
+    counters: VersionCounters
     demand: Demand
     metrics: ServingMetrics
 
@@ -60,3 +64,12 @@
         self, job: Job, endpoint: Endpoint, *, ok: bool, latency_s: float | None
     ) -> None:
         """Count an outcome towards the comparison of versions."""
+        order = self.follower.orders.get(job.service)
+        if order is not None:
+            self.counters.note(
+                job,
+                endpoint.record.version,
+                ok=ok,
+                latency_s=latency_s,
+                share=self.gate.share_of(order),
+            )
--- a/lagoonring/serving/placer.py
+++ b/lagoonring/serving/placer.py
@@ -21,12 +21,15 @@
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Callable, Collection
 
     from lagoonring.kernel import Clock
     from lagoonring.serving.demand import Demand
     from lagoonring.serving.endpoints import EndpointTable
     from lagoonring.serving.requests import Job, LoadReport, PromptParts
 
+    Allowed = Callable[[str, Collection[str], str], set[str]]
+
 TOKEN_S = 1.1e-5  # a model engine of the usual size reads 90 prompt tokens a ms
 SERVICE_S = 0.06  # a plain service's usual answer
 GENERATION_S = 1.0  # a usual stream from its first event to the last
@@ -55,9 +58,9 @@
         The endpoints.
     data_centre : str
         Where this instance is.
-    is_allowed : callable
-        ``is_allowed(service, version, request_id)`` tells whether a request may
-        run on a version.
+    allowed : callable
+        ``allowed(service, versions, request_id)`` returns those of the versions
+        present that a request may run on.
     """
 
     def __init__(
@@ -67,14 +70,14 @@
         rng: random.Random,
         *,
         data_centre: str,
-        is_allowed,
+        allowed: Allowed,
         demand: Demand,
     ) -> None:
         self.table = table
         self.clock = clock
         self.rng = rng
         self.data_centre = data_centre
-        self.is_allowed = is_allowed
+        self.allowed = allowed
         self.demand = demand
         self.works: dict[int, WorkInProgress] = {}
 
@@ -153,14 +156,14 @@
 
     def _usable(self, job: Job) -> list[Endpoint]:
         """Return the endpoints that may get a job, those not tried before first."""
-        usable = [
+        ready = [
             endpoint
             for endpoint in self.table.of_service(job.service)
             if endpoint.record.state is EndpointState.READY
-            and self.is_allowed(
-                job.service, endpoint.record.version, job.request.request_id
-            )
         ]
+        versions = {endpoint.record.version for endpoint in ready}
+        allowed = self.allowed(job.service, versions, job.request.request_id)
+        usable = [endpoint for endpoint in ready if endpoint.record.version in allowed]
         fresh = [endpoint for endpoint in usable if endpoint.name not in job.tried]
         return fresh or usable
 
--- /dev/null
+++ b/lagoonring/serving/versions.py
@@ -0,0 +1,330 @@
+"""Counts of results by version while a service moves, and the holder's duty."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+import msgspec
+
+from lagoonring.errors import LagoonringError
+from lagoonring.logs import make_logger
+from lagoonring.moves.counts import (
+    Counter,
+    CountsRow,
+    Sample,
+    VersionCounts,
+    pack,
+    unpack,
+)
+from lagoonring.moves.judge import Judge
+from lagoonring.moves.options import JudgeOptions
+from lagoonring.serving.duties import record_first
+from lagoonring.serving.moves import MoveOrder, MoveState, MoveView
+from lagoonring.serving.rollout import Progress, Step, choose_share, decide
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from lagoonring.kernel import Clock
+    from lagoonring.leases.lease import Lease
+    from lagoonring.serving.duties import DutyLedger
+    from lagoonring.serving.endpoints import EndpointTable
+    from lagoonring.serving.follower import Follower
+    from lagoonring.serving.moves import MoveGate
+    from lagoonring.serving.requests import Job
+
+    ReadStatus = Callable[[str], Awaitable[tuple[str, MoveState] | None]]
+
+PART = "moves"
+# A good version undone costs a duty; a bad one that goes on costs every caller.
+FALSE_ALARM = 0.05
+BETWEEN_EVENTS_S = 1e9  # pauses are not compared: the first event is what is late
+
+logger = make_logger("moves")
+
+
+class VersionCounters:
+    """This instance's counts of each move that runs."""
+
+    def __init__(self, follower: Follower, clock: Clock) -> None:
+        self.follower = follower
+        self.clock = clock
+        self.counters: dict[str, Counter] = {}
+
+    def note(
+        self, job: Job, version: str, *, ok: bool, latency_s: float | None, share: float
+    ) -> None:
+        """Count a result of a service that moves."""
+        order = self.follower.orders.get(job.service)
+        if order is None:
+            return
+        counter = self._counter(order, job)
+        counter.counts.share = share
+        counter.add(
+            Sample(
+                is_new=version == order.target,
+                route=job.route.name,
+                load_share=0.0,
+                ok=ok,
+                first_token_s=latency_s,
+            )
+        )
+
+    def rows(self) -> dict[str, CountsRow]:
+        """Return the counts as they are told."""
+        return {name: pack(counter.counts) for name, counter in self.counters.items()}
+
+    def _counter(self, order: MoveOrder, job: Job) -> Counter:
+        counter = self.counters.get(order.service)
+        move = name_of(order)
+        if counter is None or counter.counts.move != move:
+            counter = Counter(
+                VersionCounts(move=move, started_s=self.clock.time()),
+                targets_s=(job.route.objective_s, BETWEEN_EVENTS_S),
+                n_routes=8,
+                n_reference=30,
+            )
+            self.counters[order.service] = counter
+        return counter
+
+
+@attrs.define
+class RunningMove:
+    """What the holder knows of a move."""
+
+    order: MoveOrder
+    started_s: float
+    judge: Judge
+    n_views: int = 0
+    view: MoveView | None = None
+    rows: dict[str, VersionCounts] = attrs.field(factory=dict)
+
+    def count(self) -> tuple[int, int]:
+        """Return the requests on all versions and on the new one."""
+        n_new = n_all = 0
+        for counts in self.rows.values():
+            for cell in counts.cells.values():
+                n_new += cell.n_new
+                n_all += cell.n_new + cell.n_old
+        return n_all, n_new
+
+
+class MovesDuty:
+    """The part of the duties that carries moves on.
+
+    Parameters
+    ----------
+    tell : callable
+        ``await tell(service, target, state)`` writes the status for the operator.
+    read_status : callable
+        ``await read_status(service)`` returns the target and state last told, or
+        None.
+    """
+
+    name = PART
+
+    def __init__(
+        self,
+        ledger: DutyLedger,
+        follower: Follower,
+        gate: MoveGate,
+        table: EndpointTable,
+        counters: VersionCounters,
+        clock: Clock,
+        *,
+        tell: Callable[[str, str, MoveState], Awaitable[None]],
+        read_status: ReadStatus,
+        exposure_share: float,
+        exposure_slack: float,
+        true_time: Callable[[], float],
+    ) -> None:
+        self.ledger = ledger
+        self.follower = follower
+        self.gate = gate
+        self.table = table
+        self.counters = counters
+        self.clock = clock
+        self.tell = tell
+        self.read_status = read_status
+        self.exposure_share = exposure_share
+        self.exposure_slack = exposure_slack
+        self.true_time = true_time
+        self.moves: dict[str, RunningMove] = {}
+        self.heard: dict[str, dict[str, VersionCounts]] = {}
+        self.fencing_number = -1
+        self.told: set[str] = set()
+
+    def note_peer(self, peer: str, rows: dict[str, CountsRow]) -> None:
+        """Take in a peer's counts."""
+        for service, row in rows.items():
+            self.heard.setdefault(service, {})[peer] = unpack(row)
+
+    async def step(self, lease: Lease) -> None:
+        """Carry on each move that is ordered and not done."""
+        if lease.fencing_number != self.fencing_number:
+            self.fencing_number = lease.fencing_number
+            self.moves.clear()
+        for service, order in list(self.follower.orders.items()):
+            state = self.gate.state_of(order)
+            if state is MoveState.RUNNING:
+                await self._carry_on(lease, order)
+            elif name_of(order) not in self.told:
+                await self._tell(lease, order, state)
+            else:
+                self.moves.pop(service, None)
+
+    async def _carry_on(self, lease: Lease, order: MoveOrder) -> None:
+        move = self.moves.get(order.service)
+        if move is None or move.order.offset != order.offset:
+            move = await self._begin(lease, order)
+            if move is None:
+                return
+        progress = self._progress(move)
+        step = decide(progress)
+        if step is Step.TRY:
+            share = choose_share(
+                progress,
+                exposure_share=self.exposure_share,
+                exposure_slack=self.exposure_slack,
+            )
+            self._publish(move, MoveState.RUNNING, share)
+        elif step is Step.MOVE_ALL:
+            self._publish(move, MoveState.RUNNING, 1.0)
+        else:
+            is_good = step is Step.COMPLETE
+            state = MoveState.COMPLETED if is_good else MoveState.ROLLED_BACK
+            await self._finish(lease, move, state, progress)
+
+    async def _begin(self, lease: Lease, order: MoveOrder) -> RunningMove | None:
+        """Start or take over a move; what an earlier holder decided stands."""
+        recorded = self.ledger.find(PART, name_of(order))
+        started_s = self.true_time()
+        if recorded is not None:
+            started_s, state = msgspec.json.decode(recorded, type=tuple[float, str])
+            if state != MoveState.RUNNING.value:
+                self._publish_final(lease, order, MoveState(state))
+                return None
+        else:
+            if order.is_old and await self._is_told_as_final(lease, order):
+                return None
+            await record_first(
+                lease, PART, name_of(order), (started_s, MoveState.RUNNING.value)
+            )
+            logger.info(
+                "Move begins.",
+                extra={
+                    "service": order.service,
+                    "target": order.target,
+                    "duration_s": order.duration_s,
+                },
+            )
+        options = JudgeOptions(false_alarm=FALSE_ALARM)
+        move = RunningMove(order, started_s, Judge(name_of(order), options))
+        self.moves[order.service] = move
+        await self._tell_quietly(order, MoveState.RUNNING)
+        return move
+
+    async def _is_told_as_final(self, lease: Lease, order: MoveOrder) -> bool:
+        """Take over a decision that only the operator's status still tells."""
+        told = await self.read_status(order.service)
+        if told is None or told[0] != order.target or told[1] is MoveState.RUNNING:
+            return False
+        self._publish_final(lease, order, told[1])
+        self.told.add(name_of(order))
+        return True
+
+    def _progress(self, move: RunningMove) -> Progress:
+        order = move.order
+        rows = dict(self.heard.get(order.service, {}))
+        own = self.counters.counters.get(order.service)
+        if own is not None:
+            rows["here"] = own.counts
+        for origin, counts in rows.items():
+            if counts.move == name_of(order):
+                move.rows[origin] = counts
+                move.judge.merge(origin, counts)
+        n_all, n_new = move.count()
+        endpoints = self.table.of_service(order.service)
+        now_s = self.clock.monotonic()
+        return Progress(
+            elapsed_s=max(self.true_time() - move.started_s, 0.0),
+            duration_s=order.duration_s,
+            n_all=n_all,
+            n_new=n_new,
+            n_old_running=sum(
+                endpoint.count_running(now_s)
+                for endpoint in endpoints
+                if endpoint.record.version != order.target
+            ),
+            is_condemned=move.judge.finding is not None,
+            is_target_present=any(
+                endpoint.record.version == order.target for endpoint in endpoints
+            ),
+        )
+
+    def _publish(self, move: RunningMove, state: MoveState, share: float) -> None:
+        move.n_views += 1
+        move.view = MoveView(
+            offset=move.order.offset,
+            target=move.order.target,
+            state=state,
+            share=round(share, 3),
+            revision=(self.fencing_number, move.n_views),
+        )
+        self.gate.note(move.order.service, move.view)
+
+    async def _finish(
+        self, lease: Lease, move: RunningMove, state: MoveState, progress: Progress
+    ) -> None:
+        order = move.order
+        await record_first(lease, PART, name_of(order), (move.started_s, state.value))
+        finding = move.judge.finding
+        logger.info(
+            "Move ends.",
+            extra={
+                "service": order.service,
+                "target": order.target,
+                "state": state.value,
+                "n_all": progress.n_all,
+                "n_new": progress.n_new,
+                "elapsed_s": round(progress.elapsed_s, 2),
+                "finding": str(finding) if finding else "",
+            },
+        )
+        self._publish_final(lease, order, state)
+        await self._tell(lease, order, state)
+
+    def _publish_final(self, lease: Lease, order: MoveOrder, state: MoveState) -> None:
+        is_good = state is MoveState.COMPLETED
+        self.gate.note(
+            order.service,
+            MoveView(
+                offset=order.offset,
+                target=order.target,
+                state=state,
+                share=1.0 if is_good else 0.0,
+                revision=(lease.fencing_number, 1 << 30),
+            ),
+        )
+
+    async def _tell(self, lease: Lease, order: MoveOrder, state: MoveState) -> None:
+        if not lease.is_held():
+            return
+        await self.tell(order.service, order.target, state)
+        self.told.add(name_of(order))
+
+    async def _tell_quietly(self, order: MoveOrder, state: MoveState) -> None:
+        """Tell a state that is not needed by anyone to go on."""
+        try:
+            await self.tell(order.service, order.target, state)
+        except LagoonringError as error:
+            logger.info(
+                "Status not written.",
+                extra={"service": order.service, "error": str(error)},
+            )
+
+
+def name_of(order: MoveOrder) -> str:
+    """Return the name of an order's move."""
+    return f"{order.service}@{order.offset}"
--- a/lagoonring/tests/builders/serving.py
+++ b/lagoonring/tests/builders/serving.py
@@ -31,6 +31,7 @@
     EndpointTable,
 )
 from lagoonring.serving.metrics import ServingMetrics
+from lagoonring.serving.moves import MoveGate, MoveOrder
 from lagoonring.serving.parts import ServingParts
 from lagoonring.serving.path import RequestPath
 from lagoonring.serving.placer import Placer
@@ -39,6 +40,7 @@
 from lagoonring.serving.requests import CallerRequest, LoadReport
 from lagoonring.serving.suspects import Suspects
 from lagoonring.serving.usage import UsageCounts
+from lagoonring.serving.versions import VersionCounters
 
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator, AsyncIterator, Callable
@@ -175,6 +177,7 @@
     """Holds a configuration that a test sets."""
 
     configuration: Configuration | None
+    orders: dict[str, MoveOrder] = attrs.field(factory=dict)
 
 
 @attrs.define
@@ -289,22 +292,23 @@
     *records: EndpointRecord,
     configuration: Configuration | None = None,
     clock: Any = None,
-    is_allowed: Callable[[str, str, str], bool] | None = None,
 ) -> ServingParts:
     """Return parts around a sender and the endpoints, or two endpoints."""
     app = Application(clock=clock or ManualClock(), rng=random.Random(7))
     table = make_table(*(records or (make_record("a"), make_record("b"))))
     demand = Demand(app.clock)
+    follower = FakeFollower(configuration or make_configuration())
+    gate = MoveGate(follower, app.clock)
     return ServingParts(
         app=app,
-        follower=FakeFollower(configuration or make_configuration()),
+        follower=follower,
         table=table,
         placer=Placer(
             table,
             app.clock,
             app.rng,
             data_centre="east",
-            is_allowed=is_allowed or (lambda service, version, request_id: True),
+            allowed=gate.allowed,
             demand=demand,
         ),
         sender=sender,
@@ -314,6 +318,8 @@
         suspects=Suspects(),
         usage=UsageCounts(5.0, app.clock.time),
         demand=demand,
+        gate=gate,
+        counters=VersionCounters(follower, app.clock),
         metrics=ServingMetrics(CollectorRegistry()),
     )
 
--- a/lagoonring/tests/test_follower.py
+++ b/lagoonring/tests/test_follower.py
@@ -84,7 +84,8 @@
 def test_keeps_the_newest_order_of_each_service(follower, documents):
     order = MoveOrder(service="desk", target="v2", duration_s=10.0)
     follower.apply_document(record("rollout/desk", put(documents, order)))
-    assert follower.orders == {"desk": order}
+    assert follower.orders["desk"].target == "v2"
+    assert follower.orders["desk"].is_old
 
 
 def test_tells_listeners_of_a_change(follower, documents):
--- /dev/null
+++ b/lagoonring/tests/test_moves_on_platform.py
@@ -0,0 +1,270 @@
+"""Moves of a service to another version: what runs where, and until when."""
+
+from __future__ import annotations
+
+import random
+
+import attrs
+import msgspec
+import pytest
+
+from lagoonring.kernel import ManualClock
+from lagoonring.serving.configuration import RequestKind
+from lagoonring.serving.duties import DutyLedger
+from lagoonring.serving.moves import MoveGate, MoveOrder, MoveState, MoveView
+from lagoonring.serving.rollout import Progress, Step, choose_share, decide
+from lagoonring.serving.versions import MovesDuty, VersionCounters
+from lagoonring.tests.builders.serving import (
+    FakeFollower,
+    make_configuration,
+    make_record,
+    make_request,
+    make_route,
+    make_table,
+)
+
+ORDER = MoveOrder(service="desk", target="v2", duration_s=12.0, offset=5)
+BOTH = ("v1", "v2")
+
+
+def make_view(**changes):
+    values = {
+        "offset": 5,
+        "target": "v2",
+        "state": MoveState.RUNNING,
+        "share": 0.25,
+        "revision": (1, 1),
+    }
+    return MoveView(**(values | changes))
+
+
+@pytest.fixture
+def clock():
+    return ManualClock()
+
+
+@pytest.fixture
+def gate(clock):
+    return MoveGate(FakeFollower(None, {"desk": ORDER}), clock)
+
+
+def share_on_target(gate, n=2000):
+    ids = [f"{number:016x}" for number in range(n)]
+    return sum(gate.allowed("desk", BOTH, name) == {"v2"} for name in ids) / n
+
+
+def test_nothing_runs_on_a_version_before_its_move_is_known(gate):
+    assert share_on_target(gate) == 0.0
+
+
+def test_without_an_order_every_version_present_is_allowed(clock):
+    gate = MoveGate(FakeFollower(None), clock)
+    assert gate.allowed("desk", BOTH, "r") == {"v1", "v2"}
+
+
+async def test_the_share_told_runs_on_the_target_while_news_are_fresh(gate, clock):
+    gate.note("desk", make_view())
+    assert share_on_target(gate) == pytest.approx(0.25, abs=0.05)
+    await clock.advance(3.0)
+    assert share_on_target(gate) == 0.0
+
+
+@pytest.mark.parametrize(
+    ("state", "versions"),
+    [(MoveState.COMPLETED, {"v2"}), (MoveState.ROLLED_BACK, {"v1"})],
+)
+async def test_a_decision_stays_in_force(gate, clock, state, versions):
+    gate.note("desk", make_view(state=state, revision=(1, 9)))
+    await clock.advance(60.0)
+    assert gate.allowed("desk", BOTH, "r") == versions
+    assert not gate.note("desk", make_view(revision=(2, 1)))
+    assert gate.allowed("desk", BOTH, "r") == versions
+
+
+def test_a_version_rolled_back_gets_nothing_even_alone(gate):
+    gate.note("desk", make_view(state=MoveState.ROLLED_BACK))
+    assert gate.allowed("desk", ("v2",), "r") == set()
+
+
+def test_older_views_change_nothing(gate):
+    gate.note("desk", make_view(share=0.1, revision=(2, 1)))
+    assert not gate.note("desk", make_view(share=0.9, revision=(1, 50)))
+    assert gate.share_of(ORDER) == 0.1
+
+
+def test_a_new_order_begins_anew(gate):
+    gate.note("desk", make_view(state=MoveState.ROLLED_BACK))
+    gate.follower.orders["desk"] = attrs.evolve(ORDER, offset=8)
+    assert gate.state_of(gate.follower.orders["desk"]) is MoveState.RUNNING
+    assert share_on_target(gate) == 0.0
+
+
+def make_progress(**changes):
+    values = {
+        "elapsed_s": 4.0,
+        "duration_s": 12.0,
+        "n_all": 120,
+        "n_new": 20,
+        "n_old_running": 2,
+        "is_condemned": False,
+        "is_target_present": True,
+    }
+    return Progress(**(values | changes))
+
+
+@pytest.mark.parametrize(
+    ("changes", "step"),
+    [
+        ({}, Step.TRY),
+        ({"is_condemned": True}, Step.ROLL_BACK),
+        ({"elapsed_s": 9.8}, Step.MOVE_ALL),
+        ({"elapsed_s": 9.8, "n_old_running": 0}, Step.COMPLETE),
+        ({"elapsed_s": 10.9}, Step.COMPLETE),
+        ({"elapsed_s": 10.9, "is_condemned": True}, Step.ROLL_BACK),
+        ({"elapsed_s": 10.9, "n_new": 2}, Step.ROLL_BACK),
+        ({"elapsed_s": 9.8, "is_target_present": False}, Step.TRY),
+    ],
+)
+def test_steps_of_a_move(changes, step):
+    assert decide(make_progress(**changes)) is step
+
+
+class FakeLease:
+    """A lease that is held; keeps what is appended in a ledger."""
+
+    def __init__(self, ledger, fencing_number=1):
+        self.ledger = ledger
+        self.fencing_number = fencing_number
+
+    def is_held(self):
+        return True
+
+    async def append(self, data):
+        self.ledger.on_data(0, 0.0, msgspec.Raw(msgspec.json.encode(data)))
+        return 0
+
+
+@attrs.define(slots=False)
+class Deployment:
+    """Two instances that serve a service while it moves, without a network."""
+
+    clock: ManualClock
+    is_bad: object
+    rate_per_s: float = 20.0
+    rng: random.Random = attrs.field(factory=lambda: random.Random(11))
+    told: list = attrs.field(factory=list)
+    new_at_s: list = attrs.field(factory=list)
+    n_all: int = 0
+    bad_at_s: list = attrs.field(factory=list)
+
+    def __attrs_post_init__(self):
+        self.follower = FakeFollower(make_configuration(), {"desk": ORDER})
+        self.gate = MoveGate(self.follower, self.clock)
+        self.counters = VersionCounters(self.follower, self.clock)
+        self.table = make_table(
+            make_record("a", version="v1"), make_record("b", version="v2")
+        )
+        self.ledger = DutyLedger()
+        self.duty = self.make_duty()
+        self.job = type("Job", (), {})()
+        self.job.service = "desk"
+        self.job.route = make_route(kind=RequestKind.ONCE)
+
+    def make_duty(self):
+        return MovesDuty(
+            self.ledger,
+            self.follower,
+            self.gate,
+            self.table,
+            self.counters,
+            self.clock,
+            tell=self.tell,
+            read_status=self.read_status,
+            exposure_share=0.1,
+            exposure_slack=50,
+            true_time=self.clock.time,
+        )
+
+    async def tell(self, service, target, state):
+        self.told.append((self.clock.time(), state))
+
+    async def read_status(self, service):
+        return (ORDER.target, self.told[-1][1]) if self.told else None
+
+    def serve(self, number):
+        request = make_request(request_id=f"{number:016x}")
+        (version,) = self.gate.allowed("desk", BOTH, request.request_id)
+        now_s = self.clock.time()
+        is_new = version == "v2"
+        ok = not (is_new and self.is_bad(now_s - self.began_s, self.rng))
+        self.n_all += 1
+        if is_new:
+            self.new_at_s.append(now_s)
+        if not ok:
+            self.bad_at_s.append(now_s)
+        share = self.gate.share_of(ORDER)
+        self.counters.note(self.job, version, ok=ok, latency_s=0.1, share=share)
+
+    async def play(self, seconds=14.0):
+        self.began_s = self.clock.time()
+        lease = FakeLease(self.ledger)
+        for step in range(int(seconds * 2)):
+            await self.duty.step(lease)
+            for number in range(int(self.rate_per_s / 2)):
+                self.serve(step * 1000 + number)
+            await self.clock.advance(0.5)
+
+    def final(self):
+        return self.told[-1][1]
+
+
+async def test_a_good_version_is_completed_in_time(clock):
+    deployment = Deployment(clock, lambda at_s, rng: False)
+    await deployment.play()
+    at_s, state = deployment.told[-1]
+    assert state is MoveState.COMPLETED
+    assert at_s - deployment.began_s < ORDER.duration_s
+
+
+@pytest.mark.parametrize("bad_share", [0.3, 0.6, 1.0])
+@pytest.mark.parametrize("from_s", [0.0, 4.0])
+async def test_a_bad_version_gets_few_requests_and_is_rolled_back(
+    clock, bad_share, from_s
+):
+    deployment = Deployment(
+        clock, lambda at_s, rng: at_s >= from_s and rng.random() < bad_share
+    )
+    await deployment.play()
+    assert deployment.final() is MoveState.ROLLED_BACK
+    assert len(deployment.new_at_s) <= 0.1 * deployment.n_all + 50
+    if len(deployment.bad_at_s) >= 50:
+        assert max(deployment.new_at_s) <= deployment.bad_at_s[49] + 5.0
+
+
+async def test_the_next_holder_stands_by_a_decision(clock):
+    deployment = Deployment(clock, lambda at_s, rng: True)
+    await deployment.play()
+    deployment.gate.views.clear()
+    duty = deployment.make_duty()
+    await duty.step(FakeLease(deployment.ledger, fencing_number=2))
+    assert deployment.gate.allowed("desk", BOTH, "r") == {"v1"}
+
+
+async def test_a_decision_that_only_the_status_tells_stands_after_a_restart(clock):
+    deployment = Deployment(clock, lambda at_s, rng: True)
+    await deployment.play()
+    old = attrs.evolve(ORDER, is_old=True)
+    deployment.follower.orders["desk"] = old
+    deployment.gate.views.clear()
+    deployment.ledger.restore([])
+    await deployment.make_duty().step(FakeLease(deployment.ledger, fencing_number=2))
+    assert deployment.gate.allowed("desk", BOTH, "r") == {"v1"}
+
+
+def test_the_new_version_is_tried_on_no_more_than_it_may_get():
+    share = choose_share(
+        make_progress(n_all=200, n_new=60), exposure_share=0.1, exposure_slack=50
+    )
+    assert share == 0.0
+    share = choose_share(make_progress(n_new=0), exposure_share=0.1, exposure_slack=50)
+    assert 0.0 < share <= 0.3
