Pace organisations within their window, with empty buckets after a start

Change: a bucket of rate and burst, one that spreads what a window allows beyond the rate, both empty at a start, under the window's sum. Test: test_instances_killed_together_do_not_grant_the_window_again.

--- a/lagoonring/platform/application.py
+++ b/lagoonring/platform/application.py
@@ -149,6 +149,12 @@
 ) -> ServingParts:
     """Return what the request path uses."""
     bounds = settings.bounds
+    quotas = Quotas(
+        bounds.quota_window_s,
+        overshoot=bounds.quota_overshoot,
+        slack=bounds.quota_slack,
+        started_s=app.clock.monotonic(),
+    )
     demand = Demand(app.clock)
     gate = MoveGate(follower, app.clock)
     return ServingParts(
@@ -165,11 +171,7 @@
         ),
         sender=HttpSender(app.find("sessions").endpoints),
         exchange=exchange,
-        quotas=Quotas(
-            bounds.quota_window_s,
-            overshoot=bounds.quota_overshoot,
-            slack=bounds.quota_slack,
-        ),
+        quotas=quotas,
         repeats=RepeatBudget(
             ratio=bounds.retry_ratio,
             slack=bounds.retry_slack,
--- a/lagoonring/serving/quotas.py
+++ b/lagoonring/serving/quotas.py
@@ -6,6 +6,11 @@
 of the tolerance that operators allow covers what is not known yet, the rest goes to
 callers. While instances are silent, the share that they may be using is left to
 them.
+
+Within a window, use is paced: a bucket grants the rate and the burst, a second one
+spreads what a window allows beyond the rate. A process starts with both empty. So
+after all were killed, what they admitted before and what is admitted then stay
+within one window's limit.
 """
 
 from __future__ import annotations
@@ -21,6 +26,7 @@
 SLOT_S = 0.25  # amounts of this time are kept as one; two rounds of the exchange
 TOLERANCE_SHARE = 0.3  # of what may be exceeded; the rest covers late news
 WAIT_LEAST_S = 0.05  # below it a return finds as little left as before
+PACE_S = 1.0  # what the second bucket holds at most, in seconds of its rate
 
 
 @attrs.define
@@ -61,6 +67,9 @@
 
     everywhere: WindowSum
     here: WindowSum
+    filled_s: float
+    burst_level: float = 0.0
+    pace_level: float = 0.0
     n_taken: float = 0.0
     told: dict[str, tuple[int, float]] = attrs.field(factory=dict)
 
@@ -74,15 +83,23 @@
         Length of the window.
     overshoot, slack : float
         By which share, and which amount besides, a limit may be exceeded.
+    started_s : float
+        When the process started, on the clock of the calls.
     """
 
     def __init__(
-        self, window_s: float = 8.0, *, overshoot: float = 0.0, slack: float = 0.0
+        self,
+        window_s: float = 8.0,
+        *,
+        overshoot: float = 0.0,
+        slack: float = 0.0,
+        started_s: float = 0.0,
     ) -> None:
         self.window_s = window_s
         self.overshoot = overshoot * TOLERANCE_SHARE
         self.slack = slack * TOLERANCE_SHARE
         self.uses: dict[str, Use] = {}
+        self.started_s = started_s
 
     def allowed(self, organisation: Organisation) -> float:
         """Return what an organisation may use in a window."""
@@ -104,10 +121,14 @@
         if organisation.rate_per_s <= 0:
             return None
         use = self._use(organisation.name)
+        self._fill(use, organisation, now_s, share)
         used = use.everywhere.read(now_s)
         excess = used + amount - self.allowed(organisation) * share
         if excess > 0 and used > 0:
             return max(use.everywhere.wait_s(excess, now_s), WAIT_LEAST_S)
+        wait_s = self._draw(use, organisation, amount)
+        if wait_s is not None:
+            return wait_s / max(share, 1e-9)
         self._add(use, amount, now_s)
         return None
 
@@ -115,6 +136,7 @@
         """Take back what a request counted that was not run."""
         use = self.uses.get(organisation)
         if use is not None:
+            use.burst_level += amount
             self._add(use, -amount, now_s)
 
     def totals(self, now_s: float) -> dict[str, tuple[float, float]]:
@@ -139,11 +161,48 @@
             use.told[peer] = (life, total)
             if amount:
                 use.everywhere.add(amount, now_s)
+                use.burst_level -= amount
+
+    def _fill(
+        self, use: Use, organisation: Organisation, now_s: float, share: float
+    ) -> None:
+        """Let both buckets gain what the time since the last call brings."""
+        elapsed_s = now_s - use.filled_s
+        use.filled_s = now_s
+        rate = organisation.rate_per_s * share
+        level = max(use.burst_level, -organisation.burst) + elapsed_s * rate
+        use.burst_level = min(level, organisation.burst)
+        pace = self._pace(organisation)
+        gained = elapsed_s * pace * share
+        use.pace_level = min(use.pace_level + gained, pace * PACE_S)
+
+    def _pace(self, organisation: Organisation) -> float:
+        """Return what a window allows beyond the rate, per second."""
+        return self.allowed(organisation) / self.window_s - organisation.rate_per_s
+
+    def _draw(
+        self, use: Use, organisation: Organisation, amount: float
+    ) -> float | None:
+        """Take from both buckets; return None, or the seconds until there is enough.
+
+        A request larger than both hold is let through when they are full.
+        """
+        pace = self._pace(organisation)
+        most = organisation.burst + pace * PACE_S
+        missing = min(amount, most) - max(use.burst_level, 0.0) - use.pace_level
+        if missing > 0:
+            return max(missing / (organisation.rate_per_s + pace), WAIT_LEAST_S)
+        from_burst = min(amount, max(use.burst_level, 0.0))
+        use.burst_level -= from_burst
+        use.pace_level -= amount - from_burst
+        return None
 
     def _use(self, name: str) -> Use:
         use = self.uses.get(name)
         if use is None:
-            use = Use(WindowSum(self.window_s), WindowSum(self.window_s))
+            use = Use(
+                WindowSum(self.window_s), WindowSum(self.window_s), self.started_s
+            )
             self.uses[name] = use
         return use
 
