Close callers' idle connections outright when an instance leaves

Change: connections without a request in progress are closed by force, busy ones after their answer, which asks to close from the stop on. Test: test_a_leaving_instance_closes_idle_connections_and_no_busy_one.

--- a/lagoonring/platform/callers.py
+++ b/lagoonring/platform/callers.py
@@ -21,6 +21,8 @@
 from lagoonring.serving.requests import CallerRequest
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from lagoonring.kernel import Application
     from lagoonring.serving.path import RequestPath
     from lagoonring.serving.settings import NodeSettings
@@ -39,11 +41,16 @@
 class HttpSink:
     """Sends one answer to a caller; see `lagoonring.serving.requests.Sink`."""
 
-    def __init__(self, request: web.BaseRequest, request_id: str | None) -> None:
+    def __init__(
+        self,
+        request: web.BaseRequest,
+        request_id: str | None,
+        is_leaving: Callable[[], bool],
+    ) -> None:
         self.request = request
         self.request_id = request_id
+        self.is_leaving = is_leaving
         self.response: web.StreamResponse | None = None
-        self.is_last = False
 
     async def send_whole(
         self, status: int, headers: list[tuple[str, str]], body: bytes
@@ -97,7 +104,7 @@
         self, response: web.StreamResponse, headers: list[tuple[str, str]]
     ) -> None:
         response.headers.extend(headers)
-        if self.is_last:
+        if self.is_leaving():
             response.force_close()
         self.response = response
         await response.prepare(self.request)
@@ -122,6 +129,7 @@
         self.path = path
         self.runners: list[web.ServerRunner] = []
         self.is_leaving = False
+        self.busy: set[web.RequestHandler] = set()
 
     async def start(self) -> None:
         """Listen on both addresses."""
@@ -156,7 +164,8 @@
         await self.app.clock.sleep(min(CLOSE_IDLE_S, grace_s))
         for runner in self.runners[:1]:
             for connection in runner.server.connections if runner.server else ():
-                connection.close()
+                if connection not in self.busy:
+                    connection.force_close()
 
     async def stop(self) -> None:
         """Close both addresses and all connections."""
@@ -174,8 +183,20 @@
         """Answer one request."""
         received_s = self.app.clock.monotonic()
         request_id = request.headers.get(names.REQUEST_ID)
-        sink = HttpSink(request, request_id)
-        sink.is_last = self.is_leaving
+        sink = HttpSink(request, request_id, lambda: self.is_leaving)
+        connection = request.protocol
+        self.busy.add(connection)
+        try:
+            return await self._answer(request, sink, received_s)
+        finally:
+            self.busy.discard(connection)
+            if self.is_leaving:
+                connection.close()
+
+    async def _answer(
+        self, request: web.BaseRequest, sink: HttpSink, received_s: float
+    ) -> web.StreamResponse:
+        request_id = sink.request_id
         try:
             decoded = await self._decode(request, received_s)
             await self.path.serve(decoded, sink)
--- a/lagoonring/tests/test_callers.py
+++ b/lagoonring/tests/test_callers.py
@@ -273,6 +273,36 @@
         assert split(await ask(front, question, index=1))[0] == 503
 
 
+async def read_until_closed(reader):
+    """Return all that comes until the connection ends."""
+    async with asyncio.timeout(5):
+        return await reader.read()
+
+
+async def test_a_leaving_instance_closes_idle_connections_and_no_busy_one():
+    go_on = asyncio.Event()
+
+    async def wait(order):
+        await go_on.wait()
+        return FakeAnswer([b"ok"])
+
+    async with serving(lambda order: wait(order)) as front:
+        host, port = front.addresses[0]
+        idle, idle_writer = await asyncio.open_connection(host, port)
+        busy, busy_writer = await asyncio.open_connection(host, port)
+        busy_writer.write(make_head(close=False))
+        while not front.busy:
+            await asyncio.sleep(0.001)
+        await front.retire()
+        await front.drain(0.0)
+        assert await read_until_closed(idle) == b""
+        go_on.set()
+        answer = await read_until_closed(busy)
+    assert split(answer)[2] == b"ok"
+    for writer in (idle_writer, busy_writer):
+        writer.close()
+
+
 async def test_a_leaving_instance_still_answers_and_asks_to_close():
     sender = FakeSender(lambda order: FakeAnswer([b"ok"]))
     async with serving(sender) as front:
