Drop endpoints at once when only this instance had lost the store

Ruled out: taking a removal of half of the endpoints for an outage (here half had left for good). Change: instances tell for how long they could read the store. Test: test_drops_an_endpoint_at_once_if_only_this_instance_lost_the_store.

--- a/lagoonring/serving/exchange.py
+++ b/lagoonring/serving/exchange.py
@@ -64,14 +64,16 @@
     window and organisation, ``crashes`` endpoints by fingerprint of a request,
     ``demand`` seconds of endpoint time that arrive per second by service,
     ``versions`` the counts of moves and ``moves``
-    their views by service. ``time_s`` is the wall clock.
+    their views by service. ``time_s`` is the wall clock,
+    ``read_well_for_s`` for how long the store could be read.
     """
 
     instance: str
     life: int
     address: str
     time_s: float
-    peers: dict[str, str]
+    read_well_for_s: float = 0.0
+    peers: dict[str, str] = attrs.field(factory=dict)
     loads: dict[str, tuple[int, int]] = attrs.field(factory=dict)
     taken: dict[str, tuple[float, float]] = attrs.field(factory=dict)
     started: dict[int, dict[str, int]] = attrs.field(factory=dict)
--- a/lagoonring/serving/follower.py
+++ b/lagoonring/serving/follower.py
@@ -26,6 +26,7 @@
 ENDPOINT_POLL_S = 0.6  # a third of the time after which leaving endpoints count
 RETRY_S = 0.25  # an eighth of config_s, so that a short outage goes unnoticed
 RETURN_S = 2.2  # endpoints are back in the store two seconds after an outage
+WELL_S = 6.0  # three heartbeats and a read: entries can't have lapsed meanwhile
 DEFAULT_CACHE_TOKENS = 100_000  # of services whose engine is not described
 
 logger = make_logger("follower")
@@ -71,6 +72,8 @@
         self.failed_at_s: dict[str, float] = {}
         self.is_lost: dict[str, bool] = {}
         self.due_removals: dict[str, float] = {}
+        self.store_seen_well_s = float("-inf")
+        self.started_s = app.clock.monotonic()
 
     async def start(self) -> None:
         """Begin to follow."""
@@ -81,6 +84,16 @@
         """Call ``listener`` after each change of configuration or orders."""
         self.listeners.append(listener)
 
+    def read_well_for_s(self) -> float:
+        """Return for how long the records could be read without a failure."""
+        now_s = self.app.clock.monotonic()
+        return now_s - self.failed_at_s.get("records", self.started_s)
+
+    def note_peer(self, read_well_for_s: float) -> None:
+        """Learn for how long another instance could read the store."""
+        if read_well_for_s > WELL_S:
+            self.store_seen_well_s = self.app.clock.monotonic()
+
     async def _follow_documents(self) -> None:
         while True:
             changes = await self._poll("documents", self.documents, DOCUMENT_WAIT_S)
@@ -212,9 +225,13 @@
         return entry.engine.n_cache_tokens
 
     def _note_removal(self, name: str, now_s: float) -> None:
-        """Remove an endpoint; after an outage of the store only if it stays away."""
+        """Remove an endpoint; after an outage of the store only if it stays away.
+
+        If another instance could read the store all the while, the store was not
+        out, and what it tells holds at once.
+        """
         due_s = self.failed_at_s.get("records", -RETURN_S) + RETURN_S
-        if now_s < due_s:
+        if now_s < due_s and now_s - self.store_seen_well_s > RETURN_S:
             self.due_removals[name] = due_s
         else:
             self._remove(name, "removed")
--- a/lagoonring/serving/news.py
+++ b/lagoonring/serving/news.py
@@ -22,6 +22,7 @@
             for endpoint in parts.table.endpoints.values()
             if endpoint.n_running
         }
+        frame.read_well_for_s = parts.follower.read_well_for_s()
         frame.taken = parts.quotas.totals(parts.app.clock.monotonic())
         frame.started = parts.usage.own
         frame.crashes = parts.suspects.take_news()
@@ -30,6 +31,7 @@
         frame.moves = {name: it.view for name, it in parts.gate.views.items()}
 
     def take(frame: Frame, now_s: float) -> None:
+        parts.follower.note_peer(frame.read_well_for_s)
         true_clock.note_peer(frame.instance, frame.time_s)
         parts.table.note_peer_load(frame.instance, frame.loads, now_s)
         parts.quotas.note_peer(frame.instance, frame.life, frame.taken, now_s)
--- a/lagoonring/tests/test_follower.py
+++ b/lagoonring/tests/test_follower.py
@@ -146,6 +146,18 @@
     await follower.app.stop()
 
 
+async def test_drops_an_endpoint_at_once_if_only_this_instance_lost_the_store(
+    follower, documents
+):
+    follower.apply_record(record("a", put(documents, make_record("a"))))
+    pages = follower.records.log.pages
+    pages += [UnavailableError("away"), [record("a", None, 0)]] + [[]] * 20
+    follower.note_peer(read_well_for_s=60.0)
+    await follow_for(follower, 1.0)
+    assert follower.table.find("a") is None
+    await follower.app.stop()
+
+
 async def test_drops_an_endpoint_that_stays_away_after_the_store_is_back(
     follower, documents
 ):
