Run no request that crosses the close of its connection; read parts less often

Test: test_a_request_that_crosses_the_close_of_its_connection_is_not_run (fails without the change), test_never_sends_a_request_to_the_same_endpoint_again.

--- a/lagoonring/platform/callers.py
+++ b/lagoonring/platform/callers.py
@@ -185,6 +185,9 @@
         request_id = request.headers.get(names.REQUEST_ID)
         sink = HttpSink(request, request_id, lambda: self.is_leaving)
         connection = request.protocol
+        if request.transport is None:
+            # Closed while the request waited its turn: its caller sends it again.
+            raise asyncio.CancelledError
         self.busy.add(connection)
         try:
             return await self._answer(request, sink, received_s)
--- a/lagoonring/serving/path.py
+++ b/lagoonring/serving/path.py
@@ -145,7 +145,7 @@
             endpoint = self.parts.table.find(placement.name)
             assert endpoint is not None
             return endpoint
-        if error is not None and job.n_runs:
+        if error is not None:
             raise self._final_error(job, error)
         reason = refusal.reason if refusal else "no_endpoint"
         raise OverloadError(
--- a/lagoonring/serving/placer.py
+++ b/lagoonring/serving/placer.py
@@ -155,7 +155,7 @@
         self.demand.note_arrival(job.service, n_missing * token_s)
 
     def _usable(self, job: Job) -> list[Endpoint]:
-        """Return the endpoints that may get a job, those not tried before first."""
+        """Return the endpoints that may get a job and have not had it yet."""
         ready = [
             endpoint
             for endpoint in self.table.of_service(job.service)
@@ -163,9 +163,11 @@
         ]
         versions = {endpoint.record.version for endpoint in ready}
         allowed = self.allowed(job.service, versions, job.request.request_id)
-        usable = [endpoint for endpoint in ready if endpoint.record.version in allowed]
-        fresh = [endpoint for endpoint in usable if endpoint.name not in job.tried]
-        return fresh or usable
+        return [
+            endpoint
+            for endpoint in ready
+            if endpoint.record.version in allowed and endpoint.name not in job.tried
+        ]
 
     def _candidates(self, job: Job, endpoints: list[Endpoint]) -> list[Candidate]:
         now_s = self.clock.monotonic()
--- a/lagoonring/serving/placing.py
+++ b/lagoonring/serving/placing.py
@@ -18,6 +18,7 @@
     from lagoonring.serving.requests import PromptParts
 
 FIRST_TOKEN_S = 0.06  # time of an idle engine before any prompt is read
+REREAD_WEIGHT = 2.0  # reading a part again also delays whatever runs beside it
 OTHER_DATA_CENTRE_S = 0.004  # two ways between data centres, rounded up
 SPREAD_S = 0.002  # keeps equal endpoints evenly loaded
 NOISE = 0.05  # instances decide on the same news; without it they choose alike
@@ -69,9 +70,8 @@
     queue_s = n_beyond / max(candidate.n_slots, 1) * candidate.service_s
     if not work.is_generation:
         return candidate.service_s + queue_s
-    n_missing = max(0, work.n_prompt_tokens - candidate.n_cached_tokens)
-    n_tokens = candidate.n_waiting_tokens + n_missing
-    return FIRST_TOKEN_S + queue_s + n_tokens * candidate.seconds_per_token
+    waiting_s = candidate.n_waiting_tokens * candidate.seconds_per_token
+    return FIRST_TOKEN_S + queue_s + waiting_s + _reading_s(candidate, work)
 
 
 def choose(
@@ -90,6 +90,7 @@
         estimate_s = estimate_first_answer_s(candidate, work)
         cost_s = estimate_s * (1 + NOISE * rng.random())
         cost_s += failure_s * candidate.failure_share
+        cost_s += REREAD_WEIGHT * _reading_s(candidate, work)
         cost_s += SPREAD_S * candidate.n_running
         cost_s += 0.0 if candidate.is_local else OTHER_DATA_CENTRE_S
         if best is None or cost_s < best_cost_s:
@@ -98,6 +99,12 @@
     return best
 
 
+def _reading_s(candidate: Candidate, work: Work) -> float:
+    """Return the time that an endpoint takes to read what it has not cached."""
+    n_missing = max(0, work.n_prompt_tokens - candidate.n_cached_tokens)
+    return n_missing * candidate.seconds_per_token
+
+
 def shared_parts(parts: PromptParts) -> PromptParts:
     """Return the parts that other requests may have in common with this one."""
     return parts[:-1] if len(parts) > 1 else parts
--- a/lagoonring/tests/test_callers.py
+++ b/lagoonring/tests/test_callers.py
@@ -303,6 +303,27 @@
         writer.close()
 
 
+async def test_a_request_that_crosses_the_close_of_its_connection_is_not_run():
+    sender = FakeSender(lambda order: FakeAnswer([b"ok"]))
+    async with serving(sender) as front:
+        host, port = front.addresses[0]
+        reader, writer = await asyncio.open_connection(host, port)
+        await front.retire()
+        (connection,) = await connections_of(front)
+        connection.data_received(make_head(close=False))
+        await front.drain(0.0)
+        assert await read_until_closed(reader) == b""
+        writer.close()
+    assert sender.orders == []
+
+
+async def connections_of(front):
+    """Return the connections that the front end has, once there is one."""
+    while not front.runners[0].server.connections:
+        await asyncio.sleep(0.001)
+    return front.runners[0].server.connections
+
+
 async def test_a_leaving_instance_still_answers_and_asks_to_close():
     sender = FakeSender(lambda order: FakeAnswer([b"ok"]))
     async with serving(sender) as front:
--- a/lagoonring/tests/test_serving_path.py
+++ b/lagoonring/tests/test_serving_path.py
@@ -94,6 +94,14 @@
     assert 0 < sink.error.retry_after_s <= 2.0 / 3
 
 
+async def test_never_sends_a_request_to_the_same_endpoint_again():
+    sender = FakeSender(lambda order: EndpointConnectError("none"))
+    sink = await serve(make_parts(sender))
+    names = [order.endpoint.endpoint for order in sender.orders]
+    assert sorted(names) == ["a", "b"]
+    assert (sink.status, sink.error.outcome) == (503, Outcome.NOT_RUN)
+
+
 async def test_says_unknown_when_a_repeat_was_not_run_but_the_first_may_have():
     refused = FakeAnswer(status=503, is_not_run=True)
     sender = answers(CUT, refused, refused, refused)
