Let one instance of a data centre read the store for the others

Change: one instance polls and sends what it read to its data centre; the others read for themselves after 1.4 s without news, or after a gap. Tests: test_relay.

--- a/lagoonring/platform/application.py
+++ b/lagoonring/platform/application.py
@@ -33,6 +33,7 @@
 from lagoonring.serving.path import RequestPath
 from lagoonring.serving.placer import Placer
 from lagoonring.serving.quotas import Quotas
+from lagoonring.serving.relay import StoreRelay
 from lagoonring.serving.repeats import RepeatBudget
 from lagoonring.serving.reporting import UsageReports
 from lagoonring.serving.suspects import Suspects
@@ -90,6 +91,7 @@
         store = StoreClient(self.settings.store_address, sessions.platform)
         table = EndpointTable()
         metrics = ServingMetrics(self.app.find("metrics").registry)
+        exchange = Exchange(self.app, self.settings)
         follower = Follower(
             self.app,
             table,
@@ -98,8 +100,8 @@
             records=KeyedTopic(store, ENDPOINT_TOPIC),
             read_document=documents.decode_document,
             read_record=documents.decode_endpoint,
+            relay=StoreRelay(self.app.clock, exchange),
         )
-        exchange = Exchange(self.app, self.settings)
         true_clock = TrueClock(self.app.clock)
         parts = make_parts(
             self.app,
--- a/lagoonring/serving/exchange.py
+++ b/lagoonring/serving/exchange.py
@@ -27,6 +27,7 @@
     from lagoonring.peers.transport import Transport
     from lagoonring.serving.settings import NodeSettings
 
+FRAME_KIND = b"F"
 SILENT_S = 1.5  # several intervals; a shorter one takes slow machines for cut off
 FORGET_S = 30.0  # longer than cuts between data centres usually last
 
@@ -70,6 +71,7 @@
 
     instance: str
     life: int
+    data_centre: str
     address: str
     time_s: float
     read_well_for_s: float = 0.0
@@ -88,6 +90,7 @@
     """Another instance; times on the monotonic clock."""
 
     address: str
+    data_centre: str = ""
     life: int = 0
     heard_s: float | None = None
     noted_s: float = 0.0
@@ -96,12 +99,12 @@
 class Exchange(BaseService):
     """Sends and receives frames.
 
-    Parameters
+    Attributes
     ----------
-    fill : callable
-        Puts this instance's news into a frame.
-    take : callable
-        Takes in the news of a frame.
+    fillers, takers : list of callable
+        Put this instance's news into a frame, and take in those of others.
+    handlers : dict
+        Take in messages by their first byte.
     """
 
     name = "exchange"
@@ -127,7 +130,9 @@
         self.seeds = {f"{ip}:{settings.peer_port}" for ip in settings.seed_ips}
         self.fillers: list[Callable[[Frame], None]] = []
         self.takers: list[Callable[[Frame, float], None]] = []
-        self.on_joined: list[Callable[[str], None]] = []
+        self.handlers: dict[int, Callable[[bytes], None]] = {
+            FRAME_KIND[0]: self.take_frame
+        }
 
     async def start(self) -> None:
         """Listen and begin to send."""
@@ -176,10 +181,32 @@
         ]
         return sorted([*names, self.settings.instance])
 
+    def mates_heard(self) -> list[str]:
+        """Return the other instances of this data centre that are heard now."""
+        now_s = self.app.clock.monotonic()
+        return [
+            name
+            for name, peer in self.peers.items()
+            if peer.data_centre == self.settings.data_centre
+            and peer.heard_s is not None
+            and now_s - peer.heard_s < SILENT_S
+        ]
+
+    def send_to_mates(self, content: bytes) -> None:
+        """Send a message to the other instances of this data centre."""
+        for name in self.mates_heard():
+            self.transport.post(self.peers[name].address, content)
+
     def receive(self, content: bytes) -> None:
+        """Give a message to what its first byte stands for."""
+        handle = self.handlers.get(content[0]) if content else None
+        if handle is not None:
+            handle(content)
+
+    def take_frame(self, content: bytes) -> None:
         """Take in a frame."""
         try:
-            frame = msgspec.msgpack.decode(content, type=Frame)
+            frame = msgspec.msgpack.decode(content[1:], type=Frame)
         except (msgspec.MsgspecError, UnicodeDecodeError) as error:
             logger.warning(
                 "Dropped a frame that can't be read.", extra={"error": str(error)}
@@ -207,6 +234,7 @@
                 },
             )
         peer.life = frame.life
+        peer.data_centre = frame.data_centre
         peer.heard_s = now_s
         for name, address in frame.peers.items():
             if name not in self.peers:
@@ -220,6 +248,7 @@
         frame = Frame(
             instance=self.settings.instance,
             life=self.life,
+            data_centre=self.settings.data_centre,
             address=self.address,
             time_s=self.app.clock.time(),
             peers={
@@ -234,7 +263,7 @@
 
     def send_round(self) -> None:
         """Send the news to all instances known."""
-        content = msgspec.msgpack.encode(self.make_frame())
+        content = FRAME_KIND + msgspec.msgpack.encode(self.make_frame())
         addresses = {peer.address for peer in self.peers.values()}
         if len(addresses) < len(self.seeds):
             addresses |= self.seeds
--- a/lagoonring/serving/feeds.py
+++ b/lagoonring/serving/feeds.py
@@ -58,6 +58,15 @@
         self.offset = max(self.offset, next_offset)
         return self._accept(records)
 
+    def take_page(
+        self, records: list[KeyedRecord], next_offset: int
+    ) -> list[KeyedRecord]:
+        """Take in records that another instance read; return what changed here."""
+        if self.offset is None or next_offset < self.offset:
+            return []
+        self.offset = next_offset
+        return self._accept(records)
+
     async def _reload(self) -> list[KeyedRecord]:
         """Read all keys; those that are gone come as removed."""
         snapshot = await self.log.read_newest()
--- a/lagoonring/serving/follower.py
+++ b/lagoonring/serving/follower.py
@@ -21,9 +21,11 @@
     from lagoonring.serving.feeds import KeyedLog
     from lagoonring.serving.metrics import ServingMetrics
     from lagoonring.serving.moves import MoveOrder
+    from lagoonring.serving.relay import StoreRelay
 
 DOCUMENT_WAIT_S = 1.0  # a silent connection is found well inside config_s
 ENDPOINT_POLL_S = 0.6  # a third of the time after which leaving endpoints count
+CHECK_S = 0.1  # a small part of the time that another's pages stay fresh
 RETRY_S = 0.25  # an eighth of config_s, so that a short outage goes unnoticed
 RETURN_S = 2.2  # endpoints are back in the store two seconds after an outage
 WELL_S = 6.0  # three heartbeats and a read: entries can't have lapsed meanwhile
@@ -44,6 +46,8 @@
         document that does not concern an instance.
     read_record : callable
         From an id and content to an `EndpointRecord`.
+    relay : StoreRelay
+        Shares what is read with the other instances of the data centre.
     """
 
     name = "follower"
@@ -58,6 +62,7 @@
         records: KeyedLog,
         read_document: Callable[[str, bytes], Configuration | MoveOrder | None],
         read_record: Callable[[str, bytes], EndpointRecord],
+        relay: StoreRelay,
     ) -> None:
         self.app = app
         self.table = table
@@ -66,6 +71,9 @@
         self.records = KeyedFeed(records)
         self.read_document = read_document
         self.read_record = read_record
+        self.relay = relay
+        relay.add("documents", self.documents, self.apply_document)
+        relay.add("records", self.records, self.apply_record)
         self.configuration: Configuration | None = None
         self.orders: dict[str, MoveOrder] = {}
         self.listeners: list[Callable[[], None]] = []
@@ -96,22 +104,25 @@
 
     async def _follow_documents(self) -> None:
         while True:
-            changes = await self._poll("documents", self.documents, DOCUMENT_WAIT_S)
-            if changes is None:
-                await self.app.clock.sleep(RETRY_S)
+            if self.relay.is_fresh("documents"):
+                await self.app.clock.sleep(CHECK_S)
                 continue
-            for record in changes:
+            changes = await self._poll("documents", self.documents, DOCUMENT_WAIT_S)
+            for record in changes or ():
                 self.apply_document(record)
             if not changes:
-                # A read that answers early with nothing must not be asked at once.
-                await self.app.clock.sleep(0.05)
+                # A read may answer early with nothing; it must not be asked at once.
+                await self.app.clock.sleep(RETRY_S if changes is None else CHECK_S)
 
     async def _follow_records(self) -> None:
         while True:
+            self._remove_due()
+            if self.relay.is_fresh("records"):
+                await self.app.clock.sleep(CHECK_S)
+                continue
             changes = await self._poll("records", self.records, 0.0)
             for record in changes or ():
                 self.apply_record(record)
-            self._remove_due()
             await self.app.clock.sleep(
                 ENDPOINT_POLL_S if changes is not None else RETRY_S
             )
@@ -120,6 +131,7 @@
         self, name: str, feed: KeyedFeed, wait_s: float
     ) -> list[KeyedRecord] | None:
         """Return changes, or None if the store can't be read now."""
+        before = feed.offset
         try:
             changes = await feed.poll(wait_s=wait_s)
         except LagoonringError as error:
@@ -133,6 +145,7 @@
         if self.is_lost.get(name):
             self.is_lost[name] = False
             logger.info("Regained the store's {}.", name, extra={"offset": feed.offset})
+        self.relay.publish(name, before, changes)
         return changes
 
     def apply_document(self, record: KeyedRecord) -> None:
--- /dev/null
+++ b/lagoonring/serving/relay.py
@@ -0,0 +1,120 @@
+"""Shares what one instance of a data centre reads of the store with the others.
+
+One instance polls the store and sends what it read, also when that is nothing, to
+the others of its data centre. These read for themselves once they have heard
+nothing for a while, so that no instance depends on another one.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+import msgspec
+
+from lagoonring.kernel import BaseService
+from lagoonring.logs import make_logger
+from lagoonring.platform.store import KeyedRecord
+from lagoonring.serving.feeds import KeyedFeed
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from lagoonring.kernel import Clock
+    from lagoonring.serving.exchange import Exchange
+
+PAGE_KIND = b"S"
+FRESH_S = 1.4  # two thirds of the least time for a configuration to be in force
+HISTORY_S = 3.0  # of records in each page, for those that missed the pages before
+
+logger = make_logger("relay")
+
+
+@attrs.frozen(kw_only=True)
+class StorePage:
+    """Records of a feed from ``from_offset`` up to ``to_offset``."""
+
+    feed: str
+    from_offset: int
+    to_offset: int
+    records: list[KeyedRecord]
+
+
+@attrs.define
+class SharedFeed:
+    """A feed, what it read lately, and until when others' pages suffice."""
+
+    feed: KeyedFeed
+    pages: list[tuple[float, int, list[KeyedRecord]]] = attrs.field(factory=list)
+    fresh_until_s: float = 0.0
+
+
+class StoreRelay(BaseService):
+    """Sends and takes pages of the feeds that an instance follows."""
+
+    name = "relay"
+
+    def __init__(self, clock: Clock, exchange: Exchange) -> None:
+        self.clock = clock
+        self.exchange = exchange
+        self.shared: dict[str, SharedFeed] = {}
+        self.appliers: dict[str, Callable[[KeyedRecord], None]] = {}
+        exchange.handlers[PAGE_KIND[0]] = self.receive
+
+    def add(
+        self, name: str, feed: KeyedFeed, apply: Callable[[KeyedRecord], None]
+    ) -> None:
+        """Share a feed; ``apply(record)`` takes in a record that changed."""
+        self.shared[name] = SharedFeed(feed)
+        self.appliers[name] = apply
+
+    def is_fresh(self, name: str) -> bool:
+        """Whether another instance's pages make reading the store needless."""
+        return self.clock.monotonic() < self.shared[name].fresh_until_s
+
+    def is_reader(self) -> bool:
+        """Whether this instance reads for its data centre."""
+        mates = self.exchange.mates_heard()
+        return not mates or self.exchange.settings.instance < min(mates)
+
+    def offset_of(self, name: str) -> int | None:
+        """Return where a feed stands."""
+        return self.shared[name].feed.offset
+
+    def publish(
+        self, name: str, before: int | None, changes: list[KeyedRecord]
+    ) -> None:
+        """Send what was read from offset ``before`` on, if it is this one's turn."""
+        shared = self.shared[name]
+        now_s = self.clock.monotonic()
+        if before is None or shared.feed.offset is None:
+            shared.pages.clear()
+            return
+        shared.pages.append((now_s, before, changes))
+        while now_s - shared.pages[0][0] > HISTORY_S:
+            shared.pages.pop(0)
+        if not self.is_reader() or not self.exchange.mates_heard():
+            return
+        page = StorePage(
+            feed=name,
+            from_offset=shared.pages[0][1],
+            to_offset=shared.feed.offset,
+            records=[record for _, _, records in shared.pages for record in records],
+        )
+        self.exchange.send_to_mates(PAGE_KIND + msgspec.msgpack.encode(page))
+
+    def receive(self, content: bytes) -> None:
+        """Take in a page, unless records before it are missing here."""
+        try:
+            page = msgspec.msgpack.decode(content[1:], type=StorePage)
+        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            logger.warning("Dropped a page.", extra={"error": str(error)})
+            return
+        shared = self.shared.get(page.feed)
+        if shared is None or shared.feed.offset is None:
+            return
+        if not page.from_offset <= shared.feed.offset <= page.to_offset:
+            return
+        shared.fresh_until_s = self.clock.monotonic() + FRESH_S
+        for record in shared.feed.take_page(page.records, page.to_offset):
+            self.appliers[page.feed](record)
--- a/lagoonring/tests/test_follower.py
+++ b/lagoonring/tests/test_follower.py
@@ -12,6 +12,7 @@
 from lagoonring.serving.follower import RETURN_S, Follower
 from lagoonring.serving.metrics import ServingMetrics
 from lagoonring.serving.moves import MoveOrder
+from lagoonring.serving.relay import StoreRelay
 from lagoonring.tests.builders.serving import make_configuration, make_record
 
 FAULTY = b"faulty"
@@ -31,6 +32,20 @@
         return page, offset + len(page)
 
 
+class QuietExchange:
+    """An exchange with no other instance."""
+
+    def __init__(self):
+        self.handlers = {}
+        self.settings = type("Settings", (), {"instance": "a"})
+
+    def mates_heard(self):
+        return []
+
+    def send_to_mates(self, content):
+        raise AssertionError("got a message, expected no mates")
+
+
 @pytest.fixture
 def documents():
     return {}
@@ -52,6 +67,7 @@
         records=ScriptedTopic(),
         read_document=read,
         read_record=read,
+        relay=StoreRelay(app.clock, QuietExchange()),
     )
     made.records.offset = 0
     return made
--- /dev/null
+++ b/lagoonring/tests/test_relay.py
@@ -0,0 +1,141 @@
+"""Sharing what one instance reads of the store with the others."""
+
+from __future__ import annotations
+
+import pytest
+
+from lagoonring.kernel import ManualClock
+from lagoonring.serving.feeds import KeyedFeed
+from lagoonring.serving.relay import FRESH_S, StoreRelay
+from lagoonring.tests.test_feeds import MemoryTopic
+
+NAMES = ("a", "b", "c")
+
+
+class Wire:
+    """Exchanges of one data centre; messages to those cut off are lost."""
+
+    def __init__(self):
+        self.ends = {}
+        self.cut = set()
+
+    def make_end(self, name):
+        wire = self
+
+        class End:
+            settings = type("Settings", (), {"instance": name})
+
+            def __init__(self):
+                self.handlers = {}
+
+            def mates_heard(self):
+                reached = {name, *wire.ends} - wire.cut
+                return [] if name in wire.cut else sorted(reached - {name})
+
+            def send_to_mates(self, content):
+                for mate in self.mates_heard():
+                    wire.ends[mate].handlers[content[0]](content)
+
+        self.ends[name] = End()
+        return self.ends[name]
+
+
+class Instance:
+    """One instance's feed and what was applied."""
+
+    def __init__(self, name, wire, topic, clock):
+        self.feed = KeyedFeed(topic)
+        self.applied = {}
+        self.n_polls = 0
+        self.relay = StoreRelay(clock, wire.make_end(name))
+        self.relay.add("records", self.feed, self.apply)
+
+    def apply(self, record):
+        self.applied[record.key] = record.value
+
+    async def poll(self):
+        before = self.feed.offset
+        changes = await self.feed.poll()
+        self.n_polls += 1
+        for record in changes:
+            self.apply(record)
+        self.relay.publish("records", before, changes)
+
+    async def step(self):
+        """Do what a follower does: read unless another's pages suffice."""
+        if not self.relay.is_fresh("records"):
+            await self.poll()
+
+
+@pytest.fixture
+def clock():
+    return ManualClock()
+
+
+@pytest.fixture
+def topic():
+    topic = MemoryTopic()
+    topic.write("config", b"1")
+    return topic
+
+
+@pytest.fixture
+def wire():
+    return Wire()
+
+
+@pytest.fixture
+async def instances(wire, topic, clock):
+    made = {name: Instance(name, wire, topic, clock) for name in NAMES}
+    for instance in made.values():
+        await instance.poll()
+    await made["a"].poll()
+    return made
+
+
+async def play(instances, clock, seconds):
+    for _ in range(int(seconds / 0.5)):
+        for instance in instances.values():
+            await instance.step()
+        await clock.advance(0.5)
+
+
+async def test_one_reads_for_all(instances, topic, clock):
+    before = {name: it.n_polls for name, it in instances.items()}
+    for number in range(2, 8):
+        topic.write("config", b"%d" % number)
+        await play(instances, clock, 1.0)
+        await instances["a"].poll()
+    assert all(it.applied == {"config": b"7"} for it in instances.values())
+    assert all(instances[name].n_polls == before[name] for name in "bc")
+
+
+async def test_the_others_read_for_themselves_when_the_reader_falls_silent(
+    instances, topic, wire, clock
+):
+    wire.cut.add("a")
+    topic.write("config", b"2")
+    await play({name: instances[name] for name in "bc"}, clock, FRESH_S + 1.0)
+    assert instances["b"].applied == instances["c"].applied == {"config": b"2"}
+
+
+async def test_an_instance_that_missed_pages_catches_up(instances, topic, wire, clock):
+    wire.cut.add("c")
+    for number in range(2, 6):
+        topic.write("config", b"%d" % number)
+        await instances["a"].poll()
+        await clock.advance(0.5)
+    wire.cut.clear()
+    topic.write("config", b"6")
+    await instances["a"].poll()
+    await play({"c": instances["c"]}, clock, FRESH_S + 1.0)
+    assert instances["c"].applied == {"config": b"6"}
+
+
+async def test_a_page_from_the_past_changes_nothing(instances, topic, wire):
+    topic.write("config", b"2")
+    await instances["c"].poll()
+    topic.stale_end = 1
+    instances["a"].feed.offset = 1
+    await instances["a"].poll()
+    assert instances["c"].applied == {"config": b"2"}
