--- a/lagoonring/cli/instance_command.py
+++ b/lagoonring/cli/instance_command.py
@@ -53,7 +53,7 @@
         print(f"Got no settings file; name it in {PATH_VARIABLE}.", file=sys.stderr)
         sys.exit(int(EntryExit.FAULTY_SETTINGS))
     try:
-        settings = load_boot_file(Path(options.settings))
+        load_boot_file(Path(options.settings))
     except LagoonringError as error:
         print(f"lagoonring-instance: {error}", file=sys.stderr)
         sys.exit(int(EntryExit.FAULTY_SETTINGS))
@@ -62,7 +62,7 @@
         return
     from lagoonring.platform.process import run_logged
 
-    run_logged(settings, metrics_port=options.metrics_port)
+    run_logged(Path(options.settings), metrics_port=options.metrics_port)
 
 
 if __name__ == "__main__":
--- a/lagoonring/platform/application.py
+++ b/lagoonring/platform/application.py
@@ -11,6 +11,7 @@
 from lagoonring.platform import documents
 from lagoonring.platform.callers import Callers
 from lagoonring.platform.duty_client import Authority, DutyClient
+from lagoonring.platform.metrics_page import MetricsPage
 from lagoonring.platform.sending import HttpSender, make_session, make_socket
 from lagoonring.platform.store import (
     ENDPOINT_TOPIC,
@@ -34,6 +35,7 @@
 from lagoonring.serving.placer import Placer
 from lagoonring.serving.quotas import Quotas
 from lagoonring.serving.relay import StoreRelay
+from lagoonring.serving.reload import SettingsReload
 from lagoonring.serving.repeats import RepeatBudget
 from lagoonring.serving.reporting import UsageReports
 from lagoonring.serving.suspects import Suspects
@@ -43,6 +45,7 @@
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Callable
 
     from lagoonring.kernel import Clock
     from lagoonring.leases.lease import Lease
@@ -80,9 +83,15 @@
 
     name = "serving"
 
-    def __init__(self, app: Application, settings: NodeSettings) -> None:
+    def __init__(
+        self,
+        app: Application,
+        settings: NodeSettings,
+        read_settings: Callable[[], NodeSettings],
+    ) -> None:
         self.app = app
         self.settings = settings
+        self.read_settings = read_settings
         self.started: list[BaseService] = []
 
     async def start(self) -> None:
@@ -117,7 +126,8 @@
         moves = next((it for it in duties.parts if isinstance(it, MovesDuty)), None)
         connect_news(parts, true_clock, moves)
         callers = Callers(self.app, self.settings, path)
-        for service in (exchange, follower, duties, path, callers):
+        reload = SettingsReload(self.app, parts, self.settings, self.read_settings)
+        for service in (exchange, follower, duties, path, callers, reload):
             self.app.add(service)
             self.started.append(service)
             await service.start()
@@ -280,12 +290,28 @@
 def make_application(
     settings: NodeSettings,
     *,
+    metrics_port: int | None = None,
+    read_settings: Callable[[], NodeSettings] | None = None,
     clock: Clock | None = None,
     rng: random.Random | None = None,
 ) -> Application:
-    """Return the application of an instance, not yet started."""
+    """Return the application of an instance, not yet started.
+
+    Parameters
+    ----------
+    settings : NodeSettings
+        Checked settings.
+    metrics_port : int or None
+        Where metrics are shown; nowhere if None.
+    read_settings : callable or None
+        Reads the settings again, to take in their changes.
+    clock, rng : Clock, random.Random
+        Sources of time and randomness; the machine's by default.
+    """
     app = Application(settings, clock=clock, rng=rng)
     app.add(MetricsService())
     app.add(Sessions())
-    app.add(Serving(app, settings))
+    if metrics_port is not None:
+        app.add(MetricsPage(app, f"{settings.ip}:{metrics_port}"))
+    app.add(Serving(app, settings, read_settings or (lambda: settings)))
     return app
--- a/lagoonring/platform/process.py
+++ b/lagoonring/platform/process.py
@@ -7,12 +7,17 @@
 import signal
 from typing import TYPE_CHECKING
 
+from prometheus_client import Gauge
+
 from lagoonring.logs import make_logger
 from lagoonring.logs.queued import QueuedLinesHandler
 from lagoonring.platform.application import make_application
+from lagoonring.platform.boot import load_boot_file
 
 if TYPE_CHECKING:
-    from lagoonring.serving.settings import NodeSettings
+    from pathlib import Path
+
+    from lagoonring.kernel import Application
 
 GRACE_RESERVE_S = 0.7  # of the time to SIGKILL, for closing what is open
 COLLECTOR_THRESHOLDS = (5_000, 20, 50)
@@ -20,15 +25,28 @@
 logger = make_logger("instance")
 
 
-async def run_instance(settings: NodeSettings, *, metrics_port: int) -> None:
+async def run_instance(
+    path: Path, *, metrics_port: int, handler: QueuedLinesHandler
+) -> None:
     """Serve until SIGTERM, then finish what is open and stop."""
-    app = make_application(settings)
+    settings = load_boot_file(path)
+    app = make_application(
+        settings,
+        metrics_port=metrics_port,
+        read_settings=lambda: load_boot_file(path),
+    )
+    dropped = Gauge(
+        "lagoonring_log_lines_dropped",
+        "Log lines dropped because standard output did not keep up.",
+        registry=app.find("metrics").registry,
+    )
+    dropped.set_function(lambda: handler.n_dropped)
     loop = asyncio.get_running_loop()
     grace_s = settings.bounds.grace_s - GRACE_RESERVE_S
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, app.leave, grace_s)
-    loop.add_signal_handler(signal.SIGHUP, lambda: logger.info("Got SIGHUP."))
     await app.start()
+    loop.add_signal_handler(signal.SIGHUP, _reload, app)
     gc.collect()
     gc.freeze()
     gc.set_threshold(*COLLECTOR_THRESHOLDS)
@@ -43,11 +61,16 @@
     logger.info("Stopped.")
 
 
-def run_logged(settings: NodeSettings, *, metrics_port: int) -> None:
+def _reload(app: Application) -> None:
+    logger.info("Got SIGHUP.")
+    app.find("settings").reload()
+
+
+def run_logged(path: Path, *, metrics_port: int) -> None:
     """Run an instance with structured logs on standard output."""
     handler = QueuedLinesHandler()
     with handler.applicationbound():
         try:
-            asyncio.run(run_instance(settings, metrics_port=metrics_port))
+            asyncio.run(run_instance(path, metrics_port=metrics_port, handler=handler))
         finally:
             handler.close()
--- a/lagoonring/serving/exchange.py
+++ b/lagoonring/serving/exchange.py
@@ -127,7 +127,8 @@
         self.address = address
         self.life = app.rng.getrandbits(53)
         self.peers: dict[str, Peer] = {}
-        self.seeds = {f"{ip}:{settings.peer_port}" for ip in settings.seed_ips}
+        self.seeds: set[str] = set()
+        self.set_seeds(settings.seed_ips)
         self.fillers: list[Callable[[Frame], None]] = []
         self.takers: list[Callable[[Frame, float], None]] = []
         self.handlers: dict[int, Callable[[bytes], None]] = {
@@ -143,6 +144,10 @@
         """Close the links."""
         await self.transport.stop()
 
+    def set_seeds(self, seed_ips: tuple[str, ...]) -> None:
+        """Set where to look for instances while few are known."""
+        self.seeds = {f"{ip}:{self.settings.peer_port}" for ip in seed_ips}
+
     def note_address(self, instance: str, address: str) -> None:
         """Learn where an instance listens."""
         if instance == self.settings.instance:
--- a/lagoonring/serving/metrics.py
+++ b/lagoonring/serving/metrics.py
@@ -69,8 +69,3 @@
             ["duty", "result"],
             registry=registry,
         )
-        self.log_lines_dropped = Counter(
-            "lagoonring_log_lines_dropped_total",
-            "Log lines dropped because standard output did not keep up.",
-            registry=registry,
-        )
--- a/lagoonring/serving/parts.py
+++ b/lagoonring/serving/parts.py
@@ -24,6 +24,7 @@
 if TYPE_CHECKING:
     from lagoonring.serving.endpoints import Endpoint
     from lagoonring.serving.requests import Job
+    from lagoonring.serving.settings import Bounds
 
 ORGANISATION_RANKS = 3  # ranks of routes within one rank of organisations
 URGENCY_LAST = 9
@@ -48,6 +49,14 @@
     demand: Demand
     metrics: ServingMetrics
 
+    def apply_bounds(self, bounds: Bounds) -> None:
+        """Put bounds in force that can change while the process runs."""
+        self.quotas.set_tolerance(
+            overshoot=bounds.quota_overshoot, slack=bounds.quota_slack
+        )
+        self.repeats.ratio = bounds.retry_ratio
+        self.repeats.slack = bounds.retry_slack
+
     def urgency_of(self, job: Job) -> int:
         """Return the urgency at an endpoint, 0 first; organisations go first."""
         urgency = job.route.rank
--- a/lagoonring/serving/quotas.py
+++ b/lagoonring/serving/quotas.py
@@ -96,11 +96,15 @@
         started_s: float = 0.0,
     ) -> None:
         self.window_s = window_s
-        self.overshoot = overshoot * TOLERANCE_SHARE
-        self.slack = slack * TOLERANCE_SHARE
+        self.set_tolerance(overshoot=overshoot, slack=slack)
         self.uses: dict[str, Use] = {}
         self.started_s = started_s
 
+    def set_tolerance(self, *, overshoot: float, slack: float) -> None:
+        """Set by how much a limit may be exceeded."""
+        self.overshoot = overshoot * TOLERANCE_SHARE
+        self.slack = slack * TOLERANCE_SHARE
+
     def allowed(self, organisation: Organisation) -> float:
         """Return what an organisation may use in a window."""
         amount = organisation.rate_per_s * self.window_s + organisation.burst
--- /dev/null
+++ b/lagoonring/serving/reload.py
@@ -0,0 +1,85 @@
+"""Takes in changes of the settings file while the process runs."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from lagoonring.errors import LagoonringError
+from lagoonring.kernel import BaseService
+from lagoonring.logs import make_logger
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from lagoonring.kernel import Application
+    from lagoonring.serving.parts import ServingParts
+    from lagoonring.serving.settings import NodeSettings
+
+CHECK_S = 2.0  # files may change without a signal; nothing in them is urgent
+FIXED = ("instance", "ip", "data_centre", "caller_address", "ready_address")
+
+logger = make_logger("settings")
+
+
+class SettingsReload(BaseService):
+    """Reads the settings again on a signal, and now and then without one.
+
+    Parameters
+    ----------
+    read : callable
+        Returns the settings; raises a ``LagoonringError`` if they can't be used.
+    """
+
+    name = "settings"
+
+    def __init__(
+        self,
+        app: Application,
+        parts: ServingParts,
+        settings: NodeSettings,
+        read: Callable[[], NodeSettings],
+    ) -> None:
+        self.app = app
+        self.parts = parts
+        self.settings = settings
+        self.read = read
+        self.last_error = ""
+
+    async def start(self) -> None:
+        """Begin to look for changes."""
+        self.app.spawn("settings", self._run)
+
+    def reload(self) -> None:
+        """Take in what changed; a faulty file leaves what is in force."""
+        try:
+            settings = self.read()
+        except LagoonringError as error:
+            if str(error) != self.last_error:
+                logger.error("Settings refused.", extra={"error": str(error)})
+            self.last_error = str(error)
+            return
+        self.last_error = ""
+        changed = [
+            field.name
+            for field in attrs.fields(type(settings))
+            if getattr(settings, field.name) != getattr(self.settings, field.name)
+        ]
+        if not changed:
+            return
+        logger.info(
+            "Settings changed.",
+            extra={
+                "changed": changed,
+                "after_restart": [name for name in changed if name in FIXED],
+            },
+        )
+        self.settings = settings
+        self.parts.apply_bounds(settings.bounds)
+        self.parts.exchange.set_seeds(settings.seed_ips)
+
+    async def _run(self) -> None:
+        while True:
+            await self.app.clock.sleep(CHECK_S)
+            self.reload()
--- /dev/null
+++ b/lagoonring/tests/test_boot.py
@@ -0,0 +1,205 @@
+"""The platform's settings file, documents and records, good and faulty."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from lagoonring.cli.instance_command import main
+from lagoonring.platform.boot import BootFileError, decode_boot_file, load_boot_file
+from lagoonring.platform.documents import (
+    FaultyDocumentError,
+    decode_configuration,
+    decode_document,
+    decode_endpoint,
+    decode_move_status,
+    encode_move_status,
+)
+from lagoonring.serving.configuration import RequestKind
+from lagoonring.serving.endpoints import EndpointState
+from lagoonring.serving.moves import MoveState
+from lagoonring.tests.builders.serving import encode_boot
+
+CONFIG = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "short",
+            "host": "Desk.Example",
+            "pathPrefix": "/a/",
+            "kind": "safe",
+            "timeoutMs": 2000,
+            "sloMs": 300,
+            "service": "desk",
+            "maxAttempts": 2,
+            "new": "field",
+        },
+        {
+            "name": "long",
+            "host": "desk.example",
+            "pathPrefix": "/a/b/",
+            "kind": "streaming",
+            "timeoutMs": 15000,
+            "sloMs": 1000,
+            "priority": 1,
+            "canResume": True,
+            "gapTargetMs": 400,
+            "trafficSplit": [
+                {"service": "one", "weight": 90},
+                {"service": "two", "weight": 10},
+            ],
+        },
+    ],
+    "services": [
+        {
+            "name": "one",
+            "maxConns": 9,
+            "engine": {"slots": 64, "kvTokens": 1000, "moves": True},
+            "scaling": {
+                "min": 1,
+                "max": 3,
+                "bootS": 4.0,
+                "spotPrice": 0.18,
+                "zonePrices": {"east": 0.85},
+            },
+        }
+    ],
+    "tenants": [
+        {
+            "name": "org",
+            "apiKeys": ["k1", "k2"],
+            "unit": "tokens",
+            "ratePerS": 9,
+            "burst": 8,
+            "plainTokens": 200,
+            "priority": 1,
+        }
+    ],
+}
+BEAT = {
+    "service": "desk",
+    "address": "10.0.0.9:80",
+    "zone": "east",
+    "version": "v1",
+    "slots": 6,
+    "state": "ready",
+    "seq": 4,
+    "born": 1700000000000,
+}
+
+
+def test_decodes_settings():
+    settings = decode_boot_file(encode_boot(seeds=["10.0.0.1:8367"], unknown=1))
+    assert settings.data_centres == ("east", "west")
+    assert settings.bounds.drain_s == 1.5
+    assert settings.seed_ips == ("10.0.0.1",)
+    assert settings.duties == ("usage", "scaling")
+
+
+@pytest.mark.parametrize(
+    ("changes", "shown"),
+    [
+        ({"node": 7}, "node"),
+        ({"listen": {"control": "1.2.3.4:5"}}, "front and ready"),
+        ({"platform": {}}, "address"),
+        ({"internalPorts": "all"}, "internalPorts"),
+        ({"bounds": {"drainMs": "soon"}}, "drainMs"),
+    ],
+)
+def test_names_a_fault_of_the_settings(changes, shown):
+    with pytest.raises(BootFileError) as error:
+        decode_boot_file(encode_boot(**changes))
+    assert shown in str(error.value)
+    assert error.value.remedy
+
+
+def test_names_a_missing_file(tmp_path):
+    with pytest.raises(BootFileError, match="No such file"):
+        load_boot_file(tmp_path / "none.json")
+
+
+@pytest.mark.parametrize(("content", "code"), [(encode_boot(), 0), (b"{", 2)])
+def test_check_tells_by_its_exit_code(tmp_path, content, code):
+    path = tmp_path / "node.json"
+    path.write_bytes(content)
+    if code == 0:
+        main(["--settings", str(path), "--check"])
+        return
+    with pytest.raises(SystemExit) as error:
+        main(["--settings", str(path), "--check"])
+    assert error.value.code == code
+
+
+def test_decodes_a_configuration():
+    configuration = decode_configuration(json.dumps(CONFIG).encode())
+    assert configuration.match("desk.example", "/a/b/1").name == "long"
+    assert configuration.match("DESK.example", "/a/c").name == "short"
+    assert configuration.match("desk.example", "/b/") is None
+    long = configuration.match("desk.example", "/a/b/1")
+    assert (long.kind, long.may_resume, long.patience_s) == (
+        RequestKind.STREAM,
+        True,
+        4.0,
+    )
+    assert configuration.by_key["k2"].name == "org"
+    assert configuration.services["one"].scaling.prices == {"east": 0.85}
+
+
+def test_a_split_follows_its_weights_and_is_steady():
+    long = decode_configuration(json.dumps(CONFIG).encode()).match(
+        "desk.example", "/a/b/1"
+    )
+    ids = [f"{number:016x}" for number in range(4000)]
+    chosen = [long.choose_service(name) for name in ids]
+    assert chosen == [long.choose_service(name) for name in ids]
+    assert 0.87 < chosen.count("one") / len(ids) < 0.93
+
+
+@pytest.mark.parametrize(
+    "content", [b"", b"{", b"[]", b'{"version": "new"}', b"\xff\xfe", b'{"routes": []}']
+)
+def test_a_faulty_configuration_is_named(content):
+    with pytest.raises(FaultyDocumentError):
+        decode_document("config", content)
+
+
+def test_decodes_an_order_and_leaves_other_documents():
+    order = decode_document(
+        "rollout/desk", b'{"service": "desk", "target": "v2", "durationS": 12}'
+    )
+    assert (order.service, order.target, order.duration_s) == ("desk", "v2", 12.0)
+    assert decode_document("note", b"anything") is None
+
+
+def test_decodes_a_record():
+    record = decode_endpoint("i-1", json.dumps(BEAT).encode())
+    assert (record.endpoint, record.state) == ("i-1", EndpointState.READY)
+    leaving = BEAT | {"state": "draining", "leaves_ms": 2800, "useSpot": True}
+    record = decode_endpoint("i-1", json.dumps(leaving).encode())
+    assert record.leaves_in_s == 2.8
+    assert record.is_reclaimable
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "resting"},
+        {"address": 7},
+        {"address": "10.0.0.9"},
+        {"slots": "six"},
+        {"born": 1.5},
+        {"born": "1700000000000"},
+        {"service": None},
+        {"seq": None},
+    ],
+)
+def test_a_record_of_another_form_names_no_endpoint(change):
+    with pytest.raises(FaultyDocumentError):
+        decode_endpoint("i-1", json.dumps(BEAT | change).encode())
+
+
+def test_a_status_can_be_read_back():
+    content = encode_move_status("v2", MoveState.ROLLED_BACK)
+    assert json.loads(content) == {"state": "rolled_back", "target": "v2"}
+    assert decode_move_status(content) == ("v2", MoveState.ROLLED_BACK)
--- /dev/null
+++ b/lagoonring/tests/test_queued_logs.py
@@ -0,0 +1,67 @@
+"""Log lines that never make their writer wait."""
+
+from __future__ import annotations
+
+import json
+import os
+import threading
+
+import pytest
+
+from lagoonring.logs import make_logger
+from lagoonring.logs.queued import N_LINES_MOST, QueuedLinesHandler
+
+logger = make_logger("part")
+
+
+@pytest.fixture
+def pipe():
+    reader, writer = os.pipe()
+    yield reader, writer
+    for descriptor in (reader, writer):
+        os.close(descriptor)
+
+
+def read_lines(reader, n_lines):
+    content = b""
+    while content.count(b"\n") < n_lines:
+        content += os.read(reader, 65536)
+    return [json.loads(line) for line in content.splitlines()]
+
+
+def test_writes_a_json_line_with_its_inputs(pipe):
+    reader, writer = pipe
+    handler = QueuedLinesHandler(descriptor=writer)
+    with handler.applicationbound():
+        logger.info("Decided {}.", "it", extra={"request_id": "r-1", "age_s": 0.25})
+    handler.close()
+    (line,) = read_lines(reader, 1)
+    assert line["message"] == "part: Decided it."
+    assert (line["request_id"], line["age_s"]) == ("r-1", 0.25)
+
+
+def test_a_reader_that_stops_costs_lines_and_not_time(pipe):
+    reader, writer = pipe
+    handler = QueuedLinesHandler(descriptor=writer)
+    n_lines = 4 * N_LINES_MOST
+    done = threading.Event()
+
+    def write():
+        with handler.applicationbound():
+            for number in range(n_lines):
+                logger.info("Line {}.", number, extra={"text": "x" * 100})
+        done.set()
+
+    threading.Thread(target=write, daemon=True).start()
+    assert done.wait(30)
+    assert 0 < handler.n_dropped < n_lines
+    os.set_blocking(reader, False)
+    content = b""
+    while b"Dropped lines." not in content:
+        try:
+            content += os.read(reader, 1 << 20)
+        except BlockingIOError:
+            threading.Event().wait(0.01)
+        with handler.applicationbound():
+            logger.info("More.")
+    handler.close()
