Order again what was reclaimed, and all of it after a change of holder

Change: a new holding begins with no orders; an accepted order is sent again when fewer serve than ordered a boot time later. Tests: test_fleet_duty.

--- a/lagoonring/serving/fleet.py
+++ b/lagoonring/serving/fleet.py
@@ -71,16 +71,21 @@
         self.order = order
         self.ordered: dict[tuple[str, str, bool], Ordered] = {}
         self.less_since_s: dict[tuple[str, str, bool], float] = {}
+        self.fencing_number = -1
 
     async def step(self, lease: Lease) -> None:
         """Order what the plan wants and has not been ordered."""
         configuration = self.follower.configuration
         if configuration is None:
             return
+        if lease.fencing_number != self.fencing_number:
+            # Another holder may have ordered something else meanwhile.
+            self.fencing_number = lease.fencing_number
+            self.ordered.clear()
         for service, order in self._wanted(configuration):
             if lease.remaining_s() < CALL_LEAST_S:
                 return
-            if self._is_due(service, order):
+            if self._is_due(configuration.services[service], order):
                 await self._send(lease, service, order)
 
     def _wanted(self, configuration: Configuration) -> Iterator[tuple[str, Order]]:
@@ -113,14 +118,19 @@
                 n_reclaimable=counts.get((data_centre, True), 0),
             )
 
-    def _is_due(self, service: str, order: Order) -> bool:
-        key = (service, order.data_centre, order.is_reclaimable)
+    def _is_due(self, entry: ServiceEntry, order: Order) -> bool:
+        assert entry.scaling is not None
+        key = (entry.name, order.data_centre, order.is_reclaimable)
         now_s = self.clock.monotonic()
         last = self.ordered.get(key)
         if last is not None and last.n_endpoints == order.n_endpoints:
             self.less_since_s.pop(key, None)
-            return not last.is_accepted and now_s - last.at_s >= REPEAT_S
-        n_before = last.n_endpoints if last else self._count(service, order)
+            if not last.is_accepted:
+                return now_s - last.at_s >= REPEAT_S
+            # What was started may have been reclaimed since.
+            is_short = self._count(entry.name, order) < order.n_endpoints
+            return is_short and now_s - last.at_s >= entry.scaling.boot_s + REPEAT_S
+        n_before = last.n_endpoints if last else self._count(entry.name, order)
         if order.n_endpoints >= n_before:
             self.less_since_s.pop(key, None)
             return True
@@ -129,7 +139,8 @@
 
     def _count(self, service: str, order: Order) -> int:
         return sum(
-            endpoint.record.data_centre == order.data_centre
+            endpoint.record.state is EndpointState.READY
+            and endpoint.record.data_centre == order.data_centre
             and endpoint.record.is_reclaimable == order.is_reclaimable
             for endpoint in self.table.of_service(service)
         )
--- /dev/null
+++ b/lagoonring/tests/test_fleet_duty.py
@@ -0,0 +1,135 @@
+"""Orders of endpoints while they are reclaimed, refused and handed over."""
+
+from __future__ import annotations
+
+import pytest
+from prometheus_client import CollectorRegistry
+
+from lagoonring.kernel import ManualClock
+from lagoonring.platform.exchange import PlatformRejectedError
+from lagoonring.serving.demand import Demand
+from lagoonring.serving.fleet import REPEAT_S, FleetDuty
+from lagoonring.serving.metrics import ServingMetrics
+from lagoonring.tests.builders.serving import (
+    FakeFollower,
+    make_configuration,
+    make_engine_service,
+    make_record,
+    make_table,
+)
+
+DATA_CENTRES = ("east", "north", "west")
+
+
+class Cloud:
+    """Starts what is ordered; reclaims; refuses while told to."""
+
+    def __init__(self, table):
+        self.table = table
+        self.orders = []
+        self.is_dry = False
+        self.n_started = 0
+
+    async def order(self, lease, service, order):
+        self.orders.append((order.data_centre, order.is_reclaimable, order.n_endpoints))
+        if self.is_dry and order.is_reclaimable:
+            raise PlatformRejectedError("none", status=409)
+        have = self.have(order.data_centre, order.is_reclaimable)
+        for endpoint in have[order.n_endpoints :]:
+            self.table.remove(endpoint.name)
+        for _ in range(order.n_endpoints - len(have)):
+            self.n_started += 1
+            record = make_record(
+                f"e{self.n_started}",
+                service=service,
+                data_centre=order.data_centre,
+                is_reclaimable=order.is_reclaimable,
+            )
+            self.table.apply(record, 0.0, n_cache_tokens=1000)
+
+    def have(self, data_centre, is_reclaimable):
+        return [
+            endpoint
+            for endpoint in self.table.endpoints.values()
+            if endpoint.record.data_centre == data_centre
+            and endpoint.record.is_reclaimable == is_reclaimable
+        ]
+
+    def reclaim(self, data_centre):
+        for endpoint in self.have(data_centre, True):
+            self.table.remove(endpoint.name)
+
+
+class HeldLease:
+    def __init__(self, fencing_number=1):
+        self.fencing_number = fencing_number
+
+    def remaining_s(self):
+        return 2.0
+
+
+@pytest.fixture
+def clock():
+    return ManualClock()
+
+
+@pytest.fixture
+def cloud():
+    return Cloud(make_table())
+
+
+@pytest.fixture
+def duty(cloud, clock):
+    service = make_engine_service()
+    configuration = make_configuration(services={service.name: service})
+    return FleetDuty(
+        FakeFollower(configuration),
+        cloud.table,
+        Demand(clock),
+        clock,
+        ServingMetrics(CollectorRegistry()),
+        data_centres=DATA_CENTRES,
+        order=cloud.order,
+    )
+
+
+async def play(duty, clock, seconds, lease=None):
+    for _ in range(int(seconds * 2)):
+        await duty.step(lease or HeldLease())
+        await clock.advance(0.5)
+
+
+async def test_orders_each_number_once_while_nothing_changes(duty, cloud, clock):
+    await play(duty, clock, 60)
+    assert len(cloud.orders) <= 2 * len(DATA_CENTRES) + 3
+    assert all(cloud.have(name, True) for name in DATA_CENTRES)
+
+
+async def test_orders_again_what_was_reclaimed(duty, cloud, clock):
+    await play(duty, clock, 20)
+    cloud.reclaim("west")
+    await play(duty, clock, 10)
+    assert cloud.have("west", True)
+
+
+async def test_asks_again_while_none_are_to_be_had_and_not_too_often(
+    duty, cloud, clock
+):
+    await play(duty, clock, 20)
+    cloud.reclaim("west")
+    cloud.is_dry = True
+    before = len(cloud.orders)
+    await play(duty, clock, 13)
+    refused = [o for o in cloud.orders[before:] if o[:2] == ("west", True)]
+    assert 1 <= len(refused) <= 13 / REPEAT_S + 1
+    cloud.is_dry = False
+    await play(duty, clock, 2 * REPEAT_S)
+    assert cloud.have("west", True)
+
+
+async def test_a_holder_that_returns_orders_what_was_lost_meanwhile(duty, cloud, clock):
+    await play(duty, clock, 20)
+    for name in DATA_CENTRES:
+        cloud.reclaim(name)
+    await play(duty, clock, 1, HeldLease(fencing_number=2))
+    assert all(cloud.have(name, True) for name in DATA_CENTRES)
