--- a/lagoonring/platform/headers.py
+++ b/lagoonring/platform/headers.py
@@ -21,7 +21,6 @@
 URGENCY = "Lagoonring-Request-Urgency"
 TOKEN_COUNT = "Lagoonring-Token-Count"
 PROMPT_PARTS = "Lagoonring-Prompt-Prefix"
-FETCH_FROM = "Kv-Fetch"
 LAST_EVENT = "Last-Event-Id"
 # A signature of the endpoint over its answer.
 SIGNATURE = "Lagoonring-Response-Stamp"
--- a/lagoonring/platform/sending.py
+++ b/lagoonring/platform/sending.py
@@ -171,8 +171,6 @@
         made[names.ORGANISATION] = order.organisation
     if request.counts_tokens:
         made[names.URGENCY] = str(order.urgency)
-    if order.fetch_from is not None:
-        made[names.FETCH_FROM] = order.fetch_from
     if order.resume_after is not None:
         made[names.LAST_EVENT] = str(order.resume_after)
     return made
--- a/lagoonring/serving/path.py
+++ b/lagoonring/serving/path.py
@@ -179,9 +179,7 @@
 
     async def _exchange(self, job: Job, endpoint: Endpoint, sink: Sink) -> None:
         """Send a job once and relay the answer; raise an ``EndpointError`` else."""
-        source = self.parts.placer.source_for(job, endpoint)
         order = SendOrder(
-            fetch_from=source.record.address if source else None,
             endpoint=endpoint.record,
             left_s=job.deadline_s - self.clock.monotonic(),
             urgency=self.parts.urgency_of(job),
--- a/lagoonring/serving/placer.py
+++ b/lagoonring/serving/placer.py
@@ -26,7 +26,7 @@
     from lagoonring.kernel import Clock
     from lagoonring.serving.demand import Demand
     from lagoonring.serving.endpoints import EndpointTable
-    from lagoonring.serving.requests import Job, LoadReport
+    from lagoonring.serving.requests import Job, LoadReport, PromptParts
 
     Allowed = Callable[[str, Collection[str], str], set[str]]
 
@@ -35,7 +35,6 @@
 GENERATION_S = 1.0  # a usual stream from its first event to the last
 LEARNED_FOR_S = 4.0  # an endpoint that was slow is tried again after some seconds
 TOKENS_LEAST = 1000  # shorter readings say more of the engine's step than of tokens
-FETCHED_LEAST_TOKENS = 512  # fewer are read in less time than a copy takes
 FULL_S = 0.15  # an endpoint that refused has places again after a few answers
 
 
@@ -97,16 +96,6 @@
         (candidate,) = self._candidates(job, [endpoint])
         return estimate_first_answer_s(candidate, _work_of(job))
 
-    def source_for(self, job: Job, endpoint: Endpoint) -> Endpoint | None:
-        """Return the endpoint to copy shared prompt parts from, if it is worth it."""
-        holder = self._holder(job)
-        if holder is None or holder is endpoint:
-            return None
-        parts = shared_parts(job.request.prompt_parts)
-        n_shared = sum(n_tokens for _, n_tokens in parts)
-        n_missing = n_shared - endpoint.cache.count_cached(parts)
-        return holder if n_missing >= FETCHED_LEAST_TOKENS else None
-
     def begin(self, job: Job, endpoint: Endpoint) -> WorkInProgress:
         """Add a job to an endpoint's load."""
         now_s = self.clock.monotonic()
@@ -165,26 +154,8 @@
         n_missing = max(0, job.request.n_prompt_tokens - n_cached)
         self.demand.note_arrival(job.service, n_missing * token_s)
 
-    def _holder(self, job: Job) -> Endpoint | None:
-        """Return the endpoint that has probably read a job's shared parts."""
-        parts = shared_parts(job.request.prompt_parts)
-        if not parts or len(job.request.prompt_parts) < 2:
-            return None
-        now_s = self.clock.monotonic()
-        sound = [e for e in self._ready(job) if now_s >= e.down_until_s]
-        preferred = prefer_by_part(parts[-1][0], [e.name for e in sound])
-        n_shared = sum(n_tokens for _, n_tokens in parts)
-        for endpoint in sound:
-            if endpoint.name == preferred:
-                return endpoint
-        return next((e for e in sound if e.cache.count_cached(parts) >= n_shared), None)
-
     def _usable(self, job: Job) -> list[Endpoint]:
         """Return the endpoints that may get a job and have not had it yet."""
-        return [e for e in self._ready(job) if e.name not in job.tried]
-
-    def _ready(self, job: Job) -> list[Endpoint]:
-        """Return the endpoints of a job's service and version that take work."""
         ready = [
             endpoint
             for endpoint in self.table.of_service(job.service)
@@ -192,13 +163,17 @@
         ]
         versions = {endpoint.record.version for endpoint in ready}
         allowed = self.allowed(job.service, versions, job.request.request_id)
-        return [endpoint for endpoint in ready if endpoint.record.version in allowed]
+        return [
+            endpoint
+            for endpoint in ready
+            if endpoint.record.version in allowed and endpoint.name not in job.tried
+        ]
 
     def _candidates(self, job: Job, endpoints: list[Endpoint]) -> list[Candidate]:
         now_s = self.clock.monotonic()
         parts = job.request.prompt_parts
+        preferred = _preferred(parts, endpoints)
         n_shared = sum(n_tokens for _, n_tokens in shared_parts(parts))
-        holder = self._holder(job)
         token_s = _typical(
             [e.seconds_per_token for e in endpoints if e.seconds_per_token], TOKEN_S
         )
@@ -207,11 +182,8 @@
         made = []
         for endpoint in endpoints:
             n_cached = endpoint.cache.count_cached(parts)
-            n_fetched = 0
-            if holder is endpoint:
+            if endpoint.name == preferred:
                 n_cached = max(n_cached, n_shared)
-            elif holder is not None:
-                n_fetched = max(n_shared - n_cached, 0)
             age_s = now_s - endpoint.learned_s
             made.append(
                 Candidate(
@@ -220,7 +192,6 @@
                     n_running=endpoint.count_running(now_s),
                     n_waiting_tokens=endpoint.count_waiting_tokens(now_s),
                     n_cached_tokens=n_cached,
-                    n_fetched_tokens=n_fetched,
                     seconds_per_token=_fade(endpoint.seconds_per_token, token_s, age_s),
                     service_s=_fade(endpoint.service_s, service_s, age_s),
                     failure_share=endpoint.failure_share
@@ -241,6 +212,14 @@
     )
 
 
+def _preferred(parts: PromptParts, endpoints: list[Endpoint]) -> str | None:
+    """Return the endpoint that the last shared part belongs to."""
+    if not parts:
+        return None
+    part = shared_parts(parts)[-1][0]
+    return prefer_by_part(part, [endpoint.name for endpoint in endpoints])
+
+
 def _typical(samples: list[float], default: float) -> float:
     """Return the median, which one slow endpoint does not move."""
     if not samples:
--- a/lagoonring/serving/placing.py
+++ b/lagoonring/serving/placing.py
@@ -19,7 +19,6 @@
 
 FIRST_TOKEN_S = 0.06  # time of an idle engine before any prompt is read
 REREAD_WEIGHT = 2.0  # reading a part again also delays whatever runs beside it
-FETCH_SHARE = 0.3  # of the time to read: a copy loads two links and is paid for
 OTHER_DATA_CENTRE_S = 0.004  # two ways between data centres, rounded up
 SPREAD_S = 0.002  # keeps equal endpoints evenly loaded
 NOISE = 0.05  # instances decide on the same news; without it they choose alike
@@ -42,8 +41,7 @@
 
     Times in seconds. ``n_cached_tokens`` are those of this request's prompt that
     the endpoint has read before. ``n_waiting_tokens`` are prompt tokens that are
-    to be read before this request's, ``n_fetched_tokens`` those that it can copy
-    from another endpoint instead of reading them.
+    to be read before this request's.
     """
 
     name: str
@@ -51,7 +49,6 @@
     n_running: int
     n_waiting_tokens: int
     n_cached_tokens: int
-    n_fetched_tokens: int
     seconds_per_token: float
     service_s: float
     failure_share: float
@@ -94,7 +91,6 @@
         cost_s = estimate_s * (1 + NOISE * rng.random())
         cost_s += failure_s * candidate.failure_share
         cost_s += REREAD_WEIGHT * _reading_s(candidate, work)
-        cost_s += FETCH_SHARE * candidate.n_fetched_tokens * candidate.seconds_per_token
         cost_s += SPREAD_S * candidate.n_running
         cost_s += 0.0 if candidate.is_local else OTHER_DATA_CENTRE_S
         if best is None or cost_s < best_cost_s:
@@ -105,8 +101,7 @@
 
 def _reading_s(candidate: Candidate, work: Work) -> float:
     """Return the time that an endpoint takes to read what it has not cached."""
-    n_known = candidate.n_cached_tokens + candidate.n_fetched_tokens
-    n_missing = max(0, work.n_prompt_tokens - n_known)
+    n_missing = max(0, work.n_prompt_tokens - candidate.n_cached_tokens)
     return n_missing * candidate.seconds_per_token
 
 
--- a/lagoonring/serving/requests.py
+++ b/lagoonring/serving/requests.py
@@ -87,18 +87,13 @@
 
 @attrs.frozen(kw_only=True)
 class SendOrder:
-    """What the system adds to a request for one endpoint.
-
-    Urgency 0 is first. ``fetch_from`` is the address of an endpoint from which
-    to copy what it keeps of the prompt.
-    """
+    """What the system adds to a request for one endpoint; urgency 0 is first."""
 
     endpoint: EndpointRecord
     left_s: float
     urgency: int
     organisation: str | None
     resume_after: int | None
-    fetch_from: str | None = None
 
 
 @attrs.frozen
--- a/lagoonring/tests/test_serving_decisions.py
+++ b/lagoonring/tests/test_serving_decisions.py
@@ -28,7 +28,6 @@
         "n_running": 0,
         "n_waiting_tokens": 0,
         "n_cached_tokens": 0,
-        "n_fetched_tokens": 0,
         "seconds_per_token": TOKEN_S,
         "service_s": 0.1,
         "failure_share": 0.0,
