--- a/lagoonring/platform/application.py
+++ b/lagoonring/platform/application.py
@@ -11,6 +11,7 @@
 from lagoonring.platform import documents
 from lagoonring.platform.callers import Callers
 from lagoonring.platform.duty_client import Authority, DutyClient
+from lagoonring.platform.engine_calls import EngineCalls
 from lagoonring.platform.metrics_page import MetricsPage
 from lagoonring.platform.sending import HttpSender, make_session, make_socket
 from lagoonring.platform.store import (
@@ -24,6 +25,7 @@
 from lagoonring.serving.demand import Demand
 from lagoonring.serving.duties import Duties
 from lagoonring.serving.endpoints import EndpointTable
+from lagoonring.serving.evacuation import Evacuation
 from lagoonring.serving.exchange import Exchange
 from lagoonring.serving.fleet import FleetDuty
 from lagoonring.serving.follower import Follower
@@ -126,8 +128,10 @@
         moves = next((it for it in duties.parts if isinstance(it, MovesDuty)), None)
         connect_news(parts, true_clock, moves)
         callers = Callers(self.app, self.settings, path)
+        evacuation = Evacuation(parts, EngineCalls(sessions.endpoints))
+        follower.endpoint_listeners.append(evacuation.endpoint_changed)
         reload = SettingsReload(self.app, parts, self.settings, self.read_settings)
-        for service in (exchange, follower, duties, path, callers, reload):
+        for service in (exchange, follower, duties, evacuation, path, callers, reload):
             self.app.add(service)
             self.started.append(service)
             await service.start()
--- a/lagoonring/platform/documents.py
+++ b/lagoonring/platform/documents.py
@@ -122,8 +122,6 @@
     born: int = 0
     coldLeftMs: float = 0
     useSpot: bool = False
-    # Time until the platform takes the machine away.
-    leaves_ms: float | None = None
 
 
 class _Status(msgspec.Struct):
@@ -201,7 +199,6 @@
         born_ms=raw.born,
         sequence=raw.seq,
         is_reclaimable=raw.useSpot,
-        leaves_in_s=None if raw.leaves_ms is None else raw.leaves_ms / 1000,
     )
 
 
--- a/lagoonring/platform/headers.py
+++ b/lagoonring/platform/headers.py
@@ -21,6 +21,8 @@
 URGENCY = "Lagoonring-Request-Urgency"
 TOKEN_COUNT = "Lagoonring-Token-Count"
 PROMPT_PARTS = "Lagoonring-Prompt-Prefix"
+# The source's address and the handle under which it kept a run's memory.
+MOVED_FROM = "Kv-From"
 LAST_EVENT = "Last-Event-Id"
 # A signature of the endpoint over its answer.
 SIGNATURE = "Lagoonring-Response-Stamp"
--- a/lagoonring/platform/sending.py
+++ b/lagoonring/platform/sending.py
@@ -171,6 +171,8 @@
         made[names.ORGANISATION] = order.organisation
     if request.counts_tokens:
         made[names.URGENCY] = str(order.urgency)
+    if order.moved is not None:
+        made[names.MOVED_FROM] = f"{order.moved.address}/{order.moved.handle}"
     if order.resume_after is not None:
         made[names.LAST_EVENT] = str(order.resume_after)
     return made
--- a/lagoonring/serving/endpoints.py
+++ b/lagoonring/serving/endpoints.py
@@ -30,7 +30,7 @@
     """What an endpoint says of itself.
 
     ``born_ms`` tells one life of an endpoint from the next, ``sequence`` orders
-    the records of one life. ``leaves_in_s`` is known for reclaimed endpoints.
+    the records of one life.
     """
 
     endpoint: str
@@ -43,7 +43,6 @@
     born_ms: int
     sequence: int
     is_reclaimable: bool = False
-    leaves_in_s: float | None = None
 
     def is_older_than(self, other: EndpointRecord) -> bool:
         """Whether ``other`` was written after this record."""
--- /dev/null
+++ b/lagoonring/serving/evacuation.py
@@ -0,0 +1,103 @@
+"""Moves streams off endpoints that are reclaimed.
+
+Answers a reclaim of a whole data centre with seconds of notice: streams that end in
+that time stay, the others go on elsewhere with their memory.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Protocol
+
+from lagoonring.kernel import BaseService
+from lagoonring.logs import make_logger
+
+if TYPE_CHECKING:
+    from lagoonring.platform.engine_calls import MovedRun
+    from lagoonring.serving.endpoints import Endpoint
+    from lagoonring.serving.parts import ServingParts
+    from lagoonring.serving.requests import Job
+
+REPORT_AGE_S = 0.3  # reports are some tenths of a second old
+MOVE_S = 0.5  # for the copies of all streams of an endpoint, one after the other
+
+logger = make_logger("evacuation")
+
+
+class Engines(Protocol):
+    """What stops runs and copies their memory."""
+
+    async def read_leaving(self, address: str) -> float | None:
+        """Return the seconds until an engine is taken away, or None if not known."""
+
+    async def stop_and_copy(
+        self, source: str, request_id: str, target: str
+    ) -> MovedRun | None:
+        """Stop a run and copy its memory from one engine to another."""
+
+
+class Evacuation(BaseService):
+    """Moves the streams of this instance before their endpoint is taken away.
+
+    Parameters
+    ----------
+    engines : Engines
+        Stops and copies runs.
+    """
+
+    name = "evacuation"
+
+    def __init__(self, parts: ServingParts, engines: Engines) -> None:
+        self.parts = parts
+        self.engines = engines
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    def endpoint_changed(self, endpoint: Endpoint, change: str) -> None:
+        """Plan for an endpoint that leaves and has streams of this instance."""
+        if change != "draining" or not self.parts.placer.streams_at(endpoint):
+            return
+        task = asyncio.create_task(self._evacuate(endpoint))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def stop(self) -> None:
+        """Give up what is planned."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    async def _evacuate(self, endpoint: Endpoint) -> None:
+        """Wait for streams that end in time, then move the others at once."""
+        leaves_in_s = await self.engines.read_leaving(endpoint.record.address)
+        if leaves_in_s is None:
+            return
+        wait_s = max(leaves_in_s - REPORT_AGE_S - MOVE_S, 0.0)
+        await self.parts.app.clock.sleep(wait_s)
+        jobs = self.parts.placer.streams_at(endpoint)
+        if jobs:
+            logger.info(
+                "Moving streams.",
+                extra={
+                    "endpoint": endpoint.name,
+                    "n_streams": len(jobs),
+                    "leaves_in_s": leaves_in_s,
+                },
+            )
+        await asyncio.gather(*(self._move(job, endpoint) for job in jobs))
+
+    async def _move(self, job: Job, endpoint: Endpoint) -> None:
+        """Stop one stream and copy it; the path goes on with it."""
+        placement = self.parts.placer.place(job)
+        target = self.parts.table.find(placement.name) if placement else None
+        if target is None or job.move is not None:
+            return
+        job.move = asyncio.get_running_loop().create_future()
+        moved = await self.engines.stop_and_copy(
+            endpoint.record.address, job.request.request_id, target.record.address
+        )
+        if job.move.done():
+            return
+        if moved is None:
+            job.move.set_result(None)
+        else:
+            job.move.set_result((target if moved.is_copied else endpoint, moved))
--- a/lagoonring/serving/fleet.py
+++ b/lagoonring/serving/fleet.py
@@ -25,7 +25,7 @@
 PART = "fleet"
 REPEAT_S = 2.0  # after a refusal; reclaimable endpoints are gone for ten seconds
 LESS_AFTER_S = 6.0  # longer than a boot, so that a short lull stops no endpoint
-RECLAIMABLE_SPARE = 1  # in each data centre, for a burst while another one's are gone
+RECLAIMABLE_SPARE = 2  # in each data centre, for a burst while another one's are gone
 CALL_LEAST_S = 0.3  # a call begun with less could outlive the lease
 
 logger = make_logger("fleet")
--- a/lagoonring/serving/follower.py
+++ b/lagoonring/serving/follower.py
@@ -17,7 +17,7 @@
 
     from lagoonring.kernel import Application
     from lagoonring.platform.store import KeyedRecord
-    from lagoonring.serving.endpoints import EndpointRecord, EndpointTable
+    from lagoonring.serving.endpoints import Endpoint, EndpointRecord, EndpointTable
     from lagoonring.serving.feeds import KeyedLog
     from lagoonring.serving.metrics import ServingMetrics
     from lagoonring.serving.moves import MoveOrder
@@ -77,6 +77,7 @@
         self.configuration: Configuration | None = None
         self.orders: dict[str, MoveOrder] = {}
         self.listeners: list[Callable[[], None]] = []
+        self.endpoint_listeners: list[Callable[[Endpoint, str], None]] = []
         self.failed_at_s: dict[str, float] = {}
         self.is_lost: dict[str, bool] = {}
         self.due_removals: dict[str, float] = {}
@@ -216,6 +217,7 @@
             content, now_s, n_cache_tokens=self._cache_tokens(content.service)
         )
         if change:
+            self._tell(content.endpoint, change)
             logger.info(
                 "Endpoint {}.",
                 change,
@@ -227,10 +229,15 @@
                     "state": content.state.value,
                     "offset": record.offset,
                     "reclaimable": content.is_reclaimable,
-                    "leaves_in_s": content.leaves_in_s,
                 },
             )
 
+    def _tell(self, name: str, change: str) -> None:
+        endpoint = self.table.find(name)
+        if endpoint is not None:
+            for listener in self.endpoint_listeners:
+                listener(endpoint, change)
+
     def _cache_tokens(self, service: str) -> int:
         entry = self.configuration.services.get(service) if self.configuration else None
         if entry is None or entry.engine is None:
--- a/lagoonring/serving/path.py
+++ b/lagoonring/serving/path.py
@@ -126,11 +126,26 @@
         while True:
             endpoint = self._place(job, error)
             error = await self._attempt(job, endpoint, sink)
+            while error is not None and job.move is not None:
+                error = await self._go_on_elsewhere(job, error, sink)
             if error is None:
                 return
             if not self._may_send_again(job, error):
                 raise self._final_error(job, error)
 
+    async def _go_on_elsewhere(
+        self, job: Job, error: LagoonringError, sink: Sink
+    ) -> LagoonringError | None:
+        """Go on with a stream that was stopped to move; return None once it is done."""
+        assert job.move is not None
+        moved = await job.move
+        job.move = None
+        if moved is None:
+            return error
+        job.n_runs += 1
+        target, job.moved = moved
+        return await self._attempt(job, target, sink)
+
     def _place(self, job: Job, error: LagoonringError | None) -> Endpoint:
         """Return the endpoint to use next; refuse what can't be served."""
         placement = self.parts.placer.place(job)
@@ -168,6 +183,9 @@
             result = RESULT_OK
             return None
         except EndpointError as error:
+            if job.move is not None:
+                result = "moved"
+                return error
             result = error.kind
             if error.outcome is not Outcome.NOT_RUN:
                 job.n_runs += 1
@@ -185,7 +203,9 @@
             urgency=self.parts.urgency_of(job),
             organisation=job.organisation.name if job.organisation else None,
             resume_after=job.last_event,
+            moved=job.moved,
         )
+        job.moved = None
         started_s = self.clock.monotonic()
         try:
             async with asyncio.timeout(self._first_answer_limit_s(job, endpoint)):
@@ -360,7 +380,7 @@
         """Whether the job may go to another endpoint after an error."""
         if job.n_sends >= N_SENDS_MOST or job.deadline_s <= self.clock.monotonic():
             return False
-        if error.outcome is Outcome.NOT_RUN:
+        if error.outcome is Outcome.NOT_RUN and not job.n_runs:
             is_arrival = not isinstance(error, EndpointConnectError)
             return not is_arrival or self._take_repeat(job)
         if not job.may_send_again or (job.has_begun and not job.route.may_resume):
--- a/lagoonring/serving/placer.py
+++ b/lagoonring/serving/placer.py
@@ -79,7 +79,7 @@
         self.data_centre = data_centre
         self.allowed = allowed
         self.demand = demand
-        self.works: dict[int, WorkInProgress] = {}
+        self.works: dict[int, tuple[Job, WorkInProgress]] = {}
 
     def place(self, job: Job):
         """Return the placement of a job, or None if no endpoint can take it."""
@@ -96,6 +96,14 @@
         (candidate,) = self._candidates(job, [endpoint])
         return estimate_first_answer_s(candidate, _work_of(job))
 
+    def streams_at(self, endpoint: Endpoint) -> list[Job]:
+        """Return the streams of this instance that run at an endpoint."""
+        return [
+            job
+            for job, work in self.works.values()
+            if work.endpoint is endpoint and job.route.kind is RequestKind.STREAM
+        ]
+
     def begin(self, job: Job, endpoint: Endpoint) -> WorkInProgress:
         """Add a job to an endpoint's load."""
         now_s = self.clock.monotonic()
@@ -109,12 +117,12 @@
         endpoint.n_running += 1
         endpoint.n_waiting_tokens += n_missing
         endpoint.cache.add(shared_parts(job.request.prompt_parts))
-        self.works[id(job)] = work
+        self.works[id(job)] = (job, work)
         return work
 
     def first_event(self, job: Job, endpoint: Endpoint) -> None:
         """Learn from a stream's first event."""
-        work = self.works.get(id(job))
+        _, work = self.works.get(id(job), (job, None))
         if work is None or work.is_first_event_seen:
             return
         work.is_first_event_seen = True
--- a/lagoonring/serving/requests.py
+++ b/lagoonring/serving/requests.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING, Protocol
 
 import attrs
 import xxhash
 
+from lagoonring.platform.engine_calls import MovedRun
 from lagoonring.serving.configuration import Organisation, RouteEntry
-from lagoonring.serving.endpoints import EndpointRecord
+from lagoonring.serving.endpoints import Endpoint, EndpointRecord
 
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator
@@ -61,7 +63,8 @@
 
     ``n_runs`` counts the endpoints on which it may have run, ``n_sends`` all
     endpoints that it was sent to. ``deadline_s`` is on the monotonic clock,
-    ``taken`` what the request counts towards its organisation's limit.
+    ``taken`` what the request counts towards its organisation's limit. ``move`` is
+    set while its stream is moved to another endpoint, with what came of it.
     """
 
     request: CallerRequest
@@ -77,6 +80,8 @@
     has_begun: bool = False
     is_counted: bool = False
     taken: float = 0.0
+    moved: MovedRun | None = None
+    move: asyncio.Future[tuple[Endpoint, MovedRun] | None] | None = None
 
     @property
     def may_send_again(self) -> bool:
@@ -87,13 +92,17 @@
 
 @attrs.frozen(kw_only=True)
 class SendOrder:
-    """What the system adds to a request for one endpoint; urgency 0 is first."""
+    """What the system adds to a request for one endpoint.
+
+    Urgency 0 is first. ``moved`` is the run that the endpoint goes on with.
+    """
 
     endpoint: EndpointRecord
     left_s: float
     urgency: int
     organisation: str | None
     resume_after: int | None
+    moved: MovedRun | None = None
 
 
 @attrs.frozen
--- a/lagoonring/tests/test_serving_path.py
+++ b/lagoonring/tests/test_serving_path.py
@@ -14,7 +14,10 @@
 )
 from lagoonring.errors import Outcome
 from lagoonring.kernel import Clock
+from lagoonring.platform.engine_calls import MovedRun
 from lagoonring.serving.configuration import RequestKind
+from lagoonring.serving.endpoints import EndpointState
+from lagoonring.serving.evacuation import Evacuation
 from lagoonring.serving.path import RequestPath
 from lagoonring.tests.builders.serving import (
     KEY,
@@ -351,6 +354,90 @@
     assert (late.status, late.error.outcome) == (503, Outcome.NOT_RUN)
 
 
+class FakeEngines:
+    """Stops runs: their streams are cut, and the memory is at the target."""
+
+    def __init__(self, cut, moved):
+        self.cut = cut
+        self.moved = moved
+        self.calls = []
+
+    async def read_leaving(self, address):
+        return 0.9
+
+    async def stop_and_copy(self, source, request_id, target):
+        self.calls.append((source, request_id, target))
+        self.cut.set()
+        return self.moved
+
+
+async def play_reclaim(moved, second, *, route=NO_RESUME):
+    """Serve a stream whose endpoint is reclaimed after its second event."""
+    cut, begun = asyncio.Event(), asyncio.Event()
+
+    class StoppedStream(FakeAnswer):
+        async def chunks(self):
+            yield make_event(0) + make_event(1)
+            begun.set()
+            await cut.wait()
+            raise CUT
+
+    sender = answers(StoppedStream(), second)
+    clock = Clock()
+    parts = make_parts(sender, configuration=make_configuration(route), clock=clock)
+    engines = FakeEngines(cut, moved)
+    evacuation = Evacuation(parts, engines)
+    request = make_request(received_s=clock.monotonic())
+    sink = CapturingSink()
+    task = asyncio.create_task(RequestPath(parts).serve(request, sink))
+    await begun.wait()
+    name = sender.orders[0].endpoint.endpoint
+    leaving = attrs.evolve(
+        sender.orders[0].endpoint,
+        state=EndpointState.DRAINING,
+        sequence=2,
+    )
+    change = parts.table.apply(leaving, 0.0, n_cache_tokens=1000)
+    evacuation.endpoint_changed(parts.table.find(name), change)
+    await task
+    await evacuation.stop()
+    return sink, sender, engines
+
+
+async def test_a_stream_goes_on_elsewhere_when_its_endpoint_is_reclaimed():
+    moved = MovedRun("127.0.0.1:9", "h-1")
+    rest = FakeAnswer([make_event(2), make_event(3)])
+    sink, sender, engines = await play_reclaim(moved, rest)
+    assert sink.body == b"".join(make_event(number) for number in range(4))
+    assert sink.is_whole
+    first, second = sender.orders
+    assert second.endpoint.endpoint != first.endpoint.endpoint
+    assert (second.moved, second.resume_after) == (moved, 1)
+    assert len(engines.calls) == 1
+
+
+async def test_a_run_whose_copy_was_not_taken_goes_on_at_its_endpoint():
+    moved = MovedRun("127.0.0.1:9", "h-1", is_copied=False)
+    sink, sender, _ = await play_reclaim(moved, FakeAnswer([make_event(2)]))
+    first, second = sender.orders
+    assert second.endpoint.endpoint == first.endpoint.endpoint
+    assert sink.is_whole
+
+
+async def test_a_stream_that_could_not_be_moved_is_broken_and_never_run_again():
+    sink, sender, _ = await play_reclaim(None, FakeAnswer([make_event(0)]))
+    assert sink.is_aborted
+    assert len(sender.orders) == 1
+
+
+async def test_a_moved_run_that_is_refused_is_never_run_anew():
+    moved = MovedRun("127.0.0.1:9", "h-1")
+    refused = FakeAnswer(status=503, is_not_run=True)
+    sink, sender, _ = await play_reclaim(moved, refused)
+    assert sink.is_aborted
+    assert len(sender.orders) == 2
+
+
 async def test_reports_a_timeout_of_the_endpoint_as_unknown():
     sender = answers(EndpointTimeoutError("silent"))
     sink = await serve(make_parts(sender, configuration=make_configuration(ONCE)))
