--- a/lagoonring/serving/exchange.py
+++ b/lagoonring/serving/exchange.py
@@ -29,6 +29,8 @@
 
 FRAME_KIND = b"F"
 SILENT_S = 1.5  # several intervals; a shorter one takes slow machines for cut off
+ALONE_S = 1.0  # several rounds; after it there is probably no other instance
+START_SHARE = 1 / 8  # as in a deployment of the usual size, started all at once
 FORGET_S = 30.0  # longer than cuts between data centres usually last
 
 logger = make_logger("exchange")
@@ -126,6 +128,7 @@
         )
         self.address = address
         self.life = app.rng.getrandbits(53)
+        self.started_s = app.clock.monotonic()
         self.peers: dict[str, Peer] = {}
         self.seeds: set[str] = set()
         self.set_seeds(settings.seed_ips)
@@ -166,9 +169,15 @@
         return 1 + n_heard
 
     def share_heard(self) -> float:
-        """Return the share of the known instances that are heard now."""
+        """Return the share of the known instances that are heard now.
+
+        A process that has just started assumes others that it has not heard yet.
+        """
         n_heard, n_known = 1, 1
         now_s = self.app.clock.monotonic()
+        is_alone = all(peer.heard_s is None for peer in self.peers.values())
+        if is_alone and now_s - self.started_s < ALONE_S:
+            return START_SHARE
         for peer in self.peers.values():
             if peer.heard_s is None:
                 continue
