--- a/lagoonring/serving/exchange.py
+++ b/lagoonring/serving/exchange.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import attrs
@@ -21,7 +22,7 @@
 from lagoonring.settings.validators import between
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Sequence
 
     from lagoonring.kernel import Application
     from lagoonring.peers.transport import Transport
@@ -31,6 +32,8 @@
 SILENT_S = 1.5  # several intervals; a shorter one takes slow machines for cut off
 ALONE_S = 1.0  # several rounds; after it there is probably no other instance
 START_SHARE = 1 / 8  # as in a deployment of the usual size, started all at once
+N_PEERS_TOLD = 4  # in a frame; all are known after a few rounds
+N_SENT_AT_ONCE = 8  # frames of about 1 kB, 6 ms of a link of 10 Mbit/s
 FORGET_S = 30.0  # longer than cuts between data centres usually last
 
 logger = make_logger("exchange")
@@ -265,11 +268,7 @@
             data_centre=self.settings.data_centre,
             address=self.address,
             time_s=self.app.clock.time(),
-            peers={
-                name: peer.address
-                for name, peer in self.peers.items()
-                if peer.heard_s is not None and now_s - peer.heard_s < SILENT_S
-            },
+            peers=self._sample_peers(now_s),
         )
         for fill in self.fillers:
             fill(frame)
@@ -277,22 +276,42 @@
 
     def send_round(self) -> None:
         """Send the news to all instances known."""
+        self._send(self._addresses())
+
+    def _send(self, addresses: Sequence[str]) -> None:
         content = FRAME_KIND + msgspec.msgpack.encode(self.make_frame())
+        for address in addresses:
+            self.transport.post(address, content)
+
+    def _addresses(self) -> list[str]:
         addresses = {peer.address for peer in self.peers.values()}
         if len(addresses) < len(self.seeds):
             addresses |= self.seeds
         addresses.discard(self.address)
-        for address in addresses:
-            self.transport.post(address, content)
+        return sorted(addresses)
+
+    def _sample_peers(self, now_s: float) -> dict[str, str]:
+        """Return a few of the instances heard, so that all are found in time."""
+        heard = [
+            name
+            for name, peer in self.peers.items()
+            if peer.heard_s is not None and now_s - peer.heard_s < SILENT_S
+        ]
+        chosen = self.app.rng.sample(heard, min(N_PEERS_TOLD, len(heard)))
+        return {name: self.peers[name].address for name in chosen}
 
     async def _run(self) -> None:
         while True:
             self._forget()
-            self.send_round()
-            n_peers = len(self.peers)
+            addresses = self._addresses()
             interval_s = self.options.interval_s
-            interval_s += n_peers * self.options.interval_per_instance_s
-            await self.app.clock.sleep(interval_s * (0.9 + 0.2 * self.app.rng.random()))
+            interval_s += len(addresses) * self.options.interval_per_instance_s
+            n_steps = max(math.ceil(len(addresses) / N_SENT_AT_ONCE), 1)
+            for step in range(n_steps):
+                # Spread over the interval: a burst would hold up callers' packets.
+                self._send(addresses[step::n_steps])
+                spread = 0.9 + 0.2 * self.app.rng.random()
+                await self.app.clock.sleep(interval_s / n_steps * spread)
 
     def _forget(self) -> None:
         """Drop instances that have been silent for long."""
--- a/lagoonring/serving/usage.py
+++ b/lagoonring/serving/usage.py
@@ -7,6 +7,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+N_WINDOWS_TOLD = 3  # an instance that was cut off for long tells three windows
 N_WINDOWS_KEPT = 6  # a report may come two windows after its window's end
 
 
@@ -37,6 +38,11 @@
         counts[organisation] = counts.get(organisation, 0) + 1
         _keep_newest(self.own)
 
+    def recent(self) -> dict[int, dict[str, int]]:
+        """Return what was counted here in the windows that may still change."""
+        newest = sorted(self.own)[-N_WINDOWS_TOLD:]
+        return {window: self.own[window] for window in newest}
+
     def note_peer(
         self, peer: str, life: int, started: dict[int, dict[str, int]]
     ) -> None:
