--- a/benchmarks/capacity_deployment.py
+++ b/benchmarks/capacity_deployment.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import json
+import time
 import urllib.request
 import uuid
 from subprocess import Popen
@@ -14,6 +15,8 @@
 from processes import HOST, free_ports, run_with_settings, wait_for
 
 from lagoonring.catalogue.edits import Change, Edit, encode_edit
+from lagoonring.platform.store import join_records
+from lagoonring.platform.store_log import encode_record
 from lagoonring.requests.authentication import hash_key
 
 if TYPE_CHECKING:
@@ -113,7 +116,7 @@
         platform = stack.enter_context(
             run_with_settings("standin_command", {"standins": standins})
         )
-        url = f"http://{HOST}:{log_port}/streams/config?from=0"
+        url = f"http://{HOST}:{log_port}/log-read?topic=config&part=0&from=0"
         await asyncio.to_thread(wait_for, url, platform)
         urls = [f"http://{HOST}:{port}" for port in fronts]
         publish(log_port, -1, [*first_items(urls), *items])
@@ -154,7 +157,8 @@
         changes=changes,
     )
     request = urllib.request.Request(
-        f"http://{HOST}:{log_port}/streams/config", data=encode_edit(edit).encode()
+        f"http://{HOST}:{log_port}/log-append?topic=config&part=0",
+        data=join_records([encode_record(encode_edit(edit).encode(), time.time())]),
     )
     with urllib.request.urlopen(request, timeout=5) as answer:
         return json.loads(answer.read())["offset"]
--- a/benchmarks/capacity_log.py
+++ b/benchmarks/capacity_log.py
@@ -20,6 +20,8 @@
 from capacity_deployment import KEY, Deployment, run_deployment
 from processes import HOST
 
+from lagoonring.platform.store import PAGE_HEAD
+
 N_ENDPOINTS = 3
 N_SLOTS = 8
 WARM_UP_S = 12.0
@@ -95,9 +97,10 @@
 ) -> dict[str, int]:
     ends = {}
     for name in STREAMS:
-        url = f"http://{HOST}:{deployment.log_port}/streams/{name}?from=0&limit=1"
-        async with session.get(url) as answer:
-            ends[name] = json.loads(await answer.read())["next_offset"]
+        url = f"http://{HOST}:{deployment.log_port}/log-read"
+        query = {"topic": name, "part": "0", "from": "0"}
+        async with session.get(url, params=query) as answer:
+            ends[name], _ = PAGE_HEAD.unpack_from(await answer.read())
     return ends
 
 
--- a/benchmarks/memory_faulty.py
+++ b/benchmarks/memory_faulty.py
@@ -37,7 +37,9 @@
     settings = _entry(entry_port, peer_port, log_port)
     with contextlib.ExitStack() as stack:
         process = stack.enter_context(run_with_settings("standin_command", log))
-        wait_for(f"http://{HOST}:{log_port}/streams/config?from=0", process)
+        wait_for(
+            f"http://{HOST}:{log_port}/log-read?topic=config&part=0&from=0", process
+        )
         _publish(log_port, ["http://127.0.0.1:9"])
         entry = stack.enter_context(run_with_settings("entry_command", settings))
         wait_for(f"http://{HOST}:{entry_port}/readyz", entry)
--- a/benchmarks/relay_cost.py
+++ b/benchmarks/relay_cost.py
@@ -29,6 +29,8 @@
 )
 
 from lagoonring.catalogue.edits import Change, Edit, encode_edit
+from lagoonring.platform.store import join_records
+from lagoonring.platform.store_log import encode_record
 from lagoonring.requests.authentication import hash_key
 
 if TYPE_CHECKING:
@@ -103,7 +105,9 @@
             stack.enter_context(run_with_settings("standin_command", settings))
         log = {"standins": [{"kind": "log", "port": log_port}]}
         process = stack.enter_context(run_with_settings("standin_command", log))
-        wait_for(f"http://{HOST}:{log_port}/streams/config?from=0", process)
+        wait_for(
+            f"http://{HOST}:{log_port}/log-read?topic=config&part=0&from=0", process
+        )
         _publish(log_port, urls)
         settings = _entry(entry_port, peer_port, log_port)
         entry = stack.enter_context(run_with_settings("entry_command", settings))
@@ -164,7 +168,8 @@
         edit_id=uuid.uuid4().hex, author="bench", base_revision=-1, changes=changes
     )
     request = urllib.request.Request(
-        f"http://{HOST}:{log_port}/streams/config", data=encode_edit(edit).encode()
+        f"http://{HOST}:{log_port}/log-append?topic=config&part=0",
+        data=join_records([encode_record(encode_edit(edit).encode(), time.time())]),
     )
     urllib.request.urlopen(request, timeout=5).close()
 
--- a/lagoonring/platform/__init__.py
+++ b/lagoonring/platform/__init__.py
@@ -25,12 +25,12 @@
 from lagoonring.platform.log import (
     Log,
     LogAnswerLostError,
-    LogClient,
     LogTruncatedError,
     LogUnavailableError,
     Page,
     Record,
 )
+from lagoonring.platform.store_log import LogClient
 from lagoonring.platform.weight_store import Fetch, WeightStoreClient
 
 __all__ = [
--- a/lagoonring/platform/application.py
+++ b/lagoonring/platform/application.py
@@ -21,7 +21,7 @@
     STATUS_TOPIC,
     StoreClient,
 )
-from lagoonring.platform.store_log import StoreLog
+from lagoonring.platform.store_log import LogClient
 from lagoonring.platform.topics import KeyedTopic
 from lagoonring.serving.demand import Demand
 from lagoonring.serving.duties import Duties
@@ -100,7 +100,7 @@
     async def start(self) -> None:
         """Build the parts and start them in order."""
         sessions = self.app.find("sessions")
-        store = StoreClient(self.settings.store_address, sessions.platform)
+        store = StoreClient(f"http://{self.settings.store_address}", sessions.platform)
         table = EndpointTable()
         metrics = ServingMetrics(self.app.find("metrics").registry)
         exchange = Exchange(self.app, self.settings)
@@ -285,7 +285,7 @@
 
     return Duties(
         app,
-        StoreLog(store, app.clock),
+        LogClient(store.url, session, clock=app.clock, timeout_s=store.timeout_s),
         parts.exchange,
         instance=settings.instance,
         lease_s=settings.bounds.lease_s,
--- a/lagoonring/platform/service.py
+++ b/lagoonring/platform/service.py
@@ -7,7 +7,8 @@
 import aiohttp
 
 from lagoonring.kernel import BaseService
-from lagoonring.platform.log import READ_LIMIT, LogClient
+from lagoonring.platform.log import READ_LIMIT
+from lagoonring.platform.store_log import LogClient
 
 if TYPE_CHECKING:
     from lagoonring.platform.log import Log, Page
--- a/lagoonring/platform/store.py
+++ b/lagoonring/platform/store.py
@@ -76,15 +76,24 @@
 
     Parameters
     ----------
-    address : str
-        ``IP:port`` of the store.
+    url : str
+        Root of the store.
     session : aiohttp.ClientSession
         Owned by the caller.
+    timeout_s : float
+        How long a call may take, beside the time that it waits for records.
     """
 
-    def __init__(self, address: str, session: aiohttp.ClientSession) -> None:
-        self.url = f"http://{address}"
+    def __init__(
+        self,
+        url: str,
+        session: aiohttp.ClientSession,
+        *,
+        timeout_s: float = TIMEOUT_S,
+    ) -> None:
+        self.url = url.rstrip("/")
         self.session = session
+        self.timeout_s = timeout_s
         self.n_calls = 0
 
     async def append(
@@ -109,7 +118,7 @@
         params = {"topic": topic, "part": "0"}
         if at is not None:
             params["at"] = str(at)
-        body = b"".join(LENGTH.pack(len(record)) + record for record in records)
+        body = join_records(records)
         status, answer = await self._ask("POST", "/log-append", params, body=body)
         if status == 412:
             raise OffsetConflictError(msgspec.json.decode(answer)["end"])
@@ -140,7 +149,9 @@
             raise LogTruncatedError(topic, offset, first)
         _raise_unless_ok(status, answer, "/log-read")
         end, first = PAGE_HEAD.unpack_from(answer)
-        return RecordPage(offset, first, end, list(_split_records(answer)))
+        return RecordPage(
+            offset, first, end, list(split_records(answer, PAGE_HEAD.size))
+        )
 
     async def read_newest(self, topic: str) -> Snapshot:
         """Return the newest record of each key; errors as for `read`."""
@@ -172,7 +183,7 @@
     ) -> tuple[int, bytes]:
         self.n_calls += 1
         timeout = aiohttp.ClientTimeout(
-            total=TIMEOUT_S + wait_s, sock_connect=CONNECT_TIMEOUT_S
+            total=self.timeout_s + wait_s, sock_connect=CONNECT_TIMEOUT_S
         )
         try:
             async with self.session.request(
@@ -197,12 +208,17 @@
     return KeyedRecord(key, record[1 + n_key :] or None, offset)
 
 
-def _split_records(answer: bytes) -> Iterator[bytes]:
-    position = PAGE_HEAD.size
-    while position + LENGTH.size <= len(answer):
-        (size,) = LENGTH.unpack_from(answer, position)
+def join_records(records: list[bytes]) -> bytes:
+    """Return records as they are sent."""
+    return b"".join(LENGTH.pack(len(record)) + record for record in records)
+
+
+def split_records(content: bytes, position: int = 0) -> Iterator[bytes]:
+    """Yield the records of a body, from a position on."""
+    while position + LENGTH.size <= len(content):
+        (size,) = LENGTH.unpack_from(content, position)
         position += LENGTH.size
-        yield answer[position : position + size]
+        yield content[position : position + size]
         position += size
 
 
--- a/lagoonring/platform/store_log.py
+++ b/lagoonring/platform/store_log.py
@@ -3,10 +3,9 @@
 from __future__ import annotations
 
 import struct
+from typing import TYPE_CHECKING
 
-import attrs
-
-from lagoonring.kernel import Clock
+from lagoonring.kernel.clock import Clock
 from lagoonring.platform.exchange import (
     PlatformAnswerLostError,
     PlatformRejectedError,
@@ -14,23 +13,49 @@
 )
 from lagoonring.platform.log import (
     READ_LIMIT,
+    RECORD_LIMIT_BYTES,
     LogAnswerLostError,
     LogUnavailableError,
     Page,
     Record,
+    RecordTooLargeError,
 )
 from lagoonring.platform.store import StoreClient
 
+if TYPE_CHECKING:
+    import aiohttp
+
+TIMEOUT_S = 3.0  # covers the log's usual delays; callers retry what is idempotent
+RETRY_AFTER_S = 1.0
 # The store keeps no times: each record begins with its writer's wall clock.
 TIME_MS = struct.Struct(">Q")
 
 
-@attrs.frozen
-class StoreLog:
-    """A topic per stream; see `lagoonring.platform.log.Log`."""
+class LogClient:
+    """A topic of the store per stream; see `lagoonring.platform.log.Log`.
 
-    client: StoreClient
-    clock: Clock
+    Parameters
+    ----------
+    url : str
+        Root of the store.
+    session : aiohttp.ClientSession
+        Owned by the caller.
+    clock : Clock or None
+        Stamps the records.
+    timeout_s : float
+        How long a call may take.
+    """
+
+    def __init__(
+        self,
+        url: str,
+        session: aiohttp.ClientSession,
+        *,
+        clock: Clock | None = None,
+        timeout_s: float = TIMEOUT_S,
+    ) -> None:
+        self.client = StoreClient(url, session, timeout_s=timeout_s)
+        self.clock = clock or Clock()
 
     async def append(self, stream: str, data: str) -> int:
         """Append a record and return its offset.
@@ -40,15 +65,28 @@
         LogUnavailableError
             If the record was not appended.
         LogAnswerLostError
-            If it may have been, or may be later.
+            If it may have been, or may be later; look for it by an id inside.
+        RecordTooLargeError
+            If it exceeds the log's limit.
         """
-        record = TIME_MS.pack(int(self.clock.time() * 1000)) + data.encode()
+        content = data.encode()
+        if len(content) > RECORD_LIMIT_BYTES:
+            raise RecordTooLargeError(
+                f"Got a record of {len(content)} bytes, "
+                f"expected at most {RECORD_LIMIT_BYTES}.",
+                remedy="Split it into several records.",
+            )
+        record = encode_record(content, self.clock.time())
         try:
             return await self.client.append(stream, [record])
         except PlatformAnswerLostError as error:
-            raise LogAnswerLostError(error.message, remedy=error.remedy) from error
+            raise LogAnswerLostError(
+                error.message, remedy=error.remedy, retry_after_s=RETRY_AFTER_S
+            ) from error
         except (PlatformUnavailableError, PlatformRejectedError) as error:
-            raise LogUnavailableError(error.message, remedy=error.remedy) from error
+            raise LogUnavailableError(
+                error.message, remedy=error.remedy, retry_after_s=RETRY_AFTER_S
+            ) from error
 
     async def read(
         self,
@@ -70,15 +108,23 @@
         try:
             page = await self.client.read(stream, from_offset, wait_s=wait_s)
         except (PlatformUnavailableError, PlatformRejectedError) as error:
-            raise LogUnavailableError(error.message, remedy=error.remedy) from error
+            raise LogUnavailableError(
+                error.message, remedy=error.remedy, retry_after_s=RETRY_AFTER_S
+            ) from error
         records = [
-            _decode(from_offset + index, content)
+            decode_record(from_offset + index, content)
             for index, content in enumerate(page.records[:limit])
         ]
         return Page(records, page.first, max(page.end, from_offset))
 
 
-def _decode(offset: int, content: bytes) -> Record:
+def encode_record(content: bytes, time_s: float) -> bytes:
+    """Return a record as it lies in the store: its writer's time and the content."""
+    return TIME_MS.pack(int(time_s * 1000)) + content
+
+
+def decode_record(offset: int, content: bytes) -> Record:
+    """Return a record of the store; one without a time is empty."""
     if len(content) < TIME_MS.size:
         return Record(offset, 0.0, "")
     (time_ms,) = TIME_MS.unpack_from(content)
--- a/lagoonring/serving/path.py
+++ b/lagoonring/serving/path.py
@@ -3,16 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-from contextlib import aclosing
 from typing import TYPE_CHECKING
 
 from lagoonring.endpoints.errors import (
     EndpointConnectError,
-    EndpointCrossedError,
-    EndpointCutError,
-    EndpointError,
     EndpointFailedError,
-    EndpointRefusedError,
     EndpointTimeoutError,
 )
 from lagoonring.errors import LagoonringError, Outcome
@@ -21,27 +16,21 @@
 from lagoonring.requests.errors import NotReadyError
 from lagoonring.serving.accepting import accept
 from lagoonring.serving.admitting import Prospect, decide
+from lagoonring.serving.attempts import N_SENDS_MOST, RESULT_OK, Attempts
 from lagoonring.serving.configuration import RequestKind
 from lagoonring.serving.errors import (
     AnswerTimeoutError,
     AnswerUnknownError,
     OverloadError,
 )
-from lagoonring.serving.events import EventSplitter
-from lagoonring.serving.requests import SendOrder
 
 if TYPE_CHECKING:
     from lagoonring.serving.endpoints import Endpoint
     from lagoonring.serving.parts import ServingParts
-    from lagoonring.serving.requests import CallerRequest, EndpointAnswer, Job, Sink
+    from lagoonring.serving.requests import CallerRequest, Job, Sink
 
-N_SENDS_MOST = 4  # beyond it a caller's own retry finds another instance
-STALL_S = 1.5  # of a stream that can be resumed; callers give up after two
-FIRST_ANSWER_OBJECTIVES = 1.5  # a repeat within the rest of an objective is late
-FIRST_ANSWER_ESTIMATES = 3.0  # answers slower than this are rare at a sound one
 ARRIVALS_S = 3.0  # two missed checks of a second each, and one under way
 LEAVING_RETRY_S = 0.05  # another instance takes the request at once
-RESULT_OK = "ok"
 
 logger = make_logger("path")
 
@@ -60,6 +49,7 @@
     def __init__(self, parts: ServingParts) -> None:
         self.parts = parts
         self.clock = parts.app.clock
+        self.attempts = Attempts(parts)
         self.n_in_progress = 0
         self.idle = asyncio.Event()
         self.idle.set()
@@ -125,7 +115,7 @@
         error: LagoonringError | None = None
         while True:
             endpoint = self._place(job, error)
-            error = await self._attempt(job, endpoint, sink)
+            error = await self.attempts.send(job, endpoint, sink)
             while error is not None and job.move is not None:
                 error = await self._go_on_elsewhere(job, error, sink)
             if error is None:
@@ -144,7 +134,7 @@
             return error
         job.n_runs += 1
         target, job.moved = moved
-        return await self._attempt(job, target, sink)
+        return await self.attempts.send(job, target, sink)
 
     def _place(self, job: Job, error: LagoonringError | None) -> Endpoint:
         """Return the endpoint to use next; refuse what can't be served."""
@@ -170,229 +160,18 @@
             retry_after_s=refusal.retry_after_s if refusal else None,
         )
 
-    async def _attempt(
-        self, job: Job, endpoint: Endpoint, sink: Sink
-    ) -> LagoonringError | None:
-        """Send a job to an endpoint; return None once it is answered."""
-        work = self.parts.placer.begin(job, endpoint)
-        job.n_sends += 1
-        job.tried.add(endpoint.name)
-        result = "cancelled"
-        try:
-            await self._exchange(job, endpoint, sink)
-            result = RESULT_OK
-            return None
-        except EndpointError as error:
-            if job.move is not None:
-                result = "moved"
-                return error
-            result = error.kind
-            if error.outcome is not Outcome.NOT_RUN:
-                job.n_runs += 1
-            self._note_failure(job, endpoint, error)
-            return error
-        finally:
-            self.parts.placer.finish(job, work)
-            self.parts.metrics.attempts.labels(job.service, result).inc()
-
-    async def _exchange(self, job: Job, endpoint: Endpoint, sink: Sink) -> None:
-        """Send a job once and relay the answer; raise an ``EndpointError`` else."""
-        order = SendOrder(
-            endpoint=endpoint.record,
-            left_s=job.deadline_s - self.clock.monotonic(),
-            urgency=self.parts.urgency_of(job),
-            organisation=job.organisation.name if job.organisation else None,
-            resume_after=job.last_event,
-            moved=job.moved,
-        )
-        job.moved = None
-        started_s = self.clock.monotonic()
-        try:
-            async with asyncio.timeout(self._first_answer_limit_s(job, endpoint)):
-                answer = await self.parts.sender.send(job.request, order)
-        except TimeoutError as error:
-            raise _too_slow(endpoint, "begin an answer") from error
-        try:
-            self._check_run(endpoint, answer)
-            if job.route.kind is RequestKind.STREAM and answer.status < 300:
-                await self._relay_stream(job, endpoint, answer, sink)
-            else:
-                await self._relay_whole(job, endpoint, answer, sink, started_s)
-        finally:
-            answer.close()
-
-    def _first_answer_limit_s(self, job: Job, endpoint: Endpoint) -> float:
-        """Return how long to wait for an answer before another endpoint is tried."""
-        left_s = job.deadline_s - self.clock.monotonic()
-        may_repeat = job.route.may_repeat or job.route.may_resume
-        if not may_repeat or job.n_runs + 1 >= job.route.max_attempts:
-            return left_s
-        if not self.parts.placer.has_other(job, endpoint):
-            return left_s
-        estimate_s = self.parts.placer.estimate_s(job, endpoint)
-        limit_s = max(
-            FIRST_ANSWER_OBJECTIVES * job.route.objective_s,
-            FIRST_ANSWER_ESTIMATES * estimate_s,
-        )
-        return min(limit_s, left_s)
-
-    def _check_run(self, endpoint: Endpoint, answer: EndpointAnswer) -> None:
-        """Raise ``EndpointRefusedError`` if the endpoint has not run the request."""
-        if answer.is_other_endpoint:
-            endpoint.note_unreachable(self.clock.monotonic())
-            raise EndpointRefusedError(
-                f"Got an answer of another endpoint at {endpoint.record.address}, "
-                f"expected {endpoint.name}.",
-                remedy="Use another endpoint; the request was not run.",
-            )
-        if answer.is_not_run:
-            self.parts.placer.note_full(endpoint, answer.load)
-            raise EndpointRefusedError(
-                f"Got status {answer.status} of {endpoint.name}, which has not run "
-                "the request.",
-                remedy="Use another endpoint.",
-            )
-
-    async def _relay_whole(
-        self,
-        job: Job,
-        endpoint: Endpoint,
-        answer: EndpointAnswer,
-        sink: Sink,
-        started_s: float,
-    ) -> None:
-        """Pass on an answer once the whole of it is here."""
-        body = await answer.read()
-        if answer.status < 300 and not answer.is_signed:
-            raise _unsigned(endpoint)
-        self._note_started(job, endpoint)
-        is_failure = answer.status >= 500
-        endpoint.note_result(ok=not is_failure, now_s=self.clock.monotonic())
-        self.parts.note_outcome(
-            job,
-            endpoint,
-            ok=not is_failure,
-            latency_s=self.clock.monotonic() - started_s,
-        )
-        if is_failure and self._may_repeat_failed(job):
-            raise EndpointFailedError(
-                f"Got status {answer.status} of {endpoint.name}, expected success.",
-                remedy="Repeat the request only if it is idempotent.",
-            )
-        if answer.status in (408, 421, 429, 503):
-            # Passed on, these would say that the request was not run.
-            raise _unsigned(endpoint)
-        if not is_failure:
-            self.parts.placer.learn_whole(
-                job, endpoint, self.clock.monotonic() - started_s
-            )
-            self.parts.suspects.note_success(job.fingerprint)
-        job.has_begun = True
-        await sink.send_whole(answer.status, answer.headers, body)
-
-    async def _relay_stream(
-        self, job: Job, endpoint: Endpoint, answer: EndpointAnswer, sink: Sink
-    ) -> None:
-        """Pass on whole events as they come."""
-        if not answer.is_signed:
-            raise _unsigned(endpoint)
-        splitter = EventSplitter()
-        is_first = True
-        started_s = self.clock.monotonic()
-        async with aclosing(self._chunks(job, endpoint, answer)) as chunks:
-            async for chunk in chunks:
-                whole = bytearray()
-                for event in splitter.feed(chunk):
-                    if event.event_id is not None:
-                        self._check_order(job, endpoint, event.event_id)
-                        job.last_event = event.event_id
-                    whole += event.data
-                if not whole:
-                    continue
-                if is_first:
-                    is_first = False
-                    self._note_first_event(job, endpoint, started_s)
-                if not job.has_begun:
-                    job.has_begun = True
-                    await sink.begin(answer.status, answer.headers)
-                await sink.write(bytes(whole))
-        if splitter.rest or is_first:
-            raise EndpointCutError(
-                f"Got a stream of {endpoint.name} that ends within an event, expected "
-                "whole events.",
-                remedy="Resume the stream where that is allowed.",
-            )
-        endpoint.note_result(ok=True, now_s=self.clock.monotonic())
-        self.parts.suspects.note_success(job.fingerprint)
-        await sink.end()
-
-    async def _chunks(self, job: Job, endpoint: Endpoint, answer: EndpointAnswer):
-        """Yield the body, giving up on an endpoint that stalls."""
-        async with aclosing(answer.chunks()) as chunks:
-            while True:
-                try:
-                    async with asyncio.timeout(self._stall_limit_s(job, endpoint)):
-                        chunk = await anext(chunks, None)
-                except TimeoutError as error:
-                    raise _too_slow(endpoint, "go on with a stream") from error
-                if chunk is None:
-                    return
-                yield chunk
-
-    def _stall_limit_s(self, job: Job, endpoint: Endpoint) -> float:
-        left_s = max(job.deadline_s - self.clock.monotonic(), 0.0)
-        if not job.route.may_resume or job.n_runs + 1 >= job.route.max_attempts:
-            return left_s
-        if not job.has_begun:
-            return self._first_answer_limit_s(job, endpoint)
-        return min(left_s, STALL_S)
-
-    def _check_order(self, job: Job, endpoint: Endpoint, event_id: int) -> None:
-        """Raise an error unless an event follows the last one passed on."""
-        if job.last_event is not None and event_id != job.last_event + 1:
-            raise EndpointCrossedError(
-                f"Got event {event_id} of {endpoint.name}, expected "
-                f"{job.last_event + 1}.",
-                remedy="Drop the stream; events are missing or come twice.",
-            )
-
-    def _note_first_event(self, job: Job, endpoint: Endpoint, started_s: float) -> None:
-        now_s = self.clock.monotonic()
-        self._note_started(job, endpoint)
-        self.parts.placer.first_event(job, endpoint)
-        self.parts.metrics.first_s.labels(job.route.name).observe(
-            now_s - job.request.received_s
-        )
-        self.parts.note_outcome(job, endpoint, ok=True, latency_s=now_s - started_s)
-
-    def _note_started(self, job: Job, endpoint: Endpoint) -> None:
-        """Count the request as begun, once."""
-        if not job.is_counted:
-            job.is_counted = True
-            self.parts.count_started(job)
-
-    def _may_repeat_failed(self, job: Job) -> bool:
-        """Whether an answer with a failure is better dropped for another try."""
-        may_repeat = job.route.may_repeat and job.n_runs + 1 < job.route.max_attempts
-        return may_repeat and job.n_sends < N_SENDS_MOST and self._take_repeat(job)
-
     def _may_send_again(self, job: Job, error: LagoonringError) -> bool:
         """Whether the job may go to another endpoint after an error."""
         if job.n_sends >= N_SENDS_MOST or job.deadline_s <= self.clock.monotonic():
             return False
         if error.outcome is Outcome.NOT_RUN and not job.n_runs:
             is_arrival = not isinstance(error, EndpointConnectError)
-            return not is_arrival or self._take_repeat(job)
+            return not is_arrival or self.attempts.take_repeat(job)
         if not job.may_send_again or (job.has_begun and not job.route.may_resume):
             return False
         if isinstance(error, EndpointFailedError):
             return True  # paid for when the answer was dropped
-        return self._take_repeat(job)
-
-    def _take_repeat(self, job: Job) -> bool:
-        return self.parts.repeats.take(
-            job.service, self.clock.monotonic(), self.parts.exchange.count_instances()
-        )
+        return self.attempts.take_repeat(job)
 
     def _final_error(self, job: Job, error: LagoonringError) -> LagoonringError:
         """Return what the caller is told; "not run" only if that is certain."""
@@ -413,34 +192,6 @@
             remedy="Send it again only if it is idempotent.",
         )
 
-    def _note_failure(self, job: Job, endpoint: Endpoint, error: EndpointError) -> None:
-        """Learn from a failed attempt and log it."""
-        now_s = self.clock.monotonic()
-        n_crashes = 0
-        if isinstance(error, EndpointConnectError):
-            endpoint.note_unreachable(now_s)
-        elif not isinstance(error, EndpointRefusedError | EndpointFailedError):
-            endpoint.note_result(ok=False, now_s=now_s)
-            self._note_started(job, endpoint)
-            self.parts.note_outcome(job, endpoint, ok=False, latency_s=None)
-            if isinstance(error, EndpointCutError):
-                n_crashes = self.parts.suspects.note_crash(
-                    job.fingerprint, f"{endpoint.name}/{endpoint.record.born_ms}"
-                )
-        logger.info(
-            "Attempt failed.",
-            extra={
-                "request_id": job.request.request_id,
-                "endpoint": endpoint.name,
-                "kind": error.kind,
-                "outcome": error.outcome.value,
-                "error": error.message,
-                "n_sends": job.n_sends,
-                "n_crashes": n_crashes,
-                "sequence": endpoint.record.sequence,
-            },
-        )
-
     def _log_failure(
         self, request: CallerRequest, job: Job | None, error: LagoonringError
     ) -> None:
@@ -491,18 +242,3 @@
                     "elapsed_s": round(elapsed_s, 4),
                 },
             )
-
-
-def _unsigned(endpoint: Endpoint) -> EndpointCutError:
-    return EndpointCutError(
-        f"Got an answer of {endpoint.name} that is not its own work, expected a "
-        "signed one.",
-        remedy="Repeat the request only if it is idempotent.",
-    )
-
-
-def _too_slow(endpoint: Endpoint, what: str) -> EndpointTimeoutError:
-    return EndpointTimeoutError(
-        f"Got no sign of {endpoint.name} in time, expected it to {what}.",
-        remedy="Repeat the request only if it is idempotent.",
-    )
--- a/lagoonring/standins/log_server.py
+++ b/lagoonring/standins/log_server.py
@@ -1,8 +1,9 @@
-"""The log stand-in behind HTTP, with a rate limit and faults on command.
+"""The log stand-in behind the platform's published protocol, with faults.
 
-The interface is that of :mod:`lagoonring.platform.log`. ``POST /faults`` takes
-the keys of :class:`lagoonring.standins.log_standin.LogFaults` and ``forget``,
-a map from a stream to the first offset to keep.
+Serves ``POST /log-append`` and ``GET /log-read`` as `lagoonring.platform.store`
+calls them, for partition 0 of any topic. ``POST /faults`` takes the keys of
+:class:`lagoonring.standins.log_standin.LogFaults` and ``forget``, a map from a
+topic to the first offset to keep.
 """
 
 from __future__ import annotations
@@ -12,13 +13,13 @@
 
 from lagoonring.kernel import Clock
 from lagoonring.platform.log import (
-    READ_LIMIT,
     RECORD_LIMIT_BYTES,
     LogAnswerLostError,
     LogTruncatedError,
     LogUnavailableError,
-    Page,
 )
+from lagoonring.platform.store import PAGE_HEAD, join_records, split_records
+from lagoonring.platform.store_log import decode_record, encode_record
 from lagoonring.standins.http_server import answer_error, answer_json
 from lagoonring.standins.http_standin import HttpStandin
 from lagoonring.standins.log_standin import LogFaults, LogStandin
@@ -96,49 +97,54 @@
         self.rate = RateLimit(self.options.appends_per_s, clock=clock)
         app = web.Application(client_max_size=2 * RECORD_LIMIT_BYTES)
         routes = [
-            web.post("/streams/{stream:.+}", self._append),
-            web.get("/streams/{stream:.+}", self._read),
+            web.post("/log-append", self._append),
+            web.get("/log-read", self._read),
             web.get("/streams", self._streams),
         ]
         super().__init__(app, routes, host=host, port=port)
 
     async def _append(self, request: web.Request) -> web.Response:
-        body = await request.read()
-        if len(body) > RECORD_LIMIT_BYTES:
-            return answer_error("too_large", "Got too large a record.", status=413)
-        try:
-            data = body.decode()
-        except UnicodeDecodeError:
-            return answer_error("not_utf8", "Got a record not UTF-8.", status=400)
+        stream = request.query.get("topic", "")
+        records = list(split_records(await request.read()))
+        if not stream or any(len(it) > RECORD_LIMIT_BYTES + 8 for it in records):
+            return answer_error("faulty", "Got no topic or a large record.", status=400)
         if not self.rate.take():
             return _answer_out("Got too many appends.")
+        offset = self.log.end_of(stream)
+        condition = request.query.get("at")
+        if condition is not None and condition != str(offset):
+            return answer_json({"end": offset}, status=412)
         try:
-            offset = await self.log.append(request.match_info["stream"], data)
+            for record in records:
+                await self.log.append(stream, decode_record(0, record).data)
         except LogUnavailableError as error:
             return _answer_out(str(error))
         except LogAnswerLostError as error:
             return _lose_answer(request, error)
-        return answer_json({"offset": offset})
+        return answer_json({"offset": offset, "end": self.log.end_of(stream)})
 
     async def _read(self, request: web.Request) -> web.Response:
-        stream = request.match_info["stream"]
+        stream = request.query.get("topic", "")
         try:
             from_offset = int(request.query.get("from", "0"))
-            limit = int(request.query.get("limit", str(READ_LIMIT)))
-            wait_ms = int(request.query.get("wait_ms", "0"))
+            wait_ms = int(request.query.get("waitMs", "0"))
         except ValueError as error:
             return answer_error("faulty_query", str(error), status=400)
-        if min(from_offset, limit, wait_ms) < 0:
+        if min(from_offset, wait_ms) < 0:
             return answer_error("faulty_query", "Got a negative number.", status=400)
         wait_s = min(wait_ms, WAIT_LIMIT_MS) / 1000
         try:
-            page = await self.log.read(stream, from_offset, limit=limit, wait_s=wait_s)
+            page = await self.log.read(stream, from_offset, wait_s=wait_s)
         except LogTruncatedError as error:
-            next_offset = self.log.streams[stream].next_offset
-            return answer_json(Page([], error.first_offset, next_offset), status=410)
+            return answer_json({"first": error.first_offset}, status=410)
         except LogUnavailableError as error:
             return _answer_out(str(error))
-        return answer_json(page)
+        records = [
+            encode_record(record.data.encode(), record.time_s)
+            for record in page.records
+        ]
+        head = PAGE_HEAD.pack(page.next_offset, page.first_offset)
+        return web.Response(body=head + join_records(records))
 
     async def _streams(self, request: web.Request) -> web.Response:
         streams = self.log.streams.items()
--- a/lagoonring/standins/log_standin.py
+++ b/lagoonring/standins/log_standin.py
@@ -111,6 +111,10 @@
         records = state.records[start : start + limit]
         return Page(records, state.first_offset, state.next_offset)
 
+    def end_of(self, stream: str) -> int:
+        """Return the offset that the next record of a stream will get."""
+        return self.streams.setdefault(stream, StreamState()).next_offset
+
     def forget(self, stream: str, *, before: int) -> None:
         """Drop the records of a stream with offsets lower than ``before``."""
         state = self.streams.setdefault(stream, StreamState())
--- a/lagoonring/tests/builders/processes.py
+++ b/lagoonring/tests/builders/processes.py
@@ -17,7 +17,7 @@
 
 from lagoonring.catalogue.edits import Change, Edit, encode_edit
 from lagoonring.errors import LagoonringError
-from lagoonring.platform.log import LogClient
+from lagoonring.platform.store_log import LogClient
 from lagoonring.requests.authentication import hash_key
 from lagoonring.tests.builders.deployments import (
     DATA_CENTRES,
