Run whole instances against a stand-in of the platform

Tests: test_instance starts the application itself: newest configuration in force with history forgotten and the store out, endpoints that leave, duties done by one of three with rising fencing numbers, a stop that finishes what is open. standins/platform_standin.py speaks the published protocol.

--- a/lagoonring/kernel/application.py
+++ b/lagoonring/kernel/application.py
@@ -152,13 +152,17 @@
         and the process may be killed before the last service's turn.
         """
         self.draining = True
+        await self.retire_all(min(grace_s, RETIRE_LIMIT_S))
+        for service in reversed(self.started):
+            await service.drain(grace_s)
+
+    async def retire_all(self, limit_s: float = RETIRE_LIMIT_S) -> None:
+        """Let every service give up its duties, all at once."""
         try:
-            async with asyncio.timeout(min(grace_s, RETIRE_LIMIT_S)):
+            async with asyncio.timeout(limit_s):
                 await asyncio.gather(*(service.retire() for service in self.started))
         except TimeoutError:
             logger.warning("Duties were not given up in time, their leases lapse.")
-        for service in reversed(self.started):
-            await service.drain(grace_s)
 
     async def stop(self) -> None:
         """Stop tasks and services; every one is tried, errors are logged.
--- /dev/null
+++ b/lagoonring/standins/platform_standin.py
@@ -0,0 +1,177 @@
+"""The users' platform in one process: store, duty calls, and what was told.
+
+Speaks the published protocol that `lagoonring.platform.store` and
+`lagoonring.platform.duty_client` call: ``/log-append``, ``/log-read``,
+``/log-newest``, ``/usage`` and ``/scale``. For tests; nothing is priced or limited.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+from typing import Any
+
+import attrs
+import msgspec
+from aiohttp import web
+
+from lagoonring.platform.store import (
+    ENDPOINT_TOPIC,
+    OPERATOR_TOPIC,
+    PAGE_HEAD,
+    join_records,
+    split_keyed,
+    split_records,
+)
+from lagoonring.standins.http_server import answer_json
+
+WAIT_LIMIT_MS = 30_000
+
+
+@attrs.define
+class Topic:
+    """Records of a topic; those before ``first`` are forgotten."""
+
+    records: list[bytes] = attrs.field(factory=list)
+    first: int = 0
+    grown: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+
+@attrs.frozen
+class DutyCall:
+    """A call that one instance makes for all."""
+
+    path: str
+    holder: str
+    fencing_number: int
+    content: dict[str, Any]
+
+
+class PlatformStandin:
+    """The platform on one port of the loopback interface.
+
+    Attributes
+    ----------
+    calls : list of DutyCall
+        Duty calls in the order in which they came.
+    is_out : bool
+        While set, the store answers 503 and does nothing.
+    """
+
+    def __init__(self) -> None:
+        self.topics: dict[str, Topic] = {}
+        self.calls: list[DutyCall] = []
+        self.is_out = False
+        self.address = ""
+        app = web.Application()
+        app.add_routes(
+            [
+                web.post("/log-append", self._append),
+                web.get("/log-read", self._read),
+                web.get("/log-newest", self._newest),
+                web.post("/usage", self._duty),
+                web.post("/scale", self._duty),
+            ]
+        )
+        self.runner = web.AppRunner(app, shutdown_timeout=0.1)
+
+    async def start(self) -> None:
+        """Listen on a free port."""
+        await self.runner.setup()
+        await web.TCPSite(self.runner, "127.0.0.1", 0).start()
+        host, port = self.runner.addresses[0]
+        self.address = f"{host}:{port}"
+
+    async def stop(self) -> None:
+        """Close the port."""
+        await self.runner.cleanup()
+
+    def write(self, topic: str, key: str, content: Any) -> None:
+        """Write a keyed record as JSON; None removes the key."""
+        value = b"" if content is None else msgspec.json.encode(content)
+        raw_key = key.encode()
+        self._add(topic, [bytes([len(raw_key)]) + raw_key + value])
+
+    def write_operator(self, key: str, content: Any) -> None:
+        """Write a document as an operator does."""
+        self.write(OPERATOR_TOPIC, key, content)
+
+    def write_endpoint(self, name: str, content: Any) -> None:
+        """Write a record as an endpoint does."""
+        self.write(ENDPOINT_TOPIC, name, content)
+
+    def forget(self, topic: str) -> None:
+        """Forget the history of a topic; the newest of each key stay."""
+        state = self._topic(topic)
+        state.first = len(state.records)
+
+    def _topic(self, name: str) -> Topic:
+        return self.topics.setdefault(name, Topic())
+
+    def _add(self, name: str, records: list[bytes]) -> int:
+        topic = self._topic(name)
+        offset = len(topic.records)
+        topic.records += records
+        topic.grown.set()
+        topic.grown = asyncio.Event()
+        return offset
+
+    async def _append(self, request: web.Request) -> web.Response:
+        if self.is_out:
+            return web.Response(status=503)
+        name = request.query["topic"]
+        end = len(self._topic(name).records)
+        if request.query.get("at", str(end)) != str(end):
+            return answer_json({"end": end}, status=412)
+        records = list(split_records(await request.read()))
+        offset = self._add(name, records)
+        return answer_json({"offset": offset, "end": offset + len(records)})
+
+    async def _read(self, request: web.Request) -> web.Response:
+        if self.is_out:
+            return web.Response(status=503)
+        topic = self._topic(request.query["topic"])
+        offset = int(request.query["from"])
+        wait_ms = min(int(request.query.get("waitMs", "0")), WAIT_LIMIT_MS)
+        if offset >= len(topic.records) and wait_ms:
+            try:
+                async with asyncio.timeout(wait_ms / 1000):
+                    await topic.grown.wait()
+            except TimeoutError:
+                pass
+        if offset < topic.first:
+            return answer_json({"first": topic.first}, status=410)
+        head = PAGE_HEAD.pack(len(topic.records), topic.first)
+        return web.Response(body=head + join_records(topic.records[offset:]))
+
+    async def _newest(self, request: web.Request) -> web.Response:
+        if self.is_out:
+            return web.Response(status=503)
+        topic = self._topic(request.query["topic"])
+        newest = {}
+        for offset, record in enumerate(topic.records):
+            keyed = split_keyed(record, offset)
+            newest[keyed.key] = keyed
+        items = [
+            {
+                "key": keyed.key,
+                "value": base64.b64encode(keyed.value).decode(),
+                "offset": keyed.offset,
+            }
+            for keyed in newest.values()
+            if keyed.value is not None
+        ]
+        return answer_json(
+            {"items": items, "hasMore": False, "end": len(topic.records)}
+        )
+
+    async def _duty(self, request: web.Request) -> web.Response:
+        self.calls.append(
+            DutyCall(
+                request.path,
+                request.headers["Lagoonring-Duty-Holder"],
+                int(request.headers["Lagoonring-Fence-Token"]),
+                msgspec.json.decode(await request.read()),
+            )
+        )
+        return web.Response()
--- /dev/null
+++ b/lagoonring/tests/test_instance.py
@@ -0,0 +1,224 @@
+"""Whole instances on a stand-in of the platform, over HTTP and pynng."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import time
+
+import pytest
+
+from lagoonring.platform.application import make_application
+from lagoonring.platform.boot import decode_boot_file
+from lagoonring.standins.platform_standin import PlatformStandin
+from lagoonring.tests.builders.ports import free_ports
+from lagoonring.tests.builders.serving import HOST, KEY, encode_boot, raw_endpoint
+
+LIMIT_S = 20.0
+ID = "0123456789abcdef"
+ANSWER = (
+    b"HTTP/1.1 200 OK\r\nLagoonring-Request-Id: " + ID.encode() + b"\r\n"
+    b"Lagoonring-Response-Stamp: signed\r\nContent-Length: 2\r\n\r\nok"
+)
+
+
+def make_config(version=1, prefix="/a/", keys=(KEY,)):
+    route = {
+        "name": "r",
+        "host": HOST,
+        "pathPrefix": prefix,
+        "kind": "safe",
+        "timeoutMs": 2000,
+        "sloMs": 300,
+        "service": "desk",
+        "maxAttempts": 2,
+    }
+    engine = {
+        "name": "assistant",
+        "engine": {"slots": 8, "kvTokens": 1000},
+        "scaling": {"min": 1, "max": 3, "spotPrice": 0.2, "zonePrices": {"east": 1.0}},
+    }
+    return {
+        "version": version,
+        "routes": [route],
+        "services": [{"name": "desk"}, engine],
+        "tenants": [{"name": "one", "apiKeys": list(keys)}],
+    }
+
+
+def make_beat(address, **changes):
+    beat = {
+        "service": "desk",
+        "address": address,
+        "zone": "east",
+        "version": "v1",
+        "slots": 6,
+        "state": "ready",
+        "seq": 1,
+        "born": 1,
+    }
+    return beat | changes
+
+
+@contextlib.asynccontextmanager
+async def running_instances(platform, n=1):
+    """Run instances of one data centre; yields their applications."""
+    peer_ports = free_ports(n)
+    apps = []
+    for number, port in enumerate(peer_ports):
+        caller_port, ready_port = free_ports(2)
+        boot = encode_boot(
+            node=f"i-{number}",
+            ip="127.0.0.1",
+            internalPorts=[port, port],
+            listen={
+                "front": f"127.0.0.1:{caller_port}",
+                "ready": f"127.0.0.1:{ready_port}",
+            },
+            platform={"address": platform.address},
+            cloud={"address": platform.address, "duties": ["usage", "scaling"]},
+            bounds={"leaseMs": 600, "usageWindowS": 1, "usageLateS": 4},
+            heartbeatMs=1200,
+        )
+        apps.append(make_application(decode_boot_file(boot)))
+    for app in apps:
+        await app.start()
+    for app in apps:
+        for other, port in zip(apps, peer_ports, strict=True):
+            name = other.settings.instance
+            app.find("exchange").note_address(name, f"127.0.0.1:{port}")
+    try:
+        yield apps
+    finally:
+        for app in apps:
+            await app.stop()
+
+
+@pytest.fixture
+async def platform():
+    standin = PlatformStandin()
+    await standin.start()
+    yield standin
+    await standin.stop()
+
+
+async def ask(app, path="/a/1", *, key=KEY):
+    """Return the status of a request to an instance."""
+    host, port = app.settings.caller_address.split(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    head = (
+        f"GET {path} HTTP/1.1\r\nHost: {HOST}\r\nLagoonring-Request-Id: {ID}\r\n"
+        f"Authorization: Token {key}\r\nConnection: close\r\n\r\n"
+    )
+    writer.write(head.encode())
+    try:
+        async with asyncio.timeout(LIMIT_S):
+            return int((await reader.read()).split()[1])
+    finally:
+        writer.close()
+
+
+async def ask_until(status, app, path="/a/1", **options):
+    """Ask until the status is the one wanted."""
+    async with asyncio.timeout(LIMIT_S):
+        while await ask(app, path, **options) != status:
+            await asyncio.sleep(0.02)
+
+
+def serve_ok(writer, head):
+    writer.write(ANSWER)
+
+
+async def test_serves_by_the_newest_configuration_also_without_the_store(platform):
+    async with raw_endpoint(serve_ok) as (address, heads):
+        platform.write_endpoint("i-1", make_beat(address))
+        async with running_instances(platform) as (app,):
+            assert await ask(app) == 503
+            platform.write_operator("config", make_config())
+            await ask_until(200, app)
+            platform.write_operator("config", make_config(2, "/b/"))
+            await ask_until(200, app, "/b/1")
+            assert await ask(app, "/a/1") == 404
+            platform.is_out = True
+            assert await ask(app, "/b/1") == 200
+            platform.is_out = False
+            platform.forget("keyed.op")
+            platform.write_operator("config", make_config(3, "/b/", keys=("new",)))
+            await ask_until(401, app, "/b/1")
+            assert await ask(app, "/b/1", key="new") == 200
+    assert all(b"Lagoonring-Tenant: one" in head for head in heads)
+
+
+async def test_an_endpoint_that_leaves_gets_nothing_more(platform):
+    async with raw_endpoint(serve_ok) as (address, heads):
+        platform.write_operator("config", make_config())
+        platform.write_endpoint("i-1", make_beat(address))
+        platform.write_endpoint("i-2", make_beat(7))
+        async with running_instances(platform) as (app,):
+            await ask_until(200, app)
+            platform.write_endpoint("i-1", make_beat(address, state="draining", seq=2))
+            await ask_until(503, app)
+            n_heads = len(heads)
+            assert await ask(app) == 503
+    assert len(heads) == n_heads
+
+
+async def test_one_of_several_instances_does_the_duties(platform):
+    async with raw_endpoint(serve_ok) as (address, _):
+        platform.write_operator("config", make_config())
+        platform.write_endpoint("i-1", make_beat(address))
+        async with running_instances(platform, n=3) as apps:
+            for app in apps:
+                await ask_until(200, app)
+            window = int(time.time())
+            async with asyncio.timeout(LIMIT_S):
+                while not _told(platform, window):
+                    await asyncio.sleep(0.05)
+            holders = {call.holder for call in platform.calls}
+            assert len(holders) == 1
+            assert any(call.path == "/scale" for call in platform.calls)
+            (holder,) = (a for a in apps if a.settings.instance in holders)
+            await holder.retire_all()
+            n_calls = len(platform.calls)
+            async with asyncio.timeout(LIMIT_S):
+                while {c.holder for c in platform.calls[n_calls:]} <= holders:
+                    await asyncio.sleep(0.05)
+    by_window = {}
+    for call in platform.calls:
+        if call.path == "/usage":
+            told = by_window.setdefault(call.content["window"], call.content["counts"])
+            assert told == call.content["counts"]
+    numbers = [call.fencing_number for call in platform.calls]
+    assert numbers == sorted(numbers)
+
+
+def _told(platform, window):
+    return any(
+        call.path == "/usage" and call.content["window"] >= window
+        for call in platform.calls
+    )
+
+
+async def test_a_stop_finishes_what_is_open(platform):
+    go_on = asyncio.Event()
+
+    async def wait(writer, head):
+        await go_on.wait()
+        writer.write(ANSWER)
+
+    async with raw_endpoint(wait) as (address, heads):
+        platform.write_operator("config", make_config())
+        platform.write_endpoint("i-1", make_beat(address))
+        async with running_instances(platform) as (app,):
+            async with asyncio.timeout(LIMIT_S):
+                while not app.find("follower").table.of_service("desk"):
+                    await asyncio.sleep(0.02)
+            request = asyncio.create_task(ask(app))
+            async with asyncio.timeout(LIMIT_S):
+                while not heads:
+                    await asyncio.sleep(0.02)
+            drain = asyncio.create_task(app.drain(6.0))
+            await asyncio.sleep(0.1)
+            go_on.set()
+            assert await request == 200
+            await drain
