--- a/examples/demo/run_demo.py
+++ b/examples/demo/run_demo.py
@@ -26,7 +26,7 @@
 
 from lagoonring.catalogue.edits import Change, Edit, encode_edit
 from lagoonring.errors import LagoonringError
-from lagoonring.platform.log import LogClient
+from lagoonring.platform.store_log import LogClient
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
--- a/examples/running.py
+++ b/examples/running.py
@@ -32,7 +32,7 @@
 
 from lagoonring.catalogue.edits import Change, Edit, encode_edit
 from lagoonring.errors import LagoonringError
-from lagoonring.platform.log import LogClient
+from lagoonring.platform.store_log import LogClient
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
