Let the first requests of a started process wait for the store's first reading

Change: they wait up to 0.25 s until documents and records were read once. Test: test_a_request_waits_for_the_first_reading_and_no_longer.

--- a/lagoonring/platform/callers.py
+++ b/lagoonring/platform/callers.py
@@ -174,9 +174,8 @@
 
     async def answer_ready(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer 200 while new connections are wanted."""
-        is_ready = (
-            not self.is_leaving and self.path.parts.follower.configuration is not None
-        )
+        follower = self.path.parts.follower
+        is_ready = not self.is_leaving and follower.configuration is not None
         return web.Response(status=200 if is_ready else 503)
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
--- a/lagoonring/serving/follower.py
+++ b/lagoonring/serving/follower.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 import attrs
@@ -83,6 +84,17 @@
         self.due_removals: dict[str, float] = {}
         self.store_seen_well_s = float("-inf")
         self.started_s = app.clock.monotonic()
+        self.has_read = asyncio.Event()
+
+    async def wait_until_read(self, limit_s: float) -> None:
+        """Wait until documents and records were read once, or for ``limit_s``."""
+        if self.has_read.is_set():
+            return
+        try:
+            async with asyncio.timeout(limit_s):
+                await self.has_read.wait()
+        except TimeoutError:
+            logger.info("Serving before the store was read.")
 
     async def start(self) -> None:
         """Begin to follow."""
@@ -111,6 +123,7 @@
             changes = await self._poll("documents", self.documents, DOCUMENT_WAIT_S)
             for record in changes or ():
                 self.apply_document(record)
+            self._note_read()
             if not changes:
                 # A read may answer early with nothing; it must not be asked at once.
                 await self.app.clock.sleep(RETRY_S if changes is None else CHECK_S)
@@ -124,6 +137,7 @@
             changes = await self._poll("records", self.records, 0.0)
             for record in changes or ():
                 self.apply_record(record)
+            self._note_read()
             await self.app.clock.sleep(
                 ENDPOINT_POLL_S if changes is not None else RETRY_S
             )
@@ -149,6 +163,11 @@
         self.relay.publish(name, before, changes)
         return changes
 
+    def _note_read(self) -> None:
+        feeds = (self.documents, self.records)
+        if all(feed.offset is not None for feed in feeds):
+            self.has_read.set()
+
     def apply_document(self, record: KeyedRecord) -> None:
         """Put a document in force; a faulty one leaves what is in force."""
         if record.value is None:
--- a/lagoonring/serving/path.py
+++ b/lagoonring/serving/path.py
@@ -29,6 +29,7 @@
     from lagoonring.serving.parts import ServingParts
     from lagoonring.serving.requests import CallerRequest, Job, Sink
 
+START_WAIT_S = 0.25  # the store is read in some hundredths of a second at a start
 ARRIVALS_S = 3.0  # two missed checks of a second each, and one under way
 LEAVING_RETRY_S = 0.05  # another instance takes the request at once
 
@@ -61,6 +62,7 @@
         outcome = "internal"
         self._begin()
         try:
+            await self.parts.follower.wait_until_read(START_WAIT_S)
             job = accept(self.parts, request)
             self._check_time_to_serve(job)
             await self._run(job, sink)
--- a/lagoonring/tests/builders/serving.py
+++ b/lagoonring/tests/builders/serving.py
@@ -180,6 +180,9 @@
     configuration: Configuration | None
     orders: dict[str, MoveOrder] = attrs.field(factory=dict)
 
+    async def wait_until_read(self, limit_s: float) -> None:
+        """Return at once: what a test sets was read."""
+
 
 @attrs.define
 class FakeExchange:
--- a/lagoonring/tests/test_follower.py
+++ b/lagoonring/tests/test_follower.py
@@ -6,8 +6,8 @@
 from prometheus_client import CollectorRegistry
 
 from lagoonring.errors import InvalidInputError, UnavailableError
-from lagoonring.kernel import Application, ManualClock
-from lagoonring.platform.store import KeyedRecord
+from lagoonring.kernel import Application, Clock, ManualClock
+from lagoonring.platform.store import KeyedRecord, Snapshot
 from lagoonring.serving.endpoints import EndpointState, EndpointTable
 from lagoonring.serving.follower import RETURN_S, Follower
 from lagoonring.serving.metrics import ServingMetrics
@@ -25,6 +25,9 @@
         self.pages = []
         self.offset = 0
 
+    async def read_newest(self):
+        return self.newest
+
     async def read(self, offset, *, wait_s):
         page = self.pages.pop(0)
         if isinstance(page, Exception):
@@ -144,6 +147,21 @@
     assert follower.table.of_service("desk") == []
 
 
+async def test_a_request_waits_for_the_first_reading_and_no_longer(follower, documents):
+    follower.app.clock = Clock()
+    await follower.wait_until_read(0.01)
+    assert not follower.has_read.is_set()
+    follower.documents.log.pages += [[]] * 20
+    follower.records.log.pages += [[]] * 20
+    follower.documents.offset = None
+    follower.records.offset = None
+    follower.documents.log.newest = follower.records.log.newest = Snapshot([], 0)
+    await follower.start()
+    await follower.wait_until_read(5.0)
+    assert follower.has_read.is_set()
+    await follower.app.stop()
+
+
 async def follow_for(follower, seconds):
     follower.app.spawn("records", follower._follow_records)
     await follower.app.clock.advance(seconds)
