Keep the fleet that was found until callers show how much they ask

Change: a load of 0.3 of each endpoint found is assumed until callers come, and fades within seconds then. Test: test_a_large_fleet_stays_until_callers_show_how_much_they_ask.

--- a/lagoonring/serving/fleet.py
+++ b/lagoonring/serving/fleet.py
@@ -26,6 +26,9 @@
 REPEAT_S = 2.0  # after a refusal; reclaimable endpoints are gone for ten seconds
 LESS_AFTER_S = 6.0  # longer than a boot, so that a short lull stops no endpoint
 RECLAIMABLE_SPARE = 2  # in each data centre, for a burst while another one's are gone
+PRIOR_LOAD = 0.3  # of each endpoint found, until callers show how much they ask
+PRIOR_HALF_LIFE_S = 6.0  # longer than demand takes to be seen, and a boot besides
+IDLE_LOAD = 0.05  # less is no traffic: a probe now and then
 CALL_LEAST_S = 0.3  # a call begun with less could outlive the lease
 
 logger = make_logger("fleet")
@@ -40,6 +43,23 @@
     is_accepted: bool
 
 
+@attrs.define
+class Prior:
+    """A load assumed before callers came; it fades once they have."""
+
+    load: float
+    traffic_since_s: float | None = None
+
+    def read(self, observed: float, now_s: float) -> float:
+        """Return the load to plan for."""
+        if self.traffic_since_s is None:
+            if observed < IDLE_LOAD:
+                return self.load
+            self.traffic_since_s = now_s
+        age_s = now_s - self.traffic_since_s
+        return max(observed, self.load * 2 ** (-age_s / PRIOR_HALF_LIFE_S))
+
+
 class FleetDuty:
     """The part of the duties that orders endpoints.
 
@@ -72,6 +92,7 @@
         self.ordered: dict[tuple[str, str, bool], Ordered] = {}
         self.less_since_s: dict[tuple[str, str, bool], float] = {}
         self.fencing_number = -1
+        self.priors: dict[str, Prior] = {}
 
     async def step(self, lease: Lease) -> None:
         """Order what the plan wants and has not been ordered."""
@@ -82,6 +103,7 @@
             # Another holder may have ordered something else meanwhile.
             self.fencing_number = lease.fencing_number
             self.ordered.clear()
+            self.priors.clear()
         for service, order in self._wanted(configuration):
             if lease.remaining_s() < CALL_LEAST_S:
                 return
@@ -93,12 +115,22 @@
             if entry.scaling is None:
                 continue
             fleets = list(self._fleets(entry))
-            load = self.demand.busy_endpoints(entry.name)
+            load = self._load(entry.name)
             for order in plan(
                 fleets, entry.scaling, load=load, spare=RECLAIMABLE_SPARE
             ):
                 yield entry.name, order
 
+    def _load(self, service: str) -> float:
+        """Return the load to plan for: what is asked, or what was found at first."""
+        observed = self.demand.busy_endpoints(service)
+        prior = self.priors.get(service)
+        if prior is None:
+            n_found = len(self.table.of_service(service))
+            prior = Prior(PRIOR_LOAD * n_found if observed < IDLE_LOAD else 0.0)
+            self.priors[service] = prior
+        return prior.read(observed, self.clock.monotonic())
+
     def _fleets(self, entry: ServiceEntry) -> Iterator[DataCentreFleet]:
         assert entry.scaling is not None
         counts: dict[tuple[str, bool], int] = {}
@@ -165,7 +197,7 @@
                 "data_centre": order.data_centre,
                 "reclaimable": order.is_reclaimable,
                 "n_endpoints": order.n_endpoints,
-                "load": round(self.demand.busy_endpoints(service), 2),
+                "load": round(self._load(service), 2),
                 "result": result,
                 "error": error_text,
                 "fencing_number": lease.fencing_number,
--- a/lagoonring/tests/test_fleet_duty.py
+++ b/lagoonring/tests/test_fleet_duty.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import attrs
 import pytest
 from prometheus_client import CollectorRegistry
 
@@ -105,6 +106,36 @@
     assert all(cloud.have(name, True) for name in DATA_CENTRES)
 
 
+async def test_a_large_fleet_stays_until_callers_show_how_much_they_ask(clock):
+    found = [
+        make_record(f"{name}{number}", service="assistant", data_centre=name)
+        for name in DATA_CENTRES
+        for number in range(10)
+    ]
+    table = make_table(*found)
+    cloud = Cloud(table)
+    service = make_engine_service()
+    scaling = attrs.evolve(service.scaling, n_most=40)
+    service = attrs.evolve(service, scaling=scaling)
+    demand = Demand(clock)
+    duty = FleetDuty(
+        FakeFollower(make_configuration(services={service.name: service})),
+        table,
+        demand,
+        clock,
+        ServingMetrics(CollectorRegistry()),
+        data_centres=DATA_CENTRES,
+        order=cloud.order,
+    )
+    await play(duty, clock, 30)
+    assert len(table.endpoints) >= 0.3 * 30 / 0.45
+    for _ in range(60):
+        for _ in range(10):
+            demand.note_arrival(service.name, 0.05)
+        await play(duty, clock, 0.5)
+    assert len(table.endpoints) <= 16
+
+
 async def test_orders_again_what_was_reclaimed(duty, cloud, clock):
     await play(duty, clock, 20)
     cloud.reclaim("west")
