--- a/lagoonring/serving/fleet.py
+++ b/lagoonring/serving/fleet.py
@@ -26,7 +26,6 @@
 REPEAT_S = 2.0  # after a refusal; reclaimable endpoints are gone for ten seconds
 LESS_AFTER_S = 6.0  # longer than a boot, so that a short lull stops no endpoint
 RECLAIMABLE_SPARE = 2  # in each data centre, for a burst while another one's are gone
-SETTLE_S = 3.6  # three heartbeats of endpoints
 PRIOR_LOAD = 0.3  # of each endpoint found, until callers show how much they ask
 PRIOR_HALF_LIFE_S = 6.0  # longer than demand takes to be seen, and a boot besides
 IDLE_LOAD = 0.05  # less is no traffic: a probe now and then
@@ -48,15 +47,13 @@
 class Prior:
     """A load assumed before callers came; it fades once they have."""
 
-    found_s: float
-    load: float = 0.0
+    load: float
     traffic_since_s: float | None = None
 
-    def read(self, observed: float, n_found: int, now_s: float) -> float:
+    def read(self, observed: float, now_s: float) -> float:
         """Return the load to plan for."""
         if self.traffic_since_s is None:
             if observed < IDLE_LOAD:
-                self.load = max(self.load, PRIOR_LOAD * n_found)
                 return self.load
             self.traffic_since_s = now_s
         age_s = now_s - self.traffic_since_s
@@ -115,7 +112,7 @@
 
     def _wanted(self, configuration: Configuration) -> Iterator[tuple[str, Order]]:
         for entry in configuration.services.values():
-            if entry.scaling is None or not self._is_settled(entry.name):
+            if entry.scaling is None:
                 continue
             fleets = list(self._fleets(entry))
             load = self._load(entry.name)
@@ -126,17 +123,13 @@
 
     def _load(self, service: str) -> float:
         """Return the load to plan for: what is asked, or what was found at first."""
-        return self.priors[service].read(
-            self.demand.busy_endpoints(service),
-            len(self.table.of_service(service)),
-            self.clock.monotonic(),
-        )
-
-    def _is_settled(self, service: str) -> bool:
-        """Whether the endpoints there are have had time to be seen."""
-        now_s = self.clock.monotonic()
-        prior = self.priors.setdefault(service, Prior(found_s=now_s))
-        return now_s - prior.found_s >= SETTLE_S
+        observed = self.demand.busy_endpoints(service)
+        prior = self.priors.get(service)
+        if prior is None:
+            n_found = len(self.table.of_service(service))
+            prior = Prior(PRIOR_LOAD * n_found if observed < IDLE_LOAD else 0.0)
+            self.priors[service] = prior
+        return prior.read(observed, self.clock.monotonic())
 
     def _fleets(self, entry: ServiceEntry) -> Iterator[DataCentreFleet]:
         assert entry.scaling is not None
