Tell crashes in several rounds; drop what nothing uses

Cause: reading the change: news of crashed endpoints were taken by the first step of a round, so that with more than eight other instances the rest never heard of them; the load that endpoints tell with answers was decoded and not used. Change: crashes are told for two seconds; the load is not decoded.

--- a/lagoonring/platform/headers.py
+++ b/lagoonring/platform/headers.py
@@ -27,7 +27,6 @@
 # A signature of the endpoint over its answer.
 SIGNATURE = "Lagoonring-Response-Stamp"
 NOT_RUN = "Lagoonring-Not-Executed"
-LOAD = "Lagoonring-Server-Load"
 KEY_SCHEME = "token "
 
 HOP_BY_HOP = frozenset(
--- a/lagoonring/platform/sending.py
+++ b/lagoonring/platform/sending.py
@@ -12,7 +12,6 @@
 from lagoonring.endpoints.errors import EndpointCrossedError, EndpointCutError
 from lagoonring.endpoints.transport import send, typed_errors
 from lagoonring.platform import headers as names
-from lagoonring.serving.requests import LoadReport
 
 if TYPE_CHECKING:
     import asyncio
@@ -75,7 +74,6 @@
         self.is_other_endpoint = response.status == OTHER_ENDPOINT_STATUS
         self.is_not_run = names.NOT_RUN in response.headers
         self.is_signed = names.SIGNATURE in response.headers
-        self.load = _read_load(response.headers.get(names.LOAD))
         self.closed = _watch_end(response)
 
     async def read(self) -> bytes:
@@ -176,11 +174,3 @@
     if order.resume_after is not None:
         made[names.LAST_EVENT] = str(order.resume_after)
     return made
-
-
-def _read_load(text: str | None) -> LoadReport | None:
-    """Return the load told with an answer; a text of another form tells none."""
-    numbers = (text or "").split(",")
-    if len(numbers) != 3 or not all(number.strip().isdigit() for number in numbers):
-        return None
-    return LoadReport(*(int(number) for number in numbers))
--- a/lagoonring/serving/attempts.py
+++ b/lagoonring/serving/attempts.py
@@ -127,7 +127,7 @@
                 remedy="Use another endpoint; the request was not run.",
             )
         if answer.is_not_run:
-            self.parts.placer.note_full(endpoint, answer.load)
+            self.parts.placer.note_full(endpoint)
             raise EndpointRefusedError(
                 f"Got status {answer.status} of {endpoint.name}, which has not run "
                 "the request.",
@@ -277,7 +277,9 @@
             self.parts.note_outcome(job, endpoint, ok=False, latency_s=None)
             if isinstance(error, EndpointCutError):
                 n_crashes = self.parts.suspects.note_crash(
-                    job.fingerprint, f"{endpoint.name}/{endpoint.record.born_ms}"
+                    job.fingerprint,
+                    f"{endpoint.name}/{endpoint.record.born_ms}",
+                    now_s,
                 )
         logger.info(
             "Attempt failed.",
--- a/lagoonring/serving/exchange.py
+++ b/lagoonring/serving/exchange.py
@@ -198,7 +198,7 @@
         ]
         return sorted([*names, self.settings.instance])
 
-    def mates_heard(self) -> list[str]:
+    def local_peers(self) -> list[str]:
         """Return the other instances of this data centre that are heard now."""
         now_s = self.app.clock.monotonic()
         return [
@@ -209,9 +209,9 @@
             and now_s - peer.heard_s < SILENT_S
         ]
 
-    def send_to_mates(self, content: bytes) -> None:
+    def send_to_local_peers(self, content: bytes) -> None:
         """Send a message to the other instances of this data centre."""
-        for name in self.mates_heard():
+        for name in self.local_peers():
             self.transport.post(self.peers[name].address, content)
 
     def receive(self, content: bytes) -> None:
--- a/lagoonring/serving/news.py
+++ b/lagoonring/serving/news.py
@@ -25,7 +25,7 @@
         frame.read_well_for_s = parts.follower.read_well_for_s()
         frame.taken = parts.quotas.totals(parts.app.clock.monotonic())
         frame.started = parts.usage.recent()
-        frame.crashes = parts.suspects.take_news()
+        frame.crashes = parts.suspects.read_news(parts.app.clock.monotonic())
         frame.demand = parts.demand.own()
         frame.versions = parts.counters.rows()
         frame.moves = {name: it.view for name, it in parts.gate.views.items()}
--- a/lagoonring/serving/placer.py
+++ b/lagoonring/serving/placer.py
@@ -26,7 +26,8 @@
     from lagoonring.kernel import Clock
     from lagoonring.serving.demand import Demand
     from lagoonring.serving.endpoints import EndpointTable
-    from lagoonring.serving.requests import Job, LoadReport, PromptParts
+    from lagoonring.serving.placing import Placement
+    from lagoonring.serving.requests import Job, PromptParts
 
     Allowed = Callable[[str, Collection[str], str], set[str]]
 
@@ -79,9 +80,10 @@
         self.data_centre = data_centre
         self.allowed = allowed
         self.demand = demand
+        # By identity: a job changes while it is served.
         self.works: dict[int, tuple[Job, WorkInProgress]] = {}
 
-    def place(self, job: Job):
+    def place(self, job: Job) -> Placement | None:
         """Return the placement of a job, or None if no endpoint can take it."""
         endpoints = self._usable(job)
         candidates = self._candidates(job, endpoints)
@@ -146,7 +148,7 @@
         if job.route.kind is not RequestKind.STREAM:
             endpoint.learn_service_time(elapsed_s, self.clock.monotonic())
 
-    def note_full(self, endpoint: Endpoint, load: LoadReport | None) -> None:
+    def note_full(self, endpoint: Endpoint) -> None:
         """Avoid an endpoint that refused for lack of places."""
         endpoint.full_until_s = self.clock.monotonic() + FULL_S
 
--- a/lagoonring/serving/relay.py
+++ b/lagoonring/serving/relay.py
@@ -74,8 +74,8 @@
 
     def is_reader(self) -> bool:
         """Whether this instance reads for its data centre."""
-        mates = self.exchange.mates_heard()
-        return not mates or self.exchange.settings.instance < min(mates)
+        local_peers = self.exchange.local_peers()
+        return not local_peers or self.exchange.settings.instance < min(local_peers)
 
     def offset_of(self, name: str) -> int | None:
         """Return where a feed stands."""
@@ -93,7 +93,7 @@
         shared.pages.append((now_s, before, changes))
         while now_s - shared.pages[0][0] > HISTORY_S:
             shared.pages.pop(0)
-        if not self.is_reader() or not self.exchange.mates_heard():
+        if not self.is_reader() or not self.exchange.local_peers():
             return
         page = StorePage(
             feed=name,
@@ -101,7 +101,7 @@
             to_offset=shared.feed.offset,
             records=[record for _, _, records in shared.pages for record in records],
         )
-        self.exchange.send_to_mates(PAGE_KIND + msgspec.msgpack.encode(page))
+        self.exchange.send_to_local_peers(PAGE_KIND + msgspec.msgpack.encode(page))
 
     def receive(self, content: bytes) -> None:
         """Take in a page, unless records before it are missing here."""
--- a/lagoonring/serving/requests.py
+++ b/lagoonring/serving/requests.py
@@ -105,15 +105,6 @@
     moved: MovedRun | None = None
 
 
-@attrs.frozen
-class LoadReport:
-    """What an endpoint told of its load with an answer."""
-
-    n_running: int
-    n_waiting: int
-    n_slots: int
-
-
 class EndpointAnswer(Protocol):
     """An endpoint's answer, whose body is read as it comes."""
 
@@ -122,7 +113,6 @@
     is_not_run: bool
     is_other_endpoint: bool
     is_signed: bool
-    load: LoadReport | None
 
     async def read(self) -> bytes:
         """Return the whole body; raises an ``EndpointError`` if it breaks off."""
--- a/lagoonring/serving/suspects.py
+++ b/lagoonring/serving/suspects.py
@@ -7,9 +7,10 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
+from collections import OrderedDict, deque
 
 N_CRASHES_MOST = 3
+NEWS_S = 2.0  # several rounds of the exchange, so that a lost frame does no harm
 N_SUSPECTS_MOST = 2000  # some 100 bytes each
 
 
@@ -18,13 +19,12 @@
 
     def __init__(self) -> None:
         self.crashes: OrderedDict[str, set[str]] = OrderedDict()
-        self.news: dict[str, list[str]] = {}
+        self.news: deque[tuple[float, str, str]] = deque()
 
-    def note_crash(self, fingerprint: str, endpoint: str) -> int:
+    def note_crash(self, fingerprint: str, endpoint: str, now_s: float) -> int:
         """Count a broken attempt; return the endpoints counted so far."""
-        n_crashes = self._add(fingerprint, {endpoint})
-        self.news.setdefault(fingerprint, []).append(endpoint)
-        return n_crashes
+        self.news.append((now_s, fingerprint, endpoint))
+        return self._add(fingerprint, {endpoint})
 
     def note_success(self, fingerprint: str) -> None:
         """Clear a request that was answered in full."""
@@ -43,11 +43,14 @@
         """Return the endpoints that the request is known to have broken."""
         return len(self.crashes.get(fingerprint, ()))
 
-    def take_news(self) -> dict[str, list[str]]:
-        """Return what was counted here since the last call."""
-        news = self.news
-        self.news = {}
-        return news
+    def read_news(self, now_s: float) -> dict[str, list[str]]:
+        """Return what was counted here lately, for several rounds of telling."""
+        while self.news and now_s - self.news[0][0] > NEWS_S:
+            self.news.popleft()
+        told: dict[str, list[str]] = {}
+        for _, fingerprint, endpoint in self.news:
+            told.setdefault(fingerprint, []).append(endpoint)
+        return told
 
     def _add(self, fingerprint: str, endpoints: set[str]) -> int:
         known = self.crashes.setdefault(fingerprint, set())
--- a/lagoonring/tests/builders/serving.py
+++ b/lagoonring/tests/builders/serving.py
@@ -38,7 +38,7 @@
 from lagoonring.serving.placer import Placer
 from lagoonring.serving.quotas import Quotas
 from lagoonring.serving.repeats import RepeatBudget
-from lagoonring.serving.requests import CallerRequest, LoadReport
+from lagoonring.serving.requests import CallerRequest
 from lagoonring.serving.suspects import Suspects
 from lagoonring.serving.usage import UsageCounts
 from lagoonring.serving.versions import VersionCounters
@@ -213,7 +213,6 @@
     is_not_run: bool = False
     is_other_endpoint: bool = False
     is_signed: bool = True
-    load: LoadReport | None = None
     is_closed: bool = False
 
     async def read(self) -> bytes:
--- a/lagoonring/tests/test_exchange.py
+++ b/lagoonring/tests/test_exchange.py
@@ -139,12 +139,12 @@
     assert taken == [{"desk": 1.5}]
 
 
-async def test_mates_are_those_of_the_same_data_centre(network, clock):
+async def test_local_peers_are_those_of_the_same_data_centre(network, clock):
     first = await make_exchange(network, clock, 1, seeds=(2, 3))
     second = await make_exchange(network, clock, 2, seeds=(1,))
     third = await make_exchange(network, clock, 3, seeds=(1,), data_centre="west")
     for _ in range(2):
         for exchange in (first, second, third):
             exchange.send_round()
-    assert first.mates_heard() == ["i-2"]
-    assert third.mates_heard() == []
+    assert first.local_peers() == ["i-2"]
+    assert third.local_peers() == []
--- a/lagoonring/tests/test_follower.py
+++ b/lagoonring/tests/test_follower.py
@@ -42,11 +42,11 @@
         self.handlers = {}
         self.settings = type("Settings", (), {"instance": "a"})
 
-    def mates_heard(self):
+    def local_peers(self):
         return []
 
-    def send_to_mates(self, content):
-        raise AssertionError("got a message, expected no mates")
+    def send_to_local_peers(self, content):
+        raise AssertionError("got a message, expected no local peers")
 
 
 @pytest.fixture
--- a/lagoonring/tests/test_relay.py
+++ b/lagoonring/tests/test_relay.py
@@ -28,13 +28,13 @@
             def __init__(self):
                 self.handlers = {}
 
-            def mates_heard(self):
+            def local_peers(self):
                 reached = {name, *wire.ends} - wire.cut
                 return [] if name in wire.cut else sorted(reached - {name})
 
-            def send_to_mates(self, content):
-                for mate in self.mates_heard():
-                    wire.ends[mate].handlers[content[0]](content)
+            def send_to_local_peers(self, content):
+                for peer in self.local_peers():
+                    wire.ends[peer].handlers[content[0]](content)
 
         self.ends[name] = End()
         return self.ends[name]
--- a/lagoonring/tests/test_sending.py
+++ b/lagoonring/tests/test_sending.py
@@ -17,7 +17,7 @@
     EndpointTimeoutError,
 )
 from lagoonring.platform.sending import HttpSender, make_session
-from lagoonring.serving.requests import LoadReport, SendOrder
+from lagoonring.serving.requests import SendOrder
 from lagoonring.tests.builders.ports import free_ports
 from lagoonring.tests.builders.serving import make_record, make_request, raw_endpoint
 
@@ -102,7 +102,6 @@
     async with raw_endpoint(say(whole(head=head))) as (address, _):
         answer, body = await exchange(sender, address)
     assert (answer.status, body, answer.is_signed) == (200, b"ok", True)
-    assert answer.load == LoadReport(3, 1, 8)
     names = {name.lower() for name, _ in answer.headers}
     assert names == {"lagoonring-request-id", "lagoonring-response-stamp"}
 
