Give the unreadable document a code of its own

Two kinds of error had the code faulty_document, and their order on the page was that of the modules' import. Ruled out: a page not written anew (it was, in either order). Change: the platform's kind is UnreadableDocumentError, unreadable_document. Test: test_no_two_error_kinds_share_a_code, fails without the change.

--- a/lagoonring/platform/documents.py
+++ b/lagoonring/platform/documents.py
@@ -35,10 +35,10 @@
 PATIENCE_GAPS = 8
 
 
-class FaultyDocumentError(InvalidInputError):
+class UnreadableDocumentError(InvalidInputError):
     """A document in the platform's store can't be read."""
 
-    code = "faulty_document"
+    code = "unreadable_document"
 
 
 class _Split(msgspec.Struct):
@@ -140,7 +140,7 @@
 
     Raises
     ------
-    FaultyDocumentError
+    UnreadableDocumentError
         If it can't be read; the one before stays in force.
     """
     raw = _decode(content, _Config)
@@ -163,7 +163,7 @@
 
     Raises
     ------
-    FaultyDocumentError
+    UnreadableDocumentError
         If it can't be read.
     """
     if key == CONFIG_KEY:
@@ -178,12 +178,12 @@
 
     Raises
     ------
-    FaultyDocumentError
+    UnreadableDocumentError
         If a field is missing or of another form; such a record names no endpoint.
     """
     raw = _decode(content, _Beat)
     if raw.state not in ("ready", "draining") or not raw.address.count(":") == 1:
-        raise FaultyDocumentError(
+        raise UnreadableDocumentError(
             f"Got state {raw.state!r} and address {raw.address!r} of {endpoint}, "
             "expected ready or draining and IP:port.",
             remedy="Find who writes this record; the endpoint's own ones hold.",
@@ -229,7 +229,7 @@
         return msgspec.json.decode(content, type=kind)
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
         shown = content[:SHOWN_BYTES].decode(errors="replace")
-        raise FaultyDocumentError(
+        raise UnreadableDocumentError(
             f"Got {shown!r}: {error}.",
             remedy="Write the document anew; the one before stays in force.",
         ) from error
--- a/lagoonring/tests/test_boot.py
+++ b/lagoonring/tests/test_boot.py
@@ -9,7 +9,7 @@
 from lagoonring.cli.instance_command import main
 from lagoonring.platform.boot import BootFileError, decode_boot_file, load_boot_file
 from lagoonring.platform.documents import (
-    FaultyDocumentError,
+    UnreadableDocumentError,
     decode_configuration,
     decode_document,
     decode_endpoint,
@@ -160,7 +160,7 @@
     "content", [b"", b"{", b"[]", b'{"version": "new"}', b"\xff\xfe", b'{"routes": []}']
 )
 def test_a_faulty_configuration_is_named(content):
-    with pytest.raises(FaultyDocumentError):
+    with pytest.raises(UnreadableDocumentError):
         decode_document("config", content)
 
 
@@ -195,7 +195,7 @@
     ],
 )
 def test_a_record_of_another_form_names_no_endpoint(change):
-    with pytest.raises(FaultyDocumentError):
+    with pytest.raises(UnreadableDocumentError):
         decode_endpoint("i-1", json.dumps(BEAT | change).encode())
 
 
--- a/lagoonring/tests/test_reference.py
+++ b/lagoonring/tests/test_reference.py
@@ -22,3 +22,12 @@
         assert isinstance(kind.outcome, Outcome)
         assert kind.__doc__
         assert 400 <= kind.status <= 599
+
+
+def test_no_two_error_kinds_share_a_code():
+    make_pages()
+    kinds = {}
+    for kind in _all_errors():
+        if "code" in vars(kind):
+            kinds.setdefault(kind.code, []).append(kind.__name__)
+    assert {code: names for code, names in kinds.items() if len(names) > 1} == {}
