Ask in one place whether an instance is heard; drop what is never read

Cause: read again as a newcomer. The exchange tested five times whether a peer was heard lately; fleet and reports each had the least time for a call; endpoints kept since when they leave, the relay told an offset, and two functions took an argument, none of them read. Change: Peer.is_heard, one CALL_LEAST_S in duties; the unread is gone. Behaviour is meant to stay as it is; tests keep their assertions (calls of EndpointTable.apply lose the dropped argument).

--- a/lagoonring/serving/attempts.py
+++ b/lagoonring/serving/attempts.py
@@ -146,7 +146,7 @@
         body = await answer.read()
         if answer.status < 300 and not answer.is_signed:
             raise _unsigned(endpoint)
-        self._note_started(job, endpoint)
+        self._note_started(job)
         is_failure = answer.status >= 500
         endpoint.note_result(ok=not is_failure, now_s=self.clock.monotonic())
         self.parts.note_outcome(
@@ -241,14 +241,14 @@
 
     def _note_first_event(self, job: Job, endpoint: Endpoint, started_s: float) -> None:
         now_s = self.clock.monotonic()
-        self._note_started(job, endpoint)
+        self._note_started(job)
         self.parts.placer.first_event(job, endpoint)
         self.parts.metrics.first_s.labels(job.route.name).observe(
             now_s - job.request.received_s
         )
         self.parts.note_outcome(job, endpoint, ok=True, latency_s=now_s - started_s)
 
-    def _note_started(self, job: Job, endpoint: Endpoint) -> None:
+    def _note_started(self, job: Job) -> None:
         """Count the request as begun, once."""
         if not job.is_counted:
             job.is_counted = True
@@ -273,7 +273,7 @@
             endpoint.note_unreachable(now_s)
         elif not isinstance(error, EndpointRefusedError | EndpointFailedError):
             endpoint.note_result(ok=False, now_s=now_s)
-            self._note_started(job, endpoint)
+            self._note_started(job)
             self.parts.note_outcome(job, endpoint, ok=False, latency_s=None)
             if isinstance(error, EndpointCutError):
                 n_crashes = self.parts.suspects.note_crash(
--- a/lagoonring/serving/duties.py
+++ b/lagoonring/serving/duties.py
@@ -29,6 +29,7 @@
 STEP_S = 0.5  # an eighth of the time that a report may wait for late counts
 RENEWALS = 3.4  # renewals in a lease; two may be lost
 MARGIN_SHARE = 0.3  # of the lease, longer than a call to the platform may take
+CALL_LEAST_S = 0.3  # of the lease; a call begun with less could outlive it
 
 logger = make_logger("duties")
 
--- a/lagoonring/serving/endpoints.py
+++ b/lagoonring/serving/endpoints.py
@@ -109,7 +109,6 @@
     failed_s: float = 0.0
     n_connect_failures: int = 0
     down_until_s: float = 0.0
-    leaving_since_s: float | None = None
     full_until_s: float = 0.0
 
     @property
@@ -173,9 +172,7 @@
         """Return the endpoints of a service, those that leave included."""
         return list(self.by_service.get(service, {}).values())
 
-    def apply(
-        self, record: EndpointRecord, now_s: float, *, n_cache_tokens: int
-    ) -> str:
+    def apply(self, record: EndpointRecord, *, n_cache_tokens: int) -> str:
         """Take in a record; return what it changes, or "" for nothing.
 
         A record older than the one in force changes nothing. Another life under
@@ -194,10 +191,6 @@
         else:
             change = _describe_change(endpoint.record, record)
             endpoint.record = record
-        if record.state is EndpointState.READY:
-            endpoint.leaving_since_s = None
-        elif endpoint.leaving_since_s is None:
-            endpoint.leaving_since_s = now_s
         return change
 
     def remove(self, name: str) -> Endpoint | None:
--- a/lagoonring/serving/exchange.py
+++ b/lagoonring/serving/exchange.py
@@ -100,6 +100,10 @@
     heard_s: float | None = None
     noted_s: float = 0.0
 
+    def is_heard(self, now_s: float) -> bool:
+        """Whether the instance was heard lately."""
+        return self.heard_s is not None and now_s - self.heard_s < SILENT_S
+
 
 class Exchange(BaseService):
     """Sends and receives frames.
@@ -185,17 +189,13 @@
             if peer.heard_s is None:
                 continue
             n_known += 1
-            n_heard += now_s - peer.heard_s < SILENT_S
+            n_heard += peer.is_heard(now_s)
         return n_heard / n_known
 
     def heard_lately(self) -> list[str]:
         """Return the names of the instances heard now, this one included."""
         now_s = self.app.clock.monotonic()
-        names = [
-            name
-            for name, peer in self.peers.items()
-            if peer.heard_s is not None and now_s - peer.heard_s < SILENT_S
-        ]
+        names = [name for name, peer in self.peers.items() if peer.is_heard(now_s)]
         return sorted([*names, self.settings.instance])
 
     def local_peers(self) -> list[str]:
@@ -204,9 +204,7 @@
         return [
             name
             for name, peer in self.peers.items()
-            if peer.data_centre == self.settings.data_centre
-            and peer.heard_s is not None
-            and now_s - peer.heard_s < SILENT_S
+            if peer.data_centre == self.settings.data_centre and peer.is_heard(now_s)
         ]
 
     def send_to_local_peers(self, content: bytes) -> None:
@@ -234,11 +232,7 @@
         now_s = self.app.clock.monotonic()
         self.note_address(frame.instance, frame.address)
         peer = self.peers[frame.instance]
-        if (
-            peer.heard_s is None
-            or now_s - peer.heard_s >= SILENT_S
-            or peer.life != frame.life
-        ):
+        if not peer.is_heard(now_s) or peer.life != frame.life:
             logger.info(
                 "Instance heard.",
                 extra={
@@ -292,11 +286,7 @@
 
     def _sample_peers(self, now_s: float) -> dict[str, str]:
         """Return a few of the instances heard, so that all are found in time."""
-        heard = [
-            name
-            for name, peer in self.peers.items()
-            if peer.heard_s is not None and now_s - peer.heard_s < SILENT_S
-        ]
+        heard = [name for name, peer in self.peers.items() if peer.is_heard(now_s)]
         chosen = self.app.rng.sample(heard, min(N_PEERS_TOLD, len(heard)))
         return {name: self.peers[name].address for name in chosen}
 
--- a/lagoonring/serving/fleet.py
+++ b/lagoonring/serving/fleet.py
@@ -8,6 +8,7 @@
 
 from lagoonring.errors import LagoonringError
 from lagoonring.logs import make_logger
+from lagoonring.serving.duties import CALL_LEAST_S
 from lagoonring.serving.endpoints import EndpointState
 from lagoonring.serving.sizing import DataCentreFleet, Order, plan
 
@@ -29,7 +30,6 @@
 PRIOR_LOAD = 0.3  # of each endpoint found, until callers show how much they ask
 PRIOR_HALF_LIFE_S = 6.0  # longer than demand takes to be seen, and a boot besides
 IDLE_LOAD = 0.05  # less is no traffic: a probe now and then
-CALL_LEAST_S = 0.3  # a call begun with less could outlive the lease
 
 logger = make_logger("fleet")
 
--- a/lagoonring/serving/follower.py
+++ b/lagoonring/serving/follower.py
@@ -218,9 +218,8 @@
 
     def apply_record(self, record: KeyedRecord) -> None:
         """Take in an endpoint's record or its removal."""
-        now_s = self.app.clock.monotonic()
         if record.value is None:
-            self._note_removal(record.key, now_s)
+            self._note_removal(record.key, self.app.clock.monotonic())
             return
         try:
             content = self.read_record(record.key, record.value)
@@ -233,7 +232,7 @@
             return
         self.due_removals.pop(record.key, None)
         change = self.table.apply(
-            content, now_s, n_cache_tokens=self._cache_tokens(content.service)
+            content, n_cache_tokens=self._cache_tokens(content.service)
         )
         if change:
             self._tell(content.endpoint, change)
--- a/lagoonring/serving/relay.py
+++ b/lagoonring/serving/relay.py
@@ -77,10 +77,6 @@
         local_peers = self.exchange.local_peers()
         return not local_peers or self.exchange.settings.instance < min(local_peers)
 
-    def offset_of(self, name: str) -> int | None:
-        """Return where a feed stands."""
-        return self.shared[name].feed.offset
-
     def publish(
         self, name: str, before: int | None, changes: list[KeyedRecord]
     ) -> None:
--- a/lagoonring/serving/reporting.py
+++ b/lagoonring/serving/reporting.py
@@ -8,7 +8,7 @@
 
 from lagoonring.errors import LagoonringError
 from lagoonring.logs import make_logger
-from lagoonring.serving.duties import record_first
+from lagoonring.serving.duties import CALL_LEAST_S, record_first
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -26,7 +26,6 @@
 SETTLE_S = 0.6  # three rounds of the exchange after a window's end
 WAIT_SHARE = 0.62  # of the time to the report, for counts of instances cut off
 SAVE_S = 1.0  # of a window of five; what is counted later is lost with all instances
-CALL_LEAST_S = 0.3  # a call begun with less could outlive the lease
 
 
 class SavedUsage(Protocol):
--- a/lagoonring/tests/builders/serving.py
+++ b/lagoonring/tests/builders/serving.py
@@ -151,7 +151,7 @@
     """Return a table with the endpoints."""
     table = EndpointTable()
     for record in records:
-        table.apply(record, 0.0, n_cache_tokens=50_000)
+        table.apply(record, n_cache_tokens=50_000)
     return table
 
 
--- a/lagoonring/tests/test_fleet_duty.py
+++ b/lagoonring/tests/test_fleet_duty.py
@@ -46,7 +46,7 @@
                 data_centre=order.data_centre,
                 is_reclaimable=order.is_reclaimable,
             )
-            self.table.apply(record, 0.0, n_cache_tokens=1000)
+            self.table.apply(record, n_cache_tokens=1000)
 
     def have(self, data_centre, is_reclaimable):
         return [
--- a/lagoonring/tests/test_serving_path.py
+++ b/lagoonring/tests/test_serving_path.py
@@ -397,7 +397,7 @@
         state=EndpointState.DRAINING,
         sequence=2,
     )
-    change = parts.table.apply(leaving, 0.0, n_cache_tokens=1000)
+    change = parts.table.apply(leaving, n_cache_tokens=1000)
     evacuation.endpoint_changed(parts.table.find(name), change)
     await task
     await evacuation.stop()
