Order endpoints once those there were read; make room for reclaimable ones

Cause: the holder of the duties ordered endpoints half a second after its start.

Change: no order before two heartbeats after the process's start; what is found beyond the plan goes at once while no caller has come; on demand endpoints leave room for reclaimable ones under the limit on both kinds. The load assumed before callers come is 0.15 of each endpoint found: fleets are found at twice the load.

Tests: test_endpoints_not_read_yet_are_not_given_up, test_a_large_fleet_carries_the_ load_that_callers_begin_with (in place of one that held the fleet to the constant itself: it now asks for what carries the load), test_reclaimable_ones_get_room_where_ no_more_endpoints_are_allowed (fails before: the fleet stays at two and one).

--- a/lagoonring/platform/application.py
+++ b/lagoonring/platform/application.py
@@ -279,6 +279,7 @@
                     app.clock,
                     parts.metrics,
                     data_centres=settings.data_centres,
+                    heartbeat_s=settings.heartbeat_s,
                     order=order,
                 )
             )
--- a/lagoonring/serving/fleet.py
+++ b/lagoonring/serving/fleet.py
@@ -27,7 +27,8 @@
 REPEAT_S = 2.0  # after a refusal; reclaimable endpoints are gone for ten seconds
 LESS_AFTER_S = 6.0  # longer than a boot, so that a short lull stops no endpoint
 RECLAIMABLE_SPARE = 2  # in each data centre, for a burst while another one's are gone
-PRIOR_LOAD = 0.3  # of each endpoint found, until callers show how much they ask
+SETTLE_HEARTBEATS = 2.0  # an endpoint's first record and one read of the store
+PRIOR_LOAD = 0.15  # of each endpoint found: fleets are found at twice their load
 PRIOR_HALF_LIFE_S = 6.0  # longer than demand takes to be seen, and a boot besides
 IDLE_LOAD = 0.05  # less is no traffic: a probe now and then
 
@@ -65,6 +66,8 @@
 
     Parameters
     ----------
+    heartbeat_s : float
+        How often endpoints write their records.
     order : callable
         ``await order(lease, service, Order)`` tells the platform.
     """
@@ -80,6 +83,7 @@
         metrics: ServingMetrics,
         *,
         data_centres: tuple[str, ...],
+        heartbeat_s: float,
         order,
     ) -> None:
         self.follower = follower
@@ -89,6 +93,7 @@
         self.metrics = metrics
         self.data_centres = data_centres
         self.order = order
+        self.settled_s = clock.monotonic() + SETTLE_HEARTBEATS * heartbeat_s
         self.ordered: dict[tuple[str, str, bool], Ordered] = {}
         self.less_since_s: dict[tuple[str, str, bool], float] = {}
         self.fencing_number = -1
@@ -97,8 +102,8 @@
     async def step(self, lease: Lease) -> None:
         """Order what the plan wants and has not been ordered."""
         configuration = self.follower.configuration
-        if configuration is None:
-            return
+        if configuration is None or self.clock.monotonic() < self.settled_s:
+            return  # endpoints that are there may not have been read yet
         if lease.fencing_number != self.fencing_number:
             # Another holder may have ordered something else meanwhile.
             self.fencing_number = lease.fencing_number
@@ -166,6 +171,8 @@
         if order.n_endpoints >= n_before:
             self.less_since_s.pop(key, None)
             return True
+        if self.priors[entry.name].traffic_since_s is None:
+            return True  # no caller yet who could miss what is given up
         since_s = self.less_since_s.setdefault(key, now_s)
         return now_s - since_s >= LESS_AFTER_S
 
--- a/lagoonring/serving/sizing.py
+++ b/lagoonring/serving/sizing.py
@@ -72,10 +72,12 @@
     reclaimable = _spread_reclaimable(fleets, traits, floor, load, spare)
     on_demand = _cover_missing(fleets, traits, floor, load)
     for fleet in fleets:
-        # What serves now goes only once reclaimable endpoints serve in its place.
+        # What serves now goes only once reclaimable endpoints serve in its place,
+        # unless these could not start for the limit on both kinds together.
         name = fleet.data_centre
         n_planned = floor[name] + reclaimable[name]
         n_kept = min(n_planned - fleet.n_reclaimable, fleet.n_on_demand)
+        n_kept = min(n_kept, traits.n_most - reclaimable[name])
         on_demand[name] = min(max(on_demand[name], n_kept), traits.n_most)
     return [
         *(_order(fleet, reclaimable, True) for fleet in fleets),
--- a/lagoonring/tests/test_fleet_duty.py
+++ b/lagoonring/tests/test_fleet_duty.py
@@ -11,6 +11,7 @@
 from lagoonring.serving.demand import Demand
 from lagoonring.serving.fleet import REPEAT_S, FleetDuty
 from lagoonring.serving.metrics import ServingMetrics
+from lagoonring.serving.sizing import LOAD_MOST
 from lagoonring.tests.builders.serving import (
     FakeFollower,
     make_configuration,
@@ -20,6 +21,7 @@
 )
 
 DATA_CENTRES = ("east", "north", "west")
+HEARTBEAT_S = 1.2
 
 
 class Cloud:
@@ -90,6 +92,7 @@
         clock,
         ServingMetrics(CollectorRegistry()),
         data_centres=DATA_CENTRES,
+        heartbeat_s=HEARTBEAT_S,
         order=cloud.order,
     )
 
@@ -106,36 +109,76 @@
     assert all(cloud.have(name, True) for name in DATA_CENTRES)
 
 
-async def test_a_large_fleet_stays_until_callers_show_how_much_they_ask(clock):
-    found = [
+def make_large_fleet():
+    return [
         make_record(f"{name}{number}", service="assistant", data_centre=name)
         for name in DATA_CENTRES
-        for number in range(10)
+        for number in range(20)
     ]
-    table = make_table(*found)
-    cloud = Cloud(table)
+
+
+def make_large_duty(cloud, clock, demand):
     service = make_engine_service()
     scaling = attrs.evolve(service.scaling, n_most=40)
     service = attrs.evolve(service, scaling=scaling)
-    demand = Demand(clock)
-    duty = FleetDuty(
+    return FleetDuty(
         FakeFollower(make_configuration(services={service.name: service})),
-        table,
+        cloud.table,
         demand,
         clock,
         ServingMetrics(CollectorRegistry()),
         data_centres=DATA_CENTRES,
+        heartbeat_s=HEARTBEAT_S,
         order=cloud.order,
     )
-    await play(duty, clock, 30)
-    assert len(table.endpoints) >= 0.3 * 30 / 0.45
-    for _ in range(60):
+
+
+async def ask(duty, demand, clock, seconds, *, load):
+    """Let callers ask for as much as ``load`` endpoints read all the time."""
+    for _ in range(int(seconds * 2)):
         for _ in range(10):
-            demand.note_arrival(service.name, 0.05)
+            demand.note_arrival("assistant", load / 20)
         await play(duty, clock, 0.5)
+
+
+async def test_a_large_fleet_carries_the_load_that_callers_begin_with(clock):
+    table = make_table(*make_large_fleet())
+    cloud = Cloud(table)
+    demand = Demand(clock)
+    duty = make_large_duty(cloud, clock, demand)
+    load = 0.12 * len(table.endpoints)
+    await play(duty, clock, 30)
+    n_least = load / LOAD_MOST
+    assert n_least <= len(table.endpoints) < 40
+    for _ in range(60):
+        await ask(duty, demand, clock, 0.5, load=load)
+        assert len(table.endpoints) >= 0.9 * n_least
+    await ask(duty, demand, clock, 30, load=2.0)
     assert len(table.endpoints) <= 16
 
 
+async def test_endpoints_not_read_yet_are_not_given_up(clock):
+    """Their records come one by one in the first heartbeats after a start."""
+    table = make_table()
+    cloud = Cloud(table)
+    duty = make_large_duty(cloud, clock, Demand(clock))
+    for record in make_large_fleet():
+        table.apply(record, n_cache_tokens=1000)
+        await duty.step(HeldLease())
+        await clock.advance(HEARTBEAT_S / 60)
+    assert cloud.orders == []
+    await play(duty, clock, 20)
+    assert len(table.endpoints) >= 0.12 * 60 / LOAD_MOST
+
+
+async def test_what_was_found_beyond_the_need_goes_before_callers_come(clock):
+    table = make_table(*make_large_fleet())
+    cloud = Cloud(table)
+    duty = make_large_duty(cloud, clock, Demand(clock))
+    await play(duty, clock, 6)
+    assert len(table.endpoints) < 40
+
+
 async def test_orders_again_what_was_reclaimed(duty, cloud, clock):
     await play(duty, clock, 20)
     cloud.reclaim("west")
--- a/lagoonring/tests/test_serving_decisions.py
+++ b/lagoonring/tests/test_serving_decisions.py
@@ -544,6 +544,22 @@
     assert numbers_of(after, is_reclaimable=False) == {"east": 1, "north": 0, "west": 1}
 
 
+def test_reclaimable_ones_get_room_where_no_more_endpoints_are_allowed():
+    """Found on demand, two to a data centre that may have three endpoints."""
+    scaling = make_scaling(n_most=3)
+    numbers = {"east": (2, 0), "north": (2, 0), "west": (2, 0)}
+    for _ in range(5):
+        orders = plan(make_fleets(**numbers), scaling, load=0.5, spare=2)
+        on_demand = numbers_of(orders, is_reclaimable=False)
+        wanted = numbers_of(orders, is_reclaimable=True)
+        # The platform starts what is within the limit on both kinds.
+        numbers = {
+            name: (on_demand[name], min(wanted[name], 3 - on_demand[name]))
+            for name in numbers
+        }
+    assert numbers == {"east": (1, 2), "north": (0, 2), "west": (1, 2)}
+
+
 def test_a_service_without_reclaimable_endpoints_is_sized_on_demand():
     scaling = make_scaling(reclaimable_price=None)
     orders = plan(make_fleets(), scaling, load=2.0, spare=1)
