Look for the log again soon after it was not reached

An owner of a slot that can't reach the log when it starts, since the log's process listens a little later, looks again after lease.poll_s (1 to 3 s) and refuses all claims until then.

Ruled out: the batch's own append, which gets another answer (`fate_unknown`).

Change: after a failure to reach the log the pause begins at retry_s and doubles up to poll_s.

Test: test_claims_are_granted_soon_after_the_log_is_first_reached fails before.

--- a/lagoonring/claims/slot.py
+++ b/lagoonring/claims/slot.py
@@ -124,6 +124,7 @@
     async def run(self) -> None:
         """Hold the lease and commit batches, until :meth:`retire` is called."""
         poll_s = 0.0
+        n_out = 0
         while not self.is_retiring:
             await self._wait(poll_s * self.app.rng.uniform(0.5, 1.5))
             poll_s = self.options.lease.poll_s
@@ -132,6 +133,10 @@
             if await self._acquire():
                 await self._serve()
                 poll_s = self.options.retry_s
+            # The log is often back soon, as when all processes start together.
+            n_out = n_out + 1 if self.is_log_out else 0
+            if self.is_log_out:
+                poll_s = min(poll_s, self.options.retry_s * 2 ** min(n_out, 16))
         await self.lease.release()
 
     def nudge(self) -> None:
--- a/lagoonring/tests/test_claims.py
+++ b/lagoonring/tests/test_claims.py
@@ -175,6 +175,23 @@
     run_virtual(check())
 
 
+def test_claims_are_granted_soon_after_the_log_is_first_reached():
+    """The instances of a deployment start a little before the log answers."""
+
+    async def check():
+        lease = attrs.evolve(FAST.lease, poll_s=30.0)
+        fleet = await make_fleet(0, n_slots=1, lease=lease)
+        instance = await fleet.add(CatalogueDouble(make_catalogue()))
+        instance.log.is_cut_off = True
+        await asyncio.sleep(1.0)
+        instance.log.is_cut_off = False
+        await asyncio.sleep(1.0)
+        assert (await claim(instance, "1")).state == "granted"
+        await fleet.stop()
+
+    run_virtual(check())
+
+
 def test_a_grant_that_was_not_heard_is_unknown_and_then_taken_back():
     async def check():
         fleet = await make_fleet(2, n_slots=1)
