Add a soak: random faults on real instances as processes, by seed

Instances run as separate processes on loopback addresses of their own; the platform's stand-in, the endpoints and the callers are the soak's, which sees what is sent, answered and run. 22 kinds of faults come by seed, in series and overlapping: proxies before the store and the endpoints that delay, reset, hold both ways or one way; SIGKILL, SIGSTOP, SIGTERM, SIGHUP, all killed at once, also right after a change; the store out, slow, losing answers, forgetting; endpoints that crash, drain, fail.

The link stand-in can hold answers only; the platform's stand-in takes the faults that the other stand-ins have.

Not covered, told in the package: clocks (no step from outside without privileges), links between instances (no proxy).

--- a/Makefile
+++ b/Makefile
@@ -5,8 +5,10 @@
 BASE_PORT ?= 8700
 TEST_WORKERS ?= 4
 TEST_ARGS ?=
+SEED ?=
+MINUTES ?= 5
 
-.PHONY: setup demo serve test format lint types check benchmarks
+.PHONY: setup demo serve soak test format lint types check benchmarks
 
 setup: $(VENV)/.installed
 
@@ -22,6 +24,9 @@
 serve: setup
 	$(BIN)/python examples/demo/run_demo.py --base-port $(BASE_PORT) --stay
 
+soak: setup
+	$(BIN)/lagoonring-soak --minutes $(MINUTES) $(if $(SEED),--seed $(SEED))
+
 test: setup
 	$(BIN)/python -m pytest -n $(TEST_WORKERS) $(TEST_ARGS)
 
--- /dev/null
+++ b/lagoonring/soak/deployment.py
@@ -0,0 +1,283 @@
+"""Instances as processes, with the platform and endpoints they need."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+import attrs
+import msgspec
+
+from lagoonring.soak.endpoints import HEARTBEAT_S, Run, SoakEndpoint
+from lagoonring.standins.link_standin import LinkStandin
+from lagoonring.standins.options import LinkOptions
+from lagoonring.standins.platform_standin import PlatformStandin
+
+DATA_CENTRES = ("east", "west", "north")
+CALLER_PORT, READY_PORT, CONTROL_PORT, PEER_PORT = 8360, 8365, 8367, 7500
+METRICS_PORT = 9464
+RESTART_S = 0.2  # as the platform restarts what ended
+BOUNDS = {
+    "drainMs": 2000,
+    "configMs": 2000,
+    "graceS": 8,
+    "leaseMs": 3000,
+    "quotaWindowS": 8,
+    "quotaOvershoot": 0.1,
+    "quotaSlack": 60,
+    "usageWindowS": 5,
+    "usageLateS": 10,
+    "retryBudgetRatio": 0.2,
+    "budgetWindowS": 10,
+    "retryBudgetSlack": 60,
+}
+ORGANISATIONS = {"one": "key-of-one", "two": "key-of-two"}
+# Two is limited to about half of what its callers ask.
+LIMITED, RATE_PER_S, BURST = "two", 12.0, 30.0
+RESUMABLE, UNSAFE, SAFE = "/stream/", "/unsafe/", "/safe/"
+SOAK_HOST = "soak.example"
+
+
+@attrs.define
+class Instance:
+    """One instance: where it is, its process, and its link to the store.
+
+    ``times`` holds when something was done to it, as kind and monotonic time.
+    """
+
+    name: str
+    ip: str
+    data_centre: str
+    settings: Path
+    log: Path
+    link: LinkStandin
+    process: subprocess.Popen[bytes] | None = None
+    is_wanted: bool = True
+    is_leaving: bool = False
+    disturbed_s: float = float("-inf")
+    n_own_ends: int = 0
+    planned_stops: list[float] = attrs.field(factory=list)
+
+    @property
+    def url(self) -> str:
+        """Root URL for callers."""
+        return f"http://{self.ip}:{CALLER_PORT}"
+
+    def disturb(self, until_s: float = 0.0) -> None:
+        """Note that the instance is out of touch now, or until a later time."""
+        self.disturbed_s = max(self.disturbed_s, time.monotonic(), until_s)
+
+
+class SoakDeployment:
+    """The platform, the endpoints and the instances of one soak.
+
+    Parameters
+    ----------
+    folder : Path
+        Gets settings files and logs.
+    seed : int
+        Seed of this soak; it also chooses the loopback addresses.
+    """
+
+    def __init__(self, folder: Path, seed: int, *, n_each: int = 2) -> None:
+        self.folder = folder
+        self.rng = random.Random(seed)
+        self.net = 16 + seed % 200
+        self.n_each = n_each
+        self.platform = PlatformStandin()
+        self.runs: list[Run] = []
+        self.endpoints: list[SoakEndpoint] = []
+        self.instances: list[Instance] = []
+        self.version = 0
+        self.extra_routes: list[str] = []
+        self.config_acked_s: dict[str, float] = {}
+        self.config_removed_s: dict[str, float] = {}
+        self.store_disturbed_s = float("-inf")
+        self.watch: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Start everything."""
+        await self.platform.start()
+        self.write_config()
+        for centre in DATA_CENTRES:
+            for service in ("engine", "desk"):
+                endpoint = SoakEndpoint(
+                    f"{service}-{centre}",
+                    service,
+                    centre,
+                    self.platform,
+                    self.runs,
+                    self.rng,
+                )
+                await endpoint.start()
+                self.endpoints.append(endpoint)
+        for index, centre in enumerate(DATA_CENTRES):
+            for number in range(self.n_each):
+                self.instances.append(await self._make_instance(index, centre, number))
+        for instance in self.instances:
+            self.launch(instance)
+        self.watch = asyncio.create_task(self._keep_running())
+
+    async def stop(self) -> None:
+        """End every process that was started here, by its id."""
+        if self.watch is not None:
+            self.watch.cancel()
+        for instance in self.instances:
+            if instance.process is not None and instance.process.poll() is None:
+                instance.process.kill()
+                instance.process.wait()
+            await instance.link.stop()
+        for endpoint in self.endpoints:
+            if endpoint.runner is not None and endpoint.link is not None:
+                await endpoint.link.stop()
+                await endpoint.runner.cleanup()
+        await self.platform.stop()
+
+    def write_config(self) -> None:
+        """Write a configuration with the routes in force."""
+        self.version += 1
+        routes = [
+            _route("stream", RESUMABLE, "streaming", "engine", canResume=True),
+            _route("unsafe", UNSAFE, "unsafe", "desk", maxAttempts=1),
+            _route("safe", SAFE, "safe", "desk"),
+            *(_route(prefix, prefix, "safe", "desk") for prefix in self.extra_routes),
+        ]
+        tenants: list[dict[str, Any]] = [
+            {"name": name, "apiKeys": [key]} for name, key in ORGANISATIONS.items()
+        ]
+        tenants[-1] |= {"ratePerS": RATE_PER_S, "burst": BURST}
+        config = {
+            "version": self.version,
+            "routes": routes,
+            "services": [{"name": "engine"}, {"name": "desk"}],
+            "tenants": tenants,
+        }
+        self.platform.write_operator("config", config)
+
+    def add_route(self) -> None:
+        """Add a route; the store has it when this returns."""
+        prefix = f"/extra{self.version}/"
+        self.extra_routes.append(prefix)
+        self.write_config()
+        self.config_acked_s[prefix] = time.monotonic()
+
+    def drop_route(self) -> None:
+        """Remove the oldest of the routes that were added."""
+        if self.extra_routes:
+            prefix = self.extra_routes.pop(0)
+            self.write_config()
+            self.config_removed_s[prefix] = time.monotonic()
+
+    def launch(self, instance: Instance) -> None:
+        """Start an instance's process."""
+        instance.is_leaving = False
+        instance.disturb()
+        with instance.log.open("ab") as log:
+            instance.process = subprocess.Popen(
+                [
+                    sys.executable,
+                    "-m",
+                    "lagoonring.cli.instance_command",
+                    "--settings",
+                    str(instance.settings),
+                    "--metrics-port",
+                    str(METRICS_PORT),
+                ],
+                stdout=log,
+                stderr=subprocess.STDOUT,
+            )
+
+    def signal(self, instance: Instance, number: signal.Signals) -> None:
+        """Signal the process of an instance, if it runs."""
+        process = instance.process
+        if process is None or process.poll() is not None:
+            return
+        if number is signal.SIGTERM:
+            instance.planned_stops.append(time.monotonic())
+        instance.is_leaving |= number in (signal.SIGTERM, signal.SIGKILL)
+        if number is not signal.SIGHUP:
+            instance.disturb()
+        process.send_signal(number)
+
+    async def _make_instance(self, index: int, centre: str, number: int) -> Instance:
+        ip = f"127.{self.net}.{index + 1}.{number + 1}"
+        host, port = self.platform.address.split(":")
+        link = LinkStandin(LinkOptions(target_host=host, target_port=int(port)))
+        await link.start()
+        name = f"{centre}-{number}"
+        instance = Instance(
+            name=name,
+            ip=ip,
+            data_centre=centre,
+            settings=self.folder / f"{name}.json",
+            log=self.folder / f"{name}.log",
+            link=link,
+        )
+        self.write_settings(instance)
+        return instance
+
+    def write_settings(self, instance: Instance, **changes: Any) -> None:
+        """Write the settings file of an instance."""
+        boot = {
+            "node": instance.name,
+            "ip": instance.ip,
+            "zone": instance.data_centre,
+            "region": "coast",
+            "zones": dict.fromkeys(DATA_CENTRES, "coast"),
+            "listen": {
+                "front": f"{instance.ip}:{CALLER_PORT}",
+                "ready": f"{instance.ip}:{READY_PORT}",
+                "control": f"{instance.ip}:{CONTROL_PORT}",
+            },
+            "internalPorts": [PEER_PORT, PEER_PORT + 15],
+            "seeds": [
+                f"127.{self.net}.{index + 1}.1:{CONTROL_PORT}"
+                for index in range(len(DATA_CENTRES))
+            ],
+            "limits": {"memoryMb": 300, "linkMbps": 1000.0, "cpuShare": 1.0},
+            "heartbeatMs": int(HEARTBEAT_S * 1000),
+            "bounds": BOUNDS,
+            "platform": {"address": f"127.0.0.1:{instance.link.port}"},
+            "cloud": {
+                "address": f"127.0.0.1:{instance.link.port}",
+                "duties": ["usage"],
+            },
+        }
+        new = instance.settings.with_suffix(".new")
+        new.write_bytes(msgspec.json.encode(boot | changes))
+        new.replace(instance.settings)
+
+    async def _keep_running(self) -> None:
+        """Start again what ended, as the platform does."""
+        while True:
+            await asyncio.sleep(RESTART_S)
+            for instance in self.instances:
+                process = instance.process
+                if process is None or process.poll() is None:
+                    continue
+                if not instance.is_leaving:
+                    instance.n_own_ends += 1
+                if instance.is_wanted:
+                    self.launch(instance)
+
+
+def _route(
+    name: str, prefix: str, kind: str, service: str, **more: Any
+) -> dict[str, Any]:
+    route = {
+        "name": name,
+        "host": SOAK_HOST,
+        "pathPrefix": prefix,
+        "kind": kind,
+        "service": service,
+        "timeoutMs": 3000,
+        "sloMs": 500,
+        "maxAttempts": 2,
+    }
+    return route | more
--- /dev/null
+++ b/lagoonring/soak/faults.py
@@ -0,0 +1,257 @@
+"""A schedule of faults by seed, and what each does."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import time
+from typing import TYPE_CHECKING
+
+import attrs
+
+from lagoonring.soak.endpoints import EndpointFaults
+from lagoonring.standins.link_standin import LinkFaults
+from lagoonring.standins.platform_faults import PlatformFaults
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Awaitable, Callable
+
+    from lagoonring.soak.deployment import Instance, SoakDeployment
+
+GAP_MEAN_S = 2.5  # between the beginnings of two faults, so that some overlap
+SERIES_SHARE = 0.3  # of the faults come several times in a row
+SETTLE_S = 3.0  # from a fault's end until its instance is in touch again
+
+
+@attrs.frozen(kw_only=True)
+class Fault:
+    """One fault: when it begins, how long it lasts, and whom it meets first."""
+
+    kind: str
+    at_s: float
+    for_s: float
+    pick: int
+
+
+def schedule(rng: random.Random, seconds: float) -> list[Fault]:
+    """Return the faults of a soak, in the order in which they begin."""
+    faults: list[Fault] = []
+    at_s = 0.0
+    while True:
+        at_s += rng.expovariate(1 / GAP_MEAN_S)
+        kind = rng.choice(sorted(KINDS))
+        n_times = rng.randint(2, 4) if rng.random() < SERIES_SHARE else 1
+        for _ in range(n_times):
+            if at_s >= seconds:
+                return faults
+            fault = Fault(
+                kind=kind,
+                at_s=round(at_s, 3),
+                for_s=round(rng.uniform(0.3, 5.0), 3),
+                pick=rng.randrange(1 << 16),
+            )
+            faults.append(fault)
+            at_s += rng.uniform(0.2, 1.5) if n_times > 1 else 0.0
+
+
+class FaultPlayer:
+    """Plays a schedule on a deployment.
+
+    Parameters
+    ----------
+    note : callable
+        Gets a line for each fault that begins or ends.
+    """
+
+    def __init__(self, deployment: SoakDeployment, note: Callable[[str], None]) -> None:
+        self.deployment = deployment
+        self.note = note
+
+    async def play(self, faults: list[Fault]) -> None:
+        """Play all faults; returns when the last one has ended."""
+        started_s = time.monotonic()
+        tasks = []
+        for fault in faults:
+            await asyncio.sleep(max(started_s + fault.at_s - time.monotonic(), 0))
+            tasks.append(asyncio.create_task(self._play(fault)))
+        await asyncio.gather(*tasks)
+
+    async def _play(self, fault: Fault) -> None:
+        self.note(f"begins {fault}")
+        await KINDS[fault.kind](self.deployment, fault)
+        self.note(f"ends {fault.kind} of {fault.at_s}")
+
+
+def _instance(deployment: SoakDeployment, fault: Fault) -> Instance:
+    return deployment.instances[fault.pick % len(deployment.instances)]
+
+
+async def _kill(deployment: SoakDeployment, fault: Fault) -> None:
+    deployment.signal(_instance(deployment, fault), signal.SIGKILL)
+
+
+async def _kill_all(deployment: SoakDeployment, fault: Fault) -> None:
+    for instance in deployment.instances:
+        deployment.signal(instance, signal.SIGKILL)
+
+
+async def _kill_after_change(deployment: SoakDeployment, fault: Fault) -> None:
+    deployment.add_route()
+    await _kill_all(deployment, fault)
+
+
+async def _pause(deployment: SoakDeployment, fault: Fault) -> None:
+    instance = _instance(deployment, fault)
+    process = instance.process
+    deployment.signal(instance, signal.SIGSTOP)
+    await asyncio.sleep(fault.for_s)
+    if process is instance.process:
+        deployment.signal(instance, signal.SIGCONT)
+
+
+async def _planned_stop(deployment: SoakDeployment, fault: Fault) -> None:
+    deployment.signal(_instance(deployment, fault), signal.SIGTERM)
+
+
+async def _reload(deployment: SoakDeployment, fault: Fault) -> None:
+    instance = _instance(deployment, fault)
+    deployment.write_settings(instance, newField=fault.pick)
+    deployment.signal(instance, signal.SIGHUP)
+
+
+async def _store_link(
+    deployment: SoakDeployment, fault: Fault, faults: LinkFaults
+) -> None:
+    instance = _instance(deployment, fault)
+    instance.disturb(time.monotonic() + fault.for_s)
+    instance.link.set_faults(faults)
+    await asyncio.sleep(fault.for_s)
+    instance.link.set_faults(LinkFaults())
+    instance.disturb()
+
+
+async def _store_silent(deployment: SoakDeployment, fault: Fault) -> None:
+    await _store_link(deployment, fault, LinkFaults(is_cut=True))
+
+
+async def _store_one_way(deployment: SoakDeployment, fault: Fault) -> None:
+    await _store_link(deployment, fault, LinkFaults(is_cut_back=True))
+
+
+async def _store_refuses(deployment: SoakDeployment, fault: Fault) -> None:
+    await _store_link(deployment, fault, LinkFaults(refuses=True, reset=True))
+
+
+async def _store_delayed(deployment: SoakDeployment, fault: Fault) -> None:
+    await _store_link(deployment, fault, LinkFaults(delay_s=0.15))
+
+
+async def _store(
+    deployment: SoakDeployment, fault: Fault, faults: PlatformFaults
+) -> None:
+    deployment.store_disturbed_s = time.monotonic() + fault.for_s
+    deployment.platform.faults = faults
+    await asyncio.sleep(fault.for_s)
+    deployment.platform.faults = PlatformFaults()
+    deployment.store_disturbed_s = max(deployment.store_disturbed_s, time.monotonic())
+
+
+async def _store_out(deployment: SoakDeployment, fault: Fault) -> None:
+    await _store(deployment, fault, PlatformFaults(is_out=True))
+
+
+async def _store_slow(deployment: SoakDeployment, fault: Fault) -> None:
+    await _store(deployment, fault, PlatformFaults(delay_s=0.3))
+
+
+async def _store_loses_answers(deployment: SoakDeployment, fault: Fault) -> None:
+    await _store(deployment, fault, PlatformFaults(n_lost_answers=10))
+
+
+async def _store_forgets(deployment: SoakDeployment, fault: Fault) -> None:
+    for topic in ("keyed.op", "keyed.servers"):
+        deployment.platform.forget(topic)
+
+
+async def _endpoint_link(
+    deployment: SoakDeployment, fault: Fault, faults: LinkFaults
+) -> None:
+    endpoint = deployment.endpoints[fault.pick % len(deployment.endpoints)]
+    link = endpoint.link
+    assert link is not None
+    link.set_faults(faults)
+    await asyncio.sleep(fault.for_s)
+    link.set_faults(LinkFaults())
+
+
+async def _endpoint_silent(deployment: SoakDeployment, fault: Fault) -> None:
+    await _endpoint_link(deployment, fault, LinkFaults(is_cut=True))
+
+
+async def _endpoint_one_way(deployment: SoakDeployment, fault: Fault) -> None:
+    await _endpoint_link(deployment, fault, LinkFaults(is_cut_back=True))
+
+
+async def _endpoint_resets(deployment: SoakDeployment, fault: Fault) -> None:
+    await _endpoint_link(deployment, fault, LinkFaults(refuses=True, reset=True))
+
+
+async def _endpoint_faulty(deployment: SoakDeployment, fault: Fault) -> None:
+    endpoint = deployment.endpoints[fault.pick % len(deployment.endpoints)]
+    endpoint.faults = EndpointFaults(lost_share=0.2, failed_share=0.3, slow_s=0.1)
+    await asyncio.sleep(fault.for_s)
+    endpoint.faults = EndpointFaults()
+
+
+async def _endpoint_crashes(deployment: SoakDeployment, fault: Fault) -> None:
+    endpoint = deployment.endpoints[fault.pick % len(deployment.endpoints)]
+    if endpoint.runner is None or endpoint.state != "ready":
+        return
+    await endpoint.crash()
+    await endpoint.start()
+
+
+async def _endpoint_drains(deployment: SoakDeployment, fault: Fault) -> None:
+    endpoint = deployment.endpoints[fault.pick % len(deployment.endpoints)]
+    if endpoint.runner is None or endpoint.state != "ready":
+        return
+    endpoint.drain()
+    await asyncio.sleep(4.0)
+    if endpoint.state == "draining":
+        await endpoint.crash()
+        await endpoint.start()
+
+
+async def _add_route(deployment: SoakDeployment, fault: Fault) -> None:
+    deployment.add_route()
+
+
+async def _drop_route(deployment: SoakDeployment, fault: Fault) -> None:
+    deployment.drop_route()
+
+
+KINDS: dict[str, Callable[[SoakDeployment, Fault], Awaitable[None]]] = {
+    "kill": _kill,
+    "kill_all": _kill_all,
+    "kill_after_change": _kill_after_change,
+    "pause": _pause,
+    "planned_stop": _planned_stop,
+    "reload": _reload,
+    "store_silent": _store_silent,
+    "store_one_way": _store_one_way,
+    "store_refuses": _store_refuses,
+    "store_delayed": _store_delayed,
+    "store_out": _store_out,
+    "store_slow": _store_slow,
+    "store_loses_answers": _store_loses_answers,
+    "store_forgets": _store_forgets,
+    "endpoint_silent": _endpoint_silent,
+    "endpoint_one_way": _endpoint_one_way,
+    "endpoint_resets": _endpoint_resets,
+    "endpoint_faulty": _endpoint_faulty,
+    "endpoint_crashes": _endpoint_crashes,
+    "endpoint_drains": _endpoint_drains,
+    "add_route": _add_route,
+    "drop_route": _drop_route,
+}
--- a/lagoonring/standins/link_standin.py
+++ b/lagoonring/standins/link_standin.py
@@ -29,10 +29,12 @@
 class LinkFaults:
     """Faults in force; ``delay_s`` is one way, ``reset`` is used up.
 
-    ``refuses`` closes new connections at once.
+    ``is_cut_back`` holds only what the target answers. ``refuses`` closes new
+    connections at once.
     """
 
     is_cut: bool = False
+    is_cut_back: bool = False
     refuses: bool = False
     reset: bool = False
     delay_s: float = attrs.field(default=0.0, validator=between(0, 60))
@@ -66,6 +68,8 @@
         self.faults = LinkFaults(delay_s=options.delay_s)
         self.healed = asyncio.Event()
         self.healed.set()
+        self.healed_back = asyncio.Event()
+        self.healed_back.set()
         self.n_held = 0
         self.listener: asyncio.Server | None = None
         self.tasks: set[asyncio.Task[None]] = set()
@@ -107,10 +111,8 @@
     def set_faults(self, faults: LinkFaults) -> None:
         """Put faults in force."""
         self.faults = faults
-        if faults.is_cut:
-            self.healed.clear()
-        else:
-            self.healed.set()
+        _set(self.healed, not faults.is_cut)
+        _set(self.healed_back, not (faults.is_cut or faults.is_cut_back))
         if faults.reset:
             faults.reset = False
             for writer in self.writers:
@@ -136,7 +138,7 @@
         if self.faults.refuses:
             writer.transport.abort()
             return
-        await self._wait_until_healed()
+        await self._wait_until(self.healed)
         options = self.options
         there, back = await asyncio.open_connection(
             options.target_host, options.target_port
@@ -144,8 +146,8 @@
         ends = {writer, back}
         self.writers |= ends
         forwards = [
-            asyncio.create_task(self._forward(reader, back)),
-            asyncio.create_task(self._forward(there, writer)),
+            asyncio.create_task(self._forward(reader, back, self.healed)),
+            asyncio.create_task(self._forward(there, writer, self.healed_back)),
         ]
         try:
             await asyncio.gather(*forwards)
@@ -157,11 +159,14 @@
             self.writers -= ends
 
     async def _forward(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        healed: asyncio.Event,
     ) -> None:
         """Forward one way: a reader stamps pieces, a sender delays them."""
         pieces: asyncio.Queue[tuple[float, bytes]] = asyncio.Queue(N_PIECES_WAITING)
-        sender = asyncio.create_task(self._send(pieces, writer))
+        sender = asyncio.create_task(self._send(pieces, writer, healed))
         try:
             while True:
                 piece = await reader.read(PIECE_BYTES)
@@ -174,14 +179,17 @@
             sender.cancel()
 
     async def _send(
-        self, pieces: asyncio.Queue[tuple[float, bytes]], writer: asyncio.StreamWriter
+        self,
+        pieces: asyncio.Queue[tuple[float, bytes]],
+        writer: asyncio.StreamWriter,
+        healed: asyncio.Event,
     ) -> None:
         while True:
             due_s, piece = await pieces.get()
             wait_s = due_s - self.clock.monotonic()
             if wait_s > 0:
                 await self.clock.sleep(wait_s)
-            await self._wait_until_healed()
+            await self._wait_until(healed)
             if not piece:
                 with suppress(OSError):
                     writer.write_eof()
@@ -189,10 +197,10 @@
             writer.write(piece)
             await writer.drain()
 
-    async def _wait_until_healed(self) -> None:
+    async def _wait_until(self, healed: asyncio.Event) -> None:
         self.n_held += 1
         try:
-            await self.healed.wait()
+            await healed.wait()
         finally:
             self.n_held -= 1
 
@@ -202,3 +210,10 @@
     async def _set_faults(self, request: web.Request) -> web.Response:
         self.set_faults(await merge_faults(request, self.faults))
         return answer_json(self.faults)
+
+
+def _set(event: asyncio.Event, is_set: bool) -> None:
+    if is_set:
+        event.set()
+    else:
+        event.clear()
--- a/lagoonring/standins/platform_standin.py
+++ b/lagoonring/standins/platform_standin.py
@@ -24,6 +24,7 @@
     split_records,
 )
 from lagoonring.standins.http_server import answer_json
+from lagoonring.standins.platform_faults import PlatformFaults, faults_middleware
 
 WAIT_LIMIT_MS = 30_000
 
@@ -54,16 +55,16 @@
     ----------
     calls : list of DutyCall
         Duty calls in the order in which they came.
-    is_out : bool
-        While set, the store answers 503 and does nothing.
+    faults : PlatformFaults
+        Faults in force.
     """
 
     def __init__(self) -> None:
         self.topics: dict[str, Topic] = {}
         self.calls: list[DutyCall] = []
-        self.is_out = False
+        self.faults = PlatformFaults()
         self.address = ""
-        app = web.Application()
+        app = web.Application(middlewares=[faults_middleware(lambda: self.faults)])
         app.add_routes(
             [
                 web.post("/log-append", self._append),
@@ -117,8 +118,6 @@
         return offset
 
     async def _append(self, request: web.Request) -> web.Response:
-        if self.is_out:
-            return web.Response(status=503)
         name = request.query["topic"]
         end = len(self._topic(name).records)
         if request.query.get("at", str(end)) != str(end):
@@ -128,8 +127,6 @@
         return answer_json({"offset": offset, "end": offset + len(records)})
 
     async def _read(self, request: web.Request) -> web.Response:
-        if self.is_out:
-            return web.Response(status=503)
         topic = self._topic(request.query["topic"])
         offset = int(request.query["from"])
         wait_ms = min(int(request.query.get("waitMs", "0")), WAIT_LIMIT_MS)
@@ -145,8 +142,6 @@
         return web.Response(body=head + join_records(topic.records[offset:]))
 
     async def _newest(self, request: web.Request) -> web.Response:
-        if self.is_out:
-            return web.Response(status=503)
         topic = self._topic(request.query["topic"])
         newest = {}
         for offset, record in enumerate(topic.records):
--- a/lagoonring/tests/test_link_standin.py
+++ b/lagoonring/tests/test_link_standin.py
@@ -97,3 +97,13 @@
         async with session.post(url, json={"is_cut": True, "delay_s": 1}) as answer:
             assert (await answer.json())["is_cut"]
     assert (link.faults.is_cut, link.faults.delay_s) == (True, 1)
+
+
+async def test_a_link_cut_one_way_carries_requests_and_holds_answers(log, link, server):
+    link.set_faults(LinkFaults(is_cut_back=True))
+    appending = asyncio.create_task(log.append("config", "a"))
+    await wait_until(lambda: server.log.n_appends == 1)
+    await wait_until(lambda: link.n_held)
+    assert not appending.done()
+    link.set_faults(LinkFaults())
+    await appending
