Let one instance of a data centre read the store, and pass on what changed

Of two instances that read at the same time each has, most of the time, read a record that the other's page does not have yet; it dropped such a page and read on, for ever.

Change: of two that read the one with the smaller address goes on, also where the other has read one read further. Only records that changed something are passed on.

--- a/lagoonring/serving/fleet.py
+++ b/lagoonring/serving/fleet.py
@@ -46,19 +46,23 @@
 
 @attrs.define
 class Prior:
-    """A load assumed before callers came; it fades once they have."""
+    """Endpoints found before callers came; they count less once callers have.
 
-    load: float
+    At first engines have read nothing, so that callers who begin need more of them
+    than the same callers some seconds later.
+    """
+
+    n_found: int
     traffic_since_s: float | None = None
 
     def read(self, observed: float, now_s: float) -> float:
-        """Return the load to plan for."""
+        """Return the endpoints found, as far as they still count."""
         if self.traffic_since_s is None:
             if observed < IDLE_LOAD:
-                return self.load
+                return self.n_found
             self.traffic_since_s = now_s
         age_s = now_s - self.traffic_since_s
-        return max(observed, self.load * 2 ** (-age_s / PRIOR_HALF_LIFE_S))
+        return self.n_found * 2 ** (-age_s / PRIOR_HALF_LIFE_S)
 
 
 class FleetDuty:
@@ -120,21 +124,22 @@
             if entry.scaling is None:
                 continue
             fleets = list(self._fleets(entry))
-            load = self._load(entry.name)
-            for order in plan(
-                fleets, entry.scaling, load=load, spare=RECLAIMABLE_SPARE
-            ):
+            load, n_assumed = self._load(entry.name)
+            # As many reclaimable ones as were found cost a fraction of these.
+            spare = max(RECLAIMABLE_SPARE, round(n_assumed / max(len(fleets), 1)))
+            for order in plan(fleets, entry.scaling, load=load, spare=spare):
                 yield entry.name, order
 
-    def _load(self, service: str) -> float:
-        """Return the load to plan for: what is asked, or what was found at first."""
+    def _load(self, service: str) -> tuple[float, float]:
+        """Return the load to plan for, and the endpoints assumed to be needed."""
         observed = self.demand.busy_endpoints(service)
         prior = self.priors.get(service)
         if prior is None:
             n_found = len(self.table.of_service(service))
-            prior = Prior(PRIOR_LOAD * n_found if observed < IDLE_LOAD else 0.0)
+            prior = Prior(n_found if observed < IDLE_LOAD else 0)
             self.priors[service] = prior
-        return prior.read(observed, self.clock.monotonic())
+        n_assumed = prior.read(observed, self.clock.monotonic())
+        return max(observed, PRIOR_LOAD * n_assumed), n_assumed
 
     def _fleets(self, entry: ServiceEntry) -> Iterator[DataCentreFleet]:
         assert entry.scaling is not None
@@ -204,7 +209,7 @@
                 "data_centre": order.data_centre,
                 "reclaimable": order.is_reclaimable,
                 "n_endpoints": order.n_endpoints,
-                "load": round(self._load(service), 2),
+                "load": round(self._load(service)[0], 2),
                 "result": result,
                 "error": error_text,
                 "fencing_number": lease.fencing_number,
--- a/lagoonring/serving/follower.py
+++ b/lagoonring/serving/follower.py
@@ -127,10 +127,8 @@
                 await self.app.clock.sleep(CHECK_S)
                 continue
             changes = await self._poll(
-                "documents", self.documents, self.document_wait_s
+                "documents", self.documents, self.document_wait_s, self.apply_document
             )
-            for record in changes or ():
-                self.apply_document(record)
             self._note_read()
             if not changes:
                 # A read may answer early with nothing; it must not be asked at once.
@@ -142,18 +140,20 @@
             if self.relay.is_fresh("records"):
                 await self.app.clock.sleep(CHECK_S)
                 continue
-            changes = await self._poll("records", self.records, 0.0)
-            for record in changes or ():
-                self.apply_record(record)
+            changes = await self._poll("records", self.records, 0.0, self.apply_record)
             self._note_read()
             await self.app.clock.sleep(
                 self.endpoint_poll_s if changes is not None else RETRY_S
             )
 
     async def _poll(
-        self, name: str, feed: KeyedFeed, wait_s: float
+        self,
+        name: str,
+        feed: KeyedFeed,
+        wait_s: float,
+        apply: Callable[[KeyedRecord], bool],
     ) -> list[KeyedRecord] | None:
-        """Return changes, or None if the store can't be read now."""
+        """Return what changed something, or None if the store can't be read now."""
         before = feed.offset
         try:
             changes = await feed.poll(wait_s=wait_s)
@@ -168,6 +168,7 @@
         if self.is_lost.get(name):
             self.is_lost[name] = False
             logger.info("Regained the store's {}.", name, extra={"offset": feed.offset})
+        changes = [record for record in changes if apply(record)]
         self.relay.publish(name, before, changes)
         return changes
 
@@ -176,10 +177,13 @@
         if all(feed.offset is not None for feed in feeds):
             self.has_read.set()
 
-    def apply_document(self, record: KeyedRecord) -> None:
-        """Put a document in force; a faulty one leaves what is in force."""
+    def apply_document(self, record: KeyedRecord) -> bool:
+        """Put a document in force; a faulty one leaves what is in force.
+
+        Returns whether other instances of the data centre need it.
+        """
         if record.value is None:
-            return
+            return False
         try:
             document = self.read_document(record.key, record.value)
         except InvalidInputError as error:
@@ -187,9 +191,9 @@
             logger.error(
                 "Refused a document.", extra={"key": record.key, "error": str(error)}
             )
-            return
+            return False
         if document is None:
-            return
+            return False
         if isinstance(document, Configuration):
             self._apply_configuration(document, record.offset)
         else:
@@ -207,6 +211,7 @@
             )
         for listener in self.listeners:
             listener()
+        return True
 
     def _apply_configuration(self, configuration: Configuration, offset: int) -> None:
         before = self.configuration.version if self.configuration else None
@@ -224,11 +229,14 @@
             },
         )
 
-    def apply_record(self, record: KeyedRecord) -> None:
-        """Take in an endpoint's record or its removal."""
+    def apply_record(self, record: KeyedRecord) -> bool:
+        """Take in an endpoint's record or its removal.
+
+        Returns whether it changed more than the record's sequence.
+        """
         if record.value is None:
             self._note_removal(record.key, self.app.clock.monotonic())
-            return
+            return True
         try:
             content = self.read_record(record.key, record.value)
         except InvalidInputError as error:
@@ -237,8 +245,8 @@
                 "Refused an endpoint's record.",
                 extra={"endpoint": record.key, "error": str(error)},
             )
-            return
-        self.due_removals.pop(record.key, None)
+            return False
+        is_back = self.due_removals.pop(record.key, None) is not None
         change = self.table.apply(
             content, n_cache_tokens=self._cache_tokens(content.service)
         )
@@ -257,6 +265,7 @@
                     "reclaimable": content.is_reclaimable,
                 },
             )
+        return bool(change) or is_back
 
     def _tell(self, name: str, change: str) -> None:
         endpoint = self.table.find(name)
--- a/lagoonring/serving/placer.py
+++ b/lagoonring/serving/placer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections import deque
 from typing import TYPE_CHECKING
 
 import attrs
@@ -36,6 +37,9 @@
 GENERATION_S = 1.0  # a usual stream from its first event to the last
 LEARNED_FOR_S = 4.0  # an endpoint that was slow is tried again after some seconds
 TOKENS_LEAST = 1000  # shorter readings say more of the engine's step than of tokens
+LONG_TOKENS = 6000  # here the first step is a small part of the reading
+N_READINGS_KEPT = 64  # per service; some minutes of a small instance's long prompts
+N_READINGS_LEAST = 8  # before it the usual engine is assumed
 FULL_S = 0.15  # an endpoint that refused has places again after a few answers
 
 
@@ -80,6 +84,7 @@
         self.data_centre = data_centre
         self.allowed = allowed
         self.demand = demand
+        self.readings: dict[str, deque[float]] = {}
         # By identity: a job changes while it is served.
         self.works: dict[int, tuple[Job, WorkInProgress]] = {}
 
@@ -114,8 +119,6 @@
         work = WorkInProgress(
             endpoint, n_missing, endpoint.count_waiting_tokens(), now_s
         )
-        if job.n_sends == 0:
-            self._note_demand(job)
         endpoint.n_running += 1
         endpoint.n_waiting_tokens += n_missing
         endpoint.cache.add(shared_parts(job.request.prompt_parts))
@@ -134,6 +137,9 @@
         if n_tokens >= TOKENS_LEAST:
             reading_s = max(now_s - work.begun_s - FIRST_TOKEN_S, 0.0)
             endpoint.learn_token_time(reading_s / n_tokens, now_s)
+        if n_tokens >= LONG_TOKENS:
+            kept = self.readings.setdefault(job.service, deque(maxlen=N_READINGS_KEPT))
+            kept.append(reading_s / n_tokens)
         endpoint.cache.add(job.request.prompt_parts)
 
     def finish(self, job: Job, work: WorkInProgress) -> None:
@@ -152,18 +158,30 @@
         """Avoid an endpoint that refused for lack of places."""
         endpoint.full_until_s = self.clock.monotonic() + FULL_S
 
-    def _note_demand(self, job: Job) -> None:
-        """Count a job's prompt, but for parts that some endpoint has read."""
+    def note_demand(self, job: Job) -> None:
+        """Count a job's prompt, but for parts that some endpoint has read.
+
+        Jobs that are refused next count too: endpoints are missing for them.
+        """
         parts = job.request.prompt_parts
         n_cached = 0
-        token_s = TOKEN_S
         for endpoint in self.table.of_service(job.service):
             n_cached = max(n_cached, endpoint.cache.count_cached(parts))
-            # The fastest endpoint is the one that reads alone.
-            token_s = min(token_s, endpoint.seconds_per_token or TOKEN_S)
         n_missing = max(0, job.request.n_prompt_tokens - n_cached)
+        token_s = self._alone_token_s(job.service)
         self.demand.note_arrival(job.service, n_missing * token_s)
 
+    def _alone_token_s(self, service: str) -> float:
+        """Return the time to read a token at an engine that reads nothing else.
+
+        The lower quartile of long readings: the others waited for what was not
+        known to be ahead of them.
+        """
+        readings = sorted(self.readings.get(service, ()))
+        if len(readings) < N_READINGS_LEAST:
+            return TOKEN_S
+        return readings[len(readings) // 4]
+
     def _usable(self, job: Job) -> list[Endpoint]:
         """Return the endpoints that may get a job and have not had it yet."""
         ready = [
--- a/lagoonring/serving/placing.py
+++ b/lagoonring/serving/placing.py
@@ -17,7 +17,7 @@
 
     from lagoonring.serving.requests import PromptParts
 
-FIRST_TOKEN_S = 0.06  # time of an idle engine before any prompt is read
+FIRST_TOKEN_S = 0.053  # time of an idle engine of the faster kind for no prompt
 REREAD_WEIGHT = 2.0  # reading a part again also delays whatever runs beside it
 OTHER_DATA_CENTRE_S = 0.004  # two ways between data centres, rounded up
 SPREAD_S = 0.002  # keeps equal endpoints evenly loaded
--- a/lagoonring/serving/relay.py
+++ b/lagoonring/serving/relay.py
@@ -35,9 +35,10 @@
 
 @attrs.frozen(kw_only=True)
 class StorePage:
-    """Records of a feed from ``from_offset`` up to ``to_offset``."""
+    """Records of a feed that changed something, in a range of offsets."""
 
     feed: str
+    reader: str
     from_offset: int
     to_offset: int
     records: list[KeyedRecord]
@@ -45,12 +46,19 @@
 
 @attrs.define
 class SharedFeed:
-    """A feed, what it read lately, and until when others' pages suffice."""
+    """A feed, what it read lately, and until when others' pages suffice.
+
+    ``pages`` holds reads of this instance: when, from which offset, what changed.
+    """
 
     feed: KeyedFeed
     pages: list[tuple[float, int, list[KeyedRecord]]] = attrs.field(factory=list)
     fresh_until_s: float = 0.0
 
+    def is_reading(self, since_s: float) -> bool:
+        """Whether this instance read the store itself since a time."""
+        return bool(self.pages) and self.pages[-1][0] > since_s
+
 
 class StoreRelay(BaseService):
     """Sends and takes pages of the feeds that an instance follows.
@@ -71,11 +79,11 @@
         self.rng = rng
         self.exchange = exchange
         self.shared: dict[str, SharedFeed] = {}
-        self.appliers: dict[str, Callable[[KeyedRecord], None]] = {}
+        self.appliers: dict[str, Callable[[KeyedRecord], bool]] = {}
         exchange.handlers[PAGE_KIND[0]] = self.receive
 
     def add(
-        self, name: str, feed: KeyedFeed, apply: Callable[[KeyedRecord], None]
+        self, name: str, feed: KeyedFeed, apply: Callable[[KeyedRecord], bool]
     ) -> None:
         """Share a feed; ``apply(record)`` takes in a record that changed."""
         self.shared[name] = SharedFeed(feed)
@@ -88,7 +96,7 @@
     def publish(
         self, name: str, before: int | None, changes: list[KeyedRecord]
     ) -> None:
-        """Send what was read from offset ``before`` on."""
+        """Send what changed when the store was read from offset ``before`` on."""
         shared = self.shared[name]
         now_s = self.clock.monotonic()
         if before is None or shared.feed.offset is None:
@@ -101,6 +109,7 @@
             return
         page = StorePage(
             feed=name,
+            reader=self.exchange.address,
             from_offset=shared.pages[0][1],
             to_offset=shared.feed.offset,
             records=[record for _, _, records in shared.pages for record in records],
@@ -117,9 +126,23 @@
         shared = self.shared.get(page.feed)
         if shared is None or shared.feed.offset is None:
             return
-        if not page.from_offset <= shared.feed.offset <= page.to_offset:
+        if page.from_offset > shared.feed.offset:
             return
-        share = FRESH_SHARE + SPREAD_SHARE * self.rng.random()
-        shared.fresh_until_s = self.clock.monotonic() + share * self.change_s
+        now_s = self.clock.monotonic()
+        if self._suffices(page, shared, now_s):
+            share = FRESH_SHARE + SPREAD_SHARE * self.rng.random()
+            shared.fresh_until_s = now_s + share * self.change_s
         for record in shared.feed.take_page(page.records, page.to_offset):
             self.appliers[page.feed](record)
+
+    def _suffices(self, page: StorePage, shared: SharedFeed, now_s: float) -> bool:
+        """Whether this instance need not read while such pages come.
+
+        Of two instances that read, the one with the smaller address goes on. The
+        other's read may have been the later one, but for one read only.
+        """
+        assert shared.feed.offset is not None
+        if not shared.is_reading(now_s - self.change_s):
+            return page.to_offset >= shared.feed.offset
+        before_last = shared.pages[-1][1]
+        return page.reader < self.exchange.address and page.to_offset >= before_last
--- /dev/null
+++ b/lagoonring/tests/test_placer.py
@@ -0,0 +1,90 @@
+"""What an instance learns of endpoints, and how much work it sees arrive."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from lagoonring.kernel import ManualClock
+from lagoonring.serving.configuration import RequestKind
+from lagoonring.serving.placer import N_READINGS_KEPT
+from lagoonring.serving.requests import Job
+from lagoonring.tests.builders.serving import (
+    FakeSender,
+    make_configuration,
+    make_parts,
+    make_request,
+    make_route,
+    serve,
+)
+
+STREAM = make_route(kind=RequestKind.STREAM, may_resume=True)
+FIRST_STEP_S = 0.053
+TOKEN_S = 7.1e-6
+
+
+def make_job(n_tokens, number=0):
+    request = make_request(
+        prompt_parts=((f"part {number}", n_tokens),), n_prompt_tokens=n_tokens
+    )
+    return Job(
+        request=request,
+        route=STREAM,
+        service="desk",
+        organisation=None,
+        deadline_s=1e9,
+        fingerprint=str(number),
+    )
+
+
+async def read(parts, n_tokens, number, *, waits_s=0.0):
+    """Let an endpoint read a prompt."""
+    job = make_job(n_tokens, number)
+    endpoint = parts.table.find("a")
+    work = parts.placer.begin(job, endpoint)
+    await parts.app.clock.advance(FIRST_STEP_S + n_tokens * TOKEN_S + waits_s)
+    parts.placer.first_event(job, endpoint)
+    parts.placer.finish(job, work)
+
+
+@pytest.fixture
+def parts():
+    return make_parts(None, clock=ManualClock())
+
+
+async def test_demand_is_what_endpoints_take_to_read_it(parts):
+    """Short prompts, and prompts that waited, tell little of the reading itself."""
+    rng = random.Random(5)
+    for number in range(2 * N_READINGS_KEPT):
+        n_tokens = rng.choice([600, 1500, 2500, 8000, 12000, 20000])
+        waits_s = rng.choice([0.0, 0.0, rng.expovariate(10)])
+        await read(parts, n_tokens, number, waits_s=waits_s)
+    parts.placer.note_demand(make_job(10_000, "new"))
+    rate = parts.demand.rates["desk"].value
+    parts.demand.rates.clear()
+    parts.demand.note_arrival("desk", 10_000 * TOKEN_S)
+    assert rate == pytest.approx(parts.demand.rates["desk"].value, rel=0.25)
+
+
+async def test_what_an_endpoint_has_read_is_no_demand(parts):
+    await read(parts, 10_000, "known")
+    parts.placer.note_demand(make_job(10_000, "known"))
+    assert parts.demand.own() == {"desk": 0.0}
+
+
+async def test_requests_that_are_refused_for_lack_of_endpoints_are_demand():
+    """Else a fleet that is too small would never grow."""
+    parts = make_parts(
+        FakeSender(lambda order: None), configuration=make_configuration(STREAM)
+    )
+    for name in ("a", "b"):
+        parts.table.remove(name)
+    request = make_request(
+        prompt_parts=(("x", 10_000),),
+        n_prompt_tokens=10_000,
+        received_s=parts.app.clock.monotonic(),
+    )
+    sink = await serve(parts, request)
+    assert sink.status == 503
+    assert parts.demand.own()["desk"] > 0
