Count endpoints as found until no more come to light for a heartbeat

Records of a large fleet come over several seconds. Change: the first order waits until no new endpoint was read for 1.25 heartbeats. Test: test_endpoints_that_are_read_over_several_heartbeats_count_as_found fails before.

--- a/lagoonring/serving/fleet.py
+++ b/lagoonring/serving/fleet.py
@@ -27,7 +27,7 @@
 REPEAT_S = 2.0  # after a refusal; reclaimable endpoints are gone for ten seconds
 LESS_AFTER_S = 6.0  # longer than a boot, so that a short lull stops no endpoint
 RECLAIMABLE_SPARE = 2  # in each data centre, for a burst while another one's are gone
-SETTLE_HEARTBEATS = 2.0  # an endpoint's first record and one read of the store
+SETTLE_HEARTBEATS = 1.25  # without a new endpoint after a start: all were read
 PRIOR_LOAD = 0.15  # of each endpoint found: fleets are found at twice their load
 PRIOR_HALF_LIFE_S = 6.0  # longer than demand takes to be seen, and a boot besides
 IDLE_LOAD = 0.05  # less is no traffic: a probe now and then
@@ -44,6 +44,15 @@
     is_accepted: bool
 
 
+@attrs.define
+class Growing:
+    """Endpoints read since this process started, and when the last one was."""
+
+    since_s: float
+    n_endpoints: int = 0
+    is_settled: bool = False
+
+
 @attrs.define
 class Prior:
     """Endpoints found before callers came; they count less once callers have.
@@ -97,7 +106,8 @@
         self.metrics = metrics
         self.data_centres = data_centres
         self.order = order
-        self.settled_s = clock.monotonic() + SETTLE_HEARTBEATS * heartbeat_s
+        self.settle_s = SETTLE_HEARTBEATS * heartbeat_s
+        self.growing = Growing(since_s=clock.monotonic())
         self.ordered: dict[tuple[str, str, bool], Ordered] = {}
         self.less_since_s: dict[tuple[str, str, bool], float] = {}
         self.fencing_number = -1
@@ -106,7 +116,7 @@
     async def step(self, lease: Lease) -> None:
         """Order what the plan wants and has not been ordered."""
         configuration = self.follower.configuration
-        if configuration is None or self.clock.monotonic() < self.settled_s:
+        if configuration is None or not self._is_settled():
             return  # endpoints that are there may not have been read yet
         if lease.fencing_number != self.fencing_number:
             # Another holder may have ordered something else meanwhile.
@@ -119,6 +129,18 @@
             if self._is_due(configuration.services[service], order):
                 await self._send(lease, service, order)
 
+    def _is_settled(self) -> bool:
+        """Whether no more endpoints come to light since this process started."""
+        growing = self.growing
+        if growing.is_settled:
+            return True
+        now_s = self.clock.monotonic()
+        n_endpoints = len(self.table.endpoints)
+        if n_endpoints > growing.n_endpoints:
+            growing.n_endpoints, growing.since_s = n_endpoints, now_s
+        growing.is_settled = now_s - growing.since_s >= self.settle_s
+        return growing.is_settled
+
     def _wanted(self, configuration: Configuration) -> Iterator[tuple[str, Order]]:
         for entry in configuration.services.values():
             if entry.scaling is None:
--- a/lagoonring/tests/test_fleet_duty.py
+++ b/lagoonring/tests/test_fleet_duty.py
@@ -186,6 +186,19 @@
     assert len(table.endpoints) >= 0.12 * 60 / LOAD_MOST
 
 
+async def test_endpoints_that_are_read_over_several_heartbeats_count_as_found(clock):
+    table = make_table()
+    cloud = Cloud(table)
+    duty = make_large_duty(cloud, clock, Demand(clock))
+    for record in make_large_fleet():
+        table.apply(record, n_cache_tokens=1000)
+        await duty.step(HeldLease())
+        await clock.advance(4 * HEARTBEAT_S / 60)
+    assert cloud.orders == []
+    await play(duty, clock, 12)
+    assert len(table.endpoints) >= 60
+
+
 async def test_what_was_found_beyond_the_need_goes_before_callers_come(clock):
     table = make_table(*make_large_fleet())
     cloud = Cloud(table)
