Let instances that start together wait for one another's pages

Change: after all keys were read anew an instance reads on only after 0.2 to 0.65 of the time that a change may take; what it has is as new as can be. Test: test_of_many_that_start_together_few_read_on fails before.

--- a/lagoonring/cli/soak_command.py
+++ b/lagoonring/cli/soak_command.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import random
 import tempfile
 import time
@@ -43,6 +44,8 @@
     """Play faults on instances that run as processes, and check the promises."""
     first = random.SystemRandom().randrange(SEEDS) if seed is None else seed
     root = folder or Path(tempfile.mkdtemp(prefix="lagoonring-soak-"))
+    # Connections that break under a stand-in are what is played here.
+    logging.getLogger("aiohttp.server").setLevel(logging.CRITICAL)
     end_s = time.monotonic() + 60 * minutes
     n_broken = 0
     number = first
--- a/lagoonring/serving/relay.py
+++ b/lagoonring/serving/relay.py
@@ -28,6 +28,7 @@
 PAGE_KIND = b"S"
 FRESH_SHARE = 0.65  # of the time that a change may take; a read and its news follow
 SPREAD_SHARE = 0.1  # of that time, so that one instance reads first and tells others
+FIRST_SHARE = 0.2  # of that time; when many have started, few read before one tells
 HISTORY_S = 3.0  # of records in each page, for those that missed the pages before
 
 logger = make_logger("relay")
@@ -100,7 +101,10 @@
         shared = self.shared[name]
         now_s = self.clock.monotonic()
         if before is None or shared.feed.offset is None:
+            # All keys were read anew, as all others that start now do.
             shared.pages.clear()
+            share = FIRST_SHARE + (FRESH_SHARE - FIRST_SHARE) * self.rng.random()
+            shared.fresh_until_s = now_s + share * self.change_s
             return
         shared.pages.append((now_s, before, changes))
         while now_s - shared.pages[0][0] > HISTORY_S:
--- a/lagoonring/tests/test_relay.py
+++ b/lagoonring/tests/test_relay.py
@@ -149,6 +149,22 @@
         assert turned_away.applied == {"config": b"%d" % number}
 
 
+async def test_of_many_that_start_together_few_read_on(wire, topic, clock):
+    """They don't know each other yet when they have read all keys."""
+    made = {str(n): Instance(str(n), wire, topic, clock) for n in range(30)}
+    wire.cut = set(made)
+    for instance in made.values():
+        await instance.poll()
+    for number in range(20):
+        if number == 3:
+            wire.cut = set()
+        for instance in made.values():
+            topic.write("heartbeat", b"%d" % number)
+            await instance.step()
+        await clock.advance(0.1)
+    assert sum(it.n_polls > 1 for it in made.values()) <= 5
+
+
 async def test_few_read_where_many_could(instances, clock):
     before = sum(it.n_polls for it in instances.values())
     await play(instances, clock, 20.0)
@@ -160,6 +176,7 @@
     instances, topic, clock
 ):
     """Each of both has read records that the other's page does not have yet."""
+    await clock.advance(CHANGE_S)
     for name in ("a", "b"):
         await instances[name].poll()
     before = {name: it.n_polls for name, it in instances.items()}
