--- a/lagoonring/platform/application.py
+++ b/lagoonring/platform/application.py
@@ -27,9 +27,10 @@
 from lagoonring.serving.duties import Duties
 from lagoonring.serving.endpoints import EndpointTable
 from lagoonring.serving.evacuation import Evacuation
-from lagoonring.serving.exchange import START_SHARE, Exchange
+from lagoonring.serving.exchange import Exchange
 from lagoonring.serving.fleet import FleetDuty
 from lagoonring.serving.follower import Follower
+from lagoonring.serving.heard import START_SHARE
 from lagoonring.serving.metrics import ServingMetrics
 from lagoonring.serving.moves import MoveGate, MoveState
 from lagoonring.serving.news import connect_news
--- a/lagoonring/serving/exchange.py
+++ b/lagoonring/serving/exchange.py
@@ -8,15 +8,15 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any, Protocol
+from typing import TYPE_CHECKING, Any
 
-import attrs
 import msgspec
 
 from lagoonring.kernel import BaseService
 from lagoonring.logs import make_logger
 from lagoonring.peers.metrics import PeersMetrics
 from lagoonring.peers.transport import NngTransport
+from lagoonring.serving.heard import Heard
 from lagoonring.serving.members import SILENT_S, Card, Member, Members, cards_of
 from lagoonring.serving.messages import (
     DIGEST_KIND,
@@ -27,18 +27,18 @@
     Introduction,
     Report,
     Summary,
+    make_reader,
 )
-from lagoonring.settings.validators import between
+from lagoonring.serving.settings import ExchangeOptions
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
     from lagoonring.kernel import Application
     from lagoonring.peers.transport import Transport
+    from lagoonring.serving.messages import NewsHandler
     from lagoonring.serving.settings import NodeSettings
 
-ALONE_S = 1.0  # several rounds; after it there is probably no other instance
-START_SHARE = 1 / 8  # as in a deployment of the usual size, started all at once
 HUB_SILENT_S = 0.8  # four rounds of a small data centre
 HUB_SILENT_ROUNDS = 3.5  # of a large one
 HUB_SETTLED_S = 1.0  # after it the instances of a data centre agree on their hub
@@ -48,62 +48,6 @@
 logger = make_logger("exchange")
 
 
-@attrs.frozen(kw_only=True)
-class ExchangeOptions:
-    """Options of the exchange; those of `NngTransport` besides.
-
-    Parameters
-    ----------
-    interval_s : float
-        Time between two rounds.
-    interval_per_instance_s : float
-        Added for each instance of the data centre, to bound what its hub does.
-    """
-
-    address: str
-    interval_s: float = attrs.field(default=0.15, validator=between(0.01, 60))
-    interval_per_instance_s: float = attrs.field(default=0.005, validator=between(0, 1))
-    connect_timeout_s: float = attrs.field(default=0.5, validator=between(0.01, 60))
-    idle_link_s: float = attrs.field(default=60.0, validator=between(1, 3600))
-    frame_limit_bytes: int = attrs.field(
-        default=1 << 20, validator=between(4096, 1 << 24)
-    )
-
-
-class NewsHandler(Protocol):
-    """Fills what this instance tells, and takes in what others tell."""
-
-    def fill_report(self, report: Report) -> None:
-        """Put this instance's news into a report."""
-
-    def fill_summary(self, summary: Summary) -> None:
-        """Put the sums over this data centre into a summary."""
-
-    def fill_digest(self, digest: Digest) -> None:
-        """Put the sums over all instances into a digest."""
-
-    def take_report(self, report: Report, now_s: float) -> None:
-        """Take in the news of an instance of this data centre."""
-
-    def take_summary(self, summary: Summary, now_s: float) -> None:
-        """Take in the sums over another data centre."""
-
-    def take_digest(self, digest: Digest, now_s: float) -> None:
-        """Take in the sums over all instances."""
-
-    def change_role(self, is_hub: bool) -> None:
-        """Forget what was heard in the role before."""
-
-
-@attrs.define
-class CentreState:
-    """What another data centre's hub told last."""
-
-    n_heard: int
-    n_known: int
-    heard_s: float
-
-
 class Exchange(BaseService):
     """Sends and receives messages, and knows the hub.
 
@@ -143,16 +87,19 @@
         self.news: NewsHandler | None = None
         self.n_sent = 0
         self.numbers: dict[str, int] = {}
-        self.centres: dict[str, CentreState] = {}
-        self.digest: Digest | None = None
-        self.digest_s = float("-inf")
+        self.heard = Heard(
+            self.members, settings.data_centres, started_s=self.started_s
+        )
         self.hub_address = ""
         self.hub_since_s = self.started_s
         self.handlers: dict[int, Callable[[bytes], None]] = {
-            REPORT_KIND[0]: self._reader(Report, self._take_report),
-            DIGEST_KIND[0]: self._reader(Digest, self._take_digest),
-            SUMMARY_KIND[0]: self._reader(Summary, self._take_summary),
-            INTRODUCTION_KIND[0]: self._reader(Introduction, self._take_introduction),
+            kind[0]: make_reader(message, self.address, take)
+            for kind, message, take in (
+                (REPORT_KIND, Report, self._take_report),
+                (DIGEST_KIND, Digest, self._take_digest),
+                (SUMMARY_KIND, Summary, self._take_summary),
+                (INTRODUCTION_KIND, Introduction, self._take_introduction),
+            )
         }
 
     async def start(self) -> None:
@@ -183,48 +130,17 @@
         age_s = self.app.clock.monotonic() - self.hub_since_s
         return self.is_hub() and age_s >= HUB_SETTLED_S
 
-    def count_heard(self) -> tuple[int, int]:
-        """Return the instances of all data centres: heard now, and known."""
-        now_s = self.app.clock.monotonic()
-        if not self.is_hub():
-            if self.digest is None:
-                return 1, 1
-            is_fresh = now_s - self.digest_s < SILENT_S
-            return self.digest.n_heard if is_fresh else 1, self.digest.n_known
-        n_heard, n_known = self.members.count_local(now_s)
-        for state in self.centres.values():
-            n_known += state.n_known
-            n_heard += state.n_heard if now_s - state.heard_s < SILENT_S else 0
-        return n_heard, n_known
-
     def count_instances(self) -> int:
         """Return the instances known, this one included."""
-        return self.count_heard()[1]
+        return self.heard.count(self.app.clock.monotonic())[1]
 
     def share_heard(self) -> float:
-        """Return the share of the known instances that are heard now.
-
-        A process that has just started assumes others that it has not heard yet.
-        """
-        n_heard, n_known = self.count_heard()
-        if self.app.clock.monotonic() - self.started_s >= ALONE_S:
-            return n_heard / n_known
-        if n_known == 1:
-            return START_SHARE
-        n_centres = 1 + len(self.centres if self.is_hub() else self.known_centres())
-        return n_heard / n_known * n_centres / max(len(self.settings.data_centres), 1)
-
-    def known_centres(self) -> set[str]:
-        """Return the other data centres whose hub is known."""
-        return {card.data_centre for card in self.members.other_hubs()}
+        """Return the share of the known instances that are heard now."""
+        return self.heard.share(self.app.clock.monotonic())
 
     def has_all_since(self, at_s: float) -> bool:
         """Whether all instances told their news after a time, on this clock."""
-        local_s = (it.heard_s for it in self.members.local() if it.heard_s is not None)
-        return all(heard_s >= at_s for heard_s in local_s) and all(
-            state.heard_s >= at_s and state.n_heard == state.n_known
-            for state in self.centres.values()
-        )
+        return self.heard.has_all_since(at_s)
 
     def local_peers(self) -> list[str]:
         """Return the addresses of the other instances of this data centre."""
@@ -249,9 +165,7 @@
     async def _run(self) -> None:
         while True:
             posts = self._make_round()
-            n_local = 1 + len(self.members.local())
-            interval_s = self.options.interval_s
-            interval_s += n_local * self.options.interval_per_instance_s
+            interval_s = self._interval_s()
             n_steps = max(-(-len(posts) // N_SENT_AT_ONCE), 1)
             for step in range(n_steps):
                 # Spread over the interval: a burst would hold up callers' packets.
@@ -260,6 +174,12 @@
                 spread = 0.9 + 0.2 * self.app.rng.random()
                 await self.app.clock.sleep(interval_s / n_steps * spread)
 
+    def _interval_s(self) -> float:
+        """Return the time between two rounds."""
+        n_local = 1 + len(self.members.local())
+        options = self.options
+        return options.interval_s + n_local * options.interval_per_instance_s
+
     def _make_round(self) -> list[tuple[str, bytes]]:
         """Return the messages of a round and whom they go to."""
         now_s = self.app.clock.monotonic()
@@ -305,7 +225,7 @@
     def _make_digest(self) -> Digest:
         now_s = self.app.clock.monotonic()
         heard = [it for it in self.members.local() if it.is_heard(now_s)]
-        n_heard, n_known = self.count_heard()
+        n_heard, n_known = self.heard.count(now_s)
         addresses = {it.card.address for it in heard}
         digest = Digest(
             **self._header(),
@@ -329,25 +249,15 @@
 
     def _strangers(self, now_s: float) -> Iterable[str]:
         """Return whom to ask for instances that are not heard."""
-        if self.is_hub():
-            heard = {name for name, it in self.centres.items() if _is_fresh(it, now_s)}
-            missing = set(self.settings.data_centres) - heard
-            missing.discard(self.settings.data_centre)
-            is_alone = all(it.heard_s is None for it in self.members.local())
-            is_complete = not missing and not is_alone
-        else:
-            is_complete = now_s - self.digest_s < SILENT_S
+        is_complete = self.heard.is_complete(now_s)
         return [] if is_complete else sorted(self.seeds)
 
     def _update_hub(self, now_s: float) -> None:
         """Suspect hubs that are silent, and take note of a change."""
         self.n_sent += 1
-        n_local = 1 + len(self.members.local())
-        round_s = self.options.interval_s
-        round_s += n_local * self.options.interval_per_instance_s
-        limit_s = max(HUB_SILENT_S, HUB_SILENT_ROUNDS * round_s)
+        limit_s = max(HUB_SILENT_S, HUB_SILENT_ROUNDS * self._interval_s())
         if self.hub_address and self.hub_address != self.address:
-            heard_s = max(self.digest_s, self.hub_since_s)
+            heard_s = max(self.heard.digest_s, self.hub_since_s)
             if now_s - heard_s > limit_s:
                 logger.info(
                     "Hub silent.",
@@ -388,13 +298,8 @@
         for member in self.members.forget(now_s):
             self.numbers.pop(member.card.address, None)
             logger.info("Instance forgotten.", extra={"address": member.card.address})
-        for name, state in list(self.centres.items()):
-            if self.members.hub(name) is None:
-                del self.centres[name]
-                logger.info(
-                    "Data centre forgotten.",
-                    extra={"data_centre": name, "n_known": state.n_known},
-                )
+        for name in self.heard.forget_centres():
+            logger.info("Data centre forgotten.", extra={"data_centre": name})
 
     def _introduce(self, to: Card, cards: list[Card]) -> None:
         message = Introduction(
@@ -412,23 +317,6 @@
         neighbours = [it.card for it in there if not it.is_suspected]
         self._introduce(to, [own, *self.members.other_hubs(), *neighbours])
 
-    def _reader(self, kind: Any, take: Callable[[Any], None]) -> Callable:
-        """Return what decodes a kind of message and gives it to ``take``."""
-        decoder = msgspec.msgpack.Decoder(kind)
-
-        def read(content: bytes) -> None:
-            try:
-                message = decoder.decode(memoryview(content)[1:])
-            except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-                logger.warning(
-                    "Dropped a message that can't be read.", extra={"error": str(error)}
-                )
-                return
-            if message.card.address != self.address:
-                take(message)
-
-        return read
-
     def _take_report(self, report: Report) -> None:
         now_s = self.app.clock.monotonic()
         is_local = report.card.data_centre == self.settings.data_centre
@@ -453,7 +341,7 @@
         if digest.card.address != self.hub_address:
             self._introduce_others(digest.card)
             return
-        self.digest, self.digest_s = digest, now_s
+        self.heard.note_digest(digest, now_s)
         if self.news is not None:
             self.news.take_digest(digest, now_s)
 
@@ -476,9 +364,7 @@
         if not self.is_hub():
             self._introduce_others(summary.card)
             return
-        self.centres[summary.card.data_centre] = CentreState(
-            summary.n_heard, summary.n_known, now_s
-        )
+        self.heard.note_summary(summary, now_s)
         if self.news is not None:
             self.news.take_summary(summary, now_s)
 
@@ -512,7 +398,3 @@
                 },
             )
         return member
-
-
-def _is_fresh(state: CentreState, now_s: float) -> bool:
-    return now_s - state.heard_s < SILENT_S
--- a/lagoonring/serving/messages.py
+++ b/lagoonring/serving/messages.py
@@ -9,19 +9,27 @@
 from __future__ import annotations
 
 import enum
+from typing import TYPE_CHECKING, Any, Protocol
 
 import attrs
+import msgspec
 
+from lagoonring.logs import make_logger
 from lagoonring.moves.counts import CountsRow
 from lagoonring.serving.members import Card
 from lagoonring.serving.moves import MoveView
 from lagoonring.serving.usage import UsageRow
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 REPORT_KIND = b"R"
 DIGEST_KIND = b"D"
 SUMMARY_KIND = b"C"
 INTRODUCTION_KIND = b"I"
 
+logger = make_logger("exchange")
+
 Loads = dict[str, tuple[int, int]]  # requests running, tokens waiting, by endpoint
 Taken = dict[str, tuple[float, float]]  # ever and in the window, by organisation
 
@@ -123,3 +131,54 @@
 
     card: Card
     cards: list[Card]
+
+
+class NewsHandler(Protocol):
+    """Fills what this instance tells, and takes in what others tell."""
+
+    def fill_report(self, report: Report) -> None:
+        """Put this instance's news into a report."""
+
+    def fill_summary(self, summary: Summary) -> None:
+        """Put the sums over this data centre into a summary."""
+
+    def fill_digest(self, digest: Digest) -> None:
+        """Put the sums over all instances into a digest."""
+
+    def take_report(self, report: Report, now_s: float) -> None:
+        """Take in the news of an instance of this data centre."""
+
+    def take_summary(self, summary: Summary, now_s: float) -> None:
+        """Take in the sums over another data centre."""
+
+    def take_digest(self, digest: Digest, now_s: float) -> None:
+        """Take in the sums over all instances."""
+
+    def change_role(self, is_hub: bool) -> None:
+        """Forget what was heard in the role before."""
+
+
+def make_reader(
+    kind: Any, address: str, take: Callable[[Any], None]
+) -> Callable[[bytes], None]:
+    """Return what decodes a kind of message and gives it to ``take``.
+
+    Parameters
+    ----------
+    address : str
+        Of this instance; what it sent itself is dropped.
+    """
+    decoder = msgspec.msgpack.Decoder(kind)
+
+    def read(content: bytes) -> None:
+        try:
+            message = decoder.decode(memoryview(content)[1:])
+        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            logger.warning(
+                "Dropped a message that can't be read.", extra={"error": str(error)}
+            )
+            return
+        if message.card.address != address:
+            take(message)
+
+    return read
--- a/lagoonring/serving/settings.py
+++ b/lagoonring/serving/settings.py
@@ -76,3 +76,25 @@
     capacity: float = attrs.field(default=1.0, validator=between(0, 1e9))
     heartbeat_s: float = attrs.field(default=1.2, validator=between(0.01, 600))
     bounds: Bounds = attrs.field(factory=Bounds)
+
+
+@attrs.frozen(kw_only=True)
+class ExchangeOptions:
+    """Options of the exchange; those of `NngTransport` besides.
+
+    Parameters
+    ----------
+    interval_s : float
+        Time between two rounds.
+    interval_per_instance_s : float
+        Added for each instance of the data centre, to bound what its hub does.
+    """
+
+    address: str
+    interval_s: float = attrs.field(default=0.15, validator=between(0.01, 60))
+    interval_per_instance_s: float = attrs.field(default=0.005, validator=between(0, 1))
+    connect_timeout_s: float = attrs.field(default=0.5, validator=between(0.01, 60))
+    idle_link_s: float = attrs.field(default=60.0, validator=between(1, 3600))
+    frame_limit_bytes: int = attrs.field(
+        default=1 << 20, validator=between(4096, 1 << 24)
+    )
--- a/lagoonring/tests/test_exchange.py
+++ b/lagoonring/tests/test_exchange.py
@@ -5,7 +5,8 @@
 import msgspec
 import pytest
 
-from lagoonring.serving.exchange import ALONE_S, HUB_SILENT_S, START_SHARE
+from lagoonring.serving.exchange import HUB_SILENT_S
+from lagoonring.serving.heard import ALONE_S, START_SHARE
 from lagoonring.serving.members import FORGET_S, SILENT_S
 from lagoonring.serving.messages import (
     DIGEST_KIND,
@@ -30,10 +31,12 @@
     return all(len(deployment.hubs(centre)) == 1 for centre in deployment.centres)
 
 
+def count(exchange):
+    return exchange.heard.count(exchange.app.clock.monotonic())
+
+
 def all_count(deployment, n_heard, n_known):
-    return all(
-        it.count_heard() == (n_heard, n_known) for it in deployment.exchanges.values()
-    )
+    return all(count(it) == (n_heard, n_known) for it in deployment.exchanges.values())
 
 
 async def test_all_find_each_other_through_one_seed(deployment):
@@ -122,7 +125,7 @@
         await deployment.play(TAKE_OVER_S)
     assert one_hub_each(deployment)
     await deployment.play(SILENT_S)
-    assert all(it.count_heard()[0] == 4 for it in deployment.exchanges.values())
+    assert all(count(it)[0] == 4 for it in deployment.exchanges.values())
 
 
 async def test_all_killed_and_started_at_once(deployment):
@@ -157,7 +160,7 @@
     deployment.network.cut.clear()
     await deployment.play(2.0)
     assert one_hub_each(deployment)
-    assert all(it.count_heard()[0] == 5 for it in deployment.exchanges.values())
+    assert all(count(it)[0] == 5 for it in deployment.exchanges.values())
 
 
 async def test_both_hubs_die_while_the_data_centres_are_cut_off(deployment):
@@ -170,7 +173,7 @@
     deployment.network.cut.clear()
     await deployment.play(SETTLE_S)
     assert one_hub_each(deployment)
-    assert all(it.count_heard()[0] == 4 for it in deployment.exchanges.values())
+    assert all(count(it)[0] == 4 for it in deployment.exchanges.values())
 
 
 async def test_a_hub_that_is_cut_off_alone(deployment):
@@ -182,7 +185,7 @@
     assert sorted(deployment.hubs("east")) != [hub]
     assert deployment.exchanges[hub].share_heard() == 1 / 6
     rest = [it for name, it in deployment.exchanges.items() if name != hub]
-    assert all(it.count_heard()[0] == 5 for it in rest)
+    assert all(count(it)[0] == 5 for it in rest)
     deployment.network.cut.clear()
     await deployment.play(SETTLE_S)
     assert deployment.hubs("east") == [hub]
@@ -196,7 +199,7 @@
         deployment.network.cut.add((cut_off, other.address))
     await deployment.play(SILENT_S + TAKE_OVER_S)
     rest = [it for name, it in deployment.exchanges.items() if name != hub]
-    assert all(it.count_heard()[0] == 5 for it in rest)
+    assert all(count(it)[0] == 5 for it in rest)
 
 
 async def test_an_instance_that_left_lowers_the_share_until_it_is_forgotten(deployment):
@@ -218,7 +221,7 @@
     deployment.start("east-8")
     await deployment.play(SETTLE_S)
     assert one_hub_each(deployment)
-    assert all(it.count_heard()[0] == 7 for it in deployment.exchanges.values())
+    assert all(count(it)[0] == 7 for it in deployment.exchanges.values())
 
 
 async def test_a_process_that_just_started_assumes_others():
