Pass on what others' pages told, too

Its page spans from its first to its last offset, but held only what it read itself; what it had heard of another reader in between was missing. An instance that had missed the other's page took that range for read: an endpoint that drains would have gone on getting requests there. Change: what a page told is kept among what is passed on. Test: test_what_was_heard_of_one_reader_is_among_the_pages_of_the_next fails before.

--- a/lagoonring/serving/relay.py
+++ b/lagoonring/serving/relay.py
@@ -47,18 +47,24 @@
 
 @attrs.define
 class SharedFeed:
-    """A feed, what it read lately, and until when others' pages suffice.
+    """A feed, what came of it lately, and until when others' pages suffice.
 
-    ``pages`` holds reads of this instance: when, from which offset, what changed.
+    ``pages`` holds what was read here and what others' pages told: when, from which
+    offset, what changed. Each goes on where the one before it ended. ``read_s`` is
+    when this instance read the store last, ``read_from`` from which offset.
     """
 
     feed: KeyedFeed
     pages: list[tuple[float, int, list[KeyedRecord]]] = attrs.field(factory=list)
     fresh_until_s: float = 0.0
+    read_s: float = float("-inf")
+    read_from: int = 0
 
-    def is_reading(self, since_s: float) -> bool:
-        """Whether this instance read the store itself since a time."""
-        return bool(self.pages) and self.pages[-1][0] > since_s
+    def add(self, now_s: float, before: int, records: list[KeyedRecord]) -> None:
+        """Keep what came, and drop what came long ago."""
+        self.pages.append((now_s, before, records))
+        while now_s - self.pages[0][0] > HISTORY_S:
+            self.pages.pop(0)
 
 
 class StoreRelay(BaseService):
@@ -106,9 +112,8 @@
             share = FIRST_SHARE + (FRESH_SHARE - FIRST_SHARE) * self.rng.random()
             shared.fresh_until_s = now_s + share * self.change_s
             return
-        shared.pages.append((now_s, before, changes))
-        while now_s - shared.pages[0][0] > HISTORY_S:
-            shared.pages.pop(0)
+        shared.add(now_s, before, changes)
+        shared.read_s, shared.read_from = now_s, before
         if not self.exchange.local_peers():
             return
         page = StorePage(
@@ -136,8 +141,14 @@
         if self._suffices(page, shared, now_s):
             share = FRESH_SHARE + SPREAD_SHARE * self.rng.random()
             shared.fresh_until_s = now_s + share * self.change_s
-        for record in shared.feed.take_page(page.records, page.to_offset):
-            self.appliers[page.feed](record)
+        before = shared.feed.offset
+        changes = [
+            record
+            for record in shared.feed.take_page(page.records, page.to_offset)
+            if self.appliers[page.feed](record)
+        ]
+        if shared.feed.offset != before:
+            shared.add(now_s, before, changes)
 
     def _suffices(self, page: StorePage, shared: SharedFeed, now_s: float) -> bool:
         """Whether this instance need not read while such pages come.
@@ -146,7 +157,7 @@
         other's read may have been the later one, but for one read only.
         """
         assert shared.feed.offset is not None
-        if not shared.is_reading(now_s - self.change_s):
+        if now_s - shared.read_s > self.change_s:
             return page.to_offset >= shared.feed.offset
-        before_last = shared.pages[-1][1]
-        return page.reader < self.exchange.address and page.to_offset >= before_last
+        is_first = self.exchange.address < page.reader
+        return not is_first and page.to_offset >= shared.read_from
--- a/lagoonring/tests/test_relay.py
+++ b/lagoonring/tests/test_relay.py
@@ -57,14 +57,15 @@
         self.relay.add("records", self.feed, self.apply)
 
     def apply(self, record):
+        is_change = self.applied.get(record.key) != record.value
         self.applied[record.key] = record.value
+        return is_change
 
     async def poll(self):
         before = self.feed.offset
         changes = await self.feed.poll()
         self.n_polls += 1
-        for record in changes:
-            self.apply(record)
+        changes = [record for record in changes if self.apply(record)]
         self.relay.publish("records", before, changes)
 
     async def step(self):
@@ -190,6 +191,27 @@
     assert n_polls["b"] + n_polls["c"] <= 2
 
 
+async def test_what_was_heard_of_one_reader_is_among_the_pages_of_the_next(
+    instances, topic, wire, clock
+):
+    """One that missed the first reader's page must not skip what was in it."""
+    await clock.advance(CHANGE_S)
+    await instances["b"].poll()
+    wire.cut.add("c")
+    topic.write("endpoint", b"draining")
+    await instances["a"].poll()
+    assert instances["b"].applied["endpoint"] == b"draining"
+    wire.cut = {"a"}
+    topic.write("other", b"1")
+    await instances["b"].poll()
+    assert instances["c"].feed.offset < instances["b"].feed.offset or (
+        instances["c"].applied.get("endpoint") == b"draining"
+    )
+    await clock.advance(CHANGE_S)
+    await instances["c"].step()
+    assert instances["c"].applied["endpoint"] == b"draining"
+
+
 async def test_a_page_from_the_past_changes_nothing(instances, topic, wire):
     topic.write("config", b"2")
     await instances["c"].poll()
