--- a/lagoonring/serving/exchange.py
+++ b/lagoonring/serving/exchange.py
@@ -32,7 +32,7 @@
 from lagoonring.serving.settings import ExchangeOptions
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable
 
     from lagoonring.kernel import Application
     from lagoonring.peers.transport import Transport
@@ -185,14 +185,16 @@
         now_s = self.app.clock.monotonic()
         self._forget(now_s)
         self._update_hub(now_s)
+        # A report to an instance that is no hub asks whom to turn to.
+        addresses = [] if self.heard.is_complete(now_s) else sorted(self.seeds)
         posts = []
         if self.is_hub():
             posts += self._hub_posts(now_s)
-        report = self._make_report()
-        if not self.is_hub():
-            posts.append((self.hub_address, report))
-        # A report to an instance of another data centre asks whom to turn to.
-        posts += [(address, report) for address in self._strangers(now_s)]
+        else:
+            addresses.append(self.hub_address)
+        if addresses:
+            report = self._make_report()
+            posts += [(address, report) for address in addresses]
         return posts
 
     def _hub_posts(self, now_s: float) -> list[tuple[str, bytes]]:
@@ -247,11 +249,6 @@
             "number": self.n_sent,
         }
 
-    def _strangers(self, now_s: float) -> Iterable[str]:
-        """Return whom to ask for instances that are not heard."""
-        is_complete = self.heard.is_complete(now_s)
-        return [] if is_complete else sorted(self.seeds)
-
     def _update_hub(self, now_s: float) -> None:
         """Suspect hubs that are silent, and take note of a change."""
         self.n_sent += 1
