--- a/examples/demo/run_demo.py
+++ b/examples/demo/run_demo.py
@@ -32,6 +32,7 @@
     from collections.abc import Iterator
 
 START_TIMEOUT_S = 30.0
+BOOKING_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 30.0
 POLL_S = 0.1
 QUESTION = "When are the turtles fed, and where do school groups stand?"
@@ -186,6 +187,19 @@
     body = {"show": "feeding", "seats": 2}
     print(f"\nBooking: {body}")
     for attempt, url in zip(("first", "resent"), urls, strict=True):
+        async with asyncio.timeout(BOOKING_TIMEOUT_S):
+            await book(session, attempt, url, body, headers)
+
+
+async def book(
+    session: aiohttp.ClientSession,
+    attempt: str,
+    url: str,
+    body: dict[str, object],
+    headers: dict[str, str],
+) -> None:
+    """Send a booking until it is answered, as often as the answers tell."""
+    while True:
         async with session.post(
             f"{url}/services/booking/bookings", json=body, headers=headers
         ) as answer:
@@ -195,7 +209,12 @@
                 f"cost {answer.headers.get('X-Cost')}, "
                 f"replayed {answer.headers.get('X-Replayed', 'false')}"
             )
-            answer.raise_for_status()
+            retry_after_s = answer.headers.get("Retry-After")
+            if answer.status != 409 or retry_after_s is None:
+                answer.raise_for_status()
+                return
+        # The first answer is on its way to the log; its record follows.
+        await asyncio.sleep(float(retry_after_s))
 
 
 if __name__ == "__main__":
--- a/lagoonring/tests/test_examples.py
+++ b/lagoonring/tests/test_examples.py
@@ -4,9 +4,13 @@
 
 import ast
 import importlib
+import importlib.util
 from pathlib import Path
 
+import aiohttp
 import pytest
+from aiohttp import web
+from aiohttp.test_utils import TestServer
 
 ROOT = Path(__file__).parents[2]
 FILES = sorted(
@@ -24,3 +28,33 @@
         for alias in node.names:
             if not hasattr(module, alias.name):
                 importlib.import_module(f"{node.module}.{alias.name}")
+
+
+def load_demo(monkeypatch):
+    """Import the demo as `python examples/demo/run_demo.py` does."""
+    folder = ROOT / "examples" / "demo"
+    monkeypatch.syspath_prepend(str(folder))
+    monkeypatch.syspath_prepend(str(ROOT / "examples"))
+    spec = importlib.util.spec_from_file_location("run_demo", folder / "run_demo.py")
+    module = importlib.util.module_from_spec(spec)
+    spec.loader.exec_module(module)
+    return module
+
+
+async def test_the_demo_returns_when_it_is_told_that_a_booking_is_in_progress(
+    monkeypatch,
+):
+    """A busy machine records the first answer a moment after it was given."""
+    demo = load_demo(monkeypatch)
+    answers = [(200, {}), (409, {"Retry-After": "0"}), (200, {"X-Replayed": "true"})]
+
+    async def answer(request):
+        status, headers = answers.pop(0)
+        return web.Response(status=status, headers=headers)
+
+    app = web.Application()
+    app.router.add_post("/services/booking/bookings", answer)
+    async with TestServer(app) as server, aiohttp.ClientSession() as session:
+        url = str(server.make_url("")).rstrip("/")
+        await demo.show_booking(session, [url, url])
+    assert answers == []
