Don't tell a hub what it told

Cause, found by reading: requests that broke endpoints are told for two seconds by whoever heard of them. An instance told its hub what the hub's digest had told it, so that an engine's crash (up to 200 requests) came back from each of 30 instances in every report, 1 MB/s at a hub of grown asba. Change: only hubs pass on what they hear; the newest 200 are told.

--- a/lagoonring/serving/news.py
+++ b/lagoonring/serving/news.py
@@ -174,7 +174,9 @@
         """Take in what all kinds of messages hold."""
         self.parts.follower.note_peer(news.read_well_for_s)
         self.parts.table.note_peer_load(source, loads, now_s)
-        self.parts.suspects.note_peer(news.crashes, now_s)
+        self.parts.suspects.note_peer(
+            news.crashes, now_s, passes_on=source.scope is not Scope.OTHERS
+        )
 
     def _take_views(self, news: Summary | Digest) -> None:
         for service, view in news.moves.items():
--- a/lagoonring/serving/suspects.py
+++ b/lagoonring/serving/suspects.py
@@ -11,6 +11,7 @@
 
 N_CRASHES_MOST = 3
 NEWS_S = 2.0  # several rounds of the exchange, so that a lost frame does no harm
+N_NEWS_MOST = 200  # some 60 bytes each; an engine that crashes breaks as many requests
 N_SUSPECTS_MOST = 2000  # some 100 bytes each
 
 
@@ -19,7 +20,7 @@
 
     def __init__(self) -> None:
         self.crashes: OrderedDict[str, set[str]] = OrderedDict()
-        self.news: deque[tuple[float, str, str]] = deque()
+        self.news: deque[tuple[float, str, str]] = deque(maxlen=N_NEWS_MOST)
 
     def note_crash(self, fingerprint: str, endpoint: str, now_s: float) -> int:
         """Count a broken attempt; return the endpoints counted so far."""
@@ -30,13 +31,21 @@
         """Clear a request that was answered in full."""
         self.crashes.pop(fingerprint, None)
 
-    def note_peer(self, crashes: dict[str, list[str]], now_s: float) -> None:
-        """Take in what a peer has counted lately; what is new is passed on."""
+    def note_peer(
+        self, crashes: dict[str, list[str]], now_s: float, *, passes_on: bool
+    ) -> None:
+        """Take in what a peer has counted lately.
+
+        Parameters
+        ----------
+        passes_on : bool
+            Whether others hear of it through this instance.
+        """
         for fingerprint, endpoints in crashes.items():
             known = self.crashes.get(fingerprint, set())
-            for endpoint in endpoints:
-                if endpoint not in known:
-                    self.news.append((now_s, fingerprint, endpoint))
+            new = [endpoint for endpoint in endpoints if endpoint not in known]
+            if passes_on:
+                self.news.extend((now_s, fingerprint, endpoint) for endpoint in new)
             self._add(fingerprint, set(endpoints))
 
     def is_condemned(self, fingerprint: str) -> bool:
--- a/lagoonring/tests/test_serving_decisions.py
+++ b/lagoonring/tests/test_serving_decisions.py
@@ -436,7 +436,7 @@
     here, there = Suspects(), Suspects()
     here.note_crash("request", "a", 0.0)
     there.note_crash("request", "b", 0.0)
-    here.note_peer(there.read_news(1.0), 1.0)
+    here.note_peer(there.read_news(1.0), 1.0, passes_on=False)
     assert not here.is_condemned("request")
     here.note_crash("request", "c", 0.0)
     assert here.is_condemned("request")
