Write the platform's documents for stand-ins from this project's types

The soak's settings, configuration and records had the platform's names; they are made by standins/platform_documents.py now, the other direction of the adapter's decoding, which its tests read back.

--- a/lagoonring/soak/deployment.py
+++ b/lagoonring/soak/deployment.py
@@ -14,42 +14,43 @@
 import attrs
 import msgspec
 
+from lagoonring.serving.configuration import (
+    CallerLimits,
+    Configuration,
+    Organisation,
+    RequestKind,
+    RouteEntry,
+    ServiceEntry,
+    WeightedService,
+)
+from lagoonring.serving.settings import Bounds, NodeSettings
 from lagoonring.soak.endpoints import HEARTBEAT_S, Run, SoakEndpoint
 from lagoonring.standins.link_standin import LinkStandin
 from lagoonring.standins.options import LinkOptions
+from lagoonring.standins.platform_documents import make_configuration, make_settings
 from lagoonring.standins.platform_standin import PlatformStandin
 
 DATA_CENTRES = ("east", "west", "north")
-CALLER_PORT, READY_PORT, CONTROL_PORT, PEER_PORT = 8360, 8365, 8367, 7500
+CALLER_PORT, READY_PORT, PEER_PORT = 8360, 8365, 7500
 METRICS_PORT = 9464
 RESTART_S = 0.2  # as the platform restarts what ended
-BOUNDS = {
-    "drainMs": 2000,
-    "configMs": 2000,
-    "graceS": 8,
-    "leaseMs": 3000,
-    "quotaWindowS": 8,
-    "quotaOvershoot": 0.1,
-    "quotaSlack": 60,
-    "usageWindowS": 5,
-    "usageLateS": 10,
-    "retryBudgetRatio": 0.2,
-    "budgetWindowS": 10,
-    "retryBudgetSlack": 60,
-}
+BOUNDS = Bounds(quota_slack=60, retry_slack=60)
 ORGANISATIONS = {"one": "key-of-one", "two": "key-of-two"}
 # Two is limited to about half of what its callers ask.
 LIMITED, RATE_PER_S, BURST = "two", 12.0, 30.0
 RESUMABLE, UNSAFE, SAFE = "/stream/", "/unsafe/", "/safe/"
 SOAK_HOST = "soak.example"
+CALLER_LIMITS = CallerLimits(
+    n_header_bytes=16384,
+    n_body_bytes=4 << 20,
+    header_timeout_s=3.0,
+    idle_timeout_s=15.0,
+)
 
 
 @attrs.define
 class Instance:
-    """One instance: where it is, its process, and its link to the store.
-
-    ``times`` holds when something was done to it, as kind and monotonic time.
-    """
+    """One instance: where it is, its process, and its link to the store."""
 
     name: str
     ip: str
@@ -62,7 +63,6 @@
     is_leaving: bool = False
     disturbed_s: float = float("-inf")
     n_own_ends: int = 0
-    planned_stops: list[float] = attrs.field(factory=list)
 
     @property
     def url(self) -> str:
@@ -143,22 +143,24 @@
         """Write a configuration with the routes in force."""
         self.version += 1
         routes = [
-            _route("stream", RESUMABLE, "streaming", "engine", canResume=True),
-            _route("unsafe", UNSAFE, "unsafe", "desk", maxAttempts=1),
-            _route("safe", SAFE, "safe", "desk"),
-            *(_route(prefix, prefix, "safe", "desk") for prefix in self.extra_routes),
+            _route("stream", RESUMABLE, RequestKind.STREAM, "engine"),
+            _route("unsafe", UNSAFE, RequestKind.ONCE, "desk"),
+            _route("safe", SAFE, RequestKind.IDEMPOTENT, "desk"),
         ]
-        tenants: list[dict[str, Any]] = [
-            {"name": name, "apiKeys": [key]} for name, key in ORGANISATIONS.items()
-        ]
-        tenants[-1] |= {"ratePerS": RATE_PER_S, "burst": BURST}
-        config = {
-            "version": self.version,
-            "routes": routes,
-            "services": [{"name": "engine"}, {"name": "desk"}],
-            "tenants": tenants,
+        for prefix in self.extra_routes:
+            routes.append(_route(prefix, prefix, RequestKind.IDEMPOTENT, "desk"))
+        services = {
+            name: ServiceEntry(name=name, max_connections=100)
+            for name in ("engine", "desk")
         }
-        self.platform.write_operator("config", config)
+        configuration = Configuration(
+            version=self.version,
+            routes=tuple(routes),
+            services=services,
+            organisations=tuple(_organisation(name) for name in ORGANISATIONS),
+            limits=CALLER_LIMITS,
+        )
+        self.platform.write_operator("config", make_configuration(configuration))
 
     def add_route(self) -> None:
         """Add a route; the store has it when this returns."""
@@ -198,8 +200,6 @@
         process = instance.process
         if process is None or process.poll() is not None:
             return
-        if number is signal.SIGTERM:
-            instance.planned_stops.append(time.monotonic())
         instance.is_leaving |= number in (signal.SIGTERM, signal.SIGKILL)
         if number is not signal.SIGHUP:
             instance.disturb()
@@ -224,33 +224,27 @@
 
     def write_settings(self, instance: Instance, **changes: Any) -> None:
         """Write the settings file of an instance."""
-        boot = {
-            "node": instance.name,
-            "ip": instance.ip,
-            "zone": instance.data_centre,
-            "region": "coast",
-            "zones": dict.fromkeys(DATA_CENTRES, "coast"),
-            "listen": {
-                "front": f"{instance.ip}:{CALLER_PORT}",
-                "ready": f"{instance.ip}:{READY_PORT}",
-                "control": f"{instance.ip}:{CONTROL_PORT}",
-            },
-            "internalPorts": [PEER_PORT, PEER_PORT + 15],
-            "seeds": [
-                f"127.{self.net}.{index + 1}.1:{CONTROL_PORT}"
-                for index in range(len(DATA_CENTRES))
-            ],
-            "limits": {"memoryMb": 300, "linkMbps": 1000.0, "cpuShare": 1.0},
-            "heartbeatMs": int(HEARTBEAT_S * 1000),
-            "bounds": BOUNDS,
-            "platform": {"address": f"127.0.0.1:{instance.link.port}"},
-            "cloud": {
-                "address": f"127.0.0.1:{instance.link.port}",
-                "duties": ["usage"],
-            },
-        }
+        address = f"127.0.0.1:{instance.link.port}"
+        settings = NodeSettings(
+            instance=instance.name,
+            ip=instance.ip,
+            data_centre=instance.data_centre,
+            data_centres=DATA_CENTRES,
+            caller_address=f"{instance.ip}:{CALLER_PORT}",
+            ready_address=f"{instance.ip}:{READY_PORT}",
+            peer_port=PEER_PORT,
+            metrics_port=METRICS_PORT,
+            seed_ips=tuple(
+                f"127.{self.net}.{index + 1}.1" for index in range(len(DATA_CENTRES))
+            ),
+            store_address=address,
+            cloud_address=address,
+            duties=("usage",),
+            heartbeat_s=HEARTBEAT_S,
+            bounds=BOUNDS,
+        )
         new = instance.settings.with_suffix(".new")
-        new.write_bytes(msgspec.json.encode(boot | changes))
+        new.write_bytes(msgspec.json.encode(make_settings(settings) | changes))
         new.replace(instance.settings)
 
     async def _keep_running(self) -> None:
@@ -267,17 +261,30 @@
                     self.launch(instance)
 
 
-def _route(
-    name: str, prefix: str, kind: str, service: str, **more: Any
-) -> dict[str, Any]:
-    route = {
-        "name": name,
-        "host": SOAK_HOST,
-        "pathPrefix": prefix,
-        "kind": kind,
-        "service": service,
-        "timeoutMs": 3000,
-        "sloMs": 500,
-        "maxAttempts": 2,
-    }
-    return route | more
+def _route(name: str, prefix: str, kind: RequestKind, service: str) -> RouteEntry:
+    return RouteEntry(
+        name=name,
+        host=SOAK_HOST,
+        path_prefix=prefix,
+        kind=kind,
+        timeout_s=3.0,
+        objective_s=0.5,
+        patience_s=2.0,
+        rank=0,
+        targets=(WeightedService(service=service, weight=1.0),),
+        max_attempts=1 if kind is RequestKind.ONCE else 2,
+        is_public=False,
+        may_resume=kind is RequestKind.STREAM,
+    )
+
+
+def _organisation(name: str) -> Organisation:
+    return Organisation(
+        name=name,
+        keys=frozenset({ORGANISATIONS[name]}),
+        rank=None,
+        rate_per_s=RATE_PER_S if name == LIMITED else 0.0,
+        burst=BURST if name == LIMITED else 0.0,
+        counts_tokens=False,
+        n_plain_tokens=1.0,
+    )
--- a/lagoonring/soak/endpoints.py
+++ b/lagoonring/soak/endpoints.py
@@ -12,8 +12,10 @@
 from aiohttp import web
 
 from lagoonring.platform import headers as names
+from lagoonring.serving.endpoints import EndpointRecord, EndpointState
 from lagoonring.standins.link_standin import LinkStandin
 from lagoonring.standins.options import LinkOptions
+from lagoonring.standins.platform_documents import make_record
 
 if TYPE_CHECKING:
     import random
@@ -95,7 +97,7 @@
         self.rng = rng
         self.version = "v1"
         self.faults = EndpointFaults()
-        self.state = "ready"
+        self.state = EndpointState.READY
         self.draining_s: float | None = None
         self.born_ms = 0
         self.n_lives = 0
@@ -111,7 +113,7 @@
     async def start(self) -> None:
         """Begin a new life, and say so."""
         self.n_lives += 1
-        self.state, self.draining_s = "ready", None
+        self.state, self.draining_s = EndpointState.READY, None
         self.faults = EndpointFaults()
         self.born_ms = int(time.time() * 1000)
         app = web.Application()
@@ -135,25 +137,24 @@
 
     def drain(self) -> None:
         """Say that no more requests are taken."""
-        self.state = "draining"
+        self.state = EndpointState.DRAINING
         self._write()
         self.draining_s = time.monotonic()
 
     def _write(self) -> None:
         assert self.link is not None
-        self.platform.write_endpoint(
-            self.life,
-            {
-                "service": self.service,
-                "address": f"127.0.0.1:{self.link.port}",
-                "zone": self.data_centre,
-                "version": self.version,
-                "slots": N_SLOTS,
-                "state": self.state,
-                "seq": 1 + (self.state != "ready"),
-                "born": self.born_ms,
-            },
+        record = EndpointRecord(
+            endpoint=self.life,
+            service=self.service,
+            address=f"127.0.0.1:{self.link.port}",
+            data_centre=self.data_centre,
+            version=self.version,
+            n_slots=N_SLOTS,
+            state=self.state,
+            born_ms=self.born_ms,
+            sequence=1 + (self.state is not EndpointState.READY),
         )
+        self.platform.write_endpoint(self.life, make_record(record))
 
     async def _serve(self, request: web.Request) -> web.StreamResponse:
         if request.path == "/report":
--- a/lagoonring/soak/faults.py
+++ b/lagoonring/soak/faults.py
@@ -9,6 +9,8 @@
 
 import attrs
 
+from lagoonring.platform.store import ENDPOINT_TOPIC, OPERATOR_TOPIC
+from lagoonring.serving.endpoints import EndpointState
 from lagoonring.soak.endpoints import EndpointFaults
 from lagoonring.standins.link_standin import LinkFaults
 from lagoonring.standins.platform_faults import PlatformFaults
@@ -170,7 +172,7 @@
 
 
 async def _store_forgets(deployment: SoakDeployment, fault: Fault) -> None:
-    for topic in ("keyed.op", "keyed.servers"):
+    for topic in (OPERATOR_TOPIC, ENDPOINT_TOPIC):
         deployment.platform.forget(topic)
 
 
@@ -206,7 +208,7 @@
 
 async def _endpoint_crashes(deployment: SoakDeployment, fault: Fault) -> None:
     endpoint = deployment.endpoints[fault.pick % len(deployment.endpoints)]
-    if endpoint.runner is None or endpoint.state != "ready":
+    if endpoint.runner is None or endpoint.state is not EndpointState.READY:
         return
     await endpoint.crash()
     await endpoint.start()
@@ -214,11 +216,11 @@
 
 async def _endpoint_drains(deployment: SoakDeployment, fault: Fault) -> None:
     endpoint = deployment.endpoints[fault.pick % len(deployment.endpoints)]
-    if endpoint.runner is None or endpoint.state != "ready":
+    if endpoint.runner is None or endpoint.state is not EndpointState.READY:
         return
     endpoint.drain()
     await asyncio.sleep(4.0)
-    if endpoint.state == "draining":
+    if endpoint.state is EndpointState.DRAINING:
         await endpoint.crash()
         await endpoint.start()
 
--- a/lagoonring/soak/promises.py
+++ b/lagoonring/soak/promises.py
@@ -28,8 +28,8 @@
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 WRONG_STATUSES = (401, 403, 404)
-DRAIN_S = BOUNDS["drainMs"] / 1000
-CONFIG_S = BOUNDS["configMs"] / 1000
+DRAIN_S = BOUNDS.drain_s
+CONFIG_S = BOUNDS.config_s
 SLACK_S = 0.5  # of this machine's own scheduling, for what has a bound in time
 RECOVERED_SHARE = 0.9
 RECOVER_S = 6.0  # half of what the platform's operators allow
@@ -167,9 +167,9 @@
 def _check_limit(record: Record) -> Iterator[Broken]:
     """Check the limit of an organisation in sliding windows."""
     assert LIMITED in ORGANISATIONS
-    window_s = BOUNDS["quotaWindowS"]
+    window_s = BOUNDS.quota_window_s
     allowed = RATE_PER_S * window_s + BURST
-    allowed = allowed * (1 + BOUNDS["quotaOvershoot"]) + BOUNDS["quotaSlack"]
+    allowed = allowed * (1 + BOUNDS.quota_overshoot) + BOUNDS.quota_slack
     first: dict[str, float] = {}
     for run in record.runs:
         if run.organisation == LIMITED:
@@ -190,7 +190,7 @@
     told: dict[int, dict[str, int]] = {}
     holders: dict[int, str] = {}
     for call in calls:
-        if call.path != "/usage":
+        if call.path != USAGE_PATH:
             continue
         window, counts = call.content["window"], call.content["counts"]
         if told.setdefault(window, counts) != counts:
--- a/lagoonring/standins/platform_standin.py
+++ b/lagoonring/standins/platform_standin.py
@@ -15,6 +15,7 @@
 import msgspec
 from aiohttp import web
 
+from lagoonring.platform.duty_client import FENCING_NUMBER, HOLDER
 from lagoonring.platform.store import (
     ENDPOINT_TOPIC,
     OPERATOR_TOPIC,
@@ -164,8 +165,8 @@
         self.calls.append(
             DutyCall(
                 request.path,
-                request.headers["Lagoonring-Duty-Holder"],
-                int(request.headers["Lagoonring-Fence-Token"]),
+                request.headers[HOLDER],
+                int(request.headers[FENCING_NUMBER]),
                 msgspec.json.decode(await request.read()),
             )
         )
