--- a/lagoonring/soak/promises.py
+++ b/lagoonring/soak/promises.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from lagoonring.platform.duty_client import USAGE_PATH
 from lagoonring.soak.callers import LATE_S, TIMEOUT_S, Sent
 from lagoonring.soak.deployment import (
     BOUNDS,
