Admit only a part of what is left while news of many instances are under way

Change: where little is tolerated beside the limit, and what is left is less than twice what was used in the last 0.9 s, or a fifth of the limit, an instance admits only its part of what is left in that time. A request larger than the part is let through and paid for later.

--- a/lagoonring/serving/accepting.py
+++ b/lagoonring/serving/accepting.py
@@ -109,7 +109,13 @@
     now_s = parts.app.clock.monotonic()
     share = parts.exchange.share_heard()
     amount = amount_of(job)
-    wait_s = parts.quotas.take(job.organisation, amount, now_s, share)
+    wait_s = parts.quotas.take(
+        job.organisation,
+        amount,
+        now_s,
+        share,
+        n_instances=parts.exchange.count_instances(),
+    )
     if wait_s is None:
         job.taken = amount
         return
--- a/lagoonring/serving/quotas.py
+++ b/lagoonring/serving/quotas.py
@@ -7,6 +7,10 @@
 callers. While instances are silent, the share that they may be using is left to
 them.
 
+News take longer among many instances, while the tolerance stays a tenth. Near a limit
+that allows little beside it, an instance therefore admits only its part of what is left
+in the time that news take.
+
 Within a window, use is paced: a bucket grants the rate and the burst, a second one
 spreads what a window allows beyond the rate. A process starts with both empty. So
 after all were killed, what they admitted before and what is admitted then stay
@@ -28,6 +32,10 @@
 TOLERANCE_SHARE = 0.3  # of what may be exceeded; the rest covers late news
 WAIT_LEAST_S = 0.05  # below it a return finds as little left as before
 START_PACE = 0.8  # of the usual gain; above what organisations use on most days
+NEWS_S = 0.9  # a report, a summary and a digest of 30 instances in a data centre
+NEAR_SHARE = 0.2  # of the limit; usual use of all instances in NEWS_S is less
+NEAR_NEWS = 2.0  # times what was used in the last NEWS_S; it may be used again unseen
+SPARE_SHARE = 0.3  # of the limit; where more may be exceeded, late news do no harm
 POOL_S = 2.0  # a hub that falls silent is followed by another within a second
 PACE_S = 1.0  # what the second bucket holds at most, in seconds of its rate
 
@@ -77,6 +85,7 @@
 class Use:
     """What one organisation uses, as this instance sees it.
 
+    ``latest`` is the use of all instances in the time that news take.
     ``local`` is the use of the data centre's other instances. ``pool`` is use that
     is in ``everywhere`` already, told by a source that another one takes over from.
     """
@@ -84,6 +93,7 @@
     everywhere: WindowSum
     here: WindowSum
     local: WindowSum
+    latest: WindowSum
     filled_s: float
     burst_level: float = 0.0
     pace_level: float = 0.0
@@ -91,6 +101,8 @@
     n_local: float = 0.0
     n_everywhere: float = 0.0
     is_begun: bool = False
+    part_level: float = 0.0
+    part_filled_s: float = 0.0
     pool: float = 0.0
     pool_until_s: float = 0.0
     told: dict[Hashable, Told] = attrs.field(factory=dict)
@@ -133,6 +145,8 @@
         """Set by how much a limit may be exceeded."""
         self.overshoot = overshoot * TOLERANCE_SHARE
         self.slack = slack * TOLERANCE_SHARE
+        self.spare_overshoot = overshoot - self.overshoot
+        self.spare_slack = slack - self.slack
 
     def allowed(self, organisation: Organisation) -> float:
         """Return what an organisation may use in a window."""
@@ -140,7 +154,13 @@
         return amount * (1 + self.overshoot) + self.slack
 
     def take(
-        self, organisation: Organisation, amount: float, now_s: float, share: float
+        self,
+        organisation: Organisation,
+        amount: float,
+        now_s: float,
+        share: float,
+        *,
+        n_instances: int = 1,
     ) -> float | None:
         """Count an amount; return None, or the seconds until there is room.
 
@@ -150,21 +170,46 @@
             Tokens or requests, as the organisation counts.
         share : float
             Share of the instances that are heard; the limit is cut down to it.
+        n_instances : int
+            Instances known, which may admit at the same time.
         """
         if organisation.rate_per_s <= 0:
             return None
         use = self._use(organisation.name)
         self._fill(use, organisation, now_s, share)
         used = use.everywhere.read(now_s)
-        excess = used + amount - self.allowed(organisation) * share
+        limit = self.allowed(organisation) * share
+        excess = used + amount - limit
         if excess > 0 and used > 0:
             return max(use.everywhere.wait_s(excess, now_s), WAIT_LEAST_S)
+        near = max(NEAR_SHARE * limit, NEAR_NEWS * use.latest.read(now_s))
+        is_near = self._is_tight(organisation) and limit - used < near
+        if is_near and not self._has_part(use, (limit - used) / n_instances, now_s):
+            return NEWS_S
         wait_s = self._draw(use, organisation, amount)
         if wait_s is not None:
             return wait_s / max(share, 1e-9)
+        if is_near:
+            use.part_level -= amount
         self._add(use, amount, now_s)
         return None
 
+    def _is_tight(self, organisation: Organisation) -> bool:
+        """Whether little of what operators tolerate is left for late news."""
+        amount = organisation.rate_per_s * self.window_s + organisation.burst
+        return amount * self.spare_overshoot + self.spare_slack < SPARE_SHARE * amount
+
+    def _has_part(self, use: Use, part: float, now_s: float) -> bool:
+        """Whether this instance has not admitted its part of what is left yet.
+
+        A request larger than the part is let through and paid for later, so that
+        large ones are not refused for ever.
+        """
+        elapsed_s = min(now_s - use.part_filled_s, NEWS_S)
+        use.part_filled_s = now_s
+        use.part_level = min(use.part_level + part * elapsed_s / NEWS_S, part)
+        return use.part_level > 0
+
     def give_back(self, organisation: str, amount: float, now_s: float) -> None:
         """Take back what a request counted that was not run."""
         use = self.uses.get(organisation)
@@ -258,6 +303,7 @@
             use.pool -= n_known
             amount -= n_known
         use.everywhere.add(amount, now_s)
+        use.latest.add(amount, now_s)
         use.n_everywhere += amount
         use.spend(amount)
 
@@ -316,6 +362,7 @@
                 everywhere=WindowSum(self.window_s),
                 here=WindowSum(self.window_s),
                 local=WindowSum(self.window_s),
+                latest=WindowSum(NEWS_S),
                 filled_s=self.started_s,
             )
             self.uses[name] = use
@@ -323,6 +370,7 @@
 
     def _add(self, use: Use, amount: float, now_s: float) -> None:
         use.everywhere.add(amount, now_s)
+        use.latest.add(amount, now_s)
         use.here.add(amount, now_s)
         use.n_taken += amount
         use.n_everywhere += amount
--- a/lagoonring/tests/test_serving_decisions.py
+++ b/lagoonring/tests/test_serving_decisions.py
@@ -565,3 +565,57 @@
     orders = plan(make_fleets(), scaling, load=2.0, spare=1)
     assert not any(order.is_reclaimable for order in orders)
     assert sum(order.n_endpoints for order in orders) >= 2.0
+
+
+def play_many(*, demand_per_s, n_instances=60, delay_s=0.9, seconds=24.0):
+    """Play an organisation at many instances that have run for long.
+
+    Operators allow 3% of the limit besides the share; requests take 1 to 40 of what a
+    window of 8000 allows. Returns times and amounts that were admitted, and how many
+    requests were refused.
+    """
+    rng = random.Random(3)
+    limited = make_organisation(rate_per_s=800.0, burst=1600.0, counts_tokens=True)
+    made = [
+        Quotas(8.0, overshoot=0.1, slack=240.0, started_s=-60.0)
+        for _ in range(n_instances)
+    ]
+    now_s, next_news_s, admitted, n_refused, n_asked = 0.0, 0.0, [], 0, 0
+    while now_s < seconds:
+        amount = rng.choice([1.0, 2.0, 4.0, 10.0, 40.0])
+        now_s += rng.expovariate(demand_per_s / 11.4)
+        if now_s >= next_news_s:
+            next_news_s = now_s + delay_s
+            news = [quotas.totals(now_s) for quotas in made]
+            for index, quotas in enumerate(made):
+                for other, totals in enumerate(news):
+                    if other != index:
+                        quotas.note_peer(str(other), 1, totals, now_s)
+        n_asked += 1
+        quotas = made[min(int(rng.expovariate(3) * n_instances), n_instances - 1)]
+        wait_s = quotas.take(limited, amount, now_s, 1.0, n_instances=n_instances)
+        if wait_s is None:
+            admitted.append((now_s, amount))
+        else:
+            n_refused += 1
+    return admitted, n_refused / n_asked
+
+
+def most_taken(admitted, window_s=8.0):
+    return max(
+        sum(amount for at_s, amount in admitted if start_s <= at_s < start_s + window_s)
+        for start_s, _ in admitted[:: max(len(admitted) // 300, 1)]
+    )
+
+
+def test_late_news_of_many_instances_don_t_carry_a_hot_organisation_past_its_limit():
+    admitted, _ = play_many(demand_per_s=2700.0)
+    bound = (800.0 * 8 + 1600.0) * 1.1 + 240.0
+    assert most_taken(admitted) <= bound
+    large = sum(amount == 40.0 for _, amount in admitted)
+    assert large > 0.5 * sum(amount == 10.0 for _, amount in admitted)
+
+
+def test_an_organisation_within_its_limit_is_hardly_refused_by_many_instances():
+    _, refused_share = play_many(demand_per_s=720.0)
+    assert refused_share <= 0.02
