--- a/lagoonring/serving/sizing.py
+++ b/lagoonring/serving/sizing.py
@@ -19,6 +19,7 @@
     from lagoonring.serving.configuration import ScalingTraits
 
 LOAD_MOST = 0.45  # of an endpoint's time reading prompts; beyond it first tokens wait
+RECLAIMABLE_LOAD_MOST = 0.3  # at a fifth of the price, with streams read beside
 SHORT_LOAD_MOST = 0.4  # while reclaimable endpoints are gone, for seconds at a time
 FLOOR_LOAD_MOST = 0.9  # for the seconds until an on-demand endpoint has started
 FLOOR_LOAD_DRY = 0.6  # while none are to be had, after a reclaim it lasts longer
@@ -123,7 +124,8 @@
     spare: int,
 ) -> dict[str, int]:
     """Return numbers by data centre: all alike, as a whole one may be lost."""
-    n_missing = max(0, math.ceil(load / LOAD_MOST) - sum(floor.values()))
+    n_beside = math.ceil(load / RECLAIMABLE_LOAD_MOST) - sum(floor.values())
+    n_missing = max(0, n_beside)
     n_each = max(math.ceil(n_missing / max(len(fleets), 1)), spare)
     spread = {}
     for fleet in fleets:
