Give soaks that run at once different addresses

A fault of the soak, none of the product: the answers were whole and signed by the other soak's endpoints. Change: a soak takes a part of the range that it can bind, and holds it. Test: test_soaks_that_run_at_once_use_different_addresses.

--- a/lagoonring/soak/deployment.py
+++ b/lagoonring/soak/deployment.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -82,13 +83,13 @@
     folder : Path
         Gets settings files and logs.
     seed : int
-        Seed of this soak; it also chooses the loopback addresses.
+        Seed of this soak.
     """
 
     def __init__(self, folder: Path, seed: int, *, n_each: int = 2) -> None:
         self.folder = folder
         self.rng = random.Random(seed)
-        self.net = 16 + seed % 200
+        self.net, self.claim = claim_net(random.Random(seed))
         self.n_each = n_each
         self.platform = PlatformStandin()
         self.runs: list[Run] = []
@@ -138,6 +139,7 @@
                 await endpoint.link.stop()
                 await endpoint.runner.cleanup()
         await self.platform.stop()
+        self.claim.close()
 
     def write_config(self) -> None:
         """Write a configuration with the routes in force."""
@@ -261,6 +263,22 @@
                     self.launch(instance)
 
 
+def claim_net(rng: random.Random) -> tuple[int, socket.socket]:
+    """Return a part of the loopback range that no other soak uses.
+
+    It is free again when the socket is closed.
+    """
+    while True:
+        net = rng.randrange(16, 240)
+        claim = socket.socket()
+        try:
+            claim.bind((f"127.{net}.0.1", CALLER_PORT))
+        except OSError:
+            claim.close()
+            continue
+        return net, claim
+
+
 def _route(name: str, prefix: str, kind: RequestKind, service: str) -> RouteEntry:
     return RouteEntry(
         name=name,
--- a/lagoonring/tests/test_soak.py
+++ b/lagoonring/tests/test_soak.py
@@ -8,7 +8,13 @@
 
 from lagoonring.platform.store import OPERATOR_TOPIC
 from lagoonring.soak.callers import Sent
-from lagoonring.soak.deployment import BURST, LIMITED, RATE_PER_S, UNSAFE
+from lagoonring.soak.deployment import (
+    BURST,
+    LIMITED,
+    RATE_PER_S,
+    UNSAFE,
+    claim_net,
+)
 from lagoonring.soak.endpoints import Run, body_of, events_of, stamp_of
 from lagoonring.soak.faults import KINDS, schedule
 from lagoonring.soak.promises import RECOVER_S, Record, check
@@ -156,6 +162,13 @@
     assert {fault.kind for faults in played for fault in faults} == set(KINDS)
 
 
+def test_soaks_that_run_at_once_use_different_addresses():
+    made = [claim_net(random.Random(1)) for _ in range(3)]
+    for _, claim in made:
+        claim.close()
+    assert len({net for net, _ in made}) == 3
+
+
 async def test_the_store_s_stand_in_fails_as_told():
     platform = PlatformStandin()
     platform.write_operator("config", {"version": 1})
