Wait for one more reading of the records before endpoints are ordered

Taken from reading, not from a log: since instances that start together wait before they read on (up to 1.95 s there), 1.25 heartbeats without a new endpoint can pass before a reading. Change: the time from one reading to the next is added to the wait. Test: test_endpoints_that_are_read_late_count_as_found fails before.

--- a/lagoonring/platform/application.py
+++ b/lagoonring/platform/application.py
@@ -38,7 +38,7 @@
 from lagoonring.serving.path import RequestPath
 from lagoonring.serving.placer import Placer
 from lagoonring.serving.quotas import Quotas
-from lagoonring.serving.relay import StoreRelay
+from lagoonring.serving.relay import FRESH_SHARE, SPREAD_SHARE, StoreRelay
 from lagoonring.serving.reload import SettingsReload
 from lagoonring.serving.repeats import RepeatBudget
 from lagoonring.serving.reporting import UsageReports
@@ -118,7 +118,7 @@
                 self.app.clock,
                 exchange,
                 self.app.rng,
-                change_s=min(bounds.config_s, bounds.drain_s),
+                change_s=bounds.change_s,
             ),
             bounds=bounds,
         )
@@ -249,6 +249,8 @@
                 return documents.decode_move_status(record.value)
         return None
 
+    change_s = settings.bounds.change_s
+
     def make_duty_parts(ledger: DutyLedger) -> list[DutyPart]:
         made: list[DutyPart] = [
             MovesDuty(
@@ -288,6 +290,7 @@
                     parts.metrics,
                     data_centres=settings.data_centres,
                     heartbeat_s=settings.heartbeat_s,
+                    reading_s=(FRESH_SHARE + SPREAD_SHARE) * change_s,
                     order=order,
                 )
             )
--- a/lagoonring/serving/fleet.py
+++ b/lagoonring/serving/fleet.py
@@ -81,6 +81,8 @@
     ----------
     heartbeat_s : float
         How often endpoints write their records.
+    reading_s : float
+        Longest time from one reading of the records to the next.
     order : callable
         ``await order(lease, service, Order)`` tells the platform.
     """
@@ -97,6 +99,7 @@
         *,
         data_centres: tuple[str, ...],
         heartbeat_s: float,
+        reading_s: float,
         order,
     ) -> None:
         self.follower = follower
@@ -106,7 +109,7 @@
         self.metrics = metrics
         self.data_centres = data_centres
         self.order = order
-        self.settle_s = SETTLE_HEARTBEATS * heartbeat_s
+        self.settle_s = SETTLE_HEARTBEATS * heartbeat_s + reading_s
         self.growing = Growing(since_s=clock.monotonic())
         self.ordered: dict[tuple[str, str, bool], Ordered] = {}
         self.less_since_s: dict[tuple[str, str, bool], float] = {}
--- a/lagoonring/serving/settings.py
+++ b/lagoonring/serving/settings.py
@@ -52,6 +52,11 @@
     exposure_slack: float = attrs.field(default=50.0, validator=between(0, 1e9))
     rollback_s: float = attrs.field(default=5.0, validator=between(0, 3600))
 
+    @property
+    def change_s(self) -> float:
+        """Time after which any change in the store counts."""
+        return min(self.config_s, self.drain_s)
+
 
 @attrs.frozen(kw_only=True)
 class NodeSettings:
--- a/lagoonring/tests/test_fleet_duty.py
+++ b/lagoonring/tests/test_fleet_duty.py
@@ -22,6 +22,7 @@
 
 DATA_CENTRES = ("east", "north", "west")
 HEARTBEAT_S = 1.2
+READING_S = 1.9
 
 
 class Cloud:
@@ -98,6 +99,7 @@
         ServingMetrics(CollectorRegistry()),
         data_centres=DATA_CENTRES,
         heartbeat_s=HEARTBEAT_S,
+        reading_s=READING_S,
         order=cloud.order,
     )
 
@@ -134,6 +136,7 @@
         ServingMetrics(CollectorRegistry()),
         data_centres=DATA_CENTRES,
         heartbeat_s=HEARTBEAT_S,
+        reading_s=READING_S,
         order=cloud.order,
     )
 
@@ -215,6 +218,22 @@
     assert len(table.endpoints) >= 60
 
 
+async def test_endpoints_that_are_read_late_count_as_found(clock):
+    """Instances that start together read the records again only after a while."""
+    table = make_table()
+    cloud = Cloud(table)
+    duty = make_large_duty(cloud, clock, Demand(clock))
+    fleet = make_large_fleet()
+    for record in fleet[:8]:
+        table.apply(record, n_cache_tokens=1000)
+    await play(duty, clock, READING_S)
+    for record in fleet[8:]:
+        table.apply(record, n_cache_tokens=1000)
+    assert cloud.orders == []
+    await play(duty, clock, 12)
+    assert len(table.endpoints) >= 60
+
+
 async def test_what_was_found_beyond_the_need_goes_before_callers_come(clock):
     table = make_table(*make_large_fleet())
     cloud = Cloud(table)
