Take the hub role over only with all sums; replace hung connections

The logs show the hub of a data centre lose power at 1.0 s and return at 5.4 s: the other instance followed it at once, but the hub knew no sums and was not reached by the other hubs until 7.4 s, as their connections waited for a retransmission. For two seconds nobody learned what the two instances admitted.

Change: a started process ranks below running ones for 2 s; connections to an instance that is heard again, or under a new life, are replaced, and one that is not established is requested anew after 1 s.

--- a/lagoonring/peers/transport.py
+++ b/lagoonring/peers/transport.py
@@ -32,6 +32,9 @@
 SEND_BUFFER_FRAMES = 8
 MIN_RECONNECT_MS = 100
 MAX_RECONNECT_MS = 2000
+# A connection request to a machine without power is retransmitted after 1, 3 and 7 s; a
+# new one reaches the machine sooner after its return.
+REDIAL_S = 1.0
 MIN_POLL_S = 0.002
 MAX_POLL_S = 0.05
 
@@ -71,6 +74,9 @@
     ) -> None:
         """Queue a frame; ``on_unsent`` is called if it was provably not sent."""
 
+    def reconnect(self, address: str) -> None:
+        """Replace the connection to a peer that has returned, if there is one."""
+
     async def stop(self) -> None:
         """Close all sockets."""
 
@@ -103,11 +109,8 @@
         self.queue: deque[QueuedFrame] = deque()
         self.n_queued_bytes = 0
         self.frame_queued = asyncio.Event()
-        self.socket = pynng.Push0(
-            send_buffer_size=SEND_BUFFER_FRAMES,
-            reconnect_time_min=MIN_RECONNECT_MS,
-            reconnect_time_max=MAX_RECONNECT_MS,
-        )
+        self.socket = _make_socket()
+        self.dialed_s: float | None = None
 
     def post(self, queued: QueuedFrame) -> None:
         """Queue a frame; drop the oldest frames if the queue is full."""
@@ -124,7 +127,7 @@
     async def run(self) -> None:
         """Send queued frames until the link has been idle for ``idle_link_s``."""
         try:
-            self.socket.dial(f"tcp://{self.address}", block=False)
+            self._dial()
             while await self._wait_for_frame():
                 await self._send_first()
         except pynng.NNGException as error:
@@ -132,12 +135,30 @@
         finally:
             self.close()
 
+    def reconnect(self) -> None:
+        """Dial with a new socket; frames in the old one are lost."""
+        if self.dialed_s is None:
+            return
+        self.socket.close()
+        self.socket = _make_socket()
+        self._dial()
+
     def close(self) -> None:
         """Close the socket and drop all queued frames."""
         self.socket.close()
         while self.queue:
             self._pop().report_unsent(self.metrics)
 
+    def _is_dial_late(self, now_s: float) -> bool:
+        """Return whether a connection is missing ``REDIAL_S`` after its request."""
+        if self.socket.pipes or self.dialed_s is None:
+            return False
+        return now_s - self.dialed_s >= REDIAL_S
+
+    def _dial(self) -> None:
+        self.dialed_s = self.clock.monotonic()
+        self.socket.dial(f"tcp://{self.address}", block=False)
+
     def _pop(self) -> QueuedFrame:
         queued = self.queue.popleft()
         self.n_queued_bytes -= len(queued.frame)
@@ -162,8 +183,11 @@
             if self._try_send(queued.frame):
                 self._pop()
                 return
-            if self.clock.monotonic() >= queued.due_s:
+            now_s = self.clock.monotonic()
+            if now_s >= queued.due_s:
                 self._pop().report_unsent(self.metrics)
+                if self._is_dial_late(now_s):
+                    self.reconnect()
                 return
             await asyncio.sleep(delay_s)
             delay_s = min(2 * delay_s, MAX_POLL_S)
@@ -246,6 +270,12 @@
             link = self._open(address)
         link.post(queued)
 
+    def reconnect(self, address: str) -> None:
+        """Replace the connection to a peer that has returned, if there is one."""
+        link = self.links.get(address)
+        if link is not None:
+            link.reconnect()
+
     async def stop(self) -> None:
         """Close all sockets."""
         socket = self.socket
@@ -290,3 +320,11 @@
                 return
             self.metrics.bytes_received.inc(len(frame))
             self.receive(frame)
+
+
+def _make_socket() -> pynng.Push0:
+    return pynng.Push0(
+        send_buffer_size=SEND_BUFFER_FRAMES,
+        reconnect_time_min=MIN_RECONNECT_MS,
+        reconnect_time_max=MAX_RECONNECT_MS,
+    )
--- a/lagoonring/serving/exchange.py
+++ b/lagoonring/serving/exchange.py
@@ -4,6 +4,9 @@
 exchange summaries and send digests of the sums to their instances. An instance whose
 hub is silent falls back to the next one by rank, and finally to itself, so that none
 depends on another. Addresses come from the settings, the store and the messages.
+
+A process that has just started ranks below those that run, so that a hub returning
+from a restart takes over only after it has received the sums of the others.
 """
 
 from __future__ import annotations
@@ -41,6 +44,9 @@
 
 HUB_TIMEOUT_S = 0.8  # four rounds in a small data centre
 HUB_TIMEOUT_ROUNDS = 3.5  # rounds in a large data centre
+WARM_UP_S = 2.0  # several rounds, in which a started process receives all sums
+HUB_WARM_UP_S = 1.5  # shorter, so that the hub remains first if all started together
+WARM_UP_FACTOR = 1e-6  # of the capacity; preserves the order of starting processes
 HUB_SETTLED_S = 1.0  # until the data centre's instances agree on their hub
 MAX_BURST_MESSAGES = 8  # digests of about 2 kB take 13 ms on a 10 Mbit/s link
 CARDS_ROUNDS = 5  # between digests with cards; membership changes rarely
@@ -80,8 +86,9 @@
         self.life = app.rng.getrandbits(53)
         self.started_s = app.clock.monotonic()
         self.members = Members(
-            Card(self.address, settings.data_centre, settings.capacity)
+            Card(self.address, settings.data_centre, settings.capacity * WARM_UP_FACTOR)
         )
+        self.is_warming_up = True
         self.seeds: set[str] = set()
         self.set_seeds(settings.seed_ips)
         self.state_handler: StateHandler | None = None
@@ -109,6 +116,7 @@
 
     async def retire(self) -> None:
         """Hand the hub role over to another instance."""
+        self.is_warming_up = False
         self.members.retire()
         self.send_round()
 
@@ -254,6 +262,7 @@
     def _update_hub(self, now_s: float) -> None:
         """Suspect silent hubs and apply a change of the own hub."""
         self.n_sent += 1
+        self._end_warm_up(now_s)
         limit_s = max(HUB_TIMEOUT_S, HUB_TIMEOUT_ROUNDS * self._interval_s())
         if self.hub_address and self.hub_address != self.address:
             seen_s = max(self.reachability.digest_s, self.hub_since_s)
@@ -272,6 +281,13 @@
                 self.members.suspect(card.address)
         self._apply_hub_change(now_s)
 
+    def _end_warm_up(self, now_s: float) -> None:
+        """Rank by the full capacity once the process has run for a while."""
+        warm_up_s = HUB_WARM_UP_S if self.is_hub() else WARM_UP_S
+        if self.is_warming_up and now_s - self.started_s >= warm_up_s:
+            self.is_warming_up = False
+            self.members.change_capacity(self.settings.capacity)
+
     def _apply_hub_change(self, now_s: float) -> None:
         hub = self.members.hub(self.settings.data_centre)
         assert hub is not None
@@ -387,6 +403,9 @@
         member = self.members.record_message(message.card, now_s)
         member.instance, member.life = message.instance, message.life
         if is_new:
+            # A connection to the earlier process or from before a partition may hang
+            # for seconds until its next retransmission.
+            self.transport.reconnect(message.card.address)
             logger.info(
                 "Instance heard.",
                 extra={
--- a/lagoonring/serving/members.py
+++ b/lagoonring/serving/members.py
@@ -100,7 +100,11 @@
 
     def retire(self) -> None:
         """Rank below all other instances, so that another one becomes the hub."""
-        self.me = attrs.evolve(self.me, capacity=LEAVING_CAPACITY)
+        self.change_capacity(LEAVING_CAPACITY)
+
+    def change_capacity(self, capacity: float) -> None:
+        """Change this instance's own capacity, and with it its rank."""
+        self.me = attrs.evolve(self.me, capacity=capacity)
         self.hubs.clear()
 
     def trust(self, address: str, now_s: float) -> None:
--- a/lagoonring/tests/builders/exchanges.py
+++ b/lagoonring/tests/builders/exchanges.py
@@ -24,6 +24,7 @@
         self.receivers = {}
         self.blocked = set()
         self.n_sent = {}
+        self.n_reconnects = {}
         self.queue = []
 
     def make_transport(self, address):
@@ -69,6 +70,11 @@
         """Send a message."""
         self.network.send(self.address, to, frame)
 
+    def reconnect(self, address):
+        """Count a reconnect."""
+        key = (self.address, address)
+        self.network.n_reconnects[key] = self.network.n_reconnects.get(key, 0) + 1
+
     async def stop(self):
         """Stop listening."""
         self.network.receivers.pop(self.address, None)
--- a/lagoonring/tests/builders/peers.py
+++ b/lagoonring/tests/builders/peers.py
@@ -184,6 +184,9 @@
             return
         self.network.send(address, frame)
 
+    def reconnect(self, address: str) -> None:
+        """Do nothing, as there are no connections."""
+
     async def stop(self) -> None:
         """Remove the receiver from the network."""
         self.network.receivers.pop(self.address, None)
--- a/lagoonring/tests/test_exchange.py
+++ b/lagoonring/tests/test_exchange.py
@@ -5,7 +5,7 @@
 import msgspec
 import pytest
 
-from lagoonring.serving.exchange import HUB_TIMEOUT_S
+from lagoonring.serving.exchange import HUB_TIMEOUT_S, HUB_WARM_UP_S
 from lagoonring.serving.members import FORGET_S, MEMBER_TIMEOUT_S
 from lagoonring.serving.messages import (
     DIGEST_KIND,
@@ -105,6 +105,43 @@
     assert all_have_counts(deployment, 6, 6)
 
 
+async def test_a_restarted_hub_takes_over_once_it_has_the_sums(deployment):
+    """At once, it would take reports that it can't pass on, and send empty sums."""
+    (hub,) = deployment.hubs("east")
+    deployment.stop(hub)
+    await deployment.run_for(TAKE_OVER_S)
+    (substitute,) = deployment.hubs("east")
+    restarted = deployment.start(hub)
+    await deployment.run_for(HUB_WARM_UP_S - 2 * ROUND_S)
+    assert deployment.hubs("east") == [substitute]
+    assert count_instances(restarted) == (6, 6)
+    await deployment.run_for(SETTLE_S)
+    assert deployment.hubs("east") == [hub]
+
+
+async def test_the_hub_stays_the_same_through_a_start_of_all():
+    deployment = Deployment(centres=("east", "west"), n_each=6)
+    await deployment.run_for(4 * ROUND_S)
+    hubs = [deployment.hubs(centre) for centre in deployment.centres]
+    for _ in range(20):
+        await deployment.run_for(ROUND_S)
+        assert [deployment.hubs(centre) for centre in deployment.centres] == hubs
+
+
+async def test_connections_to_a_restarted_instance_are_replaced(deployment):
+    """A connection to a machine that lost power hangs until a retransmission."""
+    (hub,) = deployment.hubs("east")
+    name = next(n for n in deployment.exchanges if n.startswith("east") and n != hub)
+    pair = (deployment.exchanges[hub].address, deployment.exchanges[name].address)
+    before = deployment.network.n_reconnects.get(pair, 0)
+    deployment.stop(name)
+    deployment.start(name)
+    await deployment.run_for(2 * ROUND_S)
+    assert deployment.network.n_reconnects.get(pair, 0) == before + 1
+    await deployment.run_for(2.0)
+    assert deployment.network.n_reconnects[pair] == before + 1
+
+
 async def test_a_hub_that_restarts_at_once_remains_the_hub(deployment):
     (hub,) = deployment.hubs("west")
     deployment.stop(hub)
