--- a/lagoonring/serving/attempts.py
+++ b/lagoonring/serving/attempts.py
@@ -72,6 +72,10 @@
                 job.n_runs += 1
             self._record_failure(job, endpoint, error)
             return error
+        except asyncio.CancelledError:
+            # The endpoint may have begun the request before its caller gave up.
+            job.n_runs += 1
+            raise
         finally:
             self.parts.placer.finish(job, work)
             self.parts.metrics.attempts.labels(job.service, result).inc()
--- a/lagoonring/serving/path.py
+++ b/lagoonring/serving/path.py
@@ -220,11 +220,16 @@
         self.idle.clear()
         self.parts.metrics.in_progress.set(self.n_in_progress)
 
-    def _end(self, request: CallerRequest, job: Job | None, outcome: str) -> None:
-        if job is not None and job.organisation is not None and not job.is_counted:
+    def _refund_unless_run(self, job: Job) -> None:
+        """Return what a job that no endpoint can have run took from its limit."""
+        if job.organisation is not None and not job.is_counted and job.n_runs == 0:
             self.parts.quotas.refund(
                 job.organisation.name, job.taken, self.clock.monotonic()
             )
+
+    def _end(self, request: CallerRequest, job: Job | None, outcome: str) -> None:
+        if job is not None:
+            self._refund_unless_run(job)
         self.n_in_progress -= 1
         self.parts.metrics.in_progress.set(self.n_in_progress)
         if self.n_in_progress == 0:
--- a/lagoonring/tests/test_serving_path.py
+++ b/lagoonring/tests/test_serving_path.py
@@ -339,6 +339,41 @@
     assert parts.usage.total(parts.usage.window()) == {}
 
 
+async def test_a_request_given_up_at_an_endpoint_still_counts_towards_the_limit():
+    """The endpoint may run it, although its caller left before the answer began."""
+    limited = make_organisation(rate_per_s=10.0, burst=10.0)
+    sent = asyncio.Event()
+
+    async def never_answered():
+        sent.set()
+        await asyncio.sleep(60)
+
+    sender = FakeSender(lambda order: never_answered())
+    parts = make_parts(
+        sender, configuration=make_configuration(organisations=(limited,))
+    )
+    task = asyncio.create_task(
+        RequestPath(parts).serve(make_request(), CapturingSink())
+    )
+    await sent.wait()
+    task.cancel()
+    with pytest.raises(asyncio.CancelledError):
+        await task
+    now_s = parts.app.clock.monotonic()
+    assert parts.quotas.totals(now_s)["one"] == (1.0, 1.0)
+
+
+async def test_a_request_that_was_not_run_does_not_count_towards_the_limit():
+    limited = make_organisation(rate_per_s=10.0, burst=10.0)
+    sender = FakeSender(lambda order: EndpointConnectError("none"))
+    parts = make_parts(
+        sender, configuration=make_configuration(organisations=(limited,))
+    )
+    await serve(parts)
+    now_s = parts.app.clock.monotonic()
+    assert parts.quotas.totals(now_s)["one"] == (0.0, 0.0)
+
+
 async def test_a_retiring_instance_accepts_streams_only_while_they_can_end():
     sender = FakeSender(lambda order: FakeAnswer([make_event(0)]))
     route = attrs.evolve(STREAM, path_prefix="/stream/")
