Share results at endpoints between all instances

Change: reports carry decayed results by endpoint, hubs sum them, and digests describe the endpoints that differ from the typical one of their service: failure share, slowdown, down. Placing uses these while they are recent, and what the instance saw itself otherwise.

--- a/lagoonring/serving/endpoints.py
+++ b/lagoonring/serving/endpoints.py
@@ -8,6 +8,8 @@
 
 import attrs
 
+from lagoonring.serving.observations import Condition, Observation, Typical
+
 if TYPE_CHECKING:
     from lagoonring.serving.messages import Loads, Source
 
@@ -16,6 +18,7 @@
 BACKOFF_S = 0.4  # a crashed endpoint restarts within some seconds
 MAX_BACKOFF_S = 3.0  # one failed connection in three seconds costs little
 MAX_PEER_LOAD_AGE_S = 1.5  # several rounds of the exchange between instances
+MAX_CONDITION_AGE_S = 3.0  # until a silent hub is replaced and has received all sums
 
 
 class EndpointState(enum.Enum):
@@ -86,7 +89,11 @@
 
 @attrs.define
 class Endpoint:
-    """An incarnation of an endpoint, with its load and health as seen here."""
+    """An incarnation of an endpoint, with its load and health as seen here.
+
+    ``seen`` holds the results at this instance, ``condition`` what the hub derived
+    from those of all instances.
+    """
 
     record: EndpointRecord
     cache: PromptCache
@@ -102,6 +109,9 @@
     n_connect_failures: int = 0
     down_until_s: float = 0.0
     full_until_s: float = 0.0
+    seen: Observation = attrs.field(factory=Observation)
+    condition: Condition | None = None
+    reported_down_until_s: float = 0.0
 
     @property
     def name(self) -> str:
@@ -116,17 +126,24 @@
         """Return the tokens waiting for prefill, of all freshly reported instances."""
         return self.n_waiting_tokens + self.n_waiting_tokens_elsewhere
 
+    def avoided_until_s(self) -> float:
+        """Return until when the endpoint is used only if there is no other."""
+        return max(self.down_until_s, self.full_until_s, self.reported_down_until_s)
+
     def record_result(self, *, ok: bool, now_s: float) -> None:
         """Update the moving average of failures with a result."""
+        self.seen.record_result(ok=ok, now_s=now_s)
         self.failure_share += FAILURE_WEIGHT * ((not ok) - self.failure_share)
         if not ok:
             self.failed_s = now_s
         else:
             self.n_connect_failures = 0
             self.down_until_s = 0.0
+            self.reported_down_until_s = 0.0
 
     def mark_unreachable(self, now_s: float) -> None:
         """Avoid the endpoint, with a back-off that grows with consecutive failures."""
+        self.seen.record_unreachable(now_s)
         self.n_connect_failures += 1
         delay_s = BACKOFF_S * 2 ** min(self.n_connect_failures - 1, 8)
         self.down_until_s = now_s + min(delay_s, MAX_BACKOFF_S)
@@ -134,18 +151,30 @@
     def learn_token_time(self, seconds: float, now_s: float) -> None:
         """Add a sample of the prefill time per token."""
         self.learned_s = now_s
+        self.seen.record_time(now_s, token_s=seconds)
         self.seconds_per_token = _average(self.seconds_per_token, seconds)
 
     def learn_service_time(self, seconds: float, now_s: float) -> None:
         """Add a sample of the time that a plain request takes."""
         self.learned_s = now_s
+        self.seen.record_time(now_s, service_s=seconds)
         self.service_s = _average(self.service_s, seconds)
 
 
 class EndpointTable:
-    """The endpoints of all services, according to their newest records."""
+    """The endpoints of all services, according to their newest records.
+
+    Attributes
+    ----------
+    typical : dict
+        Typical times at the endpoints by service, from the results of all instances.
+    assessed_s : float
+        Time of the last assessment of ``typical`` and the endpoints' conditions.
+    """
 
     def __init__(self) -> None:
+        self.typical: dict[str, Typical] = {}
+        self.assessed_s = float("-inf")
         self.endpoints: dict[str, Endpoint] = {}
         self.by_service: dict[str, dict[str, Endpoint]] = {}
         self.loads: dict[Source, tuple[float, Loads]] = {}
@@ -158,6 +187,10 @@
         """Return the endpoints of a service, including draining ones."""
         return list(self.by_service.get(service, {}).values())
 
+    def is_assessed(self, now_s: float) -> bool:
+        """Return whether the endpoints' conditions are recent."""
+        return now_s - self.assessed_s < MAX_CONDITION_AGE_S
+
     def apply(self, record: EndpointRecord, *, n_cache_tokens: int) -> str:
         """Apply a record; return the kind of change, or "" for none.
 
--- a/lagoonring/serving/messages.py
+++ b/lagoonring/serving/messages.py
@@ -18,6 +18,7 @@
 from lagoonring.moves.counts import CountsRow
 from lagoonring.serving.members import Card
 from lagoonring.serving.moves import MoveView
+from lagoonring.serving.observations import ConditionRow, ObservationRow, TypicalRow
 from lagoonring.serving.usage import UsageRow
 
 if TYPE_CHECKING:
@@ -84,13 +85,14 @@
     """State of one instance.
 
     ``started`` counts the started requests by window and organisation, ``demand`` is
-    the endpoint time in seconds requested per second by service, and ``versions``
-    holds the counts of moves by service.
+    the endpoint time in seconds requested per second by service, ``versions``
+    holds the counts of moves by service, and ``seen`` the results by endpoint.
     """
 
     started: dict[int, dict[str, int]] = attrs.field(factory=dict)
     demand: dict[str, float] = attrs.field(factory=dict)
     versions: dict[str, CountsRow] = attrs.field(factory=dict)
+    seen: dict[str, ObservationRow] = attrs.field(factory=dict)
 
 
 @attrs.define(kw_only=True)
@@ -99,7 +101,7 @@
 
     ``n_heard`` and ``n_known`` are the numbers of reachable and of known instances.
     ``usage`` holds rows of recent windows, ``versions`` the counts of moves by instance
-    and service.
+    and service, and ``seen`` the results by endpoint.
     """
 
     n_heard: int
@@ -108,6 +110,7 @@
     demand: dict[str, float] = attrs.field(factory=dict)
     usage: dict[int, list[UsageRow]] = attrs.field(factory=dict)
     versions: dict[str, dict[str, CountsRow]] = attrs.field(factory=dict)
+    seen: dict[str, ObservationRow] = attrs.field(factory=dict)
     moves: dict[str, MoveView] = attrs.field(factory=dict)
 
 
@@ -117,6 +120,8 @@
 
     ``numbers`` holds, by address, the number of the last report of each local instance
     that the sums contain. ``cards`` lists these instances; it is None in most digests.
+    ``conditions`` describes the endpoints that differ from the ``typical`` ones of
+    their service.
     """
 
     n_heard: int
@@ -125,6 +130,8 @@
     cards: list[Card] | None = None
     hubs: list[Card] = attrs.field(factory=list)
     moves: dict[str, MoveView] = attrs.field(factory=dict)
+    conditions: dict[str, ConditionRow] = attrs.field(factory=dict)
+    typical: dict[str, TypicalRow] = attrs.field(factory=dict)
 
 
 @attrs.define(kw_only=True)
--- a/lagoonring/serving/placer.py
+++ b/lagoonring/serving/placer.py
@@ -10,6 +10,7 @@
 
 from lagoonring.serving.configuration import RequestKind
 from lagoonring.serving.endpoints import Endpoint, EndpointState
+from lagoonring.serving.observations import Typical
 from lagoonring.serving.placing import (
     FIRST_TOKEN_S,
     Candidate,
@@ -40,6 +41,7 @@
 MIN_LONG_PROMPT_TOKENS = 6000  # from here the first step is a small part of the prefill
 MAX_PREFILL_SAMPLES = 64  # per service; minutes of long prompts at a small instance
 MIN_PREFILL_SAMPLES = 8  # with fewer, the typical engine is assumed
+NO_SAMPLES = Typical(0.0, 0.0)
 FULL_BACKOFF_S = 0.15  # an endpoint frees slots after a few answers
 
 
@@ -205,18 +207,13 @@
         parts = job.request.prompt_parts
         preferred = _preferred(parts, endpoints)
         n_shared = sum(n_tokens for _, n_tokens in shared_parts(parts))
-        token_s = _median(
-            [e.seconds_per_token for e in endpoints if e.seconds_per_token],
-            DEFAULT_TOKEN_S,
-        )
-        default_s = DEFAULT_GENERATION_S if parts else DEFAULT_SERVICE_S
-        service_s = _median([e.service_s for e in endpoints if e.service_s], default_s)
+        usual = self._usual_times(job, endpoints, now_s)
         candidates = []
         for endpoint in endpoints:
             n_cached = endpoint.cache.count_cached(parts)
             if endpoint.name == preferred:
                 n_cached = max(n_cached, n_shared)
-            age_s = now_s - endpoint.learned_s
+            times = self._times_of(endpoint, usual, now_s)
             candidates.append(
                 Candidate(
                     name=endpoint.name,
@@ -224,19 +221,51 @@
                     n_running=endpoint.count_running(),
                     n_waiting_tokens=endpoint.count_waiting_tokens(),
                     n_cached_tokens=n_cached,
-                    seconds_per_token=_decay(
-                        endpoint.seconds_per_token, token_s, age_s
-                    ),
-                    service_s=_decay(endpoint.service_s, service_s, age_s),
-                    failure_share=endpoint.failure_share
-                    * math.exp(-(now_s - endpoint.failed_s) / LEARNED_DECAY_S),
+                    seconds_per_token=times.token_s,
+                    service_s=times.service_s,
+                    failure_share=self._failure_share(endpoint, now_s),
                     is_local=endpoint.record.data_centre == self.data_centre,
-                    is_avoided=now_s
-                    < max(endpoint.down_until_s, endpoint.full_until_s),
+                    is_avoided=now_s < endpoint.avoided_until_s(),
                 )
             )
         return candidates
 
+    def _usual_times(
+        self, job: Job, endpoints: list[Endpoint], now_s: float
+    ) -> Typical:
+        """Return the times of a typical endpoint: of all instances, or as seen here."""
+        shared = self.table.typical.get(job.service, NO_SAMPLES)
+        if not self.table.is_assessed(now_s):
+            shared = NO_SAMPLES
+        default_s = DEFAULT_SERVICE_S
+        if job.request.prompt_parts:
+            default_s = DEFAULT_GENERATION_S
+        token_s = [e.seconds_per_token for e in endpoints if e.seconds_per_token]
+        service_s = [e.service_s for e in endpoints if e.service_s]
+        return Typical(
+            service_s=shared.service_s or _median(service_s, default_s),
+            token_s=shared.token_s or _median(token_s, DEFAULT_TOKEN_S),
+        )
+
+    def _times_of(self, endpoint: Endpoint, usual: Typical, now_s: float) -> Typical:
+        """Return the times of an endpoint, from all instances or as seen here."""
+        if self.table.is_assessed(now_s):
+            slowdown = endpoint.condition.slowdown if endpoint.condition else 1.0
+            return Typical(usual.service_s * slowdown, usual.token_s * slowdown)
+        age_s = now_s - endpoint.learned_s
+        return Typical(
+            service_s=_decay(endpoint.service_s, usual.service_s, age_s),
+            token_s=_decay(endpoint.seconds_per_token, usual.token_s, age_s),
+        )
+
+    def _failure_share(self, endpoint: Endpoint, now_s: float) -> float:
+        """Return the recent failures, here or at all instances if that is more."""
+        age_s = now_s - endpoint.failed_s
+        seen_here = endpoint.failure_share * math.exp(-age_s / LEARNED_DECAY_S)
+        if endpoint.condition is None or not self.table.is_assessed(now_s):
+            return seen_here
+        return max(seen_here, endpoint.condition.failure_share)
+
 
 def _work_of(job: Job) -> Work:
     return Work(
--- a/lagoonring/serving/state_sync.py
+++ b/lagoonring/serving/state_sync.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+from lagoonring.serving.conditions import Conditions
 from lagoonring.serving.messages import Loads, Scope, Source, UsageTotals
 
 if TYPE_CHECKING:
@@ -56,6 +57,7 @@
         self.parts = parts
         self.true_clock = true_clock
         self.moves = moves
+        self.conditions = Conditions(parts.table, parts.app.rng)
         self.own_reports: dict[int, OwnState] = {}
         self.local_lives: set[tuple[str, int]] = set()
         self.local_versions: dict[str, dict[str, CountsRow]] = {}
@@ -75,6 +77,7 @@
         report.started = parts.usage.recent()
         report.demand = parts.demand.own()
         report.versions = parts.counters.rows()
+        report.seen = self.conditions.own_rows(now_s)
         self.own_reports[report.number] = OwnState(report.loads, report.taken)
         while len(self.own_reports) > MAX_OWN_REPORTS:
             del self.own_reports[next(iter(self.own_reports))]
@@ -90,6 +93,7 @@
         summary.taken = parts.quotas.local_totals(now_s)
         summary.crashes = parts.suspects.recent_crashes(now_s)
         summary.demand = parts.demand.local()
+        summary.seen = self.conditions.local_rows(now_s)
         summary.moves = self._views()
         summary.versions = {
             **self.local_versions,
@@ -109,6 +113,7 @@
         digest.taken = parts.quotas.all_totals(now_s)
         digest.crashes = parts.suspects.recent_crashes(now_s)
         digest.moves = self._views()
+        digest.conditions, digest.typical = self.conditions.assess_all(now_s)
 
     def apply_report(self, report: Report, now_s: float) -> None:
         """Apply the state of an instance of this data centre."""
@@ -120,6 +125,7 @@
         )
         parts.usage.update_peer(report.instance, report.life, report.started)
         parts.demand.update_peer(source, report.demand)
+        self.conditions.update_peer(source, report.seen, now_s)
         self.true_clock.update_peer(source, report.time_s)
         self.local_lives.add((report.instance, report.life))
         if report.versions or report.instance in self.local_versions:
@@ -139,6 +145,7 @@
             for row in rows:
                 parts.usage.update_peer(row.instance, row.life, {window: row.counts})
         parts.demand.update_peer(source, summary.demand)
+        self.conditions.update_peer(source, summary.seen, now_s)
         self.true_clock.update_peer(source, summary.time_s, weight=summary.n_heard)
         self._apply_move_views(summary)
         if self.moves is not None:
@@ -164,6 +171,7 @@
             OTHERS, digest.time_s, weight=max(digest.n_heard - 1, 1)
         )
         self._apply_move_views(digest)
+        self.conditions.apply(digest.conditions, digest.typical, now_s)
 
     def reset_peer_state(self, is_hub: bool) -> None:
         """Discard received state when the hub role changes."""
@@ -171,6 +179,7 @@
         parts.table.drop_loads()
         parts.quotas.carry_over_peers(parts.app.clock.monotonic())
         parts.demand.peer_rates.clear()
+        self.conditions.drop_peers()
         self.local_lives.clear()
         self.local_versions.clear()
 
