Mend faults found by reading: appends, batches, ports, logs, grace

An append answered with a 5xx other than 503 or 507 counts as unknown, not as nothing appended; a record cut short at the end of a batch is left out; an empty list of internal ports is a settings error; an error of the log's output counts only the lines not written; services share the grace period of a drain. Two unused names are gone.

--- a/lagoonring/kernel/application.py
+++ b/lagoonring/kernel/application.py
@@ -153,12 +153,14 @@
 
         Duties are released first, so that other instances can take them over while
         requests finish here, and because the process may be killed before the last
-        service is drained.
+        service is drained. The grace period starts at the call and is shared by all
+        services.
         """
         self.draining = True
+        end_s = self.clock.monotonic() + grace_s
         await self.retire_all(min(grace_s, MAX_RETIRE_S))
         for service in reversed(self.started):
-            await service.drain(grace_s)
+            await service.drain(max(end_s - self.clock.monotonic(), 0.0))
 
     async def retire_all(self, timeout_s: float = MAX_RETIRE_S) -> None:
         """Retire all services concurrently, within a timeout."""
--- a/lagoonring/limits/entry_queue.py
+++ b/lagoonring/limits/entry_queue.py
@@ -78,11 +78,6 @@
         self.service_times.record(cost=cost, held_s=held_s, now_s=now_s)
         self.dispatch(now_s)
 
-    def release_unused(self, now_s: float) -> None:
-        """Release a slot that was not used, without recording a service time."""
-        self.n_running = max(0, self.n_running - 1)
-        self.dispatch(now_s)
-
     def dispatch(self, now_s: float) -> None:
         """Assign free slots to queued requests."""
         while self.queue.n_waiting and self.n_running < self.capacity():
--- a/lagoonring/logs/queued.py
+++ b/lagoonring/logs/queued.py
@@ -78,5 +78,7 @@
                 try:
                     unwritten = unwritten[os.write(self.descriptor, unwritten) :]
                 except OSError:
-                    self.n_dropped += len(lines)
+                    n_written = content[: start + BATCH_BYTES].count(b"\n")
+                    n_written -= unwritten.count(b"\n")
+                    self.n_dropped += len(lines) - n_written
                     return
--- a/lagoonring/platform/boot.py
+++ b/lagoonring/platform/boot.py
@@ -113,6 +113,11 @@
             "expected front and ready.",
             remedy='Let the role serve "front" in the deploy file.',
         )
+    if not boot.internalPorts:
+        raise BootFileError(
+            "Got no internalPorts, expected the first and the last port.",
+            remedy="Name the ports that are free for messages between instances.",
+        )
     first_port, last_port = boot.internalPorts[0], boot.internalPorts[-1]
     return NodeSettings(
         instance=boot.node,
--- a/lagoonring/platform/store.py
+++ b/lagoonring/platform/store.py
@@ -26,6 +26,7 @@
 OPERATOR_TOPIC = "keyed.op"
 ENDPOINT_TOPIC = "keyed.servers"
 STATUS_TOPIC = "keyed.status"
+NOTHING_DONE_STATUSES = frozenset({503, 507})  # of the 5xx; others say nothing of it
 LENGTH_PREFIX = struct.Struct(">I")
 PAGE_HEADER = struct.Struct(">QQ")
 
@@ -122,6 +123,8 @@
         status, answer = await self._request("POST", "/log-append", params, body=body)
         if status == 412:
             raise OffsetConflictError(msgspec.json.decode(answer)["end"])
+        if status >= 500 and status not in NOTHING_DONE_STATUSES:
+            raise _answer_lost("/log-append", f"status {status}")
         _raise_unless_ok(status, answer, "/log-append")
         return int(msgspec.json.decode(answer)["offset"])
 
@@ -195,10 +198,7 @@
         except (TimeoutError, aiohttp.ClientError) as error:
             if method == "GET":
                 raise _unavailable(path, repr(error)) from error
-            raise PlatformAnswerLostError(
-                f"Got no answer of {path} ({error!r}), expected one.",
-                remedy="Read the topic before appending again.",
-            ) from error
+            raise _answer_lost(path, repr(error)) from error
 
 
 def decode_keyed_record(record: bytes, offset: int) -> KeyedRecord:
@@ -214,10 +214,15 @@
 
 
 def decode_batch(content: bytes, position: int = 0) -> Iterator[bytes]:
-    """Yield the records of a batch that starts at a byte position."""
+    """Yield the records of a batch that starts at a byte position.
+
+    A last record that is cut short is left out; it is read again from its offset.
+    """
     while position + LENGTH_PREFIX.size <= len(content):
         (size,) = LENGTH_PREFIX.unpack_from(content, position)
         position += LENGTH_PREFIX.size
+        if position + size > len(content):
+            return
         yield content[position : position + size]
         position += size
 
@@ -238,3 +243,10 @@
         f"Got {got} for {path}, expected an answer.",
         remedy="Try again when the store is back.",
     )
+
+
+def _answer_lost(path: str, got: str) -> PlatformAnswerLostError:
+    return PlatformAnswerLostError(
+        f"Got no usable answer of {path} ({got}), expected one.",
+        remedy="Read the topic before appending again.",
+    )
--- a/lagoonring/routing/health.py
+++ b/lagoonring/routing/health.py
@@ -28,7 +28,6 @@
 REASONS_WITH_CACHE_LOST = frozenset({CONSECUTIVE_FAILURES, BROUGHT_DOWN})
 
 FAILURE_KINDS = frozenset({"connect", "cut", "timeout", "error", "crossed"})
-DOWN_KINDS = frozenset({"connect", "cut"})
 SMOOTHING = 0.1
 MIN_SAMPLES = 10
 MIN_FAILURE_SHARE = 0.2
--- a/lagoonring/tests/test_application.py
+++ b/lagoonring/tests/test_application.py
@@ -4,7 +4,12 @@
 
 import pytest
 
-from lagoonring.kernel import Application, BaseService, UnknownServiceError
+from lagoonring.kernel import (
+    Application,
+    BaseService,
+    ManualClock,
+    UnknownServiceError,
+)
 
 
 class Recorder(BaseService):
@@ -80,3 +85,25 @@
     app.add(Recorder("log", []))
     with pytest.raises(UnknownServiceError, match="expected one of: log"):
         app.find("lag")
+
+
+async def test_services_share_the_grace_period():
+    """Otherwise a process with several busy services is killed before its stop."""
+    clock = ManualClock()
+    left = []
+
+    class Slow(BaseService):
+        def __init__(self, name):
+            self.name = name
+
+        async def drain(self, grace_s):
+            left.append(grace_s)
+            await clock.advance(3.0)
+
+    app = Application(clock=clock)
+    for name in ("first", "second", "third"):
+        app.add(Slow(name))
+    await app.start()
+    await app.drain(5.0)
+    await app.stop()
+    assert left == [5.0, 2.0, 0.0]
--- a/lagoonring/tests/test_boot.py
+++ b/lagoonring/tests/test_boot.py
@@ -110,6 +110,7 @@
         ({"listen": {"control": "1.2.3.4:5"}}, "front and ready"),
         ({"platform": {}}, "address"),
         ({"internalPorts": "all"}, "internalPorts"),
+        ({"internalPorts": []}, "internalPorts"),
         ({"bounds": {"drainMs": "soon"}}, "drainMs"),
     ],
 )
--- a/lagoonring/tests/test_queued_logs.py
+++ b/lagoonring/tests/test_queued_logs.py
@@ -65,3 +65,17 @@
         with handler.applicationbound():
             logger.info("More.")
     handler.close()
+
+
+def test_an_error_of_the_output_counts_only_the_lines_not_written(pipe):
+    """Lines are written until the pipe, which does not block, is full."""
+    reader, writer = pipe
+    os.set_blocking(writer, False)
+    handler = QueuedLinesHandler(descriptor=writer)
+    handler.close()
+    n_lines = 300
+    handler._write(["x" * 1023] * n_lines)
+    os.set_blocking(reader, False)
+    n_written = os.read(reader, n_lines * 1024).count(b"\n")
+    assert 0 < n_written < n_lines
+    assert handler.n_dropped == n_lines - n_written
