Count the discovery of endpoints from when they were discovered

The wait for further endpoints began at the first step with the lease, 3 s after the endpoints had been read. Change: it begins when the last new endpoint was discovered.

--- a/lagoonring/serving/fleet.py
+++ b/lagoonring/serving/fleet.py
@@ -140,7 +140,9 @@
         now_s = self.clock.monotonic()
         n_endpoints = len(self.table.endpoints)
         if n_endpoints > discovery.n_endpoints:
-            discovery.n_endpoints, discovery.since_s = n_endpoints, now_s
+            # They may have been discovered long before the lease was acquired.
+            discovery.n_endpoints = n_endpoints
+            discovery.since_s = min(now_s, self.follower.appeared_s)
         discovery.is_settled = now_s - discovery.since_s >= self.settle_s
         return discovery.is_settled
 
--- a/lagoonring/serving/follower.py
+++ b/lagoonring/serving/follower.py
@@ -54,6 +54,11 @@
         Shares the records read with the other instances of the data centre.
     bounds : Bounds
         Times within which changes must be in force.
+
+    Attributes
+    ----------
+    appeared_s : float
+        Time at which the last new endpoint was discovered.
     """
 
     name = "follower"
@@ -91,6 +96,7 @@
         self.is_unavailable: dict[str, bool] = {}
         self.pending_removals: dict[str, float] = {}
         self.peer_read_s = float("-inf")
+        self.appeared_s = float("-inf")
         self.started_s = app.clock.monotonic()
         self.has_read = asyncio.Event()
 
@@ -267,6 +273,8 @@
         change = self.table.apply(
             content, n_cache_tokens=self._cache_tokens(content.service)
         )
+        if change == "appeared":
+            self.appeared_s = self.app.clock.monotonic()
         if change:
             self._notify_listeners(content.endpoint, change)
             logger.info(
--- a/lagoonring/tests/builders/serving.py
+++ b/lagoonring/tests/builders/serving.py
@@ -180,6 +180,7 @@
 
     configuration: Configuration | None
     orders: dict[str, MoveOrder] = attrs.field(factory=dict)
+    appeared_s: float = math.inf
 
     async def wait_until_read(self, limit_s: float) -> None:
         """Return at once, as if the store had been read."""
--- a/lagoonring/tests/test_fleet_duty.py
+++ b/lagoonring/tests/test_fleet_duty.py
@@ -120,6 +120,29 @@
     assert all(cloud.find(name, True) for name in DATA_CENTRES)
 
 
+async def test_endpoints_found_before_the_lease_was_acquired_delay_no_order(
+    duty, cloud, clock
+):
+    """Each second until the first order pays for all endpoints found at the start."""
+    for record in make_large_fleet()[:6]:
+        cloud.table.apply(record, n_cache_tokens=1000)
+    duty.follower.appeared_s = clock.monotonic()
+    await clock.advance(duty.settle_s)
+    await duty.step(HeldLease())
+    assert cloud.orders
+
+
+async def test_endpoints_found_just_before_the_lease_was_acquired_are_waited_for(
+    duty, cloud, clock
+):
+    await clock.advance(duty.settle_s)
+    for record in make_large_fleet()[:6]:
+        cloud.table.apply(record, n_cache_tokens=1000)
+    duty.follower.appeared_s = clock.monotonic()
+    await duty.step(HeldLease())
+    assert not cloud.orders
+
+
 def make_large_fleet():
     return [
         make_record(f"{name}{number}", service="assistant", data_centre=name)
