Log what an endpoint was chosen by, and which limit a wait reached

The line of a failed attempt now has the estimate, the load as believed and its age, the number of candidates and the time left; a timeout's message names the limit.

--- a/lagoonring/serving/attempts.py
+++ b/lagoonring/serving/attempts.py
@@ -6,6 +6,8 @@
 from contextlib import aclosing
 from typing import TYPE_CHECKING
 
+import attrs
+
 from lagoonring.endpoints.errors import (
     EndpointConnectError,
     EndpointCrossedError,
@@ -38,6 +40,14 @@
 logger = make_logger("path")
 
 
+@attrs.frozen(order=True)
+class Limit:
+    """A limit of waiting for an endpoint, and what set it; ordered by its length."""
+
+    reason: str = attrs.field(order=False)
+    seconds: float
+
+
 class Attempts:
     """Sends jobs to endpoints and relays the answers.
 
@@ -92,11 +102,12 @@
         )
         job.moved = None
         started_s = self.clock.monotonic()
+        limit = self._first_answer_limit(job, endpoint)
         try:
-            async with asyncio.timeout(self._first_answer_timeout_s(job, endpoint)):
+            async with asyncio.timeout(limit.seconds):
                 answer = await self.parts.sender.send(job.request, order)
         except TimeoutError as error:
-            raise _timeout_error(endpoint, "begin an answer") from error
+            raise _timeout_error(endpoint, "begin an answer", limit) from error
         try:
             self._check_not_refused(endpoint, answer)
             if job.route.kind is RequestKind.STREAM and answer.status < 300:
@@ -106,20 +117,27 @@
         finally:
             answer.close()
 
-    def _first_answer_timeout_s(self, job: Job, endpoint: Endpoint) -> float:
+    def _first_answer_limit(self, job: Job, endpoint: Endpoint) -> Limit:
         """Return how long to wait for an answer before trying another endpoint."""
-        left_s = job.deadline_s - self.clock.monotonic()
+        left = self._time_left(job)
         is_retryable = job.route.is_idempotent or job.route.may_resume
         if not is_retryable or job.n_runs + 1 >= job.route.max_attempts:
-            return left_s
+            return left
         if not self.parts.placer.has_other(job, endpoint):
-            return left_s
+            return left
         estimate_s = self.parts.placer.estimate_s(job, endpoint)
         timeout_s = max(
             FIRST_ANSWER_TIMEOUT_OBJECTIVES * job.route.objective_s,
             FIRST_ANSWER_TIMEOUT_ESTIMATES * estimate_s,
         )
-        return min(timeout_s, left_s)
+        return min(Limit("another attempt", timeout_s), left)
+
+    def _time_left(self, job: Job) -> Limit:
+        """Return the time until the job's deadline, and who set it."""
+        left_s = max(job.deadline_s - self.clock.monotonic(), 0.0)
+        allowed_s = job.request.allowed_s
+        is_callers = allowed_s is not None and allowed_s < job.route.timeout_s
+        return Limit("the caller's timeout" if is_callers else "the route's", left_s)
 
     def _check_not_refused(self, endpoint: Endpoint, answer: EndpointAnswer) -> None:
         """Raise ``EndpointRefusedError`` if the endpoint has not run the request."""
@@ -217,22 +235,25 @@
         """Yield the body; raises ``EndpointTimeoutError`` if the endpoint stalls."""
         async with aclosing(answer.chunks()) as chunks:
             while True:
+                limit = self._stall_limit(job, endpoint)
                 try:
-                    async with asyncio.timeout(self._stall_timeout_s(job, endpoint)):
+                    async with asyncio.timeout(limit.seconds):
                         chunk = await anext(chunks, None)
                 except TimeoutError as error:
-                    raise _timeout_error(endpoint, "go on with a stream") from error
+                    raise _timeout_error(
+                        endpoint, "go on with a stream", limit
+                    ) from error
                 if chunk is None:
                     return
                 yield chunk
 
-    def _stall_timeout_s(self, job: Job, endpoint: Endpoint) -> float:
-        left_s = max(job.deadline_s - self.clock.monotonic(), 0.0)
+    def _stall_limit(self, job: Job, endpoint: Endpoint) -> Limit:
+        left = self._time_left(job)
         if not job.route.may_resume or job.n_runs + 1 >= job.route.max_attempts:
-            return left_s
+            return left
         if not job.has_begun:
-            return self._first_answer_timeout_s(job, endpoint)
-        return min(left_s, STALL_TIMEOUT_S)
+            return self._first_answer_limit(job, endpoint)
+        return min(Limit("another attempt", STALL_TIMEOUT_S), left)
 
     def _check_order(self, job: Job, endpoint: Endpoint, event_id: int) -> None:
         """Raise ``EndpointCrossedError`` unless an event follows the last one."""
@@ -302,9 +323,22 @@
                 "n_sends": job.n_sends,
                 "n_crashes": n_crashes,
                 "sequence": endpoint.record.sequence,
+                **self._describe_placement(job),
             },
         )
 
+    def _describe_placement(self, job: Job) -> dict[str, float | int | None]:
+        """Return what the choice of the endpoint was based on, for the log."""
+        if job.placement is None:
+            return {}
+        return {
+            "estimate_s": round(job.placement.estimate_s, 4),
+            "n_running": job.placement.n_running,
+            "n_candidates": job.placement.n_candidates,
+            "loads_age_s": self.parts.table.loads_age_s(self.clock.monotonic()),
+            "left_s": round(job.deadline_s - self.clock.monotonic(), 3),
+        }
+
 
 def _unsigned_error(endpoint: Endpoint) -> EndpointCutError:
     return EndpointCutError(
@@ -314,8 +348,9 @@
     )
 
 
-def _timeout_error(endpoint: Endpoint, what: str) -> EndpointTimeoutError:
+def _timeout_error(endpoint: Endpoint, what: str, limit: Limit) -> EndpointTimeoutError:
     return EndpointTimeoutError(
-        f"Got no sign of {endpoint.name} in time, expected it to {what}.",
+        f"Got no sign of {endpoint.name} in {limit.seconds:.2f} s (limit: "
+        f"{limit.reason}), expected it to {what}.",
         remedy="Repeat the request only if it is idempotent.",
     )
--- a/lagoonring/serving/endpoints.py
+++ b/lagoonring/serving/endpoints.py
@@ -238,6 +238,12 @@
         for source in list(self.loads):
             self._drop_load(source)
 
+    def loads_age_s(self, now_s: float) -> float | None:
+        """Return the age of the oldest load that peers reported, None without any."""
+        if not self.loads:
+            return None
+        return round(now_s - min(at_s for at_s, _ in self.loads.values()), 3)
+
     def own_loads(self) -> Loads:
         """Return the load of this instance, by endpoint."""
         return {
--- a/lagoonring/serving/path.py
+++ b/lagoonring/serving/path.py
@@ -153,6 +153,7 @@
         if placement is not None and refusal is None:
             endpoint = self.parts.table.find(placement.name)
             assert endpoint is not None
+            job.placement = placement
             return endpoint
         if error is not None:
             raise self._final_error(job, error)
--- a/lagoonring/serving/placing.py
+++ b/lagoonring/serving/placing.py
@@ -59,10 +59,17 @@
 
 @attrs.frozen
 class Placement:
-    """The chosen endpoint and the expected time to its first answer, in seconds."""
+    """The chosen endpoint, and what the choice was based on.
+
+    ``estimate_s`` is the expected time to its first answer in seconds, ``n_running``
+    the requests that were believed to run there, and ``n_candidates`` the number of
+    endpoints that could be chosen.
+    """
 
     name: str
     estimate_s: float
+    n_running: int = 0
+    n_candidates: int = 0
 
 
 def estimate_first_answer_s(candidate: Candidate, work: Work) -> float:
@@ -76,20 +83,21 @@
 
 
 def choose(
-    candidates: Iterable[Candidate], work: Work, rng: random.Random
+    endpoints: Iterable[Candidate], work: Work, rng: random.Random
 ) -> Placement | None:
-    """Return the endpoint with the least expected cost, or None without candidates.
+    """Return the endpoint with the least expected cost, or None without endpoints.
 
     The cost is the time to the first answer plus penalties for recent failures,
     repeated prefill, running requests and distance. Avoided endpoints are used only
     if there are no others.
     """
-    usable = list(candidates)
+    usable = list(endpoints)
     healthy = [candidate for candidate in usable if not candidate.is_avoided]
     best: Placement | None = None
     best_cost_s = 0.0
     failure_s = RETRYABLE_FAILURE_S if work.may_retry else FINAL_FAILURE_S
-    for candidate in healthy or usable:
+    candidates = healthy or usable
+    for candidate in candidates:
         estimate_s = estimate_first_answer_s(candidate, work)
         cost_s = estimate_s * (1 + COST_NOISE * rng.random())
         cost_s += failure_s * candidate.failure_share
@@ -97,7 +105,9 @@
         cost_s += RUNNING_REQUEST_S * candidate.n_running
         cost_s += 0.0 if candidate.is_local else OTHER_DATA_CENTRE_S
         if best is None or cost_s < best_cost_s:
-            best = Placement(candidate.name, estimate_s)
+            best = Placement(
+                candidate.name, estimate_s, candidate.n_running, len(candidates)
+            )
             best_cost_s = cost_s
     return best
 
--- a/lagoonring/serving/requests.py
+++ b/lagoonring/serving/requests.py
@@ -11,6 +11,7 @@
 from lagoonring.platform.engine_calls import MovedRun
 from lagoonring.serving.configuration import Organisation, RouteEntry
 from lagoonring.serving.endpoints import Endpoint, EndpointRecord
+from lagoonring.serving.placing import Placement
 
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator
@@ -63,8 +64,9 @@
 
     ``n_runs`` counts the endpoints on which it may have run, ``n_sends`` all
     endpoints that it was sent to. ``deadline_s`` is on the monotonic clock,
-    ``taken`` is what the request counts towards its organisation's limit. ``move`` is
-    set while its stream is moved to another endpoint, and resolves to the result.
+    ``taken`` is what the request counts towards its organisation's limit.
+    ``placement`` is the last choice of an endpoint. ``move`` is set while its stream
+    is moved to another endpoint, and resolves to the result.
     """
 
     request: CallerRequest
@@ -80,6 +82,7 @@
     has_begun: bool = False
     is_counted: bool = False
     taken: float = 0.0
+    placement: Placement | None = None
     moved: MovedRun | None = None
     move: asyncio.Future[tuple[Endpoint, MovedRun] | None] | None = None
 
--- a/lagoonring/tests/test_serving_path.py
+++ b/lagoonring/tests/test_serving_path.py
@@ -5,6 +5,7 @@
 import asyncio
 
 import attrs
+import logbook
 import pytest
 
 from lagoonring.endpoints.errors import (
@@ -325,6 +326,33 @@
     assert all(not e.n_running for e in parts.table.endpoints.values())
 
 
+async def test_a_failed_attempt_is_logged_with_what_its_placement_was_based_on():
+    parts = make_parts(make_sender(CUT), configuration=make_configuration(ONCE))
+    for endpoint in parts.table.endpoints.values():
+        endpoint.n_running_elsewhere = 3
+    with logbook.TestHandler() as handler:
+        await serve(parts)
+    (record,) = (r for r in handler.records if "Attempt failed" in r.message)
+    assert record.extra["n_candidates"] == 2
+    assert record.extra["n_running"] == 3
+    assert 0 < record.extra["estimate_s"] < 1
+    assert record.extra["left_s"] == pytest.approx(2.0)
+    assert record.extra["loads_age_s"] is None
+
+
+async def test_a_timeout_names_the_limit_that_was_reached():
+    async def never_answered():
+        await asyncio.sleep(60)
+
+    sender = FakeSender(lambda order: never_answered())
+    clock = Clock()
+    parts = make_parts(sender, configuration=make_configuration(ONCE), clock=clock)
+    request = make_request(received_s=clock.monotonic(), allowed_s=0.3)
+    sink = await serve(parts, request)
+    assert sink.status == 504
+    assert "the caller's timeout" in sink.error.message
+
+
 async def test_counts_a_retried_request_once():
     sender = make_sender(CUT, FakeAnswer([b"ok"]))
     parts = make_parts(sender)
