--- a/lagoonring/cli/instance_command.py
+++ b/lagoonring/cli/instance_command.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import argparse
+import gc
 import os
 import sys
 from pathlib import Path
@@ -64,6 +65,7 @@
         print(f"{options.settings}: valid")
         return
     os.environ.update(NO_CERTIFICATES)
+    gc.disable()
     from lagoonring.platform.process import run_logged
 
     run_logged(Path(options.settings), metrics_port=options.metrics_port)
--- a/lagoonring/platform/process.py
+++ b/lagoonring/platform/process.py
@@ -47,9 +47,7 @@
         loop.add_signal_handler(signum, app.leave, grace_s)
     await app.start()
     loop.add_signal_handler(signal.SIGHUP, _reload, app)
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(*GC_THRESHOLDS)
+    enable_gc()
     logger.info(
         "Started.",
         extra={"instance": settings.instance, "data_centre": settings.data_centre},
@@ -61,6 +59,18 @@
     logger.info("Stopped.")
 
 
+def enable_gc() -> None:
+    """Collect the garbage of the start and exempt what is left from collections.
+
+    The collector is disabled until then, since collections while modules are imported
+    take an eighth of the start and free next to nothing.
+    """
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(*GC_THRESHOLDS)
+    gc.enable()
+
+
 def _reload(app: Application) -> None:
     logger.info("Got SIGHUP.")
     app.find("settings").reload()
--- a/lagoonring/tests/test_start.py
+++ b/lagoonring/tests/test_start.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import subprocess
 import sys
 
@@ -9,6 +10,7 @@
 
 import lagoonring.peers
 from lagoonring.lazy import load_lazily
+from lagoonring.platform.process import GC_THRESHOLDS, enable_gc
 
 UNUSED = (
     "lagoonring.peers.service",
@@ -44,3 +46,17 @@
     assert lagoonring.peers.PeersService.name == "peers"
     with pytest.raises(AttributeError, match="no attribute 'Nothing'"):
         load_lazily("lagoonring.peers", {"service": ("PeersService",)})("Nothing")
+
+
+def test_the_collector_runs_after_the_start():
+    """It is disabled while modules are imported."""
+    thresholds = gc.get_threshold()
+    gc.disable()
+    try:
+        enable_gc()
+        assert gc.isenabled()
+        assert gc.get_threshold() == GC_THRESHOLDS
+    finally:
+        gc.unfreeze()
+        gc.set_threshold(*thresholds)
+        gc.enable()
