Size fleets by used slots as well as by prefill

Cause: the fleet was sized by the prefill time of arriving prompts alone. Change: running requests over slots, averaged over 4 s, count as load. Other deployments have enough slots for the rule to change nothing (worked: at most 3.8 of them busy).

--- a/lagoonring/serving/fleet.py
+++ b/lagoonring/serving/fleet.py
@@ -10,7 +10,12 @@
 from lagoonring.logs import make_logger
 from lagoonring.serving.duties import MIN_CALL_S
 from lagoonring.serving.endpoints import EndpointState
-from lagoonring.serving.sizing import DataCentreFleet, Order, plan
+from lagoonring.serving.sizing import (
+    MAX_RECLAIMABLE_LOAD,
+    DataCentreFleet,
+    Order,
+    plan,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -30,6 +35,8 @@
 SETTLE_HEARTBEATS = 1.25  # without a new endpoint, after which all count as discovered
 PRIOR_LOAD_PER_ENDPOINT = 0.2  # existing fleets are sized for about twice their load
 PRIOR_HALF_LIFE_S = 6.0  # longer than the lag of measured demand plus a boot
+MAX_SLOT_USE = 0.5  # of the slots; the others serve bursts and replace lost endpoints
+SLOT_HALF_LIFE_S = 4.0  # as long as that of the arriving work
 IDLE_LOAD = 0.05  # below it there is no traffic but occasional probes
 
 logger = make_logger("fleet")
@@ -74,6 +81,30 @@
         return self.n_found * 2 ** (-age_s / PRIOR_HALF_LIFE_S)
 
 
+@attrs.define
+class SlotUse:
+    """Running requests of a service, in endpoints whose slots are all used.
+
+    Long answers occupy slots although their prompts cause little work.
+    """
+
+    value: float = 0.0
+    updated_s: float | None = None
+
+    def record(self, n_busy: float, now_s: float) -> None:
+        """Add a sample to the exponential moving average."""
+        if self.updated_s is None:
+            self.value = n_busy
+        else:
+            weight = 0.5 ** ((now_s - self.updated_s) / SLOT_HALF_LIFE_S)
+            self.value = weight * self.value + (1 - weight) * n_busy
+        self.updated_s = now_s
+
+    def as_load(self) -> float:
+        """Return the arriving work for which as many endpoints would be planned."""
+        return self.value / MAX_SLOT_USE * MAX_RECLAIMABLE_LOAD
+
+
 class FleetDuty:
     """The duty of the lease holder that orders endpoints.
 
@@ -115,6 +146,7 @@
         self.scale_down_since_s: dict[tuple[str, str, bool], float] = {}
         self.fencing_number = -1
         self.priors: dict[str, Prior] = {}
+        self.slot_uses: dict[str, SlotUse] = {}
 
     async def step(self, lease: Lease) -> None:
         """Send the orders of the current plan that are due."""
@@ -176,7 +208,18 @@
             prior = Prior(n_found if observed < IDLE_LOAD else 0)
             self.priors[service] = prior
         n_assumed = prior.read(observed, self.clock.monotonic())
-        return max(observed, PRIOR_LOAD_PER_ENDPOINT * n_assumed), n_assumed
+        by_slots = self._record_slot_use(service).as_load()
+        load = max(observed, by_slots, PRIOR_LOAD_PER_ENDPOINT * n_assumed)
+        return load, n_assumed
+
+    def _record_slot_use(self, service: str) -> SlotUse:
+        n_busy = sum(
+            endpoint.count_running() / max(endpoint.record.n_slots, 1)
+            for endpoint in self.table.of_service(service)
+        )
+        use = self.slot_uses.setdefault(service, SlotUse())
+        use.record(n_busy, self.clock.monotonic())
+        return use
 
     def _fleets(self, entry: ServiceEntry) -> Iterator[DataCentreFleet]:
         assert entry.scaling is not None
--- a/lagoonring/tests/test_fleet_duty.py
+++ b/lagoonring/tests/test_fleet_duty.py
@@ -9,7 +9,7 @@
 from lagoonring.kernel import ManualClock
 from lagoonring.platform.exchange import PlatformRejectedError
 from lagoonring.serving.demand import Demand
-from lagoonring.serving.fleet import REORDER_INTERVAL_S, FleetDuty
+from lagoonring.serving.fleet import MAX_SLOT_USE, REORDER_INTERVAL_S, FleetDuty
 from lagoonring.serving.metrics import ServingMetrics
 from lagoonring.serving.sizing import MAX_LOAD
 from lagoonring.tests.builders.serving import (
@@ -295,3 +295,35 @@
         cloud.reclaim(name)
     await run_duty(duty, clock, 1, HeldLease(fencing_number=2))
     assert all(cloud.find(name, True) for name in DATA_CENTRES)
+
+
+async def test_long_answers_in_few_slots_need_more_endpoints(duty, cloud, clock):
+    """Answers of seconds fill 16 slots while prefill takes a third of the time."""
+    await run_duty(duty, clock, 20)
+    duty.demand.record_arrival("assistant", 0.1)
+    before = len(cloud.table.endpoints)
+    for _ in range(40):
+        endpoints = list(cloud.table.endpoints.values())
+        for number, endpoint in enumerate(endpoints):
+            n_each, n_left = divmod(30, len(endpoints))
+            endpoint.n_running_elsewhere = n_each + (number < n_left)
+        await duty.step(HeldLease())
+        await clock.advance(0.5)
+    n_slots = sum(e.record.n_slots for e in cloud.table.endpoints.values())
+    assert len(cloud.table.endpoints) > before
+    assert n_slots >= 30 / MAX_SLOT_USE
+
+
+async def test_a_moment_with_many_running_requests_orders_no_endpoint(
+    duty, cloud, clock
+):
+    await run_duty(duty, clock, 20)
+    n_orders = len(cloud.orders)
+    for endpoint in cloud.table.endpoints.values():
+        endpoint.n_running_elsewhere = endpoint.record.n_slots
+    await duty.step(HeldLease())
+    await clock.advance(0.5)
+    for endpoint in cloud.table.endpoints.values():
+        endpoint.n_running_elsewhere = 0
+    await run_duty(duty, clock, 4)
+    assert len(cloud.orders) == n_orders
