--- a/lagoonring/peers/transport.py
+++ b/lagoonring/peers/transport.py
@@ -32,8 +32,8 @@
 SEND_BUFFER_FRAMES = 8
 MIN_RECONNECT_MS = 100
 MAX_RECONNECT_MS = 2000
-# A connection request to a machine without power is retransmitted after 1, 3 and 7 s; a
-# new one reaches the machine sooner after its return.
+# A connection request to an instance without power is retransmitted after 1, 3 and
+# 7 s; a new one reaches it sooner after its return.
 REDIAL_S = 1.0
 MIN_POLL_S = 0.002
 MAX_POLL_S = 0.05
--- a/lagoonring/serving/conditions.py
+++ b/lagoonring/serving/conditions.py
@@ -28,7 +28,7 @@
         TypicalRow,
     )
 
-MAX_TRIAL_DELAY_S = 2.0  # spreads the trials of an endpoint that was down
+MAX_REUSE_DELAY_S = 2.0  # spreads the first requests to an endpoint that was down
 
 ObservationRows = dict[str, "ObservationRow"]
 
@@ -157,5 +157,5 @@
             if down_s <= 0:
                 endpoint.reported_down_until_s = 0.0
             elif endpoint.reported_down_until_s < now_s + down_s:
-                trial_s = MAX_TRIAL_DELAY_S * self.rng.random()
-                endpoint.reported_down_until_s = now_s + down_s + trial_s
+                delay_s = MAX_REUSE_DELAY_S * self.rng.random()
+                endpoint.reported_down_until_s = now_s + down_s + delay_s
--- a/lagoonring/serving/exchange.py
+++ b/lagoonring/serving/exchange.py
@@ -11,7 +11,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 import msgspec
 
@@ -31,7 +31,15 @@
     Summary,
     make_handler,
 )
+from lagoonring.serving.outgoing import encode_digest, encode_report, encode_summary
 from lagoonring.serving.reachability import Reachability
+from lagoonring.serving.rounds import (
+    WARM_UP_FACTOR,
+    WarmUp,
+    hub_timeout_s,
+    interval_s,
+    report_delay_s,
+)
 from lagoonring.serving.settings import ExchangeOptions
 
 if TYPE_CHECKING:
@@ -42,14 +50,8 @@
     from lagoonring.serving.messages import StateHandler
     from lagoonring.serving.settings import NodeSettings
 
-HUB_TIMEOUT_S = 0.8  # four rounds in a small data centre
-HUB_TIMEOUT_ROUNDS = 3.5  # rounds in a large data centre
-WARM_UP_S = 2.0  # several rounds, in which a started process receives all sums
-HUB_WARM_UP_S = 1.5  # shorter, so that the hub remains first if all started together
-WARM_UP_FACTOR = 1e-6  # of the capacity; preserves the order of starting processes
 HUB_SETTLED_S = 1.0  # until the data centre's instances agree on their hub
 MAX_BURST_MESSAGES = 8  # digests of about 2 kB take 13 ms on a 10 Mbit/s link
-CARDS_ROUNDS = 5  # between digests with cards; membership changes rarely
 
 logger = make_logger("exchange")
 
@@ -88,7 +90,7 @@
         self.members = Members(
             Card(self.address, settings.data_centre, settings.capacity * WARM_UP_FACTOR)
         )
-        self.is_warming_up = True
+        self.warm_up = WarmUp(self.started_s)
         self.seeds: set[str] = set()
         self.set_seeds(settings.seed_ips)
         self.state_handler: StateHandler | None = None
@@ -116,7 +118,7 @@
 
     async def retire(self) -> None:
         """Hand the hub role over to another instance."""
-        self.is_warming_up = False
+        self.warm_up.is_over = True
         self.members.retire()
         self.send_round()
 
@@ -148,7 +150,7 @@
 
     def report_delay_s(self) -> float:
         """Return the time until a report, summary and digest have reached all."""
-        return 3 * self._interval_s()
+        return report_delay_s(self._interval_s())
 
     def all_reported_since(self, at_s: float) -> bool:
         """Return whether all instances reported since a time on this clock."""
@@ -179,20 +181,18 @@
     async def _run(self) -> None:
         while True:
             messages = self._make_round()
-            interval_s = self._interval_s()
+            round_s = self._interval_s()
             n_steps = max(-(-len(messages) // MAX_BURST_MESSAGES), 1)
             for step in range(n_steps):
                 # Spread over the interval: a burst would delay callers' packets.
                 for address, content in messages[step::n_steps]:
                     self.transport.post(address, content)
                 spread = 0.9 + 0.2 * self.app.rng.random()
-                await self.app.clock.sleep(interval_s / n_steps * spread)
+                await self.app.clock.sleep(round_s / n_steps * spread)
 
     def _interval_s(self) -> float:
         """Return the time between two rounds."""
-        n_local = 1 + len(self.members.local())
-        options = self.options
-        return options.interval_s + n_local * options.interval_per_instance_s
+        return interval_s(self.options, 1 + len(self.members.local()))
 
     def _make_round(self) -> list[tuple[str, bytes]]:
         """Return the messages of a round as pairs of address and content."""
@@ -207,67 +207,25 @@
         else:
             addresses.append(self.hub_address)
         if addresses:
-            report = self._make_report()
+            report = encode_report(self)
             messages += [(address, report) for address in addresses]
         return messages
 
     def _make_hub_messages(self, now_s: float) -> list[tuple[str, bytes]]:
-        summary = SUMMARY_KIND + msgspec.msgpack.encode(self._make_summary(now_s))
+        summary = encode_summary(self, now_s)
         messages = [(card.address, summary) for card in self.members.other_hubs()]
         local = self.members.local()
         if local:
-            digest = DIGEST_KIND + msgspec.msgpack.encode(self._make_digest())
+            digest = encode_digest(self, now_s)
             messages += [(member.card.address, digest) for member in local]
         return messages
 
-    def _make_report(self) -> bytes:
-        report = Report(**self._header())
-        if self.state_handler is not None:
-            self.state_handler.fill_report(report)
-        return REPORT_KIND + msgspec.msgpack.encode(report)
-
-    def _make_summary(self, now_s: float) -> Summary:
-        n_heard, n_known = self.members.count_local(now_s)
-        summary = Summary(
-            **self._header(),
-            n_heard=n_heard,
-            n_known=n_known,
-            hubs=self.members.other_hubs(),
-        )
-        if self.state_handler is not None:
-            self.state_handler.fill_summary(summary)
-        return summary
-
-    def _make_digest(self) -> Digest:
-        now_s = self.app.clock.monotonic()
-        reachable = [peer for peer in self.members.local() if peer.is_reachable(now_s)]
-        n_heard, n_known = self.reachability.count(now_s)
-        addresses = {peer.card.address for peer in reachable}
-        digest = Digest(
-            **self._header(),
-            n_heard=n_heard,
-            n_known=n_known,
-            numbers={a: n for a, n in self.numbers.items() if a in addresses},
-            cards=cards_of(reachable) if self.n_sent % CARDS_ROUNDS == 0 else None,
-            hubs=self.members.other_hubs(),
-        )
-        if self.state_handler is not None:
-            self.state_handler.fill_digest(digest)
-        return digest
-
-    def _header(self) -> dict[str, Any]:
-        return {
-            "card": self.members.me,
-            "instance": self.settings.instance,
-            "life": self.life,
-            "number": self.n_sent,
-        }
-
     def _update_hub(self, now_s: float) -> None:
         """Suspect silent hubs and apply a change of the own hub."""
         self.n_sent += 1
-        self._end_warm_up(now_s)
-        limit_s = max(HUB_TIMEOUT_S, HUB_TIMEOUT_ROUNDS * self._interval_s())
+        if self.warm_up.ends(now_s, is_hub=self.is_hub()):
+            self.members.change_capacity(self.settings.capacity)
+        limit_s = hub_timeout_s(self._interval_s())
         if self.hub_address and self.hub_address != self.address:
             seen_s = max(self.reachability.digest_s, self.hub_since_s)
             if now_s - seen_s > limit_s:
@@ -285,13 +243,6 @@
                 self.members.suspect(card.address)
         self._apply_hub_change(now_s)
 
-    def _end_warm_up(self, now_s: float) -> None:
-        """Rank by the full capacity once the process has run for a while."""
-        warm_up_s = HUB_WARM_UP_S if self.is_hub() else WARM_UP_S
-        if self.is_warming_up and now_s - self.started_s >= warm_up_s:
-            self.is_warming_up = False
-            self.members.change_capacity(self.settings.capacity)
-
     def _apply_hub_change(self, now_s: float) -> None:
         hub = self.members.hub(self.settings.data_centre)
         assert hub is not None
--- a/lagoonring/tests/test_exchange.py
+++ b/lagoonring/tests/test_exchange.py
@@ -5,7 +5,6 @@
 import msgspec
 import pytest
 
-from lagoonring.serving.exchange import HUB_TIMEOUT_S, HUB_WARM_UP_S
 from lagoonring.serving.members import FORGET_S, MEMBER_TIMEOUT_S
 from lagoonring.serving.messages import (
     DIGEST_KIND,
@@ -14,6 +13,7 @@
     SUMMARY_KIND,
 )
 from lagoonring.serving.reachability import DISCOVERY_S, START_SHARE
+from lagoonring.serving.rounds import HUB_TIMEOUT_S, HUB_WARM_UP_S
 from lagoonring.tests.builders.exchanges import ROUND_S, Deployment
 
 SETTLE_S = 3.0
