--- a/lagoonring/tests/test_state_sync.py
+++ b/lagoonring/tests/test_state_sync.py
@@ -189,3 +189,26 @@
     deployment.exchanges[hub].parts.gate.update("desk", view)
     await deployment.run_for(4 * ROUND_S)
     assert all(parts.gate.views["desk"].view == view for parts in deployment.parts())
+
+
+async def test_a_failed_connection_is_known_to_every_instance(deployment):
+    endpoint = deployment.exchanges["west-1"].parts.table.find("a")
+    endpoint.mark_unreachable(deployment.clock.monotonic())
+    await deployment.run_for(4 * ROUND_S)
+    now_s = deployment.clock.monotonic()
+    for parts in deployment.parts():
+        assert parts.table.find("a").avoided_until_s() > now_s
+        assert parts.table.find("b").avoided_until_s() <= now_s
+
+
+async def test_failures_at_few_instances_are_known_to_every_instance(deployment):
+    """Each of three instances saw one success and one failure of the endpoint."""
+    for centre in deployment.centres:
+        endpoint = deployment.exchanges[f"{centre}-2"].parts.table.find("a")
+        for ok in (True, False):
+            endpoint.record_result(ok=ok, now_s=deployment.clock.monotonic())
+    await deployment.run_for(4 * ROUND_S)
+    for parts in deployment.parts():
+        condition = parts.table.find("a").condition
+        assert condition is not None
+        assert 0.25 < condition.failure_share < 0.5
