--- a/lagoonring/leases/duties.py
+++ b/lagoonring/leases/duties.py
@@ -107,10 +107,7 @@
         """
         options = self.lease.options
         while True:
-            poll_s = options.poll_s
-            if self.lease.is_renewed_elsewhere():
-                poll_s = options.standby_poll_s or poll_s
-            await self.lease.clock.sleep(poll_s * self.rng.uniform(0.5, 1.5))
+            await self.lease.clock.sleep(options.poll_s * self.rng.uniform(0.5, 1.5))
             if self.is_candidate() and await self._try_acquire():
                 await self._run_while_held()
 
--- a/lagoonring/leases/lease.py
+++ b/lagoonring/leases/lease.py
@@ -111,14 +111,6 @@
         end_s = self.last_renewed_s + self.options.duration_s - self.options.margin_s
         return max(0.0, end_s - self.clock.boottime())
 
-    def is_renewed_elsewhere(self) -> bool:
-        """Return whether another instance held and renewed the lease when last read."""
-        state = self.stream.state
-        if not state.is_known or state.is_released or self._is_own_epoch():
-            return False
-        silent_s = self.clock.boottime() - self.stream.renewal_seen_s
-        return bool(state.holder) and silent_s < self.options.poll_s
-
     async def acquire(self, *, extra_wait_s: float = 0.0) -> int | None:
         """Try once to acquire the lease; return the fencing number or None.
 
--- a/lagoonring/leases/options.py
+++ b/lagoonring/leases/options.py
@@ -21,8 +21,6 @@
         Interval between renewals.
     poll_s : float
         Mean interval at which an instance waiting for the lease polls it.
-    standby_poll_s : float
-        The same while another instance holds the lease and renews it; 0 for ``poll_s``.
     poll_wait_s : float
         Maximum time that one read waits for a new record.
     """
@@ -31,7 +29,6 @@
     margin_s: float = attrs.field(default=1.0, validator=between(0, 60))
     renew_interval_s: float = attrs.field(default=2.0, validator=between(0.005, 300))
     poll_s: float = attrs.field(default=2.0, validator=between(0.005, 300))
-    standby_poll_s: float = attrs.field(default=0.0, validator=between(0, 300))
     poll_wait_s: float = attrs.field(default=0.0, validator=between(0, 60))
 
     def __attrs_post_init__(self) -> None:
--- a/lagoonring/serving/duties.py
+++ b/lagoonring/serving/duties.py
@@ -28,7 +28,6 @@
 STREAM = "lagoonring.duties"
 STEP_S = 0.5  # an eighth of the time that a report may wait for late counts
 RENEWALS_PER_LEASE = 3.4  # two renewals may be lost
-STANDBY_POLL_LEASES = 0.8  # delays a takeover by less than a lease, saves store calls
 LEASE_MARGIN_SHARE = 0.3  # of the lease, longer than a call to the platform may take
 RELEASE_PAUSE_LEASES = 1.5  # after a release, to leave time for another holder
 MIN_CALL_S = 0.3  # of the lease left; a call begun with less could outlive it
@@ -103,7 +102,6 @@
             margin_s=lease_s * LEASE_MARGIN_SHARE,
             renew_interval_s=lease_s / RENEWALS_PER_LEASE,
             poll_s=lease_s / RENEWALS_PER_LEASE,
-            standby_poll_s=STANDBY_POLL_LEASES * lease_s,
         )
         self.lease = Lease(log, STREAM, instance, app.clock, options, data=self.ledger)
         self.is_leaving = False
--- a/lagoonring/tests/test_leases.py
+++ b/lagoonring/tests/test_leases.py
@@ -364,25 +364,6 @@
     await asyncio.gather(*tasks, return_exceptions=True)
 
 
-async def test_an_instance_knows_whether_another_one_renews_the_lease():
-    """Standbys read the log rarely as long as there is a live holder."""
-    cluster = LeaseCluster()
-    holder, standby = cluster.leases
-    assert not standby.is_renewed_elsewhere()
-    await holder.acquire()
-    await standby.acquire()
-    assert standby.is_renewed_elsewhere()
-    assert not holder.is_renewed_elsewhere()
-    cluster.clock.now_s += OPTIONS.poll_s
-    assert not standby.is_renewed_elsewhere()
-    await holder.renew()
-    await standby.acquire()
-    assert standby.is_renewed_elsewhere()
-    await holder.release()
-    await standby.acquire()
-    assert not standby.is_renewed_elsewhere()
-
-
 def test_ranks_are_balanced_and_stable():
     instances = [f"i{index}" for index in range(9)]
     firsts = {name: rank(name, instances)[0] for name in map(str, range(200))}
