--- a/lagoonring/serving/conditions.py
+++ b/lagoonring/serving/conditions.py
@@ -54,9 +54,9 @@
     def own_rows(self, now_s: float) -> ObservationRows:
         """Return this instance's observations as sent in a report."""
         return {
-            endpoint.name: to_row(endpoint.seen, now_s)
+            endpoint.name: to_row(endpoint.observation, now_s)
             for endpoint in self.table.endpoints.values()
-            if endpoint.seen.is_relevant(now_s)
+            if endpoint.observation.is_relevant(now_s)
         }
 
     def local_rows(self, now_s: float) -> ObservationRows:
@@ -122,7 +122,8 @@
     ) -> dict[str, Observation]:
         sums: dict[str, Observation] = {}
         own = {
-            endpoint.name: endpoint.seen for endpoint in self.table.endpoints.values()
+            endpoint.name: endpoint.observation
+            for endpoint in self.table.endpoints.values()
         }
         for rows in (own, *peers):
             for name, seen in rows.items():
--- a/lagoonring/serving/endpoints.py
+++ b/lagoonring/serving/endpoints.py
@@ -91,8 +91,8 @@
 class Endpoint:
     """An incarnation of an endpoint, with its load and health as seen here.
 
-    ``seen`` holds the results at this instance, ``condition`` what the hub derived
-    from those of all instances.
+    ``observation`` holds the results at this instance, ``condition`` what the hub
+    derived from those of all instances.
     """
 
     record: EndpointRecord
@@ -109,7 +109,7 @@
     n_connect_failures: int = 0
     down_until_s: float = 0.0
     full_until_s: float = 0.0
-    seen: Observation = attrs.field(factory=Observation)
+    observation: Observation = attrs.field(factory=Observation)
     condition: Condition | None = None
     reported_down_until_s: float = 0.0
 
@@ -132,7 +132,7 @@
 
     def record_result(self, *, ok: bool, now_s: float) -> None:
         """Update the moving average of failures with a result."""
-        self.seen.record_result(ok=ok, now_s=now_s)
+        self.observation.record_result(ok=ok, now_s=now_s)
         self.failure_share += FAILURE_WEIGHT * ((not ok) - self.failure_share)
         if not ok:
             self.failed_s = now_s
@@ -143,7 +143,7 @@
 
     def mark_unreachable(self, now_s: float) -> None:
         """Avoid the endpoint, with a back-off that grows with consecutive failures."""
-        self.seen.record_unreachable(now_s)
+        self.observation.record_unreachable(now_s)
         self.n_connect_failures += 1
         delay_s = BACKOFF_S * 2 ** min(self.n_connect_failures - 1, 8)
         self.down_until_s = now_s + min(delay_s, MAX_BACKOFF_S)
@@ -151,13 +151,13 @@
     def learn_token_time(self, seconds: float, now_s: float) -> None:
         """Add a sample of the prefill time per token."""
         self.learned_s = now_s
-        self.seen.record_time(now_s, token_s=seconds)
+        self.observation.record_time(now_s, token_s=seconds)
         self.seconds_per_token = _average(self.seconds_per_token, seconds)
 
     def learn_service_time(self, seconds: float, now_s: float) -> None:
         """Add a sample of the time that a plain request takes."""
         self.learned_s = now_s
-        self.seen.record_time(now_s, service_s=seconds)
+        self.observation.record_time(now_s, service_s=seconds)
         self.service_s = _average(self.service_s, seconds)
 
 
--- a/lagoonring/serving/messages.py
+++ b/lagoonring/serving/messages.py
@@ -86,13 +86,13 @@
 
     ``started`` counts the started requests by window and organisation, ``demand`` is
     the endpoint time in seconds requested per second by service, ``versions``
-    holds the counts of moves by service, and ``seen`` the results by endpoint.
+    holds the counts of moves by service, and ``observations`` the results by endpoint.
     """
 
     started: dict[int, dict[str, int]] = attrs.field(factory=dict)
     demand: dict[str, float] = attrs.field(factory=dict)
     versions: dict[str, CountsRow] = attrs.field(factory=dict)
-    seen: dict[str, ObservationRow] = attrs.field(factory=dict)
+    observations: dict[str, ObservationRow] = attrs.field(factory=dict)
 
 
 @attrs.define(kw_only=True)
@@ -101,7 +101,7 @@
 
     ``n_heard`` and ``n_known`` are the numbers of reachable and of known instances.
     ``usage`` holds rows of recent windows, ``versions`` the counts of moves by instance
-    and service, and ``seen`` the results by endpoint.
+    and service, and ``observations`` the results by endpoint.
     """
 
     n_heard: int
@@ -110,7 +110,7 @@
     demand: dict[str, float] = attrs.field(factory=dict)
     usage: dict[int, list[UsageRow]] = attrs.field(factory=dict)
     versions: dict[str, dict[str, CountsRow]] = attrs.field(factory=dict)
-    seen: dict[str, ObservationRow] = attrs.field(factory=dict)
+    observations: dict[str, ObservationRow] = attrs.field(factory=dict)
     moves: dict[str, MoveView] = attrs.field(factory=dict)
 
 
--- a/lagoonring/serving/state_sync.py
+++ b/lagoonring/serving/state_sync.py
@@ -77,7 +77,7 @@
         report.started = parts.usage.recent()
         report.demand = parts.demand.own()
         report.versions = parts.counters.rows()
-        report.seen = self.conditions.own_rows(now_s)
+        report.observations = self.conditions.own_rows(now_s)
         self.own_reports[report.number] = OwnState(report.loads, report.taken)
         while len(self.own_reports) > MAX_OWN_REPORTS:
             del self.own_reports[next(iter(self.own_reports))]
@@ -93,7 +93,7 @@
         summary.taken = parts.quotas.local_totals(now_s)
         summary.crashes = parts.suspects.recent_crashes(now_s)
         summary.demand = parts.demand.local()
-        summary.seen = self.conditions.local_rows(now_s)
+        summary.observations = self.conditions.local_rows(now_s)
         summary.moves = self._views()
         summary.versions = {
             **self.local_versions,
@@ -125,7 +125,7 @@
         )
         parts.usage.update_peer(report.instance, report.life, report.started)
         parts.demand.update_peer(source, report.demand)
-        self.conditions.update_peer(source, report.seen, now_s)
+        self.conditions.update_peer(source, report.observations, now_s)
         self.true_clock.update_peer(source, report.time_s)
         self.local_lives.add((report.instance, report.life))
         if report.versions or report.instance in self.local_versions:
@@ -145,7 +145,7 @@
             for row in rows:
                 parts.usage.update_peer(row.instance, row.life, {window: row.counts})
         parts.demand.update_peer(source, summary.demand)
-        self.conditions.update_peer(source, summary.seen, now_s)
+        self.conditions.update_peer(source, summary.observations, now_s)
         self.true_clock.update_peer(source, summary.time_s, weight=summary.n_heard)
         self._apply_move_views(summary)
         if self.moves is not None:
