--- a/lagoonring/peers/transport.py
+++ b/lagoonring/peers/transport.py
@@ -273,8 +273,14 @@
     def reconnect(self, address: str) -> None:
         """Replace the connection to a peer that has returned, if there is one."""
         link = self.links.get(address)
-        if link is not None:
+        if link is None:
+            return
+        try:
             link.reconnect()
+        except pynng.NNGException as error:
+            # The link closes its socket; the next frame opens a new one.
+            logger.warning("Reconnecting to {} failed: {}.", address, error)
+            self.tasks[address].cancel()
 
     async def stop(self) -> None:
         """Close all sockets."""
--- a/lagoonring/tests/test_transport.py
+++ b/lagoonring/tests/test_transport.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+import pynng
 import pytest
 
 from lagoonring.kernel import ManualClock
@@ -83,6 +84,24 @@
     assert len(silent.writers) == 2
 
 
+async def test_a_failed_reconnect_closes_the_link(silent, transport, monkeypatch):
+    """The next frame opens a new one, instead of a failure in a message's handler."""
+    transport.post(silent.address, b"one")
+    await silent.wait_for_connection()
+    link = transport.links[silent.address]
+
+    def fail():
+        raise pynng.NNGException("Got no memory.", 2)
+
+    monkeypatch.setattr(link, "reconnect", fail)
+    transport.reconnect(silent.address)
+    async with asyncio.timeout(WAIT_S):
+        while transport.links:
+            await asyncio.sleep(0)
+    transport.post(silent.address, b"two")
+    await silent.wait_for_connection()
+
+
 async def test_reconnecting_without_a_link_opens_none(silent, transport):
     transport.reconnect(silent.address)
     assert not transport.links
