Wait for the log's thread before its descriptor is closed

The test before it left its handler's thread alive: close() gives up when the queue is full, the fixture closes the pipe, and the thread goes on writing to the number of the descriptor, which the next test's pipe has. Traced by reading and by that number (the pipe was 13, 14 again); not reproduced. Change: the earlier test reads until the thread has ended.

--- a/lagoonring/tests/test_queued_logs.py
+++ b/lagoonring/tests/test_queued_logs.py
@@ -29,6 +29,19 @@
     return [json.loads(line) for line in content.splitlines()]
 
 
+def finish(handler, reader):
+    """Read until the handler's thread has ended.
+
+    A thread that is left behind writes to the descriptor's number, which the pipe of
+    the next test may have.
+    """
+    while handler.thread.is_alive():
+        try:
+            os.read(reader, 1 << 20)
+        except BlockingIOError:
+            handler.close()
+
+
 def test_writes_a_json_line_with_its_extra(pipe):
     reader, writer = pipe
     handler = QueuedLinesHandler(descriptor=writer)
@@ -64,7 +77,7 @@
             threading.Event().wait(0.01)
         with handler.applicationbound():
             logger.info("More.")
-    handler.close()
+    finish(handler, reader)
 
 
 def test_an_error_of_the_output_counts_only_the_lines_not_written(pipe):
