Never send a second head into a stream that has begun

Change: a status of 300 and above that follows the begin of a stream is a failed attempt, after which the stream goes on elsewhere or breaks off.

--- a/lagoonring/serving/attempts.py
+++ b/lagoonring/serving/attempts.py
@@ -110,6 +110,7 @@
             raise _timeout_error(endpoint, "begin an answer", limit) from error
         try:
             self._check_not_refused(endpoint, answer)
+            self._check_continues(job, endpoint, answer)
             if job.route.kind is RequestKind.STREAM and answer.status < 300:
                 await self._relay_stream(job, endpoint, answer, sink)
             else:
@@ -156,6 +157,17 @@
                 remedy="Use another endpoint.",
             )
 
+    def _check_continues(
+        self, job: Job, endpoint: Endpoint, answer: EndpointAnswer
+    ) -> None:
+        """Raise ``EndpointCrossedError`` if a stream's rest is another answer."""
+        if job.has_begun and answer.status >= 300:
+            raise EndpointCrossedError(
+                f"Got status {answer.status} of {endpoint.name}, expected the rest of "
+                "a stream.",
+                remedy="Break the stream off; its status was sent already.",
+            )
+
     async def _relay_whole(
         self,
         job: Job,
--- a/lagoonring/tests/test_serving_path.py
+++ b/lagoonring/tests/test_serving_path.py
@@ -326,6 +326,20 @@
     assert all(not e.n_running for e in parts.table.endpoints.values())
 
 
+@pytest.mark.parametrize("status", [500, 404, 302])
+async def test_a_failure_status_never_follows_the_begin_of_a_stream(status):
+    """A resumed stream that fails breaks off; a second head would be no answer."""
+    begun = FakeAnswer([make_event(0), CUT])
+    failed = FakeAnswer([b"fault"], status=status)
+    sender = make_sender(begun, failed)
+    parts = make_parts(sender, configuration=make_configuration(STREAM))
+    sink = await serve(parts)
+    assert sink.status == 200
+    assert sink.body == make_event(0)
+    assert sink.is_aborted
+    assert not sink.is_whole
+
+
 async def test_a_failed_attempt_is_logged_with_what_its_placement_was_based_on():
     parts = make_parts(make_sender(CUT), configuration=make_configuration(ONCE))
     for endpoint in parts.table.endpoints.values():
