--- a/lagoonring/tests/test_moves_of_many_instances.py
+++ b/lagoonring/tests/test_moves_of_many_instances.py
@@ -134,3 +134,33 @@
     )
     await service.run()
     assert service.final_state() is MoveState.COMPLETED
+
+
+def failing_for_both(share, bad_share, period_s):
+    """Return a function for both versions that fail in a period, and a bad new one."""
+
+    def fails(of_version, at_s, rng):
+        is_disturbed = period_s[0] <= at_s < period_s[1] and rng.random() < share
+        return is_disturbed or (of_version == "v2" and rng.random() < bad_share)
+
+    return fails
+
+
+@pytest.mark.parametrize("kind", [RequestKind.STREAM, RequestKind.ONCE])
+@pytest.mark.parametrize("share", [0.4, 0.5])
+@pytest.mark.parametrize("period_s", [(0.0, 15.0), (2.0, 14.0)])
+@pytest.mark.parametrize("bad_share", [0.3, 0.5])
+async def test_a_failing_version_is_undone_while_the_old_one_fails_as_well(
+    clock, kind, share, period_s, bad_share
+):
+    fails = failing_for_both(share, bad_share, period_s)
+    service = MovingService(clock=clock, kind=kind, fails=fails)
+    await service.run()
+    check_undone_within_limits(service)
+
+
+@pytest.mark.parametrize("kind", [RequestKind.STREAM, RequestKind.ONCE])
+async def test_a_good_version_is_completed_while_the_old_one_fails(clock, kind):
+    service = MovingService(clock=clock, kind=kind, fails=failing_at("v1", 0.5))
+    await service.run()
+    assert service.final_state() is MoveState.COMPLETED
