Judge a new version's failures by a fixed share as well

Cause: the only standard of a comparison was the other version in the same seconds; a disturbed control group hides what it should show. Change: failures are compared with an allowed share of 10% besides, by the same test, in sum and by route. A version that clearly exceeds it is undone, also if the old one fails as often.

--- a/lagoonring/serving/comparison.py
+++ b/lagoonring/serving/comparison.py
@@ -9,6 +9,9 @@
 or failed by chance follows from the old version's counts (the posterior predictive
 distribution, which is beta-binomial), so that few results of either version make the
 comparison cautious instead of wrong.
+
+Failures are also compared with a fixed share: while the old version fails for other
+reasons, a bad version looks no worse.
 """
 
 from __future__ import annotations
@@ -36,10 +39,12 @@
 MIN_NEW_RESULTS = 12  # a fault of three in ten then shows with 99 in 100
 MAX_FAILURE_ODDS = 1.5  # tolerated ratio of the odds of a failure
 MAX_LATENCY_ODDS = 1.5  # likewise of a slow result
+MAX_FAILURE_SHARE = 0.1  # of a version to be kept, whatever the old one's share
+N_ALLOWED_RESULTS = 1000  # in which that share is expressed
 PRIOR = 0.5  # of Jeffreys, for the share of bad results
 EARLY_ERROR_RATE = 0.001  # per look; a move is looked at twice a second
 FINAL_ERROR_RATE = 0.05  # one good version in twenty may be undone
-CRITERION_WEIGHT = 1 / 3  # failures, first answers and gaps between events
+CRITERION_WEIGHT = 1 / 4  # failures twice, first answers and gaps between events
 UNEVEN_RATIO = 1.6  # of times at two endpoints; healthy ones differ by less
 N_ERRORS = 4.0  # standard errors; some tens of endpoints are compared
 ALL_ROUTES = "all routes"
@@ -58,7 +63,8 @@
 class Sample:
     """Results of both versions by one criterion, and how many of them were bad.
 
-    ``weight`` is the criterion's part of the error rate.
+    ``weight`` is the criterion's part of the error rate. ``reference`` is what the new
+    version is compared with.
     """
 
     criterion: str
@@ -68,6 +74,7 @@
     bad_new: int
     max_odds: float
     weight: float
+    reference: str = "old"
 
     def __add__(self, other: Sample) -> Sample:
         return attrs.evolve(
@@ -95,18 +102,19 @@
         sample = self.sample
         return (
             f"{sample.criterion} on {self.where}: {sample.bad_new} of {sample.n_new}, "
-            f"old {sample.bad_old} of {sample.n_old}, p {self.probability:.1e}"
+            f"{sample.reference} {sample.bad_old} of {sample.n_old}, "
+            f"p {self.probability:.1e}"
         )
 
 
 def find_difference(routes: Mapping[str, RouteResults]) -> Finding | None:
     """Return the least probable difference, or None if nothing can be compared."""
     by_route = {name: list(_samples(route)) for name, route in routes.items()}
-    sums: dict[str, Sample] = {}
+    sums: dict[tuple[str, str], Sample] = {}
     for samples in by_route.values():
         for sample in samples:
-            known = sums.get(sample.criterion)
-            sums[sample.criterion] = sample if known is None else known + sample
+            key = (sample.criterion, sample.reference)
+            sums[key] = sums[key] + sample if key in sums else sample
     n_routes = max(sum(map(bool, by_route.values())), 1)
     findings = [
         *_find(sums.values(), ALL_ROUTES, ALL_ROUTES_WEIGHT),
@@ -194,9 +202,22 @@
 
 
 def _samples(route: RouteResults) -> Iterator[Sample]:
-    """Yield the comparisons of a route, if it has results of both versions."""
+    """Yield the comparisons of a route with results of the new version.
+
+    Those with the old version need enough results of it as well.
+    """
     if not route.new.count_results() + route.new.unanswered.total():
         return
+    yield Sample(
+        criterion="failures",
+        n_old=N_ALLOWED_RESULTS,
+        bad_old=round(MAX_FAILURE_SHARE * N_ALLOWED_RESULTS),
+        n_new=route.new.n_ok + route.new.n_failed,
+        bad_new=route.new.n_failed,
+        max_odds=1.0,
+        weight=CRITERION_WEIGHT,
+        reference="allowed",
+    )
     if route.old.count_results() < MIN_OLD_RESULTS:
         return
     yield Sample(
