Compare a new version's failures with those before the move

Change: each instance counts successes and failures by route, decayed, while a service does not move; its counts at the order are a second standard beside the old version's in the same seconds. The fixed share is gone.

--- a/lagoonring/serving/attempts.py
+++ b/lagoonring/serving/attempts.py
@@ -92,9 +92,9 @@
             self.parts.metrics.attempts.labels(job.service, result).inc()
 
     def _begin_record(self, job: Job, endpoint: Endpoint) -> None:
-        """Begin to record the attempt if the service moves to another version."""
+        """Begin to record the attempt, in detail if the service moves."""
         if self.parts.gate.running_order(job.service) is None:
-            job.recorder = None
+            job.recorder = self.parts.counters.begin_usual(job)
             return
         continues = job.moved is not None or job.last_event is not None
         job.recorder = self.parts.counters.begin(
--- a/lagoonring/serving/comparison.py
+++ b/lagoonring/serving/comparison.py
@@ -10,8 +10,8 @@
 distribution, which is beta-binomial), so that few results of either version make the
 comparison cautious instead of wrong.
 
-Failures are also compared with a fixed share: while the old version fails for other
-reasons, a bad version looks no worse.
+Failures are also compared with those before the move: while the old version fails for
+other reasons, a bad version looks no worse.
 """
 
 from __future__ import annotations
@@ -39,8 +39,6 @@
 MIN_NEW_RESULTS = 12  # a fault of three in ten then shows with 99 in 100
 MAX_FAILURE_ODDS = 1.5  # tolerated ratio of the odds of a failure
 MAX_LATENCY_ODDS = 1.5  # likewise of a slow result
-MAX_FAILURE_SHARE = 0.1  # of a version to be kept, whatever the old one's share
-N_ALLOWED_RESULTS = 1000  # in which that share is expressed
 PRIOR = 0.5  # of Jeffreys, for the share of bad results
 EARLY_ERROR_RATE = 0.001  # per look; a move is looked at twice a second
 FINAL_ERROR_RATE = 0.05  # one good version in twenty may be undone
@@ -204,20 +202,21 @@
 def _samples(route: RouteResults) -> Iterator[Sample]:
     """Yield the comparisons of a route with results of the new version.
 
-    Those with the old version need enough results of it as well.
+    Those with the old version need enough results of it, as do those before the move.
     """
     if not route.new.count_results() + route.new.unanswered.total():
         return
-    yield Sample(
-        criterion="failures",
-        n_old=N_ALLOWED_RESULTS,
-        bad_old=round(MAX_FAILURE_SHARE * N_ALLOWED_RESULTS),
-        n_new=route.new.n_ok + route.new.n_failed,
-        bad_new=route.new.n_failed,
-        max_odds=1.0,
-        weight=CRITERION_WEIGHT,
-        reference="allowed",
-    )
+    if route.n_ok_before + route.n_failed_before >= MIN_OLD_RESULTS:
+        yield Sample(
+            criterion="failures",
+            n_old=route.n_ok_before + route.n_failed_before,
+            bad_old=route.n_failed_before,
+            n_new=route.new.n_ok + route.new.n_failed,
+            bad_new=route.new.n_failed,
+            max_odds=MAX_FAILURE_ODDS,
+            weight=CRITERION_WEIGHT,
+            reference="before",
+        )
     if route.old.count_results() < MIN_OLD_RESULTS:
         return
     yield Sample(
--- a/lagoonring/serving/requests.py
+++ b/lagoonring/serving/requests.py
@@ -12,6 +12,7 @@
 from lagoonring.serving.configuration import Organisation, RouteEntry
 from lagoonring.serving.endpoints import Endpoint, EndpointRecord
 from lagoonring.serving.placing import Placement
+from lagoonring.serving.usual_results import UsualRecorder
 from lagoonring.serving.version_results import AttemptRecorder
 
 if TYPE_CHECKING:
@@ -91,7 +92,7 @@
     taken: float = 0.0
     placement: Placement | None = None
     version: str | None = None
-    recorder: AttemptRecorder | None = None
+    recorder: AttemptRecorder | UsualRecorder | None = None
     first_answer_s: float | None = None
     permit: tuple[Endpoint, int] | None = None
     waited_s: float = 0.0
--- a/lagoonring/serving/version_results.py
+++ b/lagoonring/serving/version_results.py
@@ -17,6 +17,8 @@
 
 import attrs
 
+from lagoonring.serving.usual_results import UsualRecorder, UsualResults
+
 if TYPE_CHECKING:
     from lagoonring.kernel import Clock
     from lagoonring.serving.endpoints import EndpointRecord
@@ -108,10 +110,15 @@
 
 @attrs.define
 class RouteResults:
-    """Results of the old and of the new version on one route."""
+    """Results of the old and of the new version on one route.
+
+    ``n_ok_before`` and ``n_failed_before`` count results shortly before the move.
+    """
 
     old: VersionResults = attrs.field(factory=VersionResults)
     new: VersionResults = attrs.field(factory=VersionResults)
+    n_ok_before: int = 0
+    n_failed_before: int = 0
 
     def add(self, rows: tuple[VersionRow, VersionRow]) -> None:
         """Add the results in the rows of both versions."""
@@ -124,13 +131,15 @@
     """Counts of one process since a move began, as sent in messages.
 
     ``life`` identifies the process. ``routes`` holds the old and the new version,
-    ``old_endpoints`` the latencies of the old version by route and endpoint.
+    ``old_endpoints`` the latencies of the old version by route and endpoint, and
+    ``before`` the successes and failures by route shortly before the move.
     """
 
     move: str
     life: int
     routes: dict[str, tuple[VersionRow, VersionRow]]
     old_endpoints: dict[str, dict[str, LogarithmRow]] = attrs.field(factory=dict)
+    before: dict[str, tuple[int, int]] = attrs.field(factory=dict)
 
 
 @attrs.define(eq=False)
@@ -203,6 +212,7 @@
     """Results of this instance for one move, and the attempts in progress."""
 
     move: str
+    before: dict[str, tuple[int, int]] = attrs.field(factory=dict)
     routes: dict[str, RouteResults] = attrs.field(factory=dict)
     running: set[AttemptRecorder] = attrs.field(factory=set)
     old_logarithms: dict[tuple[str, str], Logarithms] = attrs.field(factory=dict)
@@ -257,6 +267,11 @@
         self.clock = clock
         self.life = life
         self.moves: dict[str, MoveResults] = {}
+        self.usual = UsualResults()
+
+    def begin_usual(self, job: Job) -> UsualRecorder:
+        """Return what records an attempt while the service does not move."""
+        return UsualRecorder(self.usual, job.service, job.route.name)
 
     def begin(
         self, job: Job, record: EndpointRecord, expected_s: float | None
@@ -290,6 +305,7 @@
                 life=self.life,
                 routes=results.rows(now_s),
                 old_endpoints=results.old_endpoint_rows(),
+                before=results.before,
             )
             for service, results in self.moves.items()
             if self.gate.running_order(service) is not None
@@ -298,7 +314,8 @@
     def _results_of(self, order: MoveOrder) -> MoveResults:
         results = self.moves.get(order.service)
         if results is None or results.move != order.name:
-            results = self.moves[order.service] = MoveResults(order.name)
+            before = self.usual.read(order.service, self.clock.monotonic())
+            results = self.moves[order.service] = MoveResults(order.name, before)
         return results
 
 
@@ -308,6 +325,10 @@
     for row in rows:
         for name, versions in row.routes.items():
             sums.setdefault(name, RouteResults()).add(versions)
+        for name, (n_ok, n_failed) in row.before.items():
+            route = sums.setdefault(name, RouteResults())
+            route.n_ok_before += n_ok
+            route.n_failed_before += n_failed
     return sums
 
 
--- a/lagoonring/tests/builders/version_moves.py
+++ b/lagoonring/tests/builders/version_moves.py
@@ -85,10 +85,11 @@
     ``fails(version, elapsed_s, rng)`` whether it is a failure. ``usual_factor``
     lengthens the answers of both versions. ``disturbed`` holds the factors of endpoints
     that are slow whatever version they run; "a", "b", "c" run the old one, "x", "y",
-    "z" the new one.
+    "z" the new one. Times are since the order, which is given after ``lead_s``.
     """
 
     clock: ManualClock
+    lead_s: float = 0.0
     slowdown: Callable[[str, float, random.Random], float] = lambda *_: 1.0
     fails: Callable[[str, float, random.Random], bool] = lambda *_: False
     rate_per_s: float = 30.0
@@ -104,7 +105,7 @@
         self.order = MoveOrder(
             service="desk", target="v2", duration_s=self.duration_s, offset=5
         )
-        self.started_s = self.clock.time()
+        self.started_s = self.clock.time() + self.lead_s
         self.ledger = DutyLedger()
         self.reported: list[tuple[float, MoveState]] = []
         self.arrivals: list[tuple[float, str, str]] = []
@@ -153,13 +154,13 @@
     def count_new(self) -> int:
         """Return the requests that arrived at the new version until the limit."""
         return sum(
-            version == "v2" and at_s <= self.duration_s
+            version == "v2" and 0 <= at_s <= self.duration_s
             for at_s, version, _ in self.arrivals
         )
 
     def count_all(self) -> int:
         """Return all requests that arrived until the time limit."""
-        return sum(at_s <= self.duration_s for at_s, _, _ in self.arrivals)
+        return sum(0 <= at_s <= self.duration_s for at_s, _, _ in self.arrivals)
 
     def final_state(self) -> MoveState:
         """Return the state that was reported last."""
@@ -168,8 +169,11 @@
     async def run(self, until_s: float | None = None) -> None:
         """Serve callers and carry out the move, by default to one second past it."""
         until_s = self.duration_s + 1.0 if until_s is None else until_s
-        next_step_s = self.elapsed_s()
+        next_step_s = max(self.elapsed_s(), 0.0)
         while self.elapsed_s() < until_s:
+            if self.elapsed_s() >= 0 and not self.instances[0].follower.orders:
+                for instance in self.instances:
+                    self._give_order(instance)
             if self.elapsed_s() >= next_step_s:
                 next_step_s += STEP_S
                 await self._step()
@@ -210,14 +214,20 @@
         parts = make_parts(
             FakeSender(self._answer),
             *(make_record(name, version="v1") for name in ("a", "b", "c")),
-            *(make_record(name, version="v2") for name in ("x", "y", "z")),
             configuration=make_configuration(self.route),
             clock=self.clock,
         )
         parts.app.rng.seed(number)
-        parts.follower.orders["desk"] = self.order
+        if self.elapsed_s() >= 0:
+            self._give_order(parts)
         return parts
 
+    def _give_order(self, parts: ServingParts) -> None:
+        parts.follower.orders["desk"] = self.order
+        for name in ("x", "y", "z"):
+            record = make_record(name, version="v2")
+            parts.table.apply(record, n_cache_tokens=50_000)
+
     async def _answer(self, order: SendOrder) -> FakeAnswer:
         version, at_s = order.endpoint.version, self.elapsed_s()
         self.arrivals.append((at_s, version, order.endpoint.endpoint))
--- a/lagoonring/tests/test_moves_of_many_instances.py
+++ b/lagoonring/tests/test_moves_of_many_instances.py
@@ -154,7 +154,7 @@
     clock, kind, share, period_s, bad_share
 ):
     fails = failing_for_both(share, bad_share, period_s)
-    service = MovingService(clock=clock, kind=kind, fails=fails)
+    service = MovingService(clock=clock, kind=kind, fails=fails, lead_s=6.0)
     await service.run()
     check_undone_within_limits(service)
 
@@ -164,3 +164,13 @@
     service = MovingService(clock=clock, kind=kind, fails=failing_at("v1", 0.5))
     await service.run()
     assert service.final_state() is MoveState.COMPLETED
+
+
+@pytest.mark.parametrize("kind", [RequestKind.STREAM, RequestKind.ONCE])
+async def test_a_good_version_is_completed_if_the_old_one_has_always_failed(
+    clock, kind
+):
+    fails = failing_for_both(0.4, 0.0, (-10.0, 20.0))
+    service = MovingService(clock=clock, kind=kind, fails=fails, lead_s=6.0)
+    await service.run()
+    assert service.final_state() is MoveState.COMPLETED
