Log the parts of the prompt with failed attempts

Attempt failed. now has prompt_parts, has_begun and sent_ago_s; its fields move to a module of their own.

--- /dev/null
+++ b/lagoonring/serving/attempt_logs.py
@@ -0,0 +1,42 @@
+"""Fields with which failed attempts are logged."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from lagoonring.endpoints.errors import EndpointError
+    from lagoonring.serving.endpoints import Endpoint
+    from lagoonring.serving.requests import Job
+
+MAX_LOGGED_PARTS = 8  # of a prompt
+
+
+def describe_failure(
+    job: Job, endpoint: Endpoint, error: EndpointError, now_s: float
+) -> dict[str, Any]:
+    """Return what failed, and what the choice of the endpoint was based on."""
+    fields = {
+        "request_id": job.request.request_id,
+        "endpoint": endpoint.name,
+        "kind": error.kind,
+        "outcome": error.outcome.value,
+        "error": error.message,
+        "n_sends": job.n_sends,
+        "prompt_parts": job.request.shared_parts()[:MAX_LOGGED_PARTS],
+        "has_begun": job.has_begun,
+        "sent_ago_s": round(now_s - job.sent_s, 4),
+        "sequence": endpoint.record.sequence,
+        "limit_per_s": endpoint.limit.limit_per_s,
+        "pause_left_s": round(max(endpoint.paused_until_s - now_s, 0.0), 3),
+        "is_leaving": endpoint.is_leaving,
+        "waited_s": round(job.waited_s, 4),
+    }
+    if job.placement is not None:
+        fields |= {
+            "estimate_s": round(job.placement.estimate_s, 4),
+            "n_running": job.placement.n_running,
+            "n_candidates": job.placement.n_candidates,
+            "left_s": round(job.deadline_s - now_s, 3),
+        }
+    return fields
--- a/lagoonring/serving/attempts.py
+++ b/lagoonring/serving/attempts.py
@@ -23,6 +23,7 @@
     timeout_error,
     unsigned_error,
 )
+from lagoonring.serving.attempt_logs import describe_failure
 from lagoonring.serving.configuration import RequestKind
 from lagoonring.serving.events import EventSplitter
 from lagoonring.serving.requests import SendOrder
@@ -65,6 +66,7 @@
         self._begin_record(job, endpoint)
         work = self.parts.placer.begin(job, endpoint)
         job.n_sends += 1
+        job.sent_s = self.clock.monotonic()
         job.tried.add(endpoint.name)
         result = "cancelled"
         try:
@@ -354,30 +356,8 @@
         logger.info(
             "Attempt failed.",
             extra={
-                "request_id": job.request.request_id,
-                "endpoint": endpoint.name,
-                "kind": error.kind,
-                "outcome": error.outcome.value,
-                "error": error.message,
-                "n_sends": job.n_sends,
+                **describe_failure(job, endpoint, error, now_s),
                 "n_crashes": n_crashes,
-                "sequence": endpoint.record.sequence,
-                "limit_per_s": endpoint.limit.limit_per_s,
-                "pause_left_s": round(max(endpoint.paused_until_s - now_s, 0.0), 3),
-                "is_leaving": endpoint.is_leaving,
-                "waited_s": round(job.waited_s, 4),
-                **self._describe_placement(job),
+                "loads_age_s": self.parts.table.loads_age_s(now_s),
             },
         )
-
-    def _describe_placement(self, job: Job) -> dict[str, float | int | None]:
-        """Return what the choice of the endpoint was based on, for the log."""
-        if job.placement is None:
-            return {}
-        return {
-            "estimate_s": round(job.placement.estimate_s, 4),
-            "n_running": job.placement.n_running,
-            "n_candidates": job.placement.n_candidates,
-            "loads_age_s": self.parts.table.loads_age_s(self.clock.monotonic()),
-            "left_s": round(job.deadline_s - self.clock.monotonic(), 3),
-        }
--- a/lagoonring/serving/requests.py
+++ b/lagoonring/serving/requests.py
@@ -51,6 +51,13 @@
     prompt_parts: PromptParts = ()
     resume_after: int | None = None
 
+    def shared_parts(self) -> tuple[str, ...]:
+        """Return the parts of the prompt that other requests may share.
+
+        The last part belongs to the request or its session.
+        """
+        return tuple(part for part, _ in self.prompt_parts[:-1])
+
     def fingerprint(self) -> str:
         """Return a hash that is the same for the same call of the same caller."""
         digest = xxhash.xxh3_128()
@@ -66,7 +73,8 @@
     """An accepted request and its progress.
 
     ``n_runs`` counts the endpoints on which it may have run, ``n_sends`` all
-    endpoints that it was sent to. ``deadline_s`` is on the monotonic clock,
+    endpoints that it was sent to, the last time at ``sent_s``. That and ``deadline_s``
+    are on the monotonic clock,
     ``taken`` is what the request counts towards its organisation's limit.
     ``placement`` is the last choice of an endpoint, ``version`` the version there,
     and ``first_answer_s`` the time from the last send to the first event, or to the
@@ -85,6 +93,7 @@
     fingerprint: str
     n_runs: int = 0
     n_sends: int = 0
+    sent_s: float = 0.0
     tried: set[str] = attrs.field(factory=set)
     last_event: int | None = None
     has_begun: bool = False
