Refuse requests with a part of a prompt that crashes endpoints

Cause: crashes were counted by the fingerprint of the whole request; requests that are alike only in a part never added up to three. Class: an identity that is finer than the cause. Change: each part of a cut request but the last is suspected, over all instances. A part of which an answer was completed in the last 30 s is sound. Crashes count one after the other, so that many at once are one event; those that another part explains don't count; and some answer must have been completed since the first. After three of them requests with the part are refused at once (503, not run). Instances exchange cuts, proofs and blocks, so that one count holds for all, and a wrong block ends with the first completed answer. Further tests: 36 instances of which each sees single crashes, a data centre cut off, instances that restart, two parts, endpoints that crash by themselves four times (half and all of them, also before any answer was completed), a version that crashes on everything, resumed streams, wrong blocks, bounds.

--- a/lagoonring/platform/application.py
+++ b/lagoonring/platform/application.py
@@ -38,6 +38,7 @@
 from lagoonring.serving.path import RequestPath
 from lagoonring.serving.permits import Permits
 from lagoonring.serving.placer import Placer
+from lagoonring.serving.prompt_suspects import PromptSuspects
 from lagoonring.serving.quotas import Quotas
 from lagoonring.serving.reachability import START_SHARE
 from lagoonring.serving.relay import FRESH_SHARE, SPREAD_SHARE, StoreRelay
@@ -214,6 +215,7 @@
             window_s=bounds.retry_window_s,
         ),
         suspects=Suspects(),
+        prompt_suspects=PromptSuspects(),
         usage=UsageCounts(bounds.usage_window_s, true_clock.now),
         demand=demand,
         gate=gate,
--- a/lagoonring/serving/accepting.py
+++ b/lagoonring/serving/accepting.py
@@ -57,6 +57,7 @@
             remedy="Change the request; it is not run again as it is.",
             retry_after_s=CRASHING_RETRY_S,
         )
+    check_prompt(parts, request)
     limit_s = route.timeout_s
     if request.allowed_s is not None:
         limit_s = min(limit_s, request.allowed_s)
@@ -74,6 +75,19 @@
     return job
 
 
+def check_prompt(parts: ServingParts, request: CallerRequest) -> None:
+    """Raise ``CrashingRequestError`` if a part of the prompt crashes endpoints."""
+    now_s = parts.app.clock.monotonic()
+    blocked = parts.prompt_suspects.find_blocked(request.shared_parts(), now_s)
+    if blocked is not None:
+        raise CrashingRequestError(
+            f"Got a prompt with part {blocked[:80]}, which broke the endpoints that "
+            "answered on it, expected others.",
+            remedy="Change that part; requests with it are not run for some minutes.",
+            retry_after_s=CRASHING_RETRY_S,
+        )
+
+
 def quota_cost(job: Job) -> float:
     """Return what a job counts towards its organisation's limit."""
     organisation = job.organisation
--- a/lagoonring/serving/attempts.py
+++ b/lagoonring/serving/attempts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from contextlib import aclosing
 from typing import TYPE_CHECKING
 
@@ -41,6 +42,7 @@
 STALL_TIMEOUT_S = 1.5  # for resumable streams; callers time out after two seconds
 FIRST_ANSWER_TIMEOUT_OBJECTIVES = 1.5  # an earlier retry would be late as well
 FIRST_ANSWER_TIMEOUT_ESTIMATES = 3.0  # a healthy endpoint rarely exceeds this
+STEADY_STREAM_S = 1.0  # after its first event; a crash by the prompt comes before
 RESULT_OK = "ok"
 
 logger = make_logger("path")
@@ -225,6 +227,8 @@
                 job, endpoint, self.clock.monotonic() - started_s
             )
             self.parts.suspects.record_success(job.fingerprint)
+        if answer.status < 300:
+            self._record_prompt_answered(job)
         job.has_begun = True
         await sink.send_whole(answer.status, answer.headers, body)
 
@@ -241,6 +245,7 @@
             raise unsigned_error(endpoint)
         splitter = EventSplitter()
         is_first = True
+        first_event_s = math.inf
         async with aclosing(self._chunks(job, endpoint, answer)) as chunks:
             async for chunk in chunks:
                 complete = bytearray()
@@ -258,7 +263,11 @@
                 if is_first:
                     is_first = False
                     job.first_answer_s = round(self.clock.monotonic() - sent_s, 4)
+                    first_event_s = self.clock.monotonic()
                     self._record_first_event(job, endpoint)
+                elif self.clock.monotonic() - first_event_s >= STEADY_STREAM_S:
+                    first_event_s = math.inf
+                    self._record_prompt_answered(job)
                 if not job.has_begun:
                     job.has_begun = True
                     await sink.begin(answer.status, answer.headers)
@@ -271,6 +280,7 @@
             )
         endpoint.record_result(ok=True, now_s=self.clock.monotonic())
         self.parts.suspects.record_success(job.fingerprint)
+        self._record_prompt_answered(job)
         await sink.end()
 
     async def _chunks(
@@ -316,6 +326,12 @@
             now_s - job.request.received_s
         )
 
+    def _record_prompt_answered(self, job: Job) -> None:
+        """Record that the parts of the prompt do not crash endpoints."""
+        self.parts.prompt_suspects.record_answer(
+            job.request.shared_parts(), self.clock.monotonic()
+        )
+
     def _count_started(self, job: Job) -> None:
         """Count the request as started, at most once."""
         if not job.is_counted:
@@ -348,10 +364,12 @@
             self._count_started(job)
             self._end_record(job, ok=False)
             if isinstance(error, EndpointCutError):
+                life = f"{endpoint.name}/{endpoint.record.born_ms}"
                 n_crashes = self.parts.suspects.record_crash(
-                    job.fingerprint,
-                    f"{endpoint.name}/{endpoint.record.born_ms}",
-                    now_s,
+                    job.fingerprint, life, now_s
+                )
+                self.parts.prompt_suspects.record_crash(
+                    job.request.shared_parts(), life, sent_s=job.sent_s, now_s=now_s
                 )
         logger.info(
             "Attempt failed.",
--- a/lagoonring/serving/messages.py
+++ b/lagoonring/serving/messages.py
@@ -18,6 +18,7 @@
 from lagoonring.serving.members import Card
 from lagoonring.serving.moves import MoveView
 from lagoonring.serving.observations import ConditionRow, ObservationRow, TypicalRow
+from lagoonring.serving.prompt_suspects import SuspectRows
 from lagoonring.serving.statements import StatementRow
 from lagoonring.serving.usage import UsageRow
 from lagoonring.serving.version_results import ResultsRow
@@ -68,7 +69,8 @@
     is the wall clock: the sender's own in a report, otherwise the median of several
     clocks. ``read_well_for_s`` is the time for which the sender could read the store
     without failure. ``crashes`` lists crashed endpoints by request fingerprint,
-    ``statements`` what endpoints said of themselves.
+    ``statements`` what endpoints said of themselves, ``prompts`` what is known of
+    parts of prompts that may crash endpoints.
     """
 
     card: Card
@@ -81,6 +83,7 @@
     taken: UsageTotals = attrs.field(factory=dict)
     crashes: dict[str, list[str]] = attrs.field(factory=dict)
     statements: dict[str, StatementRow] = attrs.field(factory=dict)
+    prompts: SuspectRows = ({}, {}, {})
 
 
 @attrs.define(kw_only=True)
--- a/lagoonring/serving/parts.py
+++ b/lagoonring/serving/parts.py
@@ -14,6 +14,7 @@
 from lagoonring.serving.metrics import ServingMetrics
 from lagoonring.serving.moves import MoveGate
 from lagoonring.serving.placer import Placer
+from lagoonring.serving.prompt_suspects import PromptSuspects
 from lagoonring.serving.quotas import Quotas
 from lagoonring.serving.requests import Sender
 from lagoonring.serving.retry_budget import RetryBudget
@@ -42,6 +43,7 @@
     quotas: Quotas
     retry_budget: RetryBudget
     suspects: Suspects
+    prompt_suspects: PromptSuspects
     usage: UsageCounts
     gate: MoveGate
     counters: VersionCounters
--- a/lagoonring/serving/path.py
+++ b/lagoonring/serving/path.py
@@ -14,7 +14,7 @@
 from lagoonring.kernel import BaseService
 from lagoonring.logs import make_logger
 from lagoonring.requests.errors import NotReadyError
-from lagoonring.serving.accepting import accept
+from lagoonring.serving.accepting import accept, check_prompt
 from lagoonring.serving.admitting import WaitEstimate, decide
 from lagoonring.serving.attempts import MAX_SENDS, RESULT_OK, Attempts
 from lagoonring.serving.configuration import RequestKind
@@ -142,6 +142,8 @@
 
     async def _place(self, job: Job, error: LagoonringError | None) -> Endpoint:
         """Return the next endpoint; raises an error if none can answer in time."""
+        if error is None:
+            check_prompt(self.parts, job.request)
         placement = self.parts.placer.place(job)
         opens_s = None
         while placement is None:
--- a/lagoonring/serving/state_sync.py
+++ b/lagoonring/serving/state_sync.py
@@ -77,6 +77,7 @@
         report.loads = parts.table.own_loads()
         report.taken = parts.quotas.totals(now_s)
         report.crashes = parts.suspects.recent_crashes(now_s)
+        report.prompts = parts.prompt_suspects.rows(now_s)
         report.statements = statement_rows(parts.table.endpoints.values(), now_s)
         report.started = parts.usage.recent()
         report.demand = parts.demand.own()
@@ -96,6 +97,7 @@
         summary.loads = parts.table.local_loads()
         summary.taken = parts.quotas.local_totals(now_s)
         summary.crashes = parts.suspects.recent_crashes(now_s)
+        summary.prompts = parts.prompt_suspects.rows(now_s)
         summary.statements = statement_rows(parts.table.endpoints.values(), now_s)
         summary.demand = parts.demand.local()
         summary.observations = self.conditions.local_rows(now_s)
@@ -119,6 +121,7 @@
         digest.loads = parts.table.all_loads()
         digest.taken = parts.quotas.all_totals(now_s)
         digest.crashes = parts.suspects.recent_crashes(now_s)
+        digest.prompts = parts.prompt_suspects.rows(now_s)
         digest.statements = statement_rows(parts.table.endpoints.values(), now_s)
         digest.moves = self._views()
         digest.conditions, digest.typical = self.conditions.assess_all(now_s)
@@ -195,11 +198,13 @@
         self, message: StateMessage, source: Source, loads: Loads, now_s: float
     ) -> None:
         """Apply the fields common to all messages."""
+        is_forwarded = source.scope is not Scope.OTHERS
         self.parts.follower.record_peer_read(message.read_well_for_s)
         self.parts.table.update_peer_load(source, loads, now_s)
         apply_statement_rows(self.parts.table, message.statements, now_s)
-        self.parts.suspects.update_peer(
-            message.crashes, now_s, forward=source.scope is not Scope.OTHERS
+        self.parts.suspects.update_peer(message.crashes, now_s, forward=is_forwarded)
+        self.parts.prompt_suspects.update_peer(
+            message.prompts, now_s, forward=is_forwarded
         )
 
     def _apply_move_views(self, message: Summary | Digest) -> None:
--- a/lagoonring/tests/builders/serving.py
+++ b/lagoonring/tests/builders/serving.py
@@ -37,6 +37,7 @@
 from lagoonring.serving.path import RequestPath
 from lagoonring.serving.permits import Permits, Place
 from lagoonring.serving.placer import Placer
+from lagoonring.serving.prompt_suspects import PromptSuspects
 from lagoonring.serving.quotas import Quotas
 from lagoonring.serving.requests import CallerRequest
 from lagoonring.serving.retry_budget import RetryBudget
@@ -359,6 +360,7 @@
         quotas=Quotas(),
         retry_budget=RetryBudget(ratio=0.2, slack=60, window_s=10),
         suspects=Suspects(),
+        prompt_suspects=PromptSuspects(),
         usage=UsageCounts(5.0, app.clock.time),
         demand=demand,
         gate=gate,
