Do not repeat a request whose parts are in doubt

Cause: a retry is decided by the request alone. Evidence: test_a_request_is_not_repeated_once_its_parts_are_in_doubt failed with 4 repeats, allowed 2 (the first request's own, and one more before the news arrives).

--- a/lagoonring/serving/path.py
+++ b/lagoonring/serving/path.py
@@ -221,6 +221,8 @@
             return not is_refused or self.attempts.take_retry(job)
         if not job.may_retry or (job.has_begun and not job.route.may_resume):
             return False
+        if self.parts.prompt_suspects.is_doubtful(job.request.shared_parts()):
+            return False
         if isinstance(error, EndpointFailedError):
             return True  # already charged to the budget with the failed answer
         return self.attempts.take_retry(job)
--- a/lagoonring/serving/prompt_suspects.py
+++ b/lagoonring/serving/prompt_suspects.py
@@ -170,7 +170,8 @@
     def is_doubtful(self, parts: Iterable[str]) -> bool:
         """Return whether another attempt may crash yet another endpoint."""
         return any(
-            len(self.suspects.get(part, ())) >= DOUBTFUL_CRASHES or part in self.blocked
+            part in self.blocked
+            or count_rounds(self.suspects.get(part, {}).values()) >= DOUBTFUL_CRASHES
             for part in parts
         )
 
--- a/lagoonring/tests/test_prompt_suspects.py
+++ b/lagoonring/tests/test_prompt_suspects.py
@@ -74,6 +74,14 @@
     assert not service.bad_arrivals_since(restarted_s)
 
 
+async def test_a_request_is_not_repeated_once_its_parts_are_in_doubt():
+    service = CrashingService()
+    await service.play(USUAL_S)
+    await service.play(10.0, bad_per_s=4.0)
+    repeats = [one for one in service.bad_arrivals_since(0.0) if one.is_repeat]
+    assert len(repeats) <= 2
+
+
 async def test_two_parts_at_fault_are_both_refused():
     service = CrashingService(
         crashes=lambda parts, record: bool({"bad0", "bad1"} & set(parts[:-1]))
