Keep blocked parts of prompts beyond the instances' processes

Cause: what is known lives in the processes alone. Change: the holder of the duties records the blocked parts in its stream, again every 5 s while there are any, and the next holder restores them. Evidence: test_blocks_outlive_all_instances; without the duty the second process has no block.

--- a/lagoonring/platform/application.py
+++ b/lagoonring/platform/application.py
@@ -38,6 +38,7 @@
 from lagoonring.serving.path import RequestPath
 from lagoonring.serving.permits import Permits
 from lagoonring.serving.placer import Placer
+from lagoonring.serving.prompt_blocks import PromptBlocksDuty
 from lagoonring.serving.prompt_suspects import PromptSuspects
 from lagoonring.serving.quotas import Quotas
 from lagoonring.serving.reachability import START_SHARE
@@ -277,7 +278,13 @@
                 exposure_share=settings.bounds.exposure_share,
                 exposure_slack=settings.bounds.exposure_slack,
                 true_time=true_clock.now,
-            )
+            ),
+            PromptBlocksDuty(
+                ledger,
+                parts.prompt_suspects,
+                app.clock,
+                true_time=true_clock.now,
+            ),
         ]
         if "usage" in settings.duties:
             duty_parts.append(
--- a/lagoonring/tests/test_prompt_suspects.py
+++ b/lagoonring/tests/test_prompt_suspects.py
@@ -4,6 +4,9 @@
 
 import pytest
 
+from lagoonring.kernel import ManualClock
+from lagoonring.serving.duties import DutyLedger
+from lagoonring.serving.prompt_blocks import PromptBlocksDuty
 from lagoonring.serving.prompt_suspects import (
     BLOCK_S,
     MAX_BLOCKED,
@@ -15,6 +18,7 @@
     find_culprits,
 )
 from lagoonring.tests.builders.crashes import CULPRIT, STABLE_S, CrashingService
+from lagoonring.tests.builders.version_moves import FakeLease
 
 USUAL_S = 4.0
 SOUND = ("first", "second", "s1")
@@ -211,6 +215,20 @@
     assert not suspects.ages_of_blocked(BLOCK_S + 1.0)
 
 
+async def test_blocks_outlive_all_instances():
+    ledger, clock = DutyLedger(), ManualClock()
+    lives = [PromptSuspects(), PromptSuspects()]
+    block(lives[0], start_s=clock.monotonic() - 2.0)
+    for suspects in lives:
+        duty = PromptBlocksDuty(ledger, suspects, clock, true_time=clock.time)
+        lease = FakeLease(ledger, fencing_number=len(lives))
+        for _ in range(4):
+            await duty.step(lease)
+            await clock.advance(0.5)
+        assert lease.n_appends <= 1
+    assert lives[1].find_blocked(["a"], clock.monotonic()) == "a"
+
+
 def test_what_is_kept_and_sent_is_bounded():
     suspects = PromptSuspects()
     for number in range(3 * MAX_SOUND):
