Assess suspected parts once for all cuts of a crash

Change: parts are assessed when the result is needed, only those cut at three endpoints are compared, by endpoint instead of pairwise; what is sent is chosen by how often parts were cut, so that a crash with many cuts doesn't push the culprit out of a message. A gauge tells how many parts are blocked.

--- a/lagoonring/serving/metrics.py
+++ b/lagoonring/serving/metrics.py
@@ -63,6 +63,11 @@
             "Instances heard lately, this one included.",
             registry=registry,
         )
+        self.blocked_parts = Gauge(
+            "lagoonring_serving_blocked_prompt_parts",
+            "Parts of prompts that crash endpoints; requests with them are refused.",
+            registry=registry,
+        )
         self.duty_calls = Counter(
             "lagoonring_serving_duty_calls_total",
             "Calls of singleton duties, by duty and result.",
--- a/lagoonring/serving/prompt_suspects.py
+++ b/lagoonring/serving/prompt_suspects.py
@@ -31,6 +31,7 @@
 SHARE_S = 2.0  # several rounds of the exchange, to survive a lost frame
 MAX_SHARED_CUTS = 60  # in a message, about 30 bytes each
 MAX_SHARED_BLOCKED = 16  # in a message, about 15 bytes each
+MAX_RECENT_CUTS = 600  # of which those of the likeliest culprits are shared
 MAX_SUSPECTS = 400  # about 1 kB each
 MAX_SOUND = 8000  # about 200 bytes each
 MAX_BLOCKED = 200
@@ -82,14 +83,15 @@
         n_rounds = {
             part: count_rounds(cuts[name] for name in cuts.keys() - explained)
             for part, cuts in suspects.items()
-            if part not in culprits
+            if part not in culprits and len(cuts) >= MIN_CRASHES
         }
+        rivals = _find_rivals(suspects, n_rounds)
         found = {
             part
             for part, n in n_rounds.items()
             if n >= MIN_CRASHES
             and min(cut.cut_s for cut in suspects[part].values()) < answered_s
-            and (n >= CERTAIN_CRASHES or not _has_rival(part, suspects, n_rounds))
+            and (n >= CERTAIN_CRASHES or part not in rivals)
         }
         if not found:
             return culprits
@@ -99,16 +101,22 @@
         explained.update(*(suspects[part] for part in found))
 
 
-def _has_rival(
-    part: str, suspects: Mapping[str, Cuts], n_rounds: Mapping[str, int]
-) -> bool:
-    """Return whether another part explains as many of a part's crashes."""
-    return any(
-        n >= n_rounds[part]
-        and other != part
-        and suspects[other].keys() & suspects[part]
-        for other, n in n_rounds.items()
-    )
+def _find_rivals(suspects: Mapping[str, Cuts], n_rounds: Mapping[str, int]) -> set[str]:
+    """Return the parts that share a crash with one that explains as many crashes."""
+    by_endpoint: dict[str, list[int]] = {}
+    for part, n in n_rounds.items():
+        for endpoint in suspects[part]:
+            by_endpoint.setdefault(endpoint, []).append(n)
+    most = {endpoint: max(counts) for endpoint, counts in by_endpoint.items()}
+    n_most = {
+        endpoint: counts.count(most[endpoint])
+        for endpoint, counts in by_endpoint.items()
+    }
+    return {
+        part
+        for part, n in n_rounds.items()
+        if any(most[one] > n or n_most[one] > 1 for one in suspects[part])
+    }
 
 
 class PromptSuspects:
@@ -126,6 +134,8 @@
         When an answer was last completed here.
     crashed_s : float
         When a suspected part was last cut.
+    is_assessed : bool
+        Whether ``blocked`` accounts for all that is known.
     """
 
     def __init__(self) -> None:
@@ -134,7 +144,8 @@
         self.blocked: OrderedDict[str, float] = OrderedDict()
         self.answered_s = float("-inf")
         self.crashed_s = float("-inf")
-        self.recent_cuts: deque[tuple[float, str, str]] = deque(maxlen=MAX_SHARED_CUTS)
+        self.is_assessed = True
+        self.recent_cuts: deque[tuple[float, str, str]] = deque(maxlen=MAX_RECENT_CUTS)
         self.recent_sound: OrderedDict[str, float] = OrderedDict()
 
     def record_crash(
@@ -144,16 +155,14 @@
         for part in parts:
             if not self.is_sound(part, now_s):
                 self._add(part, endpoint, Cut(sent_s, now_s), now_s, share=True)
-        self._assess()
 
     def record_answer(self, parts: Iterable[str], now_s: float) -> None:
         """Record that an answer was completed, or went on for long."""
         for part in parts:
             self._mark_sound(part, now_s)
-        is_first = self.answered_s < self.crashed_s
+        if self.answered_s < self.crashed_s:
+            self.is_assessed = False
         self.answered_s = now_s
-        if is_first:
-            self._assess()
 
     def is_sound(self, part: str, now_s: float) -> bool:
         """Return whether an answer on the part was completed lately."""
@@ -161,6 +170,7 @@
 
     def find_blocked(self, parts: Iterable[str], now_s: float) -> str | None:
         """Return the first of the parts of which requests are refused, if any."""
+        self._assess()
         for part in parts:
             crashed_s = self.blocked.get(part)
             if crashed_s is not None and now_s - crashed_s < BLOCK_S:
@@ -184,6 +194,7 @@
 
     def ages_of_blocked(self, now_s: float) -> dict[str, float]:
         """Return the seconds since the last crash of each part that is blocked."""
+        self._assess()
         return {
             part: now_s - crashed_s
             for part, crashed_s in self.blocked.items()
@@ -194,12 +205,18 @@
         """Return what other instances have to know."""
         while self.recent_cuts and now_s - self.recent_cuts[0][0] > SHARE_S:
             self.recent_cuts.popleft()
+        recent = [
+            (part, endpoint)
+            for _, part, endpoint in self.recent_cuts
+            if endpoint in self.suspects.get(part, ())
+        ]
+        # Parts that were cut most often are the likeliest culprits.
+        recent.sort(key=lambda one: -len(self.suspects[one[0]]))
         cuts: dict[str, dict[str, tuple[int, int]]] = {}
-        for _, part, endpoint in self.recent_cuts:
-            cut = self.suspects.get(part, {}).get(endpoint)
-            if cut is not None:
-                ages = _age_ms(cut.sent_s, now_s), _age_ms(cut.cut_s, now_s)
-                cuts.setdefault(part, {})[endpoint] = ages
+        for part, endpoint in recent[:MAX_SHARED_CUTS]:
+            cut = self.suspects[part][endpoint]
+            ages = _age_ms(cut.sent_s, now_s), _age_ms(cut.cut_s, now_s)
+            cuts.setdefault(part, {})[endpoint] = ages
         self.recent_sound = OrderedDict(
             (part, at_s)
             for part, at_s in self.recent_sound.items()
@@ -233,8 +250,6 @@
             for endpoint, (sent_ms, cut_ms) in by_endpoint.items():
                 cut = Cut(now_s - sent_ms / 1e3, now_s - cut_ms / 1e3)
                 self._add(part, endpoint, cut, now_s, share=forward)
-        if cuts:
-            self._assess()
         self.restore({part: age / 1e3 for part, age in blocked.items()}, now_s)
 
     def _add(
@@ -244,6 +259,7 @@
         if endpoint in cuts:
             return
         cuts[endpoint] = cut
+        self.is_assessed = False
         self.crashed_s = max(self.crashed_s, cut.cut_s)
         self.suspects.move_to_end(part)
         if share:
@@ -259,7 +275,13 @@
         return bool(endpoints) and endpoints <= set().union(*others)
 
     def _assess(self) -> None:
-        """Block the culprits, and release parts whose crashes they explain."""
+        """Block the culprits, and release parts whose crashes they explain.
+
+        Called when the result is needed, since a crash cuts many requests at once.
+        """
+        if self.is_assessed:
+            return
+        self.is_assessed = True
         culprits = find_culprits(self.suspects, self.answered_s)
         for part in culprits:
             last_s = max(cut.cut_s for cut in self.suspects[part].values())
--- a/lagoonring/serving/state_sync.py
+++ b/lagoonring/serving/state_sync.py
@@ -78,6 +78,9 @@
         report.taken = parts.quotas.totals(now_s)
         report.crashes = parts.suspects.recent_crashes(now_s)
         report.prompts = parts.prompt_suspects.rows(now_s)
+        parts.metrics.blocked_parts.set(
+            len(parts.prompt_suspects.ages_of_blocked(now_s))
+        )
         report.statements = statement_rows(parts.table.endpoints.values(), now_s)
         report.started = parts.usage.recent()
         report.demand = parts.demand.own()
--- a/lagoonring/tests/test_prompt_suspects.py
+++ b/lagoonring/tests/test_prompt_suspects.py
@@ -10,6 +10,7 @@
 from lagoonring.serving.prompt_suspects import (
     BLOCK_S,
     MAX_BLOCKED,
+    MAX_SHARED_CUTS,
     MAX_SOUND,
     MAX_SUSPECTS,
     Cut,
@@ -112,7 +113,8 @@
         await service.play(4.0)
     refused = [one for one in service.outcomes if is_blocked(one)]
     assert not refused
-    assert not any(parts.prompt_suspects.blocked for parts in service.parts())
+    now_s = service.clock.monotonic()
+    assert not any(p.prompt_suspects.ages_of_blocked(now_s) for p in service.parts())
 
 
 async def test_a_version_that_crashes_on_every_prompt_gets_no_part_refused():
@@ -202,9 +204,9 @@
     suspects.record_answer(["other"], 9.0)
     for number, (sent_s, cut_s) in enumerate(IN_TURN):
         suspects.record_crash(["a", "b"], f"e{number}", sent_s=sent_s, now_s=cut_s)
-    assert set(suspects.blocked) == {"a", "b"}
+    assert suspects.ages_of_blocked(2.0).keys() == {"a", "b"}
     suspects.record_crash(["b"], "e9", sent_s=1.5, now_s=1.7)
-    assert set(suspects.blocked) == {"b"}
+    assert suspects.ages_of_blocked(2.0).keys() == {"b"}
 
 
 def test_a_block_ends():
@@ -229,6 +231,16 @@
     assert lives[1].find_blocked(["a"], clock.monotonic()) == "a"
 
 
+def test_the_likeliest_culprits_are_shared_first():
+    suspects = PromptSuspects()
+    for number, (sent_s, cut_s) in enumerate(IN_TURN):
+        suspects.record_crash(["a"], f"e{number}", sent_s=sent_s, now_s=cut_s)
+    for number in range(3 * MAX_SHARED_CUTS):
+        suspects.record_crash([f"part{number}"], "e9", sent_s=1.0, now_s=1.5)
+    cuts, _, _ = suspects.rows(1.6)
+    assert len(cuts["a"]) == len(IN_TURN)
+
+
 def test_what_is_kept_and_sent_is_bounded():
     suspects = PromptSuspects()
     for number in range(3 * MAX_SOUND):
