Go on with a store that returns from an older copy

What callers would see after such a return: the configuration, orders and endpoints stand still, since everything written again has lower offsets than what is known; a finished move starts again; fencing numbers go back. Cause: offsets were taken for numbers that only rise. Change: the store's client puts the number of returns into their high bits, so that they do; a read from before counts as truncated, which feeds and leases handle. A process that starts reads all of the ledger that the log still has, not only what follows the newest renewal. The stand-in of the log returns older on demand (return_older_s).

--- a/lagoonring/leases/lease.py
+++ b/lagoonring/leases/lease.py
@@ -97,6 +97,11 @@
         state = self.stream.state
         return "" if state.is_released else state.holder
 
+    @property
+    def restored_s(self) -> float:
+        """Boot time at which the log was found to have lost its newest records."""
+        return self.stream.restored_s
+
     def is_held(self) -> bool:
         """Return whether the lease is held, by this process's monotonic clock."""
         if self.epoch is None or not self._is_own_epoch():
--- a/lagoonring/leases/stream.py
+++ b/lagoonring/leases/stream.py
@@ -15,7 +15,7 @@
     make_unknown_state,
 )
 from lagoonring.logs import make_logger
-from lagoonring.platform.log import LogTruncatedError
+from lagoonring.platform.log import LogTruncatedError, generation_of
 
 if TYPE_CHECKING:
     import msgspec
@@ -75,6 +75,9 @@
     snapshot_time_s : float
         Log timestamp of the newest snapshot, or of the first record read if
         there was none.
+    restored_s : float
+        Boot time at which the log was found to have returned from an older copy.
+        What was written shortly before may be lost, or known to other readers only.
     """
 
     def __init__(
@@ -91,6 +94,7 @@
         self.time_s = 0.0
         self.snapshot_time_s = 0.0
         self.is_at_end = False
+        self.restored_s = float("-inf")
         self.append_results: dict[str, AppendResult | None] = {}
 
     async def read_next(self, wait_s: float = 0.0) -> int:
@@ -173,19 +177,27 @@
             self.append_results[decoded.token] = AppendResult(record.offset, is_valid)
 
     async def _restart_from_checkpoint(self, first_offset: int) -> None:
-        """Restore the newest state and snapshot that the log still has."""
+        """Restore the newest state and snapshot that the log still has.
+
+        Without a snapshot, reading restarts at the oldest checkpoint, so that the data
+        contains all records that are still there. After a return of the log from an
+        older copy, data that were read before are kept: the log has lost them.
+        """
+        is_restored = generation_of(first_offset) > generation_of(self.next_offset)
         scan = await self._scan_records(first_offset)
         self.renewal_seen_s = self.clock.boottime()
+        if is_restored:
+            self.restored_s = self.renewal_seen_s
         parts = scan.find_parts(self.first_offset)
-        checkpoint = parts[0] if parts else scan.checkpoint
-        if checkpoint is None or not _is_checkpoint(checkpoint, self.first_offset):
+        checkpoint = parts[0] if parts else scan.find_checkpoint(self.first_offset)
+        if checkpoint is None:
             self.state = make_unknown_state(self.first_offset)
             self.next_offset = self.first_offset
         else:
             assert checkpoint.state is not None
             self.state = checkpoint.state
             self.next_offset = checkpoint.at
-        if self.data is not None:
+        if self.data is not None and (parts or not is_restored):
             if not parts:
                 logger.error("No snapshot of {} found; data starts empty.", self.stream)
             self.data.restore([part.payload for part in parts])
@@ -206,21 +218,20 @@
 
 
 class _CheckpointScan:
-    """Newest checkpoint and snapshots found while scanning the log.
+    """Checkpoints and snapshots found while scanning the log.
 
     A checkpoint is a record that carries a known state.
     """
 
     def __init__(self) -> None:
-        self.checkpoint: LeaseRecord | None = None
+        self.checkpoints: list[LeaseRecord] = []
         self.groups: dict[str, dict[int, LeaseRecord]] = {}
 
     def add(self, record: LeaseRecord) -> None:
         """Keep a record if reading may restart from it."""
         if record.state is None or not record.state.is_known:
             return
-        if self.checkpoint is None or record.at > self.checkpoint.at:
-            self.checkpoint = attrs.evolve(record, payload=NO_PAYLOAD)
+        self.checkpoints.append(attrs.evolve(record, payload=NO_PAYLOAD))
         if record.kind != "snapshot":
             return
         group = self.groups.setdefault(record.group, {})
@@ -228,6 +239,11 @@
         if len(group) == record.n_parts:
             self._drop_older(record)
 
+    def find_checkpoint(self, first_offset: int) -> LeaseRecord | None:
+        """Return the oldest checkpoint that is usable."""
+        usable = [one for one in self.checkpoints if _is_checkpoint(one, first_offset)]
+        return min(usable, key=lambda one: one.at, default=None)
+
     def find_parts(self, first_offset: int) -> list[LeaseRecord]:
         """Return the parts of the newest complete snapshot that is usable.
 
--- a/lagoonring/platform/log.py
+++ b/lagoonring/platform/log.py
@@ -2,6 +2,11 @@
 
 A stream is a sequence of records with offsets from 0; the service truncates old
 records. `lagoonring.platform.store_log` is the client.
+
+After an outage the service may return from a copy that lacks the newest records, and
+assign their offsets again. Each such return begins a new generation, which makes up
+the high bits of all offsets: they never go back, and a read from an offset of an
+earlier generation is answered as if its records had been truncated.
 """
 
 from __future__ import annotations
@@ -19,6 +24,22 @@
 
 MAX_PAGE_RECORDS = 500
 RECORD_LIMIT_BYTES = 1 << 20
+GENERATION_BITS = 32  # below them are the offsets that the service assigns
+
+
+def make_offset(generation: int, assigned: int) -> int:
+    """Return the offset of a record, given the one that the service assigned."""
+    return (generation << GENERATION_BITS) + assigned
+
+
+def generation_of(offset: int) -> int:
+    """Return the generation in which an offset was assigned."""
+    return offset >> GENERATION_BITS
+
+
+def assigned_offset(offset: int) -> int:
+    """Return the offset as the service assigned it."""
+    return offset & ((1 << GENERATION_BITS) - 1)
 
 
 class LogUnavailableError(UnavailableError):
--- a/lagoonring/platform/store.py
+++ b/lagoonring/platform/store.py
@@ -11,12 +11,18 @@
 import msgspec
 
 from lagoonring.errors import LagoonringError
+from lagoonring.logs import make_logger
 from lagoonring.platform.exchange import (
     PlatformAnswerLostError,
     PlatformRejectedError,
     PlatformUnavailableError,
 )
-from lagoonring.platform.log import LogTruncatedError
+from lagoonring.platform.log import (
+    LogTruncatedError,
+    assigned_offset,
+    generation_of,
+    make_offset,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -26,7 +32,11 @@
 OPERATOR_TOPIC = "keyed.op"
 ENDPOINT_TOPIC = "keyed.servers"
 STATUS_TOPIC = "keyed.status"
+# In all answers; rises by one each time the store returns from an older copy.
+GENERATION = "Store-Era"
 NOTHING_DONE_STATUSES = frozenset({503, 507})  # of the 5xx; others say nothing of it
+logger = make_logger("store")
+
 LENGTH_PREFIX = struct.Struct(">I")
 PAGE_HEADER = struct.Struct(">QQ")
 
@@ -73,7 +83,7 @@
 
 
 class StoreClient:
-    """The store over HTTP.
+    """The store over HTTP; offsets include its generation.
 
     Parameters
     ----------
@@ -96,6 +106,7 @@
         self.session = session
         self.timeout_s = timeout_s
         self.n_calls = 0
+        self.generation = 0
 
     async def append(
         self, topic: str, records: list[bytes], *, at: int | None = None
@@ -118,15 +129,15 @@
         """
         params = {"topic": topic, "part": "0"}
         if at is not None:
-            params["at"] = str(at)
+            params["at"] = str(assigned_offset(at))
         body = encode_batch(records)
         status, answer = await self._request("POST", "/log-append", params, body=body)
         if status == 412:
-            raise OffsetConflictError(msgspec.json.decode(answer)["end"])
+            raise OffsetConflictError(self._offset(msgspec.json.decode(answer)["end"]))
         if status >= 500 and status not in NOTHING_DONE_STATUSES:
             raise _answer_lost("/log-append", f"status {status}")
         _raise_unless_ok(status, answer, "/log-append")
-        return int(msgspec.json.decode(answer)["offset"])
+        return self._offset(int(msgspec.json.decode(answer)["offset"]))
 
     async def append_keyed(self, topic: str, key: str, value: bytes) -> int:
         """Append a record that becomes the key's newest; errors as for `append`."""
@@ -139,22 +150,28 @@
         Raises
         ------
         LogTruncatedError
-            If the records have been truncated.
+            If the records have been truncated, or the offset is of an earlier
+            generation.
         PlatformUnavailableError
             If the store doesn't answer.
         """
-        params = {"topic": topic, "part": "0", "from": str(offset)}
+        params = {"topic": topic, "part": "0", "from": str(assigned_offset(offset))}
         if wait_s > 0:
             params["waitMs"] = str(int(wait_s * 1000))
         status, answer = await self._request("GET", "/log-read", params, wait_s=wait_s)
         if status == 410:
-            first = int(msgspec.json.decode(answer).get("first", offset + 1))
-            raise LogTruncatedError(topic, offset, first)
+            after = assigned_offset(offset) + 1
+            first = int(msgspec.json.decode(answer).get("first", after))
+            raise LogTruncatedError(topic, offset, self._offset(first))
         _raise_unless_ok(status, answer, "/log-read")
         end, first = PAGE_HEADER.unpack_from(answer)
-        return RecordPage(
-            offset, first, end, list(decode_batch(answer, PAGE_HEADER.size))
-        )
+        if offset and generation_of(offset) != self.generation:
+            raise LogTruncatedError(topic, offset, self._offset(first))
+        records = list(decode_batch(answer, PAGE_HEADER.size))
+        # A reader that begins at 0 has missed nothing if the store still has all.
+        first_offset = self._offset(first) if offset or first else 0
+        from_offset = self._offset(assigned_offset(offset))
+        return RecordPage(from_offset, first_offset, self._offset(end), records)
 
     async def read_newest(self, topic: str) -> Snapshot:
         """Return the newest record of each key; errors as for `read`."""
@@ -167,14 +184,38 @@
             page = msgspec.json.decode(answer)
             # Pages are read one after the other. Changes made in between are read
             # later, because the snapshot ends at the end offset of the first page.
-            first_end = page["end"] if first_end is None else first_end
+            end = self._offset(page["end"])
+            first_end = end if first_end is None else first_end
+            if generation_of(end) != generation_of(first_end):
+                raise _unavailable("/log-newest", "pages of two generations")
             for item in page["items"]:
                 value = base64.b64decode(item["value"])
-                records.append(KeyedRecord(item["key"], value, item["offset"]))
+                offset = self._offset(item["offset"])
+                records.append(KeyedRecord(item["key"], value, offset))
             if not page.get("hasMore") or not page["items"]:
                 return Snapshot(records, first_end)
             params["after"] = page["items"][-1]["key"]
 
+    def _offset(self, assigned: int) -> int:
+        """Return an offset of the last answer, with the store's generation."""
+        return make_offset(self.generation, assigned)
+
+    def _record_generation(self, text: str | None) -> bool:
+        """Record the generation of an answer; return False if a later one is known.
+
+        Answers that don't tell it are taken for those of the known one.
+        """
+        if text is None or not text.isascii() or not text.isdigit():
+            return True
+        generation = int(text)
+        if generation > self.generation:
+            logger.warning(
+                "The store has another generation.",
+                extra={"generation": generation, "before": self.generation},
+            )
+            self.generation = generation
+        return generation == self.generation
+
     async def _request(
         self,
         method: str,
@@ -192,13 +233,16 @@
             async with self.session.request(
                 method, self.url + path, params=params, data=body, timeout=timeout
             ) as response:
-                return response.status, await response.read()
+                answer = await response.read()
+                if self._record_generation(response.headers.get(GENERATION)):
+                    return response.status, answer
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise _unavailable(path, repr(error)) from error
         except (TimeoutError, aiohttp.ClientError) as error:
             if method == "GET":
                 raise _unavailable(path, repr(error)) from error
             raise _answer_lost(path, repr(error)) from error
+        raise _unavailable(path, "an answer of an earlier generation")
 
 
 def decode_keyed_record(record: bytes, offset: int) -> KeyedRecord:
--- a/lagoonring/platform/store_log.py
+++ b/lagoonring/platform/store_log.py
@@ -113,7 +113,7 @@
                 error.message, remedy=error.remedy, retry_after_s=RETRY_AFTER_S
             ) from error
         records = [
-            decode_record(from_offset + index, content)
+            decode_record(page.offset + index, content)
             for index, content in enumerate(page.records[:limit])
         ]
         return Page(records, page.first, max(page.end, from_offset))
--- a/lagoonring/platform/topics.py
+++ b/lagoonring/platform/topics.py
@@ -25,10 +25,10 @@
         """Return records from an offset on, and the next offset to read."""
         page = await self.client.read(self.topic, offset, wait_s=wait_s)
         records = [
-            decode_keyed_record(record, offset + index)
+            decode_keyed_record(record, page.offset + index)
             for index, record in enumerate(page.records)
         ]
-        return records, offset + len(records)
+        return records, page.offset + len(records)
 
     async def read_newest(self) -> Snapshot:
         """Return the newest record of each key."""
--- a/lagoonring/serving/feeds.py
+++ b/lagoonring/serving/feeds.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING, Protocol
 
-from lagoonring.platform.log import LogTruncatedError
+from lagoonring.platform.log import LogTruncatedError, generation_of
 from lagoonring.platform.store import KeyedRecord
 
 if TYPE_CHECKING:
@@ -35,6 +35,9 @@
     ----------
     n_reads : int
         Reads of changes so far; 0 until the initial snapshot was read.
+    unconfirmed : set of str
+        Keys that were missing as the log returned from an older copy. Their writers
+        may not have written them again yet.
     """
 
     def __init__(self, log: KeyedLog) -> None:
@@ -42,6 +45,7 @@
         self.offset: int | None = None
         self.offsets: dict[str, int] = {}
         self.n_reads = 0
+        self.unconfirmed: set[str] = set()
 
     async def poll(self, *, wait_s: float = 0.0) -> list[KeyedRecord]:
         """Return the newest record of each key that changed.
@@ -67,18 +71,30 @@
         self.offset = next_offset
         return self._accept(records)
 
+    def remove_unconfirmed(self) -> list[KeyedRecord]:
+        """Return the keys that are still missing as removed."""
+        assert self.offset is not None
+        removed = [KeyedRecord(key, None, self.offset) for key in self.unconfirmed]
+        self.unconfirmed.clear()
+        for record in removed:
+            self.offsets.pop(record.key, None)
+        return removed
+
     async def _reload(self) -> list[KeyedRecord]:
         """Read all keys, and report missing ones as removed."""
         snapshot = await self.log.read_newest()
         if self.offset is not None and snapshot.end < self.offset:
             return []  # a stale snapshot, older than the records already read
+        is_restored = self.offset is not None and (
+            generation_of(snapshot.end) > generation_of(self.offset)
+        )
         self.offset = snapshot.end
-        present = {record.key for record in snapshot.records}
-        removed = [
-            KeyedRecord(key, None, snapshot.end)
-            for key in self.offsets
-            if key not in present
-        ]
+        missing = self.offsets.keys() - {record.key for record in snapshot.records}
+        removed = []
+        if is_restored:
+            self.unconfirmed = set(missing)
+        else:
+            removed = [KeyedRecord(key, None, snapshot.end) for key in missing]
         return self._accept([*snapshot.records, *removed])
 
     def _accept(self, records: list[KeyedRecord]) -> list[KeyedRecord]:
@@ -86,6 +102,7 @@
         for record in records:
             if record.offset > self.offsets.get(record.key, -1):
                 newest[record.key] = record
+                self.unconfirmed.discard(record.key)
                 self.offsets[record.key] = record.offset
                 if record.value is None:
                     del self.offsets[record.key]
--- a/lagoonring/serving/follower.py
+++ b/lagoonring/serving/follower.py
@@ -10,6 +10,7 @@
 from lagoonring.errors import InvalidInputError, LagoonringError
 from lagoonring.kernel import BaseService
 from lagoonring.logs import make_logger
+from lagoonring.platform.log import generation_of
 from lagoonring.serving.configuration import Configuration
 from lagoonring.serving.feeds import KeyedFeed
 
@@ -95,6 +96,7 @@
         self.failed_at_s: dict[str, float] = {}
         self.is_unavailable: dict[str, bool] = {}
         self.pending_removals: dict[str, float] = {}
+        self.confirm_until_s: dict[str, float] = {}
         self.peer_read_s = float("-inf")
         self.appeared_s = float("-inf")
         self.started_s = app.clock.monotonic()
@@ -191,10 +193,32 @@
         if self.is_unavailable.get(name):
             self.is_unavailable[name] = False
             logger.info("Regained the store's {}.", name, extra={"offset": feed.offset})
+        changes += self._remove_unconfirmed(name, feed, before)
         changes = [record for record in changes if apply(record)]
         self.relay.publish(name, before, changes)
         return changes
 
+    def _remove_unconfirmed(
+        self, name: str, feed: KeyedFeed, before: int | None
+    ) -> list[KeyedRecord]:
+        """Return the keys that a returned store still lacks after some time."""
+        now_s = self.app.clock.monotonic()
+        assert feed.offset is not None
+        if before is not None and generation_of(feed.offset) > generation_of(before):
+            self.confirm_until_s[name] = now_s + RECOVERY_S
+            logger.warning(
+                "The store's {} returned from an older copy.",
+                name,
+                extra={
+                    "before": before,
+                    "offset": feed.offset,
+                    "n_missing": len(feed.unconfirmed),
+                },
+            )
+        if not feed.unconfirmed or now_s < self.confirm_until_s[name]:
+            return []
+        return feed.remove_unconfirmed()
+
     def _update_has_read(self) -> None:
         feeds = (self.documents, self.records)
         if all(feed.offset is not None for feed in feeds):
@@ -221,7 +245,15 @@
             self._apply_configuration(document, record.offset)
         else:
             is_old = self.documents.n_reads == 0
-            document = attrs.evolve(document, offset=record.offset, is_old=is_old)
+            document = attrs.evolve(
+                document, offset=record.offset, written=record.offset, is_old=is_old
+            )
+            known = self.orders.get(document.service)
+            if known is not None and known.is_rewritten_as(document):
+                self.orders[document.service] = attrs.evolve(
+                    known, written=record.offset
+                )
+                return True
             self.orders[document.service] = document
             logger.info(
                 "Move order received.",
--- a/lagoonring/serving/moves.py
+++ b/lagoonring/serving/moves.py
@@ -8,6 +8,8 @@
 import attrs
 import xxhash
 
+from lagoonring.platform.log import generation_of
+
 if TYPE_CHECKING:
     from collections.abc import Collection
 
@@ -31,15 +33,23 @@
     """An operator's order: a service, its new version and the time allowed.
 
     ``offset`` is the offset of the order in the store and identifies the move.
-    ``is_old`` says that the order existed when this process started.
+    ``written`` is where the order was written last: a store that returned from an
+    older copy gets it again. ``is_old`` says that the order existed when this process
+    started.
     """
 
     service: str
     target: str
     duration_s: float
     offset: int = -1
+    written: int = -1
     is_old: bool = False
 
+    def is_rewritten_as(self, other: MoveOrder) -> bool:
+        """Return whether another order is this one, written again after a return."""
+        is_same = (self.target, self.duration_s) == (other.target, other.duration_s)
+        return is_same and generation_of(other.written) > generation_of(self.written)
+
     @property
     def name(self) -> str:
         """The name that identifies the order's move."""
--- a/lagoonring/serving/reporting.py
+++ b/lagoonring/serving/reporting.py
@@ -115,7 +115,7 @@
     async def _report_window(self, lease: Lease, window: int, ended_s: float) -> None:
         counts = self._recorded_counts(window)
         if counts is None:
-            if not self._is_complete(ended_s):
+            if not self._is_complete(ended_s) or self._may_be_reported(lease, ended_s):
                 return
             counts = self.usage.total(window)
             await write_ahead(lease, PART, str(window), counts)
@@ -142,6 +142,15 @@
             },
         )
 
+    def _may_be_reported(self, lease: Lease, ended_s: float) -> bool:
+        """Return whether a window's report may have been recorded and then lost.
+
+        A store that returned from an older copy lacks the newest records, and another
+        report with other counts would charge the window twice.
+        """
+        restored_ago_s = self.clock.boottime() - lease.restored_s
+        return ended_s - restored_ago_s >= SETTLE_S
+
     def _recorded_counts(self, window: int) -> dict[str, int] | None:
         recorded = self.ledger.find(PART, str(window))
         if recorded is None:
--- a/lagoonring/serving/versions.py
+++ b/lagoonring/serving/versions.py
@@ -147,6 +147,7 @@
         if lease.fencing_number != self.fencing_number:
             self.fencing_number = lease.fencing_number
             self.moves.clear()
+            self.reported.clear()  # the store may have lost what was reported
         running = {order.name for order in self.follower.orders.values()}
         self.received = {
             move: rows for move, rows in self.received.items() if move in running
--- a/lagoonring/standins/log_server.py
+++ b/lagoonring/standins/log_server.py
@@ -17,8 +17,15 @@
     LogAnswerLostError,
     LogTruncatedError,
     LogUnavailableError,
+    assigned_offset,
+    make_offset,
+)
+from lagoonring.platform.store import (
+    GENERATION,
+    PAGE_HEADER,
+    decode_batch,
+    encode_batch,
 )
-from lagoonring.platform.store import PAGE_HEADER, decode_batch, encode_batch
 from lagoonring.platform.store_log import decode_record, encode_record
 from lagoonring.standins.http_server import answer_error, answer_json
 from lagoonring.standins.http_standin import HttpStandin
@@ -32,9 +39,13 @@
 
 @attrs.define(kw_only=True)
 class ServerFaults(LogFaults):
-    """Faults of the log; ``forget`` maps streams to the first offset to retain."""
+    """Faults of the log; ``forget`` maps streams to the first offset to retain.
+
+    ``return_older_s`` lets the log return once without the records of so many seconds.
+    """
 
     forget: dict[str, int] = attrs.field(factory=dict)
+    return_older_s: float | None = None
 
 
 class RateLimit:
@@ -96,6 +107,7 @@
         self.log.faults = ServerFaults()
         self.rate = RateLimit(self.options.appends_per_s, clock=clock)
         app = web.Application(client_max_size=2 * RECORD_LIMIT_BYTES)
+        app.on_response_prepare.append(self._tell_generation)
         routes = [
             web.post("/log-append", self._append),
             web.get("/log-read", self._read),
@@ -103,6 +115,11 @@
         ]
         super().__init__(app, routes, host=host, port=port)
 
+    async def _tell_generation(
+        self, request: web.Request, answer: web.StreamResponse
+    ) -> None:
+        answer.headers[GENERATION] = str(self.log.generation)
+
     async def _append(self, request: web.Request) -> web.Response:
         stream = request.query.get("topic", "")
         records = list(decode_batch(await request.read()))
@@ -134,16 +151,19 @@
             return answer_error("faulty_query", "Got a negative number.", status=400)
         wait_s = min(wait_ms, WAIT_LIMIT_MS) / 1000
         try:
-            page = await self.log.read(stream, from_offset, wait_s=wait_s)
+            position = make_offset(self.log.generation, from_offset)
+            page = await self.log.read(stream, position, wait_s=wait_s)
         except LogTruncatedError as error:
-            return answer_json({"first": error.first_offset}, status=410)
+            first = assigned_offset(error.first_offset)
+            return answer_json({"first": first}, status=410)
         except LogUnavailableError as error:
             return _answer_unavailable(str(error))
         records = [
             encode_record(record.data.encode(), record.time_s)
             for record in page.records
         ]
-        head = PAGE_HEADER.pack(page.next_offset, page.first_offset)
+        bounds = (page.next_offset, page.first_offset)
+        head = PAGE_HEADER.pack(*map(assigned_offset, bounds))
         return web.Response(body=head + encode_batch(records))
 
     async def _streams(self, request: web.Request) -> web.Response:
@@ -160,6 +180,9 @@
         for stream, first_offset in faults.forget.items():
             self.log.forget(stream, before=first_offset)
         faults.forget = {}
+        if faults.return_older_s is not None:
+            self.log.return_older(faults.return_older_s)
+            faults.return_older_s = None
         self.log.faults = faults
 
 
--- a/lagoonring/standins/log_standin.py
+++ b/lagoonring/standins/log_standin.py
@@ -18,6 +18,9 @@
     LogUnavailableError,
     Page,
     Record,
+    assigned_offset,
+    generation_of,
+    make_offset,
 )
 
 
@@ -67,6 +70,7 @@
         self.faults = LogFaults()
         self.n_appends = 0
         self.n_reads = 0
+        self.generation = 0
 
     async def append(self, stream: str, data: str) -> int:
         """Append a record and return its offset."""
@@ -75,7 +79,7 @@
             self.faults.n_refused_appends -= 1
             raise _make_outage(stream)
         state = self.streams.setdefault(stream, StreamState())
-        offset = state.next_offset
+        offset = make_offset(self.generation, state.next_offset)
         state.records.append(Record(offset, self.clock.time(), data))
         self.n_appends += 1
         if self.n_kept is not None:
@@ -102,14 +106,32 @@
         await self._wait_and_check(stream)
         self.n_reads += 1
         state = self.streams.setdefault(stream, StreamState())
-        if wait_s > 0 and from_offset >= state.next_offset:
+        assigned = assigned_offset(from_offset)
+        if wait_s > 0 and assigned == state.next_offset:
             await _wait_for(state.grown, wait_s)
             await self._wait_and_check(stream)
-        if from_offset < state.first_offset:
-            raise LogTruncatedError(stream, from_offset, state.first_offset)
-        start = from_offset - state.first_offset
-        records = state.records[start : start + limit]
-        return Page(records, state.first_offset, state.next_offset)
+        is_other = from_offset > 0 and generation_of(from_offset) != self.generation
+        is_kept = state.first_offset <= assigned <= state.next_offset
+        if is_other or not is_kept:
+            first = make_offset(self.generation, state.first_offset)
+            raise LogTruncatedError(stream, from_offset, first)
+        start = assigned - state.first_offset
+        records = [
+            attrs.evolve(record, offset=make_offset(self.generation, assigned + index))
+            for index, record in enumerate(state.records[start : start + limit])
+        ]
+        is_whole = from_offset == state.first_offset == 0
+        first = 0 if is_whole else make_offset(self.generation, state.first_offset)
+        return Page(records, first, make_offset(self.generation, state.next_offset))
+
+    def return_older(self, age_s: float) -> None:
+        """Lose the records of the last ``age_s`` seconds, and begin a generation."""
+        since_s = self.clock.time() - age_s
+        for state in self.streams.values():
+            state.records = [one for one in state.records if one.time_s <= since_s]
+            state.grown.set()
+            state.grown = asyncio.Event()
+        self.generation += 1
 
     def next_offset_of(self, stream: str) -> int:
         """Return the offset of the next record to be appended to a stream."""
--- a/lagoonring/tests/test_usage_counts.py
+++ b/lagoonring/tests/test_usage_counts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import attrs
@@ -173,8 +174,9 @@
 
     fencing_number = 3
 
-    def __init__(self, ledger):
+    def __init__(self, ledger, restored_s=-math.inf):
         self.ledger = ledger
+        self.restored_s = restored_s
 
     def remaining_s(self):
         return 2.0
@@ -274,6 +276,22 @@
     assert reports_sent == [{"one": 1}, {"one": 1}]
 
 
+async def test_leaves_out_windows_whose_report_a_returned_store_may_have_lost(
+    ledger, usage, clock, reported
+):
+    before = usage.window()
+    reports = make_reports(ledger, usage, clock, reported)
+    usage.record_start("one")
+    await clock.advance(SETTLED_S)
+    lease = FakeLease(ledger, restored_s=clock.boottime())
+    usage.record_start("one")
+    for _ in range(4):
+        await reports.step(lease)
+        await clock.advance(WINDOW_S / 2)
+    assert before not in dict(reported.calls)
+    assert before + 1 in dict(reported.calls)
+
+
 async def test_waits_for_the_counts_of_an_unreachable_instance(
     ledger, usage, clock, reported
 ):
