Refuse plain requests that would wait far beyond their objective

Cause: the deadline alone decided. Change: a plain request that would be answered later than one and a half objectives is refused at once and told when to come back; the endpoints work as much as before. Evidence: test_admitting plays 1.1, 1.3 and 2 times the capacity; without the limit 41, 10 and 3% of callers are answered within two objectives, with it more than 95% of what the endpoints can do, and callers that wait 0.9 s are served as often as those that wait two.

--- a/lagoonring/serving/admitting.py
+++ b/lagoonring/serving/admitting.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import attrs
@@ -14,6 +15,7 @@
     import random
 
 MAX_WAIT_SHARE = 0.9  # the remaining tenth of the time is for the answer itself
+MAX_LATENESS = 1.5  # times the objective; a longer queue makes every answer late
 MIN_RETRY_AFTER_S = 0.1  # an earlier retry costs more than the slot that it finds
 MAX_RETRY_SHARE = 1 / 3  # callers honour a Retry-After up to a third of time left
 NO_ENDPOINT_RETRY_S = 0.5  # half of an endpoint's typical restart time
@@ -26,12 +28,13 @@
     ``estimate_s`` is None if no endpoint can take the request; ``opens_s`` is then the
     time until one may, None if that is not known. ``left_s`` is the time
     until its deadline, ``max_wait_s`` how long its caller waits for the first part
-    of the answer.
+    of the answer, and ``objective_s`` the time after which the answer is late.
     """
 
     estimate_s: float | None
     left_s: float
     max_wait_s: float
+    objective_s: float = math.inf
     opens_s: float | None = None
 
 
@@ -56,6 +59,7 @@
     if wait.estimate_s is None:
         return Refusal("no_endpoint", spread(NO_ENDPOINT_RETRY_S, wait, rng))
     limit_s = min(wait.left_s, wait.max_wait_s) * MAX_WAIT_SHARE
+    limit_s = min(limit_s, wait.objective_s * MAX_LATENESS)
     if wait.estimate_s <= limit_s:
         return None
     excess_s = wait.estimate_s - limit_s
--- a/lagoonring/serving/path.py
+++ b/lagoonring/serving/path.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import TYPE_CHECKING
 
 from lagoonring.endpoints.errors import (
@@ -161,6 +162,7 @@
             estimate_s=None if placement is None else placement.estimate_s,
             left_s=left_s,
             max_wait_s=job.route.max_wait_s,
+            objective_s=_queue_objective_s(job),
             opens_s=opens_s,
         )
         refusal = decide(wait, self.parts.app.rng)
@@ -186,6 +188,7 @@
             estimate_s=estimate_s,
             left_s=job.deadline_s - self.clock.monotonic(),
             max_wait_s=job.route.max_wait_s,
+            objective_s=_queue_objective_s(job),
         )
         return decide(wait, self.parts.app.rng) is None
 
@@ -305,3 +308,12 @@
                     "elapsed_s": round(elapsed_s, 4),
                 },
             )
+
+
+def _queue_objective_s(job: Job) -> float:
+    """Return the objective of plain answers, which are worth little when late.
+
+    Streams are worth more, and their callers tell by events how long they wait.
+    """
+    is_stream = job.route.kind is RequestKind.STREAM
+    return math.inf if is_stream else job.route.objective_s
