Share builders of followers, topics and log clients between tests

The follower's and the feeds' tests had builders of their own; those of the return of the store now serve all three. What reached an endpoint and what a caller got are one type in the builder of crashes.

--- a/lagoonring/serving/path.py
+++ b/lagoonring/serving/path.py
@@ -311,9 +311,9 @@
 
 
 def _queue_objective_s(job: Job) -> float:
-    """Return the objective of plain answers, which are worth little when late.
+    """Return the objective of plain answers, beyond which a queue serves nobody.
 
-    Streams are worth more, and their callers tell by events how long they wait.
+    Long streams are of use also if they begin late.
     """
     is_stream = job.route.kind is RequestKind.STREAM
     return math.inf if is_stream else job.route.objective_s
--- a/lagoonring/tests/builders/crashes.py
+++ b/lagoonring/tests/builders/crashes.py
@@ -83,29 +83,19 @@
 
 @attrs.frozen
 class Arrival:
-    """A request that reached an endpoint."""
+    """A request that reached an endpoint, or with ``sink`` what its caller got."""
 
     at_s: float
-    instance: str
     parts: tuple[str, ...]
-    is_repeat: bool
-
-
-@attrs.frozen
-class Outcome:
-    """What a caller of a sound or a crashing request got."""
-
-    at_s: float
-    instance: str
-    parts: tuple[str, ...]
-    sink: CapturingSink
+    is_repeat: bool = False
+    sink: CapturingSink | None = None
 
 
 class InstanceSender:
-    """Sends the requests of one instance to the endpoints."""
+    """Sends the requests of an instance to the endpoints."""
 
-    def __init__(self, service: CrashingService, instance: str) -> None:
-        self.service, self.instance = service, instance
+    def __init__(self, service: CrashingService) -> None:
+        self.service = service
 
     async def send(self, request: Any, order: Any) -> FakeAnswer:
         """Send a request once."""
@@ -117,7 +107,7 @@
         is_repeat = request.request_id in service.sent
         service.sent.add(request.request_id)
         now_s = service.clock.monotonic()
-        service.arrivals.append(Arrival(now_s, self.instance, parts, is_repeat))
+        service.arrivals.append(Arrival(now_s, parts, is_repeat))
         crashed = endpoint.crashed
         await endpoint.run(crashed, BEGIN_S)
         if service.crashes(parts, order.endpoint):
@@ -150,7 +140,7 @@
         self.arrivals: list[Arrival] = []
         self.sent: set[str] = set()
         self.crash_s: list[float] = []
-        self.outcomes: list[Outcome] = []
+        self.outcomes: list[Arrival] = []
         self.tasks: set[asyncio.Task[None]] = set()
         super().__init__(centres=("east", "west", "north"), n_each=n_each)
 
@@ -168,7 +158,7 @@
             may_resume=True,
         )
         parts = make_parts(
-            InstanceSender(self, name),
+            InstanceSender(self),
             *(self.record_of(endpoint) for endpoint in self.endpoints.values()),
             configuration=make_configuration(route),
             clock=self.clock,
@@ -232,10 +222,9 @@
         """Let callers send requests while the instances exchange their state."""
         n_ticks_per_round = round(ROUND_S / TICK_S)
         for tick in range(round(seconds / TICK_S)):
-            if self.rng.random() < sound_per_s * TICK_S / 2:
-                self.call_sound()
-            if self.rng.random() < sound_per_s * TICK_S / 2:
-                self.call_sound()
+            for _ in range(2):
+                if self.rng.random() < sound_per_s * TICK_S / 2:
+                    self.call_sound()
             if self.rng.random() < bad_per_s * TICK_S:
                 self.call((instances or self.any_instance)(), *bad_parts)
             if tick % n_ticks_per_round == 0:
@@ -271,7 +260,7 @@
         started_s = self.clock.monotonic()
         await path.serve(request, sink)
         parts = tuple(part for part, _ in request.prompt_parts)
-        self.outcomes.append(Outcome(started_s, instance, parts, sink))
+        self.outcomes.append(Arrival(started_s, parts, sink=sink))
 
     async def _reappear(self, endpoint: Breakable) -> None:
         await self.clock.sleep(RESTART_S)
--- a/lagoonring/tests/builders/standins.py
+++ b/lagoonring/tests/builders/standins.py
@@ -8,6 +8,8 @@
 import aiohttp
 import msgspec
 
+from lagoonring.kernel import Application
+from lagoonring.platform.service import LogService
 from lagoonring.standins.engine_standin import EngineStandin
 from lagoonring.standins.options import EngineOptions, PlainOptions
 from lagoonring.standins.plain_standin import PlainStandin
@@ -30,6 +32,18 @@
         await standin.stop()
 
 
+@asynccontextmanager
+async def running_log_client(url: str) -> AsyncIterator[LogService]:
+    """Run the client of a log server in an application of its own."""
+    app = Application()
+    app.add(LogService(url=url))
+    await app.start()
+    try:
+        yield app.find("log")
+    finally:
+        await app.stop()
+
+
 @asynccontextmanager
 async def running_engine(**options: Any) -> AsyncIterator[EngineStandin]:
     """Run an engine without delays, except those given in ``options``."""
--- a/lagoonring/tests/test_feeds.py
+++ b/lagoonring/tests/test_feeds.py
@@ -2,35 +2,8 @@
 
 from __future__ import annotations
 
-import attrs
-
-from lagoonring.platform.log import LogTruncatedError
-from lagoonring.platform.store import KeyedRecord, Snapshot
 from lagoonring.serving.feeds import KeyedFeed
-
-
-@attrs.define
-class MemoryTopic:
-    """An in-memory topic that can truncate its history and return stale answers."""
-
-    records: list[KeyedRecord] = attrs.field(factory=list)
-    first: int = 0
-    stale_end: int | None = None
-
-    def write(self, key, value):
-        self.records.append(KeyedRecord(key, value, len(self.records)))
-
-    async def read(self, offset, *, wait_s):
-        if offset < self.first:
-            raise LogTruncatedError("topic", offset, self.first)
-        records = self.records[offset : self.stale_end]
-        return records, offset + len(records)
-
-    async def read_newest(self):
-        seen = self.records[: self.stale_end]
-        newest = {record.key: record for record in seen}
-        kept = [record for record in newest.values() if record.value is not None]
-        return Snapshot(kept, len(seen))
+from lagoonring.tests.builders.followers import MemoryTopic
 
 
 def values(records):
--- a/lagoonring/tests/test_follower.py
+++ b/lagoonring/tests/test_follower.py
@@ -3,57 +3,21 @@
 from __future__ import annotations
 
 import pytest
-from prometheus_client import CollectorRegistry
 
-from lagoonring.errors import InvalidInputError, UnavailableError
-from lagoonring.kernel import Application, Clock, ManualClock
+from lagoonring.errors import UnavailableError
+from lagoonring.kernel import Clock
 from lagoonring.platform.store import KeyedRecord, Snapshot
-from lagoonring.serving.endpoints import EndpointState, EndpointTable
-from lagoonring.serving.follower import RECOVERY_S, Follower
-from lagoonring.serving.metrics import ServingMetrics
+from lagoonring.serving.endpoints import EndpointState
+from lagoonring.serving.follower import RECOVERY_S
 from lagoonring.serving.moves import MoveOrder
-from lagoonring.serving.relay import StoreRelay
-from lagoonring.serving.settings import Bounds
+from lagoonring.tests.builders.followers import (
+    FAULTY,
+    QuietExchange,
+    add_document,
+    make_follower,
+)
 from lagoonring.tests.builders.serving import make_configuration, make_record
 
-FAULTY = b"faulty"
-
-
-class ScriptedTopic:
-    """Returns one scripted page per read, or raises it if it is an error."""
-
-    def __init__(self):
-        self.pages = []
-        self.offset = 0
-
-    async def read_newest(self):
-        return self.newest
-
-    async def read(self, offset, *, wait_s):
-        page = self.pages.pop(0)
-        if isinstance(page, Exception):
-            raise page
-        return page, offset + len(page)
-
-
-class QuietExchange:
-    """An exchange without other instances."""
-
-    def __init__(self, *, n_peers=0, is_here=False):
-        self.handlers = {}
-        self.settings = type("Settings", (), {"instance": "a"})
-        self.n_peers = n_peers
-        self.is_here = is_here
-
-    def is_hub(self):
-        return self.is_here
-
-    def local_peers(self):
-        return [f"10.0.0.{number}:1" for number in range(self.n_peers)]
-
-    def send_to_local_peers(self, content):
-        raise AssertionError("got a message, expected no local peers")
-
 
 @pytest.fixture
 def documents():
@@ -62,33 +26,11 @@
 
 @pytest.fixture
 def follower(documents):
-    def read(key, value):
-        if value == FAULTY:
-            raise InvalidInputError("faulty")
-        return documents[value]
-
-    app = Application(clock=ManualClock())
-    made = Follower(
-        app,
-        EndpointTable(),
-        ServingMetrics(CollectorRegistry()),
-        documents=ScriptedTopic(),
-        records=ScriptedTopic(),
-        read_document=read,
-        read_record=read,
-        relay=StoreRelay(app.clock, QuietExchange(), app.rng, change_s=2.0),
-        bounds=Bounds(),
-    )
+    made = make_follower(documents)
     made.records.offset = 0
     return made
 
 
-def add_document(documents, content):
-    value = str(len(documents)).encode()
-    documents[value] = content
-    return value
-
-
 def record(key, value, offset=0):
     return KeyedRecord(key, value, offset)
 
--- a/lagoonring/tests/test_platform_log.py
+++ b/lagoonring/tests/test_platform_log.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from lagoonring.kernel import Application, ManualClock
+from lagoonring.kernel import ManualClock
 from lagoonring.platform import (
     LogAnswerLostError,
     LogTruncatedError,
@@ -16,7 +16,11 @@
 from lagoonring.standins.log_server import LogServer, RateLimit
 from lagoonring.standins.log_standin import LogStandin
 from lagoonring.standins.options import LogOptions
-from lagoonring.tests.builders.standins import running, set_faults
+from lagoonring.tests.builders.standins import (
+    running,
+    running_log_client,
+    set_faults,
+)
 
 STREAM = "claims/plateau"
 LIMIT_S = 5.0
@@ -30,11 +34,8 @@
 
 @pytest.fixture
 async def log(server):
-    app = Application()
-    app.add(LogService(url=server.url))
-    await app.start()
-    yield app.find("log")
-    await app.stop()
+    async with running_log_client(server.url) as log:
+        yield log
 
 
 async def test_records_come_back_in_order(log):
--- a/lagoonring/tests/test_store_return.py
+++ b/lagoonring/tests/test_store_return.py
@@ -5,12 +5,11 @@
 import attrs
 import pytest
 
-from lagoonring.kernel import Application, ManualClock
+from lagoonring.kernel import ManualClock
 from lagoonring.leases import Lease, LeaseLostError, LeaseOptions
 from lagoonring.platform import LogTruncatedError
 from lagoonring.platform.exchange import PlatformUnavailableError
 from lagoonring.platform.log import generation_of, make_offset
-from lagoonring.platform.service import LogService
 from lagoonring.platform.store import KeyedRecord
 from lagoonring.serving.duties import DutyLedger, write_ahead
 from lagoonring.serving.feeds import KeyedFeed
@@ -20,12 +19,16 @@
 from lagoonring.standins.log_standin import LogStandin
 from lagoonring.standins.options import LogOptions
 from lagoonring.tests.builders.followers import (
-    ReturningTopic,
+    MemoryTopic,
     add_document,
     make_follower,
 )
 from lagoonring.tests.builders.serving import make_configuration, make_record
-from lagoonring.tests.builders.standins import running, set_faults
+from lagoonring.tests.builders.standins import (
+    running,
+    running_log_client,
+    set_faults,
+)
 
 STREAM = "duties"
 LEASE = LeaseOptions(duration_s=3.0, margin_s=0.5, renew_interval_s=0.9, poll_s=0.9)
@@ -39,11 +42,8 @@
 
 @pytest.fixture
 async def log(server):
-    app = Application()
-    app.add(LogService(url=server.url))
-    await app.start()
-    yield app.find("log")
-    await app.stop()
+    async with running_log_client(server.url) as log:
+        yield log
 
 
 # The client
@@ -89,7 +89,7 @@
 
 
 async def test_keys_are_read_again_at_lower_offsets():
-    topic = ReturningTopic()
+    topic = MemoryTopic()
     for value in (b"1", b"2", b"3"):
         topic.write("a", value)
     feed = KeyedFeed(topic)
@@ -102,7 +102,7 @@
 
 
 async def test_a_page_of_before_the_return_changes_nothing():
-    topic = ReturningTopic()
+    topic = MemoryTopic()
     topic.write("a", b"1")
     feed = KeyedFeed(topic)
     await feed.poll()
@@ -127,7 +127,8 @@
 async def test_endpoints_missing_in_the_copy_stay_until_they_had_time_to_return(
     is_back,
 ):
-    follower, documents = make_follower()
+    documents = {}
+    follower = make_follower(documents, MemoryTopic)
     value = add_document(documents, make_record("a"))
     follower.records.log.write("a", value)
     await follow_for(follower, 0.5)
@@ -142,7 +143,8 @@
 
 
 async def test_a_configuration_never_goes_back():
-    follower, documents = make_follower()
+    documents = {}
+    follower = make_follower(documents, MemoryTopic)
     for version in (3, 5):
         value = add_document(documents, make_configuration(version=version))
         follower.documents.log.write("config", value)
@@ -157,7 +159,8 @@
 
 
 async def test_an_order_that_is_written_again_continues_its_move():
-    follower, documents = make_follower()
+    documents = {}
+    follower = make_follower(documents, MemoryTopic)
     order = MoveOrder(service="desk", target="v2", duration_s=10.0)
     value = add_document(documents, order)
     follower.documents.log.write("config", add_document(documents, None))
