Blame requests less for crashes beside a version on trial

Cause, by reading: the quarantine counts each crash with the request in progress, whatever else ran there. Change: while an entry moves, a crash is weak evidence against a request on the version in force, until the fourth.

--- a/lagoonring/moves/service.py
+++ b/lagoonring/moves/service.py
@@ -144,6 +144,10 @@
         is_late = self.app.clock.time() >= record.deadline_s
         return 0.0 if is_late or record.key in self.findings else record.share
 
+    def is_moving(self, entry: str) -> bool:
+        """Return whether a version of the entry is on trial, as known here."""
+        return entry in self.notices and not self.notices[entry].record.is_final
+
     def observe(
         self,
         entry: str,
--- a/lagoonring/requests/parts.py
+++ b/lagoonring/requests/parts.py
@@ -101,7 +101,12 @@
         The cause is empty unless the endpoint crashed.
         """
         if kind == "cut" and not await self.is_alive(route.url):
-            return self.retries.crashed(request.fingerprint, route.endpoint)
+            return self.retries.crashed(
+                request.fingerprint,
+                route.endpoint,
+                is_beside_trial=self.moves.is_moving(request.entry)
+                and route.version == self.version_in_force(request.entry),
+            )
         self.retries.ended(request.fingerprint, route.endpoint, ok=False)
         return ""
 
--- a/lagoonring/retries/service.py
+++ b/lagoonring/retries/service.py
@@ -37,6 +37,7 @@
     from lagoonring.kernel import Application
 
 FLUSH_INTERVAL_S = 0.25
+MAX_TRIAL_CRASHES = 3  # of a request that a version on trial may explain
 
 logger = make_logger("retries")
 
@@ -139,9 +140,17 @@
         if attempt is not None:
             self.grants.release(fingerprint, attempt, WHOLE if ok else OTHER)
 
-    def crashed(self, fingerprint: str, endpoint: str) -> str:
+    def crashed(
+        self, fingerprint: str, endpoint: str, *, is_beside_trial: bool = False
+    ) -> str:
         """Record that an endpoint crashed with the request in progress.
 
+        Parameters
+        ----------
+        is_beside_trial : bool
+            Whether the request ran on the version in force while the endpoint may also
+            have run requests on a version on trial, which may have crashed it.
+
         Returns
         -------
         str
@@ -155,6 +164,8 @@
             return CAUSE_ENDPOINT
         is_supervised = attempt is not None and attempt.is_supervised
         is_strong = is_supervised or fingerprint not in self.arbiter.completed
+        if is_beside_trial and self._count_crashes(fingerprint) < MAX_TRIAL_CRASHES:
+            is_strong = False
         crash = Crash(endpoint, self.app.clock.time(), is_strong)
         self._notify_listeners(self.table.record_crash(fingerprint, crash))
         record = self.table.get(fingerprint)
@@ -171,6 +182,10 @@
         )
         return cause
 
+    def _count_crashes(self, fingerprint: str) -> int:
+        record = self.table.get(fingerprint)
+        return len(record.crashes) if record is not None else 0
+
     def progressed(self, fingerprint: str, endpoint: str) -> None:
         """Record that an attempt got further than the one that a crash cut off.
 
--- a/lagoonring/serving/prompt_suspects.py
+++ b/lagoonring/serving/prompt_suspects.py
@@ -25,7 +25,7 @@
 
 MIN_CRASHES = 3  # one after the other, to block a part
 CERTAIN_CRASHES = 5  # to block it although another part is suspected as much
-DOUBTFUL_CRASHES = 2  # from which on requests are not retried
+DOUBTFUL_CRASHES = 2  # one after the other; a cut request is then not sent on
 SOUND_S = 30.0  # for which a completed answer proves a part sound
 BLOCK_S = 600.0  # after the last crash; by then a version may have been repaired
 SHARE_S = 2.0  # several rounds of the exchange, to survive a lost frame
--- a/lagoonring/tests/test_quarantine.py
+++ b/lagoonring/tests/test_quarantine.py
@@ -201,6 +201,18 @@
         await waiting
 
 
+async def test_crashes_beside_a_version_on_trial_blame_a_request_only_in_the_end(fleet):
+    causes = []
+    for number in range(4):
+        service = fleet.services[number]
+        await service.attempt("innocent", f"g{number}", entry="guide")
+        cause = service.crashed("innocent", f"g{number}", is_beside_trial=True)
+        causes.append(cause)
+        await fleet.settle()
+        await fleet.clock.advance(6)
+    assert causes == ["suspect", "suspect", "suspect", "request"]
+
+
 async def test_other_requests_on_a_crashed_endpoint_complete(fleet):
     endpoints = EndpointsDouble(3)
     until = asyncio.Event()
