--- a/lagoonring/serving/errors.py
+++ b/lagoonring/serving/errors.py
@@ -27,7 +27,7 @@
 
 
 class CrashingRequestError(LagoonringError):
-    """The request crashed the endpoints that ran it."""
+    """The request, or a part of its prompt, crashed the endpoints that ran it."""
 
     code = "crashing_request"
     status = 503
--- a/lagoonring/serving/path.py
+++ b/lagoonring/serving/path.py
@@ -188,7 +188,6 @@
             estimate_s=estimate_s,
             left_s=job.deadline_s - self.clock.monotonic(),
             max_wait_s=job.route.max_wait_s,
-            objective_s=_queue_objective_s(job),
         )
         return decide(wait, self.parts.app.rng) is None
 
