--- a/lagoonring/tests/builders/crashes.py
+++ b/lagoonring/tests/builders/crashes.py
@@ -83,19 +83,24 @@
 
 @attrs.frozen
 class Arrival:
-    """A request that reached an endpoint, or with ``sink`` what its caller got."""
+    """A request that reached an endpoint, or with ``sink`` what its caller got.
+
+    ``instance`` is the one that sent it, or that the caller had sent it to.
+    """
 
     at_s: float
     parts: tuple[str, ...]
     is_repeat: bool = False
     sink: CapturingSink | None = None
+    instance: str = ""
 
 
 class InstanceSender:
     """Sends the requests of an instance to the endpoints."""
 
-    def __init__(self, service: CrashingService) -> None:
+    def __init__(self, service: CrashingService, instance: str) -> None:
         self.service = service
+        self.instance = instance
 
     async def send(self, request: Any, order: Any) -> FakeAnswer:
         """Send a request once."""
@@ -107,7 +112,9 @@
         is_repeat = request.request_id in service.sent
         service.sent.add(request.request_id)
         now_s = service.clock.monotonic()
-        service.arrivals.append(Arrival(now_s, parts, is_repeat))
+        service.arrivals.append(
+            Arrival(now_s, parts, is_repeat, instance=self.instance)
+        )
         crashed = endpoint.crashed
         await endpoint.run(crashed, BEGIN_S)
         if service.crashes(parts, order.endpoint):
@@ -158,7 +165,7 @@
             may_resume=True,
         )
         parts = make_parts(
-            InstanceSender(self),
+            self.make_sender(name),
             *(self.record_of(endpoint) for endpoint in self.endpoints.values()),
             configuration=make_configuration(route),
             clock=self.clock,
@@ -169,6 +176,10 @@
         exchange.state_handler = StateSync(parts, TrueClock(self.clock), None)
         return exchange
 
+    def make_sender(self, instance: str) -> InstanceSender:
+        """Return the sender of an instance."""
+        return InstanceSender(self, instance)
+
     def record_of(self, endpoint: Breakable) -> Any:
         """Return the record of an endpoint's present life."""
         born_ms = 1000 * endpoint.n_lives
@@ -260,7 +271,7 @@
         started_s = self.clock.monotonic()
         await path.serve(request, sink)
         parts = tuple(part for part, _ in request.prompt_parts)
-        self.outcomes.append(Arrival(started_s, parts, sink=sink))
+        self.outcomes.append(Arrival(started_s, parts, sink=sink, instance=instance))
 
     async def _reappear(self, endpoint: Breakable) -> None:
         await self.clock.sleep(RESTART_S)
