Relay requests by instances that reach the endpoints

Cause: an instance had no other way to an endpoint than its own connection, and did not tell a lost path from an endpoint that is down. Change: failed connections and silence lead to probes; if most tested endpoints of a service fail, its requests are sent by instances that reach it, which are named in the digests only while a service is unreached somewhere. The first instance keeps the request: limits, usage, retries, results and the answer; the relay connects, and obeys pauses and leaving endpoints for itself. Without a relay the request is rejected at once.

--- a/lagoonring/endpoints/errors.py
+++ b/lagoonring/endpoints/errors.py
@@ -40,6 +40,13 @@
     kind = "connect"
 
 
+class RelayRefusedError(EndpointConnectError):
+    """Another instance did not pass the request on to the endpoint."""
+
+    code = "relay_refused"
+    kind = "relay_refused"
+
+
 class EndpointCutError(EndpointError, AnswerLostError):
     """The connection ended before the answer was complete."""
 
@@ -47,6 +54,13 @@
     kind = "cut"
 
 
+class RelayCutError(EndpointCutError):
+    """The connection to the instance that relays ended; nothing is known beyond it."""
+
+    code = "relay_cut"
+    kind = "relay_cut"
+
+
 class EndpointCrossedError(EndpointError, AnswerLostError):
     """The answer belongs to another request; no part of it may be used."""
 
--- a/lagoonring/kernel/clock.py
+++ b/lagoonring/kernel/clock.py
@@ -6,6 +6,17 @@
 import heapq
 import itertools
 import time
+from typing import TYPE_CHECKING, Any, Protocol
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
+class Cancellable(Protocol):
+    """A call that is due later."""
+
+    def cancel(self) -> Any:
+        """Drop the call."""
 
 
 class Clock:
@@ -31,6 +42,10 @@
         """Wait for ``delay_s`` seconds."""
         await asyncio.sleep(delay_s)
 
+    def call_later(self, delay_s: float, call: Callable[[], None]) -> Cancellable:
+        """Call a function after ``delay_s`` seconds unless that is cancelled."""
+        return asyncio.get_running_loop().call_later(delay_s, call)
+
 
 class ManualClock(Clock):
     """A clock that only changes when :meth:`advance` is called.
@@ -68,6 +83,14 @@
         heapq.heappush(self.sleepers, (due_s, next(self.sequence), future))
         await future
 
+    def call_later(self, delay_s: float, call: Callable[[], None]) -> Cancellable:
+        """Call a function once the clock has been advanced by ``delay_s`` seconds."""
+        future = asyncio.get_running_loop().create_future()
+        future.add_done_callback(lambda _: None if future.cancelled() else call())
+        due_s = self.now_s + delay_s
+        heapq.heappush(self.sleepers, (due_s, next(self.sequence), future))
+        return future
+
     async def advance(self, delay_s: float) -> None:
         """Advance by ``delay_s`` seconds, waking sleepers in order of their time."""
         end_s = self.now_s + delay_s
--- a/lagoonring/platform/application.py
+++ b/lagoonring/platform/application.py
@@ -11,11 +11,13 @@
 from lagoonring.platform.duty_client import Authority, DutyClient
 from lagoonring.platform.engine_calls import EngineCalls
 from lagoonring.platform.metrics_page import MetricsPage
+from lagoonring.platform.relay_server import RelayServer
 from lagoonring.platform.saved_usage import StoredUsage
 from lagoonring.platform.sending import (
     HttpSender,
     make_platform_session,
     make_session,
+    probe_endpoint,
 )
 from lagoonring.platform.store import (
     ENDPOINT_TOPIC,
@@ -25,6 +27,7 @@
 )
 from lagoonring.platform.store_log import LogClient
 from lagoonring.platform.topics import KeyedTopic
+from lagoonring.serving.connectivity import Connectivity
 from lagoonring.serving.demand import Demand
 from lagoonring.serving.duties import Duties
 from lagoonring.serving.endpoints import EndpointTable
@@ -43,6 +46,7 @@
 from lagoonring.serving.quotas import Quotas
 from lagoonring.serving.reachability import START_SHARE
 from lagoonring.serving.relay import FRESH_SHARE, SPREAD_SHARE, StoreRelay
+from lagoonring.serving.relay_directory import RelayDirectory
 from lagoonring.serving.reload import SettingsReload
 from lagoonring.serving.reporting import UsageReports
 from lagoonring.serving.retry_budget import RetryBudget
@@ -148,7 +152,18 @@
         follower.endpoint_listeners.append(evacuation.endpoint_changed)
         table.leaving_listeners.append(evacuation.endpoint_changed)
         reload = SettingsReload(self.app, parts, self.settings, self.read_settings)
-        for service in (exchange, follower, duties, evacuation, path, callers, reload):
+        relays = RelayServer(self.app, self.settings, parts, sessions.endpoints)
+        for service in (
+            exchange,
+            follower,
+            parts.connectivity,
+            duties,
+            evacuation,
+            relays,
+            path,
+            callers,
+            reload,
+        ):
             self.app.add(service)
             self.started.append(service)
             await service.start()
@@ -194,6 +209,14 @@
     quotas.set_start_share(START_SHARE)
     demand = Demand(app.clock)
     gate = MoveGate(follower, app.clock)
+    connectivity = Connectivity(
+        table,
+        app.clock,
+        app.rng,
+        probe=probe_endpoint,
+        directory=RelayDirectory(exchange.relays, app.clock, app.rng),
+        record_reached=metrics.record_service_reached,
+    )
     return ServingParts(
         app=app,
         follower=follower,
@@ -206,8 +229,12 @@
             allowed=gate.allowed,
             demand=demand,
             permits=Permits(exchange.place, true_clock.now),
+            connectivity=connectivity,
+        ),
+        connectivity=connectivity,
+        sender=HttpSender(
+            app.find("sessions").endpoints, relay_port=settings.relay_port
         ),
-        sender=HttpSender(app.find("sessions").endpoints),
         exchange=exchange,
         quotas=quotas,
         retry_budget=RetryBudget(
--- a/lagoonring/platform/boot.py
+++ b/lagoonring/platform/boot.py
@@ -14,6 +14,7 @@
     from pathlib import Path
 
 PATH_VARIABLE = "LAGOONRING_BOOT"
+N_INTERNAL_PORTS = 3  # messages, relayed requests, metrics
 
 
 class BootFileError(InvalidInputError):
@@ -113,9 +114,12 @@
             "expected front and ready.",
             remedy='Let the role serve "front" in the deploy file.',
         )
-    if not boot.internalPorts:
+    if not boot.internalPorts or boot.internalPorts[-1] < (
+        boot.internalPorts[0] + N_INTERNAL_PORTS - 1
+    ):
         raise BootFileError(
-            "Got no internalPorts, expected the first and the last port.",
+            f"Got internalPorts {boot.internalPorts}, expected the first and the last "
+            f"of at least {N_INTERNAL_PORTS} ports.",
             remedy="Name the ports that are free for messages between instances.",
         )
     first_port, last_port = boot.internalPorts[0], boot.internalPorts[-1]
@@ -127,6 +131,7 @@
         caller_address=boot.listen["front"],
         ready_address=boot.listen["ready"],
         peer_port=first_port,
+        relay_port=first_port + 1,
         metrics_port=last_port,
         seed_ips=tuple(seed.rsplit(":", 1)[0] for seed in boot.seeds),
         store_address=boot.platform.address,
--- a/lagoonring/platform/headers.py
+++ b/lagoonring/platform/headers.py
@@ -35,6 +35,9 @@
 LEAVING = "Server-Leaving"
 RETRY_AFTER = "Retry-After"
 UNAVAILABLE_STATUS = 503
+# Sent between instances only: the process that is asked to relay, and why it did not.
+RELAY_LIFE = "Lagoonring-Relay-Life"
+RELAY_RESULT = "Lagoonring-Relay-Result"
 KEY_SCHEME = "token "
 MAX_SHOWN_CHARACTERS = 40
 
@@ -66,6 +69,7 @@
         "lagoonring-hold",
         "lagoonring-kv-backup",
         "lagoonring-pin-ms",
+        "lagoonring-relay-life",
         "lagoonring-request-urgency",
         "lagoonring-tenant",
         "last-event-id",
@@ -74,6 +78,7 @@
 WITHHELD_FROM_CALLERS = frozenset(
     {
         "content-length",
+        "lagoonring-relay-result",
         "lagoonring-server-load",
         "server-leaving",
         "server-limit",
--- a/lagoonring/platform/sending.py
+++ b/lagoonring/platform/sending.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import socket
 import struct
 from typing import TYPE_CHECKING
@@ -10,14 +11,22 @@
 from multidict import CIMultiDict
 from yarl import URL
 
-from lagoonring.endpoints.errors import EndpointCrossedError, EndpointCutError
+from lagoonring.endpoints.errors import (
+    EndpointConnectError,
+    EndpointCrossedError,
+    EndpointCutError,
+    RelayCutError,
+    RelayRefusedError,
+)
 from lagoonring.endpoints.transport import send, typed_errors
+from lagoonring.errors import LagoonringError
 from lagoonring.platform import headers as names
+from lagoonring.platform.relay_results import raise_relay_result
 
 if TYPE_CHECKING:
-    import asyncio
     from collections.abc import AsyncGenerator
 
+    from lagoonring.serving.endpoints import EndpointRecord
     from lagoonring.serving.requests import CallerRequest, SendOrder
 
 CONNECT_TIMEOUT_S = 0.5  # links answer in milliseconds; allows for retransmissions
@@ -61,6 +70,20 @@
     return sock
 
 
+async def probe_endpoint(record: EndpointRecord) -> bool:
+    """Return whether a connection to an endpoint can be established."""
+    host, _, port = record.address.rpartition(":")
+    sock = make_socket((socket.AF_INET, socket.SOCK_STREAM, 0, "", ()))
+    try:
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            await asyncio.get_running_loop().sock_connect(sock, (host, int(port)))
+    except OSError:  # a time-out as well
+        return False
+    finally:
+        sock.close()
+    return True
+
+
 def make_platform_session() -> aiohttp.ClientSession:
     """Return a session for calls to the platform; the caller closes it.
 
@@ -81,16 +104,27 @@
 
 
 class HttpAnswer:
-    """An endpoint's answer over HTTP; see `EndpointAnswer`."""
+    """An endpoint's answer over HTTP; see `EndpointAnswer`.
 
-    def __init__(self, response: aiohttp.ClientResponse) -> None:
+    Parameters
+    ----------
+    withheld : frozenset of str
+        Lower-case names of headers that are not passed on.
+    """
+
+    def __init__(
+        self,
+        response: aiohttp.ClientResponse,
+        *,
+        withheld: frozenset[str] = names.WITHHELD_FROM_CALLERS,
+    ) -> None:
         self.response = response
         self.status = response.status
         self.headers = list(
             names.forwardable_headers(
                 response.headers.items(),
                 response.headers.get("Connection", ""),
-                names.WITHHELD_FROM_CALLERS,
+                withheld,
             )
         )
         self.is_other_endpoint = response.status == MISDIRECTED_STATUS
@@ -148,23 +182,21 @@
     ----------
     session : aiohttp.ClientSession
         Made by `make_session`, owned by the caller.
+    relay_port : int
+        Port at which all instances take requests to pass on.
     """
 
-    def __init__(self, session: aiohttp.ClientSession) -> None:
+    def __init__(self, session: aiohttp.ClientSession, *, relay_port: int) -> None:
         self.session = session
+        self.relay_port = relay_port
 
     async def send(self, request: CallerRequest, order: SendOrder) -> HttpAnswer:
         """Send a request; raises the errors of `lagoonring.endpoints.errors`."""
-        url = URL(f"http://{order.endpoint.address}{request.target}", encoded=True)
-        response = await send(
-            self.session,
-            request.method,
-            url,
-            body=request.body if request.has_body else None,
-            headers=_make_headers(request, order),
-            timeout_s=max(order.left_s, 0.001),
-            connect_timeout_s=CONNECT_TIMEOUT_S,
-        )
+        if order.relay is None:
+            response = await self.send_to(order.endpoint.address, request, order)
+        else:
+            host, _, _ = order.relay.address.rpartition(":")
+            response = await self._send_by(f"{host}:{self.relay_port}", request, order)
         got = response.headers.get(names.REQUEST_ID)
         if got != request.request_id and response.status != MISDIRECTED_STATUS:
             response.close()
@@ -174,6 +206,38 @@
             )
         return HttpAnswer(response)
 
+    async def _send_by(
+        self, address: str, request: CallerRequest, order: SendOrder
+    ) -> aiohttp.ClientResponse:
+        """Send a request by another instance; its failures are not the endpoint's."""
+        try:
+            response = await self.send_to(address, request, order)
+        except EndpointConnectError as error:
+            raise RelayRefusedError(error.message, remedy=error.remedy) from error
+        except EndpointCutError as error:
+            raise RelayCutError(error.message, remedy=error.remedy) from error
+        try:
+            raise_relay_result(response)
+        except LagoonringError:
+            response.close()
+            raise
+        return response
+
+    async def send_to(
+        self, address: str, request: CallerRequest, order: SendOrder
+    ) -> aiohttp.ClientResponse:
+        """Send a request to an address, that of the endpoint or of a relay."""
+        url = URL(f"http://{address}{request.target}", encoded=True)
+        return await send(
+            self.session,
+            request.method,
+            url,
+            body=request.body if request.has_body else None,
+            headers=_make_headers(request, order),
+            timeout_s=max(order.left_s, 0.001),
+            connect_timeout_s=CONNECT_TIMEOUT_S,
+        )
+
 
 def _closed_future(response: aiohttp.ClientResponse) -> asyncio.Future[None] | None:
     """Return the future of the connection's close, if the close ends the body.
@@ -203,4 +267,6 @@
         headers[names.MOVED_FROM] = f"{order.moved.address}/{order.moved.handle}"
     if order.resume_after is not None:
         headers[names.LAST_EVENT] = str(order.resume_after)
+    if order.relay is not None:
+        headers[names.RELAY_LIFE] = str(order.relay.life)
     return headers
--- a/lagoonring/serving/attempt_logs.py
+++ b/lagoonring/serving/attempt_logs.py
@@ -31,6 +31,7 @@
         "pause_left_s": round(max(endpoint.paused_until_s - now_s, 0.0), 3),
         "is_leaving": endpoint.is_leaving,
         "waited_s": round(job.waited_s, 4),
+        "relay": job.relay.address if job.relay else None,
     }
     if job.placement is not None:
         fields |= {
--- a/lagoonring/serving/attempts.py
+++ b/lagoonring/serving/attempts.py
@@ -4,9 +4,11 @@
 
 import asyncio
 import math
-from contextlib import aclosing
+from contextlib import aclosing, contextmanager
 from typing import TYPE_CHECKING
 
+import attrs
+
 from lagoonring.endpoints.errors import (
     EndpointConnectError,
     EndpointCrossedError,
@@ -14,6 +16,8 @@
     EndpointError,
     EndpointFailedError,
     EndpointRefusedError,
+    RelayCutError,
+    RelayRefusedError,
 )
 from lagoonring.errors import Outcome
 from lagoonring.logs import make_logger
@@ -26,12 +30,13 @@
 )
 from lagoonring.serving.attempt_logs import describe_failure
 from lagoonring.serving.configuration import RequestKind
+from lagoonring.serving.connectivity import SILENCE_S
 from lagoonring.serving.events import EventSplitter
 from lagoonring.serving.requests import SendOrder
 from lagoonring.serving.statements import record_statement
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncGenerator
+    from collections.abc import AsyncGenerator, Iterator
 
     from lagoonring.errors import LagoonringError
     from lagoonring.serving.endpoints import Endpoint
@@ -72,7 +77,8 @@
         job.tried.add(endpoint.name)
         result = "cancelled"
         try:
-            await self._exchange(job, endpoint, sink)
+            with self.parts.connectivity.choose_way(job, endpoint):
+                await self._exchange(job, endpoint, sink)
             result = RESULT_OK
             self._end_record(job, ok=True)
             return None
@@ -122,6 +128,7 @@
             organisation=job.organisation.name if job.organisation else None,
             resume_after=job.last_event,
             moved=job.moved,
+            relay=job.relay,
         )
         job.moved = None
         job.version = endpoint.record.version
@@ -129,12 +136,18 @@
         limit = self._first_answer_limit(job, endpoint)
         try:
             async with asyncio.timeout(limit.seconds):
-                answer = await self.parts.sender.send(job.request, order)
+                with self._watch_silence(job, endpoint):
+                    answer = await self.parts.sender.send(job.request, order)
         except TimeoutError as error:
             raise timeout_error(endpoint, "begin an answer", limit) from error
+        self._record_heard(job)
         if not answer.is_other_endpoint:
+            statement = answer.statement
+            if job.relay is not None:
+                # The endpoint asks the instance that it sees for a pause.
+                statement = attrs.evolve(statement, pause_s=0.0)
             record_statement(
-                self.parts.table, endpoint, answer.statement, self.clock.monotonic()
+                self.parts.table, endpoint, statement, self.clock.monotonic()
             )
         try:
             self._check_not_refused(endpoint, answer)
@@ -146,6 +159,25 @@
         finally:
             answer.close()
 
+    @contextmanager
+    def _watch_silence(self, job: Job, endpoint: Endpoint) -> Iterator[None]:
+        """Find out whether the endpoint is reached if it is silent for some time."""
+        if job.relay is not None:
+            yield
+            return
+        connectivity = self.parts.connectivity
+        timer = self.clock.call_later(
+            SILENCE_S, lambda: connectivity.record_silence(endpoint)
+        )
+        try:
+            yield
+        finally:
+            timer.cancel()
+
+    def _record_heard(self, job: Job) -> None:
+        if job.relay is None:
+            self.parts.connectivity.record_heard(job.service)
+
     def _first_answer_limit(self, job: Job, endpoint: Endpoint) -> Limit:
         """Return how long to wait for an answer before trying another endpoint."""
         left = self._time_left(job)
@@ -299,6 +331,7 @@
                     ) from error
                 if chunk is None:
                     return
+                self._record_heard(job)
                 yield chunk
 
     def _stall_limit(self, job: Job, endpoint: Endpoint) -> Limit:
@@ -351,14 +384,30 @@
             job.service, self.clock.monotonic(), self.parts.exchange.count_instances()
         )
 
+    def _record_relay_failure(
+        self, job: Job, endpoint: Endpoint, error: EndpointError
+    ) -> None:
+        """Use another relay; nothing is known of the endpoint."""
+        if job.relay is not None:
+            job.tried_relays.add(job.relay)
+            self.parts.connectivity.record_relay_failure(job.relay, job.service)
+        if error.outcome is Outcome.NOT_RUN:
+            job.tried.discard(endpoint.name)
+        else:
+            self._count_started(job)
+
     def _record_failure(
         self, job: Job, endpoint: Endpoint, error: EndpointError
     ) -> None:
         """Update the endpoint's health after a failed attempt, and log it."""
         now_s = self.clock.monotonic()
         n_crashes = 0
-        if isinstance(error, EndpointConnectError):
+        if isinstance(error, RelayRefusedError | RelayCutError):
+            self._record_relay_failure(job, endpoint, error)
+        elif isinstance(error, EndpointConnectError):
             endpoint.mark_unreachable(now_s)
+            if job.relay is None:
+                self.parts.connectivity.record_connect_failure(endpoint)
         elif not isinstance(error, EndpointRefusedError | EndpointFailedError):
             endpoint.record_result(ok=False, now_s=now_s)
             self._count_started(job)
--- a/lagoonring/serving/endpoints.py
+++ b/lagoonring/serving/endpoints.py
@@ -9,6 +9,7 @@
 import attrs
 
 from lagoonring.logs import make_logger
+from lagoonring.serving.connectivity import Link
 from lagoonring.serving.observations import Condition, Observation, Typical
 from lagoonring.serving.statements import NO_LIMIT, KnownLimit
 
@@ -102,7 +103,8 @@
     derived from those of all instances, ``limit`` the last limit that it named, and
     ``was_limited`` whether it ever named one. ``is_leaving`` says that it said so in
     an answer; its record in the store may say so later. Until ``paused_until_s`` it
-    wants no request of this instance.
+    wants no request of this instance. ``link`` tells whether connections from here
+    are established.
     """
 
     record: EndpointRecord
@@ -126,6 +128,7 @@
     is_leaving: bool = False
     paused_until_s: float = 0.0
     reported_down_until_s: float = 0.0
+    link: Link = attrs.field(factory=Link)
 
     @property
     def name(self) -> str:
@@ -144,9 +147,18 @@
         """Return the tokens waiting for prefill, of all freshly reported instances."""
         return self.n_waiting_tokens + self.n_waiting_tokens_elsewhere
 
-    def avoided_until_s(self) -> float:
-        """Return until when the endpoint is used only if there is no other."""
-        return max(self.down_until_s, self.full_until_s, self.reported_down_until_s)
+    def avoided_until_s(self, *, is_relayed: bool = False) -> float:
+        """Return until when the endpoint is used only if there is no other.
+
+        Connections that failed from here say nothing of one that others reach.
+        """
+        own_s = 0.0 if is_relayed else self.down_until_s
+        return max(own_s, self.full_until_s, self.reported_down_until_s)
+
+    def clear_connect_failures(self) -> None:
+        """Use the endpoint again as if no connection had failed."""
+        self.n_connect_failures = 0
+        self.down_until_s = 0.0
 
     def record_result(self, *, ok: bool, now_s: float) -> None:
         """Update the moving average of failures with a result."""
--- a/lagoonring/serving/exchange.py
+++ b/lagoonring/serving/exchange.py
@@ -19,7 +19,14 @@
 from lagoonring.logs import make_logger
 from lagoonring.peers.metrics import PeersMetrics
 from lagoonring.peers.transport import NngTransport
-from lagoonring.serving.members import MEMBER_TIMEOUT_S, Card, Member, Members, cards_of
+from lagoonring.serving.members import (
+    LEAVING_CAPACITY,
+    MEMBER_TIMEOUT_S,
+    Card,
+    Member,
+    Members,
+    cards_of,
+)
 from lagoonring.serving.messages import (
     DIGEST_KIND,
     INTRODUCTION_KIND,
@@ -34,6 +41,7 @@
 from lagoonring.serving.outgoing import encode_digest, encode_report, encode_summary
 from lagoonring.serving.permits import Place
 from lagoonring.serving.reachability import Reachability
+from lagoonring.serving.relay_directory import Relay
 from lagoonring.serving.rounds import (
     WARM_UP_FACTOR,
     WarmUp,
@@ -172,6 +180,19 @@
             tuple(sorted([self.address, *self.local_peers()])),
         )
 
+    def relays(self) -> list[Relay]:
+        """Return this instance and the reachable local ones that are not leaving."""
+        now_s = self.app.clock.monotonic()
+        members = self.members
+        relays = [
+            Relay(peer.card.address, peer.life)
+            for peer in members.local()
+            if peer.is_reachable(now_s) and peer.card.capacity > LEAVING_CAPACITY
+        ]
+        if members.me.capacity > LEAVING_CAPACITY:
+            relays.append(Relay(self.address, self.life))
+        return relays
+
     def send_to_local_peers(self, content: bytes) -> None:
         """Send a message to the addresses that :meth:`local_peers` returns."""
         for address in self.local_peers():
--- a/lagoonring/serving/messages.py
+++ b/lagoonring/serving/messages.py
@@ -19,6 +19,7 @@
 from lagoonring.serving.moves import MoveView
 from lagoonring.serving.observations import ConditionRow, ObservationRow, TypicalRow
 from lagoonring.serving.prompt_suspects import SuspectRows
+from lagoonring.serving.relay_directory import RelayRows
 from lagoonring.serving.statements import StatementRow
 from lagoonring.serving.usage import UsageRow
 from lagoonring.serving.version_results import ResultsRow
@@ -93,12 +94,14 @@
     ``started`` counts the started requests by window and organisation, ``demand`` is
     the endpoint time in seconds requested per second by service, ``results``
     holds the results of moves by service, and ``observations`` the results by endpoint.
+    ``unreached`` names the services to which the instance can't connect.
     """
 
     started: dict[int, dict[str, int]] = attrs.field(factory=dict)
     demand: dict[str, float] = attrs.field(factory=dict)
     results: dict[str, ResultsRow] = attrs.field(factory=dict)
     observations: dict[str, ObservationRow] = attrs.field(factory=dict)
+    unreached: list[str] = attrs.field(factory=list)
 
 
 @attrs.define(kw_only=True)
@@ -107,7 +110,9 @@
 
     ``n_heard`` and ``n_known`` are the numbers of reachable and of known instances.
     ``usage`` holds rows of recent windows, ``results`` those of moves by instance
-    and service, and ``observations`` the results by endpoint.
+    and service, and ``observations`` the results by endpoint. ``unreached`` names the
+    services to which an instance can't connect, ``relays`` instances that can, by
+    service, for those that any instance of the deployment does not reach.
     """
 
     n_heard: int
@@ -118,6 +123,8 @@
     results: dict[str, dict[str, ResultsRow]] = attrs.field(factory=dict)
     observations: dict[str, ObservationRow] = attrs.field(factory=dict)
     moves: dict[str, MoveView] = attrs.field(factory=dict)
+    unreached: list[str] = attrs.field(factory=list)
+    relays: RelayRows = attrs.field(factory=dict)
 
 
 @attrs.define(kw_only=True)
@@ -127,7 +134,8 @@
     ``numbers`` holds, by address, the number of the last report of each local instance
     that the sums contain. ``cards`` lists these instances; it is None in most digests.
     ``conditions`` describes the endpoints that differ from the ``typical`` ones of
-    their service.
+    their service, and ``relays`` names instances that reach the services that others
+    do not reach.
     """
 
     n_heard: int
@@ -138,6 +146,7 @@
     moves: dict[str, MoveView] = attrs.field(factory=dict)
     conditions: dict[str, ConditionRow] = attrs.field(factory=dict)
     typical: dict[str, TypicalRow] = attrs.field(factory=dict)
+    relays: RelayRows = attrs.field(factory=dict)
 
 
 @attrs.define(kw_only=True)
--- a/lagoonring/serving/metrics.py
+++ b/lagoonring/serving/metrics.py
@@ -63,6 +63,18 @@
             "Instances heard lately, this one included.",
             registry=registry,
         )
+        self.service_reached = Gauge(
+            "lagoonring_serving_service_reached",
+            "Whether this instance can connect to a service: 0 while others relay.",
+            ["service"],
+            registry=registry,
+        )
+        self.relayed = Counter(
+            "lagoonring_serving_relayed_total",
+            "Requests passed on to endpoints for other instances, by result.",
+            ["result"],
+            registry=registry,
+        )
         self.blocked_parts = Gauge(
             "lagoonring_serving_blocked_prompt_parts",
             "Parts of prompts that crash endpoints; requests with them are refused.",
@@ -74,3 +86,7 @@
             ["duty", "result"],
             registry=registry,
         )
+
+    def record_service_reached(self, service: str, is_reached: bool) -> None:
+        """Show whether a service is reached."""
+        self.service_reached.labels(service).set(is_reached)
--- a/lagoonring/serving/parts.py
+++ b/lagoonring/serving/parts.py
@@ -7,6 +7,7 @@
 import attrs
 
 from lagoonring.kernel import Application
+from lagoonring.serving.connectivity import Connectivity
 from lagoonring.serving.demand import Demand
 from lagoonring.serving.endpoints import EndpointTable
 from lagoonring.serving.exchange import Exchange
@@ -38,6 +39,7 @@
     follower: Follower
     table: EndpointTable
     placer: Placer
+    connectivity: Connectivity
     sender: Sender
     exchange: Exchange
     quotas: Quotas
--- a/lagoonring/serving/path.py
+++ b/lagoonring/serving/path.py
@@ -304,6 +304,7 @@
                     "version": job.version if job else None,
                     "first_answer_s": job.first_answer_s if job else None,
                     "waited_s": round(job.waited_s, 4) if job else 0.0,
+                    "relay": job.relay.address if job and job.relay else None,
                     "elapsed_s": round(elapsed_s, 4),
                 },
             )
--- a/lagoonring/serving/placer.py
+++ b/lagoonring/serving/placer.py
@@ -26,6 +26,7 @@
     from collections.abc import Callable, Collection
 
     from lagoonring.kernel import Clock
+    from lagoonring.serving.connectivity import Connectivity
     from lagoonring.serving.demand import Demand
     from lagoonring.serving.endpoints import EndpointTable
     from lagoonring.serving.permits import Permits
@@ -71,6 +72,8 @@
         present that a request may run on.
     permits : Permits
         Tells when requests may be sent to endpoints that name limits.
+    connectivity : Connectivity
+        Tells which endpoints are reached, and which by a relay only.
     """
 
     def __init__(
@@ -83,6 +86,7 @@
         allowed: Allowed,
         demand: Demand,
         permits: Permits,
+        connectivity: Connectivity,
     ) -> None:
         self.table = table
         self.clock = clock
@@ -91,6 +95,7 @@
         self.allowed = allowed
         self.demand = demand
         self.permits = permits
+        self.connectivity = connectivity
         self.prefill_samples: dict[str, deque[float]] = {}
         # Keyed by identity, since jobs are mutable.
         self.in_progress: dict[int, tuple[Job, WorkInProgress]] = {}
@@ -258,7 +263,9 @@
         return [
             endpoint
             for endpoint in ready
-            if endpoint.record.version in allowed and endpoint.name not in job.tried
+            if endpoint.record.version in allowed
+            and endpoint.name not in job.tried
+            and self.connectivity.is_usable(job, endpoint)
         ]
 
     def _candidates(self, job: Job, endpoints: list[Endpoint]) -> list[Candidate]:
@@ -273,6 +280,8 @@
             if endpoint.name == preferred:
                 n_cached = max(n_cached, n_shared)
             times = self._times_of(endpoint, usual, now_s)
+            is_relayed = self.connectivity.is_lost(endpoint)
+            avoided_until_s = endpoint.avoided_until_s(is_relayed=is_relayed)
             candidates.append(
                 Candidate(
                     name=endpoint.name,
@@ -283,8 +292,9 @@
                     seconds_per_token=times.token_s,
                     service_s=times.service_s,
                     failure_share=self._failure_share(endpoint, now_s),
-                    is_local=endpoint.record.data_centre == self.data_centre,
-                    is_avoided=now_s < endpoint.avoided_until_s(),
+                    is_local=not is_relayed
+                    and endpoint.record.data_centre == self.data_centre,
+                    is_avoided=now_s < avoided_until_s,
                 )
             )
         return candidates
--- a/lagoonring/serving/requests.py
+++ b/lagoonring/serving/requests.py
@@ -12,6 +12,7 @@
 from lagoonring.serving.configuration import Organisation, RouteEntry
 from lagoonring.serving.endpoints import Endpoint, EndpointRecord
 from lagoonring.serving.placing import Placement
+from lagoonring.serving.relay_directory import Relay
 from lagoonring.serving.usual_results import UsualRecorder
 from lagoonring.serving.version_results import AttemptRecorder
 
@@ -81,8 +82,9 @@
     end of a plain answer. ``recorder`` records the attempt in progress for the
     comparison of versions, ``permit`` is an endpoint with a limit and the slot in
     which it takes the job, ``waited_s`` how long it waited for endpoints that wanted no
-    request before. ``move`` is set while its stream is moved to another
-    endpoint, and resolves to the result.
+    request before. ``relay`` is the instance by which it was sent the last time, None
+    if directly, and ``tried_relays`` those that did not pass it on. ``move`` is
+    set while its stream is moved to another endpoint, and resolves to the result.
     """
 
     request: CallerRequest
@@ -105,6 +107,8 @@
     first_answer_s: float | None = None
     permit: tuple[Endpoint, int] | None = None
     waited_s: float = 0.0
+    relay: Relay | None = None
+    tried_relays: set[Relay] = attrs.field(factory=set)
     moved: MovedRun | None = None
     move: asyncio.Future[tuple[Endpoint, MovedRun] | None] | None = None
 
@@ -119,7 +123,8 @@
 class SendOrder:
     """What the system adds to a request that it sends to an endpoint.
 
-    Urgency 0 is the highest. ``moved`` is the run that the endpoint continues.
+    Urgency 0 is the highest. ``moved`` is the run that the endpoint continues,
+    ``relay`` the instance that passes the request on, None if it is sent directly.
     """
 
     endpoint: EndpointRecord
@@ -128,6 +133,7 @@
     organisation: str | None
     resume_after: int | None
     moved: MovedRun | None = None
+    relay: Relay | None = None
 
 
 class EndpointAnswer(Protocol):
--- a/lagoonring/serving/settings.py
+++ b/lagoonring/serving/settings.py
@@ -62,7 +62,8 @@
     """Identity and addresses of an instance, and addresses of its dependencies.
 
     Addresses are ``IP:port``. ``capacity`` ranks instances as hubs: link bandwidth in
-    Mbit/s times processor cores.
+    Mbit/s times processor cores. ``relay_port`` takes requests that other instances
+    relay by this one; it is the same at all instances.
     """
 
     instance: str
@@ -72,6 +73,7 @@
     caller_address: str
     ready_address: str
     peer_port: int
+    relay_port: int
     metrics_port: int
     seed_ips: tuple[str, ...] = ()
     store_address: str
--- a/lagoonring/serving/state_sync.py
+++ b/lagoonring/serving/state_sync.py
@@ -23,6 +23,7 @@
         Summary,
     )
     from lagoonring.serving.parts import ServingParts
+    from lagoonring.serving.relay_directory import RelayRows
     from lagoonring.serving.true_time import TrueClock
     from lagoonring.serving.version_results import ResultsRow
     from lagoonring.serving.versions import MovesDuty
@@ -61,6 +62,7 @@
         self.moves = moves
         self.conditions = Conditions(parts.table, parts.app.rng)
         self.own_reports: dict[int, OwnState] = {}
+        self.relays: RelayRows = {}
         self.local_lives: set[tuple[str, int]] = set()
         self.local_results: dict[str, dict[str, ResultsRow]] = {}
         self.usage_sent_s = float("-inf")
@@ -86,6 +88,7 @@
         report.demand = parts.demand.own()
         report.results = parts.counters.rows()
         report.observations = self.conditions.own_rows(now_s)
+        report.unreached = sorted(parts.connectivity.unreached)
         self.own_reports[report.number] = OwnState(report.loads, report.taken)
         while len(self.own_reports) > MAX_OWN_REPORTS:
             del self.own_reports[next(iter(self.own_reports))]
@@ -104,6 +107,12 @@
         summary.statements = statement_rows(parts.table.endpoints.values(), now_s)
         summary.demand = parts.demand.local()
         summary.observations = self.conditions.local_rows(now_s)
+        directory = parts.connectivity.directory
+        directory.update_local(parts.exchange.address, parts.connectivity.unreached)
+        summary.unreached = directory.local_unreached()
+        summary.relays = directory.local_rows()
+        self.relays = directory.all_rows(summary.relays)
+        parts.connectivity.learn_of_relays()
         summary.moves = self._views()
         if now_s - self.results_sent_s >= RESULTS_INTERVAL_S:
             self.results_sent_s = now_s
@@ -128,6 +137,7 @@
         digest.statements = statement_rows(parts.table.endpoints.values(), now_s)
         digest.moves = self._views()
         digest.conditions, digest.typical = self.conditions.assess_all(now_s)
+        digest.relays = self.relays
 
     def apply_report(self, report: Report, now_s: float) -> None:
         """Apply the state of an instance of this data centre."""
@@ -140,6 +150,7 @@
         parts.usage.update_peer(report.instance, report.life, report.started)
         parts.demand.update_peer(source, report.demand)
         self.conditions.update_peer(source, report.observations, now_s)
+        parts.connectivity.directory.update_local(report.card.address, report.unreached)
         self.true_clock.update_peer(source, report.time_s)
         self.local_lives.add((report.instance, report.life))
         if report.results or report.instance in self.local_results:
@@ -160,6 +171,9 @@
                 parts.usage.update_peer(row.instance, row.life, {window: row.counts})
         parts.demand.update_peer(source, summary.demand)
         self.conditions.update_peer(source, summary.observations, now_s)
+        parts.connectivity.directory.update_centre(
+            source.name, summary.unreached, summary.relays
+        )
         self.true_clock.update_peer(source, summary.time_s, weight=summary.n_heard)
         self._apply_move_views(summary)
         if self.moves is not None:
@@ -186,6 +200,8 @@
         )
         self._apply_move_views(digest)
         self.conditions.apply(digest.conditions, digest.typical, now_s)
+        self.parts.connectivity.directory.apply_rows(digest.relays)
+        self.parts.connectivity.learn_of_relays()
 
     def reset_peer_state(self, is_hub: bool) -> None:
         """Discard received state when the hub role changes."""
@@ -194,6 +210,7 @@
         parts.quotas.carry_over_peers(parts.app.clock.monotonic())
         parts.demand.peer_rates.clear()
         self.conditions.drop_peers()
+        parts.connectivity.directory.reset()
         self.local_lives.clear()
         self.local_results.clear()
 
--- a/lagoonring/soak/deployment.py
+++ b/lagoonring/soak/deployment.py
@@ -32,7 +32,7 @@
 from lagoonring.standins.platform_standin import PlatformStandin
 
 DATA_CENTRES = ("east", "west", "north")
-CALLER_PORT, READY_PORT, PEER_PORT = 8360, 8365, 7500
+CALLER_PORT, READY_PORT, PEER_PORT, RELAY_PORT = 8360, 8365, 7500, 7501
 METRICS_PORT = 9464
 RESTART_INTERVAL_S = 0.2  # the platform, too, restarts processes that have ended
 BOUNDS = Bounds(quota_slack=60, retry_slack=60)
@@ -237,6 +237,7 @@
             caller_address=f"{instance.ip}:{CALLER_PORT}",
             ready_address=f"{instance.ip}:{READY_PORT}",
             peer_port=PEER_PORT,
+            relay_port=RELAY_PORT,
             metrics_port=METRICS_PORT,
             seed_ips=tuple(
                 f"127.{self.net}.{index + 1}.1" for index in range(len(DATA_CENTRES))
--- a/lagoonring/tests/builders/crashes.py
+++ b/lagoonring/tests/builders/crashes.py
@@ -169,9 +169,10 @@
             *(self.record_of(endpoint) for endpoint in self.endpoints.values()),
             configuration=make_configuration(route),
             clock=self.clock,
+            exchange=exchange,
+            probe=self.make_probe(name),
         )
         parts.app.rng.seed(name)
-        parts.exchange = exchange
         exchange.parts = parts
         exchange.state_handler = StateSync(parts, TrueClock(self.clock), None)
         return exchange
@@ -180,6 +181,14 @@
         """Return the sender of an instance."""
         return InstanceSender(self, instance)
 
+    def make_probe(self, instance: str) -> Any:
+        """Return a function that probes endpoints from an instance."""
+
+        async def probe(record: Any) -> bool:
+            return not self.endpoints[record.endpoint].is_down
+
+        return probe
+
     def record_of(self, endpoint: Breakable) -> Any:
         """Return the record of an endpoint's present life."""
         born_ms = 1000 * endpoint.n_lives
--- a/lagoonring/tests/builders/exchanges.py
+++ b/lagoonring/tests/builders/exchanges.py
@@ -105,6 +105,7 @@
             caller_address=f"{ip}:1",
             ready_address=f"{ip}:2",
             peer_port=7500,
+            relay_port=7501,
             metrics_port=9464,
             seed_ips=tuple(self.ip_of(seed) for seed in self.seeds),
             store_address="10.9.0.1:3",
--- a/lagoonring/tests/builders/lost_paths.py
+++ b/lagoonring/tests/builders/lost_paths.py
@@ -2,9 +2,17 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING, Any
 
-from lagoonring.endpoints.errors import EndpointConnectError, EndpointCutError
+import attrs
+
+from lagoonring.endpoints.errors import (
+    EndpointConnectError,
+    EndpointCutError,
+    RelayRefusedError,
+)
+from lagoonring.serving.relaying import find_relayed_endpoint
 from lagoonring.tests.builders.crashes import CrashingService, InstanceSender
 
 if TYPE_CHECKING:
@@ -28,6 +36,8 @@
 
     async def send(self, request: Any, order: Any) -> FakeAnswer:
         """Send a request once."""
+        if order.relay is not None:
+            return await self._send_by(order.relay, request, order)
         how = self.service.cuts.get(self.instance)
         self.n_sends += 1
         if how == "refuse" or (how == "live" and self.n_sends % 3):
@@ -41,6 +51,19 @@
             raise EndpointConnectError("Got no connection, expected one.")
         return await super().send(request, order)
 
+    async def _send_by(self, relay: Any, request: Any, order: Any) -> FakeAnswer:
+        """Let another instance send a request, as its relay server would."""
+        service = self.service
+        name = service.names_by_address[relay.address]
+        if relay.life != service.exchanges[name].life:
+            raise RelayRefusedError("Got another process, expected the known one.")
+        service.n_relayed[name] += 1
+        find_relayed_endpoint(
+            service.exchanges[name].parts, order.endpoint.endpoint, is_leaving=False
+        )
+        direct = attrs.evolve(order, relay=None)
+        return await service.senders[name].send(request, direct)
+
 
 class LostPaths(CrashingService):
     """Instances of three data centres that lose their connections to endpoints.
@@ -51,8 +74,28 @@
     def __init__(self, **options: Any) -> None:
         self.cuts: dict[str, str] = {}
         self.senders: dict[str, LostPathSender] = {}
+        self.names_by_address: dict[str, str] = {}
+        self.n_relayed: Counter[str] = Counter()
         super().__init__(crashes=lambda parts, record: False, **options)
 
+    def start(self, name: str, **options: Any) -> Any:
+        """Start an instance."""
+        exchange = super().start(name, **options)
+        self.names_by_address[exchange.address] = name
+        return exchange
+
+    def make_probe(self, instance: str) -> Any:
+        """Return a function that probes endpoints from an instance."""
+        probe = super().make_probe(instance)
+
+        async def probe_unless_cut(record: Any) -> bool:
+            how = self.cuts.get(instance)
+            if how == "hang":
+                await self.clock.sleep(CONNECT_TIMEOUT_S)
+            return how is None and await probe(record)
+
+        return probe_unless_cut
+
     def make_sender(self, instance: str) -> InstanceSender:
         """Return the sender of an instance."""
         self.senders[instance] = LostPathSender(self, instance)
--- a/lagoonring/tests/builders/serving.py
+++ b/lagoonring/tests/builders/serving.py
@@ -25,6 +25,7 @@
     ServiceEntry,
     WeightedService,
 )
+from lagoonring.serving.connectivity import Connectivity
 from lagoonring.serving.demand import Demand
 from lagoonring.serving.endpoints import (
     EndpointRecord,
@@ -39,6 +40,7 @@
 from lagoonring.serving.placer import Placer
 from lagoonring.serving.prompt_suspects import PromptSuspects
 from lagoonring.serving.quotas import Quotas
+from lagoonring.serving.relay_directory import RelayDirectory
 from lagoonring.serving.requests import CallerRequest
 from lagoonring.serving.retry_budget import RetryBudget
 from lagoonring.serving.statements import Statement
@@ -222,6 +224,10 @@
             tuple(sorted([self.address, *self.peers])),
         )
 
+    def relays(self) -> list[Any]:
+        """Return no instances that relay."""
+        return []
+
     def count_instances(self) -> int:
         """Return the number of known instances."""
         return self.n_instances
@@ -329,17 +335,31 @@
         self.is_aborted = True
 
 
+async def probe_nothing(record: EndpointRecord) -> bool:
+    """Return that a connection to the endpoint was established."""
+    return True
+
+
 def make_parts(
     sender: Any,
     *records: EndpointRecord,
     configuration: Configuration | None = None,
     clock: Any = None,
+    exchange: Any = None,
+    probe: Any = probe_nothing,
 ) -> ServingParts:
     """Return the parts with a sender and the endpoints, by default two."""
     app = Application(clock=clock or ManualClock(), rng=random.Random(7))
     table = make_table(*(records or (make_record("a"), make_record("b"))))
     demand = Demand(app.clock)
-    exchange = FakeExchange()
+    exchange = exchange or FakeExchange()
+    connectivity = Connectivity(
+        table,
+        app.clock,
+        app.rng,
+        probe=probe,
+        directory=RelayDirectory(exchange.relays, app.clock, app.rng),
+    )
     follower = FakeFollower(configuration or make_configuration())
     gate = MoveGate(follower, app.clock)
     return ServingParts(
@@ -354,7 +374,9 @@
             allowed=gate.allowed,
             demand=demand,
             permits=Permits(exchange.place, app.clock.time),
+            connectivity=connectivity,
         ),
+        connectivity=connectivity,
         sender=sender,
         exchange=exchange,
         quotas=Quotas(),
--- a/lagoonring/tests/test_boot.py
+++ b/lagoonring/tests/test_boot.py
@@ -107,6 +107,7 @@
         ({"platform": {}}, "address"),
         ({"internalPorts": "all"}, "internalPorts"),
         ({"internalPorts": []}, "internalPorts"),
+        ({"internalPorts": [7500, 7501]}, "internalPorts"),
         ({"bounds": {"drainMs": "soon"}}, "drainMs"),
     ],
 )
--- a/lagoonring/tests/test_callers.py
+++ b/lagoonring/tests/test_callers.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from lagoonring.kernel import Clock
 from lagoonring.platform.callers import CallerServer
 from lagoonring.platform.sending import HttpSender, make_session
 from lagoonring.serving.configuration import RequestKind
@@ -32,17 +33,14 @@
 ROUTES = (make_route(), STREAM)
 
 
-class LoopClock:
-    """The clock of the running event loop, with the methods that the path uses."""
+class LoopClock(Clock):
+    """The clock of the running event loop."""
 
     def monotonic(self):
         return asyncio.get_running_loop().time()
 
     time = boottime = monotonic
 
-    async def sleep(self, delay_s):
-        await asyncio.sleep(delay_s)
-
 
 @asynccontextmanager
 async def serving(answer, **options):
@@ -132,7 +130,9 @@
         make_session() as session,
     ):
         record = make_record("a", address=address)
-        async with serving(HttpSender(session), records=(record,)) as front:
+        async with serving(
+            HttpSender(session, relay_port=9), records=(record,)
+        ) as front:
             forged = [
                 "Lagoonring-Tenant: other",
                 "Lagoonring-Hold: h",
--- a/lagoonring/tests/test_endless_answers.py
+++ b/lagoonring/tests/test_endless_answers.py
@@ -45,7 +45,7 @@
     async with make_session() as session:
         route = make_route(kind=kind, timeout_s=1.5, max_attempts=1)
         parts = make_parts(
-            HttpSender(session),
+            HttpSender(session, relay_port=9),
             make_record("a", address=endpoint.address),
             configuration=make_configuration(route),
         )
@@ -76,7 +76,8 @@
     answer = HEAD + b"Content-Length: 4\r\n\r\ndone"
     async with endless_endpoint(answer, block) as endpoint, make_session() as session:
         parts = make_parts(
-            HttpSender(session), make_record("a", address=endpoint.address)
+            HttpSender(session, relay_port=9),
+            make_record("a", address=endpoint.address),
         )
         first = await serve(parts)
         assert first.body in (b"done", b"")
@@ -93,7 +94,7 @@
         endless_endpoint(*ENDLESS["chunks"]) as endless,
         make_session() as session,
     ):
-        sender = HttpSender(session)
+        sender = HttpSender(session, relay_port=9)
         bad = make_parts(sender, make_record("a", address=endless.address))
         fine = make_parts(sender, make_record("b", address=address))
         task = asyncio.create_task(serve(bad))
--- a/lagoonring/tests/test_instance.py
+++ b/lagoonring/tests/test_instance.py
@@ -3,97 +3,21 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import time
 
 import pytest
 
-from lagoonring.platform.application import make_application
-from lagoonring.platform.boot import decode_boot_file
 from lagoonring.standins.platform_standin import PlatformStandin
-from lagoonring.tests.builders.boots import encode_boot
-from lagoonring.tests.builders.ports import free_ports
-from lagoonring.tests.builders.raw_endpoints import raw_endpoint
-from lagoonring.tests.builders.serving import HOST, KEY
-
-LIMIT_S = 20.0
-ID = "0123456789abcdef"
-ANSWER = (
-    b"HTTP/1.1 200 OK\r\nLagoonring-Request-Id: " + ID.encode() + b"\r\n"
-    b"Lagoonring-Response-Stamp: signed\r\nContent-Length: 2\r\n\r\nok"
+from lagoonring.tests.builders.instances import (
+    ANSWER,
+    LIMIT_S,
+    ask,
+    ask_until,
+    make_config,
+    make_heartbeat,
+    running_instances,
 )
-
-
-def make_config(version=1, prefix="/a/", keys=(KEY,)):
-    route = {
-        "name": "r",
-        "host": HOST,
-        "pathPrefix": prefix,
-        "kind": "safe",
-        "timeoutMs": 2000,
-        "sloMs": 300,
-        "service": "desk",
-        "maxAttempts": 2,
-    }
-    engine = {
-        "name": "assistant",
-        "engine": {"slots": 8, "kvTokens": 1000},
-        "scaling": {"min": 1, "max": 3, "spotPrice": 0.2, "zonePrices": {"east": 1.0}},
-    }
-    return {
-        "version": version,
-        "routes": [route],
-        "services": [{"name": "desk"}, engine],
-        "tenants": [{"name": "one", "apiKeys": list(keys)}],
-    }
-
-
-def make_heartbeat(address, **changes):
-    heartbeat = {
-        "service": "desk",
-        "address": address,
-        "zone": "east",
-        "version": "v1",
-        "slots": 6,
-        "state": "ready",
-        "seq": 1,
-        "born": 1,
-    }
-    return heartbeat | changes
-
-
-@contextlib.asynccontextmanager
-async def running_instances(platform, n=1):
-    """Run instances in one data centre; yields their applications."""
-    peer_ports = free_ports(n)
-    apps = []
-    for number, port in enumerate(peer_ports):
-        caller_port, ready_port = free_ports(2)
-        boot = encode_boot(
-            node=f"i-{number}",
-            ip="127.0.0.1",
-            internalPorts=[port, port],
-            listen={
-                "front": f"127.0.0.1:{caller_port}",
-                "ready": f"127.0.0.1:{ready_port}",
-            },
-            platform={"address": platform.address},
-            cloud={"address": platform.address, "duties": ["usage", "scaling"]},
-            bounds={"leaseMs": 600, "usageWindowS": 1, "usageLateS": 4},
-            heartbeatMs=1200,
-        )
-        apps.append(make_application(decode_boot_file(boot)))
-    for app in apps:
-        await app.start()
-    for app in apps:
-        for other in apps:
-            member = other.find("exchange").members.me
-            app.find("exchange").members.record_listed(member, app.clock.monotonic())
-    try:
-        yield apps
-    finally:
-        for app in apps:
-            await app.stop()
+from lagoonring.tests.builders.raw_endpoints import raw_endpoint
 
 
 @pytest.fixture
@@ -104,29 +28,6 @@
     await standin.stop()
 
 
-async def ask(app, path="/a/1", *, key=KEY):
-    """Return the status of a request to an instance."""
-    host, port = app.settings.caller_address.split(":")
-    reader, writer = await asyncio.open_connection(host, int(port))
-    head = (
-        f"GET {path} HTTP/1.1\r\nHost: {HOST}\r\nLagoonring-Request-Id: {ID}\r\n"
-        f"Authorization: Token {key}\r\nConnection: close\r\n\r\n"
-    )
-    writer.write(head.encode())
-    try:
-        async with asyncio.timeout(LIMIT_S):
-            return int((await reader.read()).split()[1])
-    finally:
-        writer.close()
-
-
-async def ask_until(status, app, path="/a/1", **options):
-    """Repeat a request until it is answered with the given status."""
-    async with asyncio.timeout(LIMIT_S):
-        while await ask(app, path, **options) != status:
-            await asyncio.sleep(0.02)
-
-
 def serve_ok(writer, head):
     writer.write(ANSWER)
 
--- a/lagoonring/tests/test_platform_documents.py
+++ b/lagoonring/tests/test_platform_documents.py
@@ -27,6 +27,7 @@
         caller_address="127.0.0.9:1",
         ready_address="127.0.0.9:2",
         peer_port=7500,
+        relay_port=7501,
         metrics_port=7515,
         seed_ips=("127.0.0.8",),
         store_address="127.0.0.1:3",
--- a/lagoonring/tests/test_sending.py
+++ b/lagoonring/tests/test_sending.py
@@ -37,7 +37,7 @@
 @pytest.fixture
 async def sender():
     async with make_session() as session:
-        yield HttpSender(session)
+        yield HttpSender(session, relay_port=9)
 
 
 def make_order(address, **changes):
