--- a/lagoonring/serving/attempts.py
+++ b/lagoonring/serving/attempts.py
@@ -10,14 +10,11 @@
 import attrs
 
 from lagoonring.endpoints.errors import (
-    EndpointConnectError,
     EndpointCrossedError,
     EndpointCutError,
     EndpointError,
     EndpointFailedError,
     EndpointRefusedError,
-    RelayCutError,
-    RelayRefusedError,
 )
 from lagoonring.errors import Outcome
 from lagoonring.logs import make_logger
@@ -28,7 +25,7 @@
     timeout_error,
     unsigned_error,
 )
-from lagoonring.serving.attempt_logs import describe_failure
+from lagoonring.serving.attempt_results import end_record, record_failure
 from lagoonring.serving.configuration import RequestKind
 from lagoonring.serving.connectivity import SILENCE_S
 from lagoonring.serving.events import EventSplitter
@@ -80,7 +77,7 @@
             with self.parts.connectivity.choose_way(job, endpoint):
                 await self._exchange(job, endpoint, sink)
             result = RESULT_OK
-            self._end_record(job, ok=True)
+            end_record(job, self.clock.monotonic(), ok=True)
             return None
         except EndpointError as error:
             if job.move is not None:
@@ -89,7 +86,7 @@
             result = error.kind
             if error.outcome is not Outcome.NOT_RUN:
                 job.n_runs += 1
-            self._record_failure(job, endpoint, error)
+            record_failure(self.parts, job, endpoint, error)
             return error
         except asyncio.CancelledError:
             # The endpoint may have begun the request before its caller gave up.
@@ -113,12 +110,6 @@
             None if continues else self.parts.placer.typical_answer_s(job, endpoint),
         )
 
-    def _end_record(self, job: Job, *, ok: bool) -> None:
-        """Record the end of an attempt that the endpoint has run."""
-        if job.recorder is not None:
-            job.recorder.record_end(self.clock.monotonic(), ok=ok)
-            job.recorder = None
-
     async def _exchange(self, job: Job, endpoint: Endpoint, sink: Sink) -> None:
         """Send a job once and relay the answer; raises an ``EndpointError``."""
         order = SendOrder(
@@ -240,12 +231,12 @@
         body = await answer.read()
         if answer.status < 300 and not answer.is_signed:
             raise unsigned_error(endpoint)
-        self._count_started(job)
+        self.parts.count_started(job)
         job.first_answer_s = round(self.clock.monotonic() - started_s, 4)
         is_failure = answer.status >= 500
         endpoint.record_result(ok=not is_failure, now_s=self.clock.monotonic())
         if is_failure:
-            self._end_record(job, ok=False)
+            end_record(job, self.clock.monotonic(), ok=False)
         if is_failure and self._may_retry_failed(job):
             raise EndpointFailedError(
                 f"Got status {answer.status} of {endpoint.name}, expected success.",
@@ -353,7 +344,7 @@
 
     def _record_first_event(self, job: Job, endpoint: Endpoint) -> None:
         now_s = self.clock.monotonic()
-        self._count_started(job)
+        self.parts.count_started(job)
         self.parts.placer.record_first_event(job, endpoint)
         self.parts.metrics.first_s.labels(job.route.name).observe(
             now_s - job.request.received_s
@@ -365,12 +356,6 @@
             job.request.shared_parts(), self.clock.monotonic()
         )
 
-    def _count_started(self, job: Job) -> None:
-        """Count the request as started, at most once."""
-        if not job.is_counted:
-            job.is_counted = True
-            self.parts.count_started(job)
-
     def _may_retry_failed(self, job: Job) -> bool:
         """Return whether to retry instead of relaying a failure answer."""
         is_retryable = (
@@ -383,48 +368,3 @@
         return self.parts.retry_budget.take(
             job.service, self.clock.monotonic(), self.parts.exchange.count_instances()
         )
-
-    def _record_relay_failure(
-        self, job: Job, endpoint: Endpoint, error: EndpointError
-    ) -> None:
-        """Use another relay; nothing is known of the endpoint."""
-        if job.relay is not None:
-            job.tried_relays.add(job.relay)
-            self.parts.connectivity.record_relay_failure(job.relay, job.service)
-        if error.outcome is Outcome.NOT_RUN:
-            job.tried.discard(endpoint.name)
-        else:
-            self._count_started(job)
-
-    def _record_failure(
-        self, job: Job, endpoint: Endpoint, error: EndpointError
-    ) -> None:
-        """Update the endpoint's health after a failed attempt, and log it."""
-        now_s = self.clock.monotonic()
-        n_crashes = 0
-        if isinstance(error, RelayRefusedError | RelayCutError):
-            self._record_relay_failure(job, endpoint, error)
-        elif isinstance(error, EndpointConnectError):
-            endpoint.mark_unreachable(now_s)
-            if job.relay is None:
-                self.parts.connectivity.record_connect_failure(endpoint)
-        elif not isinstance(error, EndpointRefusedError | EndpointFailedError):
-            endpoint.record_result(ok=False, now_s=now_s)
-            self._count_started(job)
-            self._end_record(job, ok=False)
-            if isinstance(error, EndpointCutError):
-                life = f"{endpoint.name}/{endpoint.record.born_ms}"
-                n_crashes = self.parts.suspects.record_crash(
-                    job.fingerprint, life, now_s
-                )
-                self.parts.prompt_suspects.record_crash(
-                    job.request.shared_parts(), life, sent_s=job.sent_s, now_s=now_s
-                )
-        logger.info(
-            "Attempt failed.",
-            extra={
-                **describe_failure(job, endpoint, error, now_s),
-                "n_crashes": n_crashes,
-                "loads_age_s": self.parts.table.loads_age_s(now_s),
-            },
-        )
--- a/lagoonring/serving/exchange.py
+++ b/lagoonring/serving/exchange.py
@@ -19,14 +19,7 @@
 from lagoonring.logs import make_logger
 from lagoonring.peers.metrics import PeersMetrics
 from lagoonring.peers.transport import NngTransport
-from lagoonring.serving.members import (
-    LEAVING_CAPACITY,
-    MEMBER_TIMEOUT_S,
-    Card,
-    Member,
-    Members,
-    cards_of,
-)
+from lagoonring.serving.members import MEMBER_TIMEOUT_S, Card, Member, Members, cards_of
 from lagoonring.serving.messages import (
     DIGEST_KIND,
     INTRODUCTION_KIND,
@@ -182,14 +175,9 @@
 
     def relays(self) -> list[Relay]:
         """Return this instance and the reachable local ones that are not leaving."""
-        now_s = self.app.clock.monotonic()
-        members = self.members
-        relays = [
-            Relay(peer.card.address, peer.life)
-            for peer in members.local()
-            if peer.is_reachable(now_s) and peer.card.capacity > LEAVING_CAPACITY
-        ]
-        if members.me.capacity > LEAVING_CAPACITY:
+        peers = self.members.present(self.app.clock.monotonic())
+        relays = [Relay(peer.card.address, peer.life) for peer in peers]
+        if not self.members.is_leaving():
             relays.append(Relay(self.address, self.life))
         return relays
 
--- a/lagoonring/serving/members.py
+++ b/lagoonring/serving/members.py
@@ -136,6 +136,18 @@
         """Return the other instances of this data centre."""
         return self.of_data_centre(self.me.data_centre)
 
+    def present(self, now_s: float) -> list[Member]:
+        """Return the reachable local instances that are not leaving."""
+        return [
+            member
+            for member in self.local()
+            if member.is_reachable(now_s) and member.card.capacity > LEAVING_CAPACITY
+        ]
+
+    def is_leaving(self) -> bool:
+        """Return whether this instance is leaving."""
+        return self.me.capacity <= LEAVING_CAPACITY
+
     def of_data_centre(self, name: str) -> list[Member]:
         """Return the other known instances of a data centre."""
         return list(self.by_centre.get(name, {}).values())
--- a/lagoonring/serving/parts.py
+++ b/lagoonring/serving/parts.py
@@ -68,6 +68,9 @@
         return min(max(urgency, 0), MAX_URGENCY)
 
     def count_started(self, job: Job) -> None:
-        """Count a request that an endpoint started."""
+        """Count a request that an endpoint started, at most once."""
+        if job.is_counted:
+            return
+        job.is_counted = True
         if job.organisation is not None:
             self.usage.record_start(job.organisation.name)
