Probe all endpoints of a service before a mixed sample counts as a lost path

Cause: three of eight endpoints that crashed together were most of a sample of five, so that instances took their path for lost; and endpoints not tested yet were tried although no instance reaches the service. Change: if any endpoint of a sample is reached, all are probed before the service counts as unreached; once it does, those not tested count as lost until they are.

--- a/lagoonring/serving/connectivity.py
+++ b/lagoonring/serving/connectivity.py
@@ -229,9 +229,9 @@
         if suspected is not None and suspected not in sample:
             sample.append(suspected)
         while True:
-            if sample and await self._probe_all(sample):
-                # The path may be back: find out about all endpoints at once.
-                await self._probe_all(self._lost(service))
+            if await self._probe_any(sample):
+                # Some may have crashed, or the path is back: find out about all.
+                await self._probe_any(self._untested(service, sample))
             endpoints = self.table.of_service(service)
             now_s = self.clock.monotonic()
             if not is_unreached([endpoint.link for endpoint in endpoints], now_s):
@@ -241,9 +241,9 @@
             await self.clock.sleep(PROBE_INTERVAL_S)
             sample = self._sample(service)
 
-    async def _probe_all(self, endpoints: Iterable[Endpoint]) -> bool:
-        """Probe endpoints at the same time; return whether all were reached."""
-        return all(await asyncio.gather(*(self._probe(one) for one in endpoints)))
+    async def _probe_any(self, endpoints: Iterable[Endpoint]) -> bool:
+        """Probe endpoints at the same time; return whether any was reached."""
+        return any(await asyncio.gather(*(self._probe(one) for one in endpoints)))
 
     async def _probe(self, endpoint: Endpoint) -> bool:
         is_reached = await self.probe(endpoint.record)
@@ -260,11 +260,9 @@
         endpoints.sort(key=lambda endpoint: endpoint.link.tested_s)
         return endpoints[: max(MIN_PROBES, math.ceil(PROBED_SHARE * len(endpoints)))]
 
-    def _lost(self, service: str) -> list[Endpoint]:
-        now_s = self.clock.monotonic()
-        return [
-            one for one in self.table.of_service(service) if one.link.is_lost(now_s)
-        ]
+    def _untested(self, service: str, sample: list[Endpoint]) -> list[Endpoint]:
+        """Return the endpoints whose last test was not in the sample."""
+        return [one for one in self.table.of_service(service) if one not in sample]
 
     def _relays(self, job: Job) -> list[Relay]:
         now_s = self.clock.monotonic()
@@ -282,16 +280,20 @@
             return
         self.unreached.add(service)
         self.record_reached(service, False)
+        n_tested = sum(one.link.is_recent(now_s) for one in endpoints)
+        n_lost = sum(one.link.is_lost(now_s) for one in endpoints)
         for endpoint in endpoints:
             # Others must not believe that these endpoints are down.
             endpoint.observation.unreachable_s = None
+            if not endpoint.link.is_recent(now_s):
+                endpoint.link.lost_s = now_s
         self.logger.warning(
             "Lost the connections to a service; other instances relay.",
             extra={
                 "service": service,
                 "n_endpoints": len(endpoints),
-                "n_tested": sum(one.link.is_recent(now_s) for one in endpoints),
-                "n_lost": sum(one.link.is_lost(now_s) for one in endpoints),
+                "n_tested": n_tested,
+                "n_lost": n_lost,
                 "n_relays": len(self.directory.relays(service)),
             },
         )
--- a/lagoonring/tests/builders/lost_paths.py
+++ b/lagoonring/tests/builders/lost_paths.py
@@ -57,10 +57,10 @@
         name = service.names_by_address[relay.address]
         if relay.life != service.exchanges[name].life:
             raise RelayRefusedError("Got another process, expected the known one.")
-        service.n_relayed[name] += 1
         find_relayed_endpoint(
             service.exchanges[name].parts, order.endpoint.endpoint, is_leaving=False
         )
+        service.n_relayed[name] += 1
         direct = attrs.evolve(order, relay=None)
         return await service.senders[name].send(request, direct)
 
