--- a/lagoonring/tests/builders/limited_service.py
+++ b/lagoonring/tests/builders/limited_service.py
@@ -190,3 +190,14 @@
             status=500 if self.fails else 200,
             statement=Statement(limit_per_s=limit),
         )
+
+
+def make_refusal(pause_s: float) -> FakeAnswer:
+    """Return the answer of an endpoint that wants no request for some seconds."""
+    return FakeAnswer(
+        [b"busy"],
+        status=503,
+        is_not_run=True,
+        is_signed=False,
+        statement=Statement(pause_s=pause_s),
+    )
--- a/lagoonring/tests/test_statements.py
+++ b/lagoonring/tests/test_statements.py
@@ -18,6 +18,7 @@
     record_statement,
     statement_rows,
 )
+from lagoonring.tests.builders.limited_service import make_refusal
 from lagoonring.tests.builders.serving import (
     FakeAnswer,
     FakeSender,
@@ -185,16 +186,6 @@
     assert answers[2].error.outcome is Outcome.NOT_RUN
 
 
-def make_refusal(pause_s):
-    return FakeAnswer(
-        [b"busy"],
-        status=503,
-        is_not_run=True,
-        is_signed=False,
-        statement=Statement(pause_s=pause_s),
-    )
-
-
 async def test_an_endpoint_gets_no_request_in_a_pause_that_it_asked_for():
     clock = ManualClock()
     refused = []
