Heed a pause and a limit that are named while a request waits with a permit

Callers saw: nothing; the endpoint got requests in a pause that it had asked for (BUDGET), or beyond a limit that it had lowered. Cause: after its wait a request looked at its endpoint's readiness only. Evidence: test_a_request_that_waits_with_a_permit_heeds_what_is_said_meanwhile failed in 2 of 2 cases before. Change: after the wait, the pause and the permit under the present limit are asked again; if either forbids it the permit goes back and the request is placed anew.

--- a/lagoonring/serving/path.py
+++ b/lagoonring/serving/path.py
@@ -204,7 +204,11 @@
         is_used = False
         try:
             await self.clock.sleep(opens_s)
-            is_used = slot is not None and placer.is_eligible(job, endpoint)
+            is_used = (
+                slot is not None
+                and placer.is_eligible(job, endpoint)
+                and placer.is_permitted(endpoint, slot)
+            )
         finally:
             if slot is not None and not is_used:
                 placer.permits.release(endpoint, slot)
--- a/lagoonring/serving/permits.py
+++ b/lagoonring/serving/permits.py
@@ -102,6 +102,14 @@
             self.taken[key] = self.taken.get(key, 0) + 1
         return slot
 
+    def is_valid(self, endpoint: Endpoint, slot: int) -> bool:
+        """Return whether a permit taken before holds under the present limit."""
+        limit_per_s = endpoint.limit.limit_per_s
+        if limit_per_s is None:
+            return True
+        n_own = count_own(endpoint.name, limit_per_s, slot, self.place())
+        return self.taken.get((endpoint.name, slot), 0) <= n_own
+
     def release(self, endpoint: Endpoint, slot: int) -> None:
         """Return a permit that was not used."""
         key = (endpoint.name, slot)
--- a/lagoonring/serving/placer.py
+++ b/lagoonring/serving/placer.py
@@ -118,6 +118,11 @@
         """Take the permit that `wait_s` speaks of; return its slot if it has one."""
         return self.permits.take(endpoint, not_before_s=self._pause_left_s(endpoint))
 
+    def is_permitted(self, endpoint: Endpoint, slot: int) -> bool:
+        """Return whether a permit that was waited for may be used now."""
+        is_paused = self._pause_left_s(endpoint) > 0
+        return not is_paused and self.permits.is_valid(endpoint, slot)
+
     def next_permit(self, job: Job) -> tuple[Endpoint, float] | None:
         """Return the endpoint that may take the job first, and the seconds until then.
 
