Ask again whether a request is wanted once its connection is established

Cause: a request was decided on before its connection was requested; a full queue of new connections delays that by up to the time-out of half a second. Change: the connector asks after it has got a connection, also at an instance that relays. A request that is withdrawn was not sent: it costs no retry, and the connection stays open.

--- a/lagoonring/endpoints/errors.py
+++ b/lagoonring/endpoints/errors.py
@@ -40,6 +40,13 @@
     kind = "connect"
 
 
+class RequestWithdrawnError(EndpointRefusedError):
+    """A request was not sent, since its endpoint no longer wants it."""
+
+    code = "request_withdrawn"
+    kind = "withdrawn"
+
+
 class RelayRefusedError(EndpointConnectError):
     """Another instance did not pass the request on to the endpoint."""
 
--- a/lagoonring/endpoints/transport.py
+++ b/lagoonring/endpoints/transport.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from contextlib import contextmanager
+from contextvars import ContextVar
 from typing import TYPE_CHECKING
 
 import aiohttp
@@ -16,11 +17,14 @@
     EndpointRefusedError,
     EndpointRejectedError,
     EndpointTimeoutError,
+    RequestWithdrawnError,
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator, Mapping
+    from collections.abc import Callable, Iterator, Mapping
 
+    from aiohttp.connector import Connection
+    from aiohttp.tracing import Trace
     from yarl import URL
 
 ECHOED_HEADERS = ("X-Request-Id", "X-Attempt-Id")
@@ -28,6 +32,35 @@
 MAX_SHOWN_BYTES = 200
 
 
+# Whether the request of the current task is to be sent once it has its connection.
+WANTED: ContextVar[Callable[[], bool] | None] = ContextVar("wanted", default=None)
+
+
+class NotWantedError(Exception):
+    """A connection is not needed; unlike errors of connections, passed on unchanged."""
+
+
+class CheckedConnector(aiohttp.TCPConnector):
+    """A connector that asks again whether a request is wanted once it is connected.
+
+    Establishing a connection may take long enough for the decision to be outdated.
+    """
+
+    async def connect(
+        self,
+        req: aiohttp.ClientRequest,
+        traces: list[Trace],
+        timeout: aiohttp.ClientTimeout,
+    ) -> Connection:
+        """Return a connection; raises `NotWantedError` if it is not needed."""
+        connection = await super().connect(req, traces, timeout)
+        is_wanted = WANTED.get()
+        if is_wanted is not None and not is_wanted():
+            connection.release()
+            raise NotWantedError
+        return connection
+
+
 @contextmanager
 def typed_errors(url: str) -> Iterator[None]:
     """Convert errors of an exchange with ``url`` to those of this package.
@@ -39,6 +72,11 @@
         yield
     except EndpointError:
         raise
+    except NotWantedError as error:
+        raise RequestWithdrawnError(
+            f"Got a connection to {url} that is not needed, expected it earlier.",
+            remedy="Use another endpoint; nothing was sent.",
+        ) from error
     except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
         raise EndpointConnectError(
             f"Got no connection to {url} ({error!r}), expected one.",
@@ -65,20 +103,24 @@
     headers: Mapping[str, str] | None = None,
     timeout_s: float | None,
     connect_timeout_s: float = CONNECT_TIMEOUT_S,
+    is_wanted: Callable[[], bool] | None = None,
 ) -> aiohttp.ClientResponse:
     """Send a request and return the response, which the caller must close.
 
-    ``timeout_s`` limits the exchange, including the reading of the body.
+    ``timeout_s`` limits the exchange, including the reading of the body. A session
+    with a `CheckedConnector` asks ``is_wanted`` before it sends.
 
     Raises
     ------
     EndpointRefusedError
         If no connection was established; the request was not run.
+    RequestWithdrawnError
+        If ``is_wanted`` returned false; nothing was sent.
     EndpointTimeoutError, EndpointCutError
         If no answer arrived; the request may have been run.
     """
     timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=connect_timeout_s)
-    with typed_errors(str(url)):
+    with typed_errors(str(url)), _set_wanted(is_wanted):
         return await session.request(
             method,
             url,
@@ -90,6 +132,15 @@
         )
 
 
+@contextmanager
+def _set_wanted(is_wanted: Callable[[], bool] | None) -> Iterator[None]:
+    token = WANTED.set(is_wanted)
+    try:
+        yield
+    finally:
+        WANTED.reset(token)
+
+
 def _make_send_once() -> aiohttp.ClientMiddlewareType:
     """Return a middleware that sends a request at most once.
 
--- a/lagoonring/platform/relay_server.py
+++ b/lagoonring/platform/relay_server.py
@@ -13,6 +13,7 @@
     EndpointConnectError,
     EndpointError,
     RelayRefusedError,
+    RequestWithdrawnError,
 )
 from lagoonring.endpoints.transport import send
 from lagoonring.errors import Outcome
@@ -211,7 +212,10 @@
                 ),
                 timeout_s=_read_timeout_s(request),
                 connect_timeout_s=CONNECT_TIMEOUT_S,
+                is_wanted=self.parts.placer.make_check(endpoint),
             )
+        except RequestWithdrawnError as error:
+            raise RelayRefusedError(error.message, remedy=error.remedy) from error
         except EndpointConnectError:
             endpoint.mark_unreachable(self.app.clock.monotonic())
             self.parts.connectivity.record_connect_failure(endpoint)
--- a/lagoonring/platform/sending.py
+++ b/lagoonring/platform/sending.py
@@ -18,7 +18,7 @@
     RelayCutError,
     RelayRefusedError,
 )
-from lagoonring.endpoints.transport import send, typed_errors
+from lagoonring.endpoints.transport import CheckedConnector, send, typed_errors
 from lagoonring.errors import LagoonringError
 from lagoonring.platform import headers as names
 from lagoonring.platform.relay_results import raise_relay_result
@@ -43,7 +43,7 @@
 
 def make_session() -> aiohttp.ClientSession:
     """Return a session for requests to endpoints; the caller closes it."""
-    connector = aiohttp.TCPConnector(
+    connector = CheckedConnector(
         limit=0,
         keepalive_timeout=MAX_IDLE_S,
         use_dns_cache=False,
@@ -236,6 +236,7 @@
             headers=_make_headers(request, order),
             timeout_s=max(order.left_s, 0.001),
             connect_timeout_s=CONNECT_TIMEOUT_S,
+            is_wanted=order.is_wanted,
         )
 
 
--- a/lagoonring/serving/attempts.py
+++ b/lagoonring/serving/attempts.py
@@ -120,6 +120,7 @@
             resume_after=job.last_event,
             moved=job.moved,
             relay=job.relay,
+            is_wanted=None if job.relay else self.parts.placer.make_check(endpoint),
         )
         job.moved = None
         job.version = endpoint.record.version
--- a/lagoonring/serving/path.py
+++ b/lagoonring/serving/path.py
@@ -10,6 +10,7 @@
     EndpointConnectError,
     EndpointFailedError,
     EndpointTimeoutError,
+    RequestWithdrawnError,
 )
 from lagoonring.errors import LagoonringError, Outcome
 from lagoonring.kernel import BaseService
@@ -223,8 +224,10 @@
         if job.n_sends >= MAX_SENDS or job.deadline_s <= self.clock.monotonic():
             return False
         if error.outcome is Outcome.NOT_RUN and not job.n_runs:
-            is_refused = not isinstance(error, EndpointConnectError)
-            return not is_refused or self.attempts.take_retry(job)
+            has_arrived = not isinstance(
+                error, EndpointConnectError | RequestWithdrawnError
+            )
+            return not has_arrived or self.attempts.take_retry(job)
         if not job.may_retry or (job.has_begun and not job.route.may_resume):
             return False
         if self.parts.prompt_suspects.is_doubtful(job.request.shared_parts()):
--- a/lagoonring/serving/placer.py
+++ b/lagoonring/serving/placer.py
@@ -118,6 +118,10 @@
         """Take the permit that `wait_s` speaks of; return its slot if it has one."""
         return self.permits.take(endpoint, not_before_s=self._pause_left_s(endpoint))
 
+    def make_check(self, endpoint: Endpoint) -> Callable[[], bool]:
+        """Return a function that tells whether the endpoint asked for no pause yet."""
+        return lambda: self._pause_left_s(endpoint) <= 0
+
     def is_permitted(self, endpoint: Endpoint, slot: int) -> bool:
         """Return whether a permit that was waited for may be used now."""
         is_paused = self._pause_left_s(endpoint) > 0
--- a/lagoonring/serving/requests.py
+++ b/lagoonring/serving/requests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from typing import TYPE_CHECKING, Protocol
 
 import attrs
@@ -125,6 +126,7 @@
 
     Urgency 0 is the highest. ``moved`` is the run that the endpoint continues,
     ``relay`` the instance that passes the request on, None if it is sent directly.
+    ``is_wanted`` is asked right before the request is sent.
     """
 
     endpoint: EndpointRecord
@@ -134,6 +136,7 @@
     resume_after: int | None
     moved: MovedRun | None = None
     relay: Relay | None = None
+    is_wanted: Callable[[], bool] | None = None
 
 
 class EndpointAnswer(Protocol):
