Send requests one by one after a pause until one is answered

Callers saw: refusals that all came at once; the endpoint got in one instant what had waited for the end of its pause. Cause: all that waits for a pause has the same time to wait for. Evidence: test_requests_that_wait_for_the_end_of_a_pause_are_not_sent_all_at_once failed before: 12 of 12 requests in one instant; at most 3 are allowed. Change: an endpoint whose pause is over is on trial: a request each 0.15 s until one is answered without another pause. A new pause binds all that still wait. Measured: the test passes; test_statements and test_limits_of_endpoints pass.

--- a/lagoonring/serving/endpoints.py
+++ b/lagoonring/serving/endpoints.py
@@ -103,7 +103,9 @@
     derived from those of all instances, ``limit`` the last limit that it named, and
     ``was_limited`` whether it ever named one. ``is_leaving`` says that it said so in
     an answer; its record in the store may say so later. Until ``paused_until_s`` it
-    wants no request of this instance. ``link`` tells whether connections from here
+    wants no request of this instance. ``is_on_trial`` says that no request was answered
+    since without another pause; then none is sent until ``trial_until_s``, a short
+    time after the last one. ``link`` tells whether connections from here
     are established.
     """
 
@@ -127,6 +129,8 @@
     was_limited: bool = False
     is_leaving: bool = False
     paused_until_s: float = 0.0
+    is_on_trial: bool = False
+    trial_until_s: float = 0.0
     reported_down_until_s: float = 0.0
     link: Link = attrs.field(factory=Link)
 
@@ -287,6 +291,7 @@
         endpoint.limit, endpoint.was_limited = known.limit, known.was_limited
         endpoint.is_leaving = known.is_leaving
         endpoint.paused_until_s = known.paused_until_s
+        endpoint.is_on_trial = known.is_on_trial
 
     def update_peer_load(self, source: Source, loads: Loads, now_s: float) -> None:
         """Replace the load that a peer reported earlier."""
--- a/lagoonring/serving/placer.py
+++ b/lagoonring/serving/placer.py
@@ -43,6 +43,7 @@
 MIN_LONG_PROMPT_TOKENS = 6000  # from here the first step is a small part of the prefill
 MAX_PREFILL_SAMPLES = 64  # per service; minutes of long prompts at a small instance
 MIN_PREFILL_SAMPLES = 8  # with fewer, the typical engine is assumed
+TRIAL_S = 0.15  # after a pause, until the next request; most refusals take less
 NO_SAMPLES = Typical(0.0, 0.0)
 FULL_BACKOFF_S = 0.15  # an endpoint frees slots after a few answers
 
@@ -120,11 +121,11 @@
 
     def make_check(self, endpoint: Endpoint) -> Callable[[], bool]:
         """Return a function that tells whether the endpoint asked for no pause yet."""
-        return lambda: self._pause_left_s(endpoint) <= 0
+        return lambda: endpoint.paused_until_s <= self.clock.monotonic()
 
     def is_permitted(self, endpoint: Endpoint, slot: int) -> bool:
         """Return whether a permit that was waited for may be used now."""
-        is_paused = self._pause_left_s(endpoint) > 0
+        is_paused = endpoint.paused_until_s > self.clock.monotonic()
         return not is_paused and self.permits.is_valid(endpoint, slot)
 
     def next_permit(self, job: Job) -> tuple[Endpoint, float] | None:
@@ -180,6 +181,8 @@
             self.permits.take(endpoint)
         job.permit = None
         now_s = self.clock.monotonic()
+        if endpoint.is_on_trial:
+            endpoint.trial_until_s = now_s + TRIAL_S
         n_cached = endpoint.cache.count_cached(job.request.prompt_parts)
         n_missing = max(0, job.request.n_prompt_tokens - n_cached)
         work = WorkInProgress(
@@ -258,7 +261,11 @@
         ]
 
     def _pause_left_s(self, endpoint: Endpoint) -> float:
-        return max(endpoint.paused_until_s - self.clock.monotonic(), 0.0)
+        """Return how long the endpoint wants no request, or no further one."""
+        until_s = endpoint.paused_until_s
+        if endpoint.is_on_trial:
+            until_s = max(until_s, endpoint.trial_until_s)
+        return max(until_s - self.clock.monotonic(), 0.0)
 
     def _eligible(self, job: Job) -> list[Endpoint]:
         """Return the ready endpoints that the job may use and was not sent to yet."""
--- a/lagoonring/serving/statements.py
+++ b/lagoonring/serving/statements.py
@@ -64,6 +64,8 @@
         table.mark_leaving(endpoint, source="answer")
     if statement.pause_s > 0:
         _pause(endpoint, statement.pause_s, now_s)
+    elif now_s >= endpoint.paused_until_s:
+        endpoint.is_on_trial = False
     if statement.unreadable is not None:
         logger.warning(
             "Endpoint's limit is unreadable; the last one stays.",
@@ -119,6 +121,7 @@
             extra={"endpoint": endpoint.name, "pause_s": pause_s},
         )
     endpoint.paused_until_s = max(endpoint.paused_until_s, now_s + pause_s)
+    endpoint.is_on_trial = True
 
 
 def _set_limit(endpoint: Endpoint, limit: KnownLimit, *, source: str) -> None:
