Send brittle endpoints no more than they have room for

Cause: full endpoints were avoided for 0.15 s by the instance that was refused only, and used all the same if all were full. Change: an endpoint's number is read and shared like its limit. All instances together send it 0.6 of the rate at which it ends requests, and half of its number while it may be full.

--- a/lagoonring/platform/headers.py
+++ b/lagoonring/platform/headers.py
@@ -31,6 +31,8 @@
 NOT_RUN = "Lagoonring-Not-Executed"
 # Requests a second that the endpoint takes from all instances together.
 LIMIT = "Server-Limit"
+# Requests that the endpoint can refuse in a second before it falls over.
+BRITTLE = "Server-Brittle"
 # In all answers of an endpoint that takes no new work until its end.
 LEAVING = "Server-Leaving"
 RETRY_AFTER = "Retry-After"
@@ -80,6 +82,7 @@
         "content-length",
         "lagoonring-relay-result",
         "lagoonring-server-load",
+        "server-brittle",
         "server-leaving",
         "server-limit",
     }
@@ -201,6 +204,7 @@
         unreadable=unreadable,
         is_leaving=is_leaving,
         pause_s=pause_s,
+        n_refusable=_read_decimal(headers.get(BRITTLE, "")),
     )
 
 
--- a/lagoonring/serving/attempt_logs.py
+++ b/lagoonring/serving/attempt_logs.py
@@ -28,6 +28,7 @@
         "sent_ago_s": round(now_s - job.sent_s, 4),
         "sequence": endpoint.record.sequence,
         "limit_per_s": endpoint.limit.limit_per_s,
+        "n_refusable": endpoint.limit.n_refusable,
         "pause_left_s": round(max(endpoint.paused_until_s - now_s, 0.0), 3),
         "is_leaving": endpoint.is_leaving,
         "waited_s": round(job.waited_s, 4),
--- a/lagoonring/serving/endpoints.py
+++ b/lagoonring/serving/endpoints.py
@@ -105,7 +105,8 @@
     an answer; its record in the store may say so later. Until ``paused_until_s`` it
     wants no request of this instance. ``is_on_trial`` says that no request was answered
     since without another pause; then none is sent until ``trial_until_s``, a short
-    time after the last one. ``link`` tells whether connections from here
+    time after the last one. ``refused_s`` is when it refused the last request here for
+    want of room. ``link`` tells whether connections from here
     are established.
     """
 
@@ -131,6 +132,7 @@
     paused_until_s: float = 0.0
     is_on_trial: bool = False
     trial_until_s: float = 0.0
+    refused_s: float = float("-inf")
     reported_down_until_s: float = 0.0
     link: Link = attrs.field(factory=Link)
 
--- a/lagoonring/serving/placer.py
+++ b/lagoonring/serving/placer.py
@@ -20,6 +20,11 @@
     prefer_by_part,
     shared_parts,
 )
+from lagoonring.serving.refusals import (
+    MAX_QUEUED_S,
+    SLOT_S,
+    RefusalBudget,
+)
 
 if TYPE_CHECKING:
     import random
@@ -97,6 +102,7 @@
         self.demand = demand
         self.permits = permits
         self.connectivity = connectivity
+        self.refusals = RefusalBudget(table, clock, permits.place, permits.true_time)
         self.prefill_samples: dict[str, deque[float]] = {}
         # Keyed by identity, since jobs are mutable.
         self.in_progress: dict[int, tuple[Job, WorkInProgress]] = {}
@@ -113,7 +119,12 @@
         It follows from what the endpoint said of itself: from a pause that it asked
         for, and a limit. None if no such time is foreseeable.
         """
-        return self.permits.wait_s(endpoint, not_before_s=self._pause_left_s(endpoint))
+        wait_s = self.permits.wait_s(
+            endpoint, not_before_s=self._pause_left_s(endpoint)
+        )
+        if wait_s == 0 and not self.refusals.has_room(endpoint):
+            return SLOT_S
+        return wait_s
 
     def take_permit(self, endpoint: Endpoint) -> int | None:
         """Take the permit that `wait_s` speaks of; return its slot if it has one."""
@@ -133,7 +144,12 @@
 
         None if there is none, or none may be used within a foreseeable time.
         """
-        waits = ((endpoint, self.wait_s(endpoint)) for endpoint in self._eligible(job))
+        may_queue = job.waited_s < MAX_QUEUED_S
+        waits = (
+            (endpoint, self.wait_s(endpoint))
+            for endpoint in self._eligible(job)
+            if may_queue or self.refusals.has_room(endpoint)
+        )
         known = [(endpoint, wait_s) for endpoint, wait_s in waits if wait_s is not None]
         return min(known, key=lambda pair: pair[1], default=None)
 
@@ -181,6 +197,7 @@
             self.permits.take(endpoint)
         job.permit = None
         now_s = self.clock.monotonic()
+        self.refusals.take(endpoint)
         if endpoint.is_on_trial:
             endpoint.trial_until_s = now_s + TRIAL_S
         n_cached = endpoint.cache.count_cached(job.request.prompt_parts)
@@ -227,7 +244,8 @@
 
     def mark_full(self, endpoint: Endpoint) -> None:
         """Avoid an endpoint for a short time after it refused for lack of slots."""
-        endpoint.full_until_s = self.clock.monotonic() + FULL_BACKOFF_S
+        endpoint.refused_s = self.clock.monotonic()
+        endpoint.full_until_s = endpoint.refused_s + FULL_BACKOFF_S
 
     def record_demand(self, job: Job) -> None:
         """Add the prefill time of a job's prompt, less cached parts, to the demand.
--- a/lagoonring/serving/statements.py
+++ b/lagoonring/serving/statements.py
@@ -19,8 +19,9 @@
 NO_LIMIT_MILLI = -1
 
 # Incarnation (its start in ms), limit in thousandths per second or ``NO_LIMIT_MILLI``,
-# the age of what it said of its limit in ms, and whether the endpoint is leaving.
-StatementRow = tuple[int, int, int, bool]
+# the age of what it said of its limits in ms, whether the endpoint is leaving, and
+# thousandths of the requests that it can refuse a second or ``NO_LIMIT_MILLI``.
+StatementRow = tuple[int, int, int, bool, int]
 
 logger = make_logger("endpoints")
 
@@ -33,24 +34,32 @@
     all instances together, None if it names no limit. ``unreadable`` is the text of a
     limit that can't be read; the limit known before then stays. ``is_leaving`` says
     that the endpoint takes no new work until its end. ``pause_s`` is the time for
-    which it wants no request of this instance.
+    which it wants no request of this instance. ``n_refusable`` is the number of
+    requests that it can refuse within a second without falling over, None if any.
     """
 
     limit_per_s: float | None = None
     unreadable: str | None = None
     is_leaving: bool = False
     pause_s: float = 0.0
+    n_refusable: float | None = None
 
 
 @attrs.frozen
 class KnownLimit:
-    """The last limit that an endpoint named, None for none, and when it did.
+    """The last limits that an endpoint named, None for none, and when it did.
 
-    ``said_s`` is on the monotonic clock.
+    ``said_s`` is on the monotonic clock, ``n_refusable`` as in `Statement`.
     """
 
     limit_per_s: float | None
     said_s: float
+    n_refusable: float | None = None
+
+    @property
+    def is_none(self) -> bool:
+        """Whether the endpoint named no limit of either kind."""
+        return self.limit_per_s is None and self.n_refusable is None
 
 
 NO_LIMIT = KnownLimit(None, float("-inf"))
@@ -72,7 +81,8 @@
             extra={"endpoint": endpoint.name, "got": statement.unreadable},
         )
         return
-    _set_limit(endpoint, KnownLimit(statement.limit_per_s, now_s), source="answer")
+    said = KnownLimit(statement.limit_per_s, now_s, statement.n_refusable)
+    _set_limit(endpoint, said, source="answer")
 
 
 def statement_rows(
@@ -84,15 +94,16 @@
     """
     rows = {}
     for endpoint in endpoints:
-        limit_per_s, age_s = endpoint.limit.limit_per_s, now_s - endpoint.limit.said_s
+        limit, age_s = endpoint.limit, now_s - endpoint.limit.said_s
         is_lifted = endpoint.was_limited and age_s < LIFTED_SHARED_S
-        if limit_per_s is None and not is_lifted and not endpoint.is_leaving:
+        if limit.is_none and not is_lifted and not endpoint.is_leaving:
             continue
         rows[endpoint.name] = (
             endpoint.record.born_ms,
-            NO_LIMIT_MILLI if limit_per_s is None else round(limit_per_s * 1000),
+            _to_milli(limit.limit_per_s),
             round(min(age_s, MAX_SHARED_AGE_S) * 1e3),
             endpoint.is_leaving,
+            _to_milli(limit.n_refusable),
         )
     return rows
 
@@ -101,7 +112,8 @@
     table: EndpointTable, rows: dict[str, StatementRow], now_s: float
 ) -> None:
     """Apply what endpoints said to other instances, unless it is older."""
-    for name, (born_ms, limit_milli, age_ms, is_leaving) in rows.items():
+    for name, row in rows.items():
+        born_ms, limit_milli, age_ms, is_leaving, refusable_milli = row
         endpoint = table.find(name)
         if endpoint is None or endpoint.record.born_ms != born_ms:
             continue
@@ -110,8 +122,10 @@
         said_s = now_s - age_ms / 1e3
         if said_s <= endpoint.limit.said_s + SAME_S:
             continue
-        limit = None if limit_milli == NO_LIMIT_MILLI else limit_milli / 1000
-        _set_limit(endpoint, KnownLimit(limit, said_s), source="instances")
+        said = KnownLimit(
+            _from_milli(limit_milli), said_s, _from_milli(refusable_milli)
+        )
+        _set_limit(endpoint, said, source="instances")
 
 
 def _pause(endpoint: Endpoint, pause_s: float, now_s: float) -> None:
@@ -126,12 +140,20 @@
 
 def _set_limit(endpoint: Endpoint, limit: KnownLimit, *, source: str) -> None:
     known, endpoint.limit = endpoint.limit, limit
-    if limit.limit_per_s is not None:
+    if not limit.is_none:
         endpoint.was_limited = True
-    if limit.limit_per_s != known.limit_per_s:
+    if attrs.evolve(limit, said_s=known.said_s) != known:
         _log_change(endpoint, known, source=source)
 
 
+def _to_milli(number: float | None) -> int:
+    return NO_LIMIT_MILLI if number is None else round(number * 1000)
+
+
+def _from_milli(milli: int) -> float | None:
+    return None if milli == NO_LIMIT_MILLI else milli / 1000
+
+
 def _log_change(endpoint: Endpoint, known: KnownLimit, *, source: str) -> None:
     logger.info(
         "Endpoint's limit changed.",
@@ -139,6 +161,7 @@
             "endpoint": endpoint.name,
             "limit_per_s": endpoint.limit.limit_per_s,
             "was_per_s": known.limit_per_s,
+            "n_refusable": endpoint.limit.n_refusable,
             "source": source,
         },
     )
--- a/lagoonring/tests/builders/limited_service.py
+++ b/lagoonring/tests/builders/limited_service.py
@@ -85,7 +85,8 @@
         next_exchange_s = self.elapsed_s()
         end_s = next_exchange_s + seconds
         while self.elapsed_s() < end_s:
-            if self.rng.random() < self.rate_per_s * TICK_S:
+            n_expected = self.rate_per_s * TICK_S
+            for _ in range(int(n_expected) + (self.rng.random() < n_expected % 1)):
                 number = self.rng.randrange(len(self.instances))
                 self.tasks.append(asyncio.create_task(self._serve(number)))
             if self.elapsed_s() >= next_exchange_s:
