Let connections to endpoints bear two seconds of silence

Cause: TCP_USER_TIMEOUT of 1.5 s ends a connection whose data is not acknowledged, and decides when keepalive probes give up, whatever their number, which was set to two. Change: 2.5 s for endpoints, 1.5 s for the store and other platform services as before. Measured: the new test fails with 1500 ms and passes; nng sets no TCP_USER_TIMEOUT and no keepalive (looked at on sockets of a Push and a Pull), our servers set none.

--- a/lagoonring/platform/sending.py
+++ b/lagoonring/platform/sending.py
@@ -32,9 +32,10 @@
 CONNECT_TIMEOUT_S = 0.5  # links answer in milliseconds; allows for retransmissions
 MAX_IDLE_S = 3.0  # below the shortest idle timeout that endpoints announce
 MAX_UNACKED_MS = 1500  # sent data not acknowledged by then means a dead peer
+# A sound endpoint may be silent for a second or more; paths that are lost are probed.
+MAX_ENDPOINT_UNACKED_MS = 2500
 PROBE_DELAY_S = 1
 PROBE_INTERVAL_S = 1
-N_PROBES = 2
 SKIPPED_AUTO_HEADERS = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
 MISDIRECTED_STATUS = 421
 MAX_ANSWER_BYTES = 16 << 20  # of a whole answer, four times the longest request
@@ -47,7 +48,7 @@
         limit=0,
         keepalive_timeout=MAX_IDLE_S,
         use_dns_cache=False,
-        socket_factory=make_socket,
+        socket_factory=make_endpoint_socket,
     )
     return aiohttp.ClientSession(
         connector=connector,
@@ -57,16 +58,24 @@
     )
 
 
-def make_socket(info: tuple) -> socket.socket:
-    """Return a socket with keepalive probes and timeouts that detect dead peers."""
+def make_endpoint_socket(info: tuple) -> socket.socket:
+    """Return a socket like `make_socket` that bears longer silence."""
+    return make_socket(info, max_unacked_ms=MAX_ENDPOINT_UNACKED_MS)
+
+
+def make_socket(info: tuple, *, max_unacked_ms: int = MAX_UNACKED_MS) -> socket.socket:
+    """Return a socket with keepalive probes and timeouts that detect dead peers.
+
+    ``TCP_USER_TIMEOUT`` also decides when keepalive probes give up, whatever their
+    number.
+    """
     family, socket_type, protocol, _, _ = info
     sock = socket.socket(family, socket_type, protocol)
     sock.setblocking(False)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_DELAY_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_INTERVAL_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, N_PROBES)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, MAX_UNACKED_MS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, max_unacked_ms)
     return sock
 
 
--- a/lagoonring/tests/test_sending.py
+++ b/lagoonring/tests/test_sending.py
@@ -286,3 +286,22 @@
             )
         await is_closed.wait()
     assert endings == ["reset"]
+
+
+async def test_connections_to_endpoints_bear_a_silence_of_two_seconds():
+    async with make_session() as session, make_platform_session() as platform:
+        sockets = [
+            one.connector._socket_factory(
+                (socket.AF_INET, socket.SOCK_STREAM, 0, "", ())
+            )
+            for one in (session, platform)
+        ]
+        with contextlib.ExitStack() as stack:
+            for sock in sockets:
+                stack.enter_context(sock)
+            unacked_ms, platform_ms = (
+                sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+                for sock in sockets
+            )
+    assert unacked_ms >= 2000
+    assert 0 < platform_ms < unacked_ms
