Try: let a proof count only against crashes before it

Change: cuts after the last proof count; a part that was proven needs five crashes and two seconds in which other answers began; a proof is as old as the beginning of its answer.

--- a/lagoonring/serving/prompt_suspects.py
+++ b/lagoonring/serving/prompt_suspects.py
@@ -5,7 +5,8 @@
 other parts. A crash cuts everything that runs on the endpoint, so the parts of all cut
 requests are suspected. Three observations tell the culprit from the others:
 
-- Parts of which answers were completed are sound.
+- A completed answer proves a part sound up to the time at which it began. A part with
+  crashes since must explain more of them than any other, as it may have turned bad.
 - The culprit crashes endpoints one after the other. Many crashes at once are one
   event, whatever the requests there have in common.
 - Crashes that another culprit explains say nothing.
@@ -21,13 +22,14 @@
 from lagoonring.logs import make_logger
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping
+    from collections.abc import Collection, Iterable, Mapping
 
 MIN_CRASHES = 3  # one after the other, to block a part
 CERTAIN_CRASHES = 5  # to block it although another part is suspected as much
 DOUBTFUL_CRASHES = 2  # one after the other; a cut request is then not sent on
 SOUND_S = 30.0  # for which a completed answer proves a part sound
 BLOCK_S = 600.0  # after the last crash; by then a version may have been repaired
+TURNED_S = 2.0  # in which answers began, but none on a part that turned bad
 SHARE_S = 2.0  # several rounds of the exchange, to survive a lost frame
 MAX_SHARED_CUTS = 60  # in a message, about 30 bytes each
 MAX_SHARED_BLOCKED = 16  # in a message, about 15 bytes each
@@ -66,16 +68,20 @@
     return n_rounds
 
 
-def find_culprits(suspects: Mapping[str, Cuts], answered_s: float) -> set[str]:
+def find_culprits(
+    suspects: Mapping[str, Cuts], answered_s: float, proven: Collection[str] = ()
+) -> set[str]:
     """Return the parts that crash endpoints.
 
     Parameters
     ----------
     suspects : mapping
-        The cuts by part; those of sound parts are left out.
+        The cuts by part, since it was last proved to be sound.
     answered_s : float
         When a request was last answered completely. Until one was answered after a
         part's first crash, it may be the endpoints that crash by themselves.
+    proven : collection of str
+        Parts that were sound shortly before their first crash.
     """
     culprits: set[str] = set()
     explained: set[str] = set()
@@ -89,9 +95,9 @@
         found = {
             part
             for part, n in n_rounds.items()
-            if n >= MIN_CRASHES
+            if n >= (CERTAIN_CRASHES if part in proven else MIN_CRASHES)
             and min(cut.cut_s for cut in suspects[part].values()) < answered_s
-            and (n >= CERTAIN_CRASHES or part not in rivals)
+            and (part not in rivals or (n >= CERTAIN_CRASHES and part not in proven))
         }
         if not found:
             return culprits
@@ -125,13 +131,15 @@
     Attributes
     ----------
     suspects : dict
-        Cuts by part and endpoint, of parts that are not known to be sound.
+        Cuts by part and endpoint since the part was last proved to be sound.
     sound : dict
-        When an answer was last completed, by part.
+        When the last completed answer began, by part.
     blocked : dict
         When the last crash was, by part of which requests are refused.
     answered_s : float
         When an answer was last completed here.
+    began_s : float
+        When the last of the answers that were completed here began.
     crashed_s : float
         When a suspected part was last cut.
     is_assessed : bool
@@ -143,6 +151,7 @@
         self.sound: OrderedDict[str, float] = OrderedDict()
         self.blocked: OrderedDict[str, float] = OrderedDict()
         self.answered_s = float("-inf")
+        self.began_s = float("-inf")
         self.crashed_s = float("-inf")
         self.is_assessed = True
         self.recent_cuts: deque[tuple[float, str, str]] = deque(maxlen=MAX_RECENT_CUTS)
@@ -153,13 +162,19 @@
     ) -> None:
         """Record that a request was cut as an endpoint crashed."""
         for part in parts:
-            if not self.is_sound(part, now_s):
-                self._add(part, endpoint, Cut(sent_s, now_s), now_s, share=True)
+            self._add(part, endpoint, Cut(sent_s, now_s), now_s, share=True)
 
-    def record_answer(self, parts: Iterable[str], now_s: float) -> None:
-        """Record that an answer was completed, or went on for long."""
+    def record_answer(
+        self, parts: Iterable[str], now_s: float, *, began_s: float | None = None
+    ) -> None:
+        """Record that an answer was completed, or went on for long.
+
+        ``began_s`` is when it began, by default now.
+        """
+        began_s = now_s if began_s is None else began_s
+        self.began_s = max(self.began_s, began_s)
         for part in parts:
-            self._mark_sound(part, now_s)
+            self._mark_sound(part, began_s)
         if self.answered_s < self.crashed_s:
             self.is_assessed = False
         self.answered_s = now_s
@@ -188,7 +203,8 @@
     def restore(self, blocked: Mapping[str, float], now_s: float) -> None:
         """Block parts that were blocked before; values are ages in seconds."""
         for part, age_s in blocked.items():
-            is_doubted = age_s < BLOCK_S and not self.is_sound(part, now_s)
+            crashed_s = now_s - age_s
+            is_doubted = age_s < BLOCK_S and crashed_s > self._sound_s(part)
             if is_doubted and not self._is_explained(part):
                 self._block(part, now_s - age_s, source="other instances")
 
@@ -245,8 +261,6 @@
             if self.is_sound(part, now_s):
                 self._share_sound(part, now_s)
         for part, by_endpoint in cuts.items():
-            if self.is_sound(part, now_s):
-                continue
             for endpoint, (sent_ms, cut_ms) in by_endpoint.items():
                 cut = Cut(now_s - sent_ms / 1e3, now_s - cut_ms / 1e3)
                 self._add(part, endpoint, cut, now_s, share=forward)
@@ -255,6 +269,8 @@
     def _add(
         self, part: str, endpoint: str, cut: Cut, now_s: float, *, share: bool
     ) -> None:
+        if cut.cut_s <= self._sound_s(part):
+            return
         cuts = self.suspects.setdefault(part, {})
         if endpoint in cuts:
             return
@@ -282,7 +298,13 @@
         if self.is_assessed:
             return
         self.is_assessed = True
-        culprits = find_culprits(self.suspects, self.answered_s)
+        proven = {part for part in self.suspects if self._is_proven(part)}
+        suspects = {
+            part: cuts
+            for part, cuts in self.suspects.items()
+            if part not in proven or self.began_s - self._sound_s(part) >= TURNED_S
+        }
+        culprits = find_culprits(suspects, self.answered_s, proven)
         for part in culprits:
             last_s = max(cut.cut_s for cut in self.suspects[part].values())
             self._block(part, last_s, source="crashes")
@@ -290,6 +312,14 @@
             if self._is_explained(part):
                 self._release(part, "explained by another part")
 
+    def _sound_s(self, part: str) -> float:
+        return self.sound.get(part, float("-inf"))
+
+    def _is_proven(self, part: str) -> bool:
+        """Return whether a part was sound shortly before its first crash."""
+        first_s = min(cut.cut_s for cut in self.suspects[part].values())
+        return first_s - self._sound_s(part) < SOUND_S
+
     def _block(self, part: str, crashed_s: float, *, source: str) -> None:
         known_s = self.blocked.get(part)
         self.blocked[part] = max(crashed_s, known_s or crashed_s)
@@ -312,8 +342,13 @@
         self.sound[part] = max(at_s, self.sound.get(part, at_s))
         self.sound.move_to_end(part)
         _trim(self.sound, MAX_SOUND)
-        self.suspects.pop(part, None)
-        if part in self.blocked:
+        cuts = self.suspects.get(part, {})
+        later = {name: cut for name, cut in cuts.items() if cut.cut_s > at_s}
+        if later:
+            self.suspects[part] = later
+        else:
+            self.suspects.pop(part, None)
+        if at_s > self.blocked.get(part, float("inf")):
             self._release(part, "an answer was completed")
 
     def _hear_sound(
--- a/lagoonring/tests/test_prompt_suspects.py
+++ b/lagoonring/tests/test_prompt_suspects.py
@@ -87,6 +87,18 @@
     assert len(repeats) <= 2
 
 
+@pytest.mark.parametrize("bad_per_s", [1.0, 3.0])
+async def test_a_part_that_answered_well_and_then_turns_bad_is_refused(bad_per_s):
+    is_bad = False
+    service = CrashingService(
+        crashes=lambda parts, record: is_bad and CULPRIT in parts[:-1]
+    )
+    await service.play(USUAL_S, bad_per_s=bad_per_s)
+    is_bad = True
+    await service.play(24.0, bad_per_s=bad_per_s)
+    check_contained(service)
+
+
 async def test_two_parts_at_fault_are_both_refused():
     service = CrashingService(
         crashes=lambda parts, record: bool({"bad0", "bad1"} & set(parts[:-1]))
