--- a/lagoonring/serving/attempts.py
+++ b/lagoonring/serving/attempts.py
@@ -354,9 +354,7 @@
     def _record_prompt_answered(self, job: Job) -> None:
         """Record that the parts of the prompt do not crash endpoints."""
         self.parts.prompt_suspects.record_answer(
-            job.request.shared_parts(),
-            self.clock.monotonic(),
-            began_s=job.sent_s + (job.first_answer_s or 0.0),
+            job.request.shared_parts(), self.clock.monotonic()
         )
 
     def _may_retry_failed(self, job: Job) -> bool:
--- a/lagoonring/serving/prompt_suspects.py
+++ b/lagoonring/serving/prompt_suspects.py
@@ -5,8 +5,7 @@
 other parts. A crash cuts everything that runs on the endpoint, so the parts of all cut
 requests are suspected. Three observations tell the culprit from the others:
 
-- A completed answer proves a part sound up to the time at which it began. A part with
-  crashes since must explain more of them than any other, as it may have turned bad.
+- Parts of which answers were completed are sound.
 - The culprit crashes endpoints one after the other. Many crashes at once are one
   event, whatever the requests there have in common.
 - Crashes that another culprit explains say nothing.
@@ -22,14 +21,13 @@
 from lagoonring.logs import make_logger
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Iterable, Mapping
+    from collections.abc import Iterable, Mapping
 
 MIN_CRASHES = 3  # one after the other, to block a part
 CERTAIN_CRASHES = 5  # to block it although another part is suspected as much
 DOUBTFUL_CRASHES = 2  # one after the other; a cut request is then not sent on
 SOUND_S = 30.0  # for which a completed answer proves a part sound
 BLOCK_S = 600.0  # after the last crash; by then a version may have been repaired
-TURNED_S = 2.0  # in which answers began, but none on a part that turned bad
 SHARE_S = 2.0  # several rounds of the exchange, to survive a lost frame
 MAX_SHARED_CUTS = 60  # in a message, about 30 bytes each
 MAX_SHARED_BLOCKED = 16  # in a message, about 15 bytes each
@@ -68,20 +66,16 @@
     return n_rounds
 
 
-def find_culprits(
-    suspects: Mapping[str, Cuts], answered_s: float, proven: Collection[str] = ()
-) -> set[str]:
+def find_culprits(suspects: Mapping[str, Cuts], answered_s: float) -> set[str]:
     """Return the parts that crash endpoints.
 
     Parameters
     ----------
     suspects : mapping
-        The cuts by part, since it was last proved to be sound.
+        The cuts by part; those of sound parts are left out.
     answered_s : float
         When a request was last answered completely. Until one was answered after a
         part's first crash, it may be the endpoints that crash by themselves.
-    proven : collection of str
-        Parts that were sound shortly before their first crash.
     """
     culprits: set[str] = set()
     explained: set[str] = set()
@@ -95,9 +89,9 @@
         found = {
             part
             for part, n in n_rounds.items()
-            if n >= (CERTAIN_CRASHES if part in proven else MIN_CRASHES)
+            if n >= MIN_CRASHES
             and min(cut.cut_s for cut in suspects[part].values()) < answered_s
-            and (part not in rivals or (n >= CERTAIN_CRASHES and part not in proven))
+            and (n >= CERTAIN_CRASHES or part not in rivals)
         }
         if not found:
             return culprits
@@ -131,15 +125,13 @@
     Attributes
     ----------
     suspects : dict
-        Cuts by part and endpoint since the part was last proved to be sound.
+        Cuts by part and endpoint, of parts that are not known to be sound.
     sound : dict
-        When the last completed answer began, by part.
+        When an answer was last completed, by part.
     blocked : dict
         When the last crash was, by part of which requests are refused.
     answered_s : float
         When an answer was last completed here.
-    began_s : float
-        When the last of the answers that were completed here began.
     crashed_s : float
         When a suspected part was last cut.
     is_assessed : bool
@@ -151,7 +143,6 @@
         self.sound: OrderedDict[str, float] = OrderedDict()
         self.blocked: OrderedDict[str, float] = OrderedDict()
         self.answered_s = float("-inf")
-        self.began_s = float("-inf")
         self.crashed_s = float("-inf")
         self.is_assessed = True
         self.recent_cuts: deque[tuple[float, str, str]] = deque(maxlen=MAX_RECENT_CUTS)
@@ -162,19 +153,13 @@
     ) -> None:
         """Record that a request was cut as an endpoint crashed."""
         for part in parts:
-            self._add(part, endpoint, Cut(sent_s, now_s), now_s, share=True)
+            if not self.is_sound(part, now_s):
+                self._add(part, endpoint, Cut(sent_s, now_s), now_s, share=True)
 
-    def record_answer(
-        self, parts: Iterable[str], now_s: float, *, began_s: float | None = None
-    ) -> None:
-        """Record that an answer was completed, or went on for long.
-
-        ``began_s`` is when it began, by default now.
-        """
-        began_s = now_s if began_s is None else began_s
-        self.began_s = max(self.began_s, began_s)
+    def record_answer(self, parts: Iterable[str], now_s: float) -> None:
+        """Record that an answer was completed, or went on for long."""
         for part in parts:
-            self._mark_sound(part, began_s)
+            self._mark_sound(part, now_s)
         if self.answered_s < self.crashed_s:
             self.is_assessed = False
         self.answered_s = now_s
@@ -203,8 +188,7 @@
     def restore(self, blocked: Mapping[str, float], now_s: float) -> None:
         """Block parts that were blocked before; values are ages in seconds."""
         for part, age_s in blocked.items():
-            crashed_s = now_s - age_s
-            is_doubted = age_s < BLOCK_S and crashed_s > self._sound_s(part)
+            is_doubted = age_s < BLOCK_S and not self.is_sound(part, now_s)
             if is_doubted and not self._is_explained(part):
                 self._block(part, now_s - age_s, source="other instances")
 
@@ -261,6 +245,8 @@
             if self.is_sound(part, now_s):
                 self._share_sound(part, now_s)
         for part, by_endpoint in cuts.items():
+            if self.is_sound(part, now_s):
+                continue
             for endpoint, (sent_ms, cut_ms) in by_endpoint.items():
                 cut = Cut(now_s - sent_ms / 1e3, now_s - cut_ms / 1e3)
                 self._add(part, endpoint, cut, now_s, share=forward)
@@ -269,8 +255,6 @@
     def _add(
         self, part: str, endpoint: str, cut: Cut, now_s: float, *, share: bool
     ) -> None:
-        if cut.cut_s <= self._sound_s(part):
-            return
         cuts = self.suspects.setdefault(part, {})
         if endpoint in cuts:
             return
@@ -298,13 +282,7 @@
         if self.is_assessed:
             return
         self.is_assessed = True
-        proven = {part for part in self.suspects if self._is_proven(part)}
-        suspects = {
-            part: cuts
-            for part, cuts in self.suspects.items()
-            if part not in proven or self.began_s - self._sound_s(part) >= TURNED_S
-        }
-        culprits = find_culprits(suspects, self.answered_s, proven)
+        culprits = find_culprits(self.suspects, self.answered_s)
         for part in culprits:
             last_s = max(cut.cut_s for cut in self.suspects[part].values())
             self._block(part, last_s, source="crashes")
@@ -312,14 +290,6 @@
             if self._is_explained(part):
                 self._release(part, "explained by another part")
 
-    def _sound_s(self, part: str) -> float:
-        return self.sound.get(part, float("-inf"))
-
-    def _is_proven(self, part: str) -> bool:
-        """Return whether a part was sound shortly before its first crash."""
-        first_s = min(cut.cut_s for cut in self.suspects[part].values())
-        return first_s - self._sound_s(part) < SOUND_S
-
     def _block(self, part: str, crashed_s: float, *, source: str) -> None:
         known_s = self.blocked.get(part)
         self.blocked[part] = max(crashed_s, known_s or crashed_s)
@@ -342,13 +312,8 @@
         self.sound[part] = max(at_s, self.sound.get(part, at_s))
         self.sound.move_to_end(part)
         _trim(self.sound, MAX_SOUND)
-        cuts = self.suspects.get(part, {})
-        later = {name: cut for name, cut in cuts.items() if cut.cut_s > at_s}
-        if later:
-            self.suspects[part] = later
-        else:
-            self.suspects.pop(part, None)
-        if at_s > self.blocked.get(part, float("inf")):
+        self.suspects.pop(part, None)
+        if part in self.blocked:
             self._release(part, "an answer was completed")
 
     def _hear_sound(
