--- a/lagoonring/platform/relay_server.py
+++ b/lagoonring/platform/relay_server.py
@@ -127,6 +127,8 @@
             return response
         except EndpointError as error:
             result = error.code
+            if request.transport is None or request.transport.is_closing():
+                raise asyncio.CancelledError from None  # the answer had begun
             return _make_refusal(request, error)
         finally:
             self.n_in_progress -= 1
@@ -236,7 +238,7 @@
         except EndpointError:
             if request.transport is not None:
                 request.transport.abort()
-            raise asyncio.CancelledError from None
+            raise
         await response.write_eof()
         return response
 
--- a/lagoonring/serving/connectivity.py
+++ b/lagoonring/serving/connectivity.py
@@ -44,6 +44,9 @@
 RELAY_BACKOFF_S = 1.0  # for an instance that refused to relay, or was not reached
 
 
+logger = make_logger("connectivity")
+
+
 @attrs.define
 class Link:
     """When connections from this instance to an endpoint last succeeded and failed.
@@ -114,7 +117,6 @@
         self.directory = directory
         self.record_reached = record_reached or (lambda service, is_reached: None)
         self.unreached: set[str] = set()
-        self.logger = make_logger("connectivity")
         self.heard_s: dict[str, float] = {}
         self.examined_s: dict[str, float] = {}
         self.tasks: dict[str, asyncio.Task[None]] = {}
@@ -170,6 +172,7 @@
             yield
         finally:
             self.relayed[relay] -= 1
+            self.relayed += Counter()  # drops the relays without a request
 
     def choose_relay(self, job: Job) -> Relay | None:
         """Return the less busy of two random relays, None if there is none."""
@@ -287,7 +290,7 @@
             endpoint.observation.unreachable_s = None
             if not endpoint.link.is_recent(now_s):
                 endpoint.link.lost_s = now_s
-        self.logger.warning(
+        logger.warning(
             "Lost the connections to a service; other instances relay.",
             extra={
                 "service": service,
@@ -308,6 +311,6 @@
         self.record_reached(service, True)
         for endpoint in self.table.of_service(service):
             endpoint.clear_connect_failures()
-        self.logger.info(
+        logger.info(
             "Regained the connections to a service.", extra={"service": service}
         )
--- a/lagoonring/tests/builders/serving.py
+++ b/lagoonring/tests/builders/serving.py
@@ -25,7 +25,6 @@
     ServiceEntry,
     WeightedService,
 )
-from lagoonring.serving.connectivity import Connectivity
 from lagoonring.serving.demand import Demand
 from lagoonring.serving.endpoints import (
     EndpointRecord,
@@ -40,13 +39,13 @@
 from lagoonring.serving.placer import Placer
 from lagoonring.serving.prompt_suspects import PromptSuspects
 from lagoonring.serving.quotas import Quotas
-from lagoonring.serving.relay_directory import RelayDirectory
 from lagoonring.serving.requests import CallerRequest
 from lagoonring.serving.retry_budget import RetryBudget
 from lagoonring.serving.statements import Statement
 from lagoonring.serving.suspects import Suspects
 from lagoonring.serving.usage import UsageCounts
 from lagoonring.serving.version_results import VersionCounters
+from lagoonring.tests.builders.connectivity import make_connectivity, probe_nothing
 
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator, Callable
@@ -335,11 +334,6 @@
         self.is_aborted = True
 
 
-async def probe_nothing(record: EndpointRecord) -> bool:
-    """Return that a connection to the endpoint was established."""
-    return True
-
-
 def make_parts(
     sender: Any,
     *records: EndpointRecord,
@@ -353,12 +347,8 @@
     table = make_table(*(records or (make_record("a"), make_record("b"))))
     demand = Demand(app.clock)
     exchange = exchange or FakeExchange()
-    connectivity = Connectivity(
-        table,
-        app.clock,
-        app.rng,
-        probe=probe,
-        directory=RelayDirectory(exchange.relays, app.clock, app.rng),
+    connectivity = make_connectivity(
+        table, app.clock, app.rng, relays=exchange.relays, probe=probe
     )
     follower = FakeFollower(configuration or make_configuration())
     gate = MoveGate(follower, app.clock)
--- a/lagoonring/tests/builders/shared_load.py
+++ b/lagoonring/tests/builders/shared_load.py
@@ -10,14 +10,12 @@
 from lagoonring.kernel import ManualClock
 from lagoonring.serving.conditions import Conditions
 from lagoonring.serving.configuration import RequestKind
-from lagoonring.serving.connectivity import Connectivity
 from lagoonring.serving.demand import Demand
 from lagoonring.serving.endpoints import EndpointRecord, EndpointState, EndpointTable
 from lagoonring.serving.messages import Scope, Source
 from lagoonring.serving.permits import Permits, Place
 from lagoonring.serving.placer import Placer
-from lagoonring.serving.relay_directory import RelayDirectory
-from lagoonring.tests.builders.serving import probe_nothing
+from lagoonring.tests.builders.connectivity import make_connectivity
 
 SERVICE = "desk"
 ROUND_S = 0.4  # between two reports in a data centre of about 45 instances
@@ -79,13 +77,7 @@
             allowed=lambda service, versions, request_id: set(versions),
             demand=Demand(self.clock),
             permits=Permits(lambda: ONLY_INSTANCE, self.clock.time),
-            connectivity=Connectivity(
-                table,
-                self.clock,
-                rng,
-                probe=probe_nothing,
-                directory=RelayDirectory(list, self.clock, rng),
-            ),
+            connectivity=make_connectivity(table, self.clock, rng),
         )
         return SimpleNamespace(
             name=f"i{number}",
