Keep to what cold endpoints bear; send nothing to evacuated data centres

Cause: what a configuration and records say of a cold endpoint was decoded or not, and read nowhere; documents under evacuate/ were ignored.

Change: `warming` (until when an endpoint is cold: record, answers, failed connections, an evacuation that is taken back), `rate_budget` (taken out of `refusals`; divides a rate among instances in slots of 0.1 s), `permissions` (taken out of the placer), `evacuations`. A part of a rate that was taken before a suspension or a slow connection is not used after it. Sizing orders nothing in an evacuated data centre and keeps on-demand endpoints until warm ones have replaced them.

--- a/lagoonring/kernel/clock.py
+++ b/lagoonring/kernel/clock.py
@@ -58,6 +58,7 @@
 
     def __init__(self, start_s: float = 1_000_000.0) -> None:
         self.now_s = start_s
+        self.suspended_s = 0.0
         self.sleepers: list[tuple[float, int, asyncio.Future[None]]] = []
         self.sequence = itertools.count()
 
@@ -66,12 +67,16 @@
         return self.now_s
 
     def boottime(self) -> float:
-        """Return the current reading in seconds."""
-        return self.now_s
+        """Return the current reading in seconds, with the time in suspend."""
+        return self.now_s + self.suspended_s
 
     def time(self) -> float:
-        """Return the current reading in seconds."""
-        return self.now_s
+        """Return the current reading in seconds, with the time in suspend."""
+        return self.now_s + self.suspended_s
+
+    def suspend(self, delay_s: float) -> None:
+        """Let time pass that the monotonic clock and sleepers don't count."""
+        self.suspended_s += delay_s
 
     async def sleep(self, delay_s: float) -> None:
         """Wait until the clock has been advanced by ``delay_s`` seconds."""
--- a/lagoonring/platform/boot.py
+++ b/lagoonring/platform/boot.py
@@ -62,6 +62,10 @@
     exposureShare: float = 0.1
     exposureSlack: float = 50
     rollbackMs: float = 5000
+    # Multiple of a cold endpoint's rate that may reach it in a second.
+    coldOver: float = 1.5
+    coldSlack: float = 5
+    evacuateMs: float = 5000
 
 
 class _BootFile(msgspec.Struct):
@@ -160,6 +164,9 @@
         "exposure_share": raw.exposureShare,
         "exposure_slack": raw.exposureSlack,
         "rollback_s": raw.rollbackMs / 1000,
+        "cold_excess": raw.coldOver,
+        "cold_slack": raw.coldSlack,
+        "evacuate_s": raw.evacuateMs / 1000,
     }
     assert set(values) == {field.name for field in attrs.fields(Bounds)}
     return Bounds(**values)
--- a/lagoonring/platform/documents.py
+++ b/lagoonring/platform/documents.py
@@ -16,9 +16,11 @@
     RouteEntry,
     ScalingTraits,
     ServiceEntry,
+    WarmUp,
     WeightedService,
 )
 from lagoonring.serving.endpoints import EndpointRecord, EndpointState
+from lagoonring.serving.evacuations import EvacuationOrder
 from lagoonring.serving.moves import MoveOrder, MoveState
 
 REQUEST_KINDS = {
@@ -27,6 +29,7 @@
     "streaming": RequestKind.STREAM,
 }
 ROLLOUT_PREFIX = "rollout/"
+EVACUATION_PREFIX = "evacuate/"
 CONFIG_KEY = "config"
 MAX_SHOWN_BYTES = 200
 # The platform's protocol defines when callers abandon a stream: after the longest of
@@ -84,6 +87,10 @@
     maxConns: int = 100
     engine: _Engine | None = None
     scaling: _Scaling | None = None
+    # How long an endpoint is cold after its start, and the requests a second that it
+    # takes meanwhile.
+    coldS: float = 0.0
+    coldPerS: float = 0.0
 
 
 class _Tenant(msgspec.Struct):
@@ -121,6 +128,7 @@
     seq: int
     # Milliseconds since the epoch, as an integer: floats are rejected.
     born: int = 0
+    # How much longer the endpoint is cold, as of the writing of the record.
     coldLeftMs: float = 0
     useSpot: bool = False
 
@@ -159,14 +167,24 @@
     )
 
 
-def decode_document(key: str, content: bytes) -> Configuration | MoveOrder | None:
+def decode_document(
+    key: str, content: bytes | None
+) -> Configuration | MoveOrder | EvacuationOrder | None:
     """Return an operator's document, or None if instances don't use its key.
 
+    The content of a document that the operator removed is None. Only the removal of an
+    evacuation has a meaning.
+
     Raises
     ------
     UnreadableDocumentError
         If it can't be decoded.
     """
+    if key.startswith(EVACUATION_PREFIX):
+        data_centre = key.removeprefix(EVACUATION_PREFIX)
+        return EvacuationOrder(data_centre, is_withdrawn=content is None)
+    if content is None:
+        return None
     if key == CONFIG_KEY:
         return decode_configuration(content)
     if key.startswith(ROLLOUT_PREFIX):
@@ -200,6 +218,7 @@
         born_ms=raw.born,
         sequence=raw.seq,
         is_reclaimable=raw.useSpot,
+        cold_left_s=max(raw.coldLeftMs, 0.0) / 1000,
     )
 
 
@@ -286,8 +305,15 @@
             reclaimable_price=raw.scaling.spotPrice,
             prices=raw.scaling.zonePrices,
         )
+    warm_up = None
+    if raw.coldS > 0 and raw.coldPerS > 0:
+        warm_up = WarmUp(duration_s=raw.coldS, rate_per_s=raw.coldPerS)
     return ServiceEntry(
-        name=raw.name, max_connections=raw.maxConns, engine=engine, scaling=scaling
+        name=raw.name,
+        max_connections=raw.maxConns,
+        engine=engine,
+        scaling=scaling,
+        warm_up=warm_up,
     )
 
 
--- a/lagoonring/platform/headers.py
+++ b/lagoonring/platform/headers.py
@@ -33,6 +33,8 @@
 LIMIT = "Server-Limit"
 # Requests that the endpoint can refuse in a second before it falls over.
 BRITTLE = "Server-Brittle"
+# Milliseconds for which the endpoint stays cold.
+COLD = "Lagoonring-Cold-Ms"
 # In all answers of an endpoint that takes no new work until its end.
 LEAVING = "Server-Leaving"
 RETRY_AFTER = "Retry-After"
@@ -80,6 +82,7 @@
 WITHHELD_FROM_CALLERS = frozenset(
     {
         "content-length",
+        "lagoonring-cold-ms",
         "lagoonring-relay-result",
         "lagoonring-server-load",
         "server-brittle",
@@ -205,6 +208,7 @@
         is_leaving=is_leaving,
         pause_s=pause_s,
         n_refusable=_read_decimal(headers.get(BRITTLE, "")),
+        cold_left_s=(_read_decimal(headers.get(COLD, "")) or 0.0) / 1000,
     )
 
 
--- a/lagoonring/platform/relay_server.py
+++ b/lagoonring/platform/relay_server.py
@@ -214,7 +214,7 @@
                 ),
                 timeout_s=_read_timeout_s(request),
                 connect_timeout_s=CONNECT_TIMEOUT_S,
-                is_wanted=self.parts.placer.make_check(endpoint),
+                is_wanted=self.parts.placer.permissions.make_check(endpoint),
             )
         except RequestWithdrawnError as error:
             raise RelayRefusedError(error.message, remedy=error.remedy) from error
--- a/lagoonring/serving/attempt_results.py
+++ b/lagoonring/serving/attempt_results.py
@@ -15,6 +15,7 @@
 from lagoonring.errors import Outcome
 from lagoonring.logs import make_logger
 from lagoonring.serving.attempt_logs import describe_failure
+from lagoonring.serving.warming import assume_cold
 
 if TYPE_CHECKING:
     from lagoonring.endpoints.errors import EndpointError
@@ -38,6 +39,7 @@
         job.tried_relays.add(job.relay)
     elif isinstance(error, EndpointConnectError):
         endpoint.mark_unreachable(now_s)
+        assume_cold(parts.table, endpoint, now_s, source="connection")
         parts.connectivity.record_connect_failure(endpoint)
     elif not isinstance(error, EndpointRefusedError | EndpointFailedError):
         endpoint.record_result(ok=False, now_s=now_s)
--- a/lagoonring/serving/attempts.py
+++ b/lagoonring/serving/attempts.py
@@ -33,7 +33,7 @@
 from lagoonring.serving.statements import record_statement
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncGenerator, Iterator
+    from collections.abc import AsyncGenerator, Callable, Iterator
 
     from lagoonring.errors import LagoonringError
     from lagoonring.serving.endpoints import Endpoint
@@ -120,7 +120,7 @@
             resume_after=job.last_event,
             moved=job.moved,
             relay=job.relay,
-            is_wanted=None if job.relay else self.parts.placer.make_check(endpoint),
+            is_wanted=None if job.relay else self._make_check(job, endpoint),
         )
         job.moved = None
         job.version = endpoint.record.version
@@ -151,6 +151,10 @@
         finally:
             answer.close()
 
+    def _make_check(self, job: Job, endpoint: Endpoint) -> Callable[[], bool]:
+        permissions = self.parts.placer.permissions
+        return permissions.make_check(endpoint, expires_s=job.expires_s)
+
     @contextmanager
     def _watch_silence(self, job: Job, endpoint: Endpoint) -> Iterator[None]:
         """Find out whether the endpoint is reached if it is silent for some time."""
--- a/lagoonring/serving/configuration.py
+++ b/lagoonring/serving/configuration.py
@@ -88,14 +88,27 @@
     prices: dict[str, float]
 
 
+@attrs.frozen(kw_only=True)
+class WarmUp:
+    """How the endpoints of a service warm up after a start.
+
+    An endpoint is cold for ``duration_s`` and then takes ``rate_per_s`` requests a
+    second from all instances together.
+    """
+
+    duration_s: float
+    rate_per_s: float
+
+
 @attrs.frozen(kw_only=True)
 class ServiceEntry:
-    """A service that endpoints run."""
+    """A service that endpoints run; ``warm_up`` is None if they need none."""
 
     name: str
     max_connections: int
     engine: EngineTraits | None = None
     scaling: ScalingTraits | None = None
+    warm_up: WarmUp | None = None
 
 
 @attrs.frozen(kw_only=True)
--- a/lagoonring/serving/endpoints.py
+++ b/lagoonring/serving/endpoints.py
@@ -12,10 +12,12 @@
 from lagoonring.serving.connectivity import Link
 from lagoonring.serving.observations import Condition, Observation, Typical
 from lagoonring.serving.statements import NO_LIMIT, KnownLimit
+from lagoonring.serving.warming import record_cold
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from lagoonring.serving.configuration import WarmUp
     from lagoonring.serving.messages import Loads, Source
 
 logger = make_logger("endpoints")
@@ -41,7 +43,8 @@
     """A record that an endpoint writes about itself.
 
     ``born_ms`` identifies an incarnation of the endpoint, ``sequence`` orders the
-    records of one incarnation.
+    records of one incarnation. ``cold_left_s`` is how much longer the endpoint is cold,
+    as of the record's writing.
     """
 
     endpoint: str
@@ -54,6 +57,7 @@
     born_ms: int
     sequence: int
     is_reclaimable: bool = False
+    cold_left_s: float = 0.0
 
     def is_older_than(self, other: EndpointRecord) -> bool:
         """Return whether ``other`` was written after this record."""
@@ -107,7 +111,8 @@
     since without another pause; then none is sent until ``trial_until_s``, a short
     time after the last one. ``refused_s`` is when it refused the last request here for
     want of room. ``link`` tells whether connections from here
-    are established.
+    are established. The endpoint is cold until ``cold_until_s``, and as far as other
+    instances can't read it in the record until ``cold_seen_until_s``.
     """
 
     record: EndpointRecord
@@ -135,6 +140,8 @@
     refused_s: float = float("-inf")
     reported_down_until_s: float = 0.0
     link: Link = attrs.field(factory=Link)
+    cold_until_s: float = 0.0
+    cold_seen_until_s: float = 0.0
 
     @property
     def name(self) -> str:
@@ -210,6 +217,10 @@
         The endpoints removed last that had said something of themselves, by name.
     leaving_listeners : list of callable
         Called with an endpoint that said that it is leaving, and ``"draining"``.
+    warm_ups : dict
+        How endpoints warm up, for the services that configure it.
+    evacuated : set of str
+        Data centres to whose endpoints nothing is sent.
     """
 
     def __init__(self) -> None:
@@ -220,6 +231,8 @@
         self.loads: dict[Source, tuple[float, Loads]] = {}
         self.removed: OrderedDict[str, Endpoint] = OrderedDict()
         self.leaving_listeners: list[Callable[[Endpoint, str], None]] = []
+        self.warm_ups: dict[str, WarmUp] = {}
+        self.evacuated: set[str] = set()
 
     def find(self, name: str) -> Endpoint | None:
         """Return an endpoint by its id."""
@@ -245,7 +258,9 @@
         for listener in self.leaving_listeners:
             listener(endpoint, EndpointState.DRAINING.value)
 
-    def apply(self, record: EndpointRecord, *, n_cache_tokens: int) -> str:
+    def apply(
+        self, record: EndpointRecord, *, n_cache_tokens: int, now_s: float = 0.0
+    ) -> str:
         """Apply a record; return the kind of change, or "" for none.
 
         A record older than the current one changes nothing. A new incarnation under
@@ -267,6 +282,8 @@
         else:
             change = _describe_change(endpoint.record, record)
             endpoint.record = record
+        if record_cold(endpoint, record.cold_left_s, now_s, source="record"):
+            change = change or "cold"
         return change
 
     def remove(self, name: str) -> Endpoint | None:
@@ -278,7 +295,8 @@
         return endpoint
 
     def _remember_statements(self, endpoint: Endpoint) -> None:
-        if not (endpoint.was_limited or endpoint.is_leaving or endpoint.paused_until_s):
+        has_said = endpoint.was_limited or endpoint.is_leaving
+        if not (has_said or endpoint.paused_until_s or endpoint.cold_until_s):
             return
         # Without the cache, which is the larger part of an endpoint.
         self.removed[endpoint.name] = attrs.evolve(endpoint, cache=PromptCache(0))
@@ -294,6 +312,7 @@
         endpoint.is_leaving = known.is_leaving
         endpoint.paused_until_s = known.paused_until_s
         endpoint.is_on_trial = known.is_on_trial
+        endpoint.cold_until_s = known.cold_until_s
 
     def update_peer_load(self, source: Source, loads: Loads, now_s: float) -> None:
         """Replace the load that a peer reported earlier."""
--- a/lagoonring/serving/fleet.py
+++ b/lagoonring/serving/fleet.py
@@ -16,6 +16,7 @@
     Order,
     plan,
 )
+from lagoonring.serving.warming import is_cold
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
@@ -189,6 +190,8 @@
             if entry.scaling is None:
                 continue
             fleets = list(self._fleets(entry))
+            if not fleets:
+                continue
             load, n_assumed = self._load(entry.name)
             # As many reclaimable ones as were found cost a fraction of on-demand ones.
             spare = max(MIN_SPARE_RECLAIMABLE, round(n_assumed / max(len(fleets), 1)))
@@ -230,20 +233,25 @@
     def _fleets(self, entry: ServiceEntry) -> Iterator[DataCentreFleet]:
         assert entry.scaling is not None
         counts: dict[tuple[str, bool], int] = {}
+        n_cold: dict[str, int] = {}
+        now_s = self.clock.monotonic()
         for endpoint in self.table.of_service(entry.name):
             record = endpoint.record
             if record.state is EndpointState.READY:
                 key = (record.data_centre, record.is_reclaimable)
                 counts[key] = counts.get(key, 0) + 1
+                if record.is_reclaimable and is_cold(endpoint, now_s):
+                    n_cold[record.data_centre] = n_cold.get(record.data_centre, 0) + 1
         for data_centre in self.data_centres:
             price = entry.scaling.prices.get(data_centre)
-            if price is None:
+            if price is None or data_centre in self.table.evacuated:
                 continue
             yield DataCentreFleet(
                 data_centre=data_centre,
                 price=price,
                 n_on_demand=counts.get((data_centre, False), 0),
                 n_reclaimable=counts.get((data_centre, True), 0),
+                n_cold=n_cold.get(data_centre, 0),
             )
 
     def _is_due(self, entry: ServiceEntry, order: Order) -> bool:
--- a/lagoonring/serving/follower.py
+++ b/lagoonring/serving/follower.py
@@ -12,7 +12,10 @@
 from lagoonring.logs import make_logger
 from lagoonring.platform.log import generation_of
 from lagoonring.serving.configuration import Configuration
+from lagoonring.serving.evacuations import EvacuationOrder, apply_evacuation
 from lagoonring.serving.feeds import KeyedFeed
+from lagoonring.serving.moves import MoveOrder
+from lagoonring.serving.warming import bounded_warm_up
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -22,7 +25,6 @@
     from lagoonring.serving.endpoints import Endpoint, EndpointRecord, EndpointTable
     from lagoonring.serving.feeds import KeyedLog
     from lagoonring.serving.metrics import ServingMetrics
-    from lagoonring.serving.moves import MoveOrder
     from lagoonring.serving.relay import StoreRelay
     from lagoonring.serving.settings import Bounds
 
@@ -36,6 +38,8 @@
 MIN_STABLE_S = 6.0  # three heartbeats and a read; no record can have expired
 DEFAULT_CACHE_TOKENS = 100_000  # for services without an engine description
 
+Document = Configuration | EvacuationOrder | MoveOrder
+
 logger = make_logger("follower")
 
 
@@ -47,7 +51,8 @@
     documents, records : KeyedLog
         The operators' documents and the endpoints' records.
     read_document : callable
-        Decodes a key and content to a `Configuration` or a `MoveOrder`, or to None
+        Decodes a key and content, None for a removed document, to a
+        `Configuration`, an `EvacuationOrder` or a `MoveOrder`, or to None
         if the document does not concern instances.
     read_record : callable
         Decodes an id and content to an `EndpointRecord`.
@@ -72,7 +77,7 @@
         *,
         documents: KeyedLog,
         records: KeyedLog,
-        read_document: Callable[[str, bytes], Configuration | MoveOrder | None],
+        read_document: Callable[[str, bytes | None], Document | None],
         read_record: Callable[[str, bytes], EndpointRecord],
         relay: StoreRelay,
         bounds: Bounds,
@@ -85,6 +90,7 @@
         self.read_document = read_document
         self.read_record = read_record
         self.relay = relay
+        self.bounds = bounds
         self.document_wait_s = DOCUMENT_WAIT_SHARE * bounds.config_s
         self.endpoint_poll_s = ENDPOINT_POLL_SHARE * bounds.drain_s
         relay.add("documents", self.documents, self.apply_document)
@@ -229,8 +235,6 @@
 
         Returns whether other instances of the data centre need the record.
         """
-        if record.value is None:
-            return False
         try:
             document = self.read_document(record.key, record.value)
         except InvalidInputError as error:
@@ -241,6 +245,8 @@
             return False
         if document is None:
             return False
+        if isinstance(document, EvacuationOrder):
+            return apply_evacuation(self.table, document, self.app.clock.monotonic())
         if isinstance(document, Configuration):
             self._apply_configuration(document, record.offset)
         else:
@@ -273,6 +279,15 @@
         if before is not None and configuration.version <= before:
             return
         self.configuration = configuration
+        self.table.warm_ups = {
+            entry.name: bounded_warm_up(
+                entry.warm_up,
+                excess=self.bounds.cold_excess,
+                slack=self.bounds.cold_slack,
+            )
+            for entry in configuration.services.values()
+            if entry.warm_up is not None
+        }
         self.metrics.configuration_version.set(configuration.version)
         logger.info(
             "Configuration in force.",
@@ -303,7 +318,9 @@
             return False
         is_back = self.pending_removals.pop(record.key, None) is not None
         change = self.table.apply(
-            content, n_cache_tokens=self._cache_tokens(content.service)
+            content,
+            n_cache_tokens=self._cache_tokens(content.service),
+            now_s=self.app.clock.monotonic(),
         )
         if change == "appeared":
             self.appeared_s = self.app.clock.monotonic()
--- a/lagoonring/serving/messages.py
+++ b/lagoonring/serving/messages.py
@@ -23,6 +23,7 @@
 from lagoonring.serving.statements import StatementRow
 from lagoonring.serving.usage import UsageRow
 from lagoonring.serving.version_results import ResultsRow
+from lagoonring.serving.warming import ColdRow
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -71,7 +72,7 @@
     clocks. ``read_well_for_s`` is the time for which the sender could read the store
     without failure. ``crashes`` lists crashed endpoints by request fingerprint,
     ``statements`` what endpoints said of themselves, ``prompts`` what is known of
-    parts of prompts that may crash endpoints.
+    parts of prompts that may crash endpoints, ``cold`` which endpoints are cold.
     """
 
     card: Card
@@ -85,6 +86,7 @@
     crashes: dict[str, list[str]] = attrs.field(factory=dict)
     statements: dict[str, StatementRow] = attrs.field(factory=dict)
     prompts: SuspectRows = ({}, {}, {})
+    cold: dict[str, ColdRow] = attrs.field(factory=dict)
 
 
 @attrs.define(kw_only=True)
--- a/lagoonring/serving/path.py
+++ b/lagoonring/serving/path.py
@@ -199,8 +199,8 @@
 
         Without a limit there is no permit to hold, and the job is placed anew.
         """
-        placer = self.parts.placer
-        slot = placer.take_permit(endpoint)
+        placer, permissions = self.parts.placer, self.parts.placer.permissions
+        slot = permissions.take_permit(endpoint)
         job.waited_s += opens_s
         is_used = False
         try:
@@ -208,11 +208,11 @@
             is_used = (
                 slot is not None
                 and placer.is_eligible(job, endpoint)
-                and placer.is_permitted(endpoint, slot)
+                and permissions.is_permitted(endpoint, slot)
             )
         finally:
             if slot is not None and not is_used:
-                placer.permits.release(endpoint, slot)
+                permissions.permits.release(endpoint, slot)
         if is_used:
             assert slot is not None
             job.permit = (endpoint, slot)
--- a/lagoonring/serving/placer.py
+++ b/lagoonring/serving/placer.py
@@ -11,6 +11,7 @@
 from lagoonring.serving.configuration import RequestKind
 from lagoonring.serving.endpoints import Endpoint
 from lagoonring.serving.observations import Typical
+from lagoonring.serving.permissions import Permissions
 from lagoonring.serving.placing import (
     FIRST_TOKEN_S,
     Candidate,
@@ -20,11 +21,8 @@
     prefer_by_part,
     shared_parts,
 )
-from lagoonring.serving.refusals import (
-    MAX_QUEUED_S,
-    SLOT_S,
-    RefusalBudget,
-)
+from lagoonring.serving.refusals import MAX_QUEUED_S
+from lagoonring.serving.warming import is_cold
 
 if TYPE_CHECKING:
     import random
@@ -48,7 +46,6 @@
 MIN_LONG_PROMPT_TOKENS = 6000  # from here the first step is a small part of the prefill
 MAX_PREFILL_SAMPLES = 64  # per service; minutes of long prompts at a small instance
 MIN_PREFILL_SAMPLES = 8  # with fewer, the typical engine is assumed
-TRIAL_S = 0.15  # after a pause, until the next request; most refusals take less
 NO_SAMPLES = Typical(0.0, 0.0)
 FULL_BACKOFF_S = 0.15  # an endpoint frees slots after a few answers
 
@@ -100,9 +97,8 @@
         self.data_centre = data_centre
         self.allowed = allowed
         self.demand = demand
-        self.permits = permits
+        self.permissions = Permissions(table, clock, permits)
         self.connectivity = connectivity
-        self.refusals = RefusalBudget(table, clock, permits.place, permits.true_time)
         self.prefill_samples: dict[str, deque[float]] = {}
         # Keyed by identity, since jobs are mutable.
         self.in_progress: dict[int, tuple[Job, WorkInProgress]] = {}
@@ -113,32 +109,6 @@
         candidates = self._candidates(job, endpoints)
         return choose(candidates, _work_of(job), self.rng)
 
-    def wait_s(self, endpoint: Endpoint) -> float | None:
-        """Return the time until this instance may send an endpoint a request.
-
-        It follows from what the endpoint said of itself: from a pause that it asked
-        for, and a limit. None if no such time is foreseeable.
-        """
-        wait_s = self.permits.wait_s(
-            endpoint, not_before_s=self._pause_left_s(endpoint)
-        )
-        if wait_s == 0 and not self.refusals.has_room(endpoint):
-            return SLOT_S
-        return wait_s
-
-    def take_permit(self, endpoint: Endpoint) -> int | None:
-        """Take the permit that `wait_s` speaks of; return its slot if it has one."""
-        return self.permits.take(endpoint, not_before_s=self._pause_left_s(endpoint))
-
-    def make_check(self, endpoint: Endpoint) -> Callable[[], bool]:
-        """Return a function that tells whether the endpoint asked for no pause yet."""
-        return lambda: endpoint.paused_until_s <= self.clock.monotonic()
-
-    def is_permitted(self, endpoint: Endpoint, slot: int) -> bool:
-        """Return whether a permit that was waited for may be used now."""
-        is_paused = endpoint.paused_until_s > self.clock.monotonic()
-        return not is_paused and self.permits.is_valid(endpoint, slot)
-
     def next_permit(self, job: Job) -> tuple[Endpoint, float] | None:
         """Return the endpoint that may take the job first, and the seconds until then.
 
@@ -146,9 +116,9 @@
         """
         may_queue = job.waited_s < MAX_QUEUED_S
         waits = (
-            (endpoint, self.wait_s(endpoint))
+            (endpoint, self.permissions.wait_s(endpoint))
             for endpoint in self._eligible(job)
-            if may_queue or self.refusals.has_room(endpoint)
+            if may_queue or self.permissions.rates.has_room(endpoint)
         )
         known = [(endpoint, wait_s) for endpoint, wait_s in waits if wait_s is not None]
         return min(known, key=lambda pair: pair[1], default=None)
@@ -193,13 +163,11 @@
 
     def begin(self, job: Job, endpoint: Endpoint) -> WorkInProgress:
         """Add a job to an endpoint's load, with a permit unless it has one."""
-        if job.permit is None:
-            self.permits.take(endpoint)
+        job.expires_s = self.permissions.begin(
+            endpoint, has_permit=job.permit is not None
+        )
         job.permit = None
         now_s = self.clock.monotonic()
-        self.refusals.take(endpoint)
-        if endpoint.is_on_trial:
-            endpoint.trial_until_s = now_s + TRIAL_S
         n_cached = endpoint.cache.count_cached(job.request.prompt_parts)
         n_missing = max(0, job.request.n_prompt_tokens - n_cached)
         work = WorkInProgress(
@@ -275,22 +243,17 @@
     def _usable(self, job: Job) -> list[Endpoint]:
         """Return the eligible endpoints to which a request may be sent now."""
         return [
-            endpoint for endpoint in self._eligible(job) if self.wait_s(endpoint) == 0
+            endpoint
+            for endpoint in self._eligible(job)
+            if self.permissions.wait_s(endpoint) == 0
         ]
 
-    def _pause_left_s(self, endpoint: Endpoint) -> float:
-        """Return how long the endpoint wants no request, or no further one."""
-        until_s = endpoint.paused_until_s
-        if endpoint.is_on_trial:
-            until_s = max(until_s, endpoint.trial_until_s)
-        return max(until_s - self.clock.monotonic(), 0.0)
-
     def _eligible(self, job: Job) -> list[Endpoint]:
         """Return the ready endpoints that the job may use and was not sent to yet."""
         ready = [
             endpoint
             for endpoint in self.table.of_service(job.service)
-            if endpoint.takes_new_work()
+            if self.permissions.may_use(endpoint)
         ]
         versions = {endpoint.record.version for endpoint in ready}
         allowed = self.allowed(job.service, versions, job.request.request_id)
@@ -305,7 +268,8 @@
     def _candidates(self, job: Job, endpoints: list[Endpoint]) -> list[Candidate]:
         now_s = self.clock.monotonic()
         parts = job.request.prompt_parts
-        preferred = _preferred(parts, endpoints)
+        warm = [e for e in endpoints if not is_cold(e, now_s)]
+        preferred = _preferred(parts, warm or endpoints)
         n_shared = sum(n_tokens for _, n_tokens in shared_parts(parts))
         usual = self._usual_times(job, endpoints, now_s)
         candidates = []
--- a/lagoonring/serving/requests.py
+++ b/lagoonring/serving/requests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Protocol
 
@@ -83,7 +84,8 @@
     end of a plain answer. ``recorder`` records the attempt in progress for the
     comparison of versions, ``permit`` is an endpoint with a limit and the slot in
     which it takes the job, ``waited_s`` how long it waited for endpoints that wanted no
-    request before. ``relay`` is the instance by which it was sent the last time, None
+    request before. At ``expires_s``, on the clock that counts suspension, it may no
+    longer be sent. ``relay`` is the instance by which it was sent the last time, None
     if directly, and ``tried_relays`` those that did not pass it on. ``move`` is
     set while its stream is moved to another endpoint, and resolves to the result.
     """
@@ -108,6 +110,7 @@
     first_answer_s: float | None = None
     permit: tuple[Endpoint, int] | None = None
     waited_s: float = 0.0
+    expires_s: float = math.inf
     relay: Relay | None = None
     tried_relays: set[Relay] = attrs.field(factory=set)
     moved: MovedRun | None = None
--- a/lagoonring/serving/settings.py
+++ b/lagoonring/serving/settings.py
@@ -33,6 +33,11 @@
         Share of requests, and additional number, that a faulty version may get.
     rollback_s : float
         Time after which a version found faulty gets no more requests.
+    cold_excess, cold_slack : float
+        Multiple of the rate that a cold endpoint bears, and additional number of
+        requests, that may reach it in a second.
+    evacuate_s : float
+        Time after which an evacuated data centre gets nothing.
     """
 
     drain_s: float = attrs.field(default=2.0, validator=between(0, 3600))
@@ -50,11 +55,14 @@
     exposure_share: float = attrs.field(default=0.1, validator=between(0, 1))
     exposure_slack: float = attrs.field(default=50.0, validator=between(0, 1e9))
     rollback_s: float = attrs.field(default=5.0, validator=between(0, 3600))
+    cold_excess: float = attrs.field(default=1.5, validator=between(0.1, 100))
+    cold_slack: float = attrs.field(default=5.0, validator=between(0, 1e6))
+    evacuate_s: float = attrs.field(default=5.0, validator=between(0, 3600))
 
     @property
     def change_s(self) -> float:
         """Time within which any change in the store must take effect."""
-        return min(self.config_s, self.drain_s)
+        return min(self.config_s, self.drain_s, self.evacuate_s)
 
 
 @attrs.frozen(kw_only=True)
--- a/lagoonring/serving/sizing.py
+++ b/lagoonring/serving/sizing.py
@@ -28,12 +28,16 @@
 
 @attrs.frozen(kw_only=True)
 class DataCentreFleet:
-    """Endpoints of a service that are ready in a data centre, and the price there."""
+    """Endpoints of a service that are ready in a data centre, and the price there.
+
+    Of the reclaimable ones, ``n_cold`` are cold.
+    """
 
     data_centre: str
     price: float
     n_on_demand: int
     n_reclaimable: int
+    n_cold: int = 0
 
 
 @attrs.frozen(kw_only=True)
@@ -78,11 +82,12 @@
     reclaimable = _spread_reclaimable(fleets, traits, floor, load, spare)
     on_demand = _cover_shortage(fleets, traits, floor, load)
     for fleet in fleets:
-        # On-demand endpoints are stopped only after reclaimable ones have replaced
+        # On-demand endpoints are stopped only after warm reclaimable ones have replaced
         # them, unless the limit on both kinds together keeps these from starting.
         name = fleet.data_centre
         n_planned = floor[name] + reclaimable[name]
-        n_retained = min(n_planned - fleet.n_reclaimable, fleet.n_on_demand)
+        n_warm = fleet.n_reclaimable - fleet.n_cold
+        n_retained = min(n_planned - n_warm, fleet.n_on_demand)
         n_retained = min(n_retained, traits.n_most - reclaimable[name])
         on_demand[name] = min(max(on_demand[name], n_retained), traits.n_most)
     return [
--- a/lagoonring/serving/state_sync.py
+++ b/lagoonring/serving/state_sync.py
@@ -14,6 +14,7 @@
 from lagoonring.serving.conditions import Conditions
 from lagoonring.serving.messages import Loads, Scope, Source, UsageTotals
 from lagoonring.serving.statements import apply_statement_rows, statement_rows
+from lagoonring.serving.warming import apply_cold_rows, cold_rows
 
 if TYPE_CHECKING:
     from lagoonring.serving.messages import (
@@ -27,6 +28,7 @@
     from lagoonring.serving.true_time import TrueClock
     from lagoonring.serving.version_results import ResultsRow
     from lagoonring.serving.versions import MovesDuty
+    from lagoonring.serving.warming import ColdRow
 
 RESULTS_INTERVAL_S = 0.5  # a move's holder decides twice a second
 USAGE_INTERVAL_S = 1.0  # counts are due only seconds after their window's end
@@ -84,6 +86,7 @@
             len(parts.prompt_suspects.ages_of_blocked(now_s))
         )
         report.statements = statement_rows(parts.table.endpoints.values(), now_s)
+        report.cold = self._cold_rows(now_s)
         report.started = parts.usage.recent()
         report.demand = parts.demand.own()
         report.results = parts.counters.rows()
@@ -105,6 +108,7 @@
         summary.crashes = parts.suspects.recent_crashes(now_s)
         summary.prompts = parts.prompt_suspects.rows(now_s)
         summary.statements = statement_rows(parts.table.endpoints.values(), now_s)
+        summary.cold = self._cold_rows(now_s)
         summary.demand = parts.demand.local()
         summary.observations = self.conditions.local_rows(now_s)
         directory = parts.connectivity.directory
@@ -135,6 +139,7 @@
         digest.crashes = parts.suspects.recent_crashes(now_s)
         digest.prompts = parts.prompt_suspects.rows(now_s)
         digest.statements = statement_rows(parts.table.endpoints.values(), now_s)
+        digest.cold = self._cold_rows(now_s)
         digest.moves = self._views()
         digest.conditions, digest.typical = self.conditions.assess_all(now_s)
         digest.relays = self.relays
@@ -222,11 +227,16 @@
         self.parts.follower.record_peer_read(message.read_well_for_s)
         self.parts.table.update_peer_load(source, loads, now_s)
         apply_statement_rows(self.parts.table, message.statements, now_s)
+        apply_cold_rows(self.parts.table, message.cold, now_s, self.true_clock.now())
         self.parts.suspects.update_peer(message.crashes, now_s, forward=is_forwarded)
         self.parts.prompt_suspects.update_peer(
             message.prompts, now_s, forward=is_forwarded
         )
 
+    def _cold_rows(self, now_s: float) -> dict[str, ColdRow]:
+        endpoints = self.parts.table.endpoints.values()
+        return cold_rows(endpoints, now_s, self.true_clock.now())
+
     def _apply_move_views(self, message: Summary | Digest) -> None:
         for service, view in message.moves.items():
             self.parts.gate.update(service, view)
--- a/lagoonring/serving/statements.py
+++ b/lagoonring/serving/statements.py
@@ -7,6 +7,7 @@
 import attrs
 
 from lagoonring.logs import make_logger
+from lagoonring.serving.warming import record_cold
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -36,6 +37,7 @@
     that the endpoint takes no new work until its end. ``pause_s`` is the time for
     which it wants no request of this instance. ``n_refusable`` is the number of
     requests that it can refuse within a second without falling over, None if any.
+    ``cold_left_s`` is how much longer it is cold, 0 if it does not say so.
     """
 
     limit_per_s: float | None = None
@@ -43,6 +45,7 @@
     is_leaving: bool = False
     pause_s: float = 0.0
     n_refusable: float | None = None
+    cold_left_s: float = 0.0
 
 
 @attrs.frozen
@@ -75,6 +78,8 @@
         _pause(endpoint, statement.pause_s, now_s)
     elif now_s >= endpoint.paused_until_s:
         endpoint.is_on_trial = False
+    if record_cold(endpoint, statement.cold_left_s, now_s, source="answer"):
+        endpoint.cold_seen_until_s = endpoint.cold_until_s
     if statement.unreadable is not None:
         logger.warning(
             "Endpoint's limit is unreadable; the last one stays.",
--- a/lagoonring/tests/builders/followers.py
+++ b/lagoonring/tests/builders/followers.py
@@ -103,6 +103,8 @@
     def read(key, value):
         if value == FAULTY:
             raise InvalidInputError("faulty")
+        if value is None:
+            return documents.get((key, None))
         return documents[value]
 
     app = Application(clock=ManualClock())
--- a/lagoonring/tests/test_pauses.py
+++ b/lagoonring/tests/test_pauses.py
@@ -41,9 +41,9 @@
     clock, endpoint = parts.app.clock, parts.table.find("a")
     now_s = clock.monotonic()
     record_statement(parts.table, endpoint, Statement(limit_per_s=0.5), now_s)
-    parts.placer.take_permit(endpoint)
-    while parts.placer.wait_s(endpoint) == 0:
-        parts.placer.take_permit(endpoint)
+    parts.placer.permissions.take_permit(endpoint)
+    while parts.placer.permissions.wait_s(endpoint) == 0:
+        parts.placer.permissions.take_permit(endpoint)
     request = asyncio.create_task(serve(parts, make_long_request()))
     await clock.advance(0.5)
     assert not request.done()
--- a/lagoonring/tests/test_statements.py
+++ b/lagoonring/tests/test_statements.py
@@ -205,9 +205,9 @@
         await clock.advance(0.06)
     assert len(refused) == 1
     endpoint = parts.table.find(refused[0])
-    assert parts.placer.wait_s(endpoint) == pytest.approx(0.2)
+    assert parts.placer.permissions.wait_s(endpoint) == pytest.approx(0.2)
     await clock.advance(0.3)
-    assert parts.placer.wait_s(endpoint) == 0
+    assert parts.placer.permissions.wait_s(endpoint) == 0
     assert all(task.result().status == 200 for task in tasks)
 
 
