--- a/lagoonring/serving/attempts.py
+++ b/lagoonring/serving/attempts.py
@@ -115,7 +115,7 @@
         order = SendOrder(
             endpoint=endpoint.record,
             left_s=job.deadline_s - self.clock.monotonic(),
-            urgency=self.parts.urgency_of(job),
+            urgency=job.urgency,
             organisation=job.organisation.name if job.organisation else None,
             resume_after=job.last_event,
             moved=job.moved,
@@ -286,6 +286,7 @@
                     raise endless_event_error(endpoint, len(splitter.buffer))
                 if not complete:
                     continue
+                job.progressed_s = self.clock.monotonic()
                 if job.recorder is not None:
                     job.recorder.record_event(self.clock.monotonic())
                 if is_first:
@@ -314,7 +315,11 @@
     async def _chunks(
         self, job: Job, endpoint: Endpoint, answer: EndpointAnswer
     ) -> AsyncGenerator[bytes, None]:
-        """Yield the body; raises ``EndpointTimeoutError`` if the endpoint stalls."""
+        """Yield the body; raises ``EndpointTimeoutError`` if the endpoint stalls.
+
+        Bytes that complete no event don't count as progress.
+        """
+        job.progressed_s = self.clock.monotonic()
         async with aclosing(answer.chunks()) as chunks:
             while True:
                 limit = self._stall_limit(job, endpoint)
@@ -336,7 +341,10 @@
             return left
         if not job.has_begun:
             return self._first_answer_limit(job, endpoint)
-        return min(Limit("another attempt", STALL_TIMEOUT_S), left)
+        if not self.parts.placer.has_other(job, endpoint):
+            return left
+        stalled_s = self.clock.monotonic() - job.progressed_s
+        return min(Limit("another attempt", max(STALL_TIMEOUT_S - stalled_s, 0)), left)
 
     def _check_order(self, job: Job, endpoint: Endpoint, event_id: int) -> None:
         """Raise ``EndpointCrossedError`` unless an event follows the last one."""
--- a/lagoonring/serving/fleet.py
+++ b/lagoonring/serving/fleet.py
@@ -288,6 +288,15 @@
             for endpoint in self.table.of_service(service)
         )
 
+    def _count_cold(self, service: str, data_centre: str) -> int:
+        """Return the cold endpoints of a service in a data centre."""
+        now_s = self.clock.monotonic()
+        return sum(
+            is_cold(endpoint, now_s)
+            for endpoint in self.table.of_service(service)
+            if endpoint.record.data_centre == data_centre
+        )
+
     async def _send(self, lease: Lease, service: str, order: Order) -> None:
         key = (service, order.data_centre, order.is_reclaimable)
         result = "ok"
@@ -309,6 +318,7 @@
                 "reclaimable": order.is_reclaimable,
                 "n_endpoints": order.n_endpoints,
                 "load": round(self._load(service)[0], 2),
+                "n_cold": self._count_cold(service, order.data_centre),
                 "result": result,
                 "error": error_text,
                 "fencing_number": lease.fencing_number,
--- a/lagoonring/serving/permits.py
+++ b/lagoonring/serving/permits.py
@@ -103,10 +103,15 @@
         return slot
 
     def is_valid(self, endpoint: Endpoint, slot: int) -> bool:
-        """Return whether a permit taken before holds under the present limit."""
+        """Return whether a permit taken before holds now, under the present limit.
+
+        The instance may have been paused since its slot.
+        """
         limit_per_s = endpoint.limit.limit_per_s
         if limit_per_s is None:
             return True
+        if slot < int(self.true_time() // SLOT_S) - N_KEPT_SLOTS:
+            return False
         n_own = count_own(endpoint.name, limit_per_s, slot, self.place())
         return self.taken.get((endpoint.name, slot), 0) <= n_own
 
--- a/lagoonring/tests/builders/limited_service.py
+++ b/lagoonring/tests/builders/limited_service.py
@@ -29,6 +29,7 @@
 )
 
 if TYPE_CHECKING:
+    from lagoonring.serving.configuration import Configuration
     from lagoonring.serving.parts import ServingParts
     from lagoonring.serving.requests import SendOrder
 
@@ -160,14 +161,7 @@
         parts = make_parts(
             FakeSender(answer),
             *(make_record(name) for name in self.endpoints),
-            configuration=make_configuration(
-                make_route(
-                    kind=RequestKind.IDEMPOTENT,
-                    max_wait_s=self.timeout_s,
-                    objective_s=self.timeout_s,
-                    timeout_s=REAL_TIMEOUT_S,
-                )
-            ),
+            configuration=self._make_configuration(),
             clock=self.clock,
         )
         parts.app.rng.seed(number)
@@ -178,6 +172,15 @@
         )
         return parts
 
+    def _make_configuration(self) -> Configuration:
+        route = make_route(
+            kind=RequestKind.IDEMPOTENT,
+            max_wait_s=self.timeout_s,
+            objective_s=self.timeout_s,
+            timeout_s=REAL_TIMEOUT_S,
+        )
+        return make_configuration(route)
+
     async def _answer(self, number: int, endpoint: str) -> Any:
         self.arrivals.append((self.elapsed_s(), endpoint, number))
         await self.clock.sleep(ANSWER_S)
--- a/lagoonring/tests/builders/serving.py
+++ b/lagoonring/tests/builders/serving.py
@@ -205,6 +205,7 @@
     n_instances: int = 3
     share: float = 1.0
     reported_until_s: float = math.inf
+    delay_s: float = 0.5
     life: int = 1
     address: str = "a"
     peers: list[str] = attrs.field(factory=list)
@@ -236,8 +237,8 @@
         return self.share
 
     def report_delay_s(self) -> float:
-        """Return the delay of reports in a small deployment."""
-        return 0.5
+        """Return the delay of reports, by default that of a small deployment."""
+        return self.delay_s
 
     def all_reported_since(self, at_s: float) -> bool:
         """Return whether all instances have reported since a time."""
--- a/lagoonring/tests/test_fleet_duty.py
+++ b/lagoonring/tests/test_fleet_duty.py
@@ -120,6 +120,25 @@
     assert all(cloud.find(name, True) for name in DATA_CENTRES)
 
 
+async def test_the_others_carry_the_load_of_an_evacuated_data_centre(clock):
+    cloud = Cloud(make_table(*make_large_fleet()))
+    demand = Demand(clock)
+    duty = make_large_duty(cloud, clock, demand)
+    await generate_load(duty, demand, clock, 20, load=6.0)
+    cloud.orders.clear()
+    before = len(cloud.find("north", True)) + len(cloud.find("north", False))
+    cloud.table.evacuated.add("north")
+    await generate_load(duty, demand, clock, 20, load=6.0)
+    assert before > 0
+    assert "north" not in {data_centre for data_centre, _, _ in cloud.orders}
+    n_elsewhere = sum(
+        len(cloud.find(name, kind))
+        for name in ("east", "west")
+        for kind in (True, False)
+    )
+    assert n_elsewhere >= 6.0 / MAX_LOAD
+
+
 async def test_endpoints_found_before_the_lease_was_acquired_delay_no_order(
     duty, cloud, clock
 ):
--- a/lagoonring/tests/test_permits.py
+++ b/lagoonring/tests/test_permits.py
@@ -113,3 +113,13 @@
         await clock.advance(0.1)
     most = max(sum(0 <= at_s - from_s < 4 for at_s in sent_s) for from_s in sent_s)
     assert most <= 1.5 * limit * 4 + 5
+
+
+async def test_a_permit_is_not_valid_after_the_instance_was_paused():
+    clock = ManualClock()
+    endpoint = make_limited(9.0)
+    permits = Permits(lambda: make_places(1)[0], clock.time)
+    slot = permits.take(endpoint)
+    assert permits.is_valid(endpoint, slot)
+    clock.suspend(3.0)
+    assert not permits.is_valid(endpoint, slot)
--- a/lagoonring/tests/test_serving_decisions.py
+++ b/lagoonring/tests/test_serving_decisions.py
@@ -551,6 +551,13 @@
     assert numbers_of(after, is_reclaimable=False) == {"east": 1, "north": 0, "west": 1}
 
 
+def test_cold_endpoints_are_no_replacement_yet():
+    found = {"east": (3, 1), "north": (2, 1), "west": (2, 1)}
+    fleets = [attrs.evolve(fleet, n_cold=1) for fleet in make_fleets(**found)]
+    orders = plan(fleets, make_scaling(), load=0.5, spare=1)
+    assert numbers_of(orders, is_reclaimable=False)["east"] >= 2
+
+
 def test_on_demand_endpoints_make_room_for_reclaimable_ones_at_the_limit():
     """Two on-demand endpoints run in each data centre, which may have three."""
     scaling = make_scaling(n_most=3)
