--- a/lagoonring/serving/admitting.py
+++ b/lagoonring/serving/admitting.py
@@ -55,21 +55,19 @@
     if wait.left_s <= 0:
         return Refusal("too_late", MIN_RETRY_AFTER_S)
     if wait.estimate_s is None and wait.opens_s is not None:
-        return Refusal("limited", spread(wait.opens_s, left_s=wait.left_s, rng=rng))
+        return Refusal("limited", spread(wait.opens_s, wait, rng))
     if wait.estimate_s is None:
-        return Refusal(
-            "no_endpoint", spread(NO_ENDPOINT_RETRY_S, left_s=wait.left_s, rng=rng)
-        )
+        return Refusal("no_endpoint", spread(NO_ENDPOINT_RETRY_S, wait, rng))
     limit_s = min(wait.left_s, wait.max_wait_s) * MAX_WAIT_SHARE
     limit_s = min(limit_s, wait.objective_s * MAX_LATENESS)
     if wait.estimate_s <= limit_s:
         return None
     excess_s = wait.estimate_s - limit_s
-    return Refusal("overload", spread(excess_s, left_s=wait.left_s, rng=rng))
+    return Refusal("overload", spread(excess_s, wait, rng))
 
 
-def spread(mean_s: float, *, left_s: float, rng: random.Random) -> float:
+def spread(mean_s: float, wait: WaitEstimate, rng: random.Random) -> float:
     """Return a random delay around a mean, at most a third of the time left."""
-    max_s = max(left_s, 0.0) * MAX_RETRY_SHARE
+    max_s = max(wait.left_s, 0.0) * MAX_RETRY_SHARE
     wanted_s = max(mean_s, MIN_RETRY_AFTER_S) * (0.5 + rng.random())
     return max(min(wanted_s, max_s), 0.01)
--- a/lagoonring/serving/attempts.py
+++ b/lagoonring/serving/attempts.py
@@ -115,7 +115,7 @@
         order = SendOrder(
             endpoint=endpoint.record,
             left_s=job.deadline_s - self.clock.monotonic(),
-            urgency=job.urgency,
+            urgency=self.parts.urgency_of(job),
             organisation=job.organisation.name if job.organisation else None,
             resume_after=job.last_event,
             moved=job.moved,
--- a/lagoonring/serving/demand.py
+++ b/lagoonring/serving/demand.py
@@ -23,15 +23,14 @@
 
     value: float = 0.0
     updated_s: float = 0.0
-    half_life_s: float = HALF_LIFE_S
 
     def read(self, now_s: float) -> float:
         """Return the rate at a time."""
-        return self.value * math.exp2(-(now_s - self.updated_s) / self.half_life_s)
+        return self.value * math.exp2(-(now_s - self.updated_s) / HALF_LIFE_S)
 
     def add(self, amount: float, now_s: float) -> None:
         """Add an arrival."""
-        self.value = self.read(now_s) + amount * math.log(2) / self.half_life_s
+        self.value = self.read(now_s) + amount * math.log(2) / HALF_LIFE_S
         self.updated_s = now_s
 
 
--- a/lagoonring/serving/messages.py
+++ b/lagoonring/serving/messages.py
@@ -20,7 +20,6 @@
 from lagoonring.serving.observations import ConditionRow, ObservationRow, TypicalRow
 from lagoonring.serving.prompt_suspects import SuspectRows
 from lagoonring.serving.relay_directory import RelayRows
-from lagoonring.serving.room import Asked
 from lagoonring.serving.statements import StatementRow
 from lagoonring.serving.usage import UsageRow
 from lagoonring.serving.version_results import ResultsRow
@@ -73,8 +72,7 @@
     clocks. ``read_well_for_s`` is the time for which the sender could read the store
     without failure. ``crashes`` lists crashed endpoints by request fingerprint,
     ``statements`` what endpoints said of themselves, ``prompts`` what is known of
-    parts of prompts that may crash endpoints, ``cold`` which endpoints are cold,
-    and ``asked`` the work that callers ask for by level.
+    parts of prompts that may crash endpoints, ``cold`` which endpoints are cold.
     """
 
     card: Card
@@ -89,7 +87,6 @@
     statements: dict[str, StatementRow] = attrs.field(factory=dict)
     prompts: SuspectRows = ({}, {}, {})
     cold: dict[str, ColdRow] = attrs.field(factory=dict)
-    asked: Asked = attrs.field(factory=dict)
 
 
 @attrs.define(kw_only=True)
--- a/lagoonring/serving/metrics.py
+++ b/lagoonring/serving/metrics.py
@@ -42,24 +42,6 @@
             buckets=LATENCY_BUCKETS_S,
             registry=registry,
         )
-        self.turns = Counter(
-            "lagoonring_serving_turns_total",
-            "Requests that were held or refused for want of room, by reason.",
-            ["turn", "reason"],
-            registry=registry,
-        )
-        self.held = Gauge(
-            "lagoonring_serving_held",
-            "Requests that are held here until there is room.",
-            registry=registry,
-        )
-        self.held_s = Histogram(
-            "lagoonring_serving_held_seconds",
-            "Time for which requests were held, by urgency.",
-            ["urgency"],
-            buckets=LATENCY_BUCKETS_S,
-            registry=registry,
-        )
         self.in_progress = Gauge(
             "lagoonring_serving_in_progress",
             "Requests of callers in progress.",
--- a/lagoonring/serving/parts.py
+++ b/lagoonring/serving/parts.py
@@ -19,9 +19,7 @@
 from lagoonring.serving.quotas import Quotas
 from lagoonring.serving.requests import Sender
 from lagoonring.serving.retry_budget import RetryBudget
-from lagoonring.serving.room import Room
 from lagoonring.serving.suspects import Suspects
-from lagoonring.serving.turns import Turns
 from lagoonring.serving.usage import UsageCounts
 from lagoonring.serving.version_results import VersionCounters
 
@@ -29,6 +27,9 @@
     from lagoonring.serving.requests import Job
     from lagoonring.serving.settings import Bounds
 
+ROUTE_RANKS = 3  # route ranks per organisation rank
+MAX_URGENCY = 9
+
 
 @attrs.define(kw_only=True)
 class ServingParts:
@@ -50,21 +51,6 @@
     counters: VersionCounters
     demand: Demand
     metrics: ServingMetrics
-    room: Room = attrs.field(init=False)
-    turns: Turns = attrs.field(init=False)
-
-    def __attrs_post_init__(self) -> None:
-        self.room = Room(self.app.clock)
-        self.placer.record_sent = self.room.record_sent
-        self.turns = Turns(
-            self.placer,
-            self.follower,
-            self.quotas,
-            self.room,
-            self.exchange,
-            self.app.clock,
-            self.metrics,
-        )
 
     def apply_bounds(self, bounds: Bounds) -> None:
         """Apply the bounds that can change without a restart."""
@@ -74,6 +60,13 @@
         self.retry_budget.ratio = bounds.retry_ratio
         self.retry_budget.slack = bounds.retry_slack
 
+    def urgency_of(self, job: Job) -> int:
+        """Return the urgency, 0 the highest, by organisation rank, then route rank."""
+        urgency = job.route.rank
+        if job.organisation is not None and job.organisation.rank is not None:
+            urgency += ROUTE_RANKS * job.organisation.rank
+        return min(max(urgency, 0), MAX_URGENCY)
+
     def count_started(self, job: Job) -> None:
         """Count a request that an endpoint started, at most once."""
         if job.is_counted:
--- a/lagoonring/serving/path.py
+++ b/lagoonring/serving/path.py
@@ -17,7 +17,7 @@
 from lagoonring.logs import make_logger
 from lagoonring.requests.errors import NotReadyError
 from lagoonring.serving.accepting import accept, check_prompt
-from lagoonring.serving.admitting import WaitEstimate, decide, spread
+from lagoonring.serving.admitting import WaitEstimate, decide
 from lagoonring.serving.attempts import MAX_SENDS, RESULT_OK, Attempts
 from lagoonring.serving.configuration import RequestKind
 from lagoonring.serving.errors import (
@@ -25,8 +25,6 @@
     AnswerUnknownError,
     OverloadError,
 )
-from lagoonring.serving.triage import Turn
-from lagoonring.serving.turns import concerns
 
 if TYPE_CHECKING:
     from lagoonring.serving.endpoints import Endpoint
@@ -70,7 +68,6 @@
             job = accept(self.parts, request)
             self._check_not_retired(job)
             self.parts.placer.record_demand(job)
-            self.parts.turns.record_arrival(job)
             await self._run(job, sink)
             outcome = RESULT_OK
         except LagoonringError as error:
@@ -146,38 +143,7 @@
         return await self.attempts.send(job, target, sink)
 
     async def _place(self, job: Job, error: LagoonringError | None) -> Endpoint:
-        """Return the next endpoint once it is the job's turn."""
-        endpoint = await self._find_endpoint(job, error)
-        if error is not None or job.placement is None or not concerns(job):
-            return endpoint
-        turns = self.parts.turns
-        decision = turns.assess(job)
-        if decision.turn is Turn.HOLD and turns.may_hold(job):
-            with turns.hold(job) as held:
-                while decision.turn is Turn.HOLD:
-                    await turns.wait(held, decision.slack_s)
-                    endpoint = await self._find_endpoint(job, None)
-                    if job.placement is None:
-                        break
-                    decision = turns.assess(job, held)
-            if decision.turn is not Turn.REFUSE:
-                turns.holding.record_sent(job.service)
-                return endpoint
-        if decision.turn is Turn.SEND:
-            return endpoint
-        left_s = job.deadline_s - self.clock.monotonic()
-        raise OverloadError(
-            f"Got a request of urgency {job.urgency} while the queue is "
-            f"{job.placement.queue_s:.2f} s, expected at most {decision.limit_s:.2f} s "
-            f"({decision.reason}).",
-            remedy="Send it again after the time told.",
-            retry_after_s=spread(
-                job.placement.queue_s, left_s=left_s, rng=self.parts.app.rng
-            ),
-        )
-
-    async def _find_endpoint(self, job: Job, error: LagoonringError | None) -> Endpoint:
-        """Return the best endpoint; raises an error if none can answer in time."""
+        """Return the next endpoint; raises an error if none can answer in time."""
         if error is None:
             check_prompt(self.parts, job.request)
         placement = self.parts.placer.place(job)
--- a/lagoonring/serving/placer.py
+++ b/lagoonring/serving/placer.py
@@ -97,8 +97,6 @@
         self.data_centre = data_centre
         self.allowed = allowed
         self.demand = demand
-        self.spread_s_of: Callable[[str], float] = lambda service: 0.0
-        self.record_sent: Callable[[str, float], None] = lambda service, seconds: None
         self.permissions = Permissions(table, clock, permits)
         self.connectivity = connectivity
         self.prefill_samples: dict[str, deque[float]] = {}
@@ -109,8 +107,7 @@
         """Return the placement of a job, or None if no endpoint can take it."""
         endpoints = self._usable(job)
         candidates = self._candidates(job, endpoints)
-        spread_s = self.spread_s_of(job.service)
-        return choose(candidates, _work_of(job), self.rng, spread_s=spread_s)
+        return choose(candidates, _work_of(job), self.rng)
 
     def next_permit(self, job: Job) -> tuple[Endpoint, float] | None:
         """Return the endpoint that may take the job first, and the seconds until then.
@@ -156,26 +153,6 @@
         )
         return estimate_first_answer_s(typical, _work_of(job))
 
-    def describe(self, service: str) -> tuple[list[float], list[float]]:
-        """Return the speeds and the queues in s of the usable engines of a service.
-
-        The speed of a typical engine is 1.
-        """
-        now_s = self.clock.monotonic()
-        token_s = self._unloaded_token_s(service)
-        speeds, queues_s = [], []
-        for endpoint in self.table.of_service(service):
-            if not self.permissions.may_use(endpoint):
-                continue
-            if now_s < endpoint.avoided_until_s():
-                continue
-            slowdown = 1.0
-            if endpoint.condition is not None and self.table.is_assessed(now_s):
-                slowdown = endpoint.condition.slowdown
-            speeds.append(1 / max(slowdown, 0.1))
-            queues_s.append(endpoint.count_waiting_tokens() * token_s * slowdown)
-        return speeds, queues_s
-
     def streams_at(self, endpoint: Endpoint) -> list[Job]:
         """Return the streams of this instance that run on an endpoint."""
         return [
@@ -193,7 +170,6 @@
         now_s = self.clock.monotonic()
         n_cached = endpoint.cache.count_cached(job.request.prompt_parts)
         n_missing = max(0, job.request.n_prompt_tokens - n_cached)
-        self.record_sent(job.service, n_missing * self._unloaded_token_s(job.service))
         work = WorkInProgress(
             endpoint, n_missing, endpoint.count_waiting_tokens(), now_s
         )
@@ -250,9 +226,8 @@
         for endpoint in self.table.of_service(job.service):
             n_cached = max(n_cached, endpoint.cache.count_cached(parts))
         n_missing = max(0, job.request.n_prompt_tokens - n_cached)
-        seconds = n_missing * self._unloaded_token_s(job.service)
-        self.demand.record_arrival(job.service, seconds)
-        job.work_s = n_missing * self._unloaded_token_s(job.service)
+        token_s = self._unloaded_token_s(job.service)
+        self.demand.record_arrival(job.service, n_missing * token_s)
 
     def _unloaded_token_s(self, service: str) -> float:
         """Return the prefill time per token of an otherwise idle engine.
--- a/lagoonring/serving/placing.py
+++ b/lagoonring/serving/placing.py
@@ -61,8 +61,7 @@
 class Placement:
     """The chosen endpoint, and what the choice was based on.
 
-    ``estimate_s`` is the expected time to its first answer in seconds, of which
-    ``own_s`` would pass at the idle endpoint, ``n_running``
+    ``estimate_s`` is the expected time to its first answer in seconds, ``n_running``
     the requests that were believed to run there, and ``n_candidates`` the number of
     endpoints that could be chosen.
     """
@@ -71,12 +70,6 @@
     estimate_s: float
     n_running: int = 0
     n_candidates: int = 0
-    own_s: float = 0.0
-
-    @property
-    def queue_s(self) -> float:
-        """The expected wait for requests that are there already, in seconds."""
-        return max(self.estimate_s - self.own_s, 0.0)
 
 
 def estimate_first_answer_s(candidate: Candidate, work: Work) -> float:
@@ -90,17 +83,10 @@
 
 
 def choose(
-    endpoints: Iterable[Candidate],
-    work: Work,
-    rng: random.Random,
-    *,
-    spread_s: float = 0.0,
+    endpoints: Iterable[Candidate], work: Work, rng: random.Random
 ) -> Placement | None:
     """Return the endpoint with the least expected cost, or None without endpoints.
 
-    ``spread_s`` is what queues may differ by from what is known of them: choices are
-    spread over endpoints whose costs differ by less.
-
     The cost is the time to the first answer plus penalties for recent failures,
     repeated prefill, running requests and distance. Avoided endpoints are used only
     if there are no others.
@@ -114,31 +100,18 @@
     for candidate in candidates:
         estimate_s = estimate_first_answer_s(candidate, work)
         cost_s = estimate_s * (1 + COST_NOISE * rng.random())
-        if spread_s:
-            cost_s += spread_s * rng.random()
         cost_s += failure_s * candidate.failure_share
         cost_s += PREFILL_WEIGHT * _prefill_s(candidate, work)
         cost_s += RUNNING_REQUEST_S * candidate.n_running
         cost_s += 0.0 if candidate.is_local else OTHER_DATA_CENTRE_S
         if best is None or cost_s < best_cost_s:
             best = Placement(
-                candidate.name,
-                estimate_s,
-                candidate.n_running,
-                len(candidates),
-                _own_s(candidate, work),
+                candidate.name, estimate_s, candidate.n_running, len(candidates)
             )
             best_cost_s = cost_s
     return best
 
 
-def _own_s(candidate: Candidate, work: Work) -> float:
-    """Return the time to the first answer at an idle endpoint."""
-    if not work.is_generation:
-        return candidate.service_s
-    return FIRST_TOKEN_S + _prefill_s(candidate, work)
-
-
 def _prefill_s(candidate: Candidate, work: Work) -> float:
     """Return the time to prefill the part of the prompt that is not cached."""
     n_missing = max(0, work.n_prompt_tokens - candidate.n_cached_tokens)
--- a/lagoonring/serving/quotas.py
+++ b/lagoonring/serving/quotas.py
@@ -19,15 +19,16 @@
 
 from __future__ import annotations
 
+from collections import deque
+from collections.abc import Hashable
 from typing import TYPE_CHECKING
 
-from lagoonring.serving.quota_usage import PeerUsage, Usage, WindowSum
+import attrs
 
 if TYPE_CHECKING:
-    from collections.abc import Hashable, Iterable
-
     from lagoonring.serving.configuration import Organisation
 
+SLOT_S = 0.25  # resolution of the sliding window; two rounds of the exchange
 TOLERANCE_SHARE = 0.3  # of the tolerance; the rest covers delayed reports
 MIN_WAIT_S = 0.05  # an earlier retry would find as little room as before
 START_REFILL_SHARE = 0.8  # of the usual refill; above organisations' typical usage
@@ -38,10 +39,84 @@
 )
 AMPLE_TOLERANCE_SHARE = 0.3  # of the limit; a larger tolerance absorbs delayed reports
 CARRY_OVER_S = 2.0  # a hub that stops responding is replaced within 1 s
-OVER_SHARE = 1.5  # times the use that all organisations together make of their limits
 PACE_BUCKET_S = 1.0  # capacity of the second bucket, in seconds of its rate
 
 
+@attrs.define
+class WindowSum:
+    """Sum over a sliding window; ``slots`` holds lists of start time and amount."""
+
+    window_s: float
+    slots: deque[list[float]] = attrs.field(factory=deque)
+    total: float = 0.0
+
+    def add(self, amount: float, now_s: float) -> None:
+        """Add an amount at the current time; a negative one undoes an earlier one."""
+        if self.slots and now_s - self.slots[-1][0] < SLOT_S:
+            self.slots[-1][1] += amount
+        else:
+            self.slots.append([now_s, amount])
+        self.total += amount
+
+    def read(self, now_s: float) -> float:
+        """Return the sum of the window that ends now."""
+        oldest_s = now_s - self.window_s - SLOT_S
+        while self.slots and self.slots[0][0] < oldest_s:
+            self.total -= self.slots.popleft()[1]
+        return self.total
+
+    def wait_s(self, excess: float, now_s: float) -> float:
+        """Return the seconds until the sum has dropped by ``excess``."""
+        for at_s, amount in self.slots:
+            excess -= amount
+            if excess <= 0:
+                return at_s + self.window_s + SLOT_S - now_s
+        return self.window_s
+
+
+@attrs.define
+class PeerUsage:
+    """Usage reported by one process of a peer: its total, and the window's amounts."""
+
+    life: int
+    total: float
+    window: WindowSum
+
+
+@attrs.define
+class Usage:
+    """Usage of one organisation, as known to this instance.
+
+    ``everywhere`` covers all instances, ``here`` this one, and ``local`` the other
+    instances of its data centre. ``recent`` is the usage of all instances
+    during the delay of reports. ``carried_over`` is usage that ``everywhere`` already
+    contains from a previous source, and that its successor will report again.
+    """
+
+    everywhere: WindowSum
+    here: WindowSum
+    local: WindowSum
+    recent: WindowSum
+    refilled_s: float
+    burst_level: float = 0.0
+    pace_level: float = 0.0
+    total_here: float = 0.0
+    total_local: float = 0.0
+    total_everywhere: float = 0.0
+    is_initialised: bool = False
+    part_level: float = 0.0
+    part_refilled_s: float = 0.0
+    carried_over: float = 0.0
+    carry_over_until_s: float = 0.0
+    peers: dict[Hashable, PeerUsage] = attrs.field(factory=dict)
+
+    def consume(self, amount: float) -> None:
+        """Take tokens from the burst bucket, and the remainder from the second one."""
+        from_burst = min(amount, max(self.burst_level, 0.0))
+        self.burst_level -= from_burst
+        self.pace_level -= amount - from_burst
+
+
 class Quotas:
     """Enforces the limits of all organisations.
 
@@ -225,29 +300,6 @@
                     usage.total_local += amount
                 self._add_remote(usage, amount, now_s)
 
-    def is_over_share(
-        self,
-        organisation: Organisation,
-        organisations: Iterable[Organisation],
-        now_s: float,
-    ) -> bool:
-        """Return whether an organisation uses far more of its limit than all together.
-
-        Limits weigh the organisations' shares: while room is short, it goes to those
-        that use less of what they were promised.
-        """
-        total = promised = 0.0
-        for other in organisations:
-            usage = self.usages.get(other.name)
-            if usage is not None and other.rate_per_s > 0:
-                total += usage.recent.read(now_s)
-                promised += other.rate_per_s
-        usage = self.usages.get(organisation.name)
-        if usage is None or organisation.rate_per_s <= 0 or total <= 0:
-            return False
-        used = usage.recent.read(now_s) / organisation.rate_per_s
-        return used > OVER_SHARE * total / promised
-
     def carry_over_peers(self, now_s: float) -> None:
         """Carry over the usage of all current peers, which other peers will report."""
         for usage in self.usages.values():
--- a/lagoonring/serving/requests.py
+++ b/lagoonring/serving/requests.py
@@ -25,9 +25,6 @@
     from lagoonring.serving.statements import Statement
 
 
-ROUTE_RANKS = 3  # route ranks per organisation rank
-MAX_URGENCY = 9
-
 PromptParts = tuple[tuple[str, int], ...]
 
 
@@ -85,15 +82,13 @@
     ``placement`` is the last choice of an endpoint, ``version`` the version there,
     and ``first_answer_s`` the time from the last send to the first event, or to the
     end of a plain answer, ``progressed_s`` when the last event was complete.
-    ``recorder`` records the attempt in progress for the
-    comparison of versions, ``permit`` is an endpoint with a limit and the slot in
-    which it takes the job, ``waited_s`` how long it waited for its turn, or for
-    endpoints that wanted no request before. ``work_s`` is the time that an idle
-    endpoint takes for its prompt. At ``expires_s``, on the clock that counts
-    suspension, it may no longer be sent. ``relay`` is the instance by which it was
-    sent the last time, None if directly, and ``tried_relays`` those that did not pass
-    it on. ``move`` is set while its stream is moved to another endpoint, and resolves
-    to the result.
+    ``recorder`` records the attempt in progress for the comparison of versions,
+    ``permit`` is an endpoint with a limit and the slot in which it takes the job,
+    ``waited_s`` how long it waited for endpoints that wanted no request before. At
+    ``expires_s``, on the clock that counts suspension, it may no longer be sent.
+    ``relay`` is the instance by which it was sent the last time, None if directly, and
+    ``tried_relays`` those that did not pass it on. ``move`` is set while its stream is
+    moved to another endpoint, and resolves to the result.
     """
 
     request: CallerRequest
@@ -117,27 +112,12 @@
     progressed_s: float = 0.0
     permit: tuple[Endpoint, int] | None = None
     waited_s: float = 0.0
-    work_s: float = 0.0
-    is_over_share: bool = False
     expires_s: float = math.inf
     relay: Relay | None = None
     tried_relays: set[Relay] = attrs.field(factory=set)
     moved: MovedRun | None = None
     move: asyncio.Future[tuple[Endpoint, MovedRun] | None] | None = None
 
-    @property
-    def urgency(self) -> int:
-        """The urgency, 0 the highest, by organisation rank, then route rank."""
-        urgency = self.route.rank
-        if self.organisation is not None and self.organisation.rank is not None:
-            urgency += ROUTE_RANKS * self.organisation.rank
-        return min(max(urgency, 0), MAX_URGENCY)
-
-    @property
-    def level(self) -> int:
-        """The order in which jobs get room: by urgency, then by share."""
-        return 2 * self.urgency + self.is_over_share
-
     @property
     def may_retry(self) -> bool:
         """Return whether the job may be retried although it may have run already."""
--- a/lagoonring/serving/state_sync.py
+++ b/lagoonring/serving/state_sync.py
@@ -87,7 +87,6 @@
         )
         report.statements = statement_rows(parts.table.endpoints.values(), now_s)
         report.cold = self._cold_rows(now_s)
-        report.asked = parts.room.own()
         report.started = parts.usage.recent()
         report.demand = parts.demand.own()
         report.results = parts.counters.rows()
@@ -110,7 +109,6 @@
         summary.prompts = parts.prompt_suspects.rows(now_s)
         summary.statements = statement_rows(parts.table.endpoints.values(), now_s)
         summary.cold = self._cold_rows(now_s)
-        summary.asked = parts.room.local()
         summary.demand = parts.demand.local()
         summary.observations = self.conditions.local_rows(now_s)
         directory = parts.connectivity.directory
@@ -142,7 +140,6 @@
         digest.prompts = parts.prompt_suspects.rows(now_s)
         digest.statements = statement_rows(parts.table.endpoints.values(), now_s)
         digest.cold = self._cold_rows(now_s)
-        digest.asked = parts.room.total()
         digest.moves = self._views()
         digest.conditions, digest.typical = self.conditions.assess_all(now_s)
         digest.relays = self.relays
@@ -157,7 +154,6 @@
         )
         parts.usage.update_peer(report.instance, report.life, report.started)
         parts.demand.update_peer(source, report.demand)
-        parts.room.update_peer(source, report.asked)
         self.conditions.update_peer(source, report.observations, now_s)
         parts.connectivity.directory.update_local(report.card.address, report.unreached)
         self.true_clock.update_peer(source, report.time_s)
@@ -179,7 +175,6 @@
             for row in rows:
                 parts.usage.update_peer(row.instance, row.life, {window: row.counts})
         parts.demand.update_peer(source, summary.demand)
-        parts.room.update_peer(source, summary.asked)
         self.conditions.update_peer(source, summary.observations, now_s)
         parts.connectivity.directory.update_centre(
             source.name, summary.unreached, summary.relays
@@ -197,7 +192,6 @@
         own = reported or OwnState({}, {})
         loads = _subtract_loads(digest.loads, own.loads)
         self._apply_common(digest, OTHERS, loads, now_s)
-        self.parts.room.update_total(digest.asked)
         self.parts.quotas.update_peer(
             OTHERS,
             # Sums with and without this instance must not be compared.
@@ -220,7 +214,6 @@
         parts.table.drop_loads()
         parts.quotas.carry_over_peers(parts.app.clock.monotonic())
         parts.demand.peer_rates.clear()
-        parts.room.reset()
         self.conditions.drop_peers()
         parts.connectivity.directory.reset()
         self.local_lives.clear()
--- a/lagoonring/tests/builders/engine_service.py
+++ b/lagoonring/tests/builders/engine_service.py
@@ -13,7 +13,6 @@
 from lagoonring.serving.messages import Scope, Source
 from lagoonring.serving.path import RequestPath
 from lagoonring.serving.placer import MIN_PREFILL_SAMPLES
-from lagoonring.serving.room import add_asked
 from lagoonring.tests.builders.limited_service import (
     EXCHANGE_S,
     REAL_TIMEOUT_S,
@@ -277,21 +276,15 @@
         now_s = self.clock.monotonic()
         self.sums.append(
             [
-                (
-                    instance.table.own_loads(),
-                    instance.quotas.totals(now_s),
-                    instance.room.own(),
-                )
+                (instance.table.own_loads(), instance.quotas.totals(now_s))
                 for instance in self.instances
             ]
         )
         if len(self.sums) <= ROUND_DELAY:
             return
         sums = self.sums.pop(0)
-        asked = add_asked(*(asked for _, _, asked in sums))
         for number, instance in enumerate(self.instances):
-            instance.room.update_total(asked)
-            for other, (loads, totals, _) in enumerate(sums):
+            for other, (loads, totals) in enumerate(sums):
                 if other != number:
                     source = Source(Scope.INSTANCE, f"{other}")
                     instance.table.update_peer_load(source, loads, now_s)
--- a/lagoonring/tests/test_messages.py
+++ b/lagoonring/tests/test_messages.py
@@ -13,7 +13,7 @@
 
 SAMPLES = Path(__file__).parent / "golden" / "messages_of_c9ca939.json"
 KINDS = {"report": Report, "summary": Summary, "digest": Digest}
-NEW_FIELDS = {"cold", "asked"}
+NEW_FIELDS = {"cold"}
 
 
 def read_sample(name):
@@ -27,7 +27,6 @@
     assert message.statements == {"a": (1000, 2500, 120, False, -1)}
     assert message.taken == {"one": (500.0, 300.0)}
     assert message.cold == {}
-    assert message.asked == {}
 
 
 @pytest.mark.parametrize("name", KINDS)
@@ -36,7 +35,6 @@
     sample = msgspec.msgpack.decode(read_sample(name))
     message = msgspec.msgpack.decode(read_sample(name), type=KINDS[name])
     message.cold = {"a": (1000, 2500)}
-    message.asked = {"desk": {0: 1.5}}
     written = msgspec.msgpack.decode(
         msgspec.msgpack.encode(message), strict=False, type=dict
     )
