--- a/lagoonring/serving/follower.py
+++ b/lagoonring/serving/follower.py
@@ -279,15 +279,7 @@
         if before is not None and configuration.version <= before:
             return
         self.configuration = configuration
-        self.table.warm_ups = {
-            entry.name: bounded_warm_up(
-                entry.warm_up,
-                excess=self.bounds.cold_excess,
-                slack=self.bounds.cold_slack,
-            )
-            for entry in configuration.services.values()
-            if entry.warm_up is not None
-        }
+        self._set_warm_ups(configuration)
         self.metrics.configuration_version.set(configuration.version)
         logger.info(
             "Configuration in force.",
@@ -299,6 +291,23 @@
             },
         )
 
+    def apply_bounds(self, bounds: Bounds) -> None:
+        """Apply the bounds that can change without a restart."""
+        self.bounds = bounds
+        if self.configuration is not None:
+            self._set_warm_ups(self.configuration)
+
+    def _set_warm_ups(self, configuration: Configuration) -> None:
+        self.table.warm_ups = {
+            entry.name: bounded_warm_up(
+                entry.warm_up,
+                excess=self.bounds.cold_excess,
+                slack=self.bounds.cold_slack,
+            )
+            for entry in configuration.services.values()
+            if entry.warm_up is not None
+        }
+
     def apply_record(self, record: KeyedRecord) -> bool:
         """Apply an endpoint's record or its removal.
 
--- a/lagoonring/serving/parts.py
+++ b/lagoonring/serving/parts.py
@@ -57,6 +57,7 @@
         self.quotas.set_tolerance(
             overshoot=bounds.quota_overshoot, slack=bounds.quota_slack
         )
+        self.follower.apply_bounds(bounds)
         self.retry_budget.ratio = bounds.retry_ratio
         self.retry_budget.slack = bounds.retry_slack
 
--- a/lagoonring/tests/builders/serving.py
+++ b/lagoonring/tests/builders/serving.py
@@ -194,6 +194,9 @@
         """Return a minute, as if the store had been readable for that long."""
         return 60.0
 
+    def apply_bounds(self, bounds: Any) -> None:
+        """Ignore changed bounds."""
+
     def record_peer_read(self, read_well_for_s: float) -> None:
         """Ignore the reports of peers."""
 
--- a/lagoonring/tests/test_warming.py
+++ b/lagoonring/tests/test_warming.py
@@ -5,7 +5,10 @@
 import pytest
 
 from lagoonring.kernel import ManualClock
+from lagoonring.platform.store import KeyedRecord
+from lagoonring.serving.configuration import ServiceEntry
 from lagoonring.serving.endpoints import EndpointState
+from lagoonring.serving.settings import Bounds
 from lagoonring.serving.warming import (
     apply_cold_rows,
     bounded_warm_up,
@@ -18,9 +21,11 @@
     ColdService,
     most_in_a_second,
 )
+from lagoonring.tests.builders.followers import make_follower
 from lagoonring.tests.builders.serving import (
     FakeAnswer,
     FakeSender,
+    make_configuration,
     make_parts,
     make_record,
     make_request,
@@ -148,3 +153,12 @@
     later = make_record("a", state=state, sequence=3, cold_left_s=2.0)
     assert table.apply(cold, n_cache_tokens=1, now_s=10.0) == "cold"
     assert table.apply(later, n_cache_tokens=1, now_s=11.0) == ""
+
+
+def test_changed_bounds_and_configurations_take_effect_without_a_restart():
+    service = ServiceEntry(name="desk", max_connections=5, warm_up=WARM_UP)
+    follower = make_follower({b"1": make_configuration(services={"desk": service})})
+    follower.apply_document(KeyedRecord("config", b"1", 0))
+    assert follower.table.warm_ups["desk"].rate_per_s == WARM_UP.rate_per_s
+    follower.apply_bounds(Bounds(cold_excess=0.65, cold_slack=0.0))
+    assert follower.table.warm_ups["desk"].rate_per_s == pytest.approx(5.0)
