Name the services that an evacuation leaves without endpoints; rename a module

It now names the services. evacuations.py is evacuation_orders.py, beside evacuation.py, which moves streams.

--- a/lagoonring/platform/documents.py
+++ b/lagoonring/platform/documents.py
@@ -20,7 +20,7 @@
     WeightedService,
 )
 from lagoonring.serving.endpoints import EndpointRecord, EndpointState
-from lagoonring.serving.evacuations import EvacuationOrder
+from lagoonring.serving.evacuation_orders import EvacuationOrder
 from lagoonring.serving.moves import MoveOrder, MoveState
 
 REQUEST_KINDS = {
--- a/lagoonring/serving/configuration.py
+++ b/lagoonring/serving/configuration.py
@@ -92,7 +92,7 @@
 class WarmUp:
     """How the endpoints of a service warm up after a start.
 
-    An endpoint is cold for ``duration_s`` and then takes ``rate_per_s`` requests a
+    An endpoint is cold for ``duration_s``. Meanwhile it takes ``rate_per_s`` requests a
     second from all instances together.
     """
 
--- a/lagoonring/serving/evacuations.py
+++ b/lagoonring/serving/evacuation_orders.py
@@ -1,4 +1,4 @@
-"""Data centres to whose endpoints operators want nothing sent.
+"""Operators' orders to send nothing to the endpoints of a data centre.
 
 Answers the load in which a data centre is emptied and the others take over its work,
 and in which its endpoints, possibly cold by then, are used again.
@@ -54,15 +54,20 @@
         extra={
             "data_centre": order.data_centre,
             "n_endpoints": len(there),
-            "is_last": is_without_endpoints(table),
+            "unserved": unserved(table),
         },
     )
     return True
 
 
-def is_without_endpoints(table: EndpointTable) -> bool:
-    """Return whether all endpoints are in evacuated data centres."""
-    return all(
-        endpoint.record.data_centre in table.evacuated
-        for endpoint in table.endpoints.values()
+def unserved(table: EndpointTable) -> list[str]:
+    """Return the services whose endpoints are all in evacuated data centres."""
+    return sorted(
+        service
+        for service, endpoints in table.by_service.items()
+        if endpoints
+        and all(
+            endpoint.record.data_centre in table.evacuated
+            for endpoint in endpoints.values()
+        )
     )
--- a/lagoonring/serving/follower.py
+++ b/lagoonring/serving/follower.py
@@ -12,7 +12,7 @@
 from lagoonring.logs import make_logger
 from lagoonring.platform.log import generation_of
 from lagoonring.serving.configuration import Configuration
-from lagoonring.serving.evacuations import EvacuationOrder, apply_evacuation
+from lagoonring.serving.evacuation_orders import EvacuationOrder, apply_evacuation
 from lagoonring.serving.feeds import KeyedFeed
 from lagoonring.serving.moves import MoveOrder
 from lagoonring.serving.warming import bounded_warm_up
--- a/lagoonring/tests/test_evacuations.py
+++ b/lagoonring/tests/test_evacuation_orders.py
@@ -5,7 +5,11 @@
 import pytest
 
 from lagoonring.platform.documents import decode_document
-from lagoonring.serving.evacuations import EvacuationOrder, apply_evacuation
+from lagoonring.serving.evacuation_orders import (
+    EvacuationOrder,
+    apply_evacuation,
+    unserved,
+)
 from lagoonring.serving.warming import is_cold
 from lagoonring.tests.builders.cold_service import WARM_UP
 from lagoonring.tests.builders.followers import MemoryTopic, make_follower
@@ -56,6 +60,7 @@
     parts = make_parts(sender, *endpoints_of("east", "north"))
     for data_centre in ("east", "north"):
         apply_evacuation(parts.table, EvacuationOrder(data_centre), 0.0)
+    assert unserved(parts.table) == ["desk"]
     begun_s = parts.app.clock.monotonic()
     sink = await serve(parts, make_request(received_s=begun_s))
     assert sink.status == 503
