Ask of a lost chat that all its attempts were cut

It now counts the cut attempts of each request: as many chats may be lost as had all eight attempts cut, and all cuts must be seen.

--- a/lagoonring/tests/test_load_run.py
+++ b/lagoonring/tests/test_load_run.py
@@ -4,9 +4,11 @@
 
 import asyncio
 import random
+from collections import Counter
 from typing import TYPE_CHECKING
 
 import aiohttp
+import logbook
 import msgspec
 import pytest
 
@@ -102,11 +104,19 @@
             "body": {"n_lost": 2},
         }
         settings = settings_for(deployment, actions=[action])
-        data = await run_load(settings, 11, ignore_progress)
+        with logbook.TestHandler().applicationbound() as logs:
+            data = await run_load(settings, 11, ignore_progress)
     report = summarise(data)
     assert [(a.name, a.status) for a in report.actions] == [("answers lost", 200)]
+    cuts = Counter(
+        record.extra["request_id"]
+        for record in logs.records
+        if record.message.endswith("failed: cut.")
+    )
+    assert sum(cuts.values()) == sum(n_cuts)
     n_lost = report.checks.n_lost
     assert n_lost <= sum(n_cuts) // MOST_ATTEMPTS, describe(report)
+    assert n_lost == sum(n == MOST_ATTEMPTS for n in cuts.values()), describe(report)
     assert report.checks.n_faults == n_lost, describe(report)
     assert sum(batch.faults.n_cut for batch in batches) == 0
     kinds = [report.find_outcomes(kind) for kind in ("chat", "booking", "lookup")]
