Log what the choice of an endpoint was based on, and the longest pause of a stream

Cause: a refusal or a late answer could not be explained from the logs: no estimate, no queue, no candidates, no age of beliefs, no pauses between events. Change: fields of the choice in the lines of answered and failed requests, and longest_pause_s. Decisions are unchanged.

--- a/lagoonring/serving/attempt_logs.py
+++ b/lagoonring/serving/attempt_logs.py
@@ -35,10 +35,21 @@
         "relay": job.relay.address if job.relay else None,
     }
     if job.placement is not None:
-        fields |= {
-            "estimate_s": round(job.placement.estimate_s, 4),
-            "n_running": job.placement.n_running,
-            "n_candidates": job.placement.n_candidates,
-            "left_s": round(job.deadline_s - now_s, 3),
-        }
+        fields |= describe_placement(job, now_s)
     return fields
+
+
+def describe_placement(job: Job, now_s: float) -> dict[str, Any]:
+    """Return what the last choice of an endpoint was based on."""
+    placement = job.placement
+    if placement is None:
+        return {}
+    return {
+        "estimate_s": round(placement.estimate_s, 4),
+        "n_running": placement.n_running,
+        "n_waiting_tokens": placement.n_waiting_tokens,
+        "n_cached_tokens": placement.n_cached_tokens,
+        "n_prompt_tokens": job.request.n_prompt_tokens,
+        "n_candidates": placement.n_candidates,
+        "left_s": round(job.deadline_s - now_s, 3),
+    }
--- a/lagoonring/serving/attempts.py
+++ b/lagoonring/serving/attempts.py
@@ -287,6 +287,7 @@
                 if not complete:
                     continue
                 job.progressed_s = self.clock.monotonic()
+                job.record_event(job.progressed_s)
                 if job.recorder is not None:
                     job.recorder.record_event(self.clock.monotonic())
                 if is_first:
--- a/lagoonring/serving/endpoints.py
+++ b/lagoonring/serving/endpoints.py
@@ -243,7 +243,7 @@
         return list(self.by_service.get(service, {}).values())
 
     def is_assessed(self, now_s: float) -> bool:
-        """Return whether the endpoints' conditions are recent."""
+        """Return whether the conditions of the endpoints are recent."""
         return now_s - self.assessed_s < MAX_CONDITION_AGE_S
 
     def mark_leaving(self, endpoint: Endpoint, *, source: str) -> None:
@@ -263,8 +263,7 @@
     ) -> str:
         """Apply a record; return the kind of change, or "" for none.
 
-        A record older than the current one changes nothing. A new incarnation under
-        the same id starts without any measurements.
+        Older records change nothing. New incarnations have no measurements.
         """
         endpoint = self.endpoints.get(record.endpoint)
         if endpoint is not None and record.is_older_than(endpoint.record):
@@ -332,10 +331,13 @@
             self._drop_load(source)
 
     def loads_age_s(self, now_s: float) -> float | None:
-        """Return the age of the oldest load that peers reported, None without any."""
-        if not self.loads:
-            return None
-        return round(now_s - min(at_s for at_s, _ in self.loads.values()), 3)
+        """Return the age of the oldest reported load, None without any."""
+        oldest_s = min((at_s for at_s, _ in self.loads.values()), default=None)
+        return None if oldest_s is None else round(now_s - oldest_s, 3)
+
+    def assessed_age_s(self, now_s: float) -> float | None:
+        """Return the age of the endpoints' conditions, None if there are none yet."""
+        return round(now_s - self.assessed_s, 3) if self.typical else None
 
     def own_loads(self) -> Loads:
         """Return the load of this instance, by endpoint."""
@@ -364,8 +366,7 @@
         }
 
     def _drop_load(self, source: Source) -> None:
-        _, loads = self.loads.pop(source, (0.0, {}))
-        self._add_loads(loads, -1)
+        self._add_loads(self.loads.pop(source, (0.0, {}))[1], -1)
 
     def _add_loads(self, loads: Loads, sign: int) -> None:
         for name, load in loads.items():
--- a/lagoonring/serving/path.py
+++ b/lagoonring/serving/path.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import math
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from lagoonring.endpoints.errors import (
     EndpointConnectError,
@@ -18,6 +18,7 @@
 from lagoonring.requests.errors import NotReadyError
 from lagoonring.serving.accepting import accept, check_prompt
 from lagoonring.serving.admitting import WaitEstimate, decide
+from lagoonring.serving.attempt_logs import describe_placement
 from lagoonring.serving.attempts import MAX_SENDS, RESULT_OK, Attempts
 from lagoonring.serving.configuration import RequestKind
 from lagoonring.serving.errors import (
@@ -167,10 +168,10 @@
             opens_s=opens_s,
         )
         refusal = decide(wait, self.parts.app.rng)
+        job.placement = placement or job.placement
         if placement is not None and refusal is None:
             endpoint = self.parts.table.find(placement.name)
             assert endpoint is not None
-            job.placement = placement
             return endpoint
         if error is not None:
             raise self._final_error(job, error)
@@ -259,9 +260,11 @@
         self, request: CallerRequest, job: Job | None, error: LagoonringError
     ) -> None:
         configuration = self.parts.follower.configuration
+        now_s = self.clock.monotonic()
         logger.info(
             "Request failed.",
             extra={
+                **self._describe_choice(job, now_s),
                 "request_id": request.request_id,
                 "code": error.code,
                 "status": error.status,
@@ -271,10 +274,21 @@
                 "route": job.route.name if job else None,
                 "configuration": configuration.version if configuration else None,
                 "waited_s": round(job.waited_s, 4) if job else 0.0,
-                "elapsed_s": round(self.clock.monotonic() - request.received_s, 4),
+                "elapsed_s": round(now_s - request.received_s, 4),
             },
         )
 
+    def _describe_choice(self, job: Job | None, now_s: float) -> dict[str, Any]:
+        """Return what the last choice of an endpoint was based on, and its age."""
+        if job is None or job.placement is None:
+            return {}
+        return {
+            **describe_placement(job, now_s),
+            "objective_s": job.route.objective_s,
+            "loads_age_s": self.parts.table.loads_age_s(now_s),
+            "assessed_age_s": self.parts.table.assessed_age_s(now_s),
+        }
+
     def _begin(self) -> None:
         self.n_in_progress += 1
         self.idle.clear()
@@ -304,12 +318,14 @@
                 "Request {}.",
                 "answered" if outcome == RESULT_OK else "given up",
                 extra={
+                    **self._describe_choice(job, self.clock.monotonic()),
                     "request_id": request.request_id,
                     "route": route,
                     "endpoints": sorted(job.tried) if job else [],
                     "n_sends": job.n_sends if job else 0,
                     "version": job.version if job else None,
                     "first_answer_s": job.first_answer_s if job else None,
+                    "longest_pause_s": round(job.longest_pause_s, 4) if job else 0.0,
                     "waited_s": round(job.waited_s, 4) if job else 0.0,
                     "relay": job.relay.address if job and job.relay else None,
                     "elapsed_s": round(elapsed_s, 4),
--- a/lagoonring/serving/placing.py
+++ b/lagoonring/serving/placing.py
@@ -62,13 +62,16 @@
     """The chosen endpoint, and what the choice was based on.
 
     ``estimate_s`` is the expected time to its first answer in seconds, ``n_running``
-    the requests that were believed to run there, and ``n_candidates`` the number of
-    endpoints that could be chosen.
+    the requests that were believed to run there, ``n_waiting_tokens`` and
+    ``n_cached_tokens`` are those of the `Candidate`, and ``n_candidates`` is the number
+    of endpoints that could be chosen.
     """
 
     name: str
     estimate_s: float
     n_running: int = 0
+    n_waiting_tokens: int = 0
+    n_cached_tokens: int = 0
     n_candidates: int = 0
 
 
@@ -106,7 +109,12 @@
         cost_s += 0.0 if candidate.is_local else OTHER_DATA_CENTRE_S
         if best is None or cost_s < best_cost_s:
             best = Placement(
-                candidate.name, estimate_s, candidate.n_running, len(candidates)
+                candidate.name,
+                estimate_s,
+                n_running=candidate.n_running,
+                n_waiting_tokens=candidate.n_waiting_tokens,
+                n_cached_tokens=candidate.n_cached_tokens,
+                n_candidates=len(candidates),
             )
             best_cost_s = cost_s
     return best
--- a/lagoonring/serving/requests.py
+++ b/lagoonring/serving/requests.py
@@ -82,6 +82,8 @@
     ``placement`` is the last choice of an endpoint, ``version`` the version there,
     and ``first_answer_s`` the time from the last send to the first event, or to the
     end of a plain answer, ``progressed_s`` when the last event was complete.
+    ``event_s`` is when the last event was relayed, ``longest_pause_s`` the longest time
+    between two of them.
     ``recorder`` records the attempt in progress for the comparison of versions,
     ``permit`` is an endpoint with a limit and the slot in which it takes the job,
     ``waited_s`` how long it waited for endpoints that wanted no request before. At
@@ -110,6 +112,8 @@
     recorder: AttemptRecorder | UsualRecorder | None = None
     first_answer_s: float | None = None
     progressed_s: float = 0.0
+    event_s: float | None = None
+    longest_pause_s: float = 0.0
     permit: tuple[Endpoint, int] | None = None
     waited_s: float = 0.0
     expires_s: float = math.inf
@@ -118,6 +122,12 @@
     moved: MovedRun | None = None
     move: asyncio.Future[tuple[Endpoint, MovedRun] | None] | None = None
 
+    def record_event(self, now_s: float) -> None:
+        """Update the longest pause of the stream with an event that is relayed."""
+        if self.event_s is not None:
+            self.longest_pause_s = max(self.longest_pause_s, now_s - self.event_s)
+        self.event_s = now_s
+
     @property
     def may_retry(self) -> bool:
         """Return whether the job may be retried although it may have run already."""
