Read long prompts apart from the streams that run

An engine reads a prompt in chunks between the tokens of its streams. Hypothesis: a prompt that takes longer to read than streams may pause belongs to few endpoints, chosen by hash and by the observed load of such prompts, and streams to the others.

--- a/lagoonring/platform/documents.py
+++ b/lagoonring/platform/documents.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Any
 
 import msgspec
@@ -277,6 +278,7 @@
         max_attempts=max(1, raw.maxAttempts),
         is_public=raw.public,
         may_resume=raw.canResume and kind is RequestKind.STREAM,
+        max_pause_s=raw.gapTargetMs / 1000 if raw.gapTargetMs else math.inf,
     )
 
 
--- a/lagoonring/serving/configuration.py
+++ b/lagoonring/serving/configuration.py
@@ -4,6 +4,7 @@
 
 import enum
 import hashlib
+import math
 
 import attrs
 
@@ -30,7 +31,8 @@
 
     ``rank`` 0 is the most urgent; ``max_attempts`` bounds the endpoints on which
     one request may run. ``max_wait_s`` is how long a caller waits for the first
-    part of an answer, and for each next one.
+    part of an answer, and for each next one. ``max_pause_s`` is the longest pause
+    between two events of a stream that is still on time.
     """
 
     name: str
@@ -45,6 +47,7 @@
     max_attempts: int
     is_public: bool
     may_resume: bool
+    max_pause_s: float = math.inf
 
     @property
     def is_idempotent(self) -> bool:
@@ -157,6 +160,16 @@
             for key in organisation.keys:
                 self.by_key[key] = organisation
 
+    def max_pauses_s(self) -> dict[str, float]:
+        """Return the shortest pause that streams of a service allow, by service."""
+        pauses: dict[str, float] = {}
+        for route in self.routes:
+            if route.kind is RequestKind.STREAM:
+                for target in route.targets:
+                    known_s = pauses.get(target.service, math.inf)
+                    pauses[target.service] = min(known_s, route.max_pause_s)
+        return pauses
+
     def match(self, host: str, path: str) -> RouteEntry | None:
         """Return the route with the longest prefix of a path, if there is one.
 
--- a/lagoonring/serving/demand.py
+++ b/lagoonring/serving/demand.py
@@ -14,6 +14,7 @@
     from lagoonring.serving.messages import Source
 
 HALF_LIFE_S = 4.0  # about a boot time: new endpoints would miss a shorter burst
+LONG_PROMPTS = "/long"  # after the name of a service: the long prompts among its work
 MAX_PEER_RATE_AGE_S = 3.0  # older reports of a silent instance no longer count as load
 
 
@@ -42,6 +43,14 @@
         self.rates: dict[str, Rate] = {}
         self.peer_rates: dict[Source, tuple[float, dict[str, float]]] = {}
 
+    def record_long_prompt(self, service: str, seconds: float) -> None:
+        """Count a prompt that an endpoint reads for longer than streams may pause."""
+        self.record_arrival(service + LONG_PROMPTS, seconds)
+
+    def long_prompts(self, service: str) -> float:
+        """Return the seconds of reading long prompts that arrive per second."""
+        return self.busy_endpoints(service + LONG_PROMPTS)
+
     def record_arrival(self, service: str, seconds: float) -> None:
         """Count a request that takes ``seconds`` of an endpoint's time."""
         rate = self.rates.setdefault(service, Rate())
--- a/lagoonring/serving/endpoints.py
+++ b/lagoonring/serving/endpoints.py
@@ -219,6 +219,8 @@
         Called with an endpoint that said that it is leaving, and ``"draining"``.
     warm_ups : dict
         How endpoints warm up, for the services that configure it.
+    max_pauses_s : dict
+        The shortest pause that streams of a service allow between two events.
     evacuated : set of str
         Data centres to whose endpoints nothing is sent.
     """
@@ -232,6 +234,7 @@
         self.removed: OrderedDict[str, Endpoint] = OrderedDict()
         self.leaving_listeners: list[Callable[[Endpoint, str], None]] = []
         self.warm_ups: dict[str, WarmUp] = {}
+        self.max_pauses_s: dict[str, float] = {}
         self.evacuated: set[str] = set()
 
     def find(self, name: str) -> Endpoint | None:
--- a/lagoonring/serving/follower.py
+++ b/lagoonring/serving/follower.py
@@ -280,6 +280,7 @@
             return
         self.configuration = configuration
         self._set_warm_ups(configuration)
+        self.table.max_pauses_s = configuration.max_pauses_s()
         self.metrics.configuration_version.set(configuration.version)
         logger.info(
             "Configuration in force.",
--- a/lagoonring/serving/placer.py
+++ b/lagoonring/serving/placer.py
@@ -10,6 +10,7 @@
 
 from lagoonring.serving.configuration import RequestKind
 from lagoonring.serving.endpoints import Endpoint
+from lagoonring.serving.long_prompts import choose_readers, is_long
 from lagoonring.serving.observations import Typical
 from lagoonring.serving.permissions import Permissions
 from lagoonring.serving.placing import (
@@ -107,7 +108,7 @@
         """Return the placement of a job, or None if no endpoint can take it."""
         endpoints = self._usable(job)
         candidates = self._candidates(job, endpoints)
-        return choose(candidates, _work_of(job), self.rng)
+        return choose(candidates, self._work_of(job), self.rng)
 
     def next_permit(self, job: Job) -> tuple[Endpoint, float] | None:
         """Return the endpoint that may take the job first, and the seconds until then.
@@ -134,7 +135,7 @@
     def estimate_s(self, job: Job, endpoint: Endpoint) -> float:
         """Return the expected time to an endpoint's first answer."""
         (candidate,) = self._candidates(job, [endpoint])
-        return estimate_first_answer_s(candidate, _work_of(job))
+        return estimate_first_answer_s(candidate, self._work_of(job))
 
     def typical_answer_s(self, job: Job, endpoint: Endpoint) -> float:
         """Return the time to the first answer if the endpoint is a typical one.
@@ -151,7 +152,7 @@
         typical = attrs.evolve(
             candidate, service_s=usual.service_s, seconds_per_token=usual.token_s
         )
-        return estimate_first_answer_s(typical, _work_of(job))
+        return estimate_first_answer_s(typical, self._work_of(job))
 
     def streams_at(self, endpoint: Endpoint) -> list[Job]:
         """Return the streams of this instance that run on an endpoint."""
@@ -226,8 +227,11 @@
         for endpoint in self.table.of_service(job.service):
             n_cached = max(n_cached, endpoint.cache.count_cached(parts))
         n_missing = max(0, job.request.n_prompt_tokens - n_cached)
-        token_s = self._unloaded_token_s(job.service)
-        self.demand.record_arrival(job.service, n_missing * token_s)
+        prefill_s = n_missing * self._unloaded_token_s(job.service)
+        self.demand.record_arrival(job.service, prefill_s)
+        if is_long(prefill_s, self._max_pause_s(job)):
+            self.demand.record_long_prompt(job.service, prefill_s)
+            job.is_long = True
 
     def _unloaded_token_s(self, service: str) -> float:
         """Return the prefill time per token of an otherwise idle engine.
@@ -269,7 +273,13 @@
         now_s = self.clock.monotonic()
         parts = job.request.prompt_parts
         warm = [e for e in endpoints if not is_cold(e, now_s)]
-        preferred = _preferred(parts, warm or endpoints)
+        readers = choose_readers(
+            [e.name for e in warm or endpoints], self.demand.long_prompts(job.service)
+        )
+        apart = [
+            e for e in warm or endpoints if (e.name in readers.names) == job.is_long
+        ]
+        preferred = _preferred(parts, apart or warm or endpoints)
         n_shared = sum(n_tokens for _, n_tokens in shared_parts(parts))
         usual = self._usual_times(job, endpoints, now_s)
         candidates = []
@@ -293,10 +303,24 @@
                     is_local=not is_relayed
                     and endpoint.record.data_centre == self.data_centre,
                     is_avoided=now_s < avoided_until_s,
+                    pause_cost_s=0.0
+                    if job.is_long
+                    else readers.pause_cost_s(endpoint.name, job.route.objective_s),
                 )
             )
         return candidates
 
+    def _max_pause_s(self, job: Job) -> float:
+        return self.table.max_pauses_s.get(job.service, math.inf)
+
+    def _work_of(self, job: Job) -> Work:
+        return Work(
+            n_prompt_tokens=job.request.n_prompt_tokens,
+            is_generation=job.route.kind is RequestKind.STREAM,
+            may_retry=job.route.is_idempotent or job.route.may_resume,
+            interruption_s=job.route.objective_s if job.is_long else 0.0,
+        )
+
     def _usual_times(
         self, job: Job, endpoints: list[Endpoint], now_s: float
     ) -> Typical:
@@ -334,14 +358,6 @@
         return max(seen_here, endpoint.condition.failure_share)
 
 
-def _work_of(job: Job) -> Work:
-    return Work(
-        n_prompt_tokens=job.request.n_prompt_tokens,
-        is_generation=job.route.kind is RequestKind.STREAM,
-        may_retry=job.route.is_idempotent or job.route.may_resume,
-    )
-
-
 def _preferred(parts: PromptParts, endpoints: list[Endpoint]) -> str | None:
     """Return the endpoint preferred for the last shared prompt part."""
     if not parts:
--- a/lagoonring/serving/placing.py
+++ b/lagoonring/serving/placing.py
@@ -29,11 +29,16 @@
 
 @attrs.frozen(kw_only=True)
 class Work:
-    """The work that a request causes at an endpoint."""
+    """The work that a request causes at an endpoint.
+
+    ``interruption_s`` is the delay that its prompt causes to each request that runs
+    there, if it is read for longer than they may pause.
+    """
 
     n_prompt_tokens: int
     is_generation: bool
     may_retry: bool
+    interruption_s: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
@@ -42,7 +47,8 @@
 
     Times are in seconds. ``n_cached_tokens`` counts the tokens of this request's
     prompt that are in the endpoint's prefix cache, ``n_waiting_tokens`` the prompt
-    tokens that are queued for prefill ahead of this request.
+    tokens that are queued for prefill ahead of this request, and ``pause_cost_s`` is
+    the delay to expect from long prompts that are read there meanwhile.
     """
 
     name: str
@@ -55,6 +61,7 @@
     failure_share: float
     is_local: bool
     is_avoided: bool
+    pause_cost_s: float = 0.0
 
 
 @attrs.frozen
@@ -105,7 +112,8 @@
         cost_s = estimate_s * (1 + COST_NOISE * rng.random())
         cost_s += failure_s * candidate.failure_share
         cost_s += PREFILL_WEIGHT * _prefill_s(candidate, work)
-        cost_s += RUNNING_REQUEST_S * candidate.n_running
+        cost_s += (RUNNING_REQUEST_S + work.interruption_s) * candidate.n_running
+        cost_s += candidate.pause_cost_s
         cost_s += 0.0 if candidate.is_local else OTHER_DATA_CENTRE_S
         if best is None or cost_s < best_cost_s:
             best = Placement(
--- a/lagoonring/serving/requests.py
+++ b/lagoonring/serving/requests.py
@@ -84,6 +84,7 @@
     end of a plain answer, ``progressed_s`` when the last event was complete.
     ``event_s`` is when the last event was relayed, ``longest_pause_s`` the longest time
     between two of them.
+    ``is_long`` says that reading its prompt interrupts other streams for too long.
     ``recorder`` records the attempt in progress for the comparison of versions,
     ``permit`` is an endpoint with a limit and the slot in which it takes the job,
     ``waited_s`` how long it waited for endpoints that wanted no request before. At
@@ -105,6 +106,7 @@
     tried: set[str] = attrs.field(factory=set)
     last_event: int | None = None
     has_begun: bool = False
+    is_long: bool = False
     is_counted: bool = False
     taken: float = 0.0
     placement: Placement | None = None
