Give out a short limit by a bucket of each instance

Within a fifth of the limit each instance let any request through and then refused everybody for the whole debt, so that one prompt of 30,000 tokens stood for 150 bookings. A restarted instance took the usage that others report first, of eight seconds, out of its buckets and refused callers within their limits. Change: limit_parts.py, a bucket of each instance for its part of a short limit; refills that never exceed what is left of the window; buckets restored after a single restart.

--- a/lagoonring/serving/quotas.py
+++ b/lagoonring/serving/quotas.py
@@ -19,61 +19,26 @@
 
 from __future__ import annotations
 
-from collections import deque
 from collections.abc import Hashable
 from typing import TYPE_CHECKING
 
 import attrs
 
+from lagoonring.serving.limit_parts import MIN_WAIT_S, LimitPart, share_here
+from lagoonring.serving.window_sums import SLOT_S, WindowSum
+
 if TYPE_CHECKING:
     from lagoonring.serving.configuration import Organisation
 
-SLOT_S = 0.25  # resolution of the sliding window; two rounds of the exchange
 TOLERANCE_SHARE = 0.3  # of the tolerance; the rest covers delayed reports
-MIN_WAIT_S = 0.05  # an earlier retry would find as little room as before
 START_REFILL_SHARE = 0.8  # of the usual refill; above organisations' typical usage
 MIN_REPORT_DELAY_S = 0.9  # until a report reaches all instances of 30 per data centre
-NEAR_LIMIT_SHARE = 0.2  # of the limit; more than the usual usage in a report's delay
-NEAR_LIMIT_FACTOR = (
-    2.0  # times the usage in a report's delay; as much may be unreported
-)
-AMPLE_TOLERANCE_SHARE = 0.3  # of the limit; a larger tolerance absorbs delayed reports
+UNSEEN_FACTOR = 2.0  # a whole round of reports may be late by as much again
+FEW_REQUESTS = 1  # here, without reports of others, are no sign of load elsewhere
 CARRY_OVER_S = 2.0  # a hub that stops responding is replaced within 1 s
 PACE_BUCKET_S = 1.0  # capacity of the second bucket, in seconds of its rate
 
 
-@attrs.define
-class WindowSum:
-    """Sum over a sliding window; ``slots`` holds lists of start time and amount."""
-
-    window_s: float
-    slots: deque[list[float]] = attrs.field(factory=deque)
-    total: float = 0.0
-
-    def add(self, amount: float, now_s: float) -> None:
-        """Add an amount at the current time; a negative one undoes an earlier one."""
-        if self.slots and now_s - self.slots[-1][0] < SLOT_S:
-            self.slots[-1][1] += amount
-        else:
-            self.slots.append([now_s, amount])
-        self.total += amount
-
-    def read(self, now_s: float) -> float:
-        """Return the sum of the window that ends now."""
-        oldest_s = now_s - self.window_s - SLOT_S
-        while self.slots and self.slots[0][0] < oldest_s:
-            self.total -= self.slots.popleft()[1]
-        return self.total
-
-    def wait_s(self, excess: float, now_s: float) -> float:
-        """Return the seconds until the sum has dropped by ``excess``."""
-        for at_s, amount in self.slots:
-            excess -= amount
-            if excess <= 0:
-                return at_s + self.window_s + SLOT_S - now_s
-        return self.window_s
-
-
 @attrs.define
 class PeerUsage:
     """Usage reported by one process of a peer: its total, and the window's amounts."""
@@ -89,7 +54,9 @@
 
     ``everywhere`` covers all instances, ``here`` this one, and ``local`` the other
     instances of its data centre. ``recent`` is the usage of all instances
-    during the delay of reports. ``carried_over`` is usage that ``everywhere`` already
+    during the delay of reports, and ``part`` what this instance may admit of a limit
+    that is short. ``first_reported`` sums up the first reports of the others, which
+    cover the window before. ``carried_over`` is usage that ``everywhere`` already
     contains from a previous source, and that its successor will report again.
     """
 
@@ -97,6 +64,7 @@
     here: WindowSum
     local: WindowSum
     recent: WindowSum
+    part: LimitPart
     refilled_s: float
     burst_level: float = 0.0
     pace_level: float = 0.0
@@ -104,8 +72,7 @@
     total_local: float = 0.0
     total_everywhere: float = 0.0
     is_initialised: bool = False
-    part_level: float = 0.0
-    part_refilled_s: float = 0.0
+    first_reported: float = 0.0
     carried_over: float = 0.0
     carry_over_until_s: float = 0.0
     peers: dict[Hashable, PeerUsage] = attrs.field(factory=dict)
@@ -148,8 +115,6 @@
         """Set the share and the amount by which limits may be exceeded."""
         self.overshoot = overshoot * TOLERANCE_SHARE
         self.slack = slack * TOLERANCE_SHARE
-        self.spare_overshoot = overshoot - self.overshoot
-        self.spare_slack = slack - self.slack
 
     def allowed(self, organisation: Organisation) -> float:
         """Return the amount that an organisation may use in a window."""
@@ -189,43 +154,51 @@
         if excess > 0 and used > 0:
             return max(usage.everywhere.wait_s(excess, now_s), MIN_WAIT_S)
         delay_s = max(report_delay_s, MIN_REPORT_DELAY_S)
-        usage.recent.window_s = delay_s
-        near = max(
-            NEAR_LIMIT_SHARE * limit, NEAR_LIMIT_FACTOR * usage.recent.read(now_s)
+        usage.recent.window_s = usage.part.recent.window_s = delay_s - SLOT_S
+        used_here = usage.here.read(now_s)
+        certainty = min((now_s - self.started_s) / self.window_s, 1.0)
+        here = share_here(used_here, used, n_instances, certainty=certainty)
+        unseen = 0.0
+        if n_instances > 1:
+            unseen = usage.part.extrapolate(here, now_s)
+            if used > used_here or usage.part.recent.read(now_s) > FEW_REQUESTS:
+                unseen = max(unseen, usage.recent.read(now_s))
+        self._refill_part(usage, organisation, now_s, here * share, limit - used)
+        is_ample = (
+            limit - used - amount >= UNSEEN_FACTOR * unseen
+            and self._missing(usage, organisation, amount + unseen) <= 0
         )
-        is_near = self._has_small_tolerance(organisation) and limit - used < near
-        if is_near and not self._has_part_left(
-            usage, (limit - used) / n_instances, now_s, delay_s
-        ):
-            return delay_s
-        wait_s = self._draw(usage, organisation, amount)
-        if wait_s is not None:
-            return wait_s / max(share, 1e-9)
-        if is_near:
-            usage.part_level -= amount
+        if not is_ample:
+            wait_s = (
+                usage.part.wait_s(amount)
+                if n_instances > 1
+                else self._wait_s(usage, organisation, amount)
+            )
+            if wait_s is not None:
+                return wait_s / max(share, 1e-9)
+        usage.consume(amount)
+        usage.part.record(amount, now_s, is_ample=is_ample)
         self._add_own(usage, amount, now_s)
         return None
 
-    def _has_small_tolerance(self, organisation: Organisation) -> bool:
-        """Return whether the tolerance left for delayed reports is small."""
-        amount = organisation.rate_per_s * self.window_s + organisation.burst
-        return (
-            amount * self.spare_overshoot + self.spare_slack
-            < AMPLE_TOLERANCE_SHARE * amount
-        )
-
-    def _has_part_left(
-        self, usage: Usage, part: float, now_s: float, delay_s: float
-    ) -> bool:
-        """Return whether this instance may still admit some of its part.
+    def _refill_part(
+        self,
+        usage: Usage,
+        organisation: Organisation,
+        now_s: float,
+        here: float,
+        room: float,
+    ) -> None:
+        """Refill this instance's part.
 
-        A request larger than the part is admitted and leaves a negative level, which
-        delays later ones; otherwise large requests would be refused for ever.
+        All parts together are refilled at the rate at which a window's limit is used
+        up beside the burst, but during the delay of reports with no more than is left.
         """
-        elapsed_s = min(now_s - usage.part_refilled_s, delay_s)
-        usage.part_refilled_s = now_s
-        usage.part_level = min(usage.part_level + part * elapsed_s / delay_s, part)
-        return usage.part_level > 0
+        rate = (self.allowed(organisation) - organisation.burst) / self.window_s
+        rate = min(rate, max(room, 0.0) / (usage.recent.window_s + SLOT_S))
+        is_starting = now_s < self.started_s + self.window_s
+        speed = START_REFILL_SHARE if is_starting else 1.0
+        usage.part.refill(here * rate, now_s, speed=speed)
 
     def refund(self, organisation: str, amount: float, now_s: float) -> None:
         """Refund the amount of a request that was not executed."""
@@ -290,6 +263,7 @@
                     life, total, WindowSum(self.window_s)
                 )
                 amount = recent
+                usage.first_reported += amount
             else:
                 amount = total - known.total if known.life == life else recent
             known.life, known.total = life, total
@@ -324,8 +298,8 @@
             usage.carried_over -= carried
             amount -= carried
         usage.everywhere.add(amount, now_s)
-        usage.recent.add(amount, now_s)
         usage.total_everywhere += amount
+        usage.recent.add(amount, now_s)
         usage.consume(amount)
 
     def set_start_share(self, share: float) -> None:
@@ -345,6 +319,7 @@
         if not usage.is_initialised:
             usage.is_initialised = True
             usage.burst_level = organisation.burst * self.start_share
+        self._restore_buckets(usage, organisation, now_s, share)
         elapsed_s = now_s - usage.refilled_s
         usage.refilled_s = now_s
         if now_s < self.started_s + self.window_s:
@@ -359,24 +334,46 @@
         level = max(usage.pace_level, -organisation.burst) + elapsed_s * pace * share
         usage.pace_level = min(level, pace * PACE_BUCKET_S)
 
+    def _restore_buckets(
+        self, usage: Usage, organisation: Organisation, now_s: float, share: float
+    ) -> None:
+        """Fill the burst bucket of a process that has joined others.
+
+        What they used before took nothing from it if they cannot have used it since
+        this process started. After a start of all processes nothing is restored.
+        """
+        age_s = now_s - self.started_s
+        rate = organisation.rate_per_s + self._pace(organisation)
+        if usage.first_reported <= organisation.burst + rate * age_s:
+            return
+        usage.first_reported = 0.0
+        room = self.allowed(organisation) * share - usage.everywhere.read(now_s)
+        usage.burst_level = min(max(room, 0.0), organisation.burst)
+        usage.pace_level = 0.0
+
     def _pace(self, organisation: Organisation) -> float:
         """Return the rate that a window allows in addition to the configured rate."""
         return self.allowed(organisation) / self.window_s - organisation.rate_per_s
 
-    def _draw(
+    def _missing(
         self, usage: Usage, organisation: Organisation, amount: float
-    ) -> float | None:
-        """Take from both buckets, or return the seconds until they hold enough.
+    ) -> float:
+        """Return what both buckets lack to cover an amount.
 
         A request larger than their joint capacity is admitted when both are full.
         """
-        pace = self._pace(organisation)
-        capacity = organisation.burst + pace * PACE_BUCKET_S
-        missing = min(amount, capacity) - usage.burst_level - usage.pace_level
-        if missing > 0:
-            return max(missing / (organisation.rate_per_s + pace), MIN_WAIT_S)
-        usage.consume(amount)
-        return None
+        capacity = organisation.burst + self._pace(organisation) * PACE_BUCKET_S
+        return min(amount, capacity) - usage.burst_level - usage.pace_level
+
+    def _wait_s(
+        self, usage: Usage, organisation: Organisation, amount: float
+    ) -> float | None:
+        """Return None if both buckets cover an amount, else the seconds until then."""
+        missing = self._missing(usage, organisation, amount)
+        if missing <= 0:
+            return None
+        rate = organisation.rate_per_s + self._pace(organisation)
+        return max(missing / rate, MIN_WAIT_S)
 
     def _usage_of(self, name: str) -> Usage:
         usage = self.usages.get(name)
@@ -386,6 +383,7 @@
                 here=WindowSum(self.window_s),
                 local=WindowSum(self.window_s),
                 recent=WindowSum(MIN_REPORT_DELAY_S),
+                part=LimitPart(self.started_s, WindowSum(MIN_REPORT_DELAY_S)),
                 refilled_s=self.started_s,
             )
             self.usages[name] = usage
