Size reclaimable fleets by their price and the loss of a data centre

Cause: floor and spare, constants both, decided how many endpoints there are; the load of reclaimable ones was a constant, whatever they cost. Hypothesis: the load at which one more endpoint is worth its price grows with the root of the price, and the load is to be carried while one data centre's reclaimable endpoints are gone. Change: max_reclaimable_load(price) = 0.45 * sqrt(price) replaces 0.3; reclaimable endpoints are spread so that those of all data centres but one suffice.

--- a/lagoonring/serving/fleet.py
+++ b/lagoonring/serving/fleet.py
@@ -11,9 +11,10 @@
 from lagoonring.serving.duties import MIN_CALL_S
 from lagoonring.serving.endpoints import EndpointState
 from lagoonring.serving.sizing import (
-    MAX_RECLAIMABLE_LOAD,
+    MAX_LOAD,
     DataCentreFleet,
     Order,
+    max_reclaimable_load,
     plan,
 )
 from lagoonring.serving.warming import is_cold
@@ -101,9 +102,9 @@
             self.value = weight * self.value + (1 - weight) * n_busy
         self.updated_s = now_s
 
-    def as_load(self) -> float:
+    def as_load(self, max_load: float) -> float:
         """Return the arriving work for which as many endpoints would be planned."""
-        return self.value / MAX_SLOT_USE * MAX_RECLAIMABLE_LOAD
+        return self.value / MAX_SLOT_USE * max_load
 
 
 class FleetDuty:
@@ -168,8 +169,9 @@
         for service, order in self._wanted(configuration):
             if lease.remaining_s() < MIN_CALL_S:
                 return
-            if self._is_due(configuration.services[service], order):
-                await self._send(lease, service, order)
+            entry = configuration.services[service]
+            if self._is_due(entry, order):
+                await self._send(lease, entry, order)
 
     def _is_settled(self) -> bool:
         """Return whether the discovery of endpoints after the start is complete."""
@@ -192,7 +194,7 @@
             fleets = list(self._fleets(entry))
             if not fleets:
                 continue
-            load, n_assumed = self._load(entry.name)
+            load, n_assumed = self._load(entry)
             # As many reclaimable ones as were found cost a fraction of on-demand ones.
             spare = max(MIN_SPARE_RECLAIMABLE, round(n_assumed / max(len(fleets), 1)))
             is_exhausted = self._is_exhausted(entry.name)
@@ -208,8 +210,10 @@
             for (name, _, is_reclaimable), last in self.last_orders.items()
         )
 
-    def _load(self, service: str) -> tuple[float, float]:
+    def _load(self, entry: ServiceEntry) -> tuple[float, float]:
         """Return the load to plan for, and the endpoints assumed from the prior."""
+        assert entry.scaling is not None
+        service, price = entry.name, entry.scaling.reclaimable_price
         observed = self.demand.busy_endpoints(service)
         prior = self.priors.get(service)
         if prior is None:
@@ -217,7 +221,8 @@
             prior = Prior(n_found if observed < IDLE_LOAD else 0)
             self.priors[service] = prior
         n_assumed = prior.read(observed, self.clock.monotonic())
-        by_slots = self._record_slot_use(service).as_load()
+        max_load = MAX_LOAD if price is None else max_reclaimable_load(price)
+        by_slots = self._record_slot_use(service).as_load(max_load)
         load = max(observed, by_slots, PRIOR_LOAD_PER_ENDPOINT * n_assumed)
         return load, n_assumed
 
@@ -297,7 +302,8 @@
             if endpoint.record.data_centre == data_centre
         )
 
-    async def _send(self, lease: Lease, service: str, order: Order) -> None:
+    async def _send(self, lease: Lease, entry: ServiceEntry, order: Order) -> None:
+        service = entry.name
         key = (service, order.data_centre, order.is_reclaimable)
         result = "ok"
         error_text = ""
@@ -317,7 +323,7 @@
                 "data_centre": order.data_centre,
                 "reclaimable": order.is_reclaimable,
                 "n_endpoints": order.n_endpoints,
-                "load": round(self._load(service)[0], 2),
+                "load": round(self._load(entry)[0], 2),
                 "n_cold": self._count_cold(service, order.data_centre),
                 "result": result,
                 "error": error_text,
--- a/lagoonring/serving/sizing.py
+++ b/lagoonring/serving/sizing.py
@@ -19,7 +19,6 @@
     from lagoonring.serving.configuration import ScalingTraits
 
 MAX_LOAD = 0.45  # share of time spent on prefill; above it first tokens are delayed
-MAX_RECLAIMABLE_LOAD = 0.3  # low, at a fifth of the price; streams run beside prefill
 MAX_SHORTAGE_LOAD = 0.4  # while reclaimable endpoints are missing, for seconds
 MAX_FLOOR_LOAD = 0.9  # only for the seconds until an on-demand endpoint has started
 MAX_FLOOR_LOAD_EXHAUSTED = 0.6  # without replacements the shortage lasts longer
@@ -49,6 +48,20 @@
     n_endpoints: int
 
 
+def max_reclaimable_load(price: float) -> float:
+    """Return the share of time that reclaimable endpoints may spend on prefill.
+
+    Waiting costs callers about as much as the load, so that the number of endpoints at
+    which one more is worth its price grows with the inverse root of the price.
+
+    Parameters
+    ----------
+    price : float
+        As a fraction of the on-demand price, for which `MAX_LOAD` holds.
+    """
+    return MAX_LOAD * math.sqrt(price)
+
+
 def plan(
     fleets: Sequence[DataCentreFleet],
     traits: ScalingTraits,
@@ -130,10 +143,15 @@
     load: float,
     spare: int,
 ) -> dict[str, int]:
-    """Return numbers by data centre, spread evenly: a whole one may be reclaimed."""
-    n_reclaimable = math.ceil(load / MAX_RECLAIMABLE_LOAD) - sum(floor.values())
-    n_missing = max(0, n_reclaimable)
-    n_each = max(math.ceil(n_missing / max(len(fleets), 1)), spare)
+    """Return numbers by data centre, spread evenly.
+
+    Those of one data centre may be reclaimed at once, and the others then carry the
+    load alone.
+    """
+    assert traits.reclaimable_price is not None
+    n_wanted = load / max_reclaimable_load(traits.reclaimable_price)
+    n_missing = max(0.0, n_wanted - sum(floor.values()))
+    n_each = max(math.ceil(n_missing / max(len(fleets) - 1, 1)), spare)
     spread = {}
     for fleet in fleets:
         n_floor = floor[fleet.data_centre]
