--- a/lagoonring/serving/attempts.py
+++ b/lagoonring/serving/attempts.py
@@ -237,7 +237,7 @@
         if answer.status < 300 and not answer.is_signed:
             raise unsigned_error(endpoint)
         self.parts.count_started(job)
-        job.first_answer_s = round(self.clock.monotonic() - started_s, 4)
+        self._record_first_answer(job, started_s)
         is_failure = answer.status >= 500
         endpoint.record_result(ok=not is_failure, now_s=self.clock.monotonic())
         if is_failure:
@@ -292,7 +292,7 @@
                     job.recorder.record_event(self.clock.monotonic())
                 if is_first:
                     is_first = False
-                    job.first_answer_s = round(self.clock.monotonic() - sent_s, 4)
+                    self._record_first_answer(job, sent_s)
                     first_event_s = self.clock.monotonic()
                     self._record_first_event(job, endpoint)
                 elif self.clock.monotonic() - first_event_s >= STEADY_STREAM_S:
@@ -356,6 +356,14 @@
                 remedy="Drop the stream; events are missing or come twice.",
             )
 
+    def _record_first_answer(self, job: Job, sent_s: float) -> None:
+        """Record the time to the first answer, and how well it was estimated."""
+        seconds = self.clock.monotonic() - sent_s
+        job.first_answer_s = round(seconds, 4)
+        if job.n_sends == 1 and job.placement is not None:
+            ratio = seconds / max(job.placement.estimate_s, 1e-3)
+            self.parts.metrics.estimate_ratio.labels(job.service).observe(ratio)
+
     def _record_first_event(self, job: Job, endpoint: Endpoint) -> None:
         now_s = self.clock.monotonic()
         self.parts.count_started(job)
--- a/lagoonring/serving/metrics.py
+++ b/lagoonring/serving/metrics.py
@@ -10,6 +10,7 @@
     from prometheus_client import CollectorRegistry
 
 LATENCY_BUCKETS_S = (0.01, 0.03, 0.1, 0.2, 0.4, 0.6, 1.0, 2.0, 4.0, 8.0, 16.0)
+RATIO_BUCKETS = (0.25, 0.5, 0.8, 1.0, 1.25, 2.0, 4.0, 8.0)
 
 
 class ServingMetrics:
@@ -42,6 +43,13 @@
             buckets=LATENCY_BUCKETS_S,
             registry=registry,
         )
+        self.estimate_ratio = Histogram(
+            "lagoonring_serving_estimate_ratio",
+            "First answers of first attempts: time over its estimate, by service.",
+            ["service"],
+            buckets=RATIO_BUCKETS,
+            registry=registry,
+        )
         self.in_progress = Gauge(
             "lagoonring_serving_in_progress",
             "Requests of callers in progress.",
