--- a/lagoonring/serving/placer.py
+++ b/lagoonring/serving/placer.py
@@ -3,16 +3,18 @@
 from __future__ import annotations
 
 import math
+from collections import deque
 from typing import TYPE_CHECKING
 
 import attrs
 
 from lagoonring.serving.configuration import RequestKind
 from lagoonring.serving.endpoints import Endpoint
-from lagoonring.serving.long_prompts import Readers, choose_readers, is_long
+from lagoonring.serving.long_prompts import choose_readers, is_long
 from lagoonring.serving.observations import Typical
 from lagoonring.serving.permissions import Permissions
 from lagoonring.serving.placing import (
+    FIRST_TOKEN_S,
     Candidate,
     Work,
     choose,
@@ -20,7 +22,6 @@
     prefer_by_part,
     shared_parts,
 )
-from lagoonring.serving.prefill_times import PrefillTimes
 from lagoonring.serving.refusals import MAX_QUEUED_S
 from lagoonring.serving.warming import is_cold
 
@@ -42,6 +43,10 @@
 DEFAULT_SERVICE_S = 0.06  # typical answer of a plain service
 DEFAULT_GENERATION_S = 1.0  # typical stream, from its first event to the last
 LEARNED_DECAY_S = 4.0  # a slow endpoint is tried again after a few seconds
+MIN_SAMPLE_TOKENS = 1000  # below it the engine's step dominates the prefill time
+MIN_LONG_PROMPT_TOKENS = 6000  # from here the first step is a small part of the prefill
+MAX_PREFILL_SAMPLES = 64  # per service; minutes of long prompts at a small instance
+MIN_PREFILL_SAMPLES = 8  # with fewer, the typical engine is assumed
 NO_SAMPLES = Typical(0.0, 0.0)
 FULL_BACKOFF_S = 0.15  # an endpoint frees slots after a few answers
 
@@ -95,7 +100,7 @@
         self.demand = demand
         self.permissions = Permissions(table, clock, permits)
         self.connectivity = connectivity
-        self.prefill_times = PrefillTimes()
+        self.prefill_samples: dict[str, deque[float]] = {}
         # Keyed by identity, since jobs are mutable.
         self.in_progress: dict[int, tuple[Job, WorkInProgress]] = {}
 
@@ -184,9 +189,14 @@
         endpoint.n_waiting_tokens -= work.n_waiting_tokens
         now_s = self.clock.monotonic()
         n_tokens = work.n_tokens_ahead + work.n_waiting_tokens
-        token_s = self.prefill_times.record(job.service, n_tokens, now_s - work.begun_s)
-        if token_s is not None:
-            endpoint.learn_token_time(token_s, now_s)
+        if n_tokens >= MIN_SAMPLE_TOKENS:
+            prefill_s = max(now_s - work.begun_s - FIRST_TOKEN_S, 0.0)
+            endpoint.learn_token_time(prefill_s / n_tokens, now_s)
+        if n_tokens >= MIN_LONG_PROMPT_TOKENS:
+            samples = self.prefill_samples.setdefault(
+                job.service, deque(maxlen=MAX_PREFILL_SAMPLES)
+            )
+            samples.append(prefill_s / n_tokens)
         endpoint.cache.add(job.request.prompt_parts)
 
     def finish(self, job: Job, work: WorkInProgress) -> None:
@@ -224,10 +234,15 @@
             job.is_long = True
 
     def _unloaded_token_s(self, service: str) -> float:
-        """Return the prefill time per token of an otherwise idle engine."""
-        shared = self.table.typical.get(service, NO_SAMPLES)
-        seen_s = self.prefill_times.unloaded_token_s(service)
-        return seen_s or shared.token_s or DEFAULT_TOKEN_S
+        """Return the prefill time per token of an otherwise idle engine.
+
+        This is the lower quartile of the samples of long prompts: the others
+        contain waits for work of which this instance did not know.
+        """
+        samples = sorted(self.prefill_samples.get(service, ()))
+        if len(samples) < MIN_PREFILL_SAMPLES:
+            return DEFAULT_TOKEN_S
+        return samples[len(samples) // 4]
 
     def _usable(self, job: Job) -> list[Endpoint]:
         """Return the eligible endpoints to which a request may be sent now."""
@@ -267,8 +282,6 @@
         preferred = _preferred(parts, apart or warm or endpoints)
         n_shared = sum(n_tokens for _, n_tokens in shared_parts(parts))
         usual = self._usual_times(job, endpoints, now_s)
-        first_token_s = self.prefill_times.first_token_s(job.service)
-        n_usual = _median([e.count_running() for e in endpoints], 0.0)
         candidates = []
         for endpoint in endpoints:
             n_cached = endpoint.cache.count_cached(parts)
@@ -290,23 +303,13 @@
                     is_local=not is_relayed
                     and endpoint.record.data_centre == self.data_centre,
                     is_avoided=now_s < avoided_until_s,
-                    pause_cost_s=self._pause_cost_s(job, endpoint, readers, n_usual),
-                    first_token_s=first_token_s,
+                    pause_cost_s=0.0
+                    if job.is_long
+                    else readers.pause_cost_s(endpoint.name, job.route.objective_s),
                 )
             )
         return candidates
 
-    def _pause_cost_s(
-        self, job: Job, endpoint: Endpoint, readers: Readers, n_usual: float
-    ) -> float:
-        """Return the delay by long prompts, of this job or of streams beside it."""
-        if not job.is_long:
-            return readers.pause_cost_s(endpoint.name, job.route.objective_s)
-        if not readers.names or endpoint.name in readers.names:
-            return 0.0
-        # Streams go on arriving at endpoints that are no readers.
-        return job.route.objective_s * max(n_usual, 1.0)
-
     def _max_pause_s(self, job: Job) -> float:
         return self.table.max_pauses_s.get(job.service, math.inf)
 
--- a/lagoonring/serving/placing.py
+++ b/lagoonring/serving/placing.py
@@ -12,14 +12,13 @@
 import attrs
 import xxhash
 
-from lagoonring.serving.prefill_times import FIRST_TOKEN_S
-
 if TYPE_CHECKING:
     import random
     from collections.abc import Iterable, Sequence
 
     from lagoonring.serving.requests import PromptParts
 
+FIRST_TOKEN_S = 0.053  # first token of an empty prompt on an idle, fast engine
 PREFILL_WEIGHT = 2.0  # repeated prefill also delays the endpoint's other requests
 OTHER_DATA_CENTRE_S = 0.004  # round trip between data centres, rounded up
 RUNNING_REQUEST_S = 0.002  # spreads load evenly over otherwise equal endpoints
@@ -49,9 +48,7 @@
     Times are in seconds. ``n_cached_tokens`` counts the tokens of this request's
     prompt that are in the endpoint's prefix cache, ``n_waiting_tokens`` the prompt
     tokens that are queued for prefill ahead of this request, and ``pause_cost_s`` is
-    the delay to expect from long prompts that are read there meanwhile, or that this
-    one causes to streams that come meanwhile. ``first_token_s`` is the time to the
-    first token of a short prompt.
+    the delay to expect from long prompts that are read there meanwhile.
     """
 
     name: str
@@ -65,7 +62,6 @@
     is_local: bool
     is_avoided: bool
     pause_cost_s: float = 0.0
-    first_token_s: float = FIRST_TOKEN_S
 
 
 @attrs.frozen
@@ -93,7 +89,7 @@
     if not work.is_generation:
         return candidate.service_s + queue_s
     waiting_s = candidate.n_waiting_tokens * candidate.seconds_per_token
-    return candidate.first_token_s + queue_s + waiting_s + _prefill_s(candidate, work)
+    return FIRST_TOKEN_S + queue_s + waiting_s + _prefill_s(candidate, work)
 
 
 def choose(
--- a/lagoonring/tests/builders/engine_service.py
+++ b/lagoonring/tests/builders/engine_service.py
@@ -12,7 +12,7 @@
 from lagoonring.serving.configuration import RequestKind
 from lagoonring.serving.messages import Scope, Source
 from lagoonring.serving.path import RequestPath
-from lagoonring.serving.prefill_times import MIN_LONG_SAMPLES
+from lagoonring.serving.placer import MIN_PREFILL_SAMPLES
 from lagoonring.tests.builders.limited_service import (
     EXCHANGE_S,
     REAL_TIMEOUT_S,
@@ -151,8 +151,8 @@
             instance.sender = EngineSender(self.engines)
             instance.quotas.slack = 1e9  # the limits only weigh shares
             instance.app.rng.seed(number)
-            samples = [1 / TOKENS_PER_S] * MIN_LONG_SAMPLES
-            instance.placer.prefill_times.long["desk"] = deque(samples)
+            samples = [1 / TOKENS_PER_S] * MIN_PREFILL_SAMPLES
+            instance.placer.prefill_samples["desk"] = deque(samples)
             instance.exchange.n_instances = len(self.instances)
             instance.exchange.delay_s = ROUND_DELAY * EXCHANGE_S
 
--- a/lagoonring/tests/builders/shared_load.py
+++ b/lagoonring/tests/builders/shared_load.py
@@ -151,4 +151,10 @@
         kind=RequestKind.IDEMPOTENT, is_idempotent=True, may_resume=False
     )
     request = SimpleNamespace(request_id="r", prompt_parts=(), n_prompt_tokens=0)
-    return SimpleNamespace(route=route, service=SERVICE, request=request, tried=set())
+    return SimpleNamespace(
+        route=route,
+        service=SERVICE,
+        request=request,
+        tried=set(),
+        is_long=False,
+    )
