--- a/lagoonring/tests/builders/shared_load.py
+++ b/lagoonring/tests/builders/shared_load.py
@@ -148,7 +148,10 @@
 def make_lookup():
     """Return a job of an idempotent request."""
     route = SimpleNamespace(
-        kind=RequestKind.IDEMPOTENT, is_idempotent=True, may_resume=False
+        kind=RequestKind.IDEMPOTENT,
+        is_idempotent=True,
+        may_resume=False,
+        objective_s=1.0,
     )
     request = SimpleNamespace(request_id="r", prompt_parts=(), n_prompt_tokens=0)
     return SimpleNamespace(
