--- a/lagoonring/serving/sizing.py
+++ b/lagoonring/serving/sizing.py
@@ -51,8 +51,8 @@
 def max_reclaimable_load(price: float) -> float:
     """Return the share of time that reclaimable endpoints may spend on prefill.
 
-    Waiting costs callers about as much as the load, so that the number of endpoints at
-    which one more is worth its price grows with the inverse root of the price.
+    Requests wait for about as long as the endpoints are loaded. One more endpoint is
+    therefore worth its price up to a load that grows with the root of the price.
 
     Parameters
     ----------
