--- a/lagoonring/serving/endpoints.py
+++ b/lagoonring/serving/endpoints.py
@@ -338,10 +338,6 @@
         oldest_s = min((at_s for at_s, _ in self.loads.values()), default=None)
         return None if oldest_s is None else round(now_s - oldest_s, 3)
 
-    def assessed_age_s(self, now_s: float) -> float | None:
-        """Return the age of the endpoints' conditions, None if there are none yet."""
-        return round(now_s - self.assessed_s, 3) if self.typical else None
-
     def own_loads(self) -> Loads:
         """Return the load of this instance, by endpoint."""
         return {
--- a/lagoonring/serving/path.py
+++ b/lagoonring/serving/path.py
@@ -282,11 +282,14 @@
         """Return what the last choice of an endpoint was based on, and its age."""
         if job is None or job.placement is None:
             return {}
+        table = self.parts.table
         return {
             **describe_placement(job, now_s),
             "objective_s": job.route.objective_s,
-            "loads_age_s": self.parts.table.loads_age_s(now_s),
-            "assessed_age_s": self.parts.table.assessed_age_s(now_s),
+            "loads_age_s": table.loads_age_s(now_s),
+            "assessed_age_s": round(now_s - table.assessed_s, 3)
+            if table.typical
+            else None,
         }
 
     def _begin(self) -> None:
--- a/lagoonring/serving/sizing.py
+++ b/lagoonring/serving/sizing.py
@@ -52,7 +52,7 @@
     """Return the share of time that reclaimable endpoints may spend on prefill.
 
     Requests wait for about as long as the endpoints are loaded. One more endpoint is
-    therefore worth its price up to a load that grows with the root of the price.
+    therefore justified up to a load that grows with the root of the price.
 
     Parameters
     ----------
