Log the steps of a planned stop, and the time since it began with each request

Between 'Leaving.' and 'Stopped.' an instance logged nothing, so that a request that was cut could not be placed: before the drain was idle, after it, or as the connections closed. Now 'Retired.', 'Idle connections closed.', 'No request in progress.' and 'Closing.' mark the steps, and the lines of requests carry leaving_s.

--- a/lagoonring/platform/callers.py
+++ b/lagoonring/platform/callers.py
@@ -164,13 +164,20 @@
         read; the caller retries it on another instance.
         """
         await self.app.clock.sleep(min(IDLE_CLOSE_DELAY_S, grace_s))
+        n_closed = 0
         for runner in self.runners[:1]:
             for connection in runner.server.connections if runner.server else ():
                 if connection not in self.busy:
                     connection.force_close()
+                    n_closed += 1
+        logger.info(
+            "Idle connections closed.",
+            extra={"n_closed": n_closed, "n_busy": len(self.busy)},
+        )
 
     async def stop(self) -> None:
         """Stop listening and close all connections."""
+        logger.info("Closing.", extra={"n_busy": len(self.busy)})
         for runner in self.runners:
             await runner.cleanup()
 
--- a/lagoonring/serving/path.py
+++ b/lagoonring/serving/path.py
@@ -87,6 +87,7 @@
     async def retire(self) -> None:
         """Start to refuse requests that may not end before the process does."""
         self.retired_s = self.clock.monotonic()
+        logger.info("Retired.", extra={"n_in_progress": self.n_in_progress})
 
     async def drain(self, grace_s: float) -> None:
         """Wait until late arrivals are over and the requests in progress answered."""
@@ -95,12 +96,19 @@
         try:
             async with asyncio.timeout(max(grace_s - left_s, 0.0)):
                 await self.idle.wait()
+            logger.info("No request in progress.", extra=self._describe_stop())
         except TimeoutError:
             logger.warning(
                 "Drain timed out with requests in progress.",
-                extra={"n": self.n_in_progress},
+                extra={"n": self.n_in_progress, **self._describe_stop()},
             )
 
+    def _describe_stop(self) -> dict[str, Any]:
+        """Return the time since this instance began to leave, if it did."""
+        if self.retired_s is None:
+            return {}
+        return {"leaving_s": round(self.clock.monotonic() - self.retired_s, 3)}
+
     def _late_arrivals_left_s(self) -> float:
         """Return the seconds in which many late requests may still arrive."""
         if self.retired_s is None:
@@ -275,6 +283,7 @@
                 "configuration": configuration.version if configuration else None,
                 "waited_s": round(job.waited_s, 4) if job else 0.0,
                 "elapsed_s": round(now_s - request.received_s, 4),
+                **self._describe_stop(),
             },
         )
 
@@ -332,6 +341,7 @@
                     "waited_s": round(job.waited_s, 4) if job else 0.0,
                     "relay": job.relay.address if job and job.relay else None,
                     "elapsed_s": round(elapsed_s, 4),
+                    **self._describe_stop(),
                 },
             )
 
