Retire all services of an instance at once

Callers saw an instance that holds duties stay in rotation after SIGTERM while the store was slow or out: its services retired one after the other, and the release of the duties' lease, through the store, came before the readiness checks and the request path. After 5 s the release was given up together with all that stood behind it, so that the instance stayed ready, sent no 'Connection: close', and was cut in the end. Now all retire concurrently, as the application's life cycle promises.

--- a/lagoonring/platform/application.py
+++ b/lagoonring/platform/application.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 from lagoonring.kernel import Application, BaseService
@@ -169,9 +170,8 @@
             await service.start()
 
     async def retire(self) -> None:
-        """Release duties and refuse new connections."""
-        for service in self.started:
-            await service.retire()
+        """Release duties and refuse new connections, all services at once."""
+        await asyncio.gather(*(service.retire() for service in self.started))
 
     async def drain(self, grace_s: float) -> None:
         """Let requests finish.
