Refuse requests that may not end before the process does

Callers that open new connections to an instance that leaves, as happens where fewer than half of a data centre's instances are in rotation, had their requests accepted until the grace period was over: only streams were refused. Under steady load the drain never found the instance idle, and cut what it had accepted last. Once late arrivals are over, 3 s after the stop began, a request is now accepted only if its deadline, by which it has its final answer in any case, is before the end of the drain; any other is refused at once as not run.

--- a/lagoonring/kernel/application.py
+++ b/lagoonring/kernel/application.py
@@ -79,6 +79,11 @@
         Source of time for all services.
     rng : random.Random
         Source of randomness for all services.
+
+    Attributes
+    ----------
+    drain_end_s : float or None
+        Time on the clock at which the drain ends; None before it begins.
     """
 
     def __init__(
@@ -97,6 +102,7 @@
         self.draining = False
         self.leaving = asyncio.Event()
         self.grace_s: float | None = None
+        self.drain_end_s: float | None = None
 
     def leave(self, grace_s: float) -> None:
         """Request that the process drain for at most ``grace_s`` seconds, then stop.
@@ -157,7 +163,7 @@
         services.
         """
         self.draining = True
-        end_s = self.clock.monotonic() + grace_s
+        end_s = self.drain_end_s = self.clock.monotonic() + grace_s
         await self.retire_all(min(grace_s, MAX_RETIRE_S))
         for service in reversed(self.started):
             await service.drain(max(end_s - self.clock.monotonic(), 0.0))
--- a/lagoonring/serving/path.py
+++ b/lagoonring/serving/path.py
@@ -116,11 +116,15 @@
         return max(self.retired_s + MAX_LATE_ARRIVAL_S - self.clock.monotonic(), 0.0)
 
     def _check_not_retired(self, job: Job) -> None:
-        """Raise ``NotReadyError`` for a stream that the shutdown would cut off."""
-        is_late = self.retired_s is not None and not self._late_arrivals_left_s()
-        if is_late and job.route.kind is RequestKind.STREAM:
+        """Raise ``NotReadyError`` for a request that the shutdown may cut off."""
+        if self.retired_s is None or self._late_arrivals_left_s():
+            return
+        end_s = self.parts.app.drain_end_s
+        is_stream = job.route.kind is RequestKind.STREAM
+        if is_stream or (end_s is not None and job.deadline_s > end_s):
             raise NotReadyError(
-                "Got a stream while the instance stops, expected it earlier.",
+                "Got a request that may not end before the instance stops, expected "
+                "it earlier.",
                 remedy="Send it again; another instance takes it.",
                 retry_after_s=SHUTDOWN_RETRY_S,
             )
