Give a final answer to requests that the end of a drain cuts off

Callers whose request was in progress as the grace period ended got no answer: the handlers were cancelled 0.1 s into the close of the server, and the connections closed, 7.51 s after SIGTERM with a grace of 8 s. The log called it 'Request given up.', as if the caller had left. Now the drain itself interrupts what is left: a request that may have run is answered 502 with outcome unknown, one that waited for an endpoint 503 not_run, a stream that has begun is broken off. What the stop of the request path decides is in serving/shutdown.py.

--- a/lagoonring/serving/path.py
+++ b/lagoonring/serving/path.py
@@ -15,7 +15,6 @@
 from lagoonring.errors import LagoonringError, Outcome
 from lagoonring.kernel import BaseService
 from lagoonring.logs import make_logger
-from lagoonring.requests.errors import NotReadyError
 from lagoonring.serving.accepting import accept, check_prompt
 from lagoonring.serving.admitting import WaitEstimate, decide
 from lagoonring.serving.attempt_logs import describe_placement
@@ -26,6 +25,7 @@
     AnswerUnknownError,
     OverloadError,
 )
+from lagoonring.serving.shutdown import Shutdown
 
 if TYPE_CHECKING:
     from lagoonring.serving.endpoints import Endpoint
@@ -33,8 +33,6 @@
     from lagoonring.serving.requests import CallerRequest, Job, Sink
 
 MAX_STORE_WAIT_S = 0.25  # at start the store is read within some hundredths of a second
-MAX_LATE_ARRIVAL_S = 3.0  # two missed checks of a second each, and one in progress
-SHUTDOWN_RETRY_S = 0.05  # another instance accepts the request at once
 
 logger = make_logger("path")
 
@@ -54,10 +52,7 @@
         self.parts = parts
         self.clock = parts.app.clock
         self.attempts = Attempts(parts)
-        self.n_in_progress = 0
-        self.idle = asyncio.Event()
-        self.idle.set()
-        self.retired_s: float | None = None
+        self.shutdown = Shutdown(parts.app)
 
     async def serve(self, request: CallerRequest, sink: Sink) -> None:
         """Answer a request; every failure is answered with exactly one error."""
@@ -67,67 +62,44 @@
         try:
             await self.parts.follower.wait_until_read(MAX_STORE_WAIT_S)
             job = accept(self.parts, request)
-            self._check_not_retired(job)
+            self.shutdown.check(job)
             self.parts.placer.record_demand(job)
             await self._run(job, sink)
             outcome = RESULT_OK
         except LagoonringError as error:
             outcome = error.code
-            self._log_failure(request, job, error)
-            if job is not None and job.has_begun:
-                sink.abort()
-            else:
-                await sink.send_error(error)
+            await self._fail(request, job, sink, error)
         except asyncio.CancelledError:
-            outcome = "cancelled"
-            raise
+            interruption = self.shutdown.end_interrupted(job)
+            if interruption is None:
+                outcome = "cancelled"
+                raise
+            outcome = interruption.code
+            await self._fail(request, job, sink, interruption)
         finally:
             self._end(request, job, outcome)
 
+    async def _fail(
+        self,
+        request: CallerRequest,
+        job: Job | None,
+        sink: Sink,
+        error: LagoonringError,
+    ) -> None:
+        """Send the final error of a request, or break off an answer that has begun."""
+        self._log_failure(request, job, error)
+        if job is not None and job.has_begun:
+            sink.abort()
+        else:
+            await sink.send_error(error)
+
     async def retire(self) -> None:
-        """Start to refuse requests that may not end before the process does."""
-        self.retired_s = self.clock.monotonic()
-        logger.info("Retired.", extra={"n_in_progress": self.n_in_progress})
+        """Begin to refuse requests that may not end before the process does."""
+        await self.shutdown.retire()
 
     async def drain(self, grace_s: float) -> None:
-        """Wait until late arrivals are over and the requests in progress answered."""
-        left_s = self._late_arrivals_left_s()
-        await self.clock.sleep(min(left_s, grace_s))
-        try:
-            async with asyncio.timeout(max(grace_s - left_s, 0.0)):
-                await self.idle.wait()
-            logger.info("No request in progress.", extra=self._describe_stop())
-        except TimeoutError:
-            logger.warning(
-                "Drain timed out with requests in progress.",
-                extra={"n": self.n_in_progress, **self._describe_stop()},
-            )
-
-    def _describe_stop(self) -> dict[str, Any]:
-        """Return the time since this instance began to leave, if it did."""
-        if self.retired_s is None:
-            return {}
-        return {"leaving_s": round(self.clock.monotonic() - self.retired_s, 3)}
-
-    def _late_arrivals_left_s(self) -> float:
-        """Return the seconds in which many late requests may still arrive."""
-        if self.retired_s is None:
-            return 0.0
-        return max(self.retired_s + MAX_LATE_ARRIVAL_S - self.clock.monotonic(), 0.0)
-
-    def _check_not_retired(self, job: Job) -> None:
-        """Raise ``NotReadyError`` for a request that the shutdown may cut off."""
-        if self.retired_s is None or self._late_arrivals_left_s():
-            return
-        end_s = self.parts.app.drain_end_s
-        is_stream = job.route.kind is RequestKind.STREAM
-        if is_stream or (end_s is not None and job.deadline_s > end_s):
-            raise NotReadyError(
-                "Got a request that may not end before the instance stops, expected "
-                "it earlier.",
-                remedy="Send it again; another instance takes it.",
-                retry_after_s=SHUTDOWN_RETRY_S,
-            )
+        """Wait for the requests in progress; the rest gets final answers."""
+        await self.shutdown.drain(grace_s)
 
     async def _run(self, job: Job, sink: Sink) -> None:
         """Send a job until it is answered or may not be retried."""
@@ -287,7 +259,7 @@
                 "configuration": configuration.version if configuration else None,
                 "waited_s": round(job.waited_s, 4) if job else 0.0,
                 "elapsed_s": round(now_s - request.received_s, 4),
-                **self._describe_stop(),
+                **self.shutdown.describe(),
             },
         )
 
@@ -306,9 +278,8 @@
         }
 
     def _begin(self) -> None:
-        self.n_in_progress += 1
-        self.idle.clear()
-        self.parts.metrics.in_progress.set(self.n_in_progress)
+        self.shutdown.begin()
+        self.parts.metrics.in_progress.set(len(self.shutdown.tasks))
 
     def _refund_unless_run(self, job: Job) -> None:
         """Return what a job that no endpoint can have run took from its limit."""
@@ -320,10 +291,8 @@
     def _end(self, request: CallerRequest, job: Job | None, outcome: str) -> None:
         if job is not None:
             self._refund_unless_run(job)
-        self.n_in_progress -= 1
-        self.parts.metrics.in_progress.set(self.n_in_progress)
-        if self.n_in_progress == 0:
-            self.idle.set()
+        self.shutdown.end()
+        self.parts.metrics.in_progress.set(len(self.shutdown.tasks))
         route = job.route.name if job else ""
         self.parts.metrics.requests.labels(route, outcome).inc()
         elapsed_s = self.clock.monotonic() - request.received_s
@@ -345,7 +314,7 @@
                     "waited_s": round(job.waited_s, 4) if job else 0.0,
                     "relay": job.relay.address if job and job.relay else None,
                     "elapsed_s": round(elapsed_s, 4),
-                    **self._describe_stop(),
+                    **self.shutdown.describe(),
                 },
             )
 
--- a/lagoonring/tests/test_planned_stops.py
+++ b/lagoonring/tests/test_planned_stops.py
@@ -130,7 +130,7 @@
         path.parts.placer.place = lambda job: None
         path.parts.placer.next_permit = lambda job: (endpoint, 1.5)
         send(writer)
-        await wait_for(lambda: path.n_in_progress)
+        await wait_for(lambda: path.shutdown.tasks)
         await app.drain(GRACE_S)
         await app.stop()
         assert read_outcome(await read_to_end(reader)) == (503, "not_run")
@@ -154,7 +154,7 @@
         try:
             await wait_for(lambda: app.find("callers").is_leaving or retiring.done())
             assert not retiring.done()
-            assert app.find("path").retired_s is not None
+            assert app.find("path").shutdown.retired_s is not None
         finally:
             released.set()
             await retiring
@@ -162,11 +162,11 @@
 
 async def test_request_that_can_not_end_before_the_process_is_refused_at_once():
     async with serving(serve_ok, timeoutMs=60000) as (_, app, heads):
-        path = app.find("path")
+        shutdown = app.find("path").shutdown
         draining = asyncio.create_task(app.drain(8.0))
-        await wait_for(lambda: path.retired_s is not None)
+        await wait_for(lambda: shutdown.retired_s is not None)
         assert await ask(app) == 200
-        path.retired_s -= 4.0
+        shutdown.retired_s -= 4.0
         assert await ask(app) == 503
         await draining
     assert len(heads) == 1
