Refuse requests between the end of the drain and the close

Callers found connections closed 0.05 to 0.28 s after they had sent a request, as the process ended: between the moment at which the request path was idle and the close of the callers' server the other services drain and all tasks are cancelled, and meanwhile requests were accepted, and sent to endpoints, as ever. Now the request path is closed in the same step in which it is found idle, and refuses at once. The relay server, whose requests may take the whole grace period, drains before it, so that callers aren't refused for its sake.

--- a/lagoonring/platform/application.py
+++ b/lagoonring/platform/application.py
@@ -160,8 +160,8 @@
             parts.connectivity,
             duties,
             evacuation,
-            relays,
             path,
+            relays,
             callers,
             reload,
         ):
--- a/lagoonring/serving/path.py
+++ b/lagoonring/serving/path.py
@@ -60,6 +60,7 @@
         outcome = "internal"
         self._begin()
         try:
+            self.shutdown.check_open()
             await self.parts.follower.wait_until_read(MAX_STORE_WAIT_S)
             job = accept(self.parts, request)
             self.shutdown.check(job)
