Don't let SIGHUP end an instance that starts

Python's default for SIGHUP ends the process, and the handler of a reload was set only once the start was complete, when callers may already be served: a SIGHUP in a series of signals and restarts ended the process, and their requests with it. It is now ignored from the first statement of the program on, and handled before the first service starts; a reload before the settings' service runs changes nothing, as that service compares the file by itself.

test_sighup_during_the_start_does_not_end_the_process failed before (3 of 3 runs, ended by signal 1) and passes (3 of 3).

--- a/lagoonring/cli/instance_command.py
+++ b/lagoonring/cli/instance_command.py
@@ -9,6 +9,7 @@
 import argparse
 import gc
 import os
+import signal
 import sys
 from pathlib import Path
 from typing import TYPE_CHECKING
@@ -52,6 +53,7 @@
 
 def main(arguments: Sequence[str] | None = None) -> None:
     """Parse the arguments, run the instance and exit with a code."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the reload is set up
     options = make_parser().parse_args(arguments)
     if options.settings is None:
         print(f"Got no settings file; set {PATH_VARIABLE} to it.", file=sys.stderr)
--- a/lagoonring/platform/process.py
+++ b/lagoonring/platform/process.py
@@ -45,8 +45,8 @@
     grace_s = settings.bounds.grace_s - GRACE_RESERVE_S
     for signum in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signum, app.leave, grace_s)
-    await app.start()
     loop.add_signal_handler(signal.SIGHUP, _reload, app)
+    await app.start()
     enable_gc()
     logger.info(
         "Started.",
@@ -73,7 +73,8 @@
 
 def _reload(app: Application) -> None:
     logger.info("Got SIGHUP.")
-    app.find("settings").reload()
+    if "settings" in app.services:  # else the start is not complete; it checks soon
+        app.find("settings").reload()
 
 
 def run_logged(path: Path, *, metrics_port: int) -> None:
--- a/lagoonring/tests/test_start.py
+++ b/lagoonring/tests/test_start.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import gc
+import signal
 import subprocess
 import sys
 
@@ -11,6 +12,8 @@
 import lagoonring.peers
 from lagoonring.lazy import load_lazily
 from lagoonring.platform.process import GC_THRESHOLDS, enable_gc
+from lagoonring.tests.builders.boots import encode_boot
+from lagoonring.tests.builders.ports import free_ports
 
 UNUSED = (
     "lagoonring.peers.service",
@@ -60,3 +63,40 @@
         gc.unfreeze()
         gc.set_threshold(*thresholds)
         gc.enable()
+
+
+NOTE_SIGNAL_HANDLERS = """
+import signal
+set_handler = signal.signal
+def set_noted(*arguments):
+    set_handler(*arguments)
+    print("handler set", flush=True)
+signal.signal = set_noted
+from lagoonring.cli.instance_command import main
+main(["--settings", {path!r}, "--metrics-port", "{port}"])
+"""
+
+
+@pytest.mark.processes
+def test_sighup_during_the_start_does_not_end_the_process(tmp_path):
+    caller_port, ready_port, port, _, relay_port, metrics_port = free_ports(6)
+    path = tmp_path / "settings.json"
+    boot = encode_boot(
+        listen={
+            "front": f"127.0.0.1:{caller_port}",
+            "ready": f"127.0.0.1:{ready_port}",
+        },
+        internalPorts=[min(port, relay_port), max(port, relay_port)],
+        bounds={"graceMs": 1000},
+    )
+    path.write_bytes(boot)
+    code = NOTE_SIGNAL_HANDLERS.format(path=str(path), port=metrics_port)
+    with subprocess.Popen([sys.executable, "-c", code], stdout=subprocess.PIPE) as one:
+        assert one.stdout is not None
+        for line in one.stdout:
+            one.send_signal(signal.SIGHUP)
+            if b"Started." in line:
+                break
+        one.terminate()
+        one.stdout.read()
+    assert one.returncode == 0
