Let the soak's callers keep their connections until the process is gone

The callers of the soak sent each request through a shared pool and only to instances in rotation, so nothing was in progress on an instance that stops but what it had when SIGTERM came. Now 24 callers for each data centre send one request after the other on a kept connection and open a new one as the platform forwards it (to all instances of a data centre if fewer than half of them are in rotation); others send one request on a connection of its own, some in bursts. Each request records the process, whether the connection was reused, when its last byte was written and how the connection ended. The connection is plain asyncio, so that no library repeats a request.

The readiness checks come once per second, as on the platform.

--- a/lagoonring/soak/callers.py
+++ b/lagoonring/soak/callers.py
@@ -3,14 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import time
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import aiohttp
-import attrs
 
 from lagoonring.platform import headers as names
+from lagoonring.soak.connection import CallerConnection, SentRequest
 from lagoonring.soak.deployment import (
+    DATA_CENTRES,
     ORGANISATIONS,
     READY_PORT,
     RESUMABLE,
@@ -20,44 +22,28 @@
 )
 
 if TYPE_CHECKING:
-    import random
+    from collections.abc import Coroutine
 
     from lagoonring.soak.deployment import Instance, SoakDeployment
 
-READY_CHECK_INTERVAL_S = 0.5
+READY_CHECK_INTERVAL_S = 1.0
 MAX_MISSED_CHECKS = 2
 TIMEOUT_S = 3.0  # as configured for the routes
 TIMEOUT_SLACK_S = 0.5  # an answer later than this after the timeout is a violation
-CLIENT_TIMEOUT_S = 8.0  # a request without an end by then counts as hung
-REQUESTS_PER_S = 60.0
+N_KEPT_PER_DATA_CENTRE = 24
+MEAN_PAUSE_S = 0.05  # between two requests on a kept connection
+SINGLE_REQUESTS_PER_S = 10.0  # each on a connection of its own
+BURSTS_PER_S, MAX_BURST = 0.3, 20
 WRONG_KEY = "key-of-nobody"
 
 
-@attrs.define(kw_only=True)
-class SentRequest:
-    """A request and the response its caller received; times are monotonic.
-
-    ``status`` is None if no answer arrived; ``is_complete`` is True if the body
-    ended properly.
-    """
-
-    request_id: str
-    instance: str
-    path: str
-    organisation: str | None
-    sent_s: float
-    body: bytes = b""
-    status: int | None = None
-    signature: str | None = None
-    answer: bytes = b""
-    is_complete: bool = False
-    ended_s: float = 0.0
-    error: str = ""
-    retry_after: str | None = None
-
-
 class Callers:
-    """Sends seeded random requests to all instances that report ready.
+    """Sends seeded random requests to the instances of each data centre.
+
+    Most callers keep a connection and send one request at a time on it until the
+    connection ends. Others open a connection for one request, some in bursts. Callers
+    of a data centre connect to its instances in rotation, or to all of its instances
+    if fewer than half of them are in rotation, as the platform does.
 
     Attributes
     ----------
@@ -70,99 +56,126 @@
         self.rng = rng
         self.requests: list[SentRequest] = []
         self.n_missed_checks: dict[str, int] = {}
-        self.sessions: dict[str, aiohttp.ClientSession] = {}
         self.tasks: set[asyncio.Task[None]] = set()
         self.loops: list[asyncio.Task[None]] = []
-        self.n_requests = 0
+        self.is_stopping = False
 
     async def start(self) -> None:
         """Start polling the instances' readiness and sending requests."""
         for instance in self.deployment.instances:
-            self.sessions[instance.name] = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(limit=0),
-                timeout=aiohttp.ClientTimeout(total=CLIENT_TIMEOUT_S, sock_connect=1.0),
-            )
             self.n_missed_checks[instance.name] = MAX_MISSED_CHECKS
             self.loops.append(asyncio.create_task(self._poll_readiness(instance)))
-        self.loops.append(asyncio.create_task(self._send_requests()))
+        for centre in DATA_CENTRES:
+            for _ in range(N_KEPT_PER_DATA_CENTRE):
+                rng = random.Random(self.rng.getrandbits(64))
+                self._spawn(self._keep_sending(centre, rng))
+        self.loops.append(asyncio.create_task(self._send_singles()))
+        self.loops.append(asyncio.create_task(self._send_bursts()))
 
     async def stop(self) -> None:
         """Stop sending and wait for the requests in progress."""
+        self.is_stopping = True
         for task in self.loops:
             task.cancel()
         await asyncio.gather(*self.loops, *self.tasks, return_exceptions=True)
-        for session in self.sessions.values():
-            await session.close()
 
-    def ready(self) -> list[Instance]:
-        """Return the instances in rotation, or all instances if none is."""
-        instances = self.deployment.instances
+    def choose_instance(self, centre: str, rng: random.Random) -> Instance:
+        """Return the instance to which the platform forwards a new connection."""
+        instances = [
+            instance
+            for instance in self.deployment.instances
+            if instance.data_centre == centre
+        ]
         ready = [
             instance
             for instance in instances
             if self.n_missed_checks[instance.name] < MAX_MISSED_CHECKS
         ]
-        return ready or instances
+        return rng.choice(instances if 2 * len(ready) < len(instances) else ready)
 
     async def send(
-        self, instance: Instance, path: str, organisation: str | None
+        self,
+        connection: CallerConnection,
+        path: str,
+        organisation: str | None,
+        rng: random.Random,
     ) -> SentRequest:
         """Send one request and record its answer."""
-        self.n_requests += 1
-        request_id = f"{self.rng.getrandbits(64):016x}"
+        request_id = f"{rng.getrandbits(64):016x}"
         request = SentRequest(
             request_id=request_id,
-            instance=instance.name,
+            instance=connection.instance.name,
             path=path,
             organisation=organisation,
             sent_s=time.monotonic(),
         )
         self.requests.append(request)
         key = ORGANISATIONS.get(organisation or "", WRONG_KEY)
-        is_unsafe = path.startswith(UNSAFE)
-        if is_unsafe or path.startswith(RESUMABLE):
+        if path.startswith((UNSAFE, RESUMABLE)):
             request.body = f"body of {request_id}".encode()
-        try:
-            async with self.sessions[instance.name].request(
-                "POST" if request.body else "GET",
-                instance.url + path,
-                data=request.body or None,
-                headers={
-                    "Host": SOAK_HOST,
-                    names.REQUEST_ID: request_id,
-                    names.DEADLINE: str(int(TIMEOUT_S * 1000)),
-                    "Authorization": f"Token {key}",
-                },
-            ) as answer:
-                request.status = answer.status
-                request.signature = answer.headers.get(names.SIGNATURE)
-                request.retry_after = answer.headers.get("Retry-After")
-                async for chunk in answer.content.iter_any():
-                    request.answer += chunk
-                request.is_complete = True
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            request.error = repr(error)
-        request.ended_s = time.monotonic()
+        await connection.send(
+            request,
+            "POST" if request.body else "GET",
+            {
+                "Host": SOAK_HOST,
+                names.REQUEST_ID: request_id,
+                names.DEADLINE: str(int(TIMEOUT_S * 1000)),
+                "Authorization": f"Token {key}",
+            },
+        )
         return request
 
-    async def _send_requests(self) -> None:
+    async def _send_random(
+        self, connection: CallerConnection, rng: random.Random
+    ) -> SentRequest:
+        prefix = rng.choice([RESUMABLE, RESUMABLE, UNSAFE, SAFE])
+        extra = self.deployment.extra_routes
+        if extra and rng.random() < 0.1:
+            prefix = rng.choice(extra)
+        organisation = rng.choice(list(ORGANISATIONS))
+        return await self.send(
+            connection, f"{prefix}{len(self.requests)}", organisation, rng
+        )
+
+    async def _keep_sending(self, centre: str, rng: random.Random) -> None:
+        """Send requests one by one on a connection that is kept while it lasts."""
+        connection: CallerConnection | None = None
+        home = centre
+        while not self.is_stopping:
+            await asyncio.sleep(rng.expovariate(1 / MEAN_PAUSE_S))
+            if connection is None or not connection.is_open:
+                connection = CallerConnection(self.choose_instance(home, rng))
+            request = await self._send_random(connection, rng)
+            # Retries after a failed connection reach other instances.
+            home = centre if request.written_s else rng.choice(DATA_CENTRES)
+        if connection is not None:
+            connection.close()
+
+    async def _send_single(self, rng: random.Random) -> None:
+        connection = CallerConnection(
+            self.choose_instance(rng.choice(DATA_CENTRES), rng)
+        )
+        await self._send_random(connection, rng)
+        connection.close()
+
+    async def _send_singles(self) -> None:
         while True:
-            await asyncio.sleep(self.rng.expovariate(REQUESTS_PER_S))
-            instance = self.rng.choice(self.ready())
-            prefix = self.rng.choice([RESUMABLE, RESUMABLE, UNSAFE, SAFE])
-            extra = self.deployment.extra_routes
-            if extra and self.rng.random() < 0.1:
-                prefix = self.rng.choice(extra)
-            organisation = self.rng.choice(list(ORGANISATIONS))
-            path = f"{prefix}{self.n_requests}"
-            task = asyncio.create_task(self._send_once(instance, path, organisation))
-            self.tasks.add(task)
-            task.add_done_callback(self.tasks.discard)
-
-    async def _send_once(
-        self, instance: Instance, path: str, organisation: str
-    ) -> None:
-        await self.send(instance, path, organisation)
+            await asyncio.sleep(self.rng.expovariate(SINGLE_REQUESTS_PER_S))
+            self._spawn_single()
+
+    async def _send_bursts(self) -> None:
+        while True:
+            await asyncio.sleep(self.rng.expovariate(BURSTS_PER_S))
+            for _ in range(self.rng.randint(2, MAX_BURST)):
+                self._spawn_single()
+
+    def _spawn_single(self) -> None:
+        self._spawn(self._send_single(random.Random(self.rng.getrandbits(64))))
+
+    def _spawn(self, sending: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(sending)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
 
     async def _poll_readiness(self, instance: Instance) -> None:
         url = f"http://{instance.ip}:{READY_PORT}/ready"
--- a/lagoonring/soak/guarantees.py
+++ b/lagoonring/soak/guarantees.py
@@ -9,7 +9,8 @@
 import attrs
 
 from lagoonring.platform.duty_client import USAGE_PATH
-from lagoonring.soak.callers import TIMEOUT_S, TIMEOUT_SLACK_S, SentRequest
+from lagoonring.soak.callers import TIMEOUT_S, TIMEOUT_SLACK_S
+from lagoonring.soak.connection import SentRequest
 from lagoonring.soak.deployment import (
     BOUNDS,
     BURST,
--- a/lagoonring/tests/test_soak.py
+++ b/lagoonring/tests/test_soak.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
+from types import SimpleNamespace
 
+import attrs
 import pytest
 
 from lagoonring.platform.store import OPERATOR_TOPIC
-from lagoonring.soak.callers import SentRequest
+from lagoonring.soak.connection import CallerConnection, SentRequest
 from lagoonring.soak.deployment import (
     BURST,
     LIMITED_ORGANISATION,
@@ -189,6 +192,36 @@
     assert platform.topics[OPERATOR_TOPIC].first == 1
 
 
+async def test_caller_sends_a_request_once_and_records_how_its_connection_ended():
+    received = []
+
+    async def answer_first_then_close(reader, writer):
+        received.append(await reader.readuntil(b"\r\n\r\n"))
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+        received.append(await reader.readuntil(b"\r\n\r\n"))
+        writer.close()
+
+    server = await asyncio.start_server(answer_first_then_close, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    connection = CallerConnection(
+        SimpleNamespace(
+            name="east-0",
+            url=f"http://127.0.0.1:{port}",
+            process=SimpleNamespace(pid=7),
+        )
+    )
+    first = make_request(status=None, is_complete=False, answer=b"", ended_s=0.0)
+    second = attrs.evolve(first)
+    await connection.send(first, "GET", {})
+    await connection.send(second, "GET", {})
+    server.close()
+    assert (first.answer, first.is_complete, first.is_reused) == (b"ok", True, False)
+    assert (second.status, second.is_complete, second.is_reused) == (None, False, True)
+    assert (second.pid, len(received), connection.is_open) == (7, 2, False)
+    assert second.written_s is not None
+    assert second.error
+
+
 @pytest.mark.processes
 async def test_short_soak_has_no_violations(tmp_path):
     result = await run_soak(SEED, SHORT_S, tmp_path)
