Give the soak's endpoints long runs and record how each run ended

All runs of the soak's endpoints were over within 0.3 s, so that a process that stops had hardly a request in progress. Each run records whether the endpoint sent its whole answer, broke it off by a fault of its own, or found that the instance had closed the connection.

--- a/lagoonring/soak/endpoints.py
+++ b/lagoonring/soak/endpoints.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import enum
 import time
-from contextlib import suppress
 from typing import TYPE_CHECKING
 
 import attrs
@@ -28,6 +28,8 @@
 EVENT_INTERVAL_S = 0.02
 MEAN_WORK_S = 0.03
 MAX_EVENTS = 12
+SLOW_SHARE = 0.2  # share of the runs that take long
+MIN_SLOW_S, MAX_SLOW_S = 0.3, 2.0
 
 
 def make_signature(request_id: str, endpoint: str) -> str:
@@ -49,9 +51,18 @@
     ]
 
 
-@attrs.frozen(kw_only=True)
+class RunEnd(enum.StrEnum):
+    """How a run ended."""
+
+    RUNNING = "running"
+    WHOLE = "whole"  # the endpoint sent its whole answer
+    BROKEN_OFF = "broken off"  # by a fault of the endpoint
+    ABORTED = "aborted"  # the instance closed the connection
+
+
+@attrs.define(kw_only=True)
 class Run:
-    """A request that an endpoint started to run."""
+    """A request that an endpoint started to run; times are monotonic."""
 
     request_id: str
     endpoint: str
@@ -60,6 +71,8 @@
     version: str
     began_s: float
     body: bytes
+    end: RunEnd = RunEnd.RUNNING
+    ended_s: float | None = None
 
 
 @attrs.define
@@ -169,44 +182,73 @@
             return web.Response(status=421, headers={**echo, names.NOT_RUN: "1"})
         if self.n_running >= 2 * N_SLOTS:
             return web.Response(status=503, headers={**echo, names.NOT_RUN: "1"})
-        self.runs.append(
-            Run(
-                request_id=request_id,
-                endpoint=self.endpoint_id,
-                organisation=request.headers.get(names.ORGANISATION),
-                path=request.path_qs,
-                version=self.version,
-                began_s=time.monotonic(),
-                body=body,
-            )
+        run = Run(
+            request_id=request_id,
+            endpoint=self.endpoint_id,
+            organisation=request.headers.get(names.ORGANISATION),
+            path=request.path_qs,
+            version=self.version,
+            began_s=time.monotonic(),
+            body=body,
         )
+        self.runs.append(run)
         self.n_running += 1
         try:
-            return await self._answer(request, request_id, echo)
+            answer = await self._answer(request, run, echo)
+            run.end = RunEnd.WHOLE
+            return answer
+        except ConnectionError:
+            if run.end is RunEnd.RUNNING:
+                run.end = RunEnd.ABORTED
+            return web.Response()  # the connection is closed
         finally:
+            run.ended_s = time.monotonic()
             self.n_running -= 1
 
     async def _answer(
-        self, request: web.Request, request_id: str, echo: dict[str, str]
+        self, request: web.Request, run: Run, echo: dict[str, str]
     ) -> web.StreamResponse:
+        """Send the answer of a run.
+
+        Raises
+        ------
+        ConnectionError
+            If the connection closes before the whole answer is sent.
+        """
+        request_id = run.request_id
         signed = {**echo, names.SIGNATURE: make_signature(request_id, self.endpoint_id)}
+        is_slow = self.rng.random() < SLOW_SHARE
+        slow_s = self.rng.uniform(MIN_SLOW_S, MAX_SLOW_S) if is_slow else 0.0
+        is_stream = request.path.startswith("/stream")
         await asyncio.sleep(
-            MEAN_WORK_S * (0.5 + self.rng.random()) + self.faults.slow_s
+            MEAN_WORK_S * (0.5 + self.rng.random())
+            + self.faults.slow_s
+            + (0.0 if is_stream else slow_s)
         )
         if self.rng.random() < self.faults.lost_share and request.transport:
+            run.end = RunEnd.BROKEN_OFF
             request.transport.abort()
         if self.rng.random() < self.faults.failed_share:
-            return web.Response(status=500, headers=signed)
-        if not request.path.startswith("/stream"):
-            return web.Response(body=make_body(request_id), headers=signed)
+            return await _send_whole(request, web.Response(status=500, headers=signed))
+        if not is_stream:
+            body = make_body(request_id)
+            return await _send_whole(request, web.Response(body=body, headers=signed))
         first = int(request.headers.get(names.LAST_EVENT, "0")) + 1
         answer = web.StreamResponse(
             headers={**signed, "Content-Type": "text/event-stream"}
         )
-        with suppress(ConnectionError):  # caller disconnected, or aborted by a fault
-            await answer.prepare(request)
-            for event in make_events(request_id, first):
-                await answer.write(event)
-                await asyncio.sleep(EVENT_INTERVAL_S)
-            await answer.write_eof()
+        await answer.prepare(request)
+        events = make_events(request_id, first)
+        for event in events:
+            await answer.write(event)
+            await asyncio.sleep(EVENT_INTERVAL_S + slow_s / len(events))
+        await answer.write_eof()
         return answer
+
+
+async def _send_whole(request: web.Request, answer: web.Response) -> web.StreamResponse:
+    if request.transport is None or request.transport.is_closing():
+        raise ConnectionResetError("The connection was closed during the run.")
+    await answer.prepare(request)
+    await answer.write_eof()
+    return answer
--- a/lagoonring/tests/test_soak.py
+++ b/lagoonring/tests/test_soak.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from contextlib import suppress
 from types import SimpleNamespace
 
 import attrs
@@ -18,11 +19,19 @@
     UNSAFE,
     reserve_network,
 )
-from lagoonring.soak.endpoints import Run, make_body, make_events, make_signature
+from lagoonring.soak.endpoints import (
+    Run,
+    RunEnd,
+    SoakEndpoint,
+    make_body,
+    make_events,
+    make_signature,
+)
 from lagoonring.soak.faults import KINDS, schedule
 from lagoonring.soak.guarantees import RECOVERY_S, SoakRecord, check
 from lagoonring.soak.run import run_soak
 from lagoonring.standins.platform_standin import DutyCall, PlatformStandin
+from lagoonring.tests.builders.barriers import wait_until
 
 SHORT_S = 8.0
 SEED = 4
@@ -222,6 +231,36 @@
     assert second.error
 
 
+@pytest.mark.parametrize(
+    ("lost_share", "leaves", "end"),
+    [
+        (0.0, False, RunEnd.WHOLE),
+        (0.0, True, RunEnd.ABORTED),
+        (1.0, False, RunEnd.BROKEN_OFF),
+    ],
+)
+async def test_endpoint_records_how_each_run_ended(lost_share, leaves, end):
+    runs = []
+    endpoint = SoakEndpoint(
+        "desk", "desk", "east", PlatformStandin(), runs, random.Random(1)
+    )
+    await endpoint.start()
+    endpoint.faults.lost_share = lost_share
+    reader, writer = await asyncio.open_connection("127.0.0.1", endpoint.link.port)
+    writer.write(b"GET /safe/1 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+    if leaves:
+        await wait_until(lambda: runs)
+        writer.transport.abort()
+    else:
+        with suppress(OSError):
+            await reader.read()
+    await wait_until(lambda: runs[0].ended_s is not None)
+    writer.close()
+    await endpoint.link.stop()
+    await endpoint.runner.cleanup()
+    assert [run.end for run in runs] == [end]
+
+
 @pytest.mark.processes
 async def test_short_soak_has_no_violations(tmp_path):
     result = await run_soak(SEED, SHORT_S, tmp_path)
