Check in the soak that planned work loses no request; a failing run of it

Operators saw requests end without an answer around SIGTERM. The soak had no check for it: a request whose connection was closed counted against nothing unless too few were answered after all faults.

The new check 'lost' follows the platform's rule. Around SIGTERM (until 1 s after the grace period), SIGHUP and a change of the configuration, without an unplanned disturbance of the instance or the endpoint from 3 s before, a request that an endpoint ran, or whose connection was closed over 0.5 s after its last byte, must have got a complete answer. Allowed are what an endpoint broke off and what reached its timeout; a change counts only if the instance cuts over three times as often beside it. A disturbance of the store excuses streams only. Processes are killed at the end of their grace period, as on the platform.

--- a/lagoonring/soak/deployment.py
+++ b/lagoonring/soak/deployment.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 import signal
 import socket
@@ -26,6 +27,7 @@
 )
 from lagoonring.serving.settings import Bounds, NodeSettings
 from lagoonring.soak.endpoints import HEARTBEAT_S, Run, SoakEndpoint
+from lagoonring.soak.messages import PlannedWork, WorkKind
 from lagoonring.standins.link_standin import LinkStandin
 from lagoonring.standins.options import LinkOptions
 from lagoonring.standins.platform_documents import make_configuration, make_settings
@@ -63,16 +65,21 @@
     should_restart: bool = True
     is_leaving: bool = False
     disrupted_until_s: float = float("-inf")
+    unplanned_spans: list[tuple[float, float]] = attrs.field(factory=list)
     n_unexpected_exits: int = 0
+    sigterm_s: float | None = None
 
     @property
     def url(self) -> str:
         """Root URL for callers."""
         return f"http://{self.ip}:{CALLER_PORT}"
 
-    def mark_disrupted(self, until_s: float = 0.0) -> None:
+    def mark_disrupted(self, until_s: float = 0.0, *, is_planned: bool = False) -> None:
         """Record that the instance is disrupted now, or until a later time."""
-        self.disrupted_until_s = max(self.disrupted_until_s, time.monotonic(), until_s)
+        now_s = time.monotonic()
+        self.disrupted_until_s = max(self.disrupted_until_s, now_s, until_s)
+        if not is_planned:
+            self.unplanned_spans.append((now_s, max(now_s, until_s)))
 
 
 class SoakDeployment:
@@ -103,6 +110,7 @@
         self.route_removed_s: dict[str, float] = {}
         self.store_disrupted_until_s = float("-inf")
         self.supervisor: asyncio.Task[None] | None = None
+        self.planned_work: list[PlannedWork] = []
 
     async def start(self) -> None:
         """Start the platform, the endpoints and the instances, in this order."""
@@ -164,6 +172,9 @@
             organisations=tuple(_organisation(name) for name in ORGANISATIONS),
             limits=CALLER_LIMITS,
         )
+        self.planned_work.append(
+            PlannedWork(kind=WorkKind.CHANGE, at_s=time.monotonic())
+        )
         self.platform.write_operator("config", make_configuration(configuration))
 
     def add_route(self) -> None:
@@ -182,8 +193,8 @@
 
     def launch(self, instance: Instance) -> None:
         """Start the process of an instance, with its output appended to its log."""
-        instance.is_leaving = False
-        instance.mark_disrupted()
+        instance.is_leaving, instance.sigterm_s = False, None
+        instance.mark_disrupted(is_planned=True)
         with instance.log.open("ab") as log:
             instance.process = subprocess.Popen(
                 [
@@ -205,7 +216,17 @@
         if process is None or process.poll() is not None:
             return
         instance.is_leaving |= number in (signal.SIGTERM, signal.SIGKILL)
-        if number is not signal.SIGHUP:
+        now_s, pid = time.monotonic(), process.pid
+        if number is signal.SIGHUP:
+            work = PlannedWork(kind=WorkKind.RELOAD, at_s=now_s, pid=pid)
+            self.planned_work.append(work)
+        elif number is signal.SIGTERM:
+            instance.mark_disrupted(is_planned=True)
+            if instance.sigterm_s is None:
+                instance.sigterm_s = now_s
+                work = PlannedWork(kind=WorkKind.STOP, at_s=now_s, pid=pid)
+                self.planned_work.append(work)
+        else:
             instance.mark_disrupted()
         process.send_signal(number)
 
@@ -253,18 +274,26 @@
         new.replace(instance.settings)
 
     async def _restart_ended(self) -> None:
-        """Restart instances whose process has ended, as the platform does."""
+        """Restart instances that have ended; end those whose grace period is over."""
         while True:
             await asyncio.sleep(RESTART_INTERVAL_S)
             for instance in self.instances:
                 process = instance.process
-                if process is None or process.poll() is None:
+                if process is None:
+                    continue
+                if process.poll() is None:
+                    self._kill_after_grace(instance)
                     continue
                 if not instance.is_leaving:
                     instance.n_unexpected_exits += 1
                 if instance.should_restart:
                     self.launch(instance)
 
+    def _kill_after_grace(self, instance: Instance) -> None:
+        grace_ended_s = (instance.sigterm_s or math.inf) + BOUNDS.grace_s
+        if instance.process is not None and time.monotonic() >= grace_ended_s:
+            instance.process.kill()
+
 
 def reserve_network(rng: random.Random) -> tuple[int, socket.socket]:
     """Reserve a 127.N network that no other soak uses; return N and a socket.
--- a/lagoonring/soak/endpoints.py
+++ b/lagoonring/soak/endpoints.py
@@ -115,6 +115,7 @@
         self.born_ms = 0
         self.n_starts = 0
         self.n_running = 0
+        self.unplanned_spans: list[tuple[float, float]] = []
         self.runner: web.AppRunner | None = None
         self.link: LinkStandin | None = None
 
@@ -145,6 +146,8 @@
             await self.link.stop()
             await self.runner.cleanup()
             self.runner = None
+            now_s = time.monotonic()
+            self.unplanned_spans.append((now_s, now_s))
             await asyncio.sleep(N_HEARTBEATS_TO_EXPIRE * HEARTBEAT_S)
             self.platform.write_endpoint(self.endpoint_id, None)
 
@@ -240,8 +243,8 @@
         await answer.prepare(request)
         events = make_events(request_id, first)
         for event in events:
-            await answer.write(event)
             await asyncio.sleep(EVENT_INTERVAL_S + slow_s / len(events))
+            await answer.write(event)
         await answer.write_eof()
         return answer
 
--- a/lagoonring/soak/faults.py
+++ b/lagoonring/soak/faults.py
@@ -17,12 +17,14 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Awaitable, Callable
+    import subprocess
+    from collections.abc import Awaitable, Callable, Iterable
 
     from lagoonring.soak.deployment import Instance, SoakDeployment
 
 MEAN_GAP_S = 2.5  # between the starts of two faults; short enough for overlaps
 SERIES_SHARE = 0.3  # share of the faults that are repeated in a row
+EXIT_POLL_INTERVAL_S = 0.1
 SETTLE_S = 3.0  # from the end of a fault until its instance counts as recovered
 
 
@@ -36,13 +38,16 @@
     pick: int
 
 
-def schedule(rng: random.Random, seconds: float) -> list[Fault]:
-    """Return the random faults of a soak, in order of their start."""
+def schedule(
+    rng: random.Random, seconds: float, kinds: Iterable[str] | None = None
+) -> list[Fault]:
+    """Return random faults of the given kinds, or of all, in order of their start."""
+    choices = sorted(kinds or KINDS)
     faults: list[Fault] = []
     at_s = 0.0
     while True:
         at_s += rng.expovariate(1 / MEAN_GAP_S)
-        kind = rng.choice(sorted(KINDS))
+        kind = rng.choice(choices)
         n_times = rng.randint(2, 4) if rng.random() < SERIES_SHARE else 1
         for _ in range(n_times):
             if at_s >= seconds:
@@ -109,13 +114,21 @@
     instance = _instance(deployment, fault)
     process = instance.process
     deployment.signal(instance, signal.SIGSTOP)
+    instance.mark_disrupted(time.monotonic() + fault.for_s)
     await asyncio.sleep(fault.for_s)
     if process is instance.process:
         deployment.signal(instance, signal.SIGCONT)
 
 
 async def _planned_stop(deployment: SoakDeployment, fault: Fault) -> None:
-    deployment.signal(_instance(deployment, fault), signal.SIGTERM)
+    instance = _instance(deployment, fault)
+    deployment.signal(instance, signal.SIGTERM)
+    await _wait_for_exit(instance.process)
+
+
+async def _wait_for_exit(process: subprocess.Popen[bytes] | None) -> None:
+    while process is not None and process.poll() is None:
+        await asyncio.sleep(EXIT_POLL_INTERVAL_S)
 
 
 async def _reload(deployment: SoakDeployment, fault: Fault) -> None:
@@ -187,8 +200,10 @@
     link = endpoint.link
     assert link is not None
     link.set_faults(faults)
+    started_s = time.monotonic()
     await asyncio.sleep(fault.for_s)
     link.set_faults(LinkFaults())
+    endpoint.unplanned_spans.append((started_s, time.monotonic()))
 
 
 async def _endpoint_silent(deployment: SoakDeployment, fault: Fault) -> None:
--- a/lagoonring/soak/guarantees.py
+++ b/lagoonring/soak/guarantees.py
@@ -22,6 +22,8 @@
 )
 from lagoonring.soak.endpoints import Run, make_body, make_events, make_signature
 from lagoonring.soak.faults import SETTLE_S
+from lagoonring.soak.messages import PlannedWork
+from lagoonring.soak.planned_work import find_lost
 from lagoonring.standins.platform_standin import DutyCall
 
 if TYPE_CHECKING:
@@ -51,6 +53,8 @@
 
     ``disrupted_spans`` holds, by instance name, the spans in which a fault disrupted
     the instance; ``store_disrupted_spans`` holds those of the store.
+    ``unplanned_spans`` holds, by the name of an instance or endpoint, the spans in
+    which something other than planned work disrupted it.
     """
 
     requests: list[SentRequest]
@@ -61,6 +65,8 @@
     drain_started_s: dict[str, float]
     disrupted_spans: dict[str, list[tuple[float, float]]]
     store_disrupted_spans: list[tuple[float, float]]
+    unplanned_spans: dict[str, list[tuple[float, float]]]
+    planned_work: list[PlannedWork]
     unexpected_exits: dict[str, int]
     faults_ended_s: float
 
@@ -81,6 +87,7 @@
     found: list[Violation] = []
     for sent in record.requests:
         found += _check_answer(record, sent, runs[sent.request_id])
+    found += [Violation("lost", detail) for detail in find_lost(record, runs)]
     found += _check_runs(record)
     found += _check_limit(record)
     found += _check_duties(record.duty_calls)
--- a/lagoonring/soak/run.py
+++ b/lagoonring/soak/run.py
@@ -11,10 +11,11 @@
 
 from lagoonring.soak.callers import Callers
 from lagoonring.soak.deployment import SoakDeployment
-from lagoonring.soak.faults import SETTLE_S, Fault, FaultInjector, schedule
+from lagoonring.soak.faults import KINDS, SETTLE_S, Fault, FaultInjector, schedule
 from lagoonring.soak.guarantees import RECOVERY_S, SoakRecord, Violation, check
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
     from pathlib import Path
 
 START_TIMEOUT_S = 30.0
@@ -78,7 +79,12 @@
 
 
 async def run_soak(
-    seed: int, seconds: float, folder: Path, *, n_per_data_centre: int = 2
+    seed: int,
+    seconds: float,
+    folder: Path,
+    *,
+    n_per_data_centre: int = 2,
+    kinds: Sequence[str] = tuple(KINDS),
 ) -> SoakResult:
     """Inject the faults of a seed for some seconds, then check the guarantees.
 
@@ -92,6 +98,8 @@
         Where the instances' settings and logs and ``faults.log`` are written.
     n_per_data_centre : int
         Number of instances in each data centre.
+    kinds : sequence of str
+        The kinds of faults to inject; see `lagoonring.soak.faults.KINDS`.
 
     Raises
     ------
@@ -99,7 +107,7 @@
         If no request is answered with status 200 within ``START_TIMEOUT_S``.
     """
     rng = random.Random(seed)
-    faults = schedule(rng, seconds)
+    faults = schedule(rng, seconds, kinds)
     deployment = SoakDeployment(folder, seed, n_per_data_centre=n_per_data_centre)
     callers = Callers(deployment, rng)
     monitor = DisruptionMonitor(deployment)
@@ -135,6 +143,15 @@
                 drain_started_s=monitor.drain_started_s,
                 disrupted_spans=monitor.disrupted_spans,
                 store_disrupted_spans=monitor.store_disrupted_spans,
+                unplanned_spans={
+                    instance.name: instance.unplanned_spans
+                    for instance in deployment.instances
+                }
+                | {
+                    endpoint.name: endpoint.unplanned_spans
+                    for endpoint in deployment.endpoints
+                },
+                planned_work=deployment.planned_work,
                 unexpected_exits={
                     instance.name: instance.n_unexpected_exits
                     for instance in deployment.instances
--- a/lagoonring/tests/test_soak.py
+++ b/lagoonring/tests/test_soak.py
@@ -29,6 +29,7 @@
 )
 from lagoonring.soak.faults import KINDS, schedule
 from lagoonring.soak.guarantees import RECOVERY_S, SoakRecord, check
+from lagoonring.soak.messages import PlannedWork, WorkKind
 from lagoonring.soak.run import run_soak
 from lagoonring.standins.platform_standin import DutyCall, PlatformStandin
 from lagoonring.tests.builders.barriers import wait_until
@@ -46,6 +47,7 @@
         "path": f"{UNSAFE}1",
         "organisation": "one",
         "sent_s": 10.0,
+        "written_s": 10.0,
         "status": 200,
         "signature": make_signature(request_id, "desk-1"),
         "answer": make_body(request_id),
@@ -92,6 +94,8 @@
         "drain_started_s": {},
         "disrupted_spans": {},
         "store_disrupted_spans": [],
+        "unplanned_spans": {},
+        "planned_work": [],
         "unexpected_exits": {},
         "faults_ended_s": 99.0,
     }
@@ -128,6 +132,72 @@
     assert find_violations([sent], runs) == {guarantee}
 
 
+def make_cut(sent_s=10.0, cut_s=10.3, **changes):
+    values = {"status": None, "is_complete": False, "answer": b"", "pid": 7}
+    times = {"sent_s": sent_s, "written_s": sent_s, "ended_s": cut_s}
+    return make_request(**(times | values | changes))
+
+
+def stop(at_s, kind=WorkKind.STOP, pid=7):
+    return PlannedWork(kind=kind, at_s=at_s, pid=pid)
+
+
+@pytest.mark.parametrize(
+    ("work", "sent", "runs"),
+    [
+        (stop(9.0), make_cut(), [make_run()]),
+        (stop(9.0), make_cut(status=200), [make_run()]),
+        (stop(9.0), make_cut(cut_s=10.6), []),
+        (stop(10.2), make_cut(), [make_run()]),
+        # in the last sixth of the grace period, but sent late
+        (stop(2.9), make_cut(), [make_run()]),
+        (stop(9.0), make_cut(sent_s=11.0, cut_s=13.0), []),
+        (stop(9.0), make_cut(), [make_run(end=RunEnd.ABORTED, ended_s=10.3)]),
+        (stop(9.0, WorkKind.RELOAD), make_cut(), [make_run()]),
+        (stop(9.0, WorkKind.CHANGE, None), make_cut(), [make_run()]),
+    ],
+)
+def test_request_lost_around_planned_work_is_found(work, sent, runs):
+    assert find_violations([sent], runs, planned_work=[work]) == {"lost"}
+
+
+@pytest.mark.parametrize(
+    ("work", "sent", "runs"),
+    [
+        (stop(11.0), make_cut(), [make_run()]),
+        (stop(1.0), make_cut(), [make_run()]),
+        (stop(9.0, pid=8), make_cut(), [make_run()]),
+        (stop(9.0), make_cut(cut_s=10.4), []),
+        (stop(9.0), make_cut(written_s=None), []),
+        (stop(9.0), make_cut(cut_s=13.1), [make_run()]),
+        (stop(9.0), make_cut(), [make_run(end=RunEnd.BROKEN_OFF, ended_s=10.2)]),
+        (stop(9.0, WorkKind.RELOAD), make_cut(sent_s=11.1, cut_s=11.8), [make_run()]),
+        (stop(9.0, WorkKind.RELOAD), make_cut(sent_s=8.0, cut_s=8.9), [make_run()]),
+        (stop(9.0, WorkKind.CHANGE, None), make_cut(cut_s=12.2), [make_run()]),
+        (stop(9.0, WorkKind.CHANGE, None), make_cut(cut_s=12.05), [make_run()]),
+    ],
+)
+def test_cut_that_the_rules_allow_is_not_lost(work, sent, runs):
+    assert not find_violations([sent], runs, planned_work=[work])
+
+
+def test_unplanned_disturbance_excuses_a_cut_but_the_store_alone_does_not():
+    lost = {"requests": [make_cut()], "runs": [make_run()], "planned_work": [stop(9.0)]}
+    for name in ("east-0", "desk"):
+        assert not find_violations(**lost, unplanned_spans={name: [(6.0, 8.0)]})
+        assert find_violations(**lost, unplanned_spans={name: [(5.0, 6.9)]})
+    assert find_violations(**lost, store_disrupted_spans=[(6.0, 11.0)]) == {"lost"}
+
+
+def test_cuts_as_frequent_without_a_change_are_not_put_down_to_it():
+    changes = [stop(9.0, WorkKind.CHANGE, None)]
+    beside = [make_cut()]
+    apart = [make_cut(50.0, 50.3, request_id=str(n)) for n in range(10)]
+    runs = [make_run(sent.request_id) for sent in [*beside, *apart]]
+    assert find_violations(beside, runs[:1], planned_work=changes) == {"lost"}
+    assert not find_violations([*beside, *apart], runs, planned_work=changes)
+
+
 def test_request_to_a_drained_endpoint_is_found():
     drained = {"desk-1": 5.0}
     assert find_violations([make_request()], [make_run()], drain_started_s=drained) == {
@@ -273,3 +343,11 @@
 async def test_regression_seed_has_no_violations(seed, tmp_path):
     result = await run_soak(seed, 15.0, tmp_path)
     assert result.violations == []
+
+
+@pytest.mark.processes
+async def test_requests_read_before_a_planned_stop_ends_get_a_whole_answer(tmp_path):
+    result = await run_soak(
+        1, 12.0, tmp_path, n_per_data_centre=1, kinds=["planned_stop"]
+    )
+    assert [item for item in result.violations if item.guarantee == "lost"] == []
