--- a/lagoonring/tests/test_soak.py
+++ b/lagoonring/tests/test_soak.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
+from contextlib import suppress
+from types import SimpleNamespace
 
+import attrs
 import pytest
 
 from lagoonring.platform.store import OPERATOR_TOPIC
-from lagoonring.soak.callers import SentRequest
+from lagoonring.soak.connection import CallerConnection, SentRequest
 from lagoonring.soak.deployment import (
     BURST,
     LIMITED_ORGANISATION,
@@ -15,11 +19,20 @@
     UNSAFE,
     reserve_network,
 )
-from lagoonring.soak.endpoints import Run, make_body, make_events, make_signature
+from lagoonring.soak.endpoints import (
+    Run,
+    RunEnd,
+    SoakEndpoint,
+    make_body,
+    make_events,
+    make_signature,
+)
 from lagoonring.soak.faults import KINDS, schedule
 from lagoonring.soak.guarantees import RECOVERY_S, SoakRecord, check
+from lagoonring.soak.messages import PlannedWork, WorkKind
 from lagoonring.soak.run import run_soak
 from lagoonring.standins.platform_standin import DutyCall, PlatformStandin
+from lagoonring.tests.builders.barriers import wait_until
 
 SHORT_S = 8.0
 SEED = 4
@@ -34,6 +47,7 @@
         "path": f"{UNSAFE}1",
         "organisation": "one",
         "sent_s": 10.0,
+        "written_s": 10.0,
         "status": 200,
         "signature": make_signature(request_id, "desk-1"),
         "answer": make_body(request_id),
@@ -80,6 +94,8 @@
         "drain_started_s": {},
         "disrupted_spans": {},
         "store_disrupted_spans": [],
+        "unplanned_spans": {},
+        "planned_work": [],
         "unexpected_exits": {},
         "faults_ended_s": 99.0,
     }
@@ -116,6 +132,72 @@
     assert find_violations([sent], runs) == {guarantee}
 
 
+def make_cut(sent_s=10.0, cut_s=10.3, **changes):
+    values = {"status": None, "is_complete": False, "answer": b"", "pid": 7}
+    times = {"sent_s": sent_s, "written_s": sent_s, "ended_s": cut_s}
+    return make_request(**(times | values | changes))
+
+
+def stop(at_s, kind=WorkKind.STOP, pid=7):
+    return PlannedWork(kind=kind, at_s=at_s, pid=pid)
+
+
+@pytest.mark.parametrize(
+    ("work", "sent", "runs"),
+    [
+        (stop(9.0), make_cut(), [make_run()]),
+        (stop(9.0), make_cut(status=200), [make_run()]),
+        (stop(9.0), make_cut(cut_s=10.6), []),
+        (stop(10.2), make_cut(), [make_run()]),
+        # in the last sixth of the grace period, but sent late
+        (stop(2.9), make_cut(), [make_run()]),
+        (stop(9.0), make_cut(sent_s=11.0, cut_s=13.0), []),
+        (stop(9.0), make_cut(), [make_run(end=RunEnd.ABORTED, ended_s=10.3)]),
+        (stop(9.0, WorkKind.RELOAD), make_cut(), [make_run()]),
+        (stop(9.0, WorkKind.CHANGE, None), make_cut(), [make_run()]),
+    ],
+)
+def test_request_lost_around_planned_work_is_found(work, sent, runs):
+    assert find_violations([sent], runs, planned_work=[work]) == {"lost"}
+
+
+@pytest.mark.parametrize(
+    ("work", "sent", "runs"),
+    [
+        (stop(11.0), make_cut(), [make_run()]),
+        (stop(1.0), make_cut(), [make_run()]),
+        (stop(9.0, pid=8), make_cut(), [make_run()]),
+        (stop(9.0), make_cut(cut_s=10.4), []),
+        (stop(9.0), make_cut(written_s=None), []),
+        (stop(9.0), make_cut(cut_s=13.1), [make_run()]),
+        (stop(9.0), make_cut(), [make_run(end=RunEnd.BROKEN_OFF, ended_s=10.2)]),
+        (stop(9.0, WorkKind.RELOAD), make_cut(sent_s=11.1, cut_s=11.8), [make_run()]),
+        (stop(9.0, WorkKind.RELOAD), make_cut(sent_s=8.0, cut_s=8.9), [make_run()]),
+        (stop(9.0, WorkKind.CHANGE, None), make_cut(cut_s=12.2), [make_run()]),
+        (stop(9.0, WorkKind.CHANGE, None), make_cut(cut_s=12.05), [make_run()]),
+    ],
+)
+def test_cut_that_the_rules_allow_is_not_lost(work, sent, runs):
+    assert not find_violations([sent], runs, planned_work=[work])
+
+
+def test_unplanned_disturbance_excuses_a_cut_but_the_store_alone_does_not():
+    lost = {"requests": [make_cut()], "runs": [make_run()], "planned_work": [stop(9.0)]}
+    for name in ("east-0", "desk"):
+        assert not find_violations(**lost, unplanned_spans={name: [(6.0, 8.0)]})
+        assert find_violations(**lost, unplanned_spans={name: [(5.0, 6.9)]})
+    assert find_violations(**lost, store_disrupted_spans=[(6.0, 11.0)]) == {"lost"}
+
+
+def test_cuts_as_frequent_without_a_change_are_not_put_down_to_it():
+    changes = [stop(9.0, WorkKind.CHANGE, None)]
+    beside = [make_cut()]
+    apart = [make_cut(50.0, 50.3, request_id=str(n)) for n in range(10)]
+    runs = [make_run(sent.request_id) for sent in [*beside, *apart]]
+    assert find_violations(beside, runs[:1], planned_work=changes) == {"lost"}
+    assert not find_violations([*beside, *apart], runs, planned_work=changes)
+
+
 def test_request_to_a_drained_endpoint_is_found():
     drained = {"desk-1": 5.0}
     assert find_violations([make_request()], [make_run()], drain_started_s=drained) == {
@@ -189,6 +271,66 @@
     assert platform.topics[OPERATOR_TOPIC].first == 1
 
 
+async def test_caller_sends_a_request_once_and_records_how_its_connection_ended():
+    received = []
+
+    async def answer_first_then_close(reader, writer):
+        received.append(await reader.readuntil(b"\r\n\r\n"))
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+        received.append(await reader.readuntil(b"\r\n\r\n"))
+        writer.close()
+
+    server = await asyncio.start_server(answer_first_then_close, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    connection = CallerConnection(
+        SimpleNamespace(
+            name="east-0",
+            url=f"http://127.0.0.1:{port}",
+            process=SimpleNamespace(pid=7),
+        )
+    )
+    first = make_request(status=None, is_complete=False, answer=b"", ended_s=0.0)
+    second = attrs.evolve(first)
+    await connection.send(first, "GET", {})
+    await connection.send(second, "GET", {})
+    server.close()
+    assert (first.answer, first.is_complete, first.is_reused) == (b"ok", True, False)
+    assert (second.status, second.is_complete, second.is_reused) == (None, False, True)
+    assert (second.pid, len(received), connection.is_open) == (7, 2, False)
+    assert second.written_s is not None
+    assert second.error
+
+
+@pytest.mark.parametrize(
+    ("lost_share", "leaves", "end"),
+    [
+        (0.0, False, RunEnd.WHOLE),
+        (0.0, True, RunEnd.ABORTED),
+        (1.0, False, RunEnd.BROKEN_OFF),
+    ],
+)
+async def test_endpoint_records_how_each_run_ended(lost_share, leaves, end):
+    runs = []
+    endpoint = SoakEndpoint(
+        "desk", "desk", "east", PlatformStandin(), runs, random.Random(1)
+    )
+    await endpoint.start()
+    endpoint.faults.lost_share = lost_share
+    reader, writer = await asyncio.open_connection("127.0.0.1", endpoint.link.port)
+    writer.write(b"GET /safe/1 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+    if leaves:
+        await wait_until(lambda: runs)
+        writer.transport.abort()
+    else:
+        with suppress(OSError):
+            await reader.read()
+    await wait_until(lambda: runs[0].ended_s is not None)
+    writer.close()
+    await endpoint.link.stop()
+    await endpoint.runner.cleanup()
+    assert [run.end for run in runs] == [end]
+
+
 @pytest.mark.processes
 async def test_short_soak_has_no_violations(tmp_path):
     result = await run_soak(SEED, SHORT_S, tmp_path)
@@ -201,3 +343,11 @@
 async def test_regression_seed_has_no_violations(seed, tmp_path):
     result = await run_soak(seed, 15.0, tmp_path)
     assert result.violations == []
+
+
+@pytest.mark.processes
+async def test_requests_read_before_a_planned_stop_ends_get_a_whole_answer(tmp_path):
+    result = await run_soak(
+        1, 12.0, tmp_path, n_per_data_centre=1, kinds=["planned_stop"]
+    )
+    assert [item for item in result.violations if item.guarantee == "lost"] == []
