Believe a 421 only for the request it names, and with the statement

An unsafe request was sent to a second endpoint, or its caller told to try again, after a 421 that belonged to another request: answers with status 421 were exempt from the comparison of the request id, and the status alone counted as 'not run'. An endpoint that wrote an earlier 421 once more on a kept connection thus made a request run twice, or be reported as not run while the endpoint ran it.

PROTOCOL.md has endpoints echo the id in their answers, and makes Lagoonring-Not-Executed the only statement that a request was not run, also with 421. Both are now required of a 421 as of any other refusal. One that lacks either is an answer of unknown outcome: the caller gets 502, never a false 'not run'.

--- a/lagoonring/platform/sending.py
+++ b/lagoonring/platform/sending.py
@@ -136,8 +136,10 @@
                 withheld,
             )
         )
-        self.is_other_endpoint = response.status == MISDIRECTED_STATUS
         self.is_not_run = names.NOT_RUN in response.headers
+        self.is_other_endpoint = (
+            self.is_not_run and response.status == MISDIRECTED_STATUS
+        )
         self.is_signed = names.SIGNATURE in response.headers
         self.statement = names.read_statement(response.status, response.headers)
         self.closed = _closed_future(response)
@@ -207,7 +209,7 @@
             host, _, _ = order.relay.address.rpartition(":")
             response = await self._send_by(f"{host}:{self.relay_port}", request, order)
         got = response.headers.get(names.REQUEST_ID)
-        if got != request.request_id and response.status != MISDIRECTED_STATUS:
+        if got != request.request_id:
             response.close()
             raise EndpointCrossedError(
                 f"Got an answer to request {got!r}, expected {request.request_id!r}.",
