Reuse a connection to an endpoint only while its next answer is certain

A copy of a refusal that arrived on a kept connection was taken for the refusal of the next request with the same id, while the endpoint ran that request: its caller was told 'not run', or it went on to a second endpoint. Bytes that arrived on an idle connection, and the right answer that followed one of another request, were taken for the answer to the next request; the id then gave them away, but every later request on the connection failed in the same way.

The HTTP library parses what arrives on an idle connection, doesn't look at it before it reuses the connection, and returns a connection to its pool as soon as an answer's last byte has arrived, before its id can be compared. Now a connection on which anything has arrived is closed instead of reused, also if it still waits in the socket; one that carried an answer to another request is closed; and a connection carries each request id once. So a late copy always bears an id other than that of the request in progress.

--- a/lagoonring/endpoints/transport.py
+++ b/lagoonring/endpoints/transport.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 from contextlib import contextmanager
-from contextvars import ContextVar
 from typing import TYPE_CHECKING
 
 import aiohttp
 
+from lagoonring.endpoints.connections import NotWantedError, begin_exchange
 from lagoonring.endpoints.errors import (
     EndpointConnectError,
     EndpointCrossedError,
@@ -23,8 +23,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator, Mapping
 
-    from aiohttp.connector import Connection
-    from aiohttp.tracing import Trace
     from yarl import URL
 
 ECHOED_HEADERS = ("X-Request-Id", "X-Attempt-Id")
@@ -32,35 +30,6 @@
 MAX_SHOWN_BYTES = 200
 
 
-# Whether the request of the current task is to be sent once it has its connection.
-WANTED: ContextVar[Callable[[], bool] | None] = ContextVar("wanted", default=None)
-
-
-class NotWantedError(Exception):
-    """A connection is not needed; unlike errors of connections, passed on unchanged."""
-
-
-class CheckedConnector(aiohttp.TCPConnector):
-    """A connector that asks again whether a request is wanted once it is connected.
-
-    Establishing a connection may take long enough for the decision to be outdated.
-    """
-
-    async def connect(
-        self,
-        req: aiohttp.ClientRequest,
-        traces: list[Trace],
-        timeout: aiohttp.ClientTimeout,
-    ) -> Connection:
-        """Return a connection; raises `NotWantedError` if it is not needed."""
-        connection = await super().connect(req, traces, timeout)
-        is_wanted = WANTED.get()
-        if is_wanted is not None and not is_wanted():
-            connection.release()
-            raise NotWantedError
-        return connection
-
-
 @contextmanager
 def typed_errors(url: str) -> Iterator[None]:
     """Convert errors of an exchange with ``url`` to those of this package.
@@ -104,11 +73,14 @@
     timeout_s: float | None,
     connect_timeout_s: float = CONNECT_TIMEOUT_S,
     is_wanted: Callable[[], bool] | None = None,
+    check: Callable[[aiohttp.ClientResponse], None] | None = None,
 ) -> aiohttp.ClientResponse:
     """Send a request and return the response, which the caller must close.
 
     ``timeout_s`` limits the exchange, including the reading of the body. A session
-    with a `CheckedConnector` asks ``is_wanted`` before it sends.
+    with a `CheckedConnector` asks ``is_wanted`` before it sends. ``check`` raises an
+    ``EndpointError`` if the response belongs to another request; the connection is
+    closed then, since the right response may follow on it.
 
     Raises
     ------
@@ -120,8 +92,8 @@
         If no answer arrived; the request may have been run.
     """
     timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=connect_timeout_s)
-    with typed_errors(str(url)), _set_wanted(is_wanted):
-        return await session.request(
+    with typed_errors(str(url)), begin_exchange(is_wanted) as exchange:
+        response = await session.request(
             method,
             url,
             data=body,
@@ -130,15 +102,14 @@
             allow_redirects=False,
             middlewares=(_make_send_once(),),
         )
-
-
-@contextmanager
-def _set_wanted(is_wanted: Callable[[], bool] | None) -> Iterator[None]:
-    token = WANTED.set(is_wanted)
-    try:
-        yield
-    finally:
-        WANTED.reset(token)
+    if check is not None:
+        try:
+            check(response)
+        except EndpointError:
+            response.close()
+            exchange.drop_connection()
+            raise
+    return response
 
 
 def _make_send_once() -> aiohttp.ClientMiddlewareType:
--- a/lagoonring/platform/sending.py
+++ b/lagoonring/platform/sending.py
@@ -5,12 +5,14 @@
 import asyncio
 import socket
 import struct
+from functools import partial
 from typing import TYPE_CHECKING
 
 import aiohttp
 from multidict import CIMultiDict
 from yarl import URL
 
+from lagoonring.endpoints.connections import CheckedConnector
 from lagoonring.endpoints.errors import (
     EndpointConnectError,
     EndpointCrossedError,
@@ -18,7 +20,7 @@
     RelayCutError,
     RelayRefusedError,
 )
-from lagoonring.endpoints.transport import CheckedConnector, send, typed_errors
+from lagoonring.endpoints.transport import send, typed_errors
 from lagoonring.errors import LagoonringError
 from lagoonring.platform import headers as names
 from lagoonring.platform.relay_results import raise_relay_result
@@ -45,6 +47,7 @@
 def make_session() -> aiohttp.ClientSession:
     """Return a session for requests to endpoints; the caller closes it."""
     connector = CheckedConnector(
+        id_header=names.REQUEST_ID,
         limit=0,
         keepalive_timeout=MAX_IDLE_S,
         use_dns_cache=False,
@@ -208,13 +211,6 @@
         else:
             host, _, _ = order.relay.address.rpartition(":")
             response = await self._send_by(f"{host}:{self.relay_port}", request, order)
-        got = response.headers.get(names.REQUEST_ID)
-        if got != request.request_id:
-            response.close()
-            raise EndpointCrossedError(
-                f"Got an answer to request {got!r}, expected {request.request_id!r}.",
-                remedy="Drop the answer and repeat the request if it is idempotent.",
-            )
         return HttpAnswer(response)
 
     async def _send_by(
@@ -248,6 +244,17 @@
             timeout_s=max(order.left_s, 0.001),
             connect_timeout_s=CONNECT_TIMEOUT_S,
             is_wanted=order.is_wanted,
+            check=partial(check_answers, request.request_id),
+        )
+
+
+def check_answers(request_id: str | None, response: aiohttp.ClientResponse) -> None:
+    """Raise ``EndpointCrossedError`` unless a response answers the request."""
+    got = response.headers.get(names.REQUEST_ID)
+    if got != request_id:
+        raise EndpointCrossedError(
+            f"Got an answer to request {got!r}, expected {request_id!r}.",
+            remedy="Drop the answer and repeat the request if it is idempotent.",
         )
 
 
