Compare the id of a relay's answer before its result, and of what it relays

The result that another instance reports for a relayed request ('not passed on', 'no connection') was believed before the request id was compared, so that one of another request on the connection between them let a request go on that was running. A relay itself took what a stale refusal states of the endpoint, such as a pause, and passed the refusal on for the first instance to find out.

The id is compared first; an answer of a relay to another request means that the relay was lost, with unknown outcome. The relay compares the ids of endpoints' answers as the first instance does and reports a crossed answer.

--- a/lagoonring/platform/relay_server.py
+++ b/lagoonring/platform/relay_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from functools import partial
 from typing import TYPE_CHECKING
 
 from aiohttp import web
@@ -26,7 +27,7 @@
     MAX_HEADER_BYTES,
     READ_BUFFER_BYTES,
 )
-from lagoonring.platform.sending import CONNECT_TIMEOUT_S, HttpAnswer
+from lagoonring.platform.sending import CONNECT_TIMEOUT_S, HttpAnswer, check_answers
 from lagoonring.requests.errors import BadHeaderError
 from lagoonring.serving.relaying import find_relayed_endpoint
 from lagoonring.serving.statements import record_statement
@@ -215,6 +216,7 @@
                 timeout_s=_read_timeout_s(request),
                 connect_timeout_s=CONNECT_TIMEOUT_S,
                 is_wanted=self.parts.placer.permissions.make_check(endpoint),
+                check=partial(check_answers, request.headers.get(names.REQUEST_ID)),
             )
         except RequestWithdrawnError as error:
             raise RelayRefusedError(error.message, remedy=error.remedy) from error
--- a/lagoonring/platform/sending.py
+++ b/lagoonring/platform/sending.py
@@ -221,7 +221,7 @@
             response = await self.send_to(address, request, order)
         except EndpointConnectError as error:
             raise RelayRefusedError(error.message, remedy=error.remedy) from error
-        except EndpointCutError as error:
+        except (EndpointCutError, EndpointCrossedError) as error:
             raise RelayCutError(error.message, remedy=error.remedy) from error
         try:
             raise_relay_result(response)
--- a/lagoonring/tests/test_relay_server.py
+++ b/lagoonring/tests/test_relay_server.py
@@ -122,6 +122,14 @@
     assert paused == [False, True]
 
 
+async def test_a_relay_drops_an_answer_to_another_request_with_what_it_states():
+    stale = BUSY.replace(ID.encode(), b"f" * 16)
+    async with relaying_instances(respond(stale)) as (parts, apps, heads):
+        assert await ask(apps[0]) == 502
+    assert len(heads) == 1
+    assert parts[1].table.find("i-1").paused_until_s == 0
+
+
 @pytest.mark.parametrize("case", ["stranger", "endpoint", "leaving", "duration"])
 async def test_a_relay_refuses_what_it_can_not_pass_on(case):
     async with relaying_instances(respond(ANSWER)) as (parts, apps, heads):
--- a/lagoonring/tests/test_stale_answers.py
+++ b/lagoonring/tests/test_stale_answers.py
@@ -7,10 +7,11 @@
 import pytest
 
 from lagoonring.endpoints import connections
-from lagoonring.endpoints.errors import EndpointCrossedError
+from lagoonring.endpoints.errors import EndpointCrossedError, RelayCutError
 from lagoonring.errors import Outcome
 from lagoonring.platform.sending import HttpSender, make_session
 from lagoonring.serving.configuration import RequestKind
+from lagoonring.serving.relay_directory import Relay
 from lagoonring.serving.requests import SendOrder
 from lagoonring.tests.builders.raw_endpoints import raw_endpoint
 from lagoonring.tests.builders.serving import (
@@ -50,7 +51,7 @@
         yield HttpSender(session, relay_port=9)
 
 
-async def send(sender, address, request_id=ID, **changes):
+async def send(sender, address, request_id=ID, *, relay=None, **changes):
     """Return an answer to one request and its body."""
     headers = (("Lagoonring-Request-Id", request_id),)
     request = make_request(request_id=request_id, headers=headers, **changes)
@@ -60,6 +61,7 @@
         urgency=1,
         organisation="one",
         resume_after=None,
+        relay=relay,
     )
     answer = await sender.send(request, order)
     try:
@@ -216,3 +218,18 @@
         for number in range(6):
             await send(sender, address, f"{number:016}")
     assert (len(heads), len(writers)) == (6, 3)
+
+
+@pytest.mark.parametrize("code", ["relay_refused", "endpoint_connect"])
+@pytest.mark.parametrize("request_id", [OTHER, ""])
+async def test_a_relay_refuses_only_the_request_that_it_names(code, request_id):
+    lines = f"Lagoonring-Relay-Result: {code}\r\n" + NOT_RUN
+    content = make_answer(503, request_id, lines)
+    async with (
+        make_session() as session,
+        raw_endpoint(lambda writer, head: writer.write(content)) as (address, _),
+    ):
+        sender = HttpSender(session, relay_port=int(address.rpartition(":")[2]))
+        with pytest.raises(RelayCutError) as caught:
+            await send(sender, "127.0.0.1:9", relay=Relay("127.0.0.1:1", 1))
+    assert caught.value.outcome is Outcome.UNKNOWN
