--- a/lagoonring/platform/sending.py
+++ b/lagoonring/platform/sending.py
@@ -5,12 +5,14 @@
 import asyncio
 import socket
 import struct
+from functools import partial
 from typing import TYPE_CHECKING
 
 import aiohttp
 from multidict import CIMultiDict
 from yarl import URL
 
+from lagoonring.endpoints.connections import CheckedConnector
 from lagoonring.endpoints.errors import (
     EndpointConnectError,
     EndpointCrossedError,
@@ -18,7 +20,7 @@
     RelayCutError,
     RelayRefusedError,
 )
-from lagoonring.endpoints.transport import CheckedConnector, send, typed_errors
+from lagoonring.endpoints.transport import send, typed_errors
 from lagoonring.errors import LagoonringError
 from lagoonring.platform import headers as names
 from lagoonring.platform.relay_results import raise_relay_result
@@ -45,6 +47,7 @@
 def make_session() -> aiohttp.ClientSession:
     """Return a session for requests to endpoints; the caller closes it."""
     connector = CheckedConnector(
+        id_header=names.REQUEST_ID,
         limit=0,
         keepalive_timeout=MAX_IDLE_S,
         use_dns_cache=False,
@@ -136,8 +139,10 @@
                 withheld,
             )
         )
-        self.is_other_endpoint = response.status == MISDIRECTED_STATUS
         self.is_not_run = names.NOT_RUN in response.headers
+        self.is_other_endpoint = (
+            self.is_not_run and response.status == MISDIRECTED_STATUS
+        )
         self.is_signed = names.SIGNATURE in response.headers
         self.statement = names.read_statement(response.status, response.headers)
         self.closed = _closed_future(response)
@@ -206,13 +211,6 @@
         else:
             host, _, _ = order.relay.address.rpartition(":")
             response = await self._send_by(f"{host}:{self.relay_port}", request, order)
-        got = response.headers.get(names.REQUEST_ID)
-        if got != request.request_id and response.status != MISDIRECTED_STATUS:
-            response.close()
-            raise EndpointCrossedError(
-                f"Got an answer to request {got!r}, expected {request.request_id!r}.",
-                remedy="Drop the answer and repeat the request if it is idempotent.",
-            )
         return HttpAnswer(response)
 
     async def _send_by(
@@ -223,7 +221,7 @@
             response = await self.send_to(address, request, order)
         except EndpointConnectError as error:
             raise RelayRefusedError(error.message, remedy=error.remedy) from error
-        except EndpointCutError as error:
+        except (EndpointCutError, EndpointCrossedError) as error:
             raise RelayCutError(error.message, remedy=error.remedy) from error
         try:
             raise_relay_result(response)
@@ -246,6 +244,17 @@
             timeout_s=max(order.left_s, 0.001),
             connect_timeout_s=CONNECT_TIMEOUT_S,
             is_wanted=order.is_wanted,
+            check=partial(check_answers, request.request_id),
+        )
+
+
+def check_answers(request_id: str | None, response: aiohttp.ClientResponse) -> None:
+    """Raise ``EndpointCrossedError`` unless a response answers the request."""
+    got = response.headers.get(names.REQUEST_ID)
+    if got != request_id:
+        raise EndpointCrossedError(
+            f"Got an answer to request {got!r}, expected {request_id!r}.",
+            remedy="Drop the answer and repeat the request if it is idempotent.",
         )
 
 
