Join only a stream whose events have ids that follow

Callers whose stream had begun and broke off could find the text of an error in the middle of it, or its first events again. The rest of a stream was accepted from another endpoint by its status alone: a signed answer with status 200, of any media type, whose events have no id, two ids or no number was passed on and ended the stream as if it were complete. A stream whose own events have no ids was resumed without a position, so that it began anew in the middle.

The rest of a stream now has the media type with which it began, and each of its events has exactly one id, the next one. After an event without an id no other endpoint can go on, so the stream is not cut to be moved, and is broken off if its endpoint breaks off. What one endpoint sends by itself is passed on as before.

--- a/lagoonring/serving/attempts.py
+++ b/lagoonring/serving/attempts.py
@@ -10,7 +10,6 @@
 import attrs
 
 from lagoonring.endpoints.errors import (
-    EndpointCrossedError,
     EndpointCutError,
     EndpointError,
     EndpointFailedError,
@@ -19,9 +18,7 @@
 from lagoonring.errors import Outcome
 from lagoonring.logs import make_logger
 from lagoonring.serving.attempt_errors import (
-    MAX_EVENT_BYTES,
     Limit,
-    endless_event_error,
     timeout_error,
     unsigned_error,
 )
@@ -31,6 +28,11 @@
 from lagoonring.serving.events import EventSplitter
 from lagoonring.serving.requests import SendOrder
 from lagoonring.serving.statements import record_statement
+from lagoonring.serving.stream_checks import (
+    check_continues,
+    read_media_type,
+    take_events,
+)
 
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator, Callable, Iterator
@@ -143,7 +145,7 @@
             )
         try:
             self._check_not_refused(endpoint, answer)
-            self._check_continues(job, endpoint, answer)
+            check_continues(job, endpoint, answer)
             if job.route.kind is RequestKind.STREAM and answer.status < 300:
                 await self._relay_stream(job, endpoint, answer, sink, started_s)
             else:
@@ -213,17 +215,6 @@
                 remedy="Use another endpoint.",
             )
 
-    def _check_continues(
-        self, job: Job, endpoint: Endpoint, answer: EndpointAnswer
-    ) -> None:
-        """Raise ``EndpointCrossedError`` if a stream's rest is another answer."""
-        if job.has_begun and answer.status >= 300:
-            raise EndpointCrossedError(
-                f"Got status {answer.status} of {endpoint.name}, expected the rest of "
-                "a stream.",
-                remedy="Break the stream off; its status was sent already.",
-            )
-
     async def _relay_whole(
         self,
         job: Job,
@@ -272,18 +263,16 @@
         if not answer.is_signed:
             raise unsigned_error(endpoint)
         splitter = EventSplitter()
+        is_rest = job.has_begun or job.last_event is not None
         is_first = True
         first_event_s = math.inf
         async with aclosing(self._chunks(job, endpoint, answer)) as chunks:
             async for chunk in chunks:
-                complete = bytearray()
-                for event in splitter.feed(chunk):
-                    if event.event_id is not None:
-                        self._check_order(job, endpoint, event.event_id)
-                        job.last_event = event.event_id
-                    complete += event.data
-                if len(splitter.buffer) > MAX_EVENT_BYTES:
-                    raise endless_event_error(endpoint, len(splitter.buffer))
+                complete, error = take_events(
+                    job, endpoint, splitter, chunk, is_rest=is_rest
+                )
+                if error is not None:
+                    raise error
                 if not complete:
                     continue
                 job.progressed_s = self.clock.monotonic()
@@ -300,8 +289,9 @@
                     self._record_prompt_answered(job)
                 if not job.has_begun:
                     job.has_begun = True
+                    job.media_type = read_media_type(answer)
                     await sink.begin(answer.status, answer.headers)
-                await sink.write(bytes(complete))
+                await sink.write(complete)
         if splitter.buffer or is_first:
             raise EndpointCutError(
                 f"Got a stream of {endpoint.name} that ends within an event, expected "
@@ -342,20 +332,11 @@
             return left
         if not job.has_begun:
             return self._first_answer_limit(job, endpoint)
-        if not self.parts.placer.has_other(job, endpoint):
+        if not job.may_continue or not self.parts.placer.has_other(job, endpoint):
             return left
         stalled_s = self.clock.monotonic() - job.progressed_s
         return min(Limit("another attempt", max(STALL_TIMEOUT_S - stalled_s, 0)), left)
 
-    def _check_order(self, job: Job, endpoint: Endpoint, event_id: int) -> None:
-        """Raise ``EndpointCrossedError`` unless an event follows the last one."""
-        if job.last_event is not None and event_id != job.last_event + 1:
-            raise EndpointCrossedError(
-                f"Got event {event_id} of {endpoint.name}, expected "
-                f"{job.last_event + 1}.",
-                remedy="Drop the stream; events are missing or come twice.",
-            )
-
     def _record_first_answer(self, job: Job, sent_s: float) -> None:
         """Record the time to the first answer, and how well it was estimated."""
         seconds = self.clock.monotonic() - sent_s
--- a/lagoonring/serving/evacuation.py
+++ b/lagoonring/serving/evacuation.py
@@ -89,7 +89,7 @@
         """Stop a stream and copy its run; the request path then continues it."""
         placement = self.parts.placer.place(job)
         target = self.parts.table.find(placement.name) if placement else None
-        if target is None or job.move is not None:
+        if target is None or job.move is not None or not job.may_continue:
             return
         job.move = asyncio.get_running_loop().create_future()
         moved = await self.engines.stop_and_copy(
--- a/lagoonring/serving/events.py
+++ b/lagoonring/serving/events.py
@@ -11,6 +11,7 @@
 
 ID_FIELD = b"id:"
 END_OF_EVENT = b"\n\n"
+MAX_ID_DIGITS = 18
 
 
 @attrs.frozen
@@ -37,8 +38,12 @@
 
 
 def _parse_id(event: bytes) -> int | None:
-    for line in event.split(b"\n"):
-        if line.startswith(ID_FIELD):
-            text = line[len(ID_FIELD) :].strip()
-            return int(text) if text.isdigit() else None
-    return None
+    """Return the id, or None unless the event has exactly one that is a number.
+
+    An event with carriage returns is none of those that end in ``END_OF_EVENT``.
+    """
+    ids = [line for line in event.split(b"\n") if line.startswith(ID_FIELD)]
+    if len(ids) != 1 or b"\r" in event:
+        return None
+    text = ids[0][len(ID_FIELD) :].strip()
+    return int(text) if text.isdigit() and len(text) <= MAX_ID_DIGITS else None
--- a/lagoonring/serving/path.py
+++ b/lagoonring/serving/path.py
@@ -229,7 +229,9 @@
                 error, EndpointConnectError | RequestWithdrawnError
             )
             return not has_arrived or self.attempts.take_retry(job)
-        if not job.may_retry or (job.has_begun and not job.route.may_resume):
+        if not job.may_retry or not job.may_continue:
+            return False
+        if job.has_begun and not job.route.may_resume:
             return False
         if self.parts.prompt_suspects.is_doubtful(job.request.shared_parts()):
             return False
--- a/lagoonring/serving/requests.py
+++ b/lagoonring/serving/requests.py
@@ -84,6 +84,8 @@
     end of a plain answer, ``progressed_s`` when the last event was complete.
     ``event_s`` is when the last event was relayed, ``longest_pause_s`` the longest time
     between two of them.
+    ``has_ids`` says that all events relayed had one, ``media_type`` what type the
+    stream is of that has begun.
     ``is_long`` says that reading its prompt interrupts other streams for too long.
     ``recorder`` records the attempt in progress for the comparison of versions,
     ``permit`` is an endpoint with a limit and the slot in which it takes the job,
@@ -106,6 +108,8 @@
     tried: set[str] = attrs.field(factory=set)
     last_event: int | None = None
     has_begun: bool = False
+    has_ids: bool = True
+    media_type: str = ""
     is_long: bool = False
     is_counted: bool = False
     taken: float = 0.0
@@ -136,6 +140,11 @@
         is_retryable = self.route.is_idempotent or self.route.may_resume
         return is_retryable and self.n_runs < self.route.max_attempts
 
+    @property
+    def may_continue(self) -> bool:
+        """Return whether another endpoint can tell which events the caller has."""
+        return not self.has_begun or (self.has_ids and self.last_event is not None)
+
 
 @attrs.frozen(kw_only=True)
 class SendOrder:
