Relay the events that come before a faulty one

A caller could miss an event of a stream that was resumed: if an endpoint sent good events and one that did not follow in the same chunk, the good ones were counted as received by the caller but dropped with the faulty one, and the next endpoint was asked to go on after them. They are now relayed before the error is raised. The test failed on the code before, where the stream had a gap and was broken off.

--- a/lagoonring/serving/attempts.py
+++ b/lagoonring/serving/attempts.py
@@ -271,7 +271,7 @@
                 complete, error = take_events(
                     job, endpoint, splitter, chunk, is_rest=is_rest
                 )
-                if error is not None:
+                if error is not None and not complete:
                     raise error
                 if not complete:
                     continue
@@ -292,6 +292,8 @@
                     job.media_type = read_media_type(answer)
                     await sink.begin(answer.status, answer.headers)
                 await sink.write(complete)
+                if error is not None:
+                    raise error
         if splitter.buffer or is_first:
             raise EndpointCutError(
                 f"Got a stream of {endpoint.name} that ends within an event, expected "
--- a/lagoonring/tests/test_stream_checks.py
+++ b/lagoonring/tests/test_stream_checks.py
@@ -73,6 +73,14 @@
     assert (sink.is_whole, sink.is_aborted, sink.error) == (False, True, None)
 
 
+async def test_events_before_a_faulty_one_in_the_same_chunk_are_not_lost():
+    faulty = rest_of_stream(make_event(1) + make_event(3))
+    rest = rest_of_stream(make_event(2), make_event(3))
+    sink, orders = await serve_in_turn(begin_stream(make_event(0)), faulty, rest)
+    assert [order.resume_after for order in orders] == [None, 0, 1]
+    assert (sink.body, sink.is_whole) == (b"".join(map(make_event, range(4))), True)
+
+
 @pytest.mark.parametrize(
     "begin",
     [b"data: a\n\n", b"event: role\n\n" + make_event(0), make_event(0) + b":\n\n"],
