Reset the connection of a caller without chunks whose stream breaks off

A caller that speaks HTTP/1.0 found a stream that broke off ended as if it were complete: without chunks the close of the connection ends the answer, and aborting a transport closes its socket regularly. It was the same for streams in progress when the instance stopped.

Such a connection is set to be reset from the begin of the answer, and to be closed only after its end, so that it does not matter who closes it: the request path, the stop of the server or the end of the process. Both cases of the test failed on the code before, with a regular close; a whole stream still ends with a close.

--- a/lagoonring/platform/callers.py
+++ b/lagoonring/platform/callers.py
@@ -18,6 +18,7 @@
     InternalFaultError,
     UnfinishedUploadError,
 )
+from lagoonring.requests.unframed import CHUNKED_SINCE, begin_unframed, end_unframed
 from lagoonring.serving.requests import CallerRequest
 
 if TYPE_CHECKING:
@@ -83,8 +84,9 @@
     async def begin(self, status: int, headers: list[tuple[str, str]]) -> None:
         """Begin an answer whose length is not known in advance."""
         response = web.StreamResponse(status=status)
-        if self.request.version >= (1, 1):
+        if self.request.version >= CHUNKED_SINCE:
             response.enable_chunked_encoding()
+        begin_unframed(self.request)
         await self._start(response, headers)
 
     async def write(self, data: bytes) -> None:
@@ -96,6 +98,7 @@
         """Terminate the body, so that the caller knows it is complete."""
         assert self.response is not None
         await self.response.write_eof()
+        end_unframed(self.request)
 
     def abort(self) -> None:
         """Abort the connection, so that a partial answer can't look complete."""
--- a/lagoonring/tests/test_callers.py
+++ b/lagoonring/tests/test_callers.py
@@ -239,6 +239,48 @@
     assert not got.endswith(b"0\r\n\r\n")
 
 
+@asynccontextmanager
+async def asking_without_chunks(front):
+    """Ask for a stream as a caller that knows no chunks; yields the reader."""
+    reader, writer = await asyncio.open_connection(*front.addresses[0])
+    writer.write(make_head("/stream/1").replace(b"HTTP/1.1", b"HTTP/1.0"))
+    async with asyncio.timeout(5):
+        yield reader
+    writer.close()
+
+
+@pytest.mark.parametrize("stops", [False, True])
+async def test_a_stream_without_chunks_that_breaks_off_does_not_look_complete(stops):
+    proceed = asyncio.Event()
+
+    class Answer(FakeAnswer):
+        async def chunks(self):
+            yield make_event(0)
+            await proceed.wait()
+            yield b"id: 1\n"
+
+    async with (
+        serving(lambda order: Answer()) as front,
+        asking_without_chunks(front) as reader,
+    ):
+        await reader.readuntil(make_event(0))
+        if stops:
+            await front.stop()
+        proceed.set()
+        with pytest.raises(ConnectionResetError):
+            await reader.read()
+
+
+async def test_a_whole_stream_without_chunks_ends_with_a_close():
+    answer = FakeAnswer([make_event(0), make_event(1)])
+    async with (
+        serving(lambda order: answer) as front,
+        asking_without_chunks(front) as reader,
+    ):
+        got = await reader.read()
+    assert split_answer(got)[2] == make_event(0) + make_event(1)
+
+
 async def test_caller_disconnect_cancels_the_request():
     started = asyncio.Event()
     ended = asyncio.Event()
