Take no body that a reset ends for complete, whoever reads it

An answer of a plain service without a length or chunks that was reset on the way reached callers with status 200 and a short body, framed as whole: the HTTP library treats a reset as the regular end of such a body, and only the sender of the platform looked at how the connection ended. That sender in turn took a body for framed if chunks were not its last transfer coding, where the library reads to the end of the connection too.

Both now read bodies by the same generator, which raises a cut unless the close was clean; so do the readers of engines' documents.

--- a/lagoonring/endpoints/plain_service.py
+++ b/lagoonring/endpoints/plain_service.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Mapping
 from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING
@@ -16,8 +17,9 @@
 from lagoonring.endpoints.transport import (
     CONNECT_TIMEOUT_S,
     check_echo,
+    read_chunks,
     send,
-    typed_errors,
+    watch_close,
 )
 
 if TYPE_CHECKING:
@@ -46,24 +48,21 @@
 class OpenAnswer:
     """An answer whose body has not been read yet.
 
-    ``status`` is the service's own status, including errors.
+    ``status`` is the service's own status, including errors; ``closed`` is that of
+    `watch_close`.
     """
 
     status: int
     headers: Mapping[str, str]
     response: aiohttp.ClientResponse
+    closed: asyncio.Future[None] | None
 
-    async def chunks(self) -> AsyncGenerator[bytes, None]:
+    def chunks(self) -> AsyncGenerator[bytes, None]:
         """Yield the body as it arrives.
 
         Raises ``EndpointCutError`` if the body is incomplete.
         """
-        while True:
-            with typed_errors(str(self.response.url)):
-                chunk = await self.response.content.readany()
-            if not chunk:
-                return
-            yield chunk
+        return read_chunks(self.response, self.closed)
 
 
 @attrs.frozen
@@ -126,7 +125,10 @@
                 remedy="Use another endpoint; the request was not run.",
             )
         yield OpenAnswer(
-            response.status, _end_to_end_headers(response.headers), response
+            response.status,
+            _end_to_end_headers(response.headers),
+            response,
+            watch_close(response),
         )
 
 
--- a/lagoonring/endpoints/transport.py
+++ b/lagoonring/endpoints/transport.py
@@ -21,7 +21,8 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterator, Mapping
+    import asyncio
+    from collections.abc import AsyncGenerator, Callable, Iterator, Mapping
 
     from aiohttp.connector import Connection
     from aiohttp.tracing import Trace
@@ -163,8 +164,50 @@
 
 async def read_body(response: aiohttp.ClientResponse) -> bytes:
     """Return the complete body; raises the errors of :func:`send`."""
-    with typed_errors(str(response.url)):
-        return await response.read()
+    closed = watch_close(response)
+    return b"".join([chunk async for chunk in read_chunks(response, closed)])
+
+
+def watch_close(response: aiohttp.ClientResponse) -> asyncio.Future[None] | None:
+    """Return the future of the connection's close, None if it does not end the body.
+
+    The HTTP library treats a reset as the regular end of a body that has neither a
+    length nor chunks. Call this before anything else is awaited.
+    """
+    codings = response.headers.get("Transfer-Encoding", "").lower().split(",")
+    is_framed = codings[-1].strip() == "chunked" or (
+        "Content-Length" in response.headers and codings == [""]
+    )
+    connection = response.connection
+    if is_framed or connection is None or connection.protocol is None:
+        return None
+    return connection.protocol.closed
+
+
+async def read_chunks(
+    response: aiohttp.ClientResponse, closed: asyncio.Future[None] | None
+) -> AsyncGenerator[bytes, None]:
+    """Yield the body as it is received; ``closed`` is that of `watch_close`.
+
+    Raises
+    ------
+    EndpointCutError, EndpointTimeoutError
+        If the body is incomplete.
+    """
+    while True:
+        with typed_errors(str(response.url)):
+            chunk = await response.content.readany()
+        if not chunk:
+            break
+        yield chunk
+    if closed is None:
+        return
+    if not closed.done() or closed.exception() is not None:
+        raise EndpointCutError(
+            f"Got a body of {response.url} that ends with a reset, expected a closed "
+            "connection.",
+            remedy="Repeat the request only if it is idempotent.",
+        )
 
 
 def check_echo(
--- a/lagoonring/platform/sending.py
+++ b/lagoonring/platform/sending.py
@@ -18,7 +18,12 @@
     RelayCutError,
     RelayRefusedError,
 )
-from lagoonring.endpoints.transport import CheckedConnector, send, typed_errors
+from lagoonring.endpoints.transport import (
+    CheckedConnector,
+    read_chunks,
+    send,
+    watch_close,
+)
 from lagoonring.errors import LagoonringError
 from lagoonring.platform import headers as names
 from lagoonring.platform.relay_results import raise_relay_result
@@ -140,7 +145,7 @@
         self.is_not_run = names.NOT_RUN in response.headers
         self.is_signed = names.SIGNATURE in response.headers
         self.statement = names.read_statement(response.status, response.headers)
-        self.closed = _closed_future(response)
+        self.closed = watch_close(response)
 
     async def read(self) -> bytes:
         """Return the complete body; raises `EndpointCutError` if it is too long."""
@@ -155,26 +160,9 @@
                 )
         return bytes(body)
 
-    async def chunks(self) -> AsyncGenerator[bytes, None]:
+    def chunks(self) -> AsyncGenerator[bytes, None]:
         """Yield chunks of the body as they are received."""
-        while True:
-            with typed_errors(str(self.response.url)):
-                chunk = await self.response.content.readany()
-            if not chunk:
-                self._check_not_reset()
-                return
-            yield chunk
-
-    def _check_not_reset(self) -> None:
-        """Raise ``EndpointCutError`` if an unframed body did not end with a close."""
-        if self.closed is None:
-            return
-        if not self.closed.done() or self.closed.exception() is not None:
-            raise EndpointCutError(
-                f"Got a body of {self.response.url} that ends with a reset, "
-                "expected a closed connection.",
-                remedy="Repeat the request only if it is idempotent.",
-            )
+        return read_chunks(self.response, self.closed)
 
     def close(self) -> None:
         """Release the connection to the pool, or close it if the body is unread."""
@@ -249,22 +237,6 @@
         )
 
 
-def _closed_future(response: aiohttp.ClientResponse) -> asyncio.Future[None] | None:
-    """Return the future of the connection's close, if the close ends the body.
-
-    The HTTP library treats a reset as the regular end of a body that has neither a
-    length nor chunks.
-    """
-    is_framed = (
-        "Content-Length" in response.headers
-        or "chunked" in response.headers.get("Transfer-Encoding", "").lower()
-    )
-    connection = response.connection
-    if is_framed or connection is None or connection.protocol is None:
-        return None
-    return connection.protocol.closed
-
-
 def _make_headers(request: CallerRequest, order: SendOrder) -> CIMultiDict[str]:
     headers = CIMultiDict(request.headers)
     headers[names.DEADLINE] = str(max(1, int(order.left_s * 1000)))
--- a/lagoonring/tests/builders/raw_endpoints.py
+++ b/lagoonring/tests/builders/raw_endpoints.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING, Any
 
@@ -70,6 +72,13 @@
         server.close()
 
 
+def reset_connection(writer: asyncio.StreamWriter) -> None:
+    """Close a connection with a TCP reset."""
+    raw = writer.get_extra_info("socket")
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
 @asynccontextmanager
 async def raw_endpoint(
     answer: Callable[[asyncio.StreamWriter, bytes], Any],
--- a/lagoonring/tests/test_sending.py
+++ b/lagoonring/tests/test_sending.py
@@ -5,7 +5,6 @@
 import asyncio
 import contextlib
 import socket
-import struct
 
 import aiohttp
 import pytest
@@ -24,7 +23,7 @@
 )
 from lagoonring.serving.requests import SendOrder
 from lagoonring.tests.builders.ports import free_ports
-from lagoonring.tests.builders.raw_endpoints import raw_endpoint
+from lagoonring.tests.builders.raw_endpoints import raw_endpoint, reset_connection
 from lagoonring.tests.builders.serving import make_record, make_request
 
 ID = make_request().request_id
@@ -72,13 +71,6 @@
     return head + b"Content-Length: %d\r\n\r\n" % len(body) + body
 
 
-def reset_connection(writer):
-    """Close a connection with a TCP reset."""
-    raw = writer.get_extra_info("socket")
-    raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-    writer.transport.abort()
-
-
 async def test_sends_system_headers_to_the_endpoint(sender):
     request = make_request(
         method="POST",
