Answer every accepted request before an entry instance stops

Callers of an entry instance that stopped found their connection closed without an answer: calls of plain services, with and without a key, and chats, streamed or not, that were in progress at the end of the grace period or when a second signal aborted the drain; requests that waited to be admitted; and administration calls. Kept connections were not told that the instance leaves.

A drain waited only for admitted requests, and the HTTP server then cancelled the handlers that were left. Now it waits for each HTTP request accepted before the drain. Requests that wait to be admitted are refused at once with 503, Retry-After and the outcome "not run". At the end of the grace period, or before an aborted stop, what is in progress is ended with one error that states its outcome, and only then connections are closed. Answers of a leaving instance carry "Connection: close". Requests that come while it drains are not waited for, so they can't prolong the drain.

The services of the request path share the grace period; each was given the whole of it, so that the end could come after twice the time. This part was found by reading and has no test of its own.

--- a/lagoonring/entry/application.py
+++ b/lagoonring/entry/application.py
@@ -102,11 +102,13 @@
     async def drain(self, grace_s: float) -> None:
         """Drain the services of the request path in reverse order.
 
-        The HTTP server keeps listening until :meth:`stop`, so callers are still
-        answered meanwhile.
+        They share the grace period. The HTTP server keeps listening until
+        :meth:`stop`, so callers are still answered meanwhile.
         """
+        clock = self.app.clock
+        end_s = clock.monotonic() + grace_s
         for service in reversed(self.started):
-            await service.drain(grace_s)
+            await service.drain(max(end_s - clock.monotonic(), 0.0))
 
     async def stop(self) -> None:
         """Stop the services of the request path in reverse order."""
--- a/lagoonring/requests/errors.py
+++ b/lagoonring/requests/errors.py
@@ -143,6 +143,26 @@
     )
 
 
+def leaving_error() -> NotReadyError:
+    """Return the error for a request that a leaving instance did not begin."""
+    return NotReadyError(
+        "Got an instance that is leaving, expected a ready one.",
+        remedy="Send the request again; another instance takes it.",
+        retry_after_s=FAILED_RETRY_AFTER_S,
+    )
+
+
+def given_up_error(may_have_run: bool) -> LagoonringError:
+    """Return the error for a request in progress when its instance stops."""
+    if not may_have_run:
+        return leaving_error()
+    return OutcomeUnknownError(
+        "Got a stop of this instance before the answer, expected the whole answer; "
+        "the request may have run.",
+        remedy="Send it again with the same Idempotency-Key to learn its outcome.",
+    )
+
+
 def correct_outcome(error: LagoonringError, *, may_have_run: bool) -> LagoonringError:
     """Replace the outcome "not run" of an error by "unknown" if it is uncertain."""
     if may_have_run and error.outcome is Outcome.NOT_RUN:
--- a/lagoonring/requests/handover.py
+++ b/lagoonring/requests/handover.py
@@ -77,7 +77,7 @@
 
         The handover begins ``handover_margin_s`` before the end of the grace period.
         """
-        self.requests.is_leaving = True
+        self.requests.leave()
         margin_s = self.requests.parts.options.handover_margin_s
         try:
             async with asyncio.timeout(max(0.0, grace_s - margin_s)):
--- a/lagoonring/requests/http_server.py
+++ b/lagoonring/requests/http_server.py
@@ -24,7 +24,12 @@
     read_request_timeout_s,
     read_stream_position,
 )
-from lagoonring.requests.errors import InternalFaultError, unknown_request
+from lagoonring.requests.errors import (
+    InternalFaultError,
+    OutcomeUnknownError,
+    given_up_error,
+    unknown_request,
+)
 from lagoonring.requests.request_builders import (
     find_entry,
     make_chat_request,
@@ -98,7 +103,8 @@
         self.registry = registry
         self.host = host
         self.port = port
-        self.web_app = web.Application(middlewares=[_convert_errors])
+        self.web_app = web.Application(middlewares=[self._track, _convert_errors])
+        self.web_app.on_response_prepare.append(self._close_if_leaving)
         self.runner: web.AppRunner | None = None
         self.web_app.add_routes(
             [
@@ -131,7 +137,8 @@
         logger.info("Listening on {}:{}.", self.host, self.port)
 
     async def stop(self) -> None:
-        """Close the listening socket and all connections."""
+        """Answer what is left, then close the listening socket and all connections."""
+        await self.requests.give_up()
         if self.runner is not None:
             await self.runner.cleanup()
 
@@ -251,6 +258,40 @@
         body = generate_latest(self.registry)
         return web.Response(body=body, headers={"Content-Type": CONTENT_TYPE_LATEST})
 
+    @web.middleware
+    async def _track(
+        self, request: web.Request, handler: Callable[[web.Request], Any]
+    ) -> web.StreamResponse:
+        """Let a drain wait for a request that was accepted before it.
+
+        Later ones are refused or short; counting them would prolong the drain.
+        """
+        requests = self.requests
+        is_counted = not requests.is_leaving
+        if is_counted:
+            requests.count_started()
+        try:
+            async with requests.answers.hold(lambda: given_up_error(True)):
+                response = await handler(request)
+        except OutcomeUnknownError as error:
+            if request.writer.output_size:
+                raise ConnectionResetError("The answer was begun.") from error
+            response = error_response(error, request.get(REQUEST_ID, ""))
+        finally:
+            if is_counted:
+                requests.count_ended()
+        if requests.is_leaving:
+            response.force_close()
+        return response
+
+    async def _close_if_leaving(
+        self, _request: web.Request, response: web.StreamResponse
+    ) -> None:
+        """Tell callers of a leaving instance not to reuse their connections."""
+        if self.requests.is_leaving:
+            response.force_close()
+            response.headers["Connection"] = "close"
+
 
 @web.middleware
 async def _convert_errors(
--- a/lagoonring/requests/service.py
+++ b/lagoonring/requests/service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections import OrderedDict
 from typing import TYPE_CHECKING
 
@@ -13,7 +14,10 @@
 from lagoonring.requests.errors import (
     NotReadyError,
     correct_outcome,
+    given_up_error,
+    leaving_error,
 )
+from lagoonring.requests.interrupts import Interrupts
 from lagoonring.requests.plain import PlainRun, run_plain
 from lagoonring.requests.producer import produce
 from lagoonring.requests.stream_moves import move_stream
@@ -21,10 +25,12 @@
 from lagoonring.requests.traces import Trace, Traces, trace_of_stream
 
 if TYPE_CHECKING:
+    from lagoonring.limits.messages import Permit
     from lagoonring.requests.messages import ChatRequest, PlainAnswer, PlainRequest
     from lagoonring.requests.parts import RequestParts
 
 NOT_READY_RETRY_AFTER_S = 1.0
+MAX_ANSWER_S = 1.0  # to write the final answers of requests that were given up
 
 logger = make_logger("requests")
 
@@ -38,6 +44,12 @@
         Services and functions that handle requests.
     instance : str
         Name of this instance; request ids begin with it.
+
+    Attributes
+    ----------
+    queued, calls, answers : Interrupts
+        Requests that wait to be admitted, calls of plain services in progress, and
+        HTTP requests that are not answered yet.
     """
 
     name = "requests"
@@ -54,6 +66,9 @@
         self.idle = asyncio.Event()
         self.idle.set()
         self.is_leaving = False
+        self.queued = Interrupts()
+        self.calls = Interrupts()
+        self.answers = Interrupts()
 
     def new_request_id(self) -> str:
         """Return a new id, which begins with the name of this instance."""
@@ -61,14 +76,27 @@
 
     def check_ready(self) -> None:
         """Raise NotReadyError unless this instance accepts new requests."""
-        if self.is_leaving or self.parts.catalogue.revision < 0:
-            state = "leaving" if self.is_leaving else "without a catalogue"
+        if self.is_leaving:
+            raise leaving_error()
+        if self.parts.catalogue.revision < 0:
             raise NotReadyError(
-                f"Got an instance that is {state}, expected a ready one.",
+                "Got an instance that is without a catalogue, expected a ready one.",
                 remedy="Send the request again; another instance takes it.",
                 retry_after_s=NOT_READY_RETRY_AFTER_S,
             )
 
+    def leave(self) -> None:
+        """Accept no new requests and refuse those that wait to be admitted."""
+        self.is_leaving = True
+        self.queued.interrupt_all()
+
+    async def admit(self, request: ChatRequest | PlainRequest) -> Permit:
+        """Wait until a request is admitted; refuse it once this instance leaves."""
+        self.check_ready()
+        self.parts.retries.check(request.fingerprint)
+        async with self.queued.hold(leaving_error):
+            return await self.parts.limits.admit(_admit_request(request))
+
     async def start_stream(self, request: ChatRequest) -> Stream:
         """Admit a request and start to produce its answer.
 
@@ -77,9 +105,7 @@
         NotReadyError, QuarantinedError, RefusedError
             If the request is not admitted; it was not run.
         """
-        self.check_ready()
-        self.parts.retries.check(request.fingerprint)
-        permit = await self.parts.limits.admit(_admit_request(request))
+        permit = await self.admit(request)
         self.parts.metrics.streams.inc()
         return self.run_stream(Stream(request=request, permit=permit))
 
@@ -87,7 +113,7 @@
         """Start the task that produces a stream."""
         stream.started_s = self.app.clock.monotonic()
         self.streams[stream.request.request_id] = stream
-        self._count_started()
+        self.count_started()
         stream.task = asyncio.create_task(self._produce(stream))
         return stream
 
@@ -115,16 +141,15 @@
 
     async def call_plain(self, request: PlainRequest) -> PlainAnswer:
         """Admit and run a call of a plain service."""
-        self.check_ready()
-        self.parts.retries.check(request.fingerprint)
-        permit = await self.parts.limits.admit(_admit_request(request))
+        permit = await self.admit(request)
         run = PlainRun(request=request)
         started_s = self.app.clock.monotonic()
         outcome = "internal"
         answer = None
-        self._count_started()
+        self.count_started()
         try:
-            answer = await run_plain(self.parts, run)
+            async with self.calls.hold(lambda: given_up_error(run.may_have_run)):
+                answer = await run_plain(self.parts, run)
             outcome = "replayed" if answer.replayed else "ok"
             return answer
         except LagoonringError as error:
@@ -132,7 +157,7 @@
             correct_outcome(error, may_have_run=run.may_have_run)
             raise
         finally:
-            self._count_ended()
+            self.count_ended()
             permit.release(0)
             endpoint = answer.endpoint if answer else ""
             elapsed_s = self.app.clock.monotonic() - started_s
@@ -142,9 +167,9 @@
         """Charge, retain and trace a stream that has ended."""
         request = stream.request
         if not stream.is_done:
-            stream.end(NotReadyError("Got a stop, expected an answer."))
+            stream.end(given_up_error(stream.may_have_run))
         self.streams.pop(request.request_id, None)
-        self._count_ended()
+        self.count_ended()
         if stream.permit is not None:
             stream.permit.release(stream.journal.n_tokens)
             self.parts.metrics.streams.dec()
@@ -185,8 +210,8 @@
                 self.parts.run_in_background(move)
 
     async def drain(self, grace_s: float) -> None:
-        """Refuse new requests and wait for those in progress."""
-        self.is_leaving = True
+        """Refuse new requests, wait for those in progress, give up the rest."""
+        self.leave()
         try:
             async with asyncio.timeout(grace_s):
                 await self.idle.wait()
@@ -196,6 +221,22 @@
                 "Requests still in progress after the grace period: {}.",
                 self.n_in_progress,
             )
+            await self.give_up()
+
+    async def give_up(self) -> None:
+        """End all requests in progress with an error that states their outcome."""
+        self.leave()
+        self.calls.interrupt_all()
+        for stream in list(self.streams.values()):
+            await self.pause_stream(stream)
+            if stream.request.request_id in self.streams:
+                self.finish_stream(stream)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(MAX_ANSWER_S):
+                await self.idle.wait()
+        self.answers.interrupt_all()
+        if self.parts.background:
+            await asyncio.wait(self.parts.background, timeout=MAX_ANSWER_S)
 
     async def stop(self) -> None:
         """Cancel the remaining streams and background tasks."""
@@ -257,11 +298,13 @@
         self.parts.charges.add(request.organisation, request.entry, 0, cost)
         return cost
 
-    def _count_started(self) -> None:
+    def count_started(self) -> None:
+        """Count a piece of work that a drain waits for."""
         self.n_in_progress += 1
         self.idle.clear()
 
-    def _count_ended(self) -> None:
+    def count_ended(self) -> None:
+        """Count the end of a piece of work that a drain waits for."""
         self.n_in_progress -= 1
         if self.n_in_progress == 0:
             self.idle.set()
