Let the soak stop instances in series that overlap

New faults: SIGTERM to three or all instances within a second; SIGHUP and a second SIGTERM while an instance drains; SIGTERM soon after a start; a stop beside a change of configuration, and before slow endpoints. A process that has to be killed after its grace period, without an unplanned disturbance, counts as an unexpected exit.

--- a/lagoonring/soak/deployment.py
+++ b/lagoonring/soak/deployment.py
@@ -81,6 +81,10 @@
         if not is_planned:
             self.unplanned_spans.append((now_s, max(now_s, until_s)))
 
+    def was_disturbed_since(self, at_s: float) -> bool:
+        """Return whether anything but planned work disrupted the instance since."""
+        return any(until_s >= at_s for _, until_s in self.unplanned_spans)
+
 
 class SoakDeployment:
     """The platform, the endpoints and the instances of one soak.
@@ -274,7 +278,10 @@
         new.replace(instance.settings)
 
     async def _restart_ended(self) -> None:
-        """Restart instances that have ended; end those whose grace period is over."""
+        """Restart instances that have ended; end those whose grace period is over.
+
+        Having to be ended counts as an exit that was not expected.
+        """
         while True:
             await asyncio.sleep(RESTART_INTERVAL_S)
             for instance in self.instances:
@@ -291,8 +298,11 @@
 
     def _kill_after_grace(self, instance: Instance) -> None:
         grace_ended_s = (instance.sigterm_s or math.inf) + BOUNDS.grace_s
-        if instance.process is not None and time.monotonic() >= grace_ended_s:
-            instance.process.kill()
+        if instance.process is None or time.monotonic() < grace_ended_s:
+            return
+        if not instance.was_disturbed_since(grace_ended_s - BOUNDS.grace_s):
+            instance.n_unexpected_exits += 1
+        instance.process.kill()
 
 
 def reserve_network(rng: random.Random) -> tuple[int, socket.socket]:
--- a/lagoonring/soak/faults.py
+++ b/lagoonring/soak/faults.py
@@ -25,6 +25,7 @@
 MEAN_GAP_S = 2.5  # between the starts of two faults; short enough for overlaps
 SERIES_SHARE = 0.3  # share of the faults that are repeated in a row
 EXIT_POLL_INTERVAL_S = 0.1
+MAX_SERIES_S = 1.0  # between the first and the last stop of a series
 SETTLE_S = 3.0  # from the end of a fault until its instance counts as recovered
 
 
@@ -131,6 +132,61 @@
         await asyncio.sleep(EXIT_POLL_INTERVAL_S)
 
 
+async def _stop_in_series(
+    deployment: SoakDeployment, fault: Fault, n_instances: int
+) -> None:
+    """Send SIGTERM to several instances within a second."""
+    instances = deployment.instances
+    first = fault.pick % len(instances)
+    chosen = (instances[first:] + instances[:first])[:n_instances]
+    for instance in chosen:
+        deployment.signal(instance, signal.SIGTERM)
+        await asyncio.sleep(MAX_SERIES_S / len(chosen))
+    for instance in chosen:
+        await _wait_for_exit(instance.process)
+
+
+async def _stop_three(deployment: SoakDeployment, fault: Fault) -> None:
+    await _stop_in_series(deployment, fault, 3)
+
+
+async def _stop_all(deployment: SoakDeployment, fault: Fault) -> None:
+    await _stop_in_series(deployment, fault, len(deployment.instances))
+
+
+async def _stop_with_signals(deployment: SoakDeployment, fault: Fault) -> None:
+    """Stop an instance, with a reload and another SIGTERM while it drains."""
+    instance = _instance(deployment, fault)
+    process = instance.process
+    for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM):
+        if process is instance.process:
+            deployment.signal(instance, number)
+        await asyncio.sleep(fault.for_s / 5)
+    await _wait_for_exit(process)
+
+
+async def _stop_while_starting(deployment: SoakDeployment, fault: Fault) -> None:
+    """Stop an instance, and its next process soon after its start."""
+    instance = _instance(deployment, fault)
+    await _planned_stop(deployment, fault)
+    await asyncio.sleep(fault.for_s / 2)
+    deployment.signal(instance, signal.SIGTERM)
+    await _wait_for_exit(instance.process)
+
+
+async def _stop_beside_change(deployment: SoakDeployment, fault: Fault) -> None:
+    deployment.add_route()
+    await _planned_stop(deployment, fault)
+
+
+async def _stop_before_slow_endpoints(deployment: SoakDeployment, fault: Fault) -> None:
+    for endpoint in deployment.endpoints:
+        endpoint.faults = EndpointFaults(slow_s=fault.for_s / 4)
+    await _planned_stop(deployment, fault)
+    for endpoint in deployment.endpoints:
+        endpoint.faults = EndpointFaults()
+
+
 async def _reload(deployment: SoakDeployment, fault: Fault) -> None:
     instance = _instance(deployment, fault)
     deployment.write_settings(instance, newField=fault.pick)
@@ -260,6 +316,12 @@
     "kill_after_change": _kill_after_change,
     "pause": _pause,
     "planned_stop": _planned_stop,
+    "stop_three": _stop_three,
+    "stop_all": _stop_all,
+    "stop_with_signals": _stop_with_signals,
+    "stop_while_starting": _stop_while_starting,
+    "stop_beside_change": _stop_beside_change,
+    "stop_before_slow": _stop_before_slow_endpoints,
     "reload": _reload,
     "store_silent": _store_silent,
     "store_one_way": _store_one_way,
@@ -278,3 +340,7 @@
     "add_route": _add_route,
     "drop_route": _remove_route,
 }
+
+PLANNED_KINDS = tuple(
+    name for name in KINDS if "stop" in name or name in ("reload", "add_route")
+)
--- a/lagoonring/tests/test_soak.py
+++ b/lagoonring/tests/test_soak.py
@@ -27,7 +27,7 @@
     make_events,
     make_signature,
 )
-from lagoonring.soak.faults import KINDS, schedule
+from lagoonring.soak.faults import KINDS, PLANNED_KINDS, schedule
 from lagoonring.soak.guarantees import RECOVERY_S, SoakRecord, check
 from lagoonring.soak.messages import PlannedWork, WorkKind
 from lagoonring.soak.run import run_soak
@@ -351,3 +351,12 @@
         1, 12.0, tmp_path, n_per_data_centre=1, kinds=["planned_stop"]
     )
     assert [item for item in result.violations if item.guarantee == "lost"] == []
+
+
+@pytest.mark.processes
+@pytest.mark.parametrize(("seed", "n_instances"), [(2, 1), (3, 3)])
+async def test_planned_work_in_series_breaks_no_promise(seed, n_instances, tmp_path):
+    result = await run_soak(
+        seed, 15.0, tmp_path, n_per_data_centre=n_instances, kinds=PLANNED_KINDS
+    )
+    assert result.violations == []
