Send no error into an answer of the callers' interface that has begun

A caller of a stream that another instance holds could find the whole head and text of an error in the middle of the body: an exception after the answer had begun, such as the time limit of the relayed stream, was converted to an error response, whose head was sent on the same connection. Without chunks a holder that broke off also looked like the end of the stream.

An error after the begin now aborts the connection, with a reset where chunks do not frame the answer, and the time limit counts as a break like any other.

--- a/lagoonring/requests/handover.py
+++ b/lagoonring/requests/handover.py
@@ -20,6 +20,7 @@
 from lagoonring.requests.relay_headers import RELAYED_HEADER, TO_DATA_CENTRE, TO_HOLDER
 from lagoonring.requests.request_builders import make_chat_request
 from lagoonring.requests.streams import Stream
+from lagoonring.requests.unframed import begin_unframed, end_unframed
 
 if TYPE_CHECKING:
     from lagoonring.kernel import Application
@@ -322,13 +323,15 @@
     names = ("Content-Type", "X-Request-Id", "X-Cost", "X-Outcome", "Retry-After")
     headers = {name: answer.headers[name] for name in names if name in answer.headers}
     response = web.StreamResponse(status=answer.status, headers=headers)
+    begin_unframed(request)
     await response.prepare(request)
     try:
         async for chunk in answer.content.iter_any():
             await response.write(chunk)
-    except aiohttp.ClientError as error:
+    except (aiohttp.ClientError, TimeoutError) as error:
         # The caller receives an answer without its end event, and re-attaches.
         raise ConnectionResetError(
             "The holder closed the connection before the end."
         ) from error
+    end_unframed(request)
     return response
--- a/lagoonring/requests/http_server.py
+++ b/lagoonring/requests/http_server.py
@@ -30,6 +30,7 @@
     make_chat_request,
     make_plain_request,
 )
+from lagoonring.requests.unframed import begin_unframed
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
@@ -260,7 +261,7 @@
     try:
         return await handler(request)
     except LagoonringError as error:
-        return error_response(error, request.get(REQUEST_ID, ""))
+        return _answer_error(request, error)
     except web.HTTPException as error:
         if error.status < 400:
             raise
@@ -271,12 +272,27 @@
         )
         converted.code = error.reason.lower().replace(" ", "_")
         converted.status = error.status
-        return error_response(converted, "")
+        return _answer_error(request, converted)
     except ConnectionError:
         raise
     except Exception:
         logger.exception("Request failed.")
-        return error_response(InternalFaultError(), request.get(REQUEST_ID, ""))
+        return _answer_error(request, InternalFaultError())
+
+
+def _answer_error(request: web.Request, error: LagoonringError) -> web.StreamResponse:
+    """Return an error as the answer, or abort the answer that has begun.
+
+    A second head would be sent in the middle of the first answer's body.
+    """
+    if request.writer.output_size == 0:
+        return error_response(error, request.get(REQUEST_ID, ""))
+    begin_unframed(request)
+    if request.transport is not None:
+        request.transport.abort()
+    raise ConnectionAbortedError(
+        f"Got {error.code} after the answer had begun."
+    ) from error
 
 
 def _forwarded_headers(headers: Mapping[str, str]) -> dict[str, str]:
