Count the grace period from the signal, not from the end of the start

An instance that gets SIGTERM while it starts drained for the whole grace period after its start, and was killed before the end of the drain, with its callers' requests. The drain now gets what is left of the period. Found by reading; test_stop_during_the_start_shortens_the_drain asks for what did not exist before.

--- a/lagoonring/entry/process.py
+++ b/lagoonring/entry/process.py
@@ -45,7 +45,7 @@
         flush=True,
     )
     await app.leaving.wait()
-    grace_s = settings.grace_s if app.grace_s is None else app.grace_s
+    grace_s = app.remaining_grace_s()
     logger.info("Draining for at most {} s.", grace_s)
     await _drain(app.drain(grace_s), aborted)
     await app.stop()
--- a/lagoonring/kernel/application.py
+++ b/lagoonring/kernel/application.py
@@ -82,6 +82,8 @@
 
     Attributes
     ----------
+    left_s : float
+        Time on the clock of the first call of :meth:`leave`.
     drain_end_s : float or None
         Time on the clock at which the drain ends; None before it begins.
     """
@@ -102,6 +104,7 @@
         self.draining = False
         self.leaving = asyncio.Event()
         self.grace_s: float | None = None
+        self.left_s = float("-inf")
         self.drain_end_s: float | None = None
 
     def leave(self, grace_s: float) -> None:
@@ -111,8 +114,15 @@
         """
         if not self.leaving.is_set():
             self.grace_s = grace_s
+            self.left_s = self.clock.monotonic()
             self.leaving.set()
 
+    def remaining_grace_s(self) -> float:
+        """Return what is left of the grace period since :meth:`leave`, or 0."""
+        if self.grace_s is None:
+            return 0.0
+        return max(self.left_s + self.grace_s - self.clock.monotonic(), 0.0)
+
     def add(self, service: Any) -> Any:
         """Register a service under its ``name`` and return it."""
         self.services[service.name] = service
--- a/lagoonring/platform/process.py
+++ b/lagoonring/platform/process.py
@@ -53,7 +53,8 @@
         extra={"instance": settings.instance, "data_centre": settings.data_centre},
     )
     await app.leaving.wait()
-    logger.info("Leaving.", extra={"grace_s": grace_s})
+    grace_s = app.remaining_grace_s()
+    logger.info("Leaving.", extra={"grace_s": round(grace_s, 3)})
     await app.drain(grace_s)
     await app.stop()
     logger.info("Stopped.")
--- a/lagoonring/tests/test_application.py
+++ b/lagoonring/tests/test_application.py
@@ -107,3 +107,16 @@
     await app.drain(5.0)
     await app.stop()
     assert left == [5.0, 2.0, 0.0]
+
+
+async def test_stop_during_the_start_shortens_the_drain():
+    """The process is killed a grace period after the signal, not after the start."""
+    clock = ManualClock()
+    app = Application(clock=clock)
+    assert app.remaining_grace_s() == 0.0
+    app.leave(8.0)
+    await clock.advance(3.0)
+    app.leave(8.0)
+    assert app.remaining_grace_s() == 5.0
+    await clock.advance(9.0)
+    assert app.remaining_grace_s() == 0.0
