Read whose refusal it is before an engine's refusal is believed

A stale refusal of another request on a kept connection counted as 'not run' on the own interface: the status was read before the ids that the answer echoes. Ids that differ are now seen first, and connections to endpoints on which bytes have arrived after an answer are not reused. test_a_refusal_of_another_request_is_not_believed failed before (6 of 6) and passes.

--- a/lagoonring/endpoints/model_engine.py
+++ b/lagoonring/endpoints/model_engine.py
@@ -107,6 +107,7 @@
                 connect_timeout_s=connect_timeout_s,
             )
     async with response:
+        check_echo(headers, response, is_strict=False)
         with typed_errors(url):
             async with asyncio.timeout_at(deadline_s):
                 await raise_unless_ok(response)
@@ -142,6 +143,7 @@
         timeout_s=timeout_s,
     )
     async with response:
+        check_echo(headers, response, is_strict=False)
         await raise_unless_ok(response)
         check_echo(headers, response, is_strict=True)
         answer = await read_body(response)
--- a/lagoonring/entry/application.py
+++ b/lagoonring/entry/application.py
@@ -10,6 +10,7 @@
 from lagoonring.audit import AuditService
 from lagoonring.catalogue.service import CatalogueService
 from lagoonring.claims import ClaimsService
+from lagoonring.endpoints.connections import CheckedConnector
 from lagoonring.fleet.service import FleetService
 from lagoonring.kernel import Application, BaseService, Clock
 from lagoonring.limits.service import LimitsService
@@ -49,7 +50,7 @@
 
     async def start(self) -> None:
         """Open the session, with unlimited connections and no total timeout."""
-        connector = aiohttp.TCPConnector(limit=NO_CONNECTION_LIMIT)
+        connector = CheckedConnector(limit=NO_CONNECTION_LIMIT)
         self.session = aiohttp.ClientSession(
             connector=connector, timeout=aiohttp.ClientTimeout(total=None)
         )
--- a/lagoonring/tests/test_model_engine.py
+++ b/lagoonring/tests/test_model_engine.py
@@ -11,6 +11,7 @@
     EndpointConnectError,
     EndpointCrossedError,
     EndpointCutError,
+    EndpointError,
     EndpointFailedError,
     EndpointRefusedError,
     EndpointRejectedError,
@@ -30,6 +31,7 @@
 from lagoonring.errors import Outcome
 from lagoonring.kernel import Clock
 from lagoonring.standins.tokens import canonical_prompt, text_of
+from lagoonring.tests.builders.raw_endpoints import raw_endpoint
 from lagoonring.tests.builders.standins import (
     PROMPT,
     make_chat,
@@ -178,6 +180,46 @@
     assert [type(result) for result in results] == [EndpointCrossedError] * 2
 
 
+async def fail_by_refusal(session, ids, status, is_streamed):
+    """Return the error of a request that an endpoint refuses with the given ids."""
+    content = f"HTTP/1.1 {status} X\r\n{ids}Content-Length: 2\r\n\r\n{{}}".encode()
+    async with raw_endpoint(lambda writer, head: writer.write(content)) as (address, _):
+        own = {"request_id": "r1", "attempt_id": "r1-1"}
+        url, body = f"http://{address}", make_chat(stream=is_streamed)
+        limits = {"first_timeout_s": TIMEOUT_S, "next_timeout_s": TIMEOUT_S}
+        with pytest.raises(EndpointError) as caught:
+            if is_streamed:
+                await collect(open_stream(session, url, body, **own, **limits))
+            else:
+                await fetch_answer(session, url, body, **own, timeout_s=TIMEOUT_S)
+    return caught.value
+
+
+refusals = pytest.mark.parametrize("status", [400, 429, 503])
+streamed = pytest.mark.parametrize("is_streamed", [False, True])
+
+
+@refusals
+@streamed
+async def test_a_refusal_of_another_request_is_not_believed(
+    session, status, is_streamed
+):
+    ids = "X-Request-Id: r0\r\nX-Attempt-Id: r0-1\r\n"
+    error = await fail_by_refusal(session, ids, status, is_streamed)
+    assert isinstance(error, EndpointCrossedError)
+    assert error.outcome is Outcome.UNKNOWN
+
+
+@refusals
+@streamed
+async def test_a_refusal_that_names_no_request_is_not_believed(
+    session, status, is_streamed
+):
+    error = await fail_by_refusal(session, "", status, is_streamed)
+    assert isinstance(error, EndpointCrossedError)
+    assert error.outcome is Outcome.UNKNOWN
+
+
 async def test_crash_cuts_every_stream_and_clears_the_cache(session):
     long_prompt = "a" * 1000
     async with running_engine() as engine:
--- a/lagoonring/tests/test_plain_service.py
+++ b/lagoonring/tests/test_plain_service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from types import SimpleNamespace
 
 import aiohttp
 import pytest
@@ -18,6 +19,7 @@
     open_call,
 )
 from lagoonring.errors import Outcome
+from lagoonring.tests.builders.raw_endpoints import raw_endpoint
 from lagoonring.tests.builders.standins import running_plain, set_faults
 
 TIMEOUT_S = 5.0
@@ -121,6 +123,14 @@
     assert [type(result) for result in results] == [EndpointCrossedError] * 2
 
 
+async def test_a_refusal_that_names_no_request_is_not_believed(session):
+    content = b"HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+    async with raw_endpoint(lambda writer, head: writer.write(content)) as (address, _):
+        with pytest.raises(EndpointCrossedError) as caught:
+            await hold_seats(session, SimpleNamespace(url=f"http://{address}"))
+    assert caught.value.outcome is Outcome.UNKNOWN
+
+
 async def test_answers_over_the_limit_are_dropped(session):
     async with running_plain() as plain:
         with pytest.raises(EndpointFailedError):
