Don't refuse plain requests for good because endpoints were slow once

The objective bounds the queue; where nothing runs there is none, and only the time that is left decides now.

test_slow_endpoints_are_not_refused_for_good_while_they_are_free failed before (503) and passes; with requests running there the refusal stays as it was.

--- a/lagoonring/serving/path.py
+++ b/lagoonring/serving/path.py
@@ -30,6 +30,7 @@
 if TYPE_CHECKING:
     from lagoonring.serving.endpoints import Endpoint
     from lagoonring.serving.parts import ServingParts
+    from lagoonring.serving.placing import Placement
     from lagoonring.serving.requests import CallerRequest, Job, Sink
 
 MAX_STORE_WAIT_S = 0.25  # at start the store is read within some hundredths of a second
@@ -149,7 +150,7 @@
             estimate_s=None if placement is None else placement.estimate_s,
             left_s=left_s,
             max_wait_s=job.route.max_wait_s,
-            objective_s=_queue_objective_s(job),
+            objective_s=_queue_objective_s(job, placement),
             opens_s=opens_s,
         )
         refusal = decide(wait, self.parts.app.rng)
@@ -322,10 +323,12 @@
             )
 
 
-def _queue_objective_s(job: Job) -> float:
+def _queue_objective_s(job: Job, placement: Placement | None) -> float:
     """Return the objective of plain answers, beyond which a queue serves nobody.
 
-    Long streams are of use also if they begin late.
+    Long streams are of use also if they begin late. Where nothing runs there is no
+    queue, and without requests a long answer time would never be corrected.
     """
     is_stream = job.route.kind is RequestKind.STREAM
-    return math.inf if is_stream else job.route.objective_s
+    is_free = placement is not None and placement.n_running == 0
+    return math.inf if is_stream or is_free else job.route.objective_s
--- a/lagoonring/tests/test_serving_path.py
+++ b/lagoonring/tests/test_serving_path.py
@@ -232,6 +232,19 @@
     assert 0 < sink.error.retry_after_s <= 2.0 / 3
 
 
+@pytest.mark.parametrize(("n_running", "status"), [(0, 200), (1, 503)])
+async def test_slow_endpoints_are_not_refused_for_good_while_they_are_free(
+    n_running, status
+):
+    route = make_route(objective_s=0.3, timeout_s=2.0, max_wait_s=2.0)
+    sender = FakeSender(lambda order: FakeAnswer([b"ok"]))
+    parts = make_parts(sender, configuration=make_configuration(route))
+    for endpoint in parts.table.of_service("desk"):
+        endpoint.service_s = 0.9
+        endpoint.n_running = n_running
+    assert (await serve(parts)).status == status
+
+
 async def test_refuses_requests_beyond_the_limit():
     organisation = make_organisation(rate_per_s=0.1, burst=2.0)
     configuration = make_configuration(organisations=(organisation,))
