--- a/lagoonring/soak/faults.py
+++ b/lagoonring/soak/faults.py
@@ -139,11 +139,13 @@
     instances = deployment.instances
     first = fault.pick % len(instances)
     chosen = (instances[first:] + instances[:first])[:n_instances]
+    processes = []
     for instance in chosen:
+        processes.append(instance.process)
         deployment.signal(instance, signal.SIGTERM)
         await asyncio.sleep(MAX_SERIES_S / len(chosen))
-    for instance in chosen:
-        await _wait_for_exit(instance.process)
+    for process in processes:
+        await _wait_for_exit(process)
 
 
 async def _stop_three(deployment: SoakDeployment, fault: Fault) -> None:
