Count the run of a stream whose move failed

A stream that was stopped to be moved and could not be had run, but the run was not counted: a refusal at the next endpoint, or the end of a drain while it waited for one, then told its caller 503 'not run', and its usage was returned to the limit.

--- a/lagoonring/serving/path.py
+++ b/lagoonring/serving/path.py
@@ -123,9 +123,9 @@
         assert job.move is not None
         moved = await job.move
         job.move = None
+        job.n_runs += 1
         if moved is None:
             return error
-        job.n_runs += 1
         target, job.moved = moved
         return await self.attempts.send(job, target, sink)
 
--- a/lagoonring/tests/test_serving_path.py
+++ b/lagoonring/tests/test_serving_path.py
@@ -16,6 +16,7 @@
 from lagoonring.errors import Outcome
 from lagoonring.kernel import Clock
 from lagoonring.platform.engine_calls import MovedRun
+from lagoonring.serving.accepting import accept
 from lagoonring.serving.configuration import RequestKind
 from lagoonring.serving.endpoints import EndpointState
 from lagoonring.serving.evacuation import Evacuation
@@ -496,6 +497,20 @@
     return sink, sender, engines
 
 
+@pytest.mark.parametrize("route", [NO_RESUME, STREAM])
+async def test_a_run_whose_move_failed_is_never_told_not_run(route):
+    parts = make_parts(make_sender(), configuration=make_configuration(route))
+    path, request = RequestPath(parts), make_request()
+    job = accept(parts, request)
+    job.move = asyncio.get_running_loop().create_future()
+    job.move.set_result(None)
+    assert await path._continue_moved_stream(job, CUT, CapturingSink()) is CUT
+    path.shutdown.is_interrupting = True
+    assert path.shutdown.end_interrupted(job).outcome is Outcome.UNKNOWN
+    refused = EndpointConnectError("none")
+    assert path._final_error(job, refused).outcome is Outcome.UNKNOWN
+
+
 async def test_a_stream_continues_on_another_endpoint_when_its_own_is_reclaimed():
     moved = MovedRun("127.0.0.1:9", "h-1")
     rest = FakeAnswer([make_event(2), make_event(3)])
