Go on with a drain if one service fails in it

An exception in the retirement or drain of one service ended the drain of all at once, and with it every request in progress. It is now logged, and the others go on.

--- a/lagoonring/entry/application.py
+++ b/lagoonring/entry/application.py
@@ -13,6 +13,7 @@
 from lagoonring.endpoints.connections import CheckedConnector
 from lagoonring.fleet.service import FleetService
 from lagoonring.kernel import Application, BaseService, Clock
+from lagoonring.kernel.application import drain_all
 from lagoonring.limits.service import LimitsService
 from lagoonring.metrics import MetricsService
 from lagoonring.moves.service import MovesService
@@ -108,8 +109,7 @@
         """
         clock = self.app.clock
         end_s = clock.monotonic() + grace_s
-        for service in reversed(self.started):
-            await service.drain(max(end_s - clock.monotonic(), 0.0))
+        await drain_all(self.started, end_s, clock)
 
     async def stop(self) -> None:
         """Stop the services of the request path in reverse order."""
--- a/lagoonring/kernel/application.py
+++ b/lagoonring/kernel/application.py
@@ -11,7 +11,7 @@
 from lagoonring.logs.logger import make_logger
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+    from collections.abc import Awaitable, Callable, Iterable, Sequence
 
 MIN_RESTART_DELAY_S = 0.2
 MAX_RESTART_DELAY_S = 5.0
@@ -175,14 +175,13 @@
         self.draining = True
         end_s = self.drain_end_s = self.clock.monotonic() + grace_s
         await self.retire_all(min(grace_s, MAX_RETIRE_S))
-        for service in reversed(self.started):
-            await service.drain(max(end_s - self.clock.monotonic(), 0.0))
+        await drain_all(self.started, end_s, self.clock)
 
     async def retire_all(self, timeout_s: float = MAX_RETIRE_S) -> None:
         """Retire all services concurrently, within a timeout."""
         try:
             async with asyncio.timeout(timeout_s):
-                await asyncio.gather(*(service.retire() for service in self.started))
+                await retire_together(self.started)
         except TimeoutError:
             logger.warning(
                 "Duties were not released in time, their leases will expire."
@@ -220,3 +219,27 @@
                 delay_s = MIN_RESTART_DELAY_S
             await self.clock.sleep(delay_s)
             delay_s = min(2 * delay_s, MAX_RESTART_DELAY_S)
+
+
+async def retire_together(services: Iterable[Any]) -> None:
+    """Retire services concurrently; errors are logged and do not interrupt it."""
+
+    async def retire(service: Any) -> None:
+        try:
+            await service.retire()
+        except Exception:
+            logger.exception("Service {} failed to retire.", service.name)
+
+    await asyncio.gather(*(retire(service) for service in services))
+
+
+async def drain_all(services: Sequence[Any], end_s: float, clock: Clock) -> None:
+    """Drain services in reverse order until a time on the clock.
+
+    Errors are logged and do not interrupt it: the others have work in progress.
+    """
+    for service in reversed(services):
+        try:
+            await service.drain(max(end_s - clock.monotonic(), 0.0))
+        except Exception:
+            logger.exception("Service {} failed to drain.", service.name)
--- a/lagoonring/platform/application.py
+++ b/lagoonring/platform/application.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import TYPE_CHECKING
 
 from lagoonring.kernel import Application, BaseService
+from lagoonring.kernel.application import drain_all, retire_together
 from lagoonring.metrics import MetricsService
 from lagoonring.platform import documents
 from lagoonring.platform.callers import CallerServer
@@ -171,7 +171,7 @@
 
     async def retire(self) -> None:
         """Release duties and refuse new connections, all services at once."""
-        await asyncio.gather(*(service.retire() for service in self.started))
+        await retire_together(self.started)
 
     async def drain(self, grace_s: float) -> None:
         """Let requests finish.
@@ -179,8 +179,7 @@
         The grace period starts now, at the call, and is shared by all services.
         """
         end_s = self.app.clock.monotonic() + grace_s
-        for service in reversed(self.started):
-            await service.drain(max(end_s - self.app.clock.monotonic(), 0.0))
+        await drain_all(self.started, end_s, self.app.clock)
 
     async def stop(self) -> None:
         """Stop the services in reverse order."""
--- a/lagoonring/tests/test_application.py
+++ b/lagoonring/tests/test_application.py
@@ -120,3 +120,21 @@
     assert app.remaining_grace_s() == 5.0
     await clock.advance(9.0)
     assert app.remaining_grace_s() == 0.0
+
+
+@pytest.mark.parametrize("hook", ["retire", "drain"])
+async def test_failing_hook_of_one_service_does_not_end_the_drain_of_others(hook):
+    calls: list[str] = []
+    faulty = BaseService()
+
+    async def fail(*_arguments):
+        raise ValueError("Got a fault on command.")
+
+    setattr(faulty, hook, fail)
+    app = Application(clock=ManualClock())
+    app.add(Recorder("peers", calls))
+    app.add(faulty)
+    await app.start()
+    await app.drain(1.0)
+    await app.stop()
+    assert calls == ["start peers", "drain peers", "stop peers"]
