Don't let SIGHUP end an entry instance

The program has no reload, and Python's default ended a process that served, without a drain. It now ignores the signal. test_sighup_does_not_end_an_entry_instance failed before (1 of 1) and passes.

--- a/lagoonring/cli/entry_command.py
+++ b/lagoonring/cli/entry_command.py
@@ -8,6 +8,7 @@
 
 import argparse
 import os
+import signal
 import sys
 from pathlib import Path
 from typing import TYPE_CHECKING
@@ -79,5 +80,6 @@
 
 def main(arguments: Sequence[str] | None = None) -> None:
     """Parse the arguments, run the instance and exit with a code."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # settings are read at the start only
     options = make_parser().parse_args(arguments)
     sys.exit(int(run(options.settings, is_check=options.check)))
--- a/lagoonring/tests/test_entry_command.py
+++ b/lagoonring/tests/test_entry_command.py
@@ -180,3 +180,13 @@
         except OSError:
             return
         await asyncio.sleep(0.02)
+
+
+@pytest.mark.processes
+async def test_sighup_does_not_end_an_entry_instance():
+    async with run_processes(n_entries=1) as deployment:
+        await deployment.wait_until_ready(0)
+        deployment.signal(0, signal.SIGHUP)
+        await deployment.wait_until_ready(0)
+        deployment.signal(0, signal.SIGTERM)
+        assert await deployment.wait_for_exit(0) == 0
