Log and count each decision on a retry, and each continued stream

Whether a repeat came from a process that had just started, from one that knew of no other instance, or from a moved stream could not be told: granted and refused retries left no line, and nothing summed them.

Added: a line per decision with the counts that it was based on, a line per stream that goes on after a move, and a counter by service and result. No decision changes.

--- a/lagoonring/serving/attempts.py
+++ b/lagoonring/serving/attempts.py
@@ -370,6 +370,21 @@
 
     def take_retry(self, job: Job) -> bool:
         """Take one retry from the shared budget; return False if none is left."""
-        return self.parts.retry_budget.take(
-            job.service, self.clock.monotonic(), self.parts.exchange.count_instances()
+        budget, n_instances = (
+            self.parts.retry_budget,
+            self.parts.exchange.count_instances(),
         )
+        is_granted = budget.take(job.service, self.clock.monotonic(), n_instances)
+        result = "granted" if is_granted else "refused"
+        self.parts.metrics.retries.labels(job.service, result).inc()
+        logger.info(
+            "Retry {}.",
+            result,
+            extra={
+                "request_id": job.request.request_id,
+                "service": job.service,
+                "n_sends": job.n_sends,
+                **budget.describe(job.service, n_instances),
+            },
+        )
+        return is_granted
--- a/lagoonring/serving/metrics.py
+++ b/lagoonring/serving/metrics.py
@@ -29,6 +29,13 @@
             ["service", "result"],
             registry=registry,
         )
+        self.retries = Counter(
+            "lagoonring_serving_retries_total",
+            "Repeated sends that the retry budget granted or refused, and streams "
+            "that went on elsewhere (moved), by service and result.",
+            ["service", "result"],
+            registry=registry,
+        )
         self.answer_s = Histogram(
             "lagoonring_serving_answer_seconds",
             "Time to the end of an answer, by route.",
--- a/lagoonring/serving/path.py
+++ b/lagoonring/serving/path.py
@@ -127,6 +127,15 @@
         if moved is None:
             return error
         target, job.moved = moved
+        self.parts.metrics.retries.labels(job.service, "moved").inc()
+        logger.info(
+            "Stream continued after a move.",
+            extra={
+                "request_id": job.request.request_id,
+                "service": job.service,
+                "endpoint": target.name,
+            },
+        )
         return await self.attempts.send(job, target, sink)
 
     async def _place(self, job: Job, error: LagoonringError | None) -> Endpoint:
--- a/lagoonring/serving/retry_budget.py
+++ b/lagoonring/serving/retry_budget.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections import deque
+from typing import Any
 
 import attrs
 
@@ -55,6 +56,17 @@
         window.retries.append(now_s)
         return True
 
+    def describe(self, service: str, n_instances: int) -> dict[str, Any]:
+        """Return what the last decision for a service was based on."""
+        window = self.windows.setdefault(service, Window())
+        return {
+            "n_requests": len(window.requests),
+            "n_retries": len(window.retries),
+            "ratio": self.ratio,
+            "slack": self.slack,
+            "n_instances": n_instances,
+        }
+
     def _expire(self, window: Window, now_s: float) -> None:
         oldest_s = now_s - self.window_s
         for times in (window.requests, window.retries):
--- a/lagoonring/tests/test_serving_path.py
+++ b/lagoonring/tests/test_serving_path.py
@@ -368,6 +368,19 @@
     assert record.extra["loads_age_s"] is None
 
 
+@pytest.mark.parametrize(("slack", "result"), [(60, "granted"), (0, "refused")])
+async def test_each_retry_is_logged_with_what_the_budget_was_based_on(slack, result):
+    parts = make_parts(make_sender(CUT, CUT))
+    parts.retry_budget.slack = slack
+    with logbook.TestHandler() as handler:
+        await serve(parts)
+    (record,) = (r for r in handler.records if r.message.startswith("path: Retry "))
+    assert record.message == f"path: Retry {result}."
+    assert record.extra["n_requests"] == 1
+    assert record.extra["n_retries"] == (result == "granted")
+    assert record.extra["n_instances"] == 3
+
+
 async def test_a_timeout_names_the_limit_that_was_reached():
     async def never_answered():
         await asyncio.sleep(60)
