--- /dev/null
+++ b/lagoonring/tests/test_retry_budget.py
@@ -0,0 +1,75 @@
+"""Retry budgets of several instances, without a network."""
+
+from __future__ import annotations
+
+import pytest
+
+from lagoonring.serving.retry_budget import RetryBudget
+from lagoonring.tests.builders.retry_budgets import play_refusals
+
+CENTRES = {"east": 2, "west": 2, "north": 1, "south": 1}
+N_INSTANCES = sum(CENTRES.values())
+
+
+def test_all_instances_together_retry_within_the_budget():
+    n_instances, ratio, slack = 9, 0.2, 58
+    budgets = [
+        RetryBudget(ratio=ratio, slack=slack, window_s=10.0) for _ in range(n_instances)
+    ]
+    n_requests, n_retries = 0, 0
+    for step in range(900):
+        now_s = step / 90
+        budget = budgets[step % n_instances]
+        budget.record_request("desk", now_s)
+        n_requests += 1
+        n_retries += budget.take("desk", now_s, n_instances)
+    assert 0 < n_retries <= ratio * n_requests + slack
+
+
+def test_retries_are_allowed_again_after_the_window():
+    budget = RetryBudget(ratio=0.0, slack=10, window_s=10.0)
+    while budget.take("desk", 1.0, 1):
+        pass
+    assert budget.take("desk", 11.5, 1)
+
+
+@pytest.mark.parametrize("seed", range(5))
+@pytest.mark.parametrize(
+    "kills",
+    [(20.0,), (20.0, 25.0), (20.0, 22.5, 25.0, 27.5), (20.0, 21.5, 23.0, 24.5, 26.0)],
+)
+def test_processes_started_again_keep_to_the_budget_together(kills, seed):
+    play = play_refusals(
+        CENTRES,
+        count_known=lambda *_: N_INSTANCES,
+        kills=kills,
+        ill_from_s=19.5,
+        seed=seed,
+    )
+    assert len(play.repeats) > 50
+    assert play.excess() <= 0
+
+
+@pytest.mark.parametrize("seed", range(5))
+@pytest.mark.parametrize("discovery_s", [0.3, 1.0, 3.0])
+def test_processes_that_know_no_other_yet_keep_to_the_budget(discovery_s, seed):
+    def count_known(instance, now_s):
+        is_alone = now_s < instance.started_s + discovery_s
+        return 1 if is_alone else N_INSTANCES
+
+    play = play_refusals(
+        CENTRES, count_known=count_known, kills=(20.0,), ill_from_s=20.0, seed=seed
+    )
+    assert play.excess() <= 0
+
+
+@pytest.mark.parametrize("seed", range(5))
+@pytest.mark.parametrize("requests_per_s", [0.5, 5.0, 70.0])
+def test_processes_started_in_a_cut_keep_to_the_budget(requests_per_s, seed):
+    play = play_refusals(
+        CENTRES,
+        count_known=lambda instance, _: CENTRES[instance.data_centre],
+        requests_per_s=requests_per_s,
+        seed=seed,
+    )
+    assert play.excess() <= 0
--- a/lagoonring/tests/test_serving_decisions.py
+++ b/lagoonring/tests/test_serving_decisions.py
@@ -11,7 +11,6 @@
 from lagoonring.serving.admitting import WaitEstimate, decide
 from lagoonring.serving.placing import Candidate, Work, choose, prefer_by_part
 from lagoonring.serving.quotas import Quotas
-from lagoonring.serving.retry_budget import RetryBudget
 from lagoonring.serving.sizing import DataCentreFleet, plan
 from lagoonring.serving.suspects import Suspects
 from lagoonring.tests.builders.serving import make_organisation, make_scaling
@@ -407,31 +406,6 @@
     assert all(quotas.take(free, 1e9, 1.0, 1.0) is None for _ in range(10))
 
 
-# Retry budget
-
-
-def test_all_instances_together_retry_within_the_budget():
-    n_instances, ratio, slack = 9, 0.2, 58
-    budgets = [
-        RetryBudget(ratio=ratio, slack=slack, window_s=10.0) for _ in range(n_instances)
-    ]
-    n_requests, n_retries = 0, 0
-    for step in range(900):
-        now_s = step / 90
-        budget = budgets[step % n_instances]
-        budget.record_request("desk", now_s)
-        n_requests += 1
-        n_retries += budget.take("desk", now_s, n_instances)
-    assert 0 < n_retries <= ratio * n_requests + slack
-
-
-def test_retries_are_allowed_again_after_the_window():
-    budget = RetryBudget(ratio=0.0, slack=10, window_s=10.0)
-    while budget.take("desk", 1.0, 1):
-        pass
-    assert budget.take("desk", 11.5, 1)
-
-
 # Requests that crash endpoints
 
 
