Keep the retry budget across starts of an instance

What callers saw: repeats above what all instances may send together, against endpoints that refuse already, once instances are killed while endpoints fail.

Cause: the counts of requests and repeats end with the process, so that every process began with its whole part of the slack, and earned repeats anew, whatever the process before it had just sent.

A process now uses 0.6 of its budget, and 0.3 in its first window, in which the slack comes little by little: a window that holds the end of one process and any number of others stays below the budget. Nothing has to be stored.

--- a/lagoonring/platform/application.py
+++ b/lagoonring/platform/application.py
@@ -240,6 +240,7 @@
             ratio=bounds.retry_ratio,
             slack=bounds.retry_slack,
             window_s=bounds.retry_window_s,
+            started_s=app.clock.monotonic(),
         ),
         suspects=Suspects(),
         prompt_suspects=PromptSuspects(),
--- a/lagoonring/serving/retry_budget.py
+++ b/lagoonring/serving/retry_budget.py
@@ -11,7 +11,10 @@
 
 import attrs
 
-SAFETY_FACTOR = 0.7  # of this instance's part; callers spread unevenly over instances
+# Shares of the budget that a process uses: together less than one, since a process that
+# was killed may have used its whole share just before the next one starts.
+USUAL_SHARE = 0.6
+START_SHARE = 0.3  # in the first window of a process
 
 
 @attrs.define
@@ -33,11 +36,14 @@
         retries in a window.
     window_s : float
         Length of the sliding window.
+    started_s : float
+        Start time of the process, on the clock that the ``now_s`` arguments use.
     """
 
     ratio: float
     slack: float
     window_s: float
+    started_s: float
     windows: dict[str, Window] = attrs.field(init=False, factory=dict)
 
     def record_request(self, service: str, now_s: float) -> None:
@@ -50,12 +56,24 @@
         """Take one retry from the budget; return False if none is left."""
         window = self.windows.setdefault(service, Window())
         self._expire(window, now_s)
-        allowed = self.ratio * len(window.requests) + self.slack / max(n_instances, 1)
-        if len(window.retries) + 1 > SAFETY_FACTOR * allowed:
+        if len(window.retries) + 1 > self._allowed(window, now_s, n_instances):
             return False
         window.retries.append(now_s)
         return True
 
+    def _allowed(self, window: Window, now_s: float, n_instances: int) -> float:
+        """Return how many retries this process may send in a window.
+
+        The slack comes to a young process little by little, so that several that
+        follow each other within a window don't add up.
+        """
+        earned = self.ratio * len(window.requests)
+        slack = self.slack / max(n_instances, 1)
+        age = (now_s - self.started_s) / self.window_s
+        if age < 1:
+            return START_SHARE * (earned + age * slack)
+        return USUAL_SHARE * (earned + slack)
+
     def describe(self, service: str, n_instances: int) -> dict[str, Any]:
         """Return what the last decision for a service was based on."""
         window = self.windows.setdefault(service, Window())
--- a/lagoonring/tests/builders/retry_budgets.py
+++ b/lagoonring/tests/builders/retry_budgets.py
@@ -81,7 +81,7 @@
     """
     rng = random.Random(seed)
     instances = [
-        Instance(centre, make_budget(0.0))
+        Instance(centre, make_budget(-WINDOW_S))
         for centre, n_instances in centres.items()
         for _ in range(n_instances)
     ]
@@ -110,4 +110,4 @@
 
 def make_budget(started_s: float) -> RetryBudget:
     """Return the budget of a process that starts at a time."""
-    return RetryBudget(ratio=RATIO, slack=SLACK, window_s=WINDOW_S)
+    return RetryBudget(ratio=RATIO, slack=SLACK, window_s=WINDOW_S, started_s=started_s)
--- a/lagoonring/tests/builders/serving.py
+++ b/lagoonring/tests/builders/serving.py
@@ -374,7 +374,7 @@
         sender=sender,
         exchange=exchange,
         quotas=Quotas(),
-        retry_budget=RetryBudget(ratio=0.2, slack=60, window_s=10),
+        retry_budget=RetryBudget(ratio=0.2, slack=60, window_s=10, started_s=-math.inf),
         suspects=Suspects(),
         prompt_suspects=PromptSuspects(),
         usage=UsageCounts(5.0, app.clock.time),
--- a/lagoonring/tests/test_retry_budget.py
+++ b/lagoonring/tests/test_retry_budget.py
@@ -14,7 +14,8 @@
 def test_all_instances_together_retry_within_the_budget():
     n_instances, ratio, slack = 9, 0.2, 58
     budgets = [
-        RetryBudget(ratio=ratio, slack=slack, window_s=10.0) for _ in range(n_instances)
+        RetryBudget(ratio=ratio, slack=slack, window_s=10.0, started_s=-10.0)
+        for _ in range(n_instances)
     ]
     n_requests, n_retries = 0, 0
     for step in range(900):
@@ -27,7 +28,7 @@
 
 
 def test_retries_are_allowed_again_after_the_window():
-    budget = RetryBudget(ratio=0.0, slack=10, window_s=10.0)
+    budget = RetryBudget(ratio=0.0, slack=10, window_s=10.0, started_s=-10.0)
     while budget.take("desk", 1.0, 1):
         pass
     assert budget.take("desk", 11.5, 1)
