Divide the slack of the retry budget by data centres, not by instances heard

What callers saw: repeats above what all instances may send together, while data centres are cut off or processes know of no other instance yet.

Cause: the slack was divided by the number of instances that a process knew of: 1 right after its start, that of its own data centre if it started while that was cut off. Several instances then had more than their part each.

Each data centre now has an equal part, which its instances divide; the settings name all data centres.

--- a/lagoonring/serving/attempts.py
+++ b/lagoonring/serving/attempts.py
@@ -370,11 +370,8 @@
 
     def take_retry(self, job: Job) -> bool:
         """Take one retry from the shared budget; return False if none is left."""
-        budget, n_instances = (
-            self.parts.retry_budget,
-            self.parts.exchange.count_instances(),
-        )
-        is_granted = budget.take(job.service, self.clock.monotonic(), n_instances)
+        budget, part = self.parts.retry_budget, self.parts.exchange.part()
+        is_granted = budget.take(job.service, self.clock.monotonic(), part)
         result = "granted" if is_granted else "refused"
         self.parts.metrics.retries.labels(job.service, result).inc()
         logger.info(
@@ -384,7 +381,7 @@
                 "request_id": job.request.request_id,
                 "service": job.service,
                 "n_sends": job.n_sends,
-                **budget.describe(job.service, n_instances),
+                **budget.describe(job.service, part),
             },
         )
         return is_granted
--- a/lagoonring/serving/exchange.py
+++ b/lagoonring/serving/exchange.py
@@ -146,6 +146,10 @@
         """Return the number of known instances, including this one."""
         return self.reachability.count(self.app.clock.monotonic())[1]
 
+    def part(self) -> float:
+        """Return this instance's part of what all instances may use together."""
+        return self.reachability.part(self.app.clock.monotonic())
+
     def reachable_share(self) -> float:
         """Return the share of the known instances that are reachable now."""
         return self.reachability.share(self.app.clock.monotonic())
--- a/lagoonring/serving/reachability.py
+++ b/lagoonring/serving/reachability.py
@@ -10,7 +10,7 @@
 
 import attrs
 
-from lagoonring.serving.members import MEMBER_TIMEOUT_S
+from lagoonring.serving.members import FORGET_S, MEMBER_TIMEOUT_S
 
 if TYPE_CHECKING:
     from collections.abc import Collection
@@ -20,6 +20,7 @@
 
 DISCOVERY_S = 1.0  # several rounds, in which other instances would normally report
 START_SHARE = 1 / 8  # of a usual deployment whose instances start together
+N_ASSUMED_LOCAL = 3  # instances of a usual data centre
 
 
 @attrs.define
@@ -99,6 +100,18 @@
         n_centres = 1 + len(self._known_centres())
         return n_heard / n_known * n_centres / max(len(self.data_centres), 1)
 
+    def part(self, now_s: float) -> float:
+        """Return this instance's part of what all instances may use together.
+
+        Data centres have equal parts, and so have the instances of each. The parts add
+        up to one at most also while instances don't hear of other data centres. A young
+        process that knows of no other here assumes that there are some.
+        """
+        n_local = 1 + len(self.members.local())
+        if n_local == 1 and now_s - self.started_s < FORGET_S:
+            n_local = N_ASSUMED_LOCAL
+        return 1 / (n_local * max(len(self.data_centres), 1))
+
     def is_complete(self, now_s: float) -> bool:
         """Return whether there is no need to contact the seeds.
 
--- a/lagoonring/serving/retry_budget.py
+++ b/lagoonring/serving/retry_budget.py
@@ -52,29 +52,33 @@
         window.requests.append(now_s)
         self._expire(window, now_s)
 
-    def take(self, service: str, now_s: float, n_instances: int) -> bool:
-        """Take one retry from the budget; return False if none is left."""
+    def take(self, service: str, now_s: float, part: float) -> bool:
+        """Take one retry from the budget; return False if none is left.
+
+        ``part`` is this instance's part of the slack; the parts of all instances add
+        up to one at most.
+        """
         window = self.windows.setdefault(service, Window())
         self._expire(window, now_s)
-        if len(window.retries) + 1 > self._allowed(window, now_s, n_instances):
+        if len(window.retries) + 1 > self._allowed(window, now_s, part):
             return False
         window.retries.append(now_s)
         return True
 
-    def _allowed(self, window: Window, now_s: float, n_instances: int) -> float:
+    def _allowed(self, window: Window, now_s: float, part: float) -> float:
         """Return how many retries this process may send in a window.
 
         The slack comes to a young process little by little, so that several that
         follow each other within a window don't add up.
         """
         earned = self.ratio * len(window.requests)
-        slack = self.slack / max(n_instances, 1)
+        slack = self.slack * part
         age = (now_s - self.started_s) / self.window_s
         if age < 1:
             return START_SHARE * (earned + age * slack)
         return USUAL_SHARE * (earned + slack)
 
-    def describe(self, service: str, n_instances: int) -> dict[str, Any]:
+    def describe(self, service: str, part: float) -> dict[str, Any]:
         """Return what the last decision for a service was based on."""
         window = self.windows.setdefault(service, Window())
         return {
@@ -82,7 +86,7 @@
             "n_retries": len(window.retries),
             "ratio": self.ratio,
             "slack": self.slack,
-            "n_instances": n_instances,
+            "part": round(part, 4),
         }
 
     def _expire(self, window: Window, now_s: float) -> None:
--- a/lagoonring/tests/builders/retry_budgets.py
+++ b/lagoonring/tests/builders/retry_budgets.py
@@ -9,6 +9,7 @@
 import attrs
 
 from lagoonring.serving.retry_budget import RetryBudget
+from lagoonring.tests.builders.exchanges import Deployment
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -25,6 +26,7 @@
     """One instance in a sequence of processes."""
 
     data_centre: str
+    number: int
     budget: RetryBudget
     started_s: float = 0.0
 
@@ -60,7 +62,7 @@
 def play_refusals(
     centres: dict[str, int],
     *,
-    count_known: Callable[[Instance, float], int],
+    part_of: Callable[[Instance, float], float],
     kills: Sequence[float] = (),
     ill_from_s: float = 0.0,
     requests_per_s: float = 70.0,
@@ -73,17 +75,17 @@
     ----------
     centres : dict
         Number of instances by data centre.
-    count_known : callable
-        ``count_known(instance, now_s)`` returns how many instances an instance knows
-        of, itself included.
+    part_of : callable
+        ``part_of(instance, now_s)`` returns the part of the slack that an instance
+        takes for its own.
     ill_from_s : float
         Time from which endpoints refuse all requests.
     """
     rng = random.Random(seed)
     instances = [
-        Instance(centre, make_budget(-WINDOW_S))
+        Instance(centre, number, make_budget(-WINDOW_S))
         for centre, n_instances in centres.items()
-        for _ in range(n_instances)
+        for number in range(n_instances)
     ]
     play, now_s, remaining = Play(), 0.0, list(kills)
     while now_s < duration_s:
@@ -102,12 +104,36 @@
         if now_s < ill_from_s:
             continue
         for _ in range(MAX_REPEATS):
-            if not instance.budget.take(SERVICE, now_s, count_known(instance, now_s)):
+            if not instance.budget.take(SERVICE, now_s, part_of(instance, now_s)):
                 break
             play.repeats.append(now_s)
     return play
 
 
+async def start_in_a_cut(
+    centres: dict[str, int], *, is_cut_within: bool, duration_s: float = 12.0
+) -> Deployment:
+    """Return instances that start while their data centres don't hear each other.
+
+    With ``is_cut_within`` no instance hears any other.
+    """
+    seeds = tuple(f"{centre}-0" for centre in centres)[:3]
+    deployment = Deployment(centres=tuple(centres), n_each=0, seeds=seeds)
+    for centre, n_instances in centres.items():
+        for number in range(n_instances):
+            deployment.start(f"{centre}-{number}")
+    addresses = [exchange.address for exchange in deployment.exchanges.values()]
+    groups = (
+        [[address] for address in addresses]
+        if is_cut_within
+        else [deployment.addresses(centre) for centre in centres]
+    )
+    for group in groups:
+        deployment.network.isolate(group, set(addresses) - set(group))
+    await deployment.run_for(duration_s)
+    return deployment
+
+
 def make_budget(started_s: float) -> RetryBudget:
     """Return the budget of a process that starts at a time."""
     return RetryBudget(ratio=RATIO, slack=SLACK, window_s=WINDOW_S, started_s=started_s)
--- a/lagoonring/tests/builders/serving.py
+++ b/lagoonring/tests/builders/serving.py
@@ -235,6 +235,10 @@
         """Return the number of known instances."""
         return self.n_instances
 
+    def part(self) -> float:
+        """Return the part of this instance, alike at all instances."""
+        return 1 / self.n_instances
+
     def reachable_share(self) -> float:
         """Return the share of instances that are reachable."""
         return self.share
--- a/lagoonring/tests/test_retry_budget.py
+++ b/lagoonring/tests/test_retry_budget.py
@@ -5,7 +5,8 @@
 import pytest
 
 from lagoonring.serving.retry_budget import RetryBudget
-from lagoonring.tests.builders.retry_budgets import play_refusals
+from lagoonring.tests.builders.exchanges import Deployment
+from lagoonring.tests.builders.retry_budgets import play_refusals, start_in_a_cut
 
 CENTRES = {"east": 2, "west": 2, "north": 1, "south": 1}
 N_INSTANCES = sum(CENTRES.values())
@@ -23,7 +24,7 @@
         budget = budgets[step % n_instances]
         budget.record_request("desk", now_s)
         n_requests += 1
-        n_retries += budget.take("desk", now_s, n_instances)
+        n_retries += budget.take("desk", now_s, 1 / n_instances)
     assert 0 < n_retries <= ratio * n_requests + slack
 
 
@@ -42,7 +43,7 @@
 def test_processes_started_again_keep_to_the_budget_together(kills, seed):
     play = play_refusals(
         CENTRES,
-        count_known=lambda *_: N_INSTANCES,
+        part_of=lambda *_: 1 / N_INSTANCES,
         kills=kills,
         ill_from_s=19.5,
         seed=seed,
@@ -54,23 +55,39 @@
 @pytest.mark.parametrize("seed", range(5))
 @pytest.mark.parametrize("discovery_s", [0.3, 1.0, 3.0])
 def test_processes_that_know_no_other_yet_keep_to_the_budget(discovery_s, seed):
-    def count_known(instance, now_s):
+    def part_of(instance, now_s):
         is_alone = now_s < instance.started_s + discovery_s
-        return 1 if is_alone else N_INSTANCES
+        n_local = 1 if is_alone else CENTRES[instance.data_centre]
+        return 1 / (len(CENTRES) * n_local)
 
     play = play_refusals(
-        CENTRES, count_known=count_known, kills=(20.0,), ill_from_s=20.0, seed=seed
+        CENTRES, part_of=part_of, kills=(20.0,), ill_from_s=20.0, seed=seed
     )
     assert play.excess() <= 0
 
 
 @pytest.mark.parametrize("seed", range(5))
 @pytest.mark.parametrize("requests_per_s", [0.5, 5.0, 70.0])
-def test_processes_started_in_a_cut_keep_to_the_budget(requests_per_s, seed):
+@pytest.mark.parametrize("is_cut_within", [False, True])
+async def test_processes_started_in_a_cut_keep_to_the_budget(
+    is_cut_within, requests_per_s, seed
+):
+    deployment = await start_in_a_cut(CENTRES, is_cut_within=is_cut_within)
+    parts = {
+        (name.split("-")[0], int(name.split("-")[1])): exchange.part()
+        for name, exchange in deployment.exchanges.items()
+    }
     play = play_refusals(
         CENTRES,
-        count_known=lambda instance, _: CENTRES[instance.data_centre],
+        part_of=lambda instance, _: parts[instance.data_centre, instance.number],
         requests_per_s=requests_per_s,
         seed=seed,
     )
     assert play.excess() <= 0
+
+
+async def test_parts_of_all_instances_add_up_to_one():
+    deployment = Deployment(centres=tuple(CENTRES), n_each=2, seeds=("east-0",))
+    await deployment.run_for(5.0)
+    parts = [exchange.part() for exchange in deployment.exchanges.values()]
+    assert parts == pytest.approx([1 / 8] * 8)
--- a/lagoonring/tests/test_serving_path.py
+++ b/lagoonring/tests/test_serving_path.py
@@ -378,7 +378,7 @@
     assert record.message == f"path: Retry {result}."
     assert record.extra["n_requests"] == 1
     assert record.extra["n_retries"] == (result == "granted")
-    assert record.extra["n_instances"] == 3
+    assert record.extra["part"] == pytest.approx(1 / 3, abs=1e-4)
 
 
 async def test_a_timeout_names_the_limit_that_was_reached():
