Reject odd entries among those of the endpoints, and follow the others

What callers saw: beside one entry that is very deeply nested, or names a port out of range, requests failed; an instance that started with it in the store served nothing (0 of 6 lookups, with tracebacks).

Cause: two faults of one class, input that is taken as it comes. The JSON decoder raises RecursionError for deep nesting, which ended the whole batch: the feed had advanced past it, so that no other entry of it was ever applied. And values were not checked: an address with port 70000 was used, and broke the placing of requests with an untyped error.

decode_json raises one error for whatever can't be decoded; entries have ranges (port, slots, sequence, start, name, IPv4 address); the follower rejects each record by itself, whatever its decoder raises.

--- a/lagoonring/platform/documents.py
+++ b/lagoonring/platform/documents.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import ipaddress
 import math
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 
+from lagoonring.decoding import decode_json
 from lagoonring.errors import InvalidInputError
 from lagoonring.serving.configuration import (
     CallerLimits,
@@ -33,6 +35,8 @@
 EVACUATION_PREFIX = "evacuate/"
 CONFIG_KEY = "config"
 MAX_SHOWN_BYTES = 200
+MAX_NAME_CHARACTERS = 256
+MAX_PORT = 65535
 # The platform's protocol defines when callers abandon a stream: after the longest of
 # a minimum, a multiple of the latency objective and a multiple of the event gap.
 MIN_CALLER_WAIT_S = 2.0
@@ -40,6 +44,14 @@
 CALLER_WAIT_GAPS = 8
 
 
+Slots = Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
+SequenceNumber = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+# Milliseconds since the epoch, until the year 2109.
+Timestamp = Annotated[int, msgspec.Meta(ge=0, le=2**42)]
+# Milliseconds, of eleven days at most.
+Duration = Annotated[float, msgspec.Meta(ge=-1e9, le=1e9)]
+
+
 class UnreadableDocumentError(InvalidInputError):
     """A document in the platform's store can't be decoded."""
 
@@ -124,13 +136,13 @@
     address: str
     zone: str
     version: str
-    slots: int
+    slots: Slots
     state: str
-    seq: int
-    # Milliseconds since the epoch, as an integer: floats are rejected.
-    born: int = 0
+    seq: SequenceNumber
+    # An integer: floats are rejected.
+    born: Timestamp = 0
     # How much longer the endpoint is cold, as of the writing of the record.
-    coldLeftMs: float = 0
+    coldLeftMs: Duration = 0
     useSpot: bool = False
 
 
@@ -202,10 +214,16 @@
         If a field is missing or invalid; the record is then ignored.
     """
     raw = _decode(content, _Heartbeat)
-    if raw.state not in ("ready", "draining") or not raw.address.count(":") == 1:
+    is_sound = (
+        _is_sendable(endpoint)
+        and raw.state in ("ready", "draining")
+        and _is_address(raw.address)
+    )
+    if not is_sound:
         raise UnreadableDocumentError(
-            f"Got state {raw.state!r} and address {raw.address!r} of {endpoint}, "
-            "expected ready or draining and IP:port.",
+            f"Got state {raw.state!r} and address {raw.address!r} of "
+            f"{endpoint[:MAX_NAME_CHARACTERS]!r}, expected ready or draining, IP:port "
+            "and a printable name.",
             remedy="Find who writes this record; the endpoint's own ones hold.",
         )
     return EndpointRecord(
@@ -247,8 +265,8 @@
 
 def _decode(content: bytes, kind: Any) -> Any:
     try:
-        return msgspec.json.decode(content, type=kind)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return decode_json(content, kind)
+    except msgspec.DecodeError as error:
         shown = content[:MAX_SHOWN_BYTES].decode(errors="replace")
         raise UnreadableDocumentError(
             f"Got {shown!r}: {error}.",
@@ -256,6 +274,22 @@
         ) from error
 
 
+def _is_sendable(name: str) -> bool:
+    """Return whether a name can be sent in a header."""
+    return 0 < len(name) <= MAX_NAME_CHARACTERS and name.isprintable()
+
+
+def _is_address(text: str) -> bool:
+    """Return whether a text is an IPv4 address and a port."""
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return False
+    is_number = port.isascii() and port.isdigit() and len(port) <= len(str(MAX_PORT))
+    return is_number and 0 < int(port) <= MAX_PORT
+
+
 def _convert_route(raw: _Route) -> RouteEntry:
     if raw.trafficSplit:
         targets = tuple(
--- a/lagoonring/serving/follower.py
+++ b/lagoonring/serving/follower.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from lagoonring.errors import InvalidInputError, LagoonringError
+from lagoonring.errors import LagoonringError
 from lagoonring.kernel import BaseService
 from lagoonring.logs import make_logger
 from lagoonring.platform.log import generation_of
@@ -237,10 +237,15 @@
         """
         try:
             document = self.read_document(record.key, record.value)
-        except InvalidInputError as error:
+        except Exception as error:
             self.metrics.faulty_documents.labels("document").inc()
             logger.error(
-                "Document rejected.", extra={"key": record.key, "error": str(error)}
+                "Document rejected.",
+                extra={
+                    "key": record.key,
+                    "offset": record.offset,
+                    "error": repr(error),
+                },
             )
             return False
         if document is None:
@@ -319,11 +324,16 @@
             return True
         try:
             content = self.read_record(record.key, record.value)
-        except InvalidInputError as error:
+        except Exception as error:
+            # Whatever is wrong with one record, the others have to be followed.
             self.metrics.faulty_documents.labels("record").inc()
             logger.warning(
                 "Endpoint record rejected.",
-                extra={"endpoint": record.key, "error": str(error)},
+                extra={
+                    "endpoint": record.key,
+                    "offset": record.offset,
+                    "error": repr(error),
+                },
             )
             return False
         is_back = self.pending_removals.pop(record.key, None) is not None
--- a/lagoonring/standins/platform_standin.py
+++ b/lagoonring/standins/platform_standin.py
@@ -91,6 +91,10 @@
     def write(self, topic: str, key: str, content: Any) -> None:
         """Write a keyed record as JSON; None removes the key."""
         value = b"" if content is None else msgspec.json.encode(content)
+        self.write_raw(topic, key, value)
+
+    def write_raw(self, topic: str, key: str, value: bytes) -> None:
+        """Write a keyed record of any bytes."""
         raw_key = key.encode()
         self._add(topic, [bytes([len(raw_key)]) + raw_key + value])
 
--- /dev/null
+++ b/lagoonring/tests/test_odd_input.py
@@ -0,0 +1,107 @@
+"""Odd entries, documents, records, reports and headers from outside."""
+
+from __future__ import annotations
+
+import pytest
+
+from lagoonring.errors import InvalidInputError
+from lagoonring.platform.documents import decode_document, decode_endpoint
+from lagoonring.platform.store import KeyedRecord, Snapshot
+from lagoonring.standins.platform_standin import PlatformStandin
+from lagoonring.tests.builders.followers import make_follower
+from lagoonring.tests.builders.instances import (
+    ANSWER,
+    ask,
+    ask_until,
+    make_config,
+    make_heartbeat,
+    running_instances,
+    wait_for,
+)
+from lagoonring.tests.builders.odd_input import (
+    ODD_ENTRIES,
+    make_entry,
+)
+from lagoonring.tests.builders.raw_endpoints import raw_endpoint
+
+SEEN_ENTRIES = ("deep list in an unknown field", "port 70000", "negative port")
+ODD_NAMES = ("two\r\nlines", "x" * 1000, "", "\x00")
+
+
+def follow_endpoints():
+    """Return a follower that decodes entries like an instance."""
+    follower = make_follower({})
+    follower.read_document, follower.read_record = decode_document, decode_endpoint
+    return follower
+
+
+# Entries of the endpoints' list
+
+
+@pytest.mark.parametrize("entry", ODD_ENTRIES.values(), ids=ODD_ENTRIES)
+def test_an_odd_entry_is_rejected_with_a_typed_error(entry):
+    with pytest.raises(InvalidInputError):
+        decode_endpoint("i-odd", entry)
+
+
+@pytest.mark.parametrize("name", ODD_NAMES)
+def test_an_entry_under_an_odd_name_is_rejected(name):
+    with pytest.raises(InvalidInputError):
+        decode_endpoint(name, make_entry())
+
+
+@pytest.mark.parametrize("entry", ODD_ENTRIES.values(), ids=ODD_ENTRIES)
+async def test_an_odd_entry_keeps_no_other_from_being_followed(entry):
+    follower = follow_endpoints()
+    topic = follower.records.log
+    odd, sound = KeyedRecord("i-odd", entry, 0), KeyedRecord("i-1", make_entry(), 1)
+    topic.newest = Snapshot([odd, sound], 2)
+    later = KeyedRecord("i-2", make_entry(), 3)
+    topic.pages = [[KeyedRecord("i-odd", entry, 2), later]]
+    for _ in range(2):
+        await follower._poll("records", follower.records, 0.0, follower.apply_record)
+    assert set(follower.table.endpoints) == {"i-1", "i-2"}
+
+
+async def test_a_record_that_breaks_its_decoder_keeps_no_other_from_being_followed():
+    def break_decoder(name, content):
+        if name == "i-odd":
+            raise ZeroDivisionError
+        return decode_endpoint(name, content)
+
+    follower = follow_endpoints()
+    follower.read_record = break_decoder
+    records = [KeyedRecord(name, make_entry(), 0) for name in ("i-odd", "i-1")]
+    follower.records.log.newest = Snapshot(records, 1)
+    await follower._poll("records", follower.records, 0.0, follower.apply_record)
+    assert set(follower.table.endpoints) == {"i-1"}
+
+
+@pytest.mark.parametrize("entry", ODD_ENTRIES.values(), ids=ODD_ENTRIES)
+def test_an_odd_entry_under_an_endpoints_name_changes_nothing(entry):
+    follower = follow_endpoints()
+    follower.apply_record(KeyedRecord("i-1", make_entry(), 0))
+    follower.apply_record(KeyedRecord("i-1", entry, 1))
+    follower.apply_record(KeyedRecord("i-1", make_entry(seq=2, state="draining"), 2))
+    assert not follower.table.find("i-1").takes_new_work()
+
+
+@pytest.mark.parametrize("name", SEEN_ENTRIES)
+async def test_instances_serve_beside_an_odd_entry_and_after_a_start(name):
+    platform = PlatformStandin()
+    await platform.start()
+    try:
+        async with raw_endpoint(lambda writer, _: writer.write(ANSWER)) as (address, _):
+            platform.write_operator("config", make_config())
+            platform.write_raw("keyed.servers", "i-0", ODD_ENTRIES[name])
+            platform.write_endpoint("i-1", make_heartbeat(address))
+            async with running_instances(platform) as (app,):
+                await ask_until(200, app)
+                table = app.find("path").parts.table
+                platform.write_raw("keyed.servers", "i-00", ODD_ENTRIES[name])
+                platform.write_endpoint("i-2", make_heartbeat(address))
+                await wait_for(lambda: table.find("i-2"))
+                assert [await ask(app) for _ in range(5)] == [200] * 5
+                assert set(table.endpoints) == {"i-1", "i-2"}
+    finally:
+        await platform.stop()
