Bound the numbers that requests and endpoints send in headers

What callers saw: a request with a number of hundreds of digits, or with a digit of another script, in a header got 500 instead of an answer or 400; a negative number of tokens added to its organisation's limit. An endpoint that names a limit of 1e300 made its own placing and every message to the other instances fail.

Whole numbers have 15 ASCII digits at most, numbers of endpoints are up to 1e9; all else is a bad header, or as good as none.

--- a/lagoonring/platform/headers.py
+++ b/lagoonring/platform/headers.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from typing import TYPE_CHECKING
 
 from lagoonring.requests.errors import BadHeaderError
@@ -44,6 +43,8 @@
 RELAY_RESULT = "Lagoonring-Relay-Result"
 KEY_SCHEME = "token "
 MAX_SHOWN_CHARACTERS = 40
+MAX_DIGITS = 15  # of whole numbers; these are exact in all types
+MAX_DECIMAL = 1e9  # of what an endpoint says of itself
 
 HOP_BY_HOP = frozenset(
     {
@@ -137,9 +138,10 @@
     text = headers.get(name)
     if text is None:
         return None
-    if not text.isascii() or not text.isdigit():
+    if not _is_whole_number(text):
         raise BadHeaderError(
-            f"Got {name}: {text[:MAX_SHOWN_CHARACTERS]!r}, expected a whole number.",
+            f"Got {name}: {text[:MAX_SHOWN_CHARACTERS]!r}, expected a whole number of "
+            f"{MAX_DIGITS} digits at most.",
             remedy="Correct the header.",
         )
     return int(text)
@@ -160,15 +162,14 @@
     text = headers.get(TOKEN_COUNT)
     if text is None:
         return None
-    try:
-        n_prompt, n_output = (int(number) for number in text.split(","))
-    except ValueError:
+    numbers = [number.strip() for number in text.split(",")]
+    if len(numbers) != 2 or not all(_is_whole_number(number) for number in numbers):
         raise BadHeaderError(
             f"Got {TOKEN_COUNT}: {text[:MAX_SHOWN_CHARACTERS]!r}, "
             "expected two numbers.",
             remedy="Send the prompt's tokens and the most of the answer's.",
-        ) from None
-    return n_prompt, n_output
+        )
+    return int(numbers[0]), int(numbers[1])
 
 
 def read_prompt_parts(headers: CIMultiDictProxy[str]) -> PromptParts:
@@ -181,7 +182,7 @@
     parts = []
     for item in text.split(","):
         part, _, n_tokens = item.strip().partition(":")
-        if not part or not n_tokens.isdigit():
+        if not part or not _is_whole_number(n_tokens):
             break
         parts.append((part, int(n_tokens)))
     return tuple(parts)
@@ -213,9 +214,13 @@
 
 
 def _read_decimal(text: str) -> float | None:
-    """Return a finite number that is not negative, or None for any other text."""
+    """Return a number from 0 to ``MAX_DECIMAL``, or None for any other text."""
     try:
         number = float(text)
     except ValueError:
         return None
-    return number if math.isfinite(number) and number >= 0 else None
+    return number if 0 <= number <= MAX_DECIMAL else None
+
+
+def _is_whole_number(text: str) -> bool:
+    return text.isascii() and text.isdigit() and len(text) <= MAX_DIGITS
--- a/lagoonring/tests/builders/odd_input.py
+++ b/lagoonring/tests/builders/odd_input.py
@@ -2,9 +2,16 @@
 
 from __future__ import annotations
 
+import contextlib
+from typing import TYPE_CHECKING
+
 import msgspec
+from aiohttp import web
+
+from lagoonring.tests.builders.instances import make_config, make_heartbeat
 
-from lagoonring.tests.builders.instances import make_heartbeat
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
 
 N_LEVELS = 20_000
 DEEP_LIST = b"[" * N_LEVELS + b"]" * N_LEVELS
@@ -69,3 +76,90 @@
 
 
 ODD_ENTRIES = make_odd_entries()
+
+
+def make_odd_documents() -> dict[str, tuple[str, bytes]]:
+    """Return operators' documents that can't be put in force: key and content."""
+    config = msgspec.json.encode(make_config())
+    order = msgspec.json.encode({"service": "desk", "target": "v2", "durationS": 9})
+    odd_routes: dict[str, dict[str, object]] = {
+        "endless timeout": {"timeoutMs": 1e300},
+        "negative timeout": {"timeoutMs": -1},
+        "huge objective": {"sloMs": 1e300},
+        "huge pause": {"gapTargetMs": 1e300},
+        "huge rank": {"priority": 2**63},
+    }
+    documents = {
+        name: ("config", msgspec.json.encode(make_config(**changes)))
+        for name, changes in odd_routes.items()
+    }
+    for number in ("1e300", "1e999", str(HUGE)):
+        documents |= {
+            f"{number[:9]} as version": (
+                "config",
+                add_raw(config, "version", number.encode()),
+            ),
+            f"{number[:9]} as rate": (
+                "config",
+                add_raw(
+                    config,
+                    "tenants",
+                    b'[{"name":"one","apiKeys":[],"ratePerS":'
+                    + number.encode()
+                    + b"}]",
+                ),
+            ),
+            f"{number[:9]} as most endpoints": (
+                "config",
+                add_raw(
+                    config,
+                    "services",
+                    b'[{"name":"desk","scaling":{"min":1,"max":'
+                    + number.encode()
+                    + b"}}]",
+                ),
+            ),
+            f"{number[:9]} as duration": (
+                "rollout/desk",
+                add_raw(order, "durationS", number.encode()),
+            ),
+        }
+    return documents | {
+        "deep configuration": ("config", add_raw(config, "x", DEEP_LIST)),
+        "deep route": ("config", add_raw(config, "routes", DEEP_OBJECT)),
+        "deep order": ("rollout/desk", add_raw(order, "x", DEEP_OBJECT)),
+    }
+
+
+ODD_DOCUMENTS = make_odd_documents()
+ODD_NUMBERS = (
+    "1e300",
+    "1e999",
+    "9" * 400,
+    "9" * 5000,
+    "-1",
+    "-1e300",
+    "nan",
+    "inf",
+    "1_0",
+    "²",
+    "٣",
+    "",
+)
+
+
+@contextlib.asynccontextmanager
+async def answering(body: bytes) -> AsyncIterator[str]:
+    """Run a server that answers everything with a body; yields its address."""
+
+    async def answer(request: web.BaseRequest) -> web.Response:
+        return web.Response(body=body)
+
+    runner = web.ServerRunner(web.Server(answer))
+    await runner.setup()
+    try:
+        await web.TCPSite(runner, "127.0.0.1", 0).start()
+        host, port = runner.addresses[0]
+        yield f"{host}:{port}"
+    finally:
+        await runner.cleanup()
--- a/lagoonring/tests/test_odd_input.py
+++ b/lagoonring/tests/test_odd_input.py
@@ -2,11 +2,19 @@
 
 from __future__ import annotations
 
+import math
+
+import msgspec
 import pytest
+from multidict import CIMultiDict
 
 from lagoonring.errors import InvalidInputError
 from lagoonring.platform.documents import decode_document, decode_endpoint
+from lagoonring.platform.headers import read_statement
 from lagoonring.platform.store import KeyedRecord, Snapshot
+from lagoonring.serving.permits import count_own
+from lagoonring.serving.statements import record_statement, statement_rows
+from lagoonring.serving.warming import cold_rows
 from lagoonring.standins.platform_standin import PlatformStandin
 from lagoonring.tests.builders.followers import make_follower
 from lagoonring.tests.builders.instances import (
@@ -20,9 +28,12 @@
 )
 from lagoonring.tests.builders.odd_input import (
     ODD_ENTRIES,
+    ODD_NUMBERS,
     make_entry,
 )
 from lagoonring.tests.builders.raw_endpoints import raw_endpoint
+from lagoonring.tests.builders.serving import make_record, make_table
+from lagoonring.tests.builders.shared_load import ONLY_INSTANCE
 
 SEEN_ENTRIES = ("deep list in an unknown field", "port 70000", "negative port")
 ODD_NAMES = ("two\r\nlines", "x" * 1000, "", "\x00")
@@ -105,3 +116,22 @@
                 assert set(table.endpoints) == {"i-1", "i-2"}
     finally:
         await platform.stop()
+
+
+# What endpoints say of themselves
+
+
+@pytest.mark.parametrize("text", ODD_NUMBERS)
+@pytest.mark.parametrize(
+    "name", ["Server-Limit", "Server-Brittle", "Lagoonring-Cold-Ms", "Retry-After"]
+)
+def test_an_odd_number_of_an_endpoint_breaks_nothing_that_is_shared(name, text):
+    table = make_table(make_record("a"))
+    endpoint = table.find("a")
+    record_statement(table, endpoint, read_statement(503, CIMultiDict({name: text})), 0)
+    rows = statement_rows([endpoint], 1.0), cold_rows([endpoint], 1.0, 1e9)
+    assert len(msgspec.msgpack.encode(rows)) < 100
+    if endpoint.limit.limit_per_s is not None:
+        limit_per_s = endpoint.limit.limit_per_s
+        assert count_own("a", limit_per_s, 1_700_000_000, ONLY_INSTANCE) >= 0
+    assert endpoint.paused_until_s < math.inf
