--- a/lagoonring/platform/documents.py
+++ b/lagoonring/platform/documents.py
@@ -45,11 +45,15 @@
 
 
 Slots = Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
-SequenceNumber = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
 # Milliseconds since the epoch, until the year 2109.
 Timestamp = Annotated[int, msgspec.Meta(ge=0, le=2**42)]
+Number = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+Rank = Annotated[int, msgspec.Meta(ge=-(2**31), le=2**31)]
+Amount = Annotated[float, msgspec.Meta(ge=0, le=1e15)]
 # Milliseconds, of eleven days at most.
-Duration = Annotated[float, msgspec.Meta(ge=-1e9, le=1e9)]
+Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
+MillisecondsLeft = Annotated[float, msgspec.Meta(ge=-1e9, le=1e9)]
+Seconds = Annotated[float, msgspec.Meta(ge=0, le=1e6)]
 
 
 class UnreadableDocumentError(InvalidInputError):
@@ -60,7 +64,7 @@
 
 class _Split(msgspec.Struct):
     service: str
-    weight: float
+    weight: Amount
 
 
 class _Route(msgspec.Struct):
@@ -68,63 +72,63 @@
     host: str
     pathPrefix: str
     kind: str
-    timeoutMs: float
-    sloMs: float
-    priority: int = 0
+    timeoutMs: Milliseconds
+    sloMs: Milliseconds
+    priority: Rank = 0
     service: str | None = None
     trafficSplit: list[_Split] | None = None
-    maxAttempts: int = 1
+    maxAttempts: Number = 1
     public: bool = False
     canResume: bool = False
     # Longest pause between events that still meets the service level.
-    gapTargetMs: float | None = None
+    gapTargetMs: Milliseconds | None = None
 
 
 class _Engine(msgspec.Struct):
-    slots: int
-    kvTokens: int
+    slots: Number
+    kvTokens: Number
     moves: bool = False
 
 
 class _Scaling(msgspec.Struct):
     # Per data centre, counting reclaimable and on-demand endpoints.
-    min: int
-    max: int
-    bootS: float = 4.0
-    spotPrice: float | None = None
-    zonePrices: dict[str, float] = {}
+    min: Number
+    max: Number
+    bootS: Seconds = 4.0
+    spotPrice: Amount | None = None
+    zonePrices: dict[str, Amount] = {}
 
 
 class _Service(msgspec.Struct):
     name: str
-    maxConns: int = 100
+    maxConns: Number = 100
     engine: _Engine | None = None
     scaling: _Scaling | None = None
     # How long an endpoint is cold after its start, and the requests a second that it
     # takes meanwhile.
-    coldS: float = 0.0
-    coldPerS: float = 0.0
+    coldS: Seconds = 0.0
+    coldPerS: Amount = 0.0
 
 
 class _Tenant(msgspec.Struct):
     name: str
     apiKeys: list[str] = []
-    priority: int | None = None
+    priority: Rank | None = None
     unit: str = "requests"
-    plainTokens: float = 0
-    ratePerS: float = 0
-    burst: float = 0
+    plainTokens: Amount = 0
+    ratePerS: Amount = 0
+    burst: Amount = 0
 
 
 class _Limits(msgspec.Struct):
-    maxHeaderBytes: int = 16384
-    maxBodyBytes: int = 4194304
-    headerTimeoutMs: float = 3000
-    idleTimeoutMs: float = 15000
+    maxHeaderBytes: Number = 16384
+    maxBodyBytes: Number = 4194304
+    headerTimeoutMs: Milliseconds = 3000
+    idleTimeoutMs: Milliseconds = 15000
 
 
 class _Config(msgspec.Struct):
-    version: int
+    version: Number
     routes: list[_Route] = []
     services: list[_Service] = []
     tenants: list[_Tenant] = []
@@ -138,11 +142,11 @@
     version: str
     slots: Slots
     state: str
-    seq: SequenceNumber
+    seq: Number
     # An integer: floats are rejected.
     born: Timestamp = 0
     # How much longer the endpoint is cold, as of the writing of the record.
-    coldLeftMs: Duration = 0
+    coldLeftMs: MillisecondsLeft = 0
     useSpot: bool = False
 
 
@@ -154,7 +158,7 @@
 class _Rollout(msgspec.Struct):
     service: str
     target: str
-    durationS: float
+    durationS: Seconds
 
 
 def decode_configuration(content: bytes) -> Configuration:
--- a/lagoonring/tests/test_callers.py
+++ b/lagoonring/tests/test_callers.py
@@ -189,6 +189,7 @@
         (make_head("/lookup/7", "GET", f"Lagoonring-Request-Id: {ID}"), 400),
         (make_head("/lookup/7", "GET", "Lagoonring-Deadline-Ms: soon"), 400),
         (make_head("/lookup/7", "GET", "Lagoonring-Token-Count: 1"), 400),
+        (make_head("/lookup/7", "GET", "Lagoonring-Token-Count: -9000,1"), 400),
         (make_head("/lookup/7", "POST", "Content-Length: 5000"), 413),
         (make_head("http://desk.example/lookup/7"), 400),
         (b"GET /lookup/7 HTTP/1.1\r\nHost: desk.example\r\n\r\n", 400),
--- a/lagoonring/tests/test_odd_input.py
+++ b/lagoonring/tests/test_odd_input.py
@@ -27,6 +27,7 @@
     wait_for,
 )
 from lagoonring.tests.builders.odd_input import (
+    ODD_DOCUMENTS,
     ODD_ENTRIES,
     ODD_NUMBERS,
     make_entry,
@@ -118,6 +119,15 @@
         await platform.stop()
 
 
+# Operators' documents
+
+
+@pytest.mark.parametrize(("key", "content"), ODD_DOCUMENTS.values(), ids=ODD_DOCUMENTS)
+def test_an_odd_document_is_rejected_with_a_typed_error(key, content):
+    with pytest.raises(InvalidInputError):
+        decode_document(key, content)
+
+
 # What endpoints say of themselves
 
 
