Take unreadable answers and deeply nested bodies for typed errors

The same cause in answers of the store and of engines, in callers' bodies and in settings files: the JSON decoder's RecursionError, a page of a few bytes, or an answer without its fields ended the task that read it, got a caller 500, or left a streams' move unanswered.

All of these go through decode_json; the store's answers have types. An unreadable answer of the store is as good as none.

--- a/lagoonring/administration/service.py
+++ b/lagoonring/administration/service.py
@@ -38,6 +38,7 @@
 from lagoonring.catalogue.checks import find_reference_faults
 from lagoonring.catalogue.edits import Change, Edit
 from lagoonring.catalogue.errors import ConflictError
+from lagoonring.decoding import decode_json
 from lagoonring.errors import LagoonringError, Outcome
 from lagoonring.kernel import BaseService
 from lagoonring.requests.answers import json_response
@@ -301,7 +302,7 @@
 
 def _decode(body: bytes) -> Any:
     try:
-        return msgspec.json.decode(body)
+        return decode_json(body)
     except msgspec.DecodeError as error:
         raise BadJsonError(
             f"Got a body with {error}, expected JSON.",
--- a/lagoonring/administration/trace_search.py
+++ b/lagoonring/administration/trace_search.py
@@ -15,6 +15,7 @@
 import attrs
 import msgspec
 
+from lagoonring.decoding import decode_json
 from lagoonring.errors import LagoonringError
 from lagoonring.peers.messages import MemberState
 from lagoonring.requests.errors import UnknownRequestError
@@ -89,7 +90,7 @@
             if answer.status == 404:
                 return None
             answer.raise_for_status()
-        return msgspec.json.decode(body)
+        return decode_json(body)
 
 
 async def find_trace(
--- a/lagoonring/audit/service.py
+++ b/lagoonring/audit/service.py
@@ -15,6 +15,7 @@
 
 from lagoonring.audit.messages import STREAM, AuditRecord
 from lagoonring.audit.reader import DecisionReader
+from lagoonring.decoding import decode_json
 from lagoonring.kernel import BaseService
 from lagoonring.logs import make_logger
 from lagoonring.platform import LogAnswerLostError, LogTruncatedError
@@ -173,6 +174,6 @@
 
 def _decode(data: str) -> AuditRecord | None:
     try:
-        return msgspec.json.decode(data, type=AuditRecord)
+        return decode_json(data, AuditRecord)
     except msgspec.MsgspecError:
         return None
--- a/lagoonring/platform/boot.py
+++ b/lagoonring/platform/boot.py
@@ -7,6 +7,7 @@
 import attrs
 import msgspec
 
+from lagoonring.decoding import decode_json
 from lagoonring.errors import InvalidInputError
 from lagoonring.serving.settings import Bounds, NodeSettings
 
@@ -106,7 +107,7 @@
 def decode_boot_file(content: bytes) -> NodeSettings:
     """Return the settings from a file's content; see `load_boot_file`."""
     try:
-        boot = msgspec.json.decode(content, type=_BootFile, strict=False)
+        boot = decode_json(content, _BootFile, strict=False)
     except msgspec.MsgspecError as error:
         raise BootFileError(
             f"Got a settings file with a fault: {error}.",
--- a/lagoonring/platform/engine_calls.py
+++ b/lagoonring/platform/engine_calls.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import aiohttp
 import attrs
 import msgspec
 
+from lagoonring.decoding import decode_json
 from lagoonring.logs import make_logger
 
 MOVE_PATH = "/kv-move"
@@ -17,6 +20,10 @@
 logger = make_logger("engines")
 
 
+# Eleven days at most.
+MillisecondsLeft = Annotated[float, msgspec.Meta(ge=-1e9, le=1e9)]
+
+
 class _MoveResponse(msgspec.Struct):
     handle: str | int | None = None
     # Number of stream events that the engine has generated so far.
@@ -25,7 +32,7 @@
 
 class _EngineReport(msgspec.Struct):
     # Time until the platform reclaims the engine, if known.
-    leaves_ms: float | None = None
+    leaves_ms: MillisecondsLeft | None = None
 
 
 @attrs.frozen
@@ -61,7 +68,7 @@
             async with self.session.get(
                 f"http://{address}{REPORT_PATH}", timeout=timeout
             ) as response:
-                report = msgspec.json.decode(await response.read(), type=_EngineReport)
+                report = decode_json(await response.read(), _EngineReport)
         except (TimeoutError, aiohttp.ClientError, msgspec.MsgspecError) as error:
             logger.warning(
                 "Could not read an engine's report.",
@@ -92,7 +99,7 @@
                 timeout=timeout,
             ) as response:
                 status, body = response.status, await response.read()
-            moved = msgspec.json.decode(body or b"{}", type=_MoveResponse)
+            moved = decode_json(body or b"{}", _MoveResponse)
         except (TimeoutError, aiohttp.ClientError, msgspec.MsgspecError) as error:
             logger.warning(
                 "Moving a run to another engine failed.",
--- a/lagoonring/platform/exchange.py
+++ b/lagoonring/platform/exchange.py
@@ -7,6 +7,7 @@
 import aiohttp
 import msgspec
 
+from lagoonring.decoding import decode_json
 from lagoonring.errors import AnswerLostError, InvalidInputError, UnavailableError
 
 if TYPE_CHECKING:
@@ -97,7 +98,7 @@
         ) as response:
             answer = await response.read()
             _raise_unless_ok(response, answer)
-            return msgspec.json.decode(answer or b"null", type=kind)
+            return decode_json(answer or b"null", kind)
     except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
         raise _unavailable(url, repr(error), RETRY_AFTER_S) from error
     except (TimeoutError, aiohttp.ClientError, msgspec.MsgspecError) as error:
--- a/lagoonring/platform/store.py
+++ b/lagoonring/platform/store.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
-import base64
 import struct
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, TypeVar
 
 import aiohttp
 import attrs
 import msgspec
 
+from lagoonring.decoding import decode_json
 from lagoonring.errors import LagoonringError
 from lagoonring.logs import make_logger
 from lagoonring.platform.exchange import (
@@ -27,6 +27,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+T = TypeVar("T")
+
 TIMEOUT_S = 1.0  # twice the slowest answer of an overloaded but working store
 CONNECT_TIMEOUT_S = 0.5  # links in a data centre answer in a few milliseconds
 OPERATOR_TOPIC = "keyed.op"
@@ -41,6 +43,30 @@
 PAGE_HEADER = struct.Struct(">QQ")
 
 
+class _Appended(msgspec.Struct):
+    offset: int
+
+
+class _Conflict(msgspec.Struct):
+    end: int
+
+
+class _Truncated(msgspec.Struct):
+    first: int | None = None
+
+
+class _NewestItem(msgspec.Struct):
+    key: str
+    value: bytes  # base64 in JSON
+    offset: int
+
+
+class _NewestPage(msgspec.Struct):
+    end: int
+    items: list[_NewestItem]
+    hasMore: bool = False
+
+
 class OffsetConflictError(LagoonringError):
     """Another append changed the topic's end offset; nothing was written."""
 
@@ -133,11 +159,15 @@
         body = encode_batch(records)
         status, answer = await self._request("POST", "/log-append", params, body=body)
         if status == 412:
-            raise OffsetConflictError(self._offset(msgspec.json.decode(answer)["end"]))
+            end = _decode_answer(answer, _Conflict, "/log-append").end
+            raise OffsetConflictError(self._offset(end))
         if status >= 500 and status not in NOTHING_DONE_STATUSES:
             raise _answer_lost("/log-append", f"status {status}")
         _raise_unless_ok(status, answer, "/log-append")
-        return self._offset(int(msgspec.json.decode(answer)["offset"]))
+        try:
+            return self._offset(decode_json(answer, _Appended).offset)
+        except msgspec.DecodeError as error:
+            raise _answer_lost("/log-append", repr(error)) from error
 
     async def append_keyed(self, topic: str, key: str, value: bytes) -> int:
         """Append a record that becomes the key's newest; errors as for `append`."""
@@ -160,10 +190,13 @@
             params["waitMs"] = str(int(wait_s * 1000))
         status, answer = await self._request("GET", "/log-read", params, wait_s=wait_s)
         if status == 410:
-            after = assigned_offset(offset) + 1
-            first = int(msgspec.json.decode(answer).get("first", after))
+            first = _decode_answer(answer, _Truncated, "/log-read").first
+            if first is None:
+                first = assigned_offset(offset) + 1
             raise LogTruncatedError(topic, offset, self._offset(first))
         _raise_unless_ok(status, answer, "/log-read")
+        if len(answer) < PAGE_HEADER.size:
+            raise _unavailable("/log-read", f"{len(answer)} bytes")
         end, first = PAGE_HEADER.unpack_from(answer)
         if offset and generation_of(offset) != self.generation:
             raise LogTruncatedError(topic, offset, self._offset(first))
@@ -181,20 +214,19 @@
         while True:
             status, answer = await self._request("GET", "/log-newest", params)
             _raise_unless_ok(status, answer, "/log-newest")
-            page = msgspec.json.decode(answer)
+            page = _decode_answer(answer, _NewestPage, "/log-newest")
             # Pages are read one after the other. Changes made in between are read
             # later, because the snapshot ends at the end offset of the first page.
-            end = self._offset(page["end"])
+            end = self._offset(page.end)
             first_end = end if first_end is None else first_end
             if generation_of(end) != generation_of(first_end):
                 raise _unavailable("/log-newest", "pages of two generations")
-            for item in page["items"]:
-                value = base64.b64decode(item["value"])
-                offset = self._offset(item["offset"])
-                records.append(KeyedRecord(item["key"], value, offset))
-            if not page.get("hasMore") or not page["items"]:
+            for item in page.items:
+                offset = self._offset(item.offset)
+                records.append(KeyedRecord(item.key, item.value, offset))
+            if not page.hasMore or not page.items:
                 return Snapshot(records, first_end)
-            params["after"] = page["items"][-1]["key"]
+            params["after"] = page.items[-1].key
 
     def _offset(self, assigned: int) -> int:
         """Return an offset of the last answer, with the store's generation."""
@@ -271,6 +303,13 @@
         position += size
 
 
+def _decode_answer(answer: bytes, kind: type[T], path: str) -> T:
+    try:
+        return decode_json(answer, kind)
+    except msgspec.DecodeError as error:
+        raise _unavailable(path, repr(error)) from error
+
+
 def _raise_unless_ok(status: int, answer: bytes, path: str) -> None:
     if status == 200:
         return
--- a/lagoonring/requests/chat.py
+++ b/lagoonring/requests/chat.py
@@ -7,6 +7,7 @@
 import msgspec
 import xxhash
 
+from lagoonring.decoding import decode_json
 from lagoonring.requests.errors import BadJsonError
 from lagoonring.requests.journal import text_of_chunk
 
@@ -28,7 +29,7 @@
         valid.
     """
     try:
-        document = msgspec.json.decode(body)
+        document = decode_json(body)
     except msgspec.DecodeError as error:
         raise BadJsonError(
             f"Got a body with {error}, expected JSON.",
--- a/lagoonring/settings/loader.py
+++ b/lagoonring/settings/loader.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from lagoonring.decoding import decode_json
 from lagoonring.errors import InvalidInputError
 from lagoonring.settings.checker import convert
 
@@ -30,7 +31,7 @@
         If keys are missing or unknown, or values are invalid.
     """
     try:
-        data = msgspec.json.decode(Path(path).read_bytes())
+        data = decode_json(Path(path).read_bytes())
     except OSError as error:
         raise UnreadableSettingsError(
             f"Got {error.strerror} for {path}, expected a settings file.",
--- a/lagoonring/tests/test_odd_input.py
+++ b/lagoonring/tests/test_odd_input.py
@@ -4,18 +4,26 @@
 
 import math
 
+import aiohttp
 import msgspec
 import pytest
 from multidict import CIMultiDict
 
 from lagoonring.errors import InvalidInputError
+from lagoonring.platform.boot import decode_boot_file
 from lagoonring.platform.documents import decode_document, decode_endpoint
+from lagoonring.platform.engine_calls import EngineCalls
+from lagoonring.platform.exchange import PlatformUnavailableError
 from lagoonring.platform.headers import read_statement
-from lagoonring.platform.store import KeyedRecord, Snapshot
+from lagoonring.platform.store import KeyedRecord, Snapshot, StoreClient
+from lagoonring.requests.chat import parse_chat_body
 from lagoonring.serving.permits import count_own
 from lagoonring.serving.statements import record_statement, statement_rows
 from lagoonring.serving.warming import cold_rows
+from lagoonring.settings.entry_settings import EntrySettings
+from lagoonring.settings.loader import load_settings
 from lagoonring.standins.platform_standin import PlatformStandin
+from lagoonring.tests.builders.boots import encode_boot
 from lagoonring.tests.builders.followers import make_follower
 from lagoonring.tests.builders.instances import (
     ANSWER,
@@ -27,9 +35,13 @@
     wait_for,
 )
 from lagoonring.tests.builders.odd_input import (
+    DEEP_LIST,
+    DEEP_OBJECT,
     ODD_DOCUMENTS,
     ODD_ENTRIES,
     ODD_NUMBERS,
+    add_raw,
+    answering,
     make_entry,
 )
 from lagoonring.tests.builders.raw_endpoints import raw_endpoint
@@ -145,3 +157,68 @@
         limit_per_s = endpoint.limit.limit_per_s
         assert count_own("a", limit_per_s, 1_700_000_000, ONLY_INSTANCE) >= 0
     assert endpoint.paused_until_s < math.inf
+
+
+@pytest.mark.parametrize(
+    "report",
+    [
+        add_raw(b'{"leaves_ms":5}', "runs", DEEP_LIST),
+        add_raw(b'{"leaves_ms":5}', "runs", DEEP_OBJECT),
+        b'{"leaves_ms":1e300}',
+        b"",
+        b"\xff",
+        b"[]",
+    ],
+)
+async def test_an_odd_report_of_an_engine_is_as_good_as_none(report):
+    async with answering(report) as address, aiohttp.ClientSession() as session:
+        engines = EngineCalls(session)
+        assert await engines.read_time_left(address) is None
+        assert await engines.stop_and_copy(address, "0", "127.0.0.1:9") is None
+
+
+# Answers of the platform
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        DEEP_LIST,
+        DEEP_OBJECT,
+        b"",
+        b"[]",
+        b"\xff",
+        add_raw(b'{"end":1,"items":[]}', "x", DEEP_LIST),
+        b'{"end":"1","items":[]}',
+        b'{"end":1,"items":[{}]}',
+        b'{"end":1,"items":[{"key":"k","value":"!","offset":0}]}',
+    ],
+)
+async def test_an_odd_answer_of_the_store_is_no_answer(body):
+    async with answering(body) as address, aiohttp.ClientSession() as session:
+        store = StoreClient(f"http://{address}", session)
+        with pytest.raises(PlatformUnavailableError):
+            await store.read_newest("topic")
+
+
+@pytest.mark.parametrize("body", [b"", b"short"])
+async def test_a_page_of_the_store_that_is_cut_short_is_no_answer(body):
+    async with answering(body) as address, aiohttp.ClientSession() as session:
+        store = StoreClient(f"http://{address}", session)
+        with pytest.raises(PlatformUnavailableError):
+            await store.read("topic", 0)
+
+
+# Requests and settings
+
+
+@pytest.mark.parametrize("content", [DEEP_LIST, DEEP_OBJECT])
+def test_a_deeply_nested_body_or_file_is_rejected_with_a_typed_error(content, tmp_path):
+    with pytest.raises(InvalidInputError):
+        parse_chat_body(content)
+    with pytest.raises(InvalidInputError):
+        decode_boot_file(add_raw(encode_boot(), "x", content))
+    path = tmp_path / "settings.json"
+    path.write_bytes(content)
+    with pytest.raises(InvalidInputError):
+        load_settings(path, EntrySettings)
