Drop deeply nested messages of instances and answers of engines

The same cause in what instances and the own interface's engines send: the decoders raise RecursionError for deep nesting, which no reader expected.

test_an_undecodable_message_is_ignored (4 cases) and test_a_damaged_page_is_dropped failed with such a message before.

--- a/lagoonring/decoding.py
+++ b/lagoonring/decoding.py
@@ -1,4 +1,4 @@
-"""Decoding of JSON from outside, with one error for everything that can't be read."""
+"""Decoding of what comes from outside, with few errors for all that can't be read."""
 
 from __future__ import annotations
 
@@ -6,13 +6,13 @@
 
 import msgspec
 
+# Raised for contents that can't be decoded, the last one for very deep nesting.
+DECODE_ERRORS = (msgspec.MsgspecError, ValueError, OverflowError, RecursionError)
+
 
 def decode_json(content: bytes | str, kind: Any = Any, *, strict: bool = True) -> Any:
     """Return decoded JSON, converted to a type.
 
-    The decoder raises other errors of its own for some contents, such as very deeply
-    nested ones.
-
     Raises
     ------
     msgspec.DecodeError
@@ -22,5 +22,5 @@
         return msgspec.json.decode(content, type=kind, strict=strict)
     except msgspec.DecodeError:
         raise
-    except (RecursionError, ValueError, OverflowError) as error:
+    except DECODE_ERRORS as error:
         raise msgspec.DecodeError(f"JSON is unreadable: {error}") from error
--- a/lagoonring/endpoints/engine_control.py
+++ b/lagoonring/endpoints/engine_control.py
@@ -12,6 +12,7 @@
 import attrs
 import msgspec
 
+from lagoonring.decoding import decode_json
 from lagoonring.endpoints.errors import (
     EndpointFailedError,
     EndpointRejectedError,
@@ -179,7 +180,7 @@
         await raise_unless_ok(response)
         answer = await read_body(response)
     try:
-        return msgspec.json.decode(answer, type=answer_type)
+        return decode_json(answer, answer_type)
     except msgspec.MsgspecError as error:
         raise EndpointFailedError(
             f"Got a faulty answer of {url}: {error}.", remedy="Use another endpoint."
--- a/lagoonring/endpoints/model_engine.py
+++ b/lagoonring/endpoints/model_engine.py
@@ -13,6 +13,7 @@
 import attrs
 import msgspec
 
+from lagoonring.decoding import decode_json
 from lagoonring.endpoints.engine_control import (
     cancel,
     export_kv,
@@ -173,7 +174,7 @@
 
 def _check_answer_id(answer: bytes, request_id: str, url: str) -> None:
     try:
-        got = msgspec.json.decode(answer, type=AnswerId).id
+        got = decode_json(answer, AnswerId).id
     except msgspec.MsgspecError as error:
         raise EndpointFailedError(
             f"Got a faulty answer of {url}: {error}.", remedy="Use another endpoint."
--- a/lagoonring/peers/subscriptions.py
+++ b/lagoonring/peers/subscriptions.py
@@ -7,6 +7,7 @@
 import attrs
 import msgspec
 
+from lagoonring.decoding import DECODE_ERRORS
 from lagoonring.logs.logger import make_logger
 from lagoonring.peers.frames import DropReason
 
@@ -51,7 +52,7 @@
             self.decoders[value_type] = decoder
         try:
             return decoder.decode(value)
-        except (msgspec.MsgspecError, ValueError):
+        except DECODE_ERRORS:
             self.drops.count(DropReason.VALUE)
             return UNDECODABLE
 
--- a/lagoonring/platform/saved_usage.py
+++ b/lagoonring/platform/saved_usage.py
@@ -5,6 +5,7 @@
 import attrs
 import msgspec
 
+from lagoonring.decoding import DECODE_ERRORS
 from lagoonring.logs import make_logger
 from lagoonring.platform.store import StoreClient
 from lagoonring.serving.usage import UsageRow
@@ -39,7 +40,7 @@
         for record in snapshot.records:
             try:
                 saved = msgspec.msgpack.decode(record.value or b"", type=_SavedWindow)
-            except msgspec.MsgspecError as error:
+            except DECODE_ERRORS as error:
                 logger.warning(
                     "Could not decode saved usage.", extra={"error": str(error)}
                 )
--- a/lagoonring/serving/messages.py
+++ b/lagoonring/serving/messages.py
@@ -14,6 +14,7 @@
 import attrs
 import msgspec
 
+from lagoonring.decoding import DECODE_ERRORS
 from lagoonring.logs import make_logger
 from lagoonring.serving.members import Card
 from lagoonring.serving.moves import MoveView
@@ -199,7 +200,7 @@
     def read(content: bytes) -> None:
         try:
             message = decoder.decode(memoryview(content)[1:])
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        except DECODE_ERRORS as error:
             logger.warning(
                 "Dropped an undecodable message.", extra={"error": str(error)}
             )
--- a/lagoonring/serving/relay.py
+++ b/lagoonring/serving/relay.py
@@ -19,6 +19,7 @@
 import attrs
 import msgspec
 
+from lagoonring.decoding import DECODE_ERRORS
 from lagoonring.kernel import BaseService
 from lagoonring.logs import make_logger
 from lagoonring.platform.store import KeyedRecord
@@ -168,7 +169,7 @@
         """Apply a page, unless earlier records are missing here."""
         try:
             page = decode_page(content)
-        except (msgspec.MsgspecError, UnicodeDecodeError, zlib.error) as error:
+        except (*DECODE_ERRORS, zlib.error) as error:
             logger.warning(
                 "Dropped an undecodable store page.", extra={"error": str(error)}
             )
@@ -231,7 +232,7 @@
 
     Raises
     ------
-    msgspec.MsgspecError, UnicodeDecodeError, zlib.error
+    msgspec.MsgspecError, ValueError, RecursionError, zlib.error
         If the message is damaged.
     """
     content = message[1:]
--- a/lagoonring/tests/builders/odd_input.py
+++ b/lagoonring/tests/builders/odd_input.py
@@ -16,6 +16,7 @@
 N_LEVELS = 20_000
 DEEP_LIST = b"[" * N_LEVELS + b"]" * N_LEVELS
 DEEP_OBJECT = b'{"a":' * N_LEVELS + b"1" + b"}" * N_LEVELS
+DEEP_MESSAGE = b"\x91" * N_LEVELS + b"\xc0"  # msgpack: lists of one item
 HUGE = 10**400
 ADDRESS = "127.0.0.1:9"
 
--- a/lagoonring/tests/test_exchange.py
+++ b/lagoonring/tests/test_exchange.py
@@ -15,6 +15,7 @@
 from lagoonring.serving.reachability import DISCOVERY_S, START_SHARE
 from lagoonring.serving.rounds import HUB_TIMEOUT_S, HUB_WARM_UP_S
 from lagoonring.tests.builders.exchanges import ROUND_S, Deployment
+from lagoonring.tests.builders.odd_input import DEEP_MESSAGE
 
 SETTLE_S = 3.0
 TAKE_OVER_S = HUB_TIMEOUT_S + 4 * ROUND_S
@@ -327,7 +328,8 @@
 async def test_an_undecodable_message_is_ignored(kind):
     deployment = Deployment(centres=("east",), n_each=1)
     (exchange,) = deployment.exchanges.values()
-    for content in (b"", kind + b"\xff", kind + msgspec.msgpack.encode([1])):
+    faulty = (b"\xff", msgspec.msgpack.encode([1]), b"\x81\xa1x" + DEEP_MESSAGE)
+    for content in (b"", *(kind + body for body in faulty)):
         exchange.receive(content)
     assert exchange.members.known == {}
 
--- a/lagoonring/tests/test_relay.py
+++ b/lagoonring/tests/test_relay.py
@@ -17,6 +17,7 @@
     decode_page,
     encode_page,
 )
+from lagoonring.tests.builders.odd_input import DEEP_MESSAGE
 from lagoonring.tests.builders.routes import make_routes_document
 from lagoonring.tests.test_feeds import MemoryTopic
 
@@ -284,6 +285,7 @@
     instance = Instance("a", network, topic, clock)
     instance.relay.receive(b"Z not compressed")
     instance.relay.receive(b"S not a page")
+    instance.relay.receive(b"S\x81\xa1x" + DEEP_MESSAGE)
     assert instance.applied == {}
 
 
