Test that requests late in the grace of a planned stop are not cut

Reported by other operators: requests that come late in the grace are passed on and cut at its end. On this code they are answered before it or refused; the test sends one each 0.05 s, to an endpoint that never answers, until the process is gone: all get 504 in time, or 503 and are not passed on.

The builder of raw endpoints closes its connections with the server; they were closed by the garbage collector after the loop's end.

--- a/lagoonring/tests/builders/raw_endpoints.py
+++ b/lagoonring/tests/builders/raw_endpoints.py
@@ -88,10 +88,14 @@
     Yields its address and the heads of the requests received.
     """
     heads: list[bytes] = []
+    tasks: set[asyncio.Task[None]] = set()
 
     async def serve_connection(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        tasks.add(task)
         try:
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
@@ -104,6 +108,10 @@
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError):
             writer.close()
+        except asyncio.CancelledError:
+            writer.transport.abort()
+        finally:
+            tasks.discard(task)
 
     server = await asyncio.start_server(serve_connection, "127.0.0.1", 0)
     host, port = server.sockets[0].getsockname()
@@ -111,3 +119,7 @@
         yield f"{host}:{port}", heads
     finally:
         server.close()
+        pending = list(tasks)
+        for task in pending:
+            task.cancel()
+        await asyncio.gather(*pending, return_exceptions=True)
--- a/lagoonring/tests/test_planned_stops.py
+++ b/lagoonring/tests/test_planned_stops.py
@@ -170,3 +170,28 @@
         assert await ask(app) == 503
         await draining
     assert len(heads) == 1
+
+
+@pytest.mark.parametrize("kind", ["safe", "unsafe"])
+async def test_no_request_that_comes_late_in_the_grace_is_passed_on_and_cut(kind):
+    received = []
+
+    async def ask_once(app):
+        async with open_connection(app) as (reader, writer):
+            send(writer)
+            received.append(await read_to_end(reader))
+
+    async with serving(never, kind=kind, timeoutMs=300) as (_, app, heads):
+        shutdown = app.find("path").shutdown
+        draining = asyncio.create_task(app.drain(1.0))
+        await wait_for(lambda: shutdown.retired_s is not None)
+        shutdown.retired_s -= 4.0  # no longer the time in which many arrive
+        asking = []
+        while not draining.done():
+            asking.append(asyncio.create_task(ask_once(app)))
+            await asyncio.sleep(0.05)
+        await app.stop()
+        await asyncio.gather(*asking, return_exceptions=True)
+    outcomes = [read_outcome(answer) for answer in received if answer]
+    assert set(outcomes) == {(504, "unknown"), (503, "not_run")}
+    assert outcomes.count((504, "unknown")) == len(heads)
