Let the soak check the retry budget of all instances

Its checks asked of no count that all instances share but the limits of organisations. Runs stand for arrivals: what endpoints refuse isn't recorded.

--- a/lagoonring/soak/guarantees.py
+++ b/lagoonring/soak/guarantees.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from bisect import bisect_left, bisect_right
 from collections import defaultdict
 from typing import TYPE_CHECKING
 
@@ -90,6 +91,7 @@
     found += [Violation("lost", detail) for detail in find_lost(record, runs)]
     found += _check_runs(record)
     found += _check_limit(record)
+    found += _check_retries(record)
     found += _check_duties(record.duty_calls)
     found += _check_recovery(record)
     return found
@@ -207,6 +209,38 @@
             return
 
 
+def _check_retries(record: SoakRecord) -> Iterator[Violation]:
+    """Check the retry budget of all instances in windows that begin with a retry.
+
+    The requests are those of the window, of the one before it or of the one half a
+    window before it, whichever has most. Runs stand for arrivals: what an endpoint
+    refuses is not recorded.
+    """
+    window_s = BOUNDS.retry_window_s
+    sent_s = sorted(sent.sent_s for sent in record.requests)
+    began: set[str] = set()
+    retries_s = []
+    for run in sorted(record.runs, key=lambda run: run.began_s):
+        if run.request_id in began:
+            retries_s.append(run.began_s)
+        began.add(run.request_id)
+
+    def count(times_s: list[float], start_s: float) -> int:
+        return bisect_right(times_s, start_s + window_s) - bisect_left(times_s, start_s)
+
+    for start_s in retries_s:
+        n_retries = count(retries_s, start_s)
+        n_requests = max(
+            count(sent_s, start_s - before_s)
+            for before_s in (0.0, window_s / 2, window_s)
+        )
+        allowed = BOUNDS.retry_ratio * n_requests + BOUNDS.retry_slack
+        if n_retries > allowed:
+            detail = f"{n_retries} for {n_requests} requests, allowed {allowed:.0f}"
+            yield Violation("retries", detail)
+            return
+
+
 def _check_duties(calls: list[DutyCall]) -> Iterator[Violation]:
     """Check that each usage window has one report and each fencing number one holder.
 
--- a/lagoonring/tests/test_soak.py
+++ b/lagoonring/tests/test_soak.py
@@ -132,6 +132,16 @@
     assert find_violations([sent], runs) == {guarantee}
 
 
+@pytest.mark.parametrize(("n_retries", "is_broken"), [(62, False), (63, True)])
+def test_retries_beyond_the_budget_are_found(n_retries, is_broken):
+    sent = make_request(path="/safe/1")
+    runs = [make_run(path="/safe/1", began_s=10.0 + n / 100) for n in range(n_retries)]
+    more = [make_request(f"{n} b", path="/safe/1", sent_s=10.0) for n in range(9)]
+    runs += [make_run(request.request_id, path="/safe/1") for request in more]
+    runs.append(make_run(path="/safe/1", began_s=10.9))
+    assert ("retries" in find_violations([sent, *more], runs)) == is_broken
+
+
 def make_cut(sent_s=10.0, cut_s=10.3, **changes):
     values = {"status": None, "is_complete": False, "answer": b"", "pid": 7}
     times = {"sent_s": sent_s, "written_s": sent_s, "ended_s": cut_s}
