Believe a refusal of the own interface's endpoints only if it echoes the ids

What callers saw: possibly a request that ran twice: a refusal without ids, left on a connection by an earlier request, counted as "not run" for the present one, which then went to a second endpoint.

Cause: the check of ids was lenient for refusals, since the stand-ins echoed no ids in them. The published interface has engines echo both ids; the stand-ins now do so in every answer. Plain services have to echo them in a refusal with X-Not-Run, and may go without in other answers.

--- a/lagoonring/endpoints/model_engine.py
+++ b/lagoonring/endpoints/model_engine.py
@@ -108,11 +108,10 @@
                 connect_timeout_s=connect_timeout_s,
             )
     async with response:
-        check_echo(headers, response, is_strict=False)
+        check_echo(headers, response)
         with typed_errors(url):
             async with asyncio.timeout_at(deadline_s):
                 await raise_unless_ok(response)
-        check_echo(headers, response, is_strict=True)
         async for events in read_batches(
             response,
             first_timeout_s=deadline_s - loop.time(),
@@ -144,9 +143,8 @@
         timeout_s=timeout_s,
     )
     async with response:
-        check_echo(headers, response, is_strict=False)
+        check_echo(headers, response)
         await raise_unless_ok(response)
-        check_echo(headers, response, is_strict=True)
         answer = await read_body(response)
     _check_answer_id(answer, request_id, url)
     return answer
--- a/lagoonring/endpoints/plain_service.py
+++ b/lagoonring/endpoints/plain_service.py
@@ -103,7 +103,7 @@
     ------
     EndpointRefusedError
         If the call certainly was not run: no connection was established, or the
-        service answered 503 with ``X-Not-Run: 1``.
+        service answered 503 with ``X-Not-Run: 1`` and echoed both ids.
     EndpointTimeoutError, EndpointCutError, EndpointCrossedError
         If the call may have been run.
     """
@@ -118,8 +118,11 @@
         connect_timeout_s=connect_timeout_s,
     )
     async with response:
-        check_echo(ids, response, is_strict=False)
-        if response.status == 503 and response.headers.get(NOT_RUN_HEADER) == "1":
+        is_refusal = (
+            response.status == 503 and response.headers.get(NOT_RUN_HEADER) == "1"
+        )
+        check_echo(ids, response, is_strict=is_refusal)
+        if is_refusal:
             raise EndpointRefusedError(
                 f"Got a refusal of {url}, expected an answer.",
                 remedy="Use another endpoint; the request was not run.",
--- a/lagoonring/endpoints/transport.py
+++ b/lagoonring/endpoints/transport.py
@@ -182,11 +182,14 @@
 
 
 def check_echo(
-    sent: Mapping[str, str], response: aiohttp.ClientResponse, *, is_strict: bool
+    sent: Mapping[str, str],
+    response: aiohttp.ClientResponse,
+    *,
+    is_strict: bool = True,
 ) -> None:
-    """Raise ``EndpointCrossedError`` if an answer echoes another request's ids.
+    """Raise ``EndpointCrossedError`` unless an answer echoes the request's ids.
 
-    With ``is_strict``, also if the answer echoes no ids.
+    Unless ``is_strict``, an answer may also echo no ids.
     """
     for name in ECHOED_HEADERS:
         expected = sent.get(name)
--- a/lagoonring/standins/http_server.py
+++ b/lagoonring/standins/http_server.py
@@ -8,6 +8,7 @@
 import msgspec
 from aiohttp import web
 
+from lagoonring.endpoints.transport import ECHOED_HEADERS
 from lagoonring.errors import InvalidInputError
 from lagoonring.logs import make_logger
 from lagoonring.settings import convert, to_plain
@@ -38,6 +39,7 @@
 
     def __init__(self, app: web.Application, *, host: str, port: int) -> None:
         self.app = app
+        app.on_response_prepare.append(_echo_ids)
         self.host = host
         self.port = port
         self.runner = web.AppRunner(
@@ -111,6 +113,13 @@
         await self.accept()
 
 
+async def _echo_ids(request: web.Request, response: web.StreamResponse) -> None:
+    """Echo the ids of a request in its answer, refusals and errors included."""
+    for name in ECHOED_HEADERS:
+        if name in request.headers:
+            response.headers.setdefault(name, request.headers[name])
+
+
 def answer_json(value: Any, *, status: int = 200, **headers: str) -> web.Response:
     """Return a JSON response; ``_`` in header names stands in for ``-``."""
     return web.Response(
