Don't take a hub's first reports for usage from before the start

What callers saw: an organisation got more than its limit after all instances were killed (QUOTA).

Cause: a process fills its burst bucket if the first reports of others tell of more than they can have used since it started. When the hub changes some seconds after a start of all, its first reports cover usage that is known already; they counted once more, and every process filled its bucket at the same moment.

First reports count less what earlier sources reported.

--- a/lagoonring/serving/quotas.py
+++ b/lagoonring/serving/quotas.py
@@ -258,12 +258,12 @@
             if known is not None and known.life != life and is_sum:
                 self._carry_over(usage, peer, now_s)
                 known = None
+            is_first = known is None
             if known is None:
                 known = usage.peers[peer] = PeerUsage(
                     life, total, WindowSum(self.window_s)
                 )
                 amount = recent
-                usage.first_reported += amount
             else:
                 amount = total - known.total if known.life == life else recent
             known.life, known.total = life, total
@@ -272,7 +272,12 @@
                 if is_local:
                     usage.local.add(amount, now_s)
                     usage.total_local += amount
-                self._add_remote(usage, amount, now_s)
+                amount = self._take_carried(usage, amount, now_s)
+                usage.first_reported += amount * is_first
+                usage.everywhere.add(amount, now_s)
+                usage.total_everywhere += amount
+                usage.recent.add(amount, now_s)
+                usage.consume(amount)
 
     def carry_over_peers(self, now_s: float) -> None:
         """Carry over the usage of all current peers, which other peers will report."""
@@ -287,20 +292,17 @@
         usage.carried_over += usage.peers.pop(peer).window.read(now_s)
         usage.carry_over_until_s = now_s + CARRY_OVER_S
 
-    def _add_remote(self, usage: Usage, amount: float, now_s: float) -> None:
-        """Count usage of other instances, less what earlier sources reported.
+    def _take_carried(self, usage: Usage, amount: float, now_s: float) -> float:
+        """Return usage of other instances less what earlier sources reported.
 
         A new hub receives the reports of its instances one by one, so that its sums
         reach the amount known here only after several rounds.
         """
-        if now_s <= usage.carry_over_until_s:
-            carried = max(min(amount, usage.carried_over), 0.0)
-            usage.carried_over -= carried
-            amount -= carried
-        usage.everywhere.add(amount, now_s)
-        usage.total_everywhere += amount
-        usage.recent.add(amount, now_s)
-        usage.consume(amount)
+        if now_s > usage.carry_over_until_s:
+            return amount
+        carried = max(min(amount, usage.carried_over), 0.0)
+        usage.carried_over -= carried
+        return amount - carried
 
     def set_start_share(self, share: float) -> None:
         """Set the share of its burst that each organisation has at the start.
--- a/lagoonring/tests/test_serving_decisions.py
+++ b/lagoonring/tests/test_serving_decisions.py
@@ -243,8 +243,19 @@
     assert max_in_window(admitted_s) * 10.0 <= bound
 
 
-def simulate_kill(*, n_instances=9, demand_per_s=800.0, killed_at_s=12.0, down_s=1.0):
-    """Simulate a hot organisation at instances that are all killed at once."""
+def simulate_kill(
+    *,
+    n_instances=9,
+    demand_per_s=800.0,
+    killed_at_s=12.0,
+    down_s=1.0,
+    hub_changes_s=None,
+):
+    """Simulate a hot organisation at instances that are all killed at once.
+
+    Some time after their start their hub may change, which then reports in place of
+    the one before.
+    """
     rng = random.Random(6)
 
     def start(now_s):
@@ -257,19 +268,23 @@
         return made
 
     instances, now_s, next_exchange_s, admitted_s = start(-60.0), 9.0, 9.0, []
-    started_s = -60.0
+    started_s, hub = -60.0, 0
     while now_s < 30.0:
         now_s += rng.expovariate(demand_per_s / 10)
         if started_s < killed_at_s <= now_s:
             now_s = started_s = killed_at_s + down_s
             instances, next_exchange_s = start(now_s), now_s + 0.3
+        if hub == 0 and hub_changes_s and now_s >= started_s + hub_changes_s >= 0:
+            hub = 1
+            for quotas in instances:
+                quotas.carry_over_peers(now_s)
         if now_s >= next_exchange_s:
             next_exchange_s = now_s + 0.25
             reports = [quotas.totals(now_s) for quotas in instances]
             for index, quotas in enumerate(instances):
                 for other, totals in enumerate(reports):
                     if other != index:
-                        peer = f"{started_s}-{other}"
+                        peer = f"{started_s}-{hub}-{other}"
                         quotas.update_peer(peer, 1, totals, now_s)
         is_isolated = now_s < started_s + 0.3
         quotas = rng.choice(instances)
@@ -285,6 +300,16 @@
     assert max_in_window(admitted_s) * 10.0 <= bound
 
 
+@pytest.mark.parametrize("hub_changes_s", [0.5, 1.0, 1.5, 2.0, 3.0])
+@pytest.mark.parametrize("killed_at_s", [10.5, 12.0, 14.0, 16.5])
+def test_a_limit_holds_when_the_hub_changes_after_all_instances_were_killed(
+    killed_at_s, hub_changes_s
+):
+    admitted_s = simulate_kill(killed_at_s=killed_at_s, hub_changes_s=hub_changes_s)
+    bound = (100.0 * 8 + 200.0) * 1.1 + 170.0
+    assert max_in_window(admitted_s) * 10.0 <= bound
+
+
 def test_callers_within_their_limit_are_served_after_all_instances_were_killed():
     """Nine instances start; an organisation at half its rate calls all of them."""
     rng = random.Random(8)
