--- a/lagoonring/tests/test_instance.py
+++ b/lagoonring/tests/test_instance.py
@@ -16,6 +16,7 @@
     make_config,
     make_heartbeat,
     running_instances,
+    wait_for,
 )
 from lagoonring.tests.builders.raw_endpoints import raw_endpoint
 
@@ -135,3 +136,14 @@
             proceed.set()
             assert await request == 200
             await drain
+
+
+async def test_a_process_has_its_part_of_the_retry_budget_since_its_start(platform):
+    platform.write_operator("config", make_config())
+    async with running_instances(platform, n=2) as apps:
+        for app in apps:
+            await wait_for(lambda app=app: app.find("exchange").count_instances() == 2)
+            budget = app.find("path").parts.retry_budget
+            assert 0 <= app.clock.monotonic() - budget.started_s < LIMIT_S
+            n_centres = len(app.settings.data_centres)
+            assert app.find("exchange").part() == 1 / (2 * n_centres)
