Begin the buckets of large requests at different phases

Cause: a request larger than an instance's part of a short limit is admitted once the bucket is full, and paid for afterwards. After a start of all, every instance did so at the same moment.

Each process now owes a random share of its first such request, as if one had been admitted some time before its start.

The data classes of usage move to a module of their own, unchanged.

--- a/lagoonring/platform/application.py
+++ b/lagoonring/platform/application.py
@@ -204,6 +204,7 @@
         overshoot=bounds.quota_overshoot,
         slack=bounds.quota_slack,
         started_s=app.clock.monotonic(),
+        phase=app.rng.random(),
     )
     quotas.set_start_share(START_SHARE)
     demand = Demand(app.clock)
--- a/lagoonring/serving/limit_parts.py
+++ b/lagoonring/serving/limit_parts.py
@@ -24,13 +24,18 @@
 
 @attrs.define
 class LimitPart:
-    """This instance's bucket, and what it admitted during the delay of reports."""
+    """This instance's bucket, and what it admitted during the delay of reports.
+
+    ``phase``, from 0 to 1, differs between processes: their buckets are in debt for
+    large requests to different degrees, also after a start of all.
+    """
 
     refilled_s: float
     recent: WindowSum
     level: float = 0.0
     rate_per_s: float = 0.0
     mean_amount: float = 0.0
+    phase: float = 0.0
 
     def refill(self, rate_per_s: float, now_s: float, *, speed: float = 1.0) -> None:
         """Refill the bucket at a rate, ``speed`` times as fast, since the last call."""
@@ -39,6 +44,17 @@
         self.level = min(level, rate_per_s * CAPACITY_S)
         self.refilled_s = now_s
 
+    def begin_in_debt(self, amount: float) -> None:
+        """Owe a part of a request that the bucket can't hold, once.
+
+        If all instances start at once, each of them would admit such a request as soon
+        as its bucket is full, and be in debt only afterwards.
+        """
+        missing = amount - self.rate_per_s * CAPACITY_S
+        if missing > 0:
+            self.level -= self.phase * missing
+            self.phase = 0.0
+
     def wait_s(self, amount: float) -> float | None:
         """Return None if the bucket covers an amount, else the seconds until then.
 
--- a/lagoonring/serving/quotas.py
+++ b/lagoonring/serving/quotas.py
@@ -19,15 +19,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Hashable
 from typing import TYPE_CHECKING
 
-import attrs
-
 from lagoonring.serving.limit_parts import MIN_WAIT_S, LimitPart, share_here
+from lagoonring.serving.limit_usage import PeerUsage, Usage
 from lagoonring.serving.window_sums import SLOT_S, WindowSum
 
 if TYPE_CHECKING:
+    from collections.abc import Hashable
+
     from lagoonring.serving.configuration import Organisation
 
 TOLERANCE_SHARE = 0.3  # of the tolerance; the rest covers delayed reports
@@ -39,51 +39,6 @@
 PACE_BUCKET_S = 1.0  # capacity of the second bucket, in seconds of its rate
 
 
-@attrs.define
-class PeerUsage:
-    """Usage reported by one process of a peer: its total, and the window's amounts."""
-
-    life: int
-    total: float
-    window: WindowSum
-
-
-@attrs.define
-class Usage:
-    """Usage of one organisation, as known to this instance.
-
-    ``everywhere`` covers all instances, ``here`` this one, and ``local`` the other
-    instances of its data centre. ``recent`` is the usage of all instances
-    during the delay of reports, and ``part`` what this instance may admit of a limit
-    that is short. ``first_reported`` sums up the first reports of the others, which
-    cover the window before. ``carried_over`` is usage that ``everywhere`` already
-    contains from a previous source, and that its successor will report again.
-    """
-
-    everywhere: WindowSum
-    here: WindowSum
-    local: WindowSum
-    recent: WindowSum
-    part: LimitPart
-    refilled_s: float
-    burst_level: float = 0.0
-    pace_level: float = 0.0
-    total_here: float = 0.0
-    total_local: float = 0.0
-    total_everywhere: float = 0.0
-    is_initialised: bool = False
-    first_reported: float = 0.0
-    carried_over: float = 0.0
-    carry_over_until_s: float = 0.0
-    peers: dict[Hashable, PeerUsage] = attrs.field(factory=dict)
-
-    def consume(self, amount: float) -> None:
-        """Take tokens from the burst bucket, and the remainder from the second one."""
-        from_burst = min(amount, max(self.burst_level, 0.0))
-        self.burst_level -= from_burst
-        self.pace_level -= amount - from_burst
-
-
 class Quotas:
     """Enforces the limits of all organisations.
 
@@ -95,6 +50,8 @@
         Share of a limit, and an additional amount, by which it may be exceeded.
     started_s : float
         Start time of the process, on the clock that the ``now_s`` arguments use.
+    phase : float
+        See `LimitPart`.
     """
 
     def __init__(
@@ -104,11 +61,13 @@
         overshoot: float = 0.0,
         slack: float = 0.0,
         started_s: float = 0.0,
+        phase: float = 0.0,
     ) -> None:
         self.window_s = window_s
         self.set_tolerance(overshoot=overshoot, slack=slack)
         self.usages: dict[str, Usage] = {}
         self.started_s = started_s
+        self.phase = phase
         self.start_share = 0.0
 
     def set_tolerance(self, *, overshoot: float, slack: float) -> None:
@@ -164,6 +123,7 @@
             if used > used_here or usage.part.recent.read(now_s) > FEW_REQUESTS:
                 unseen = max(unseen, usage.recent.read(now_s))
         self._refill_part(usage, organisation, now_s, here * share, limit - used)
+        usage.part.begin_in_debt(amount)
         is_ample = (
             limit - used - amount >= UNSEEN_FACTOR * unseen
             and self._missing(usage, organisation, amount + unseen) <= 0
@@ -385,7 +345,9 @@
                 here=WindowSum(self.window_s),
                 local=WindowSum(self.window_s),
                 recent=WindowSum(MIN_REPORT_DELAY_S),
-                part=LimitPart(self.started_s, WindowSum(MIN_REPORT_DELAY_S)),
+                part=LimitPart(
+                    self.started_s, WindowSum(MIN_REPORT_DELAY_S), phase=self.phase
+                ),
                 refilled_s=self.started_s,
             )
             self.usages[name] = usage
--- a/lagoonring/tests/test_serving_decisions.py
+++ b/lagoonring/tests/test_serving_decisions.py
@@ -10,7 +10,7 @@
 
 from lagoonring.serving.admitting import WaitEstimate, decide
 from lagoonring.serving.placing import Candidate, Work, choose, prefer_by_part
-from lagoonring.serving.quotas import Quotas
+from lagoonring.serving.quotas import MIN_REPORT_DELAY_S, Quotas
 from lagoonring.serving.sizing import DataCentreFleet, plan
 from lagoonring.serving.suspects import Suspects
 from lagoonring.tests.builders.serving import make_organisation, make_scaling
@@ -250,17 +250,18 @@
     killed_at_s=12.0,
     down_s=1.0,
     hub_changes_s=None,
+    delay_s=None,
 ):
     """Simulate a hot organisation at instances that are all killed at once.
 
     Some time after their start their hub may change, which then reports in place of
-    the one before.
+    the one before. With ``delay_s``, that of reports, instances know their number.
     """
     rng = random.Random(6)
 
     def start(now_s):
         made = [
-            Quotas(8.0, overshoot=0.1, slack=170.0, started_s=now_s)
+            Quotas(8.0, overshoot=0.1, slack=170.0, started_s=now_s, phase=rng.random())
             for _ in range(n_instances)
         ]
         for quotas in made:
@@ -288,7 +289,11 @@
                         quotas.update_peer(peer, 1, totals, now_s)
         is_isolated = now_s < started_s + 0.3
         quotas = rng.choice(instances)
-        if quotas.take(LIMITED, 10.0, now_s, 1 / 8 if is_isolated else 1.0) is None:
+        known = {}
+        if delay_s and not is_isolated:
+            known = {"n_instances": n_instances, "report_delay_s": delay_s}
+        share = 1 / 8 if is_isolated else 1.0
+        if quotas.take(LIMITED, 10.0, now_s, share, **known) is None:
             admitted_s.append(now_s)
     return admitted_s
 
@@ -310,6 +315,16 @@
     assert max_in_window(admitted_s) * 10.0 <= bound
 
 
+@pytest.mark.parametrize("n_instances", [9, 20, 30, 60])
+@pytest.mark.parametrize("killed_at_s", [10.5, 12.0, 14.0, 16.5])
+def test_a_limit_holds_when_many_instances_are_killed_at_once(killed_at_s, n_instances):
+    admitted_s = simulate_kill(
+        n_instances=n_instances, killed_at_s=killed_at_s, delay_s=MIN_REPORT_DELAY_S
+    )
+    bound = (100.0 * 8 + 200.0) * 1.1 + 170.0
+    assert max_in_window(admitted_s) * 10.0 <= bound
+
+
 def test_callers_within_their_limit_are_served_after_all_instances_were_killed():
     """Nine instances start; an organisation at half its rate calls all of them."""
     rng = random.Random(8)
