Let the soak report the most runs of a limited organisation

Its check stopped at the first run beyond the limit, so that all its findings read as an excess by one. It now names the most in any window.

--- a/lagoonring/soak/guarantees.py
+++ b/lagoonring/soak/guarantees.py
@@ -196,17 +196,17 @@
         if run.organisation == LIMITED_ORGANISATION:
             first.setdefault(run.request_id, run.began_s)
     times_s = sorted(first.values())
-    start = 0
-    for index, time_s in enumerate(times_s):
-        while times_s[start] < time_s - window_s:
-            start += 1
-        if index - start + 1 > allowed:
-            n_runs = index - start + 1
-            yield Violation(
-                "quota",
-                f"{n_runs} runs of {LIMITED_ORGANISATION}, allowed {allowed:.0f}",
-            )
-            return
+    n_most = max(
+        (
+            bisect_right(times_s, start_s + window_s) - index
+            for index, start_s in enumerate(times_s)
+        ),
+        default=0,
+    )
+    if n_most > allowed:
+        yield Violation(
+            "quota", f"{n_most} runs of {LIMITED_ORGANISATION}, allowed {allowed:.1f}"
+        )
 
 
 def _check_retries(record: SoakRecord) -> Iterator[Violation]:
