--- a/lagoonring/tests/test_retry_budget.py
+++ b/lagoonring/tests/test_retry_budget.py
@@ -57,8 +57,7 @@
 def test_processes_that_know_no_other_yet_keep_to_the_budget(discovery_s, seed):
     def part_of(instance, now_s):
         is_alone = now_s < instance.started_s + discovery_s
-        n_local = 1 if is_alone else CENTRES[instance.data_centre]
-        return 1 / (len(CENTRES) * n_local)
+        return 1.0 if is_alone else 1 / N_INSTANCES
 
     play = play_refusals(
         CENTRES, part_of=part_of, kills=(20.0,), ill_from_s=20.0, seed=seed
