--- a/lagoonring/platform/documents.py
+++ b/lagoonring/platform/documents.py
@@ -225,7 +225,8 @@
     )
     if not is_sound:
         raise UnreadableDocumentError(
-            f"Got state {raw.state!r} and address {raw.address!r} of "
+            f"Got state {raw.state[:MAX_NAME_CHARACTERS]!r} and address "
+            f"{raw.address[:MAX_NAME_CHARACTERS]!r} of "
             f"{endpoint[:MAX_NAME_CHARACTERS]!r}, expected ready or draining, IP:port "
             "and a printable name.",
             remedy="Find who writes this record; the endpoint's own ones hold.",
--- a/lagoonring/tests/builders/serving.py
+++ b/lagoonring/tests/builders/serving.py
@@ -6,7 +6,6 @@
 import itertools
 import math
 import random
-from types import SimpleNamespace
 from typing import TYPE_CHECKING, Any
 
 import attrs
@@ -35,7 +34,7 @@
 from lagoonring.serving.moves import MoveGate, MoveOrder
 from lagoonring.serving.parts import ServingParts
 from lagoonring.serving.path import RequestPath
-from lagoonring.serving.permits import Permits, Place
+from lagoonring.serving.permits import Permits
 from lagoonring.serving.placer import Placer
 from lagoonring.serving.prompt_suspects import PromptSuspects
 from lagoonring.serving.quotas import Quotas
@@ -46,6 +45,7 @@
 from lagoonring.serving.usage import UsageCounts
 from lagoonring.serving.version_results import VersionCounters
 from lagoonring.tests.builders.connectivity import make_connectivity, probe_nothing
+from lagoonring.tests.builders.exchange_double import FakeExchange
 
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator, Callable
@@ -201,57 +201,6 @@
         """Ignore the reports of peers."""
 
 
-@attrs.define
-class FakeExchange:
-    """An exchange with a fixed number of instances and share of reachable ones."""
-
-    n_instances: int = 3
-    share: float = 1.0
-    reported_until_s: float = math.inf
-    delay_s: float = 0.5
-    life: int = 1
-    address: str = "a"
-    peers: list[str] = attrs.field(factory=list)
-    settings: Any = attrs.field(
-        factory=lambda: SimpleNamespace(
-            instance="a", data_centre="east", data_centres=("east",)
-        )
-    )
-
-    def place(self) -> Place:
-        """Return the place of this instance."""
-        return Place(
-            self.address,
-            self.settings.data_centre,
-            self.settings.data_centres,
-            tuple(sorted([self.address, *self.peers])),
-        )
-
-    def relays(self) -> list[Any]:
-        """Return no instances that relay."""
-        return []
-
-    def count_instances(self) -> int:
-        """Return the number of known instances."""
-        return self.n_instances
-
-    def part(self) -> float:
-        """Return the part of this instance, alike at all instances."""
-        return 1 / self.n_instances
-
-    def reachable_share(self) -> float:
-        """Return the share of instances that are reachable."""
-        return self.share
-
-    def report_delay_s(self) -> float:
-        """Return the delay of reports, by default that of a small deployment."""
-        return self.delay_s
-
-    def all_reported_since(self, at_s: float) -> bool:
-        """Return whether all instances have reported since a time."""
-        return self.reported_until_s >= at_s
-
-
 @attrs.define(slots=False)
 class FakeAnswer:
     """An answer made of chunks; an exception among them is raised there."""
--- a/lagoonring/tests/test_callers.py
+++ b/lagoonring/tests/test_callers.py
@@ -21,7 +21,6 @@
     FakeSender,
     make_configuration,
     make_event,
-    make_organisation,
     make_parts,
     make_record,
     make_route,
@@ -120,31 +119,6 @@
     assert "Content-Type: text/odd" in head
 
 
-@pytest.mark.parametrize("text", ["9" * 400, "9" * 5000, "-1", "1_0", "²", "٣"])
-@pytest.mark.parametrize(
-    "value",
-    [
-        "Lagoonring-Deadline-Ms: {}",
-        "Last-Event-Id: {}",
-        "Lagoonring-Token-Count: {},1",
-        "Lagoonring-Token-Count: 1,{}",
-        "Lagoonring-Prompt-Prefix: ab:{}",
-        "Lagoonring-Prompt-Prefix: {0}:{0}",
-    ],
-)
-async def test_an_odd_number_in_a_request_is_served_or_refused_as_a_bad_header(
-    value, text
-):
-    organisation = make_organisation(rate_per_s=100.0, burst=1e6, counts_tokens=True)
-    configuration = make_configuration(*ROUTES, organisations=(organisation,))
-    async with serving(
-        lambda order: FakeAnswer([b"ok"]), configuration=configuration
-    ) as front:
-        answer = await ask(front, make_head("/lookup/7", "GET", value.format(text)))
-        assert split_answer(answer)[0] in (200, 400)
-        assert split_answer(await ask(front, make_head()))[0] == 200
-
-
 async def test_key_and_reserved_headers_are_not_forwarded():
     async with (
         raw_endpoint(
--- a/lagoonring/tests/test_odd_input.py
+++ b/lagoonring/tests/test_odd_input.py
@@ -45,8 +45,16 @@
     make_entry,
 )
 from lagoonring.tests.builders.raw_endpoints import raw_endpoint
-from lagoonring.tests.builders.serving import make_record, make_table
+from lagoonring.tests.builders.serving import (
+    FakeAnswer,
+    make_configuration,
+    make_organisation,
+    make_record,
+    make_table,
+)
 from lagoonring.tests.builders.shared_load import ONLY_INSTANCE
+from lagoonring.tests.test_callers import ROUTES, make_head, serving, split_answer
+from lagoonring.tests.test_callers import ask as ask_front
 
 SEEN_ENTRIES = ("deep list in an unknown field", "port 70000", "negative port")
 ODD_NAMES = ("two\r\nlines", "x" * 1000, "", "\x00")
@@ -68,6 +76,12 @@
         decode_endpoint("i-odd", entry)
 
 
+def test_the_error_of_a_long_entry_is_short():
+    with pytest.raises(InvalidInputError) as caught:
+        decode_endpoint("i-odd", make_entry("9" * 100_000, state="x" * 100_000))
+    assert len(str(caught.value)) < 1000
+
+
 @pytest.mark.parametrize("name", ODD_NAMES)
 def test_an_entry_under_an_odd_name_is_rejected(name):
     with pytest.raises(InvalidInputError):
@@ -212,6 +226,33 @@
 # Requests and settings
 
 
+@pytest.mark.parametrize("text", ["9" * 400, "9" * 5000, "-1", "1_0", "²", "٣"])
+@pytest.mark.parametrize(
+    "value",
+    [
+        "Lagoonring-Deadline-Ms: {}",
+        "Last-Event-Id: {}",
+        "Lagoonring-Token-Count: {},1",
+        "Lagoonring-Token-Count: 1,{}",
+        "Lagoonring-Prompt-Prefix: ab:{}",
+        "Lagoonring-Prompt-Prefix: {0}:{0}",
+    ],
+)
+async def test_an_odd_number_in_a_request_is_served_or_refused_as_a_bad_header(
+    value, text
+):
+    organisation = make_organisation(rate_per_s=100.0, burst=1e6, counts_tokens=True)
+    configuration = make_configuration(*ROUTES, organisations=(organisation,))
+    async with serving(
+        lambda order: FakeAnswer([b"ok"]), configuration=configuration
+    ) as front:
+        answer = await ask_front(
+            front, make_head("/lookup/7", "GET", value.format(text))
+        )
+        assert split_answer(answer)[0] in (200, 400)
+        assert split_answer(await ask_front(front, make_head()))[0] == 200
+
+
 @pytest.mark.parametrize("content", [DEEP_LIST, DEEP_OBJECT])
 def test_a_deeply_nested_body_or_file_is_rejected_with_a_typed_error(content, tmp_path):
     with pytest.raises(InvalidInputError):
