Count towards the retry budget what every window allows

What callers would see: with bursts of callers 5 to 10 s apart, more repeats against endpoints that refuse already than all instances may send together.

Cause: requests of the ten seconds that end at the decision earned repeats, at 0.6 of the ratio.

The tests now check windows at every 0.05 s, not only those that begin at a repeat.

--- a/lagoonring/serving/attempts.py
+++ b/lagoonring/serving/attempts.py
@@ -371,7 +371,8 @@
     def take_retry(self, job: Job) -> bool:
         """Take one retry from the shared budget; return False if none is left."""
         budget, part = self.parts.retry_budget, self.parts.exchange.part()
-        is_granted = budget.take(job.service, self.clock.monotonic(), part)
+        now_s = self.clock.monotonic()
+        is_granted = budget.take(job.service, now_s, part)
         result = "granted" if is_granted else "refused"
         self.parts.metrics.retries.labels(job.service, result).inc()
         logger.info(
@@ -381,7 +382,7 @@
                 "request_id": job.request.request_id,
                 "service": job.service,
                 "n_sends": job.n_sends,
-                **budget.describe(job.service, part),
+                **budget.describe(job.service, now_s, part),
             },
         )
         return is_granted
--- a/lagoonring/tests/builders/retry_budgets.py
+++ b/lagoonring/tests/builders/retry_budgets.py
@@ -19,6 +19,7 @@
 MAX_REPEATS = 3  # of one request
 DOWN_S = 0.6  # from a kill until the next process listens
 STEP_S = 0.01
+WINDOW_STEP_S = 0.05  # between the starts of the windows that are checked
 
 
 @attrs.define
@@ -44,6 +45,8 @@
         The requests are those of the window, of the one before it or of the one half
         a window before it, whichever has most.
         """
+        n_steps = round((max(self.repeats, default=0.0) + WINDOW_S) / WINDOW_STEP_S)
+        starts = [step * WINDOW_STEP_S - WINDOW_S for step in range(n_steps)]
         return max(
             self._count(self.repeats, start_s)
             - RATIO
@@ -52,7 +55,7 @@
                 for offset_s in (0.0, WINDOW_S / 2, WINDOW_S)
             )
             - SLACK
-            for start_s in self.repeats
+            for start_s in (*starts, *self.repeats)
         )
 
     def _count(self, times: Sequence[float], start_s: float) -> int:
@@ -64,6 +67,7 @@
     *,
     part_of: Callable[[Instance, float], float],
     kills: Sequence[float] = (),
+    bursts: Sequence[tuple[float, int]] = (),
     ill_from_s: float = 0.0,
     requests_per_s: float = 70.0,
     duration_s: float = 40.0,
@@ -78,6 +82,8 @@
     part_of : callable
         ``part_of(instance, now_s)`` returns the part of the slack that an instance
         takes for its own.
+    bursts : sequence of tuple
+        Times of bursts of callers, in order, and their numbers of requests.
     ill_from_s : float
         Time from which endpoints refuse all requests.
     """
@@ -87,26 +93,29 @@
         for centre, n_instances in centres.items()
         for number in range(n_instances)
     ]
-    play, now_s, remaining = Play(), 0.0, list(kills)
+    play, now_s = Play(), 0.0
+    remaining, coming = list(kills), list(bursts)
     while now_s < duration_s:
         now_s += STEP_S
         if remaining and now_s >= remaining[0]:
             started_s = remaining.pop(0) + DOWN_S
             for instance in instances:
                 instance.budget, instance.started_s = make_budget(started_s), started_s
-        if rng.random() >= requests_per_s * STEP_S:
-            continue
-        play.requests.append(now_s)
-        instance = rng.choice(instances)
-        if now_s < instance.started_s:
-            continue
-        instance.budget.record_request(SERVICE, now_s)
-        if now_s < ill_from_s:
-            continue
-        for _ in range(MAX_REPEATS):
-            if not instance.budget.take(SERVICE, now_s, part_of(instance, now_s)):
-                break
-            play.repeats.append(now_s)
+        n_requests = int(rng.random() < requests_per_s * STEP_S)
+        if coming and now_s >= coming[0][0]:
+            n_requests += coming.pop(0)[1]
+        for _ in range(n_requests):
+            play.requests.append(now_s)
+            instance = rng.choice(instances)
+            if now_s < instance.started_s:
+                continue
+            instance.budget.record_request(SERVICE, now_s)
+            if now_s < ill_from_s:
+                continue
+            for _ in range(MAX_REPEATS):
+                if not instance.budget.take(SERVICE, now_s, part_of(instance, now_s)):
+                    break
+                play.repeats.append(now_s)
     return play
 
 
--- a/lagoonring/tests/test_retry_budget.py
+++ b/lagoonring/tests/test_retry_budget.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import random
+
 import pytest
 
 from lagoonring.serving.retry_budget import RetryBudget
@@ -85,6 +87,39 @@
     assert play.excess() <= 0
 
 
+@pytest.mark.parametrize("seed", range(5))
+@pytest.mark.parametrize("gap_s", [5.5, 8.0, 9.5])
+@pytest.mark.parametrize("kills", [(), (24.0,), (28.5,)])
+def test_bursts_that_no_window_holds_together_keep_to_the_budget(kills, gap_s, seed):
+    play = play_refusals(
+        CENTRES,
+        part_of=lambda *_: 1 / N_INSTANCES,
+        kills=kills,
+        bursts=[(20.0, 1500), (20.0 + gap_s, 1500)],
+        ill_from_s=21.0,
+        requests_per_s=5.0,
+        seed=seed,
+    )
+    assert len(play.repeats) > 50
+    assert play.excess() <= 0
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_drawn_loads_and_kills_keep_to_the_budget(seed):
+    rng = random.Random(seed)
+    times = sorted(rng.uniform(0.0, 38.0) for _ in range(8))
+    play = play_refusals(
+        CENTRES,
+        part_of=lambda *_: 1 / N_INSTANCES,
+        kills=sorted(rng.uniform(10.0, 35.0) for _ in range(rng.randrange(6))),
+        bursts=[(at_s, rng.randrange(2000)) for at_s in times],
+        ill_from_s=rng.uniform(0.0, 25.0),
+        requests_per_s=rng.choice([0.5, 20.0, 70.0]),
+        seed=seed,
+    )
+    assert play.excess() <= 0
+
+
 async def test_parts_of_all_instances_add_up_to_one():
     deployment = Deployment(centres=tuple(CENTRES), n_each=2, seeds=("east-0",))
     await deployment.run_for(5.0)
