Refill the buckets of a limit before usage of others is taken from them

What callers saw: an organisation that suddenly sends several times its limit through many instances uses much more than the limit until all have been called; with a start of all instances in between, the bound of a window breaks (QUOTA).

Cause: reports of others were taken from an instance's buckets as they came, but the refill for the time before followed with the next request there. It filled the buckets, which hold the burst at most, as if nothing had been used: an instance called for the first time found the whole burst, each that had not been called for some seconds as well. Class: a sum over instances that is derived from an incomplete view.

Buckets are refilled before each use. What others used before the first request here is replayed from the window. The start shares of those who are known are granted together (0.3 of the burst at most), since the usage of the others is now taken out. The buckets must cover 1.3 times what is unseen: with exact levels, all instances would otherwise admit a heavy organisation again in the moment in which a window frees up.

test_an_instance_called_after_the_others_finds_the_burst_used failed before (2 of 2 cases).

--- a/lagoonring/serving/limit_usage.py
+++ b/lagoonring/serving/limit_usage.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from lagoonring.serving.configuration import Organisation
 from lagoonring.serving.limit_parts import LimitPart
 from lagoonring.serving.window_sums import WindowSum
 
@@ -29,6 +30,7 @@
     that is short. ``first_reported`` sums up the first reports of the others, which
     cover the window before. ``carried_over`` is usage that ``everywhere`` already
     contains from a previous source, and that its successor will report again.
+    ``organisation`` and ``share`` are those of the last request here.
     """
 
     everywhere: WindowSum
@@ -42,7 +44,9 @@
     total_here: float = 0.0
     total_local: float = 0.0
     total_everywhere: float = 0.0
-    is_initialised: bool = False
+    organisation: Organisation | None = None
+    share: float = 1.0
+    granted: float = 0.0
     first_reported: float = 0.0
     carried_over: float = 0.0
     carry_over_until_s: float = 0.0
--- a/lagoonring/serving/quotas.py
+++ b/lagoonring/serving/quotas.py
@@ -33,7 +33,9 @@
 TOLERANCE_SHARE = 0.3  # of the tolerance; the rest covers delayed reports
 START_REFILL_SHARE = 0.8  # of the usual refill; above organisations' typical usage
 MIN_REPORT_DELAY_S = 0.9  # until a report reaches all instances of 30 per data centre
+MAX_START_SHARE = 0.3  # of a burst, at all instances that start together
 UNSEEN_FACTOR = 2.0  # a whole round of reports may be late by as much again
+BUCKET_UNSEEN_FACTOR = 1.3  # the load may grow while reports are under way
 FEW_REQUESTS = 1  # here, without reports of others, are no sign of load elsewhere
 CARRY_OVER_S = 2.0  # a hub that stops responding is replaced within 1 s
 PACE_BUCKET_S = 1.0  # capacity of the second bucket, in seconds of its rate
@@ -106,6 +108,13 @@
         if organisation.rate_per_s <= 0:
             return None
         usage = self._usage_of(organisation.name)
+        self._grant_start(usage, organisation, max(n_instances, 1 + len(usage.peers)))
+        if usage.organisation is None:
+            self._replay(usage, organisation, share)
+        usage.organisation, usage.share = organisation, share
+        # Only here: reports are more frequent, and would cancel more of a debt.
+        usage.pace_level = max(usage.pace_level, -organisation.burst)
+        self._restore_buckets(usage, organisation, now_s, share)
         self._refill(usage, organisation, now_s, share)
         used = usage.everywhere.read(now_s)
         limit = self.allowed(organisation) * share
@@ -124,9 +133,10 @@
                 unseen = max(unseen, usage.recent.read(now_s))
         self._refill_part(usage, organisation, now_s, here * share, limit - used)
         usage.part.begin_in_debt(amount)
+        covered = amount + BUCKET_UNSEEN_FACTOR * unseen
         is_ample = (
             limit - used - amount >= UNSEEN_FACTOR * unseen
-            and self._missing(usage, organisation, amount + unseen) <= 0
+            and self._missing(usage, organisation, covered) <= 0
         )
         if not is_ample:
             wait_s = (
@@ -237,7 +247,9 @@
                 usage.everywhere.add(amount, now_s)
                 usage.total_everywhere += amount
                 usage.recent.add(amount, now_s)
-                usage.consume(amount)
+                if usage.organisation is not None:
+                    self._refill(usage, usage.organisation, now_s, usage.share)
+                    usage.consume(amount)
 
     def carry_over_peers(self, now_s: float) -> None:
         """Carry over the usage of all current peers, which other peers will report."""
@@ -274,14 +286,28 @@
         """
         self.start_share = share
 
+    def _grant_start(
+        self, usage: Usage, organisation: Organisation, n_known: int
+    ) -> None:
+        """Add to the burst bucket what the known instances have at their start."""
+        share = min(self.start_share * n_known, MAX_START_SHARE)
+        granted = organisation.burst * share
+        usage.burst_level += max(granted - usage.granted, 0.0)
+        usage.granted = max(granted, usage.granted)
+
+    def _replay(self, usage: Usage, organisation: Organisation, share: float) -> None:
+        """Take from the buckets what others used before the first request here."""
+        for at_s, amount in usage.everywhere.slots:
+            self._refill(usage, organisation, at_s, share)
+            usage.consume(amount)
+
     def _refill(
         self, usage: Usage, organisation: Organisation, now_s: float, share: float
     ) -> None:
-        """Refill both buckets for the time since the last call."""
-        if not usage.is_initialised:
-            usage.is_initialised = True
-            usage.burst_level = organisation.burst * self.start_share
-        self._restore_buckets(usage, organisation, now_s, share)
+        """Refill both buckets for the time since the last call.
+
+        Has to precede each use: a refill for the time before it would undo it.
+        """
         elapsed_s = now_s - usage.refilled_s
         usage.refilled_s = now_s
         if now_s < self.started_s + self.window_s:
@@ -293,8 +319,9 @@
         usage.burst_level = min(
             usage.burst_level + elapsed_s * rate, organisation.burst
         )
-        level = max(usage.pace_level, -organisation.burst) + elapsed_s * pace * share
-        usage.pace_level = min(level, pace * PACE_BUCKET_S)
+        usage.pace_level = min(
+            usage.pace_level + elapsed_s * pace * share, pace * PACE_BUCKET_S
+        )
 
     def _restore_buckets(
         self, usage: Usage, organisation: Organisation, now_s: float, share: float
--- a/lagoonring/tests/test_serving_decisions.py
+++ b/lagoonring/tests/test_serving_decisions.py
@@ -325,6 +325,15 @@
     assert max_in_window(admitted_s) * 10.0 <= bound
 
 
+@pytest.mark.parametrize("called_before_s", [None, 0.0])
+def test_an_instance_called_after_the_others_finds_the_burst_used(called_before_s):
+    quotas = Quotas(8.0, started_s=-60.0)
+    if called_before_s is not None:
+        assert quotas.take(LIMITED, 1.0, called_before_s, 1.0) is None
+    quotas.update_peer("other", 1, {"one": (225.0, 225.0)}, 5.0)
+    assert quotas.take(LIMITED, 10.0, 5.0, 1.0) is not None
+
+
 def test_callers_within_their_limit_are_served_after_all_instances_were_killed():
     """Nine instances start; an organisation at half its rate calls all of them."""
     rng = random.Random(8)
