Don't take start shares of many instances for usage from before the start

Cause: processes that know of no other use an eighth of a limit each. The first reports of 60 of them exceed what one limit allows since the start, which was taken for proof that they had run before, and the burst was filled again. Class: a belief about others that assumes a usual number of them.

The threshold now counts the start shares of all known instances.

test_first_reports_after_a_start_of_many_instances_restore_no_burst failed before.

--- a/lagoonring/serving/quotas.py
+++ b/lagoonring/serving/quotas.py
@@ -114,7 +114,7 @@
         usage.organisation, usage.share = organisation, share
         # Only here: reports are more frequent, and would cancel more of a debt.
         usage.pace_level = max(usage.pace_level, -organisation.burst)
-        self._restore_buckets(usage, organisation, now_s, share)
+        self._restore_buckets(usage, organisation, now_s, share, n_instances)
         self._refill(usage, organisation, now_s, share)
         used = usage.everywhere.read(now_s)
         limit = self.allowed(organisation) * share
@@ -324,16 +324,23 @@
         )
 
     def _restore_buckets(
-        self, usage: Usage, organisation: Organisation, now_s: float, share: float
+        self,
+        usage: Usage,
+        organisation: Organisation,
+        now_s: float,
+        share: float,
+        n_instances: int,
     ) -> None:
         """Fill the burst bucket of a process that has joined others.
 
         What they used before took nothing from it if they cannot have used it since
         this process started. After a start of all processes nothing is restored.
+        While they know of no other, many processes exceed a limit together.
         """
         age_s = now_s - self.started_s
         rate = organisation.rate_per_s + self._pace(organisation)
-        if usage.first_reported <= organisation.burst + rate * age_s:
+        since_start = organisation.burst + rate * age_s
+        if usage.first_reported <= since_start * max(n_instances * self.start_share, 1):
             return
         usage.first_reported = 0.0
         room = self.allowed(organisation) * share - usage.everywhere.read(now_s)
--- a/lagoonring/tests/test_serving_decisions.py
+++ b/lagoonring/tests/test_serving_decisions.py
@@ -334,6 +334,15 @@
     assert quotas.take(LIMITED, 10.0, 5.0, 1.0) is not None
 
 
+def test_first_reports_after_a_start_of_many_instances_restore_no_burst():
+    quotas = Quotas(8.0, overshoot=0.1, slack=170.0)
+    quotas.set_start_share(1 / 8)
+    for peer in range(59):
+        quotas.update_peer(str(peer), 1, {"one": (10.0, 10.0)}, 0.4)
+    quotas.take(LIMITED, 10.0, 0.4, 1.0, n_instances=60)
+    assert quotas.usages["one"].burst_level < LIMITED.burst / 2
+
+
 def test_callers_within_their_limit_are_served_after_all_instances_were_killed():
     """Nine instances start; an organisation at half its rate calls all of them."""
     rng = random.Random(8)
