Divide limits by data centres while a process is young

What callers saw: data centres that start while they are cut from each other each serve an organisation's whole limit (QUOTA).

Cause: a second after its start a process took the instances that it had heard of for all there are. In a cut at the start these are those of its own data centre, so that the shares of two data centres add up to two, of three to three.

The share of a young process (30 s, as long as it remembers others) now counts the data centres that the settings name and that it has not heard of.

test_data_centres_started_in_a_cut_share_one_limit failed before in 6 of 6 cases.

--- a/lagoonring/serving/reachability.py
+++ b/lagoonring/serving/reachability.py
@@ -90,12 +90,14 @@
     def share(self, now_s: float) -> float:
         """Return the share of the known instances that are reachable now.
 
-        A process that has just started assumes that there are undiscovered instances.
+        A process that has just started assumes that there are undiscovered instances,
+        and a young one that there are some in each data centre, which may be cut off.
         """
         n_heard, n_known = self.count(now_s)
-        if now_s - self.started_s >= DISCOVERY_S:
+        age_s = now_s - self.started_s
+        if age_s >= FORGET_S:
             return n_heard / n_known
-        if n_known == 1:
+        if n_known == 1 and age_s < DISCOVERY_S:
             return START_SHARE
         n_centres = 1 + len(self._known_centres())
         return n_heard / n_known * n_centres / max(len(self.data_centres), 1)
--- a/lagoonring/tests/test_exchange.py
+++ b/lagoonring/tests/test_exchange.py
@@ -301,6 +301,26 @@
     )
 
 
+@pytest.mark.parametrize("duration_s", [1.5, 5.0, 20.0])
+@pytest.mark.parametrize("centres", [("east", "west"), ("east", "west", "north")])
+async def test_data_centres_started_in_a_cut_share_one_limit(centres, duration_s):
+    deployment = Deployment(centres=centres)
+    groups = [deployment.addresses(centre) for centre in centres]
+    for group in groups:
+        others = {address for other in groups for address in other} - set(group)
+        deployment.network.isolate(group, others)
+    await deployment.run_for(duration_s)
+    shares = [
+        max(
+            exchange.reachable_share()
+            for exchange in deployment.exchanges.values()
+            if exchange.settings.data_centre == centre
+        )
+        for centre in centres
+    ]
+    assert sum(shares) == pytest.approx(1.0)
+
+
 async def test_only_hubs_that_others_agree_on_are_settled(deployment):
     settled = [
         n for n, exchange in deployment.exchanges.items() if exchange.is_settled_hub()
