Charge a retry that waits for an endpoint as it is sent

What callers would see: retries decided on over many seconds wait for the end of an endpoint's pause and arrive there together, more of them than all instances may send in a window.

Cause: the budget bounds arrivals, but was charged with the decision. A retry may then wait up to the end of its deadline for an endpoint that asked for a pause or has a limit.

Charging moves to a module of its own (retrying.py).

test_a_retry_that_waited_counts_from_its_send and test_a_retry_that_waited_is_not_sent_once_the_budget_is_used_up failed before and pass.

--- a/lagoonring/serving/attempts.py
+++ b/lagoonring/serving/attempts.py
@@ -27,6 +27,7 @@
 from lagoonring.serving.connectivity import SILENCE_S
 from lagoonring.serving.events import EventSplitter
 from lagoonring.serving.requests import SendOrder
+from lagoonring.serving.retrying import take_retry
 from lagoonring.serving.statements import record_statement
 from lagoonring.serving.stream_checks import (
     check_continues,
@@ -366,23 +367,4 @@
         is_retryable = (
             job.route.is_idempotent and job.n_runs + 1 < job.route.max_attempts
         )
-        return is_retryable and job.n_sends < MAX_SENDS and self.take_retry(job)
-
-    def take_retry(self, job: Job) -> bool:
-        """Take one retry from the shared budget; return False if none is left."""
-        budget, part = self.parts.retry_budget, self.parts.exchange.part()
-        now_s = self.clock.monotonic()
-        is_granted = budget.take(job.service, now_s, part)
-        result = "granted" if is_granted else "refused"
-        self.parts.metrics.retries.labels(job.service, result).inc()
-        logger.info(
-            "Retry {}.",
-            result,
-            extra={
-                "request_id": job.request.request_id,
-                "service": job.service,
-                "n_sends": job.n_sends,
-                **budget.describe(job.service, now_s, part),
-            },
-        )
-        return is_granted
+        return is_retryable and job.n_sends < MAX_SENDS and take_retry(self.parts, job)
--- a/lagoonring/serving/path.py
+++ b/lagoonring/serving/path.py
@@ -25,6 +25,7 @@
     AnswerUnknownError,
     OverloadError,
 )
+from lagoonring.serving.retrying import renew_retry, take_retry
 from lagoonring.serving.shutdown import Shutdown
 
 if TYPE_CHECKING:
@@ -108,6 +109,9 @@
         error: LagoonringError | None = None
         while True:
             endpoint = await self._place(job, error)
+            if error is not None and not renew_retry(self.parts, job):
+                self._release_permit(job)
+                raise self._final_error(job, error)
             error = await self.attempts.send(job, endpoint, sink)
             while error is not None and job.move is not None:
                 error = await self._continue_moved_stream(job, error, sink)
@@ -215,6 +219,12 @@
             job.placement = None
         return is_used
 
+    def _release_permit(self, job: Job) -> None:
+        """Return the permit of a job that is not sent."""
+        if job.permit is not None:
+            self.parts.placer.permissions.permits.release(*job.permit)
+            job.permit = None
+
     def _may_retry(self, job: Job, error: LagoonringError) -> bool:
         """Return whether the job may be sent to another endpoint after an error."""
         if job.n_sends >= MAX_SENDS or job.deadline_s <= self.clock.monotonic():
@@ -223,7 +233,7 @@
             has_arrived = not isinstance(
                 error, EndpointConnectError | RequestWithdrawnError
             )
-            return not has_arrived or self.attempts.take_retry(job)
+            return not has_arrived or take_retry(self.parts, job)
         if not job.may_retry or not job.may_continue:
             return False
         if job.has_begun and not job.route.may_resume:
@@ -232,7 +242,7 @@
             return False
         if isinstance(error, EndpointFailedError):
             return True  # already charged to the budget with the failed answer
-        return self.attempts.take_retry(job)
+        return take_retry(self.parts, job)
 
     def _final_error(self, job: Job, error: LagoonringError) -> LagoonringError:
         """Return the error for the caller; "not run" only if that is certain."""
--- a/lagoonring/serving/requests.py
+++ b/lagoonring/serving/requests.py
@@ -91,6 +91,7 @@
     ``permit`` is an endpoint with a limit and the slot in which it takes the job,
     ``waited_s`` how long it waited for endpoints that wanted no request before. At
     ``expires_s``, on the clock that counts suspension, it may no longer be sent.
+    ``retry_taken_s`` is when a send was last taken from the retry budget.
     ``relay`` is the instance by which it was sent the last time, None if directly, and
     ``tried_relays`` those that did not pass it on. ``move`` is set while its stream is
     moved to another endpoint, and resolves to the result.
@@ -123,6 +124,7 @@
     permit: tuple[Endpoint, int] | None = None
     waited_s: float = 0.0
     expires_s: float = math.inf
+    retry_taken_s: float | None = None
     relay: Relay | None = None
     tried_relays: set[Relay] = attrs.field(factory=set)
     moved: MovedRun | None = None
--- a/lagoonring/serving/retry_budget.py
+++ b/lagoonring/serving/retry_budget.py
@@ -78,6 +78,12 @@
         history.retries.append(now_s)
         return True
 
+    def release(self, service: str, taken_s: float) -> None:
+        """Return a retry that was taken and not sent."""
+        history = self._history(service, taken_s)
+        if taken_s in history.retries:
+            history.retries.remove(taken_s)
+
     def describe(self, service: str, now_s: float, part: float) -> dict[str, Any]:
         """Return what the last decision for a service was based on."""
         history = self._history(service, now_s)
--- a/lagoonring/tests/test_pauses.py
+++ b/lagoonring/tests/test_pauses.py
@@ -100,3 +100,39 @@
     sinks = await asyncio.gather(*requests)
     assert {sink.status for sink in sinks} == {503}
     assert 1 <= len(sender.orders) <= 3
+
+
+async def refuse_while_the_other_pauses():
+    """Return an instance, and a request that waits for the end of a pause."""
+    sender = FakeSender(
+        lambda order: (
+            make_refusal(30.0)
+            if order.endpoint.endpoint == "a"
+            else FakeAnswer([b"ok"])
+        )
+    )
+    parts = make_parts(sender, make_record("a"), make_record("b"), configuration=LONG)
+    now_s = parts.app.clock.monotonic()
+    other = parts.table.find("b")
+    record_statement(parts.table, other, Statement(pause_s=4.0), now_s)
+    request = asyncio.create_task(serve(parts, make_long_request()))
+    await parts.app.clock.advance(1.0)
+    assert len(sender.orders) == 1
+    return parts, sender, request
+
+
+async def test_a_retry_that_waited_counts_from_its_send():
+    parts, sender, request = await refuse_while_the_other_pauses()
+    await parts.app.clock.advance(4.0)
+    assert (await request).status == 200
+    (taken_s,) = parts.retry_budget.histories["desk"].retries
+    assert taken_s == pytest.approx(1_000_004.0)
+    assert len(sender.orders) == 2
+
+
+async def test_a_retry_that_waited_is_not_sent_once_the_budget_is_used_up():
+    parts, sender, request = await refuse_while_the_other_pauses()
+    parts.retry_budget.slack = parts.retry_budget.ratio = 0.0
+    await parts.app.clock.advance(4.0)
+    assert (await request).status == 503
+    assert len(sender.orders) == 1
