Don't give a started process the parts of endpoints' limits of others

What callers would see: an endpoint in need gets more requests than it named right after instances start.

Cause: a process that has just started took the parts of all local instances that it had not heard of, and the parts of slots in which the process before it may have sent already. Class: state of a shared bound that dies with the process, or is derived from a view that is incomplete at the start.

A process takes parts of slots that begin after its start. While it knows no other local instance in its first 30 s it assumes two, as the retry budget does. The rate of endpoints that bear few is divided in the same way.

test_instances_that_know_no_other_yet_keep_to_a_limit failed before. test_processes_started_again_in_a_slot_keep_to_a_limit passes; without the age of the process 16, 48 and 320 requests are sent where 3, 9 and 60 are allowed (3 of 3 cases).

--- a/lagoonring/platform/application.py
+++ b/lagoonring/platform/application.py
@@ -228,7 +228,11 @@
             data_centre=settings.data_centre,
             allowed=gate.allowed,
             demand=demand,
-            permits=Permits(exchange.place, true_clock.now),
+            permits=Permits(
+                exchange.place,
+                true_clock.now,
+                age_s=lambda: app.clock.monotonic() - exchange.started_s,
+            ),
             connectivity=connectivity,
         ),
         connectivity=connectivity,
--- a/lagoonring/serving/exchange.py
+++ b/lagoonring/serving/exchange.py
@@ -170,11 +170,13 @@
 
     def place(self) -> Place:
         """Return this instance's place among those that share a limit."""
+        n_unknown = self.reachability.n_unknown_local(self.app.clock.monotonic())
+        unknown = [f"{self.address}/{number}" for number in range(n_unknown)]
         return Place(
             self.address,
             self.settings.data_centre,
             self.settings.data_centres,
-            tuple(sorted([self.address, *self.local_peers()])),
+            tuple(sorted([self.address, *self.local_peers(), *unknown])),
         )
 
     def relays(self) -> list[Relay]:
--- a/lagoonring/serving/permissions.py
+++ b/lagoonring/serving/permissions.py
@@ -34,7 +34,9 @@
         self.table = table
         self.clock = clock
         self.permits = permits
-        self.rates = RateBudget(self._allowed_per_s, permits.place, permits.true_time)
+        self.rates = RateBudget(
+            self._allowed_per_s, permits.place, permits.true_time, age_s=permits.age_s
+        )
 
     def may_use(self, endpoint: Endpoint) -> bool:
         """Return whether an endpoint takes new work at all."""
--- a/lagoonring/serving/permits.py
+++ b/lagoonring/serving/permits.py
@@ -47,6 +47,14 @@
     return math.floor(limit_per_s * SLOT_S * (slot + 1)) - before
 
 
+def first_slot(now_s: float, age_s: float, slot_s: float) -> int:
+    """Return the first slot that began after the start of a process.
+
+    The process before it may have used its part of an earlier one.
+    """
+    return 0 if age_s == math.inf else int((now_s - age_s) // slot_s) + 1
+
+
 @lru_cache(MAX_CACHED_SLOTS)
 def count_own(endpoint: str, limit_per_s: float, slot: int, place: Place) -> int:
     """Return the requests of a slot that are assigned to this instance."""
@@ -69,13 +77,20 @@
         Returns the present `Place` of this instance.
     true_time : callable
         Returns seconds since the epoch, alike at all instances.
+    age_s : callable
+        Returns the seconds since the start of this process.
     """
 
     def __init__(
-        self, place: Callable[[], Place], true_time: Callable[[], float]
+        self,
+        place: Callable[[], Place],
+        true_time: Callable[[], float],
+        *,
+        age_s: Callable[[], float] = lambda: math.inf,
     ) -> None:
         self.place = place
         self.true_time = true_time
+        self.age_s = age_s
         self.taken: dict[tuple[str, int], int] = {}
 
     def wait_s(self, endpoint: Endpoint, *, not_before_s: float = 0.0) -> float | None:
@@ -126,7 +141,11 @@
     ) -> int | None:
         place = self.place()
         present = int((self.true_time() + not_before_s) // SLOT_S)
-        for slot in range(present - N_KEPT_SLOTS, present + HORIZON_SLOTS):
+        oldest = max(
+            present - N_KEPT_SLOTS,
+            first_slot(self.true_time(), self.age_s(), SLOT_S),
+        )
+        for slot in range(oldest, present + HORIZON_SLOTS):
             n_own = count_own(endpoint.name, limit_per_s, slot, place)
             if n_own > self.taken.get((endpoint.name, slot), 0):
                 return slot
--- a/lagoonring/serving/rate_budget.py
+++ b/lagoonring/serving/rate_budget.py
@@ -10,7 +10,7 @@
 import math
 from typing import TYPE_CHECKING
 
-from lagoonring.serving.permits import count_own
+from lagoonring.serving.permits import count_own, first_slot
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -36,6 +36,8 @@
         Returns the present `Place` of this instance.
     true_time : callable
         Returns seconds since the epoch, alike at all instances.
+    age_s : callable
+        Returns the seconds since the start of this process.
     """
 
     def __init__(
@@ -43,10 +45,13 @@
         allowed_per_s: Callable[[Endpoint], float],
         place: Callable[[], Place],
         true_time: Callable[[], float],
+        *,
+        age_s: Callable[[], float] = lambda: math.inf,
     ) -> None:
         self.allowed_per_s = allowed_per_s
         self.place = place
         self.true_time = true_time
+        self.age_s = age_s
         self.taken: dict[tuple[str, int], int] = {}
 
     def has_room(self, endpoint: Endpoint) -> bool:
@@ -70,7 +75,8 @@
     def _find(self, endpoint: Endpoint, rate_per_s: float) -> int | None:
         """Return the oldest slot that has a part of this instance left."""
         place, present = self.place(), self._present()
-        for slot in range(present - N_KEPT_SLOTS, present + 1):
+        first = first_slot(self.true_time(), self.age_s(), SLOT_S)
+        for slot in range(max(present - N_KEPT_SLOTS, first), present + 1):
             n_own = count_own(f"{endpoint.name} room", rate_per_s * SLOT_S, slot, place)
             if n_own > self.taken.get((endpoint.name, slot), 0):
                 return slot
--- a/lagoonring/serving/reachability.py
+++ b/lagoonring/serving/reachability.py
@@ -109,11 +109,14 @@
         up to one at most also while instances don't hear of other data centres. A young
         process that knows of no other here assumes that there are some.
         """
-        n_local = 1 + len(self.members.local())
-        if n_local == 1 and now_s - self.started_s < FORGET_S:
-            n_local = N_ASSUMED_LOCAL
+        n_local = 1 + len(self.members.local()) + self.n_unknown_local(now_s)
         return 1 / (n_local * max(len(self.data_centres), 1))
 
+    def n_unknown_local(self, now_s: float) -> int:
+        """Return how many instances a young process assumes that knows none here."""
+        is_young = now_s - self.started_s < FORGET_S
+        return N_ASSUMED_LOCAL - 1 if is_young and not self.members.local() else 0
+
     def is_complete(self, now_s: float) -> bool:
         """Return whether there is no need to contact the seeds.
 
--- a/lagoonring/tests/test_permits.py
+++ b/lagoonring/tests/test_permits.py
@@ -5,8 +5,15 @@
 import pytest
 
 from lagoonring.kernel import ManualClock
-from lagoonring.serving.permits import HORIZON_SLOTS, Permits, Place, count_own
+from lagoonring.serving.permits import (
+    HORIZON_SLOTS,
+    N_KEPT_SLOTS,
+    Permits,
+    Place,
+    count_own,
+)
 from lagoonring.serving.statements import Statement, record_statement
+from lagoonring.tests.builders.retry_budgets import start_in_a_cut
 from lagoonring.tests.builders.serving import make_record, make_table
 
 DATA_CENTRES = ("east", "north", "west")
@@ -123,3 +130,34 @@
     assert permits.is_valid(endpoint, slot)
     clock.suspend(3.0)
     assert not permits.is_valid(endpoint, slot)
+
+
+@pytest.mark.parametrize("limit", [1.0, 3.0, 20.0])
+async def test_processes_started_again_in_a_slot_keep_to_a_limit(limit):
+    clock = ManualClock(1_000_000.0)
+    place = Place("x", "east", ("east",), ("x",))
+    endpoint = make_limited(limit)
+    n_sent = 0
+    for _ in range(8):
+        started_s = clock.monotonic()
+        permits = Permits(
+            lambda: place,
+            clock.time,
+            age_s=lambda started_s=started_s: clock.monotonic() - started_s,
+        )
+        await clock.advance(0.25)
+        while permits.wait_s(endpoint) == 0:
+            permits.take(endpoint)
+            n_sent += 1
+    assert n_sent <= limit * (2.0 + N_KEPT_SLOTS)
+
+
+async def test_instances_that_know_no_other_yet_keep_to_a_limit():
+    deployment = await start_in_a_cut(
+        {"east": 2, "west": 3, "north": 1}, is_cut_within=True, duration_s=1.0
+    )
+    places = [exchange.place() for exchange in deployment.exchanges.values()]
+    n_sent = sum(
+        count_own("a", 9.0, slot, place) for place in places for slot in range(9)
+    )
+    assert n_sent <= 9.0 * 9
