Count usage after a change of hubs, and let no hub repeat what is known

What callers saw: an organisation that sends more than its limit gets up to twice as much for two seconds after a hub is replaced (QUOTA), beside planned stops in series, losses of power and starts of all instances.

Cause: a new hub tells its sums anew, in several rounds. For 2 s all that it reported was therefore subtracted from what earlier sources had told. The usage of instances that had left is never told again, so that new usage was subtracted in its place. Class: a sum over instances that are replaced.

Only the first report of a source is compared with what is known; all that follows counts.

--- a/lagoonring/serving/quotas.py
+++ b/lagoonring/serving/quotas.py
@@ -242,8 +242,9 @@
                 if is_local:
                     usage.local.add(amount, now_s)
                     usage.total_local += amount
-                amount = self._take_carried(usage, amount, now_s)
-                usage.first_reported += amount * is_first
+                if is_first:
+                    amount = self._take_carried(usage, amount, now_s)
+                    usage.first_reported += amount
                 usage.everywhere.add(amount, now_s)
                 usage.total_everywhere += amount
                 usage.recent.add(amount, now_s)
@@ -265,11 +266,7 @@
         usage.carry_over_until_s = now_s + CARRY_OVER_S
 
     def _take_carried(self, usage: Usage, amount: float, now_s: float) -> float:
-        """Return usage of other instances less what earlier sources reported.
-
-        A new hub receives the reports of its instances one by one, so that its sums
-        reach the amount known here only after several rounds.
-        """
+        """Return a source's first report less what earlier sources reported."""
         if now_s > usage.carry_over_until_s:
             return amount
         carried = max(min(amount, usage.carried_over), 0.0)
--- a/lagoonring/serving/reachability.py
+++ b/lagoonring/serving/reachability.py
@@ -133,6 +133,13 @@
             member.seen_s is not None for member in self.members.local()
         )
 
+    def has_local_reports(self, since_s: float, now_s: float) -> bool:
+        """Return whether the reachable local instances reported since a time."""
+        return all(
+            member.seen_s is not None and member.seen_s >= since_s
+            for member in self.members.present(now_s)
+        )
+
     def all_reported_since(self, at_s: float) -> bool:
         """Return whether all instances reported since a time."""
         local_s = (
--- a/lagoonring/serving/state_sync.py
+++ b/lagoonring/serving/state_sync.py
@@ -104,7 +104,8 @@
         summary.time_s = self.true_clock.local_now()
         summary.read_well_for_s = parts.follower.read_well_for_s()
         summary.loads = parts.table.local_loads()
-        summary.taken = parts.quotas.local_totals(now_s)
+        if self._knows_local_usage(now_s):
+            summary.taken = parts.quotas.local_totals(now_s)
         summary.crashes = parts.suspects.recent_crashes(now_s)
         summary.prompts = parts.prompt_suspects.rows(now_s)
         summary.statements = statement_rows(parts.table.endpoints.values(), now_s)
@@ -128,6 +129,17 @@
             self.usage_sent_s = now_s
             self._fill_usage(summary)
 
+    def _knows_local_usage(self, now_s: float) -> bool:
+        """Return whether the sums over this data centre are complete.
+
+        A new hub receives the reports one by one, which repeat what the hub before it
+        has told the other hubs.
+        """
+        exchange = self.parts.exchange
+        return exchange.is_settled_hub() or exchange.reachability.has_local_reports(
+            exchange.hub_since_s, now_s
+        )
+
     def fill_digest(self, digest: Digest) -> None:
         """Fill a digest with the sums over all instances."""
         parts = self.parts
--- a/lagoonring/tests/test_serving_decisions.py
+++ b/lagoonring/tests/test_serving_decisions.py
@@ -343,6 +343,15 @@
     assert quotas.usages["one"].burst_level < LIMITED.burst / 2
 
 
+def test_usage_after_a_change_of_hubs_is_not_taken_for_a_repeat():
+    quotas = warm_quotas()
+    quotas.update_peer("hub", 1, {"one": (600.0, 600.0)}, 5.0)
+    quotas.carry_over_peers(5.5)
+    quotas.update_peer("next hub", 1, {"one": (100.0, 400.0)}, 5.6)
+    quotas.update_peer("next hub", 1, {"one": (300.0, 600.0)}, 6.0)
+    assert quotas.usages["one"].everywhere.read(6.0) == 800.0
+
+
 def test_callers_within_their_limit_are_served_after_all_instances_were_killed():
     """Nine instances start; an organisation at half its rate calls all of them."""
     rng = random.Random(8)
--- a/lagoonring/tests/test_state_sync.py
+++ b/lagoonring/tests/test_state_sync.py
@@ -119,6 +119,23 @@
         assert known_usage == pytest.approx(expected, rel=0.1)
 
 
+@pytest.mark.parametrize("centre", ["east", "west", "north"])
+async def test_a_new_hub_does_not_repeat_usage_to_the_others(deployment, centre):
+    for name in deployment.exchanges:
+        deployment.admit(name, 100.0)
+    await deployment.run_for(4 * ROUND_S)
+    (hub,) = deployment.hubs(centre)
+    deployment.stop(hub)
+    for _ in range(round(TAKE_OVER_S / ROUND_S)):
+        await deployment.run_for(ROUND_S)
+        others = [
+            exchange.parts.quotas.all_totals(deployment.clock.monotonic())
+            for exchange in deployment.exchanges.values()
+            if exchange.settings.data_centre != centre
+        ]
+        assert [totals["one"][1] for totals in others] == [900.0] * 6
+
+
 async def test_usage_is_counted_once_when_a_larger_hub_joins(deployment):
     await run_with_usage(deployment, 2.0)
     deployment.start("east-8", capacity=50.0)
