--- a/lagoonring/serving/limit_usage.py
+++ b/lagoonring/serving/limit_usage.py
@@ -30,8 +30,8 @@
     that is short. ``first_reported`` sums up the first reports of the others, which
     cover the window before. ``carried_over`` is usage that ``everywhere`` already
     contains from a previous source, and that its successor will report again.
-    ``organisation`` and ``share`` are those of the last request here, ``granted`` is what
-    the burst bucket got for the start of the known instances.
+    ``organisation`` and ``share`` are those of the last request here, ``granted`` is
+    what the burst bucket got for the start of the known instances.
     """
 
     everywhere: WindowSum
