--- a/review/1/case.py
+++ b/review/1/case.py
@@ -107,8 +107,7 @@
 
     async def watch(self) -> None:
         """Ask each second whether the machines are ready, on kept channels."""
-        timeout = aiohttp.ClientTimeout(total=1.0)
-        async with aiohttp.ClientSession(timeout=timeout) as session:
+        async with aiohttp.ClientSession() as session:
             while True:
                 for one in self.up:
                     is_ready = await self.deployment.is_ready(session, one)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -109,7 +109,12 @@
             while sum(run["crashes"] for run in self.runs) < 3:
                 await asyncio.sleep(0.1)
                 if time.monotonic() - started_s > 30:
-                    raise CannotRunError("The request did not crash three servers.")
+                    seen = [
+                        one["status"]
+                        for one in self.sent
+                        if one["body"] == Server.CRASH
+                    ]
+                    raise CannotRunError(f"It did not crash three servers: {seen}.")
             await asyncio.sleep(STABLE_S + 1.0)
             if IS_TROUBLED:
                 tasks.append(asyncio.create_task(self.roll()))
--- a/review/shared/deployment.py
+++ b/review/shared/deployment.py
@@ -29,6 +29,7 @@
 FRONT, READY, CONTROL, INTERNAL = 8360, 8365, 8367, (7500, 7515)
 STABLE_S = 3.0
 GRACE_S = 8.0
+READY_S = 1.0  # in which a readiness check is to be answered
 N_FILES = 16  # descriptors of a process that are no sockets, with some to spare
 KEY = "key-of-tenant"
 HOST = "desk.example"
@@ -110,7 +111,7 @@
         self.n_per_zone = n_per_zone
         self.max_sockets = max_sockets
         self.instances: list[Instance] = []
-        self.net = reserve_network(n_per_zone)
+        self.net, self.reservation = reserve_network(n_per_zone)
 
     async def prepare(self, config: dict[str, Any]) -> None:
         """Start the platform, and choose the addresses of the instances."""
@@ -242,7 +243,8 @@
         """Ask an instance whether it is ready, as the platform does."""
         url = f"http://{one.ip}:{READY}/ready"
         try:
-            async with session.get(url) as answer:
+            timeout = aiohttp.ClientTimeout(total=READY_S)
+            async with session.get(url, timeout=timeout) as answer:
                 return answer.status == 200
         except (aiohttp.ClientError, OSError, TimeoutError):
             return False
@@ -252,8 +254,7 @@
     ) -> None:
         """Wait until instances answer 200 to the readiness check."""
         end_s = time.monotonic() + limit_s
-        timeout = aiohttp.ClientTimeout(total=1.0)
-        async with aiohttp.ClientSession(timeout=timeout) as session:
+        async with aiohttp.ClientSession() as session:
             while time.monotonic() < end_s:
                 checks = [self.is_ready(session, one) for one in instances]
                 if all(await asyncio.gather(*checks)):
@@ -269,6 +270,7 @@
                 process.kill()
                 process.wait()
         await self.platform.stop()
+        self.reservation.close()
         if "KEEP_LOGS" not in os.environ:
             shutil.rmtree(self.folder, ignore_errors=True)
 
@@ -315,11 +317,16 @@
     }
 
 
-def reserve_network(n_per_zone: int) -> int:
-    """Return a number N such that all ports are free in the network 127.N."""
+def reserve_network(n_per_zone: int) -> tuple[int, socket.socket]:
+    """Return a number N such that all ports are free in the network 127.N.
+
+    The socket that is returned keeps other scripts from using the network.
+    """
     for number in random.sample(range(16, 240), 100):
+        reservation = socket.socket()
         sockets = []
         try:
+            reservation.bind((f"127.{number}.0.1", FRONT))
             for zone in range(1, len(ZONES) + 1):
                 for host in range(1, n_per_zone + 1):
                     for port in (FRONT, READY, CONTROL, INTERNAL[0]):
@@ -327,9 +334,10 @@
                         sockets.append(one)
                         one.bind((f"127.{number}.{zone}.{host}", port))
         except OSError:
+            reservation.close()
             continue
         finally:
             for one in sockets:
                 one.close()
-        return number
+        return number, reservation
     raise CannotRunError("Found no free loopback network.")
--- a/review/shared/servers.py
+++ b/review/shared/servers.py
@@ -51,6 +51,7 @@
         self.work_s = WORK_S
         self.n_slots = N_SLOTS
         self.is_up = False
+        self.state = "ready"
         self.slots = asyncio.Semaphore(N_SLOTS)
         self.runner: web.ServerRunner | None = None
         self.tasks: set[asyncio.Task[None]] = set()
@@ -93,21 +94,33 @@
 
     async def _check_in(self, incarnation: str) -> None:
         while self.is_up and self.id == incarnation:
-            self.sequence += 1
-            record = {
-                "service": self.service,
-                "address": f"127.0.0.1:{self.port}",
-                "zone": self.zone,
-                "version": "v1",
-                "slots": self.n_slots,
-                "state": "ready",
-                "coldLeftMs": 0,
-                "seq": self.sequence,
-                "born": self.born_ms,
-            }
-            self.platform.put("keyed.servers", incarnation, record)
+            self._register()
             await asyncio.sleep(HEARTBEAT_S)
 
+    def _register(self) -> None:
+        self.sequence += 1
+        record = {
+            "service": self.service,
+            "address": f"127.0.0.1:{self.port}",
+            "zone": self.zone,
+            "version": "v1",
+            "slots": self.n_slots,
+            "state": self.state,
+            "coldLeftMs": 0,
+            "seq": self.sequence,
+            "born": self.born_ms,
+        }
+        self.platform.put("keyed.servers", self.id, record)
+
+    async def leave(self, serves_s: float) -> None:
+        """Report that the server drains, serve for some time, and exit."""
+        incarnation = self.id
+        self.state = "draining"
+        self._register()
+        await asyncio.sleep(serves_s)
+        await self.stop()
+        self.platform.put("keyed.servers", incarnation, None)
+
     async def _crash(self) -> None:
         """Reset all channels, and come back as a new incarnation."""
         incarnation = self.id
