Close idle connections of callers in time, and when sockets run out

Cause: idleTimeoutMs of the configuration was decoded and never used. The HTTP library closed idle connections after a constant of 75 s, and 99 new ones a second used up 4,000 sockets in 40 s.

Connections are tracked by state. The readiness and the relay port close idle connections as well.

The builders of the front end moved from test_callers.py to a module.

--- a/lagoonring/platform/boot.py
+++ b/lagoonring/platform/boot.py
@@ -26,6 +26,7 @@
 
 class _Limits(msgspec.Struct):
     memoryMb: float = 300
+    maxFds: int = 4096
     linkMbps: float = 1000.0
     # Share of one processor core; ``cores`` is the speed of that core.
     cpuShare: float = 1.0
@@ -143,6 +144,7 @@
         cloud_address=boot.cloud.address if boot.cloud else None,
         duties=tuple(boot.cloud.duties) if boot.cloud else (),
         capacity=boot.limits.linkMbps * boot.limits.cpuShare * boot.limits.cores,
+        max_fds=boot.limits.maxFds,
         heartbeat_s=boot.heartbeatMs / 1000,
         bounds=_convert_bounds(boot.bounds),
     )
--- a/lagoonring/platform/callers.py
+++ b/lagoonring/platform/callers.py
@@ -12,6 +12,7 @@
 from lagoonring.kernel import BaseService
 from lagoonring.logs import make_logger
 from lagoonring.platform import headers as names
+from lagoonring.platform.connections import CallerConnections, max_caller_sockets
 from lagoonring.requests.errors import (
     BadHeaderError,
     BodyTooLargeError,
@@ -19,6 +20,7 @@
     UnfinishedUploadError,
 )
 from lagoonring.requests.unframed import CHUNKED_SINCE, begin_unframed, end_unframed
+from lagoonring.serving.errors import OverloadError
 from lagoonring.serving.requests import CallerRequest
 
 if TYPE_CHECKING:
@@ -30,7 +32,9 @@
 
 MAX_HEADER_BYTES = 16384  # the platform's default limit for a request head
 DEFAULT_MAX_BODY_BYTES = 4 << 20  # until the first configuration is read
-KEEPALIVE_TIMEOUT_S = 75.0  # longer than any idle timeout promised to callers
+DEFAULT_IDLE_TIMEOUT_S = 15.0  # until the first configuration is read
+READY_IDLE_TIMEOUT_S = 75.0
+NO_SOCKET_RETRY_S = 0.3
 READ_BUFFER_BYTES = 16384  # per connection; most bodies are shorter
 LISTEN_BACKLOG = 1024  # a full queue drops the SYN, which is resent after 1 s
 LINGER_TIMEOUT_S = 2.0  # keep reading a refused body, so its sender gets the answer
@@ -48,11 +52,11 @@
         self,
         request: web.BaseRequest,
         request_id: str | None,
-        is_leaving: Callable[[], bool],
+        closes_connection: Callable[[], bool],
     ) -> None:
         self.request = request
         self.request_id = request_id
-        self.is_leaving = is_leaving
+        self.closes_connection = closes_connection
         self.response: web.StreamResponse | None = None
 
     async def send_whole(
@@ -109,7 +113,7 @@
         self, response: web.StreamResponse, headers: list[tuple[str, str]]
     ) -> None:
         response.headers.extend(headers)
-        if self.is_leaving():
+        if self.closes_connection():
             response.force_close()
         self.response = response
         await response.prepare(self.request)
@@ -134,27 +138,28 @@
         self.path = path
         self.runners: list[web.ServerRunner] = []
         self.is_leaving = False
-        self.busy: set[web.RequestHandler] = set()
+        self.connections = CallerConnections(
+            self.handle,
+            clock=app.clock,
+            idle_timeout_s=self._idle_timeout_s,
+            max_sockets=max_caller_sockets(settings.max_fds),
+            closed=path.parts.metrics.connections_closed,
+            access_log=None,
+            max_line_size=MAX_HEADER_BYTES,
+            max_field_size=MAX_HEADER_BYTES,
+            read_bufsize=READ_BUFFER_BYTES,
+            lingering_time=LINGER_TIMEOUT_S,
+            auto_decompress=False,
+        )
 
     async def start(self) -> None:
         """Listen on the caller address and the readiness address."""
-        await self._listen(
-            web.Server(
-                self.handle,
-                handler_cancellation=True,
-                access_log=None,
-                keepalive_timeout=KEEPALIVE_TIMEOUT_S,
-                max_line_size=MAX_HEADER_BYTES,
-                max_field_size=MAX_HEADER_BYTES,
-                read_bufsize=READ_BUFFER_BYTES,
-                lingering_time=LINGER_TIMEOUT_S,
-                auto_decompress=False,
-            ),
-            self.settings.caller_address,
-        )
-        await self._listen(
-            web.Server(self.handle_ready, access_log=None), self.settings.ready_address
+        await self._listen(self.connections, self.settings.caller_address)
+        ready = web.Server(
+            self.handle_ready, access_log=None, keepalive_timeout=READY_IDLE_TIMEOUT_S
         )
+        await self._listen(ready, self.settings.ready_address)
+        self.app.spawn("connections", self.connections.sweep)
 
     async def retire(self) -> None:
         """Fail readiness checks, so that no new connections are sent here."""
@@ -167,20 +172,15 @@
         read; the caller retries it on another instance.
         """
         await self.app.clock.sleep(min(IDLE_CLOSE_DELAY_S, grace_s))
-        n_closed = 0
-        for runner in self.runners[:1]:
-            for connection in runner.server.connections if runner.server else ():
-                if connection not in self.busy:
-                    connection.force_close()
-                    n_closed += 1
+        n_closed = self.connections.close_unused()
         logger.info(
             "Idle connections closed.",
-            extra={"n_closed": n_closed, "n_busy": len(self.busy)},
+            extra={"n_closed": n_closed, "n_busy": len(self.connections.busy)},
         )
 
     async def stop(self) -> None:
         """Stop listening and close all connections."""
-        logger.info("Closing.", extra={"n_busy": len(self.busy)})
+        logger.info("Closing.", extra={"n_busy": len(self.connections.busy)})
         for runner in self.runners:
             await runner.cleanup()
 
@@ -194,19 +194,42 @@
         """Serve one request of a caller."""
         received_s = self.app.clock.monotonic()
         request_id = request.headers.get(names.REQUEST_ID)
-        sink = HttpSink(request, request_id, lambda: self.is_leaving)
+        sink = HttpSink(request, request_id, self._closes_connections)
         connection = request.protocol
         if request.transport is None:
             # The connection closed while the request was queued; the caller retries.
             raise asyncio.CancelledError
-        self.busy.add(connection)
+        self.connections.begin(connection)
         try:
+            if self.connections.is_full:
+                return await self._refuse(sink)
             return await self._serve(request, sink, received_s)
         finally:
-            self.busy.discard(connection)
+            self.connections.end(connection)
             if self.is_leaving:
                 connection.close()
 
+    async def _refuse(self, sink: HttpSink) -> web.StreamResponse:
+        """Refuse a request for which there is no socket, and close its connection."""
+        error = OverloadError(
+            f"Got a request beside {len(self.connections.busy)} others, expected fewer "
+            "(no_socket).",
+            remedy="Send it again after the time told, on a new connection.",
+            retry_after_s=NO_SOCKET_RETRY_S,
+        )
+        logger.info(
+            "Refused a request.",
+            extra={
+                "request_id": sink.request_id,
+                "code": error.code,
+                "status": error.status,
+                "error": error.message,
+            },
+        )
+        await sink.send_error(error)
+        assert sink.response is not None
+        return sink.response
+
     async def _serve(
         self, request: web.BaseRequest, sink: HttpSink, received_s: float
     ) -> web.StreamResponse:
@@ -311,6 +334,15 @@
             ) from error
         return b"".join(parts)
 
+    def _closes_connections(self) -> bool:
+        return self.is_leaving or self.connections.is_full
+
+    def _idle_timeout_s(self) -> float:
+        configuration = self.path.parts.follower.configuration
+        if configuration is None:
+            return DEFAULT_IDLE_TIMEOUT_S
+        return configuration.limits.idle_timeout_s
+
     async def _listen(self, server: Any, address: str) -> None:
         host, _, port = address.rpartition(":")
         runner = web.ServerRunner(server, shutdown_timeout=0.1)
--- /dev/null
+++ b/lagoonring/platform/connections.py
@@ -0,0 +1,198 @@
+"""Callers' connections: how long they may stay open, and how many there may be."""
+
+from __future__ import annotations
+
+import asyncio
+import resource
+from typing import TYPE_CHECKING, Any
+
+from aiohttp import web
+
+from lagoonring.logs import make_logger
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable, Iterator
+
+    from prometheus_client import Counter
+
+    from lagoonring.kernel import Clock
+
+RESERVED_FDS = 200  # the platform reserves them for files
+# Endpoints, other instances and the platform need the rest.
+CALLERS_SHARE = 0.75
+SWEEP_INTERVAL_S = 1.0
+# The HTTP library's own timeout; connections are closed earlier, by configuration.
+LIBRARY_TIMEOUT_S = 3600.0
+
+logger = make_logger("callers")
+
+
+def max_caller_sockets(max_fds: int) -> int:
+    """Return the sockets that serve callers, of all that the process may open."""
+    soft_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft_limit != resource.RLIM_INFINITY:
+        max_fds = min(max_fds, soft_limit)
+    return max(int((max_fds - RESERVED_FDS) * CALLERS_SHARE), 1)
+
+
+class CallerProtocol(web.RequestHandler):
+    """A caller's connection that reports when a request begins to arrive."""
+
+    __slots__ = ("tracker",)
+
+    def __init__(self, tracker: CallerConnections, **options: Any) -> None:
+        super().__init__(tracker, **options)
+        self.tracker = tracker
+
+    def data_received(self, data: bytes) -> None:
+        """Receive bytes; see ``asyncio.Protocol``."""
+        self.tracker.record_received(self)
+        super().data_received(data)
+
+
+class CallerConnections(web.Server):
+    """HTTP server that closes idle connections in time.
+
+    A request needs a second socket, the one to its endpoint. If sockets run short,
+    the connections that have been idle for longest make room for new ones.
+
+    Parameters
+    ----------
+    handler : callable
+        Serves a request.
+    clock : Clock
+        Source of time.
+    idle_timeout_s : callable
+        Returns the seconds after which an idle connection is closed.
+    max_sockets : int
+        Sockets for callers' connections and their requests to endpoints.
+    closed : Counter
+        Counts closed connections by reason.
+    **options
+        Those of ``web.RequestHandler``.
+    """
+
+    def __init__(
+        self,
+        handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
+        *,
+        clock: Clock,
+        idle_timeout_s: Callable[[], float],
+        max_sockets: int,
+        closed: Counter,
+        **options: Any,
+    ) -> None:
+        super().__init__(handler, handler_cancellation=True)
+        self.clock = clock
+        self.idle_timeout_s = idle_timeout_s
+        self.max_sockets = max_sockets
+        self.closed = closed
+        self.options = options
+        # By the time since when they are in this state, the longest first.
+        self.idle: dict[web.RequestHandler, float] = {}
+        self.receiving: dict[web.RequestHandler, float] = {}
+        self.busy: set[web.RequestHandler] = set()
+
+    def __call__(self) -> web.RequestHandler:
+        """Return the protocol of a new connection."""
+        return CallerProtocol(
+            self,
+            loop=asyncio.get_running_loop(),
+            keepalive_timeout=LIBRARY_TIMEOUT_S,
+            **self.options,
+        )
+
+    def connection_made(
+        self, handler: web.RequestHandler, transport: asyncio.Transport
+    ) -> None:
+        """Track a new connection."""
+        super().connection_made(handler, transport)
+        self._make_room(n_more=1)
+        self.idle[handler] = self.clock.monotonic()
+
+    def connection_lost(
+        self, handler: web.RequestHandler, exc: BaseException | None = None
+    ) -> None:
+        """Stop tracking a connection."""
+        self._forget(handler)
+        super().connection_lost(handler, exc)
+
+    def record_received(self, handler: web.RequestHandler) -> None:
+        """Record that bytes arrive on a connection."""
+        if self.idle.pop(handler, None) is not None:
+            self.receiving[handler] = self.clock.monotonic()
+
+    def begin(self, handler: web.RequestHandler) -> None:
+        """Record that a request on a connection is being served."""
+        self._forget(handler)
+        self.busy.add(handler)
+        self._make_room()
+
+    def end(self, handler: web.RequestHandler) -> None:
+        """Record that the request on a connection has been answered."""
+        self.busy.discard(handler)
+        if handler.transport is not None:
+            self.idle[handler] = self.clock.monotonic()
+
+    @property
+    def is_full(self) -> bool:
+        """Return whether the requests in progress need more sockets than there are."""
+        return self._n_sockets() > self.max_sockets
+
+    def close_unused(self) -> int:
+        """Close all connections on which no request is served; return their number."""
+        unused = [handler for handler in self.connections if handler not in self.busy]
+        for handler in unused:
+            handler.force_close()
+        return len(unused)
+
+    async def sweep(self) -> None:
+        """Close connections that have been idle for too long, until cancelled."""
+        while True:
+            await self.clock.sleep(SWEEP_INTERVAL_S)
+            idle = list(_older_than(self.idle, self._ago_s(self.idle_timeout_s())))
+            self._close(idle, "idle")
+
+    def _ago_s(self, age_s: float) -> float:
+        return self.clock.monotonic() - age_s
+
+    def _n_sockets(self) -> int:
+        n_open = len(self.idle) + len(self.receiving) + len(self.busy)
+        return n_open + len(self.busy)
+
+    def _make_room(self, n_more: int = 0) -> None:
+        """Close the connections that have been idle for longest if sockets run out."""
+        while self.idle and self._n_sockets() + n_more > self.max_sockets:
+            handler = next(iter(self.idle))
+            logger.warning(
+                "Sockets run out, an idle connection is closed.",
+                extra={
+                    "idle_s": round(self._ago_s(self.idle[handler]), 3),
+                    "n_idle": len(self.idle),
+                    "n_busy": len(self.busy),
+                    "max_sockets": self.max_sockets,
+                },
+            )
+            self._close([handler], "sockets")
+
+    def _close(self, handlers: list[web.RequestHandler], reason: str) -> None:
+        for handler in handlers:
+            self._forget(handler)
+            handler.force_close()
+        if handlers:
+            self.closed.labels(reason).inc(len(handlers))
+
+    def _forget(self, handler: web.RequestHandler) -> None:
+        self.idle.pop(handler, None)
+        self.receiving.pop(handler, None)
+        self.busy.discard(handler)
+
+
+def _older_than(
+    since: dict[web.RequestHandler, float], end_s: float
+) -> Iterator[web.RequestHandler]:
+    """Yield the connections that are in a state since a time or longer."""
+    for handler, since_s in since.items():
+        if since_s > end_s:
+            return
+        yield handler
--- a/lagoonring/platform/relay_server.py
+++ b/lagoonring/platform/relay_server.py
@@ -41,6 +41,7 @@
     from lagoonring.serving.settings import NodeSettings
 
 RESULT_OK = "ok"
+IDLE_TIMEOUT_S = 15.0  # instances close theirs earlier
 KEPT_FROM_ENDPOINTS = frozenset({"content-length", "expect", "lagoonring-relay-life"})
 KEPT_FROM_INSTANCES = frozenset({"content-length", "lagoonring-relay-result"})
 
@@ -81,6 +82,7 @@
             self.handle,
             handler_cancellation=True,
             access_log=None,
+            keepalive_timeout=IDLE_TIMEOUT_S,
             max_line_size=MAX_HEADER_BYTES,
             max_field_size=MAX_HEADER_BYTES,
             read_bufsize=READ_BUFFER_BYTES,
--- a/lagoonring/serving/metrics.py
+++ b/lagoonring/serving/metrics.py
@@ -95,6 +95,12 @@
             "Parts of prompts that crash endpoints; requests with them are refused.",
             registry=registry,
         )
+        self.connections_closed = Counter(
+            "lagoonring_serving_connections_closed_total",
+            "Connections of callers closed by this instance, by reason.",
+            ["reason"],
+            registry=registry,
+        )
         self.duty_calls = Counter(
             "lagoonring_serving_duty_calls_total",
             "Calls of singleton duties, by duty and result.",
--- /dev/null
+++ b/lagoonring/tests/test_connections.py
@@ -0,0 +1,153 @@
+"""Callers' connections: how long idle ones stay open, and what happens when full."""
+
+from __future__ import annotations
+
+import asyncio
+
+import attrs
+import pytest
+
+from lagoonring.platform.connections import max_caller_sockets
+from lagoonring.tests.builders.front_ends import (
+    ROUTES,
+    make_head,
+    read_answer,
+    serving,
+    split_answer,
+)
+from lagoonring.tests.builders.serving import FakeAnswer, make_configuration
+
+FEW_FDS = 256
+
+
+def configure(**limits):
+    """Return a configuration with other limits of callers."""
+    configuration = make_configuration(*ROUTES)
+    configuration.limits = attrs.evolve(configuration.limits, **limits)
+    return configuration
+
+
+class Callers:
+    """Connections that are kept until the end of a test."""
+
+    def __init__(self, front):
+        self.front = front
+        self.streams = []
+
+    async def __aenter__(self):
+        return self
+
+    async def __aexit__(self, *error):
+        for _, writer in self.streams:
+            writer.close()
+
+    async def connect(self, content=b""):
+        """Open a connection, send bytes on it and return its reader."""
+        reader, writer = await asyncio.open_connection(*self.front.addresses[0])
+        self.streams.append((reader, writer))
+        writer.write(content)
+        return reader
+
+    async def ask(self):
+        """Send a request on a new connection and return the answer."""
+        reader = await self.connect(make_head(close=False))
+        async with asyncio.timeout(5):
+            return await read_answer(reader)
+
+
+async def is_closed(reader, within_s=5.0):
+    """Return whether the other side closes a connection without an answer."""
+    try:
+        async with asyncio.timeout(within_s):
+            return await reader.read() == b""
+    except TimeoutError:
+        return False
+    except ConnectionError:
+        return True
+
+
+@pytest.mark.parametrize("is_used", [False, True])
+async def test_idle_connection_is_closed_after_the_configured_timeout(is_used):
+    # Guards against connections that stay open for 75 s, whatever is configured.
+    async with (
+        serving(
+            lambda order: FakeAnswer([b"ok"]),
+            configuration=configure(idle_timeout_s=0.2),
+        ) as front,
+        Callers(front) as callers,
+    ):
+        if is_used:
+            await callers.ask()
+        else:
+            await callers.connect()
+        assert await is_closed(callers.streams[0][0])
+
+
+async def test_changed_idle_timeout_applies_to_open_connections():
+    # Guards against a timeout that is read once, when a connection is opened.
+    async with (
+        serving(lambda order: FakeAnswer([b"ok"])) as front,
+        Callers(front) as callers,
+    ):
+        await callers.ask()
+        front.path.parts.follower.configuration = configure(idle_timeout_s=0.1)
+        assert await is_closed(callers.streams[0][0])
+
+
+async def test_connection_with_a_request_in_progress_is_not_idle():
+    # Guards against a timeout that ends answers that take longer.
+    proceed = asyncio.Event()
+
+    async def wait(order):
+        await proceed.wait()
+        return FakeAnswer([b"ok"])
+
+    async with (
+        serving(
+            lambda order: wait(order), configuration=configure(idle_timeout_s=0.1)
+        ) as front,
+        Callers(front) as callers,
+    ):
+        reader = await callers.connect(make_head())
+        assert not await is_closed(reader, within_s=1.5)
+        proceed.set()
+        assert split_answer(await read_answer(reader))[2] == b"ok"
+
+
+async def test_callers_are_served_when_idle_connections_use_up_the_sockets():
+    # Guards against an instance that is ready and takes no new connection.
+    async with (
+        serving(lambda order: FakeAnswer([b"ok"]), max_fds=FEW_FDS) as front,
+        Callers(front) as callers,
+    ):
+        n_sockets = max_caller_sockets(FEW_FDS)
+        for _ in range(n_sockets + 5):
+            assert split_answer(await callers.ask())[0] == 200
+        assert await is_closed(callers.streams[0][0])
+        assert not await is_closed(callers.streams[-1][0], within_s=0.1)
+        assert len(front.runners[0].server.connections) <= n_sockets
+
+
+async def test_request_without_a_socket_is_refused_at_once():
+    # Guards against requests that wait for a socket until their callers leave.
+    proceed = asyncio.Event()
+
+    async def wait(order):
+        await proceed.wait()
+        return FakeAnswer([b"ok"])
+
+    async with (
+        serving(lambda order: wait(order), max_fds=FEW_FDS) as front,
+        Callers(front) as callers,
+    ):
+        n_busy = max_caller_sockets(FEW_FDS) // 2
+        readers = [await callers.connect(make_head()) for _ in range(n_busy)]
+        while len(front.connections.busy) < n_busy:
+            await asyncio.sleep(0.001)
+        status, head, body = split_answer(await callers.ask())
+        assert (status, b'"not_run"' in body) == (503, True)
+        assert "Connection: close" in head
+        assert "Retry-After" in head
+        proceed.set()
+        answers = await asyncio.gather(*map(read_answer, readers))
+    assert [split_answer(answer)[0] for answer in answers] == [200] * n_busy
--- a/lagoonring/tests/test_odd_input.py
+++ b/lagoonring/tests/test_odd_input.py
@@ -25,6 +25,13 @@
 from lagoonring.standins.platform_standin import PlatformStandin
 from lagoonring.tests.builders.boots import encode_boot
 from lagoonring.tests.builders.followers import make_follower
+from lagoonring.tests.builders.front_ends import (
+    ROUTES,
+    make_head,
+    serving,
+    split_answer,
+)
+from lagoonring.tests.builders.front_ends import ask as ask_front
 from lagoonring.tests.builders.instances import (
     ANSWER,
     ask,
@@ -53,8 +60,6 @@
     make_table,
 )
 from lagoonring.tests.builders.shared_load import ONLY_INSTANCE
-from lagoonring.tests.test_callers import ROUTES, make_head, serving, split_answer
-from lagoonring.tests.test_callers import ask as ask_front
 
 SEEN_ENTRIES = ("deep list in an unknown field", "port 70000", "negative port")
 ODD_NAMES = ("two\r\nlines", "x" * 1000, "", "\x00")
