Keep requests that crash endpoints refused when instances start

Cause: crashes were told to other instances for two seconds and kept in memory only, so an instance that starts later, or was cut off, ran the request again.

Messages now carry the blocked requests, eight at a time in turn, with the age of the last crash; the holder of the duties records them in the log, as it does parts of prompts (blocks.py, before prompt_blocks.py). Since a block now outlives processes it ends after ten minutes, or with a complete answer, which is told as well.

--- a/lagoonring/platform/application.py
+++ b/lagoonring/platform/application.py
@@ -28,6 +28,7 @@
 )
 from lagoonring.platform.store_log import LogClient
 from lagoonring.platform.topics import KeyedTopic
+from lagoonring.serving.blocks import PROMPT_PARTS, REQUESTS, BlocksDuty
 from lagoonring.serving.connectivity import Connectivity
 from lagoonring.serving.demand import Demand
 from lagoonring.serving.duties import Duties
@@ -42,7 +43,6 @@
 from lagoonring.serving.path import RequestPath
 from lagoonring.serving.permits import Permits
 from lagoonring.serving.placer import Placer
-from lagoonring.serving.prompt_blocks import PromptBlocksDuty
 from lagoonring.serving.prompt_suspects import PromptSuspects
 from lagoonring.serving.quotas import Quotas
 from lagoonring.serving.reachability import START_SHARE
@@ -311,12 +311,20 @@
                 exposure_slack=settings.bounds.exposure_slack,
                 true_time=true_clock.now,
             ),
-            PromptBlocksDuty(
+            BlocksDuty(
+                PROMPT_PARTS,
                 ledger,
                 parts.prompt_suspects,
                 app.clock,
                 true_time=true_clock.now,
             ),
+            BlocksDuty(
+                REQUESTS,
+                ledger,
+                parts.suspects,
+                app.clock,
+                true_time=true_clock.now,
+            ),
         ]
         if "usage" in settings.duties:
             duty_parts.append(
--- a/lagoonring/serving/accepting.py
+++ b/lagoonring/serving/accepting.py
@@ -51,7 +51,7 @@
         )
     organisation = _find_organisation(configuration, route, request)
     fingerprint = request.fingerprint()
-    if parts.suspects.is_blocked(fingerprint):
+    if parts.suspects.is_blocked(fingerprint, parts.app.clock.monotonic()):
         raise CrashingRequestError(
             "Got a request that broke the endpoints that ran it, expected another.",
             remedy="Change the request; it is not run again as it is.",
--- a/lagoonring/serving/attempts.py
+++ b/lagoonring/serving/attempts.py
@@ -246,7 +246,7 @@
             self.parts.placer.learn_answer_time(
                 job, endpoint, self.clock.monotonic() - started_s
             )
-            self.parts.suspects.record_success(job.fingerprint)
+            self._record_sound(job)
         if answer.status < 300:
             self._record_prompt_answered(job)
         job.has_begun = True
@@ -302,7 +302,7 @@
                 remedy="Resume the stream where that is allowed.",
             )
         endpoint.record_result(ok=True, now_s=self.clock.monotonic())
-        self.parts.suspects.record_success(job.fingerprint)
+        self._record_sound(job)
         self._record_prompt_answered(job)
         await sink.end()
 
@@ -356,6 +356,10 @@
             now_s - job.request.received_s
         )
 
+    def _record_sound(self, job: Job) -> None:
+        """Record that the request does not crash endpoints."""
+        self.parts.suspects.record_success(job.fingerprint, self.clock.monotonic())
+
     def _record_prompt_answered(self, job: Job) -> None:
         """Record that the parts of the prompt do not crash endpoints."""
         self.parts.prompt_suspects.record_answer(
--- a/lagoonring/serving/messages.py
+++ b/lagoonring/serving/messages.py
@@ -22,6 +22,7 @@
 from lagoonring.serving.prompt_suspects import SuspectRows
 from lagoonring.serving.relay_directory import RelayRows
 from lagoonring.serving.statements import StatementRow
+from lagoonring.serving.suspects import SuspectAges
 from lagoonring.serving.usage import UsageRow
 from lagoonring.serving.version_results import ResultsRow
 from lagoonring.serving.warming import ColdRow
@@ -72,6 +73,7 @@
     is the wall clock: the sender's own in a report, otherwise the median of several
     clocks. ``read_well_for_s`` is the time for which the sender could read the store
     without failure. ``crashes`` lists crashed endpoints by request fingerprint,
+    ``suspects`` which requests are blocked and which turned out to be sound,
     ``statements`` what endpoints said of themselves, ``prompts`` what is known of
     parts of prompts that may crash endpoints, ``cold`` which endpoints are cold.
     """
@@ -85,6 +87,7 @@
     loads: Loads = attrs.field(factory=dict)
     taken: UsageTotals = attrs.field(factory=dict)
     crashes: dict[str, list[str]] = attrs.field(factory=dict)
+    suspects: SuspectAges = ({}, {})
     statements: dict[str, StatementRow] = attrs.field(factory=dict)
     prompts: SuspectRows = ({}, {}, {})
     cold: dict[str, ColdRow] = attrs.field(factory=dict)
--- a/lagoonring/serving/state_sync.py
+++ b/lagoonring/serving/state_sync.py
@@ -81,6 +81,7 @@
         report.loads = parts.table.own_loads()
         report.taken = parts.quotas.totals(now_s)
         report.crashes = parts.suspects.recent_crashes(now_s)
+        report.suspects = parts.suspects.take_ages(now_s)
         report.prompts = parts.prompt_suspects.rows(now_s)
         parts.metrics.blocked_parts.set(
             len(parts.prompt_suspects.ages_of_blocked(now_s))
@@ -107,6 +108,7 @@
         if self._knows_local_usage(now_s):
             summary.taken = parts.quotas.local_totals(now_s)
         summary.crashes = parts.suspects.recent_crashes(now_s)
+        summary.suspects = parts.suspects.take_ages(now_s)
         summary.prompts = parts.prompt_suspects.rows(now_s)
         summary.statements = statement_rows(parts.table.endpoints.values(), now_s)
         summary.cold = self._cold_rows(now_s)
@@ -149,6 +151,7 @@
         digest.loads = parts.table.all_loads()
         digest.taken = parts.quotas.all_totals(now_s)
         digest.crashes = parts.suspects.recent_crashes(now_s)
+        digest.suspects = parts.suspects.take_ages(now_s)
         digest.prompts = parts.prompt_suspects.rows(now_s)
         digest.statements = statement_rows(parts.table.endpoints.values(), now_s)
         digest.cold = self._cold_rows(now_s)
@@ -240,7 +243,9 @@
         self.parts.table.update_peer_load(source, loads, now_s)
         apply_statement_rows(self.parts.table, message.statements, now_s)
         apply_cold_rows(self.parts.table, message.cold, now_s, self.true_clock.now())
-        self.parts.suspects.update_peer(message.crashes, now_s, forward=is_forwarded)
+        self.parts.suspects.update_peer(
+            message.crashes, message.suspects, now_s, forward=is_forwarded
+        )
         self.parts.prompt_suspects.update_peer(
             message.prompts, now_s, forward=is_forwarded
         )
--- a/lagoonring/tests/test_messages.py
+++ b/lagoonring/tests/test_messages.py
@@ -13,9 +13,12 @@
 
 GOLDEN = Path(__file__).parent / "golden"
 KINDS = {"report": Report, "summary": Summary, "digest": Digest}
-NEW_FIELDS = {"cold"}
-# What each version knows of the fields that came since the oldest one.
-VERSIONS = {"c9ca939": {}, "4d8ecb3": {"a": (1000, 2500)}}
+NEW_FIELDS = {"cold", "suspects"}
+# Cold endpoints in the sample of each version, and the fields that came since.
+VERSIONS = {
+    "c9ca939": ({}, NEW_FIELDS),
+    "4d8ecb3": ({"a": (1000, 2500)}, {"suspects"}),
+}
 
 
 def read_sample(version, name):
@@ -30,7 +33,8 @@
     assert message.loads == {"a": (3, 1200)}
     assert message.statements == {"a": (1000, 2500, 120, False, -1)}
     assert message.taken == {"one": (500.0, 300.0)}
-    assert message.cold == VERSIONS[version]
+    assert message.cold == VERSIONS[version][0]
+    assert message.suspects == ({}, {})
 
 
 @pytest.mark.parametrize("version", VERSIONS)
@@ -43,8 +47,7 @@
     written = msgspec.msgpack.decode(
         msgspec.msgpack.encode(message), strict=False, type=dict
     )
-    is_known = bool(VERSIONS[version])
-    assert written.keys() - sample.keys() == (set() if is_known else NEW_FIELDS)
+    assert written.keys() - sample.keys() == VERSIONS[version][1]
     assert {key: written[key] for key in sample} == sample
 
 
--- a/lagoonring/tests/test_prompt_suspects.py
+++ b/lagoonring/tests/test_prompt_suspects.py
@@ -5,8 +5,8 @@
 import pytest
 
 from lagoonring.kernel import ManualClock
+from lagoonring.serving.blocks import PROMPT_PARTS, BlocksDuty
 from lagoonring.serving.duties import DutyLedger
-from lagoonring.serving.prompt_blocks import PromptBlocksDuty
 from lagoonring.serving.prompt_suspects import (
     BLOCK_S,
     MAX_BLOCKED,
@@ -234,7 +234,7 @@
     lives = [PromptSuspects(), PromptSuspects()]
     block(lives[0], start_s=clock.monotonic() - 2.0)
     for suspects in lives:
-        duty = PromptBlocksDuty(ledger, suspects, clock, true_time=clock.time)
+        duty = BlocksDuty(PROMPT_PARTS, ledger, suspects, clock, true_time=clock.time)
         lease = FakeLease(ledger, fencing_number=len(lives))
         for _ in range(4):
             await duty.step(lease)
--- a/lagoonring/tests/test_serving_decisions.py
+++ b/lagoonring/tests/test_serving_decisions.py
@@ -203,11 +203,13 @@
     here, there = Suspects(), Suspects()
     here.record_crash("request", "a", 0.0)
     there.record_crash("request", "b", 0.0)
-    here.update_peer(there.recent_crashes(1.0), 1.0, forward=False)
-    assert not here.is_blocked("request")
+    here.update_peer(
+        there.recent_crashes(1.0), there.take_ages(1.0), 1.0, forward=False
+    )
+    assert not here.is_blocked("request", 1.0)
     here.record_crash("request", "c", 0.0)
-    assert here.is_blocked("request")
-    assert not here.is_blocked("other")
+    assert here.is_blocked("request", 1.0)
+    assert not here.is_blocked("other", 1.0)
 
 
 def test_crashes_are_reported_in_several_rounds_and_then_expire():
@@ -225,16 +227,16 @@
     suspects = Suspects()
     for _ in range(5):
         suspects.record_crash("request", "a", 0.0)
-    assert not suspects.is_blocked("request")
+    assert not suspects.is_blocked("request", 1.0)
 
 
 def test_a_complete_answer_clears_a_request():
     suspects = Suspects()
     suspects.record_crash("request", "a", 0.0)
     suspects.record_crash("request", "b", 0.0)
-    suspects.record_success("request")
-    suspects.record_crash("request", "c", 0.0)
-    assert not suspects.is_blocked("request")
+    suspects.record_success("request", 0.5)
+    suspects.record_crash("request", "c", 1.0)
+    assert not suspects.is_blocked("request", 1.0)
 
 
 # Sizing
--- a/lagoonring/tests/test_state_sync.py
+++ b/lagoonring/tests/test_state_sync.py
@@ -5,48 +5,15 @@
 import pytest
 
 from lagoonring.serving.moves import MoveOrder, MoveState, MoveView
-from lagoonring.serving.state_sync import StateSync
-from lagoonring.serving.true_time import TrueClock
-from lagoonring.tests.builders.exchanges import ROUND_S, Deployment
+from lagoonring.tests.builders.exchanges import ROUND_S
 from lagoonring.tests.builders.serving import (
-    make_organisation,
-    make_parts,
     make_record,
     make_route,
 )
+from lagoonring.tests.builders.state_sync import PartsDeployment
 
 SETTLE_S = 3.0
 TAKE_OVER_S = 3.0
-ORGANISATION = make_organisation(rate_per_s=1000.0, burst=1e6, counts_tokens=True)
-
-
-class PartsDeployment(Deployment):
-    """A deployment whose instances have the components that handle requests."""
-
-    def start(self, name, **options):
-        exchange = super().start(name, **options)
-        parts = make_parts(None, clock=self.clock)
-        parts.exchange = exchange
-        exchange.parts = parts
-        exchange.state_handler = StateSync(parts, TrueClock(self.clock), None)
-        return exchange
-
-    def parts(self):
-        return [exchange.parts for exchange in self.exchanges.values()]
-
-    def admit(self, name, amount):
-        """Let an instance admit an amount."""
-        quotas = self.exchanges[name].parts.quotas
-        now_s = self.clock.monotonic()
-        quotas._add_own(quotas._usage_of(ORGANISATION.name), amount, now_s)
-
-    def known_usage(self):
-        """Return, by instance, the usage of all in the window that it knows of."""
-        now_s = self.clock.monotonic()
-        return [
-            parts.quotas.all_totals(now_s)[ORGANISATION.name][1]
-            for parts in self.parts()
-        ]
 
 
 @pytest.fixture
@@ -190,7 +157,8 @@
         suspects = deployment.exchanges[name].parts.suspects
         suspects.record_crash("fingerprint", f"endpoint of {name}", now_s)
     await deployment.run_for(5 * ROUND_S)
-    assert all(p.suspects.is_blocked("fingerprint") for p in deployment.parts())
+    now_s = deployment.clock.monotonic()
+    assert all(p.suspects.is_blocked("fingerprint", now_s) for p in deployment.parts())
 
 
 async def test_crashes_in_a_digest_are_not_reported_back(deployment):
