Give a silent endpoint up only once another attempt is secured

Cause: the attempt was cancelled at a limit, and only then the retry budget was asked and another endpoint looked for.

The attempt now goes on until another endpoint that answers is chosen and a retry taken; a failed connection after that uses the same retry, and a stream given up between two events may end elsewhere without a further one.

--- a/lagoonring/serving/attempts.py
+++ b/lagoonring/serving/attempts.py
@@ -14,14 +14,11 @@
     EndpointError,
     EndpointFailedError,
     EndpointRefusedError,
+    EndpointTimeoutError,
 )
 from lagoonring.errors import Outcome
 from lagoonring.logs import make_logger
-from lagoonring.serving.attempt_errors import (
-    Limit,
-    timeout_error,
-    unsigned_error,
-)
+from lagoonring.serving.attempt_errors import unsigned_error
 from lagoonring.serving.attempt_results import end_record, record_failure
 from lagoonring.serving.configuration import RequestKind
 from lagoonring.serving.connectivity import SILENCE_S
@@ -34,6 +31,7 @@
     read_media_type,
     take_events,
 )
+from lagoonring.serving.waiting import MAX_SENDS, EndpointWait, may_try_another
 
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator, Callable, Iterator
@@ -43,7 +41,6 @@
     from lagoonring.serving.parts import ServingParts
     from lagoonring.serving.requests import EndpointAnswer, Job, Sink
 
-MAX_SENDS = 4  # after that a caller's own retry reaches another instance
 STALL_TIMEOUT_S = 1.5  # for resumable streams; callers time out after two seconds
 FIRST_ANSWER_TIMEOUT_OBJECTIVES = 1.5  # an earlier retry would be late as well
 FIRST_ANSWER_TIMEOUT_ESTIMATES = 3.0  # a healthy endpoint rarely exceeds this
@@ -128,14 +125,17 @@
         job.moved = None
         job.version = endpoint.record.version
         started_s = self.clock.monotonic()
-        limit = self._first_answer_limit(job, endpoint)
-        try:
-            async with asyncio.timeout(limit.seconds):
-                with self._watch_silence(job, endpoint):
-                    answer = await self.parts.sender.send(job.request, order)
-        except TimeoutError as error:
-            raise timeout_error(endpoint, "begin an answer", limit) from error
-        self._record_heard(job)
+        wait = EndpointWait(
+            self.parts,
+            job,
+            endpoint,
+            what="begin an answer",
+            patience_s=self._first_answer_patience_s(job, endpoint),
+        )
+        async with wait:
+            with self._watch_silence(job, endpoint):
+                answer = await self.parts.sender.send(job.request, order)
+        self._record_heard(job, endpoint)
         if not answer.is_other_endpoint:
             statement = answer.statement
             if job.relay is not None:
@@ -173,31 +173,20 @@
         finally:
             timer.cancel()
 
-    def _record_heard(self, job: Job) -> None:
+    def _record_heard(self, job: Job, endpoint: Endpoint) -> None:
+        endpoint.heard_s = self.clock.monotonic()
         if job.relay is None:
             self.parts.connectivity.record_heard(job.service)
 
-    def _first_answer_limit(self, job: Job, endpoint: Endpoint) -> Limit:
-        """Return how long to wait for an answer before trying another endpoint."""
-        left = self._time_left(job)
-        is_retryable = job.route.is_idempotent or job.route.may_resume
-        if not is_retryable or job.n_runs + 1 >= job.route.max_attempts:
-            return left
-        if not self.parts.placer.has_other(job, endpoint):
-            return left
+    def _first_answer_patience_s(self, job: Job, endpoint: Endpoint) -> float:
+        """Return how long to wait for an answer before another endpoint may do it."""
+        if not may_try_another(job):
+            return math.inf
         estimate_s = self.parts.placer.estimate_s(job, endpoint)
-        timeout_s = max(
+        return max(
             FIRST_ANSWER_TIMEOUT_OBJECTIVES * job.route.objective_s,
             FIRST_ANSWER_TIMEOUT_ESTIMATES * estimate_s,
         )
-        return min(Limit("another attempt", timeout_s), left)
-
-    def _time_left(self, job: Job) -> Limit:
-        """Return the time until the job's deadline, and who set it."""
-        left_s = max(job.deadline_s - self.clock.monotonic(), 0.0)
-        allowed_s = job.request.allowed_s
-        is_callers = allowed_s is not None and allowed_s < job.route.timeout_s
-        return Limit("the caller's timeout" if is_callers else "the route's", left_s)
 
     def _check_not_refused(self, endpoint: Endpoint, answer: EndpointAnswer) -> None:
         """Raise ``EndpointRefusedError`` if the endpoint has not run the request."""
@@ -264,38 +253,44 @@
         if not answer.is_signed:
             raise unsigned_error(endpoint)
         splitter = EventSplitter()
+        may_be_over, job.may_be_over = job.may_be_over, False
         is_rest = job.has_begun or job.last_event is not None
         is_first = True
         first_event_s = math.inf
-        async with aclosing(self._chunks(job, endpoint, answer)) as chunks:
-            async for chunk in chunks:
-                complete, error = take_events(
-                    job, endpoint, splitter, chunk, is_rest=is_rest
-                )
-                if error is not None and not complete:
-                    raise error
-                if not complete:
-                    continue
-                job.progressed_s = self.clock.monotonic()
-                job.record_event(job.progressed_s)
-                if job.recorder is not None:
-                    job.recorder.record_event(self.clock.monotonic())
-                if is_first:
-                    is_first = False
-                    self._record_first_answer(job, sent_s)
-                    first_event_s = self.clock.monotonic()
-                    self._record_first_event(job, endpoint)
-                elif self.clock.monotonic() - first_event_s >= STEADY_STREAM_S:
-                    first_event_s = math.inf
-                    self._record_prompt_answered(job)
-                if not job.has_begun:
-                    job.has_begun = True
-                    job.media_type = read_media_type(answer)
-                    await sink.begin(answer.status, answer.headers)
-                await sink.write(complete)
-                if error is not None:
-                    raise error
-        if splitter.buffer or is_first:
+        try:
+            async with aclosing(self._chunks(job, endpoint, answer)) as chunks:
+                async for chunk in chunks:
+                    complete, error = take_events(
+                        job, endpoint, splitter, chunk, is_rest=is_rest
+                    )
+                    if error is not None and not complete:
+                        raise error
+                    if not complete:
+                        continue
+                    job.progressed_s = self.clock.monotonic()
+                    job.record_event(job.progressed_s)
+                    if job.recorder is not None:
+                        job.recorder.record_event(self.clock.monotonic())
+                    if is_first:
+                        is_first = False
+                        self._record_first_answer(job, sent_s)
+                        first_event_s = self.clock.monotonic()
+                        self._record_first_event(job, endpoint)
+                    elif self.clock.monotonic() - first_event_s >= STEADY_STREAM_S:
+                        first_event_s = math.inf
+                        self._record_prompt_answered(job)
+                    if not job.has_begun:
+                        job.has_begun = True
+                        job.media_type = read_media_type(answer)
+                        await sink.begin(answer.status, answer.headers)
+                    await sink.write(complete)
+                    if error is not None:
+                        raise error
+        except EndpointTimeoutError:
+            has_given_up = job.granted is not None and job.has_begun
+            job.may_be_over = has_given_up and not splitter.buffer
+            raise
+        if splitter.buffer or (is_first and not may_be_over):
             raise EndpointCutError(
                 f"Got a stream of {endpoint.name} that ends within an event, expected "
                 "whole events.",
@@ -316,29 +311,28 @@
         job.progressed_s = self.clock.monotonic()
         async with aclosing(answer.chunks()) as chunks:
             while True:
-                limit = self._stall_limit(job, endpoint)
-                try:
-                    async with asyncio.timeout(limit.seconds):
-                        chunk = await anext(chunks, None)
-                except TimeoutError as error:
-                    raise timeout_error(
-                        endpoint, "go on with a stream", limit
-                    ) from error
+                wait = EndpointWait(
+                    self.parts,
+                    job,
+                    endpoint,
+                    what="go on with a stream",
+                    patience_s=self._stall_patience_s(job, endpoint),
+                )
+                async with wait:
+                    chunk = await anext(chunks, None)
                 if chunk is None:
                     return
-                self._record_heard(job)
+                self._record_heard(job, endpoint)
                 yield chunk
 
-    def _stall_limit(self, job: Job, endpoint: Endpoint) -> Limit:
-        left = self._time_left(job)
-        if not job.route.may_resume or job.n_runs + 1 >= job.route.max_attempts:
-            return left
+    def _stall_patience_s(self, job: Job, endpoint: Endpoint) -> float:
+        """Return how long to wait for more before another endpoint may go on."""
+        if not job.route.may_resume or not may_try_another(job):
+            return math.inf
         if not job.has_begun:
-            return self._first_answer_limit(job, endpoint)
-        if not job.may_continue or not self.parts.placer.has_other(job, endpoint):
-            return left
+            return self._first_answer_patience_s(job, endpoint)
         stalled_s = self.clock.monotonic() - job.progressed_s
-        return min(Limit("another attempt", max(STALL_TIMEOUT_S - stalled_s, 0)), left)
+        return max(STALL_TIMEOUT_S - stalled_s, 0.0)
 
     def _record_first_answer(self, job: Job, sent_s: float) -> None:
         """Record the time to the first answer, and how well it was estimated."""
--- a/lagoonring/serving/endpoints.py
+++ b/lagoonring/serving/endpoints.py
@@ -107,12 +107,12 @@
     derived from those of all instances, ``limit`` the last limit that it named, and
     ``was_limited`` whether it ever named one. ``is_leaving`` says that it said so in
     an answer; its record in the store may say so later. Until ``paused_until_s`` it
-    wants no request of this instance. ``is_on_trial`` says that no request was answered
-    since without another pause; then none is sent until ``trial_until_s``, a short
-    time after the last one. ``refused_s`` is when it refused the last request here for
-    want of room. ``link`` tells whether connections from here
-    are established. The endpoint is cold until ``cold_until_s``, and as far as other
-    instances can't read it in the record until ``cold_seen_until_s``.
+    wants no request here. ``is_on_trial`` says that no request was answered since
+    without another pause; then none is sent until ``trial_until_s``. ``refused_s`` is
+    when it refused the last request here for want of room. ``link`` tells whether
+    connections from here are established, and at ``heard_s`` it last sent something.
+    The endpoint is cold until ``cold_until_s``, and as far as other instances can't
+    read it in the record until ``cold_seen_until_s``.
     """
 
     record: EndpointRecord
@@ -140,6 +140,7 @@
     refused_s: float = float("-inf")
     reported_down_until_s: float = 0.0
     link: Link = attrs.field(factory=Link)
+    heard_s: float = float("-inf")
     cold_until_s: float = 0.0
     cold_seen_until_s: float = 0.0
 
@@ -161,12 +162,12 @@
         return self.n_waiting_tokens + self.n_waiting_tokens_elsewhere
 
     def avoided_until_s(self, *, is_relayed: bool = False) -> float:
-        """Return until when the endpoint is used only if there is no other.
+        """Return until when the endpoint is used only if there is no other."""
+        return max(self.down_until(is_relayed), self.full_until_s)
 
-        Connections that failed from here say nothing of one that others reach.
-        """
-        own_s = 0.0 if is_relayed else self.down_until_s
-        return max(own_s, self.full_until_s, self.reported_down_until_s)
+    def down_until(self, is_relayed: bool) -> float:
+        """Return until when it is down; from here only, if it is not relayed."""
+        return max(0.0 if is_relayed else self.down_until_s, self.reported_down_until_s)
 
     def clear_connect_failures(self) -> None:
         """Use the endpoint again as if no connection had failed."""
--- a/lagoonring/serving/path.py
+++ b/lagoonring/serving/path.py
@@ -18,7 +18,7 @@
 from lagoonring.serving.accepting import accept, check_prompt
 from lagoonring.serving.admitting import WaitEstimate, decide
 from lagoonring.serving.attempt_logs import describe_placement
-from lagoonring.serving.attempts import MAX_SENDS, RESULT_OK, Attempts
+from lagoonring.serving.attempts import RESULT_OK, Attempts
 from lagoonring.serving.configuration import RequestKind
 from lagoonring.serving.errors import (
     AnswerTimeoutError,
@@ -27,6 +27,7 @@
 )
 from lagoonring.serving.retrying import renew_retry, take_retry
 from lagoonring.serving.shutdown import Shutdown
+from lagoonring.serving.waiting import MAX_SENDS
 
 if TYPE_CHECKING:
     from lagoonring.serving.endpoints import Endpoint
@@ -146,6 +147,9 @@
         """Return the next endpoint; raises an error if none can answer in time."""
         if error is None:
             check_prompt(self.parts, job.request)
+        granted = self._take_granted(job)
+        if granted is not None:
+            return granted
         placement = self.parts.placer.place(job)
         opens_s = None
         while placement is None:
@@ -182,6 +186,17 @@
             retry_after_s=refusal.retry_after_s if refusal else None,
         )
 
+    def _take_granted(self, job: Job) -> Endpoint | None:
+        """Return the endpoint for which the one before was given up, if any."""
+        placement, job.granted = job.granted, None
+        if placement is None:
+            return None
+        endpoint = self.parts.table.find(placement.name)
+        if endpoint is None or self.parts.placer.permissions.wait_s(endpoint) != 0:
+            return None
+        job.placement = placement
+        return endpoint
+
     def _may_wait(self, job: Job, endpoint: Endpoint, opens_s: float) -> bool:
         """Return whether the job is answered in time if it waits for an endpoint."""
         estimate_s = opens_s + self.parts.placer.estimate_s(job, endpoint)
@@ -227,12 +242,14 @@
 
     def _may_retry(self, job: Job, error: LagoonringError) -> bool:
         """Return whether the job may be sent to another endpoint after an error."""
+        if job.granted is not None:
+            return True  # charged to the budget when the endpoint was given up
         if job.n_sends >= MAX_SENDS or job.deadline_s <= self.clock.monotonic():
             return False
+        has_arrived = not isinstance(
+            error, EndpointConnectError | RequestWithdrawnError
+        )
         if error.outcome is Outcome.NOT_RUN and not job.n_runs:
-            has_arrived = not isinstance(
-                error, EndpointConnectError | RequestWithdrawnError
-            )
             return not has_arrived or take_retry(self.parts, job)
         if not job.may_retry or not job.may_continue:
             return False
@@ -240,8 +257,8 @@
             return False
         if self.parts.prompt_suspects.is_doubtful(job.request.shared_parts()):
             return False
-        if isinstance(error, EndpointFailedError):
-            return True  # already charged to the budget with the failed answer
+        if isinstance(error, EndpointFailedError) or not has_arrived:
+            return True  # already charged to the budget, with the attempt before
         return take_retry(self.parts, job)
 
     def _final_error(self, job: Job, error: LagoonringError) -> LagoonringError:
--- a/lagoonring/serving/placer.py
+++ b/lagoonring/serving/placer.py
@@ -38,6 +38,7 @@
     from lagoonring.serving.requests import Job, PromptParts
 
     Allowed = Callable[[str, Collection[str], str], set[str]]
+    Accepts = Callable[[Endpoint], bool]
 
 DEFAULT_TOKEN_S = 1.1e-5  # a typical model engine prefills 90 prompt tokens per ms
 DEFAULT_SERVICE_S = 0.06  # typical answer of a plain service
@@ -104,9 +105,14 @@
         # Keyed by identity, since jobs are mutable.
         self.in_progress: dict[int, tuple[Job, WorkInProgress]] = {}
 
-    def place(self, job: Job) -> Placement | None:
-        """Return the placement of a job, or None if no endpoint can take it."""
+    def place(self, job: Job, accepts: Accepts | None = None) -> Placement | None:
+        """Return the placement of a job, or None if no endpoint can take it.
+
+        ``accepts(endpoint)`` tells which endpoints come into question, by default all.
+        """
         endpoints = self._usable(job)
+        if accepts is not None:
+            endpoints = [endpoint for endpoint in endpoints if accepts(endpoint)]
         candidates = self._candidates(job, endpoints)
         return choose(candidates, self._work_of(job), self.rng)
 
@@ -128,10 +134,6 @@
         """Return whether an endpoint could take the job, apart from its limit."""
         return any(other is endpoint for other in self._eligible(job))
 
-    def has_other(self, job: Job, endpoint: Endpoint) -> bool:
-        """Return whether another endpoint could take the job."""
-        return any(other is not endpoint for other in self._usable(job))
-
     def estimate_s(self, job: Job, endpoint: Endpoint) -> float:
         """Return the expected time to an endpoint's first answer."""
         (candidate,) = self._candidates(job, [endpoint])
--- a/lagoonring/serving/requests.py
+++ b/lagoonring/serving/requests.py
@@ -91,7 +91,9 @@
     ``permit`` is an endpoint with a limit and the slot in which it takes the job,
     ``waited_s`` how long it waited for endpoints that wanted no request before. At
     ``expires_s``, on the clock that counts suspension, it may no longer be sent.
-    ``retry_taken_s`` is when a send was last taken from the retry budget.
+    ``retry_taken_s`` is when a send was last taken from the retry budget, ``granted``
+    where the job goes on if its endpoint was given up for that. ``may_be_over`` says
+    that the stream was given up between two events, of which the last may have come.
     ``relay`` is the instance by which it was sent the last time, None if directly, and
     ``tried_relays`` those that did not pass it on. ``move`` is set while its stream is
     moved to another endpoint, and resolves to the result.
@@ -125,6 +127,8 @@
     waited_s: float = 0.0
     expires_s: float = math.inf
     retry_taken_s: float | None = None
+    granted: Placement | None = None
+    may_be_over: bool = False
     relay: Relay | None = None
     tried_relays: set[Relay] = attrs.field(factory=set)
     moved: MovedRun | None = None
--- a/lagoonring/serving/retrying.py
+++ b/lagoonring/serving/retrying.py
@@ -36,6 +36,13 @@
     return is_granted
 
 
+def release_retry(parts: ServingParts, job: Job) -> None:
+    """Return a retry that was taken and is not sent."""
+    if job.retry_taken_s is not None:
+        parts.retry_budget.release(job.service, job.retry_taken_s)
+        job.retry_taken_s = None
+
+
 def renew_retry(parts: ServingParts, job: Job) -> bool:
     """Take a retry anew that is sent later; return False if none is left now.
 
