Bound the heads of answers, interim ones included

Cause: the HTTP library reads interim answers for as long as they come, and parses all that was received in one turn of the event loop.

Sockets to endpoints and to the platform read 16 KiB a turn until the final head and end the connection after 64 KiB or 8 interim answers without one.

--- /dev/null
+++ b/lagoonring/endpoints/bounded_socket.py
@@ -0,0 +1,94 @@
+"""Sockets that read little at a time, and no head of an answer without end.
+
+The HTTP library parses all that it receives at once, and reads interim answers
+(``100 Continue``) for as long as they come.
+"""
+
+from __future__ import annotations
+
+import errno
+import re
+import socket
+from typing import TYPE_CHECKING, Any
+from weakref import WeakValueDictionary
+
+if TYPE_CHECKING:
+    import asyncio
+
+# In one turn of the event loop; parsing a head takes longer than passing on a body.
+MAX_HEAD_READ_BYTES = 16384
+MAX_READ_BYTES = 65536
+MAX_HEAD_BYTES = 65536  # of the heads of an answer, the interim ones included
+MAX_INTERIM_ANSWERS = 8
+END_OF_HEAD = re.compile(rb"\r?\n\r?\n")
+INTERIM_STATUS = re.compile(rb"HTTP/1\.[01] 1(?!01)\d\d")
+
+# The event loop hands out a wrapper of a socket; descriptors tell which one it is.
+by_descriptor: WeakValueDictionary[int, BoundedSocket] = WeakValueDictionary()
+
+
+class EndlessHeadError(ConnectionAbortedError):
+    """An answer whose head does not end."""
+
+
+class HeadCheck:
+    """Reads the heads of one answer up to the final one."""
+
+    def __init__(self) -> None:
+        self.buffer = b""
+        self.n_bytes = 0
+        self.n_interim = 0
+
+    def feed(self, data: bytes) -> bool:
+        """Read received bytes; return whether the final head has ended.
+
+        Raises
+        ------
+        EndlessHeadError
+            If there are too many bytes, or interim answers, before its end.
+        """
+        self.buffer += data
+        self.n_bytes += len(data)
+        while (end := END_OF_HEAD.search(self.buffer)) is not None:
+            if INTERIM_STATUS.match(self.buffer) is None:
+                return True
+            self.n_interim += 1
+            self.buffer = self.buffer[end.end() :]
+            if self.n_interim > MAX_INTERIM_ANSWERS:
+                break
+        if self.n_bytes > MAX_HEAD_BYTES or self.n_interim > MAX_INTERIM_ANSWERS:
+            raise EndlessHeadError(
+                errno.ECONNABORTED,
+                f"Got {self.n_bytes} bytes and {self.n_interim} interim answers "
+                "without the head of an answer.",
+            )
+        return False
+
+
+class BoundedSocket(socket.socket):
+    """A socket of a connection on which answers arrive."""
+
+    def __init__(self, *args: Any) -> None:
+        super().__init__(*args)
+        self.head: HeadCheck | None = None
+        by_descriptor[self.fileno()] = self
+
+    def expect_head(self) -> None:
+        """Check the head of the next answer."""
+        self.head = HeadCheck()
+
+    def recv(self, size: int, flags: int = 0, /) -> bytes:
+        """Receive some bytes; raises `EndlessHeadError` where no answer begins."""
+        limit_bytes = MAX_READ_BYTES if self.head is None else MAX_HEAD_READ_BYTES
+        data = super().recv(min(size, limit_bytes), flags)
+        if self.head is not None and self.head.feed(data):
+            self.head = None
+        return data
+
+
+def expect_head(transport: asyncio.BaseTransport | None) -> None:
+    """Check the head of the next answer on a connection, if its socket can."""
+    sock = None if transport is None else transport.get_extra_info("socket")
+    bounded = None if sock is None else by_descriptor.get(sock.fileno())
+    if bounded is not None:
+        bounded.expect_head()
--- a/lagoonring/endpoints/connections.py
+++ b/lagoonring/endpoints/connections.py
@@ -13,6 +13,8 @@
 import attrs
 from aiohttp.client_proto import ResponseHandler
 
+from lagoonring.endpoints.bounded_socket import expect_head
+
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
@@ -97,6 +99,8 @@
                 connection.release()
                 raise NotWantedError
             exchange.protocol = connection.protocol
+        if connection.protocol is not None:
+            expect_head(connection.protocol.transport)
         if request_id is not None and connection.protocol is not None:
             self.ids_sent[connection.protocol].add(request_id)
         return connection
--- a/lagoonring/platform/sending.py
+++ b/lagoonring/platform/sending.py
@@ -12,6 +12,7 @@
 from multidict import CIMultiDict
 from yarl import URL
 
+from lagoonring.endpoints.bounded_socket import BoundedSocket
 from lagoonring.endpoints.connections import CheckedConnector
 from lagoonring.endpoints.errors import (
     EndpointConnectError,
@@ -73,7 +74,7 @@
     number.
     """
     family, socket_type, protocol, _, _ = info
-    sock = socket.socket(family, socket_type, protocol)
+    sock = BoundedSocket(family, socket_type, protocol)
     sock.setblocking(False)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_DELAY_S)
@@ -102,7 +103,7 @@
     A connection that is closed is reset: what a call that was given up has not
     delivered yet must not arrive later, when another holder may have acted.
     """
-    connector = aiohttp.TCPConnector(
+    connector = CheckedConnector(
         limit=0, use_dns_cache=False, socket_factory=make_resetting_socket
     )
     return aiohttp.ClientSession(connector=connector)
