Bound answers of the store, the cloud and engines to own calls

An answer without end to a call that an instance makes for itself was read whole, until the call's timeout or the end of the memory.

read_bounded gives up after 8 MiB; a page of the store holds 1 MiB of records at most.

--- a/lagoonring/endpoints/transport.py
+++ b/lagoonring/endpoints/transport.py
@@ -29,6 +29,7 @@
 ECHOED_HEADERS = ("X-Request-Id", "X-Attempt-Id")
 CONNECT_TIMEOUT_S = 1.0
 MAX_SHOWN_BYTES = 200
+MAX_CONTROL_BYTES = 8 << 20  # a page of the store has 1 MiB of records at most
 
 
 @contextmanager
@@ -133,6 +134,28 @@
     return send_once
 
 
+async def read_bounded(
+    response: aiohttp.ClientResponse, limit_bytes: int = MAX_CONTROL_BYTES
+) -> bytes:
+    """Return the complete body of an answer to a call of this instance's own.
+
+    Raises
+    ------
+    aiohttp.ClientPayloadError
+        If the body is longer than ``limit_bytes``; the connection is closed.
+    """
+    body = bytearray()
+    while chunk := await response.content.readany():
+        body += chunk
+        if len(body) > limit_bytes:
+            response.close()
+            raise aiohttp.ClientPayloadError(
+                f"Got {len(body)} bytes of {response.url} without an end, expected at "
+                f"most {limit_bytes}."
+            )
+    return bytes(body)
+
+
 async def read_body(response: aiohttp.ClientResponse) -> bytes:
     """Return the complete body; raises the errors of :func:`send`."""
     closed = watch_close(response)
--- a/lagoonring/platform/engine_calls.py
+++ b/lagoonring/platform/engine_calls.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from lagoonring.decoding import decode_json
+from lagoonring.endpoints.transport import read_bounded
 from lagoonring.logs import make_logger
 
 MOVE_PATH = "/kv-move"
@@ -68,7 +69,7 @@
             async with self.session.get(
                 f"http://{address}{REPORT_PATH}", timeout=timeout
             ) as response:
-                report = decode_json(await response.read(), _EngineReport)
+                report = decode_json(await read_bounded(response), _EngineReport)
         except (TimeoutError, aiohttp.ClientError, msgspec.MsgspecError) as error:
             logger.warning(
                 "Could not read an engine's report.",
@@ -98,7 +99,7 @@
                 headers={"Content-Type": "application/json"},
                 timeout=timeout,
             ) as response:
-                status, body = response.status, await response.read()
+                status, body = response.status, await read_bounded(response)
             moved = decode_json(body or b"{}", _MoveResponse)
         except (TimeoutError, aiohttp.ClientError, msgspec.MsgspecError) as error:
             logger.warning(
--- a/lagoonring/platform/exchange.py
+++ b/lagoonring/platform/exchange.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from lagoonring.decoding import decode_json
+from lagoonring.endpoints.transport import read_bounded
 from lagoonring.errors import AnswerLostError, InvalidInputError, UnavailableError
 
 if TYPE_CHECKING:
@@ -96,7 +97,7 @@
             headers=sent_headers,
             timeout=timeout,
         ) as response:
-            answer = await response.read()
+            answer = await read_bounded(response)
             _raise_unless_ok(response, answer)
             return decode_json(answer or b"null", kind)
     except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
--- a/lagoonring/platform/store.py
+++ b/lagoonring/platform/store.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from lagoonring.decoding import decode_json
+from lagoonring.endpoints.transport import read_bounded
 from lagoonring.errors import LagoonringError
 from lagoonring.logs import make_logger
 from lagoonring.platform.exchange import (
@@ -265,7 +266,7 @@
             async with self.session.request(
                 method, self.url + path, params=params, data=body, timeout=timeout
             ) as response:
-                answer = await response.read()
+                answer = await read_bounded(response)
                 if self._record_generation(response.headers.get(GENERATION)):
                     return response.status, answer
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
