Bound what all answers and bodies hold together

Cause: one answer is bounded (16 MiB), the sum was not; nor were the bodies of callers together.

A pool of 0.15 of the process's memory holds the bodies of answers, incomplete events and callers' bodies. When it is used up, the longest answer is given up; a body that does not fit is refused at once. The end of an event is not searched again in searched bytes.

--- a/lagoonring/platform/application.py
+++ b/lagoonring/platform/application.py
@@ -29,6 +29,7 @@
 from lagoonring.platform.store_log import LogClient
 from lagoonring.platform.topics import KeyedTopic
 from lagoonring.serving.blocks import PROMPT_PARTS, REQUESTS, BlocksDuty
+from lagoonring.serving.buffers import MEMORY_SHARE, BufferPool
 from lagoonring.serving.connectivity import Connectivity
 from lagoonring.serving.demand import Demand
 from lagoonring.serving.duties import Duties
@@ -247,6 +248,7 @@
             window_s=bounds.retry_window_s,
             started_s=app.clock.monotonic(),
         ),
+        buffers=BufferPool(int(MEMORY_SHARE * settings.memory_bytes)),
         suspects=Suspects(),
         prompt_suspects=PromptSuspects(),
         usage=UsageCounts(bounds.usage_window_s, true_clock.now),
--- a/lagoonring/platform/boot.py
+++ b/lagoonring/platform/boot.py
@@ -144,6 +144,7 @@
         cloud_address=boot.cloud.address if boot.cloud else None,
         duties=tuple(boot.cloud.duties) if boot.cloud else (),
         capacity=boot.limits.linkMbps * boot.limits.cpuShare * boot.limits.cores,
+        memory_bytes=boot.limits.memoryMb * 1e6,
         max_fds=boot.limits.maxFds,
         heartbeat_s=boot.heartbeatMs / 1000,
         bounds=_convert_bounds(boot.bounds),
--- a/lagoonring/platform/callers.py
+++ b/lagoonring/platform/callers.py
@@ -27,6 +27,7 @@
     from collections.abc import Callable
 
     from lagoonring.kernel import Application
+    from lagoonring.serving.buffers import Buffer
     from lagoonring.serving.path import RequestPath
     from lagoonring.serving.settings import NodeSettings
 
@@ -235,8 +236,9 @@
     ) -> web.StreamResponse:
         request_id = sink.request_id
         try:
-            decoded = await self._decode(request, received_s)
-            await self.path.serve(decoded, sink)
+            with self.path.parts.buffers.open() as buffer:
+                decoded = await self._decode(request, received_s, buffer)
+                await self.path.serve(decoded, sink)
         except LagoonringError as error:
             logger.info(
                 "Refused a request.",
@@ -263,14 +265,14 @@
         return sink.response
 
     async def _decode(
-        self, request: web.BaseRequest, received_s: float
+        self, request: web.BaseRequest, received_s: float, buffer: Buffer
     ) -> CallerRequest:
         """Return a request in the form that the request path uses.
 
         Raises
         ------
-        BadHeaderError, BodyTooLargeError, UnfinishedUploadError
-            If the request is invalid, too large or incomplete.
+        BadHeaderError, BodyTooLargeError, UnfinishedUploadError, OverloadError
+            If the request is invalid, too large, incomplete, or does not fit.
         """
         headers = request.headers
         names.check_unique(headers)
@@ -298,7 +300,7 @@
             headers=names.forwardable_headers(
                 headers.items(), headers.get("Connection", ""), names.RESERVED
             ),
-            body=await self._read_body(request),
+            body=await self._read_body(request, buffer),
             has_body=request.body_exists,
             key=names.read_key(headers),
             received_s=received_s,
@@ -310,7 +312,7 @@
             resume_after=names.read_number(headers, names.LAST_EVENT),
         )
 
-    async def _read_body(self, request: web.BaseRequest) -> bytes:
+    async def _read_body(self, request: web.BaseRequest, buffer: Buffer) -> bytes:
         configuration = self.path.parts.follower.configuration
         limit = (
             configuration.limits.n_body_bytes
@@ -326,7 +328,10 @@
                 n_bytes += len(chunk)
                 if n_bytes > limit:
                     raise _body_too_large_error(limit)
+                buffer.hold_body(n_bytes)
                 parts.append(chunk)
+        except LagoonringError:
+            raise
         except (web.RequestPayloadError, ConnectionError) as error:
             raise UnfinishedUploadError(
                 f"Got a body that breaks off ({error!r}), expected the whole.",
--- a/lagoonring/platform/relay_server.py
+++ b/lagoonring/platform/relay_server.py
@@ -29,6 +29,7 @@
 )
 from lagoonring.platform.sending import CONNECT_TIMEOUT_S, HttpAnswer, check_answers
 from lagoonring.requests.errors import BadHeaderError
+from lagoonring.serving.errors import OverloadError
 from lagoonring.serving.relaying import find_relayed_endpoint
 from lagoonring.serving.statements import record_statement
 
@@ -36,6 +37,7 @@
     import aiohttp
 
     from lagoonring.kernel import Application
+    from lagoonring.serving.buffers import Buffer
     from lagoonring.serving.endpoints import Endpoint
     from lagoonring.serving.parts import ServingParts
     from lagoonring.serving.settings import NodeSettings
@@ -152,7 +154,14 @@
     async def _relay(self, request: web.BaseRequest) -> web.StreamResponse:
         """Send a request to its endpoint and pass on the answer as it arrives."""
         self._check_source(request)
-        body = await self._read_body(request)
+        with self.parts.buffers.open() as buffer:
+            body = await self._read_body(request, buffer)
+            return await self._relay_body(request, body)
+
+    async def _relay_body(
+        self, request: web.BaseRequest, body: bytes | None
+    ) -> web.StreamResponse:
+        """Send a request that has been read to its endpoint; see `_relay`."""
         endpoint = find_relayed_endpoint(
             self.parts,
             request.headers.get(names.EXPECTED_ENDPOINT, ""),
@@ -183,7 +192,9 @@
                 remedy="Use another instance.",
             )
 
-    async def _read_body(self, request: web.BaseRequest) -> bytes | None:
+    async def _read_body(
+        self, request: web.BaseRequest, buffer: Buffer
+    ) -> bytes | None:
         configuration = self.parts.follower.configuration
         limit = DEFAULT_MAX_BODY_BYTES
         if configuration is not None:
@@ -191,6 +202,10 @@
         body = bytearray()
         async for chunk in request.content.iter_any():
             body += chunk
+            try:
+                buffer.hold_body(len(body))
+            except OverloadError as error:
+                raise RelayRefusedError(error.message, remedy=error.remedy) from error
             if len(body) > limit:
                 raise RelayRefusedError(
                     f"Got a body over {limit} bytes, expected at most that.",
--- a/lagoonring/platform/sending.py
+++ b/lagoonring/platform/sending.py
@@ -29,6 +29,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator
 
+    from lagoonring.serving.buffers import Buffer
     from lagoonring.serving.endpoints import EndpointRecord
     from lagoonring.serving.requests import CallerRequest, SendOrder
 
@@ -148,11 +149,13 @@
         self.statement = names.read_statement(response.status, response.headers)
         self.closed = watch_close(response)
 
-    async def read(self) -> bytes:
+    async def read(self, buffer: Buffer | None = None) -> bytes:
         """Return the complete body; raises `EndpointCutError` if it is too long."""
         body = bytearray()
         async for chunk in self.chunks():
             body += chunk
+            if buffer is not None:
+                buffer.hold(len(body))
             if len(body) > MAX_ANSWER_BYTES:
                 raise EndpointCutError(
                     f"Got {len(body)} bytes of {self.response.url} without an end, "
--- a/lagoonring/serving/attempts.py
+++ b/lagoonring/serving/attempts.py
@@ -37,6 +37,7 @@
     from collections.abc import AsyncGenerator, Callable, Iterator
 
     from lagoonring.errors import LagoonringError
+    from lagoonring.serving.buffers import Buffer
     from lagoonring.serving.endpoints import Endpoint
     from lagoonring.serving.parts import ServingParts
     from lagoonring.serving.requests import EndpointAnswer, Job, Sink
@@ -147,10 +148,10 @@
         try:
             self._check_not_refused(endpoint, answer)
             check_continues(job, endpoint, answer)
-            if job.route.kind is RequestKind.STREAM and answer.status < 300:
-                await self._relay_stream(job, endpoint, answer, sink, started_s)
-            else:
-                await self._relay_whole(job, endpoint, answer, sink, started_s)
+            is_stream = job.route.kind is RequestKind.STREAM and answer.status < 300
+            relay = self._relay_stream if is_stream else self._relay_whole
+            with self.parts.buffers.open(answer.close) as buffer:
+                await relay(job, endpoint, answer, sink, started_s, buffer)
         finally:
             answer.close()
 
@@ -212,9 +213,11 @@
         answer: EndpointAnswer,
         sink: Sink,
         started_s: float,
+        buffer: Buffer,
     ) -> None:
         """Relay an answer once it was received completely."""
-        body = await answer.read()
+        body = await answer.read(buffer)
+        buffer.keep()
         if answer.status < 300 and not answer.is_signed:
             raise unsigned_error(endpoint)
         self.parts.count_started(job)
@@ -248,6 +251,7 @@
         answer: EndpointAnswer,
         sink: Sink,
         sent_s: float,
+        buffer: Buffer,
     ) -> None:
         """Relay complete events as they arrive."""
         if not answer.is_signed:
@@ -263,6 +267,7 @@
                     complete, error = take_events(
                         job, endpoint, splitter, chunk, is_rest=is_rest
                     )
+                    buffer.hold(len(splitter.buffer))
                     if error is not None and not complete:
                         raise error
                     if not complete:
--- a/lagoonring/serving/events.py
+++ b/lagoonring/serving/events.py
@@ -26,14 +26,17 @@
 class EventSplitter:
     """Buffers an incomplete event until its remainder arrives."""
 
-    buffer: bytes = b""
+    buffer: bytearray = attrs.field(factory=bytearray)
 
     def feed(self, data: bytes) -> Iterator[StreamEvent]:
         """Add received data and yield the events that are complete."""
+        # The end of an event is not searched again where it was not found before.
+        start = max(len(self.buffer) - len(END_OF_EVENT) + 1, 0)
         self.buffer += data
-        while (end := self.buffer.find(END_OF_EVENT)) >= 0:
+        while (end := self.buffer.find(END_OF_EVENT, start)) >= 0:
             end += len(END_OF_EVENT)
-            event, self.buffer = self.buffer[:end], self.buffer[end:]
+            event, start = bytes(self.buffer[:end]), 0
+            del self.buffer[:end]
             yield StreamEvent(event, _parse_id(event))
 
 
--- a/lagoonring/serving/parts.py
+++ b/lagoonring/serving/parts.py
@@ -7,6 +7,7 @@
 import attrs
 
 from lagoonring.kernel import Application
+from lagoonring.serving.buffers import BufferPool
 from lagoonring.serving.connectivity import Connectivity
 from lagoonring.serving.demand import Demand
 from lagoonring.serving.endpoints import EndpointTable
@@ -44,6 +45,7 @@
     exchange: Exchange
     quotas: Quotas
     retry_budget: RetryBudget
+    buffers: BufferPool
     suspects: Suspects
     prompt_suspects: PromptSuspects
     usage: UsageCounts
--- a/lagoonring/serving/requests.py
+++ b/lagoonring/serving/requests.py
@@ -22,6 +22,7 @@
     from collections.abc import AsyncGenerator
 
     from lagoonring.errors import LagoonringError
+    from lagoonring.serving.buffers import Buffer
     from lagoonring.serving.statements import Statement
 
 
@@ -181,8 +182,11 @@
     is_signed: bool
     statement: Statement
 
-    async def read(self) -> bytes:
-        """Return the complete body; raises an ``EndpointError`` if it is cut off."""
+    async def read(self, buffer: Buffer | None = None) -> bytes:
+        """Return the complete body; raises an ``EndpointError`` if it is cut off.
+
+        ``buffer`` bounds what all answers hold together.
+        """
 
     def chunks(self) -> AsyncGenerator[bytes, None]:
         """Yield the body in chunks; raises an ``EndpointError`` if it is cut off."""
--- a/lagoonring/serving/settings.py
+++ b/lagoonring/serving/settings.py
@@ -70,7 +70,8 @@
     """Identity and addresses of an instance, and addresses of its dependencies.
 
     Addresses are ``IP:port``. ``capacity`` ranks instances as hubs: link bandwidth in
-    Mbit/s times processor cores. ``max_fds`` bounds the descriptors of the process.
+    Mbit/s times processor cores. ``max_fds`` bounds the descriptors of the process,
+    ``memory_bytes`` its memory.
     ``relay_port`` takes requests that other instances
     relay by this one; it is the same at all instances.
     """
@@ -89,6 +90,7 @@
     cloud_address: str | None = None
     duties: tuple[str, ...] = ()
     capacity: float = attrs.field(default=1.0, validator=between(0, 1e9))
+    memory_bytes: float = attrs.field(default=3e8, validator=between(1e6, 1e15))
     max_fds: int = attrs.field(default=4096, validator=between(256, 1 << 24))
     heartbeat_s: float = attrs.field(default=1.2, validator=between(0.01, 600))
     bounds: Bounds = attrs.field(factory=Bounds)
--- a/lagoonring/tests/builders/serving.py
+++ b/lagoonring/tests/builders/serving.py
@@ -13,6 +13,7 @@
 
 from lagoonring.errors import LagoonringError
 from lagoonring.kernel import Application, ManualClock
+from lagoonring.serving.buffers import BufferPool
 from lagoonring.serving.configuration import (
     CallerLimits,
     Configuration,
@@ -214,7 +215,7 @@
     statement: Statement = NO_STATEMENT
     is_closed: bool = False
 
-    async def read(self) -> bytes:
+    async def read(self, buffer: Any = None) -> bytes:
         """Return all chunks joined."""
         return b"".join([chunk async for chunk in self.chunks()])
 
@@ -328,6 +329,7 @@
         exchange=exchange,
         quotas=Quotas(),
         retry_budget=RetryBudget(ratio=0.2, slack=60, window_s=10, started_s=-math.inf),
+        buffers=BufferPool(),
         suspects=Suspects(),
         prompt_suspects=PromptSuspects(),
         usage=UsageCounts(5.0, app.clock.time),
