--- a/lagoonring/serving/duties.py
+++ b/lagoonring/serving/duties.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING, Protocol
 
 import attrs
@@ -104,6 +105,7 @@
             poll_s=lease_s / RENEWALS_PER_LEASE,
         )
         self.lease = Lease(log, STREAM, instance, app.clock, options, data=self.ledger)
+        self.task: asyncio.Task[None] | None = None
         self.is_leaving = False
         # Without it, holders that alternate within one lease would look like a fault.
         self.pause_s = RELEASE_PAUSE_LEASES * lease_s
@@ -114,11 +116,17 @@
         duty = Duty(
             self.lease, self._run, rng=self.app.rng, is_candidate=self._is_candidate
         )
-        self.app.spawn("duties", duty.compete)
+        self.task = self.app.spawn("duties", duty.compete)
 
     async def retire(self) -> None:
-        """Release the lease, so that another instance can take over at once."""
+        """Release the lease, so that another instance can take over at once.
+
+        The call in progress is ended first: it must not arrive after the next holder's.
+        """
         self.is_leaving = True
+        if self.task is not None:
+            self.task.cancel()
+            await asyncio.gather(self.task, return_exceptions=True)
         await self.lease.release()
 
     def _is_candidate(self) -> bool:
