Follow the platform's changed addresses without a restart

Cause: the addresses were read once, and the log line of a reload did not name them among the fields that need a restart.

--- a/lagoonring/platform/application.py
+++ b/lagoonring/platform/application.py
@@ -9,7 +9,8 @@
 from lagoonring.metrics import MetricsService
 from lagoonring.platform import documents
 from lagoonring.platform.callers import CallerServer
-from lagoonring.platform.duty_client import Authority, DutyClient
+from lagoonring.platform.clients import PlatformClients
+from lagoonring.platform.duty_client import Authority
 from lagoonring.platform.engine_calls import EngineCalls
 from lagoonring.platform.metrics_page import MetricsPage
 from lagoonring.platform.relay_server import RelayServer
@@ -24,9 +25,7 @@
     ENDPOINT_TOPIC,
     OPERATOR_TOPIC,
     STATUS_TOPIC,
-    StoreClient,
 )
-from lagoonring.platform.store_log import LogClient
 from lagoonring.platform.topics import KeyedTopic
 from lagoonring.serving.blocks import PROMPT_PARTS, REQUESTS, BlocksDuty
 from lagoonring.serving.buffers import MEMORY_SHARE, BufferPool
@@ -112,7 +111,8 @@
     async def start(self) -> None:
         """Build the services and start them in order."""
         sessions = self.app.find("sessions")
-        store = StoreClient(f"http://{self.settings.store_address}", sessions.platform)
+        clients = PlatformClients(self.settings, sessions.platform, self.app.clock)
+        store = clients.store
         table = EndpointTable()
         metrics = ServingMetrics(self.app.find("metrics").registry)
         bounds = self.settings.bounds
@@ -144,7 +144,7 @@
             true_clock=true_clock,
         )
         path = RequestPath(parts)
-        duties = make_duties(self.app, self.settings, parts, store, true_clock)
+        duties = make_duties(self.app, self.settings, parts, clients, true_clock)
         moves = next(
             (part for part in duties.parts if isinstance(part, MovesDuty)), None
         )
@@ -153,7 +153,13 @@
         evacuation = Evacuation(parts, EngineCalls(sessions.endpoints))
         follower.endpoint_listeners.append(evacuation.endpoint_changed)
         table.leaving_listeners.append(evacuation.endpoint_changed)
-        reload = SettingsReload(self.app, parts, self.settings, self.read_settings)
+        reload = SettingsReload(
+            self.app,
+            parts,
+            self.settings,
+            self.read_settings,
+            listeners=(clients.apply_settings, callers.apply_settings),
+        )
         relays = RelayServer(self.app, self.settings, parts, sessions.endpoints)
         for service in (
             exchange,
@@ -263,12 +269,11 @@
     app: Application,
     settings: NodeSettings,
     parts: ServingParts,
-    store: StoreClient,
+    clients: PlatformClients,
     true_clock: TrueClock,
 ) -> Duties:
     """Return the service that runs singleton duties while this instance holds them."""
-    session = app.find("sessions").platform
-    client = DutyClient(f"http://{settings.cloud_address}", session)
+    client, store = clients.duties, clients.store
 
     def authority(lease: Lease) -> Authority:
         return Authority(settings.instance, lease.fencing_number)
@@ -362,7 +367,7 @@
 
     return Duties(
         app,
-        LogClient(store.url, session, clock=app.clock, timeout_s=store.timeout_s),
+        clients.log,
         parts.exchange,
         instance=settings.instance,
         lease_s=settings.bounds.lease_s,
--- a/lagoonring/platform/callers.py
+++ b/lagoonring/platform/callers.py
@@ -162,6 +162,10 @@
         await self._listen(ready, self.settings.ready_address)
         self.app.spawn("connections", self.connections.sweep)
 
+    def apply_settings(self, settings: NodeSettings) -> None:
+        """Apply the process's limits, which may have changed."""
+        self.connections.max_sockets = max_caller_sockets(settings.max_fds)
+
     async def retire(self) -> None:
         """Fail readiness checks, so that no new connections are sent here."""
         self.is_leaving = True
--- a/lagoonring/serving/buffers.py
+++ b/lagoonring/serving/buffers.py
@@ -38,6 +38,10 @@
         self.n_bytes = 0
         self.buffers: set[Buffer] = set()
 
+    def set_memory(self, memory_bytes: float) -> None:
+        """Set the limit from the memory that the process may use."""
+        self.limit_bytes = int(MEMORY_SHARE * memory_bytes)
+
     def open(self, cut: Callable[[], None] | None = None) -> Buffer:
         """Return a buffer without content; a context manager.
 
--- a/lagoonring/serving/reload.py
+++ b/lagoonring/serving/reload.py
@@ -11,14 +11,21 @@
 from lagoonring.logs import make_logger
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Sequence
 
     from lagoonring.kernel import Application
     from lagoonring.serving.parts import ServingParts
     from lagoonring.serving.settings import NodeSettings
 
 CHECK_INTERVAL_S = 2.0  # for changes without a signal, which are not urgent
-RESTART_FIELDS = ("instance", "ip", "data_centre", "caller_address", "ready_address")
+APPLIED_FIELDS = (
+    "bounds",
+    "seed_ips",
+    "store_address",
+    "cloud_address",
+    "max_fds",
+    "memory_bytes",
+)
 
 logger = make_logger("settings")
 
@@ -30,6 +37,8 @@
     ----------
     read : callable
         Returns the settings; raises a ``LagoonringError`` if they are invalid.
+    listeners : sequence of callable
+        Called with settings that have changed.
     """
 
     name = "settings"
@@ -40,11 +49,14 @@
         parts: ServingParts,
         settings: NodeSettings,
         read: Callable[[], NodeSettings],
+        *,
+        listeners: Sequence[Callable[[NodeSettings], None]] = (),
     ) -> None:
         self.app = app
         self.parts = parts
         self.settings = settings
         self.read = read
+        self.listeners = listeners
         self.last_error = ""
 
     async def start(self) -> None:
@@ -72,12 +84,17 @@
             "Settings changed.",
             extra={
                 "changed": changed,
-                "after_restart": [name for name in changed if name in RESTART_FIELDS],
+                "after_restart": [
+                    name for name in changed if name not in APPLIED_FIELDS
+                ],
             },
         )
         self.settings = settings
         self.parts.apply_bounds(settings.bounds)
+        self.parts.buffers.set_memory(settings.memory_bytes)
         self.parts.exchange.set_seeds(settings.seed_ips)
+        for listener in self.listeners:
+            listener(settings)
 
     async def _run(self) -> None:
         while True:
--- a/lagoonring/tests/builders/exchange_double.py
+++ b/lagoonring/tests/builders/exchange_double.py
@@ -49,6 +49,9 @@
         """Return the part of this instance, alike at all instances."""
         return 1 / self.n_instances
 
+    def set_seeds(self, seed_ips: tuple[str, ...]) -> None:
+        """Ignore changed seeds."""
+
     def reachable_share(self) -> float:
         """Return the share of instances that are reachable."""
         return self.share
