Apply a changed grace period at a planned stop

Cause: the figure was bound to the signal handler at the start.

The tests of leave() use a function that is new.

--- a/lagoonring/platform/process.py
+++ b/lagoonring/platform/process.py
@@ -18,6 +18,7 @@
     from pathlib import Path
 
     from lagoonring.kernel import Application
+    from lagoonring.serving.settings import NodeSettings
 
 GRACE_RESERVE_S = 0.7  # reserved before SIGKILL, to close connections after the drain
 GC_THRESHOLDS = (5_000, 20, 50)
@@ -42,9 +43,8 @@
     )
     dropped.set_function(lambda: handler.n_dropped)
     loop = asyncio.get_running_loop()
-    grace_s = settings.bounds.grace_s - GRACE_RESERVE_S
     for signum in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signum, app.leave, grace_s)
+        loop.add_signal_handler(signum, leave, app, settings)
     loop.add_signal_handler(signal.SIGHUP, _reload, app)
     await app.start()
     enable_gc()
@@ -72,6 +72,18 @@
     gc.enable()
 
 
+def leave(app: Application, settings: NodeSettings) -> None:
+    """Leave within the grace period of the settings in force.
+
+    ``settings`` are those of the start, in force until the application has read others.
+    """
+    if "settings" in app.services:
+        reload = app.find("settings")
+        reload.reload()
+        settings = reload.settings
+    app.leave(max(settings.bounds.grace_s - GRACE_RESERVE_S, 0.0))
+
+
 def _reload(app: Application) -> None:
     logger.info("Got SIGHUP.")
     if "settings" in app.services:  # else the start is not complete; it checks soon
--- a/lagoonring/tests/test_reload.py
+++ b/lagoonring/tests/test_reload.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import attrs
+import pytest
 
+from lagoonring.errors import InvalidInputError
 from lagoonring.kernel import Application, ManualClock
 from lagoonring.platform.boot import decode_boot_file
 from lagoonring.platform.clients import PlatformClients
 from lagoonring.platform.duty_client import Authority
+from lagoonring.platform.process import GRACE_RESERVE_S, leave
 from lagoonring.platform.sending import make_platform_session
 from lagoonring.serving.buffers import MEMORY_SHARE
 from lagoonring.serving.reload import SettingsReload
@@ -28,6 +31,34 @@
     return app, app.add(reload), parts
 
 
+def change_bounds(**changes):
+    return attrs.evolve(SETTINGS, bounds=attrs.evolve(SETTINGS.bounds, **changes))
+
+
+@pytest.mark.parametrize("grace_s", [0.5, 4.0, 20.0])
+def test_grace_period_is_that_of_the_settings_file_at_the_stop(grace_s):
+    # Guards against requests that are cut by SIGKILL after a shorter grace period.
+    app, _, _ = make_reload(lambda: change_bounds(grace_s=grace_s))
+    leave(app, SETTINGS)
+    assert app.grace_s == pytest.approx(max(grace_s - GRACE_RESERVE_S, 0.0))
+
+
+def test_unreadable_settings_file_does_not_hinder_a_stop():
+    # Guards against a process that goes on until SIGKILL.
+    def read():
+        raise InvalidInputError("Got no settings.", remedy="Write them.")
+
+    app, _, _ = make_reload(read)
+    leave(app, SETTINGS)
+    assert app.grace_s == SETTINGS.bounds.grace_s - GRACE_RESERVE_S
+
+
+def test_stop_during_the_start_uses_the_settings_of_the_start():
+    app = Application(SETTINGS, clock=ManualClock())
+    leave(app, SETTINGS)
+    assert app.grace_s == SETTINGS.bounds.grace_s - GRACE_RESERVE_S
+
+
 async def test_calls_go_to_the_platform_at_its_changed_address():
     # Guards against instances that follow a store that others no longer write to.
     def answer(writer, head):
