--- a/lagoonring/platform/callers.py
+++ b/lagoonring/platform/callers.py
@@ -16,6 +16,7 @@
 from lagoonring.requests.errors import (
     BadHeaderError,
     BodyTooLargeError,
+    HeadTooLargeError,
     InternalFaultError,
     UnfinishedUploadError,
 )
@@ -34,6 +35,9 @@
 MAX_HEADER_BYTES = 16384  # the platform's default limit for a request head
 DEFAULT_MAX_BODY_BYTES = 4 << 20  # until the first configuration is read
 DEFAULT_IDLE_TIMEOUT_S = 15.0  # until the first configuration is read
+DEFAULT_HEADER_TIMEOUT_S = 3.0
+REQUEST_LINE_BYTES = len(b"  HTTP/1.1\r\n\r\n")
+FIELD_BYTES = len(b": \r\n")
 READY_IDLE_TIMEOUT_S = 75.0
 NO_SOCKET_RETRY_S = 0.3
 READ_BUFFER_BYTES = 16384  # per connection; most bodies are shorter
@@ -142,7 +146,7 @@
         self.connections = CallerConnections(
             self.handle,
             clock=app.clock,
-            idle_timeout_s=self._idle_timeout_s,
+            timeouts=self._timeouts,
             max_sockets=max_caller_sockets(settings.max_fds),
             closed=path.parts.metrics.connections_closed,
             access_log=None,
@@ -278,6 +282,7 @@
         BadHeaderError, BodyTooLargeError, UnfinishedUploadError, OverloadError
             If the request is invalid, too large, incomplete, or does not fit.
         """
+        self._check_head(request)
         headers = request.headers
         names.check_unique(headers)
         request_id = headers.get(names.REQUEST_ID)
@@ -346,11 +351,27 @@
     def _closes_connections(self) -> bool:
         return self.is_leaving or self.connections.is_full
 
-    def _idle_timeout_s(self) -> float:
+    def _timeouts(self) -> tuple[float, float]:
         configuration = self.path.parts.follower.configuration
         if configuration is None:
-            return DEFAULT_IDLE_TIMEOUT_S
-        return configuration.limits.idle_timeout_s
+            return DEFAULT_IDLE_TIMEOUT_S, DEFAULT_HEADER_TIMEOUT_S
+        limits = configuration.limits
+        return limits.idle_timeout_s, limits.header_timeout_s
+
+    def _check_head(self, request: web.BaseRequest) -> None:
+        """Raise ``HeadTooLargeError`` if the configuration allows less."""
+        configuration = self.path.parts.follower.configuration
+        if configuration is None:
+            return
+        limit = configuration.limits.n_header_bytes
+        n_bytes = len(request.method) + len(request.raw_path) + REQUEST_LINE_BYTES
+        for name, value in request.raw_headers:
+            n_bytes += len(name) + len(value) + FIELD_BYTES
+        if n_bytes > limit:
+            raise HeadTooLargeError(
+                f"Got a head of {n_bytes} bytes, expected at most {limit}.",
+                remedy="Send fewer or shorter headers.",
+            )
 
     async def _listen(self, server: Any, address: str) -> None:
         host, _, port = address.rpartition(":")
--- a/lagoonring/platform/connections.py
+++ b/lagoonring/platform/connections.py
@@ -62,8 +62,9 @@
         Serves a request.
     clock : Clock
         Source of time.
-    idle_timeout_s : callable
-        Returns the seconds after which an idle connection is closed.
+    timeouts : callable
+        Returns the seconds after which an idle connection is closed, and one on which
+        a request's head does not end.
     max_sockets : int
         Sockets for callers' connections and their requests to endpoints.
     closed : Counter
@@ -77,14 +78,14 @@
         handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
         *,
         clock: Clock,
-        idle_timeout_s: Callable[[], float],
+        timeouts: Callable[[], tuple[float, float]],
         max_sockets: int,
         closed: Counter,
         **options: Any,
     ) -> None:
         super().__init__(handler, handler_cancellation=True)
         self.clock = clock
-        self.idle_timeout_s = idle_timeout_s
+        self.timeouts = timeouts
         self.max_sockets = max_sockets
         self.closed = closed
         self.options = options
@@ -147,11 +148,12 @@
         return len(unused)
 
     async def sweep(self) -> None:
-        """Close connections that have been idle for too long, until cancelled."""
+        """Close connections that are idle, or slow, for too long, until cancelled."""
         while True:
             await self.clock.sleep(SWEEP_INTERVAL_S)
-            idle = list(_older_than(self.idle, self._ago_s(self.idle_timeout_s())))
-            self._close(idle, "idle")
+            idle_s, head_s = self.timeouts()
+            self._close(list(_older_than(self.idle, self._ago_s(idle_s))), "idle")
+            self._close(list(_older_than(self.receiving, self._ago_s(head_s))), "slow")
 
     def _ago_s(self, age_s: float) -> float:
         return self.clock.monotonic() - age_s
--- a/lagoonring/requests/errors.py
+++ b/lagoonring/requests/errors.py
@@ -48,6 +48,13 @@
     code = "bad_header"
 
 
+class HeadTooLargeError(InvalidInputError):
+    """The request line and headers exceed the size limit."""
+
+    code = "head_too_large"
+    status = 431
+
+
 class BodyTooLargeError(InvalidInputError):
     """The body exceeds the size limit."""
 
--- a/lagoonring/tests/test_connections.py
+++ b/lagoonring/tests/test_connections.py
@@ -151,3 +151,34 @@
         proceed.set()
         answers = await asyncio.gather(*map(read_answer, readers))
     assert [split_answer(answer)[0] for answer in answers] == [200] * n_busy
+
+
+async def test_connection_whose_request_head_does_not_end_is_closed():
+    # Guards against slow senders that use up the sockets, whatever is configured.
+    async with (
+        serving(
+            lambda order: FakeAnswer([b"ok"]),
+            configuration=configure(header_timeout_s=0.2),
+        ) as front,
+        Callers(front) as callers,
+    ):
+        slow = await callers.connect(make_head()[:20])
+        idle = await callers.connect()
+        assert await is_closed(slow)
+        assert not await is_closed(idle, within_s=0.1)
+
+
+@pytest.mark.parametrize(("n_more", "status"), [(0, 200), (1, 431)])
+async def test_head_over_the_configured_size_is_refused(n_more, status):
+    # Guards against a limit that is decoded and not applied.
+    head = make_head("/lookup/7", "GET", "X-Long: " + "x" * 500)
+    async with (
+        serving(
+            lambda order: FakeAnswer([b"ok"]),
+            configuration=configure(n_header_bytes=len(head)),
+        ) as front,
+        Callers(front) as callers,
+    ):
+        longer = head.replace(b"X-Long: ", b"X-Long: " + b"x" * n_more)
+        reader = await callers.connect(longer)
+        assert split_answer(await read_answer(reader))[0] == status
