--- a/lagoonring/platform/application.py
+++ b/lagoonring/platform/application.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING
 
 from lagoonring.kernel import Application, BaseService
@@ -302,6 +303,7 @@
         return None
 
     change_s = settings.bounds.change_s
+    make_blocks = partial(BlocksDuty, clock=app.clock, true_time=true_clock.now)
 
     def make_duty_parts(ledger: DutyLedger) -> list[DutyPart]:
         duty_parts: list[DutyPart] = [
@@ -318,20 +320,8 @@
                 exposure_slack=settings.bounds.exposure_slack,
                 true_time=true_clock.now,
             ),
-            BlocksDuty(
-                PROMPT_PARTS,
-                ledger,
-                parts.prompt_suspects,
-                app.clock,
-                true_time=true_clock.now,
-            ),
-            BlocksDuty(
-                REQUESTS,
-                ledger,
-                parts.suspects,
-                app.clock,
-                true_time=true_clock.now,
-            ),
+            make_blocks(PROMPT_PARTS, ledger, parts.prompt_suspects),
+            make_blocks(REQUESTS, ledger, parts.suspects),
         ]
         if "usage" in settings.duties:
             duty_parts.append(
--- a/lagoonring/serving/endpoints.py
+++ b/lagoonring/serving/endpoints.py
@@ -105,14 +105,14 @@
 
     ``observation`` holds the results at this instance, ``condition`` what the hub
     derived from those of all instances, ``limit`` the last limit that it named, and
-    ``was_limited`` whether it ever named one. ``is_leaving`` says that it said so in
-    an answer; its record in the store may say so later. Until ``paused_until_s`` it
-    wants no request here. ``is_on_trial`` says that no request was answered since
-    without another pause; then none is sent until ``trial_until_s``. ``refused_s`` is
-    when it refused the last request here for want of room. ``link`` tells whether
-    connections from here are established, and at ``heard_s`` it last sent something.
-    The endpoint is cold until ``cold_until_s``, and as far as other instances can't
-    read it in the record until ``cold_seen_until_s``.
+    ``was_limited`` whether it ever named one. ``is_leaving`` says that it said so in an
+    answer; its record in the store may say so later. Until ``paused_until_s`` it wants
+    no request here. ``is_on_trial`` says that no request was answered since without
+    another pause; then none is sent until ``trial_until_s``. At ``refused_s`` it last
+    refused for want of room here, at ``heard_s`` it last sent something here. ``link``
+    tells whether connections from here are established. The endpoint is cold until
+    ``cold_until_s``, and as far as other instances can't read it in the record until
+    ``cold_seen_until_s``.
     """
 
     record: EndpointRecord
@@ -163,10 +163,10 @@
 
     def avoided_until_s(self, *, is_relayed: bool = False) -> float:
         """Return until when the endpoint is used only if there is no other."""
-        return max(self.down_until(is_relayed), self.full_until_s)
+        return max(self.believed_down_until_s(is_relayed), self.full_until_s)
 
-    def down_until(self, is_relayed: bool) -> float:
-        """Return until when it is down; from here only, if it is not relayed."""
+    def believed_down_until_s(self, is_relayed: bool) -> float:
+        """Return until when it counts as down; by a relay, only others' reports do."""
         return max(0.0 if is_relayed else self.down_until_s, self.reported_down_until_s)
 
     def clear_connect_failures(self) -> None:
--- a/lagoonring/serving/waiting.py
+++ b/lagoonring/serving/waiting.py
@@ -137,7 +137,7 @@
         is_relayed = parts.connectivity.is_lost(endpoint)
         since_s = max(waits_since_s.get(endpoint.name, now_s), endpoint.heard_s)
         is_silent = not is_relayed and now_s - since_s >= quiet_s
-        return not is_silent and now_s >= endpoint.down_until(is_relayed)
+        return not is_silent and now_s >= endpoint.believed_down_until_s(is_relayed)
 
     return accepts
 
