--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds what the scripts of review/7 to review/10 start beside the deploy file's build:
+# Builds what the scripts of this review start beside the deploy file's build:
 # the stand-ins are Python modules, which are compiled and imported once.
 set -eu
 cd "$(dirname "$0")/.."
--- a/review/shared_2/standins.py
+++ b/review/shared_2/standins.py
@@ -255,7 +255,7 @@
             "Authorization": f"Token {KEY}",
         }
         self.sent_s[request_id] = time.monotonic()
-        self.record.add("sent", id=request_id, to=url)
+        self.record.add("sent", id=request_id, to=url + path)
         timeout = aiohttp.ClientTimeout(total=deadline_ms / 1000 + 1)
         try:
             async with self.session.post(
