--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,4 +4,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 python3 -m compileall -q review/shared_2 lagoonring
-PYTHONPATH=target/deps:. python3 -c "import review.shared_2.cases"
+PYTHONPATH=target/deps:. python3 -S -c "import review.shared_2.cases"
--- a/review/shared_2/cases.py
+++ b/review/shared_2/cases.py
@@ -5,6 +5,7 @@
 import asyncio
 import os
 import sys
+import traceback
 from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING, Any
 
@@ -89,9 +90,12 @@
 
     try:
         is_broken = asyncio.run(run())
-    except CouldNotRunError as error:
-        record.add("could not run", error=error)
-        print(f"could not run: {error}")
+    except (Exception, KeyboardInterrupt) as error:
+        # Whatever is wrong with the case itself must not look like a broken rule.
+        if not isinstance(error, CouldNotRunError):
+            traceback.print_exc()
+        record.add("could not run", error=repr(error))
+        print(f"could not run: {error!r}")
         record.write()
         sys.exit(2)
     record.add("broken" if is_broken else "held")
