Let the stand-ins execute a write later than its lost answer

Cause: the stand-ins of the store and the log could lose an answer, but the write was always done before. The platform may execute it seconds later, behind newer writes, so no test of ours could see what that does.

--- a/lagoonring/standins/log_standin.py
+++ b/lagoonring/standins/log_standin.py
@@ -28,12 +28,15 @@
 class LogFaults:
     """Faults in force; counts go down with each hit, flags stay until changed.
 
-    ``n_lost_answers`` appends take effect but their answer is lost. ``delay_s`` is
-    added before every answer.
+    ``n_lost_answers`` appends take effect but their answer is lost. The answers of
+    ``n_late_appends`` are lost too, and they take effect ``late_s`` later. ``delay_s``
+    is added before every answer.
     """
 
     is_out: bool = False
     n_lost_answers: int = 0
+    n_late_appends: int = 0
+    late_s: float = 3.0
     n_refused_appends: int = 0
     delay_s: float = 0.0
 
@@ -71,6 +74,7 @@
         self.n_appends = 0
         self.n_reads = 0
         self.generation = 0
+        self.late_appends: set[asyncio.Task[None]] = set()
 
     async def append(self, stream: str, data: str) -> int:
         """Append a record and return its offset."""
@@ -78,6 +82,20 @@
         if self.faults.n_refused_appends > 0:
             self.faults.n_refused_appends -= 1
             raise _make_outage(stream)
+        if self.faults.n_late_appends > 0:
+            self.faults.n_late_appends -= 1
+            late = self._execute_later(stream, data, self.faults.late_s)
+            task = asyncio.create_task(late)
+            self.late_appends.add(task)
+            task.add_done_callback(self.late_appends.discard)
+            raise _make_answer_lost(stream)
+        offset = self._execute(stream, data)
+        if self.faults.n_lost_answers > 0:
+            self.faults.n_lost_answers -= 1
+            raise _make_answer_lost(stream)
+        return offset
+
+    def _execute(self, stream: str, data: str) -> int:
         state = self.streams.setdefault(stream, StreamState())
         offset = make_offset(self.generation, state.next_offset)
         state.records.append(Record(offset, self.clock.time(), data))
@@ -86,14 +104,12 @@
             self.forget(stream, before=state.next_offset - self.n_kept)
         state.grown.set()
         state.grown = asyncio.Event()
-        if self.faults.n_lost_answers > 0:
-            self.faults.n_lost_answers -= 1
-            raise LogAnswerLostError(
-                f"Got no answer to an append to stream {stream}.",
-                remedy="Read the stream for the record before appending again.",
-            )
         return offset
 
+    async def _execute_later(self, stream: str, data: str, late_s: float) -> None:
+        await self.clock.sleep(late_s)
+        self._execute(stream, data)
+
     async def read(
         self,
         stream: str,
@@ -160,6 +176,13 @@
         return
 
 
+def _make_answer_lost(stream: str) -> LogAnswerLostError:
+    return LogAnswerLostError(
+        f"Got no answer to an append to stream {stream}.",
+        remedy="Read the stream for the record before appending again.",
+    )
+
+
 def _make_outage(stream: str) -> LogUnavailableError:
     return LogUnavailableError(
         f"Got an outage for stream {stream}, expected an answer of the log.",
