--- a/lagoonring/leases/lease.py
+++ b/lagoonring/leases/lease.py
@@ -76,6 +76,7 @@
         self.epoch: int | None = None
         self.last_renewed_s = 0.0
         self.pending_takes: dict[str, float] = {}
+        self.n_sent = 0
         self.mutex = asyncio.Lock()
 
     @property
@@ -180,7 +181,7 @@
             If the record was not appended.
         LogAnswerLostError
             If it is unknown whether the record was appended; it may become valid
-            later.
+            later, until another record is appended.
         """
         async with self.mutex:
             return await self._append("data", msgspec.Raw(msgspec.json.encode(data)))
@@ -221,6 +222,7 @@
             epoch=self.fencing_number,
             state=self.stream.state if kind == "renew" else None,
             at=self.stream.next_offset if kind == "renew" else -1,
+            number=self._next_number() if kind == "data" else -1,
             payload=payload,
         )
         return await self._write(record)
@@ -233,6 +235,10 @@
         self.last_renewed_s = max(self.last_renewed_s, sent_s)
         return result.offset
 
+    def _next_number(self) -> int:
+        self.n_sent += 1
+        return self.n_sent
+
     async def _take(self) -> int | None:
         record = LeaseRecord(
             kind="take",
--- a/lagoonring/leases/records.py
+++ b/lagoonring/leases/records.py
@@ -3,7 +3,9 @@
 A lease and the data that it guards share one stream, so the order of the log
 alone determines which records are valid, without clocks. An epoch begins with a
 valid ``take``; the offset of that record identifies the epoch and serves as the
-fencing number.
+fencing number. The holder numbers its data records, because the log may execute an
+append whose answer was lost seconds later: a record behind one with a higher number
+is invalid, although it still shows that the holder was alive.
 
 Every take and renewal carries the state that its writer had folded, so that a
 reader can recover the state after the log has truncated older records.
@@ -34,6 +36,8 @@
         Name of the instance that holds the lease.
     is_released : bool
         Whether the lease is free.
+    number : int
+        Highest number of the data records of that epoch; -1 if there are none.
     last : int
         Offset of the newest record of any epoch.
     is_known : bool
@@ -46,6 +50,7 @@
     is_released: bool = True
     last: int = -1
     is_known: bool = True
+    number: int = -1
 
 
 @attrs.frozen(kw_only=True)
@@ -62,6 +67,9 @@
     state : LeaseState or None
         State that the writer had folded before offset ``at``; a take is valid if
         the epoch and renewal of that state are still the newest.
+    number : int
+        Position of a data record among those that its writer sent in the epoch; -1 in
+        records of earlier releases.
     payload : msgspec.Raw
         Data, or one part of a snapshot of the data, as JSON.
     group, part, n_parts
@@ -74,6 +82,7 @@
     epoch: int = -1
     state: LeaseState | None = None
     at: int = -1
+    number: int = -1
     payload: msgspec.Raw = NO_PAYLOAD
     group: str = ""
     part: int = 0
@@ -112,11 +121,24 @@
     is_valid = state.is_known and not state.is_released and record.epoch == state.epoch
     if not is_valid:
         return attrs.evolve(state, last=offset), False
-    is_released = record.kind == "release"
-    return (
-        attrs.evolve(state, renewal=offset, is_released=is_released, last=offset),
-        True,
+    is_late = is_overtaken(state, record)
+    state = attrs.evolve(
+        state,
+        renewal=offset,
+        is_released=record.kind == "release",
+        last=offset,
+        number=max(state.number, record.number),
     )
+    return state, not is_late
+
+
+def is_overtaken(state: LeaseState, record: LeaseRecord) -> bool:
+    """Return whether a record stands behind one that its writer sent later.
+
+    The log may execute an append whose answer was lost after newer ones.
+    """
+    is_numbered = record.kind == "data" and record.number >= 0
+    return is_numbered and record.epoch == state.epoch and record.number <= state.number
 
 
 def _is_valid_take(state: LeaseState, record: LeaseRecord) -> bool:
--- a/lagoonring/leases/stream.py
+++ b/lagoonring/leases/stream.py
@@ -12,6 +12,7 @@
     LeaseState,
     decode_record,
     fold,
+    is_overtaken,
     make_unknown_state,
 )
 from lagoonring.logs import make_logger
@@ -167,6 +168,16 @@
             return
         before = self.state
         self.state, is_valid = fold(before, decoded, record.offset)
+        if is_overtaken(before, decoded):
+            logger.info(
+                "Ignored a record that was appended late.",
+                extra={
+                    "stream": self.stream,
+                    "offset": record.offset,
+                    "number": decoded.number,
+                    "newest_number": before.number,
+                },
+            )
         if self.state.renewal != before.renewal:
             self.renewal_seen_s = self.clock.boottime()
         if not self.state.is_known:
--- a/lagoonring/tests/test_leases.py
+++ b/lagoonring/tests/test_leases.py
@@ -19,11 +19,12 @@
 )
 from lagoonring.leases.records import LeaseRecord, LeaseState, encode_record
 from lagoonring.platform.log import LogAnswerLostError, LogUnavailableError
-from lagoonring.standins.log_standin import LogStandin
+from lagoonring.standins.log_standin import LogFaults, LogStandin
 from lagoonring.tests.builders.logs import InstanceLog
 
 OPTIONS = LeaseOptions(duration_s=6, margin_s=1, renew_interval_s=2, poll_s=1)
 STREAM = "lease"
+MAX_LATE_S = 9.0  # in the random histories
 
 
 class Words:
@@ -191,6 +192,81 @@
     assert (await cluster.read_all())[1] == ["x", "z"]
 
 
+class NewestWord(Words):
+    """Guarded data: the newest valid word."""
+
+    def on_data(self, offset, time_s, payload):
+        self.words = [msgspec.json.decode(payload)]
+
+
+async def lose_append(cluster, lease, word, **faults):
+    """Append a word whose append is not answered and executed three seconds later."""
+    cluster.log.faults = LogFaults(n_late_appends=1, late_s=3.0, **faults)
+    with pytest.raises(LogAnswerLostError):
+        await lease.append(word)
+
+
+@pytest.mark.parametrize("is_truncated", [False, True])
+async def test_an_append_that_is_executed_late_does_not_replace_newer_data(
+    is_truncated,
+):
+    # Guards against a completed move that runs again after a restart of all.
+    cluster = LeaseCluster()
+    first, _ = cluster.leases
+    await first.acquire()
+    await lose_append(cluster, first, "running")
+    newest = await first.append("completed")
+    await first.renew()
+    await cluster.clock.advance(3.0)
+    await first.renew()
+    if is_truncated:
+        cluster.log.forget(STREAM, before=newest + 1)
+    stream, words = await cluster.read_all(NewestWord())
+    assert words == ([] if is_truncated else ["completed"])
+    assert stream.state == first.stream.state
+    assert cluster.words[0].words == ["completed"]
+
+
+async def test_an_append_that_is_executed_late_counts_until_another_is_appended():
+    cluster = LeaseCluster()
+    first, second = cluster.leases
+    await first.acquire()
+    await lose_append(cluster, first, "late")
+    await cluster.clock.advance(3.0)
+    await first.append("next")
+    await lose_append(cluster, first, "too late")
+    await first.release()
+    await second.acquire()
+    await second.append("other")
+    await cluster.clock.advance(3.0)
+    assert (await cluster.read_all())[1] == ["late", "next", "other"]
+
+
+async def test_a_late_append_still_shows_that_its_writer_was_alive():
+    # Earlier releases take it for a renewal, and must agree on who may take the lease.
+    cluster = LeaseCluster()
+    first, second = cluster.leases
+    await first.acquire()
+    await lose_append(cluster, first, "late")
+    await first.append("next")
+    await cluster.clock.advance(3.0)
+    assert await second.acquire() is None
+    assert second.stream.state.renewal == 2
+
+
+async def test_data_of_earlier_releases_has_no_numbers_and_counts():
+    log = LogStandin()
+    take = LeaseRecord(kind="take", token="t", holder="old", state=LeaseState())
+    await log.append(STREAM, encode_record(take))
+    for word in "ab":
+        payload = msgspec.Raw(msgspec.json.encode(word))
+        record = LeaseRecord(kind="data", token=word, epoch=0, payload=payload)
+        await log.append(STREAM, encode_record(record))
+    words = Words()
+    await LeaseStream(log, STREAM, ManualClock(), words).read_to_end()
+    assert words.words == ["a", "b"]
+
+
 async def test_state_and_data_survive_log_retention():
     cluster = LeaseCluster(2, n_kept=6)
     first, second = cluster.leases
@@ -232,7 +308,7 @@
 def histories(draw):
     """Actions of three instances, with some requests held and some answers lost."""
     actions = ["acquire", "append", "renew", "release", "wait", "snapshot"]
-    actions += ["hold", "let go", "lose answer", "forget"]
+    actions += ["hold", "let go", "lose answer", "late", "forget"]
     return draw(
         st.lists(
             st.tuples(st.sampled_from(actions), st.integers(0, 2), st.integers(0, 8)),
@@ -260,9 +336,13 @@
         for gate in (log.append_gate, log.answer_gate, log.read_gate):
             gate.set()
     await asyncio.gather(*tasks, return_exceptions=True)
+    await cluster.clock.advance(MAX_LATE_S)
     for lease in cluster.leases:
         await lease.stream.read_to_end()
     stream, words = await cluster.read_all()
+    for index in range(3):
+        own = [step for step in words if history[step][1] == index]
+        assert own == sorted(own)
     known = [lease for lease in cluster.leases if lease.stream.state.is_known]
     for lease in known:
         assert lease.stream.state == cluster.leases[0].stream.state
@@ -279,7 +359,7 @@
     lease, log = cluster.leases[index], cluster.logs[index]
     gates = (log.append_gate, log.answer_gate, log.read_gate)
     if action == "wait":
-        cluster.clock.now_s += number
+        await cluster.clock.advance(number)
     elif action == "hold":
         gates[number % 3].clear()
     elif action == "let go":
@@ -287,6 +367,9 @@
             gate.set()
     elif action == "lose answer":
         cluster.log.faults.n_lost_answers = 1
+    elif action == "late":
+        cluster.log.faults.n_late_appends = 1
+        cluster.log.faults.late_s = 1.0 + number
     elif action == "forget":
         if number == 0:
             end = cluster.log.streams[STREAM].next_offset if cluster.log.streams else 0
