Never replace the recorded end of a move

What callers saw: nothing yet; an end that was written without an answer was decided again, and a completed move could become one that was rolled back.

Cause: the holder decides again at its next step whatever the log says meanwhile, and the ledger keeps whatever record of a move comes last.

Change: the first final state in the ledger stays, and the holder reads it before each decision and after writing one.

--- a/lagoonring/serving/duties.py
+++ b/lagoonring/serving/duties.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from typing import TYPE_CHECKING, Protocol
 
 import attrs
@@ -20,7 +21,7 @@
 from lagoonring.logs import make_logger
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable, Sequence
+    from collections.abc import Awaitable, Sequence
 
     from lagoonring.kernel import Application
     from lagoonring.platform.log import Log
@@ -47,10 +48,15 @@
 
 @attrs.define
 class DutyLedger:
-    """Records written by lease holders, by part and key; newest last."""
+    """Records written by lease holders, by part and key; newest last.
+
+    A part can protect its records: ``is_final`` holds, by part, a function that tells
+    whether a record is never replaced.
+    """
 
     content: dict[str, dict[str, msgspec.Raw]] = attrs.field(factory=dict)
     n_kept: int = 64
+    is_final: dict[str, Callable[[msgspec.Raw], bool]] = attrs.field(factory=dict)
 
     def on_data(self, offset: int, time_s: float, payload: msgspec.Raw) -> None:
         """Apply a record that was written under a valid lease."""
@@ -58,6 +64,10 @@
             payload, type=tuple[str, str, msgspec.Raw]
         )
         entries = self.content.setdefault(part, {})
+        known = entries.get(key)
+        is_final = self.is_final.get(part)
+        if known is not None and is_final is not None and is_final(known):
+            return
         entries.pop(key, None)
         entries[key] = value
         while len(entries) > self.n_kept:
--- a/lagoonring/serving/versions.py
+++ b/lagoonring/serving/versions.py
@@ -29,6 +29,8 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    import msgspec
+
     from lagoonring.kernel import Clock
     from lagoonring.leases.lease import Lease
     from lagoonring.serving.duties import DutyLedger
@@ -122,6 +124,7 @@
         true_time: Callable[[], float],
     ) -> None:
         self.ledger = ledger
+        self.ledger.is_final[PART] = _is_final
         self.follower = follower
         self.gate = gate
         self.table = table
@@ -162,6 +165,10 @@
                 self.moves.pop(service, None)
 
     async def _advance(self, lease: Lease, order: MoveOrder) -> None:
+        recorded = self._recorded(order)
+        if recorded is not None and recorded.state is not MoveState.RUNNING:
+            self._publish_final(lease, order, recorded.state)
+            return
         move = self.moves.get(order.service)
         if move is None or move.order.offset != order.offset:
             move = await self._begin(lease, order)
@@ -196,13 +203,9 @@
 
     async def _begin(self, lease: Lease, order: MoveOrder) -> RunningMove | None:
         """Start a move or take it over; a decision of an earlier holder stays valid."""
-        recorded = self.ledger.find(PART, order.name)
+        record = self._recorded(order)
         taken_over_s = None
-        if recorded is not None:
-            record = decode_record(recorded)
-            if record.state is not MoveState.RUNNING:
-                self._publish_final(lease, order, record.state)
-                return None
+        if record is not None:
             taken_over_s = max(self.true_time() - record.started_s, 0.0)
         else:
             if order.is_old and await self._adopt_reported_state(lease, order):
@@ -265,6 +268,11 @@
             ),
         )
 
+    def _recorded(self, order: MoveOrder) -> MoveRecord | None:
+        """Return what a holder recorded last of a move."""
+        recorded = self.ledger.find(PART, order.name)
+        return None if recorded is None else decode_record(recorded)
+
     def _count_running(self, order: MoveOrder) -> int:
         """Return the requests that run on the new version."""
         return sum(
@@ -292,6 +300,8 @@
             self._publish(move, MoveState.RUNNING, 0.0)  # also while the store is out
         record = attrs.evolve(move.exposure.record, state=state)
         await write_ahead(lease, PART, order.name, record.encode())
+        # Another final state may have been written before without an answer.
+        state = (self._recorded(order) or record).state
         logger.info(
             "Move finished.",
             extra={
@@ -340,3 +350,7 @@
                 "Could not write the status of a move.",
                 extra={"service": order.service, "error": str(error)},
             )
+
+
+def _is_final(recorded: msgspec.Raw) -> bool:
+    return decode_record(recorded).state is not MoveState.RUNNING
--- a/lagoonring/tests/test_moves_on_platform.py
+++ b/lagoonring/tests/test_moves_on_platform.py
@@ -11,6 +11,7 @@
 from lagoonring.serving.comparison import Verdict
 from lagoonring.serving.configuration import RequestKind
 from lagoonring.serving.duties import DutyLedger
+from lagoonring.serving.exposure import MoveRecord
 from lagoonring.serving.moves import MoveGate, MoveOrder, MoveState, MoveView
 from lagoonring.serving.rollout import (
     Progress,
@@ -20,7 +21,7 @@
     exposure_budget,
 )
 from lagoonring.serving.version_results import VersionCounters
-from lagoonring.serving.versions import MovesDuty
+from lagoonring.serving.versions import PART, MovesDuty
 from lagoonring.tests.builders.serving import (
     FakeFollower,
     make_configuration,
@@ -249,6 +250,33 @@
     assert deployment.gate.allowed("desk", BOTH, "r") == {"v1"}
 
 
+@pytest.mark.parametrize("state", [MoveState.COMPLETED, MoveState.ROLLED_BACK])
+@pytest.mark.parametrize("later", MoveState)
+async def test_a_final_state_is_never_replaced(clock, state, later):
+    # Guards against a completed move that runs again, or is taken back.
+    deployment = Deployment(clock, lambda at_s, rng: False)
+    lease = FakeLease(deployment.ledger)
+    for written in (state, later):
+        record = MoveRecord(started_s=clock.time(), state=written)
+        await lease.append((PART, ORDER.name, record.encode()))
+    await deployment.duty.step(lease)
+    assert deployment.gate.state_of(ORDER) is state
+
+
+async def test_an_end_that_was_written_without_an_answer_is_adopted(clock):
+    # Guards against an end that is decided again, and differently, after its limit.
+    deployment = Deployment(clock, lambda at_s, rng: False)
+    await deployment.run(5.0)
+    record = MoveRecord(started_s=deployment.started_s, state=MoveState.COMPLETED)
+    lease = FakeLease(deployment.ledger)
+    await lease.append((PART, ORDER.name, record.encode()))
+    await clock.advance(10.0)
+    for _ in range(3):
+        await deployment.duty.step(lease)
+    assert deployment.final_state() is MoveState.COMPLETED
+    assert deployment.gate.state_of(ORDER) is MoveState.COMPLETED
+
+
 async def test_a_final_state_is_restored_from_the_status_after_a_restart(clock):
     deployment = Deployment(clock, lambda at_s, rng: True)
     await deployment.run()
