Let the soak move versions, lose writes and do them later

Cause: the soak asked nothing about moves, so that nothing of it could show a move that is undone after a restart of all processes.

--- a/lagoonring/cli/soak_command.py
+++ b/lagoonring/cli/soak_command.py
@@ -13,6 +13,7 @@
 import typer
 
 from lagoonring.cli.exits import Exit
+from lagoonring.soak.faults import KINDS
 from lagoonring.soak.run import run_soak
 
 EPILOG = "Exit codes: 0 no promise broken, 1 a promise broken, 2 wrong usage."
@@ -38,12 +39,23 @@
         int,
         typer.Option(min=1, max=20, help="Number of instances in each data centre."),
     ] = 2,
+    without: Annotated[
+        str, typer.Option(help="Kinds of faults to leave out, separated by commas.")
+    ] = "",
     folder: Annotated[
         Path | None,
         typer.Option(help="Folder for logs; a new temporary one by default."),
     ] = None,
 ) -> None:
     """Inject faults into instances run as processes, and check the promises."""
+    left_out = {name for name in without.split(",") if name}
+    unknown = left_out - set(KINDS)
+    if unknown:
+        raise typer.BadParameter(
+            f"Got {', '.join(sorted(unknown))}, expected kinds of faults. "
+            f"Choose from {', '.join(sorted(KINDS))}."
+        )
+    kinds = [name for name in KINDS if name not in left_out]
     first = random.SystemRandom().randrange(MAX_FIRST_SEED) if seed is None else seed
     root = folder or Path(tempfile.mkdtemp(prefix="lagoonring-soak-"))
     # Connections broken at a stand-in are injected faults, so they are not logged.
@@ -55,7 +67,13 @@
         seed_folder = root / str(number)
         seed_folder.mkdir(parents=True, exist_ok=True)
         result = asyncio.run(
-            run_soak(number, seconds, seed_folder, n_per_data_centre=instances)
+            run_soak(
+                number,
+                seconds,
+                seed_folder,
+                n_per_data_centre=instances,
+                kinds=kinds,
+            )
         )
         n_broken += bool(result.violations)
         typer.echo(
--- a/lagoonring/platform/documents.py
+++ b/lagoonring/platform/documents.py
@@ -262,6 +262,11 @@
     return ROLLOUT_PREFIX + service
 
 
+def moved_service(key: str) -> str:
+    """Return the service whose move a key names; empty if it names none."""
+    return key.removeprefix(ROLLOUT_PREFIX) if key.startswith(ROLLOUT_PREFIX) else ""
+
+
 def decode_move_status(content: bytes) -> tuple[str, MoveState]:
     """Return the target version and the state from a status record."""
     raw = _decode(content, _MoveStatus)
--- a/lagoonring/soak/deployment.py
+++ b/lagoonring/soak/deployment.py
@@ -28,6 +28,7 @@
 from lagoonring.serving.settings import Bounds, NodeSettings
 from lagoonring.soak.endpoints import HEARTBEAT_S, Run, SoakEndpoint
 from lagoonring.soak.messages import PlannedWork, WorkKind
+from lagoonring.soak.moves import Operator
 from lagoonring.standins.link_standin import LinkStandin
 from lagoonring.standins.options import LinkOptions
 from lagoonring.standins.platform_documents import make_configuration, make_settings
@@ -41,6 +42,7 @@
 ORGANISATIONS = {"one": "key-of-one", "two": "key-of-two"}
 # The rate limit of "two" is about half of the rate at which its callers send.
 LIMITED_ORGANISATION, RATE_PER_S, BURST = "two", 12.0, 30.0
+SERVICES = ("engine", "desk")
 RESUMABLE, UNSAFE, SAFE = "/stream/", "/unsafe/", "/safe/"
 SOAK_HOST = "soak.example"
 CALLER_LIMITS = CallerLimits(
@@ -115,13 +117,15 @@
         self.store_disrupted_until_s = float("-inf")
         self.supervisor: asyncio.Task[None] | None = None
         self.planned_work: list[PlannedWork] = []
+        self.operator = Operator(self)
+        self.following: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
         """Start the platform, the endpoints and the instances, in this order."""
         await self.platform.start()
         self.write_config()
         for centre in DATA_CENTRES:
-            for service in ("engine", "desk"):
+            for service in SERVICES:
                 endpoint = SoakEndpoint(
                     f"{service}-{centre}",
                     service,
@@ -138,11 +142,13 @@
         for instance in self.instances:
             self.launch(instance)
         self.supervisor = asyncio.create_task(self._restart_ended())
+        self.following = asyncio.create_task(self.operator.follow())
 
     async def stop(self) -> None:
         """Kill the processes started here, each by its id, and stop the stand-ins."""
-        if self.supervisor is not None:
-            self.supervisor.cancel()
+        for task in (self.supervisor, self.following):
+            if task is not None:
+                task.cancel()
         for instance in self.instances:
             if instance.process is not None and instance.process.poll() is None:
                 instance.process.kill()
@@ -166,8 +172,7 @@
         for prefix in self.extra_routes:
             routes.append(_route(prefix, prefix, RequestKind.IDEMPOTENT, "desk"))
         services = {
-            name: ServiceEntry(name=name, max_connections=100)
-            for name in ("engine", "desk")
+            name: ServiceEntry(name=name, max_connections=100) for name in SERVICES
         }
         configuration = Configuration(
             version=self.version,
--- a/lagoonring/soak/endpoints.py
+++ b/lagoonring/soak/endpoints.py
@@ -91,6 +91,8 @@
     ----------
     runs : list of Run
         Receives an entry for each request that starts to run.
+    version : str
+        Version of its software.
     """
 
     def __init__(
@@ -101,6 +103,8 @@
         platform: PlatformStandin,
         runs: list[Run],
         rng: random.Random,
+        *,
+        version: str = "v1",
     ) -> None:
         self.name = name
         self.service = service
@@ -108,7 +112,8 @@
         self.platform = platform
         self.runs = runs
         self.rng = rng
-        self.version = "v1"
+        self.version = version
+        self.is_retired = False
         self.faults = EndpointFaults()
         self.state = EndpointState.READY
         self.drain_started_s: float | None = None
@@ -126,6 +131,8 @@
 
     async def start(self) -> None:
         """Start listening under a new id and write the endpoint's record."""
+        if self.is_retired:
+            return
         self.n_starts += 1
         self.state, self.drain_started_s = EndpointState.READY, None
         self.faults = EndpointFaults()
@@ -140,19 +147,36 @@
         await self.link.start()
         self._write()
 
+    def is_serving(self, service: str) -> bool:
+        """Return whether the endpoint serves a service, or will after a crash."""
+        return self.service == service and not self.is_retired
+
     async def crash(self) -> None:
         """Stop at once; return once its record has expired."""
-        if self.runner is not None and self.link is not None:
-            await self.link.stop()
-            await self.runner.cleanup()
-            self.runner = None
-            now_s = time.monotonic()
-            self.unplanned_spans.append((now_s, now_s))
+        if self.runner is not None:
+            await self._stop()
             await asyncio.sleep(N_HEARTBEATS_TO_EXPIRE * HEARTBEAT_S)
             self.platform.write_endpoint(self.endpoint_id, None)
 
+    async def retire(self) -> None:
+        """Stop at once and for good, and remove the record."""
+        self.is_retired = True
+        self.platform.write_endpoint(self.endpoint_id, None)
+        await self._stop()
+
+    async def _stop(self) -> None:
+        if self.runner is None or self.link is None:
+            return
+        runner, self.runner = self.runner, None
+        await self.link.stop()
+        await runner.cleanup()
+        now_s = time.monotonic()
+        self.unplanned_spans.append((now_s, now_s))
+
     def drain(self) -> None:
         """Write to the store that the endpoint accepts no more requests."""
+        if self.runner is None:
+            return
         self.state = EndpointState.DRAINING
         self._write()
         self.drain_started_s = time.monotonic()
--- a/lagoonring/soak/faults.py
+++ b/lagoonring/soak/faults.py
@@ -9,8 +9,9 @@
 
 import attrs
 
-from lagoonring.platform.store import ENDPOINT_TOPIC, OPERATOR_TOPIC
+from lagoonring.platform.store import ENDPOINT_TOPIC, OPERATOR_TOPIC, STATUS_TOPIC
 from lagoonring.serving.endpoints import EndpointState
+from lagoonring.soak.deployment import SERVICES
 from lagoonring.soak.endpoints import EndpointFaults
 from lagoonring.standins.link_standin import LinkFaults
 from lagoonring.standins.platform_faults import PlatformFaults
@@ -26,6 +27,10 @@
 SERIES_SHARE = 0.3  # share of the faults that are repeated in a row
 EXIT_POLL_INTERVAL_S = 0.1
 MAX_SERIES_S = 1.0  # between the first and the last stop of a series
+MAX_LATE_WRITES = 4
+LOG_TOPIC = "lagoonring.duties"
+LATE_TOPICS = ("", LOG_TOPIC, STATUS_TOPIC)  # all topics, or one of them
+MIN_MOVE_S = 6.0
 SETTLE_S = 3.0  # from the end of a fault until its instance counts as recovered
 
 
@@ -93,6 +98,12 @@
         self.log_line(f"ends {fault.kind} of {fault.at_s}")
 
 
+def kill_all(deployment: SoakDeployment) -> None:
+    """Kill all instances at once; they are started again."""
+    for instance in deployment.instances:
+        deployment.signal(instance, signal.SIGKILL)
+
+
 def _instance(deployment: SoakDeployment, fault: Fault) -> Instance:
     return deployment.instances[fault.pick % len(deployment.instances)]
 
@@ -102,8 +113,7 @@
 
 
 async def _kill_all(deployment: SoakDeployment, fault: Fault) -> None:
-    for instance in deployment.instances:
-        deployment.signal(instance, signal.SIGKILL)
+    kill_all(deployment)
 
 
 async def _kill_after_change(deployment: SoakDeployment, fault: Fault) -> None:
@@ -246,6 +256,27 @@
     await _disrupt_store(deployment, fault, PlatformFaults(n_lost_answers=10))
 
 
+async def _store_executes_late(deployment: SoakDeployment, fault: Fault) -> None:
+    """Lose the answers of some writes, which are executed one to six seconds later."""
+    faults = PlatformFaults(
+        n_late_writes=1 + fault.pick % MAX_LATE_WRITES,
+        late_s=1.0 + fault.for_s,
+        late_topic=LATE_TOPICS[fault.pick % len(LATE_TOPICS)],
+    )
+    await _disrupt_store(deployment, fault, faults)
+    deployment.store_disrupted_until_s = time.monotonic() + faults.late_s
+    await asyncio.sleep(faults.late_s)
+
+
+async def _store_forgets_log(deployment: SoakDeployment, fault: Fault) -> None:
+    deployment.platform.forget(LOG_TOPIC)
+
+
+async def _move(deployment: SoakDeployment, fault: Fault) -> None:
+    service = SERVICES[fault.pick % len(SERVICES)]
+    await deployment.operator.order(service, MIN_MOVE_S + fault.for_s)
+
+
 async def _store_forgets(deployment: SoakDeployment, fault: Fault) -> None:
     for topic in (OPERATOR_TOPIC, ENDPOINT_TOPIC):
         deployment.platform.forget(topic)
@@ -332,7 +363,10 @@
     "store_out": _store_out,
     "store_slow": _store_slow,
     "store_loses_answers": _store_loses_answers,
+    "store_executes_late": _store_executes_late,
     "store_forgets": _store_forgets,
+    "store_forgets_log": _store_forgets_log,
+    "move": _move,
     "endpoint_silent": _endpoint_silent,
     "endpoint_one_way": _endpoint_one_way,
     "endpoint_resets": _endpoint_resets,
--- a/lagoonring/soak/guarantees.py
+++ b/lagoonring/soak/guarantees.py
@@ -24,6 +24,7 @@
 from lagoonring.soak.endpoints import Run, make_body, make_events, make_signature
 from lagoonring.soak.faults import SETTLE_S
 from lagoonring.soak.messages import PlannedWork
+from lagoonring.soak.moves import Order, Status, find_undone
 from lagoonring.soak.planned_work import find_lost
 from lagoonring.standins.platform_standin import DutyCall
 
@@ -70,6 +71,9 @@
     planned_work: list[PlannedWork]
     unexpected_exits: dict[str, int]
     faults_ended_s: float
+    orders: list[Order] = attrs.field(factory=list)
+    statuses: list[Status] = attrs.field(factory=list)
+    ended_s: float = math.inf
 
     def is_undisrupted(self, instance: str, start_s: float, end_s: float) -> bool:
         """Return whether no fault hit the instance or the store in a time span."""
@@ -94,6 +98,10 @@
     found += _check_retries(record)
     found += _check_duties(record.duty_calls)
     found += _check_recovery(record)
+    found += [
+        Violation("moved", detail)
+        for detail in find_undone(record.orders, record.statuses, record.ended_s)
+    ]
     return found
 
 
--- a/lagoonring/soak/run.py
+++ b/lagoonring/soak/run.py
@@ -128,6 +128,7 @@
             faults_ended_s = time.monotonic()
             log_line("calm")
             await asyncio.sleep(RECOVERY_S + RECOVERED_LOAD_S)
+            ended_s = time.monotonic()
             await callers.stop()
         finally:
             monitor_task.cancel()
@@ -157,6 +158,9 @@
                     for instance in deployment.instances
                 },
                 faults_ended_s=faults_ended_s,
+                orders=deployment.operator.orders,
+                statuses=deployment.operator.statuses,
+                ended_s=ended_s,
             )
         )
         for violation in violations:
--- a/lagoonring/standins/platform_faults.py
+++ b/lagoonring/standins/platform_faults.py
@@ -26,9 +26,9 @@
     ``is_out`` answers all requests with 503. ``n_lost_answers`` requests other than
     GET take effect but their answer is lost. ``n_late_writes`` writes to a topic are
     not answered and executed ``late_s`` later, if their condition holds then;
-    ``late_topic`` limits them to one topic, and ``n_executed_late`` counts those that
-    were executed or refused since. ``delay_s`` is added before every answer;
-    ``n_delayed`` counts the delayed requests.
+    ``late_topic`` limits them to one topic, ``late_text`` to those that contain it, and
+    ``n_executed_late`` counts those that were executed or refused since. ``delay_s`` is
+    added before every answer; ``n_delayed`` counts the delayed requests.
     """
 
     is_out: bool = False
@@ -36,16 +36,18 @@
     n_late_writes: int = attrs.field(default=0, validator=between(0, MANY))
     late_s: float = attrs.field(default=3.0, validator=between(0, 3600))
     late_topic: str = ""
+    late_text: str = ""
     n_executed_late: int = 0
     delay_s: float = attrs.field(default=0.0, validator=between(0, 3600))
     n_delayed: int = 0
 
-    def is_late(self, request: web.Request) -> bool:
+    async def is_late(self, request: web.Request) -> bool:
         """Return whether a request is a write to execute later, and count it."""
         topic = request.query.get("topic")
-        if request.method == "GET" or topic is None:
+        if request.method == "GET" or topic is None or not self.n_late_writes:
             return False
-        if self.late_topic not in ("", topic):
+        is_other_text = self.late_text.encode() not in await request.read()
+        if self.late_topic not in ("", topic) or is_other_text:
             return False
         return consume_fault(self, "n_late_writes")
 
@@ -78,8 +80,7 @@
             answer = answer_error("unavailable", "Got an outage.", status=503)
             answer.headers["Retry-After"] = "1"
             return answer
-        if faults.is_late(request):
-            await request.read()
+        if await faults.is_late(request):
             write = execute_later(request, handler, faults)
             task = asyncio.create_task(write)
             late_writes.add(task)
--- a/lagoonring/tests/test_soak.py
+++ b/lagoonring/tests/test_soak.py
@@ -10,7 +10,8 @@
 import attrs
 import pytest
 
-from lagoonring.platform.store import OPERATOR_TOPIC
+from lagoonring.platform.store import OPERATOR_TOPIC, STATUS_TOPIC
+from lagoonring.serving.moves import MoveState
 from lagoonring.soak.connection import CallerConnection, SentRequest
 from lagoonring.soak.deployment import (
     BURST,
@@ -30,6 +31,7 @@
 from lagoonring.soak.faults import KINDS, PLANNED_KINDS, schedule
 from lagoonring.soak.guarantees import RECOVERY_S, SoakRecord, check
 from lagoonring.soak.messages import PlannedWork, WorkKind
+from lagoonring.soak.moves import Operator, Order, Status
 from lagoonring.soak.run import run_soak
 from lagoonring.standins.platform_standin import DutyCall, PlatformStandin
 from lagoonring.tests.builders.barriers import wait_until
@@ -261,6 +263,67 @@
     assert find_violations(failed) == {"recover"}
 
 
+def make_status(state, target="v2"):
+    return Status(service="desk", target=target, state=MoveState(state))
+
+
+@pytest.mark.parametrize(
+    ("states", "is_broken"),
+    [
+        ([], True),
+        (["running"], True),
+        (["running", "completed"], False),
+        (["running", "rolled_back", "rolled_back"], False),
+        (["completed", "running"], True),
+        (["completed", "running", "completed"], False),
+        (["completed", "running", "rolled_back"], True),
+    ],
+)
+def test_move_that_is_undone_or_not_ended_is_found(states, is_broken):
+    orders = [Order(service="desk", target="v2", due_s=10.0)]
+    statuses = [make_status(state) for state in states]
+    found = find_violations(orders=orders, statuses=statuses, ended_s=20.0)
+    assert found == ({"moved"} if is_broken else set())
+
+
+def test_move_that_may_still_run_need_not_have_ended():
+    orders = [Order(service="desk", target="v2", due_s=10.0)]
+    assert not find_violations(orders=orders, ended_s=10.5)
+
+
+def test_status_of_an_earlier_move_is_not_that_of_the_last_one():
+    orders = [Order(service="desk", target=f"v{n}", due_s=10.0) for n in (2, 3)]
+    statuses = [make_status("completed", f"v{n}") for n in (2, 3)]
+    assert not find_violations(orders=orders, statuses=statuses)
+    statuses.append(make_status("running", "v2"))
+    assert find_violations(orders=orders, statuses=statuses) == {"moved"}
+
+
+async def test_operator_stops_the_version_that_a_move_leaves():
+    deployment = SimpleNamespace(
+        platform=PlatformStandin(), runs=[], rng=random.Random(1), endpoints=[]
+    )
+    old = SoakEndpoint(
+        "desk-east", "desk", "east", deployment.platform, [], deployment.rng
+    )
+    deployment.endpoints.append(old)
+    await old.start()
+    operator = Operator(deployment)
+    following = asyncio.create_task(operator.follow())
+    await operator.order("desk", 8.0)
+    await operator.order("desk", 8.0)
+    assert [one.target for one in operator.orders] == ["v2"]
+    (new,) = deployment.endpoints[1:]
+    content = {"state": "completed", "target": "v2"}
+    deployment.platform.write(STATUS_TOPIC, "rollout/desk", content)
+    await wait_until(lambda: operator.running is None)
+    following.cancel()
+    assert (old.is_serving("desk"), new.is_serving("desk")) == (False, True)
+    await old.start()
+    assert old.runner is None
+    await new.retire()
+
+
 def test_schedule_is_deterministic_and_covers_all_kinds():
     assert schedule(random.Random(3), 60.0) == schedule(random.Random(3), 60.0)
     played = [schedule(random.Random(seed), 60.0) for seed in range(40)]
