Keep how a move ended apart from the status that operators read

What callers saw: after a restart of all processes a completed move began again and was rolled back; every request of the service was refused from then on.

Cause: once the log has dropped the ledger's records, the status was the only record of the end.

Change: an end is also recorded under a key of its order, to which nothing else is ever written. A holder that begins looks there, also if the ledger says running. Statuses are read once by a new holder, which no longer writes those that stand.

--- a/lagoonring/platform/application.py
+++ b/lagoonring/platform/application.py
@@ -14,6 +14,7 @@
 from lagoonring.platform.duty_client import Authority
 from lagoonring.platform.engine_calls import EngineCalls
 from lagoonring.platform.metrics_page import MetricsPage
+from lagoonring.platform.move_records import StoredMoves
 from lagoonring.platform.relay_server import RelayServer
 from lagoonring.platform.saved_usage import StoredUsage
 from lagoonring.platform.sending import (
@@ -25,7 +26,6 @@
 from lagoonring.platform.store import (
     ENDPOINT_TOPIC,
     OPERATOR_TOPIC,
-    STATUS_TOPIC,
 )
 from lagoonring.platform.topics import KeyedTopic
 from lagoonring.serving.blocks import PROMPT_PARTS, REQUESTS, BlocksDuty
@@ -39,7 +39,8 @@
 from lagoonring.serving.fleet import FleetDuty
 from lagoonring.serving.follower import Follower
 from lagoonring.serving.metrics import ServingMetrics
-from lagoonring.serving.moves import MoveGate, MoveState
+from lagoonring.serving.move_reports import MoveReports
+from lagoonring.serving.moves import MoveGate
 from lagoonring.serving.parts import ServingParts
 from lagoonring.serving.path import RequestPath
 from lagoonring.serving.permits import Permits
@@ -291,17 +292,6 @@
             is_reclaimable=wanted.is_reclaimable,
         )
 
-    async def report_status(service: str, target: str, state: MoveState) -> None:
-        value = documents.encode_move_status(target, state)
-        await store.append_keyed(STATUS_TOPIC, documents.move_key(service), value)
-
-    async def read_status(service: str) -> tuple[str, MoveState] | None:
-        snapshot = await store.read_newest(STATUS_TOPIC)
-        for record in snapshot.records:
-            if record.key == documents.move_key(service) and record.value:
-                return documents.decode_move_status(record.value)
-        return None
-
     change_s = settings.bounds.change_s
     make_blocks = partial(BlocksDuty, clock=app.clock, true_time=true_clock.now)
 
@@ -314,8 +304,7 @@
                 parts.table,
                 parts.counters,
                 app.clock,
-                report_status=report_status,
-                read_status=read_status,
+                MoveReports(StoredMoves(store), app.clock),
                 exposure_share=settings.bounds.exposure_share,
                 exposure_slack=settings.bounds.exposure_slack,
                 true_time=true_clock.now,
--- a/lagoonring/platform/store.py
+++ b/lagoonring/platform/store.py
@@ -172,8 +172,7 @@
 
     async def append_keyed(self, topic: str, key: str, value: bytes) -> int:
         """Append a record that becomes the key's newest; errors as for `append`."""
-        raw_key = key.encode()
-        return await self.append(topic, [bytes([len(raw_key)]) + raw_key + value])
+        return await self.append(topic, [encode_keyed_record(key, value)])
 
     async def read(self, topic: str, offset: int, *, wait_s: float = 0.0) -> RecordPage:
         """Return records from an offset on, waiting up to ``wait_s`` for the first.
@@ -278,6 +277,12 @@
         raise _unavailable(path, "an answer of an earlier generation")
 
 
+def encode_keyed_record(key: str, value: bytes) -> bytes:
+    """Return a record of a keyed topic; an empty value drops the key."""
+    raw_key = key.encode()
+    return bytes([len(raw_key)]) + raw_key + value
+
+
 def decode_keyed_record(record: bytes, offset: int) -> KeyedRecord:
     """Decode a record of a keyed topic: key length (one byte), key and value."""
     n_key = record[0] if record else 0
--- a/lagoonring/serving/versions.py
+++ b/lagoonring/serving/versions.py
@@ -6,7 +6,6 @@
 
 import attrs
 
-from lagoonring.errors import LagoonringError
 from lagoonring.logs import make_logger
 from lagoonring.serving.comparison import Finding, find_difference, is_uneven, judge
 from lagoonring.serving.duties import write_ahead
@@ -27,7 +26,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+    from collections.abc import Callable
 
     import msgspec
 
@@ -36,13 +35,12 @@
     from lagoonring.serving.duties import DutyLedger
     from lagoonring.serving.endpoints import EndpointTable
     from lagoonring.serving.follower import Follower
+    from lagoonring.serving.move_reports import MoveReports
     from lagoonring.serving.moves import MoveGate
     from lagoonring.serving.version_results import (
         VersionCounters,
     )
 
-    ReadStatus = Callable[[str], Awaitable[tuple[str, MoveState] | None]]
-
 PART = "moves"
 
 logger = make_logger("moves")
@@ -98,12 +96,8 @@
 
     Parameters
     ----------
-    report_status : callable
-        ``await report_status(service, target, state)`` writes the status for the
-        operator.
-    read_status : callable
-        ``await read_status(service)`` returns the target and state last reported, or
-        None.
+    reports : MoveReports
+        Reports the states to operators, and keeps how moves ended.
     """
 
     name = PART
@@ -116,9 +110,8 @@
         table: EndpointTable,
         counters: VersionCounters,
         clock: Clock,
+        reports: MoveReports,
         *,
-        report_status: Callable[[str, str, MoveState], Awaitable[None]],
-        read_status: ReadStatus,
         exposure_share: float,
         exposure_slack: float,
         true_time: Callable[[], float],
@@ -130,15 +123,13 @@
         self.table = table
         self.counters = counters
         self.clock = clock
-        self.report_status = report_status
-        self.read_status = read_status
+        self.reports = reports
         self.exposure_share = exposure_share
         self.exposure_slack = exposure_slack
         self.true_time = true_time
         self.moves: dict[str, RunningMove] = {}
         self.received: dict[str, dict[tuple[str, int], ResultsRow]] = {}
         self.fencing_number = -1
-        self.reported: set[str] = set()
 
     def update_peer(self, peer: str, rows: dict[str, ResultsRow]) -> None:
         """Replace the results received from a process of a peer."""
@@ -150,16 +141,18 @@
         if lease.fencing_number != self.fencing_number:
             self.fencing_number = lease.fencing_number
             self.moves.clear()
-            self.reported.clear()  # the store may have lost what was reported
+            self.reports.begin()
         running = {order.name for order in self.follower.orders.values()}
         self.received = {
             move: rows for move, rows in self.received.items() if move in running
         }
+        if running:
+            await self.reports.check()
         for service, order in list(self.follower.orders.items()):
             state = self.gate.state_of(order)
             if state is MoveState.RUNNING:
                 await self._advance(lease, order)
-            elif order.name not in self.reported:
+            elif order.name not in self.reports.settled:
                 await self._report(lease, order, state)
             else:
                 self.moves.pop(service, None)
@@ -204,12 +197,15 @@
     async def _begin(self, lease: Lease, order: MoveOrder) -> RunningMove | None:
         """Start a move or take it over; a decision of an earlier holder stays valid."""
         record = self._recorded(order)
+        if order.is_old or record is not None:
+            state = await self.reports.find_end(order)
+            if state is not None:
+                self._publish_final(lease, order, state)
+                return None
         taken_over_s = None
         if record is not None:
             taken_over_s = max(self.true_time() - record.started_s, 0.0)
         else:
-            if order.is_old and await self._adopt_reported_state(lease, order):
-                return None
             record = MoveRecord(started_s=self.true_time(), state=MoveState.RUNNING)
             await write_ahead(lease, PART, order.name, record.encode())
         logger.info(
@@ -224,22 +220,9 @@
         )
         move = RunningMove(order, Exposure(record=record, taken_over_s=taken_over_s))
         self.moves[order.service] = move
-        await self._try_report(order, MoveState.RUNNING)
+        await self.reports.report_running(order)
         return move
 
-    async def _adopt_reported_state(self, lease: Lease, order: MoveOrder) -> bool:
-        """Adopt a final state that only the operator's status still contains."""
-        reported = await self.read_status(order.service)
-        if (
-            reported is None
-            or reported[0] != order.target
-            or reported[1] is MoveState.RUNNING
-        ):
-            return False
-        self._publish_final(lease, order, reported[1])
-        self.reported.add(order.name)
-        return True
-
     def _progress(self, move: RunningMove) -> Progress:
         order = move.order
         rows = dict(self.received.get(order.name, {}))
@@ -336,20 +319,8 @@
         )
 
     async def _report(self, lease: Lease, order: MoveOrder, state: MoveState) -> None:
-        if not lease.is_held():
-            return
-        await self.report_status(order.service, order.target, state)
-        self.reported.add(order.name)
-
-    async def _try_report(self, order: MoveOrder, state: MoveState) -> None:
-        """Report a state; a failure is only logged, since nothing depends on it."""
-        try:
-            await self.report_status(order.service, order.target, state)
-        except LagoonringError as error:
-            logger.info(
-                "Could not write the status of a move.",
-                extra={"service": order.service, "error": str(error)},
-            )
+        if lease.is_held():
+            await self.reports.report_end(order, state)
 
 
 def _is_final(recorded: msgspec.Raw) -> bool:
