Read saved counts of usage beyond a save that was executed late

What callers saw: nothing yet; an organisation could be charged for fewer requests than it had started in a window, by what was counted in the last seconds before a kill of all processes.

Cause: the counts of a window are saved under one key each second. A save whose answer was lost, done behind newer ones, is the only record that the next holder reads, and its counts are lower.

Change: counts of a process only rise in a window, so a holder that begins also reads the last records before the newest and takes the highest counts: no order is needed. One more read call per change of holder, none per save. Weighed against a condition on each save: that costs a call whenever the end is not known, and makes the holder wait for it.

--- a/lagoonring/serving/usage.py
+++ b/lagoonring/serving/usage.py
@@ -7,7 +7,7 @@
 import attrs
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
 MAX_WINDOWS_SENT = 3  # windows that an instance sends after a long partition
 MAX_WINDOWS = 6  # a window is reported up to two windows after its end
@@ -88,11 +88,11 @@
     def restore(
         self, window: int, rows: list[UsageRow], origin: tuple[str, int]
     ) -> None:
-        """Apply saved counts, unless the process reported its counts itself."""
+        """Apply saved counts; a process that reports its own may know higher ones."""
         for row in rows:
             key = (row.instance, row.life)
             known = self.peers.setdefault(key, {}) if key != origin else self.own
-            known.setdefault(window, row.counts)
+            known[window] = _merge(known.get(window, {}), row.counts)
 
     def forget_old(self) -> None:
         """Drop processes without counts in the last ``MAX_WINDOWS`` windows."""
@@ -102,6 +102,20 @@
                 del self.peers[key]
 
 
+def merge_rows(rows: Iterable[UsageRow]) -> list[UsageRow]:
+    """Return one row per process; counts of a process only rise in a window."""
+    merged: dict[tuple[str, int], dict[str, int]] = {}
+    for row in rows:
+        key = (row.instance, row.life)
+        merged[key] = _merge(merged.get(key, {}), row.counts)
+    return [UsageRow(name, life, counts) for (name, life), counts in merged.items()]
+
+
+def _merge(counts: dict[str, int], other: dict[str, int]) -> dict[str, int]:
+    names = counts.keys() | other.keys()
+    return {name: max(counts.get(name, 0), other.get(name, 0)) for name in names}
+
+
 def _drop_oldest(counts: dict[int, dict[str, int]]) -> None:
     while len(counts) > MAX_WINDOWS:
         del counts[min(counts)]
