Step each move on its own while the store loses answers

What callers saw: nothing; a good version could be rolled back at its limit beside another move whose record the store did not answer.

Cause: the first move whose step failed ended the step of all.

Change: the failure of one move's step is logged, and the others go on.

Tests: test_a_move_that_cannot_be_recorded_does_not_hold_back_another failed before.

--- a/lagoonring/serving/versions.py
+++ b/lagoonring/serving/versions.py
@@ -148,14 +148,24 @@
         }
         if running:
             await self.reports.check()
-        for service, order in list(self.follower.orders.items()):
-            state = self.gate.state_of(order)
-            if state is MoveState.RUNNING:
-                await self._advance(lease, order)
-            elif order.name not in self.reports.settled:
-                await self._report(lease, order, state)
-            else:
-                self.moves.pop(service, None)
+        for order in list(self.follower.orders.values()):
+            try:
+                await self._step_order(lease, order)
+            except ConnectionError as error:
+                # The other moves have time limits as well.
+                logger.info(
+                    "Step of a move failed; retrying at the next step.",
+                    extra={"service": order.service, "error": str(error)},
+                )
+
+    async def _step_order(self, lease: Lease, order: MoveOrder) -> None:
+        state = self.gate.state_of(order)
+        if state is MoveState.RUNNING:
+            await self._advance(lease, order)
+        elif order.name not in self.reports.settled:
+            await self._report(lease, order, state)
+        else:
+            self.moves.pop(order.service, None)
 
     async def _advance(self, lease: Lease, order: MoveOrder) -> None:
         recorded = self._recorded(order)
--- a/lagoonring/tests/test_moves_on_platform.py
+++ b/lagoonring/tests/test_moves_on_platform.py
@@ -8,6 +8,7 @@
 import pytest
 
 from lagoonring.kernel import ManualClock
+from lagoonring.platform.log import LogAnswerLostError
 from lagoonring.serving.comparison import Verdict
 from lagoonring.serving.configuration import RequestKind
 from lagoonring.serving.duties import DutyLedger
@@ -271,6 +272,23 @@
     assert deployment.gate.state_of(ORDER) is MoveState.COMPLETED
 
 
+class FailingLease(FakeLease):
+    """A lease whose appends about one service are not answered."""
+
+    async def append(self, data):
+        if "desk@" in str(data):
+            raise LogAnswerLostError("Got no answer, expected one.")
+        return await super().append(data)
+
+
+async def test_a_move_that_cannot_be_recorded_does_not_hold_back_another(clock):
+    # Guards against a good version that is rolled back at its limit beside another.
+    deployment = Deployment(clock, lambda at_s, rng: False)
+    deployment.follower.orders["other"] = attrs.evolve(ORDER, service="other")
+    await deployment.duty.step(FailingLease(deployment.ledger))
+    assert list(deployment.duty.moves) == ["other"]
+
+
 def test_the_share_of_the_new_version_respects_the_exposure_limit():
     budget = exposure_budget(200, exposure_share=0.1, exposure_slack=50)
     assert budget <= 0.1 * 200 + 50
