Execute appends late in the random tests of claims, moves and the catalogue

Change: the fault 'late appends' in the random histories of bookings (late by 1 to 6 s), and late appends in a test of moves and one of edits of the catalogue.

--- a/lagoonring/tests/builders/bookings.py
+++ b/lagoonring/tests/builders/bookings.py
@@ -159,6 +159,7 @@
     """End all faults that are still active."""
     fleet.log.faults.is_out = False
     fleet.log.faults.n_lost_answers = 0
+    fleet.log.faults.n_late_appends = 0
     fleet.log.faults.n_refused_appends = 0
     fleet.network.cut_off.clear()
     fleet.network.lost_share = 0.0
@@ -199,6 +200,11 @@
     fleet.log.faults.n_lost_answers += rng.randint(1, 6)
 
 
+async def _execute_late(fleet: ClaimsFleet, rng: random.Random) -> None:
+    fleet.log.faults.late_s = rng.uniform(1, 6)
+    fleet.log.faults.n_late_appends += rng.randint(1, 4)
+
+
 async def _refuse_appends(fleet: ClaimsFleet, rng: random.Random) -> None:
     fleet.log.faults.n_refused_appends += rng.randint(1, 4)
 
@@ -241,6 +247,7 @@
     "pause": _pause,
     "outage": _outage,
     "lost answers": _lose_answers,
+    "late appends": _execute_late,
     "refused appends": _refuse_appends,
     "cut from log": _cut_from_log,
     "cut from peers": _cut_from_peers,
--- a/lagoonring/tests/test_catalogue_service.py
+++ b/lagoonring/tests/test_catalogue_service.py
@@ -144,6 +144,8 @@
         )
         if rng.random() < 0.2:
             fleet.log.faults.n_lost_answers += 1
+        if rng.random() < 0.1:
+            fleet.log.faults.n_late_appends += 1
         try:
             accepted.append((await service.apply(edit), name, index % 10))
         except ConflictError as error:
--- a/lagoonring/tests/test_moves_failures.py
+++ b/lagoonring/tests/test_moves_failures.py
@@ -187,6 +187,7 @@
         engines[1].is_out = True
         await cluster.order(in_s=DEADLINE_S)
         cluster.log.faults.n_lost_answers = 3
+        cluster.log.faults.n_late_appends = 2
         assert await cluster.run(DEADLINE_S + 40, until=cluster.is_done)
         assert_settled(cluster, "finished")
         assert all(len(engine.orders) <= 6 for engine in engines)
