--- a/lagoonring/serving/exposure.py
+++ b/lagoonring/serving/exposure.py
@@ -96,3 +96,8 @@
         if n_used + grant // 2 < self.record.n_granted:
             return None
         return attrs.evolve(self.record, n_granted=n_used + grant, n_counted=n_counted)
+
+    def grant(self, n_counted: int, n_more: int) -> MoveRecord:
+        """Return the record to write before a number of requests is let through."""
+        n_granted = max(self.record.n_granted, n_counted + self.n_lost + n_more)
+        return attrs.evolve(self.record, n_granted=n_granted, n_counted=n_counted)
--- a/lagoonring/serving/moves.py
+++ b/lagoonring/serving/moves.py
@@ -61,7 +61,8 @@
     """State of a move as published by the holder of the lease.
 
     ``revision`` orders the views of a move: the fencing number of the holder, and
-    a counter that the holder increments.
+    a counter that the holder increments. The share is in force for ``valid_s`` from
+    when the view is received.
     """
 
     offset: int
@@ -69,6 +70,7 @@
     state: MoveState
     share: float
     revision: tuple[int, int]
+    valid_s: float = MAX_VIEW_AGE_S
 
 
 @attrs.define
@@ -127,7 +129,7 @@
         known = self.views.get(order.service)
         if known is None or known.view.offset != order.offset:
             return 0.0
-        if self.clock.monotonic() - known.received_s > MAX_VIEW_AGE_S:
+        if self.clock.monotonic() - known.received_s > known.view.valid_s:
             return 0.0
         return known.view.share
 
--- a/lagoonring/serving/versions.py
+++ b/lagoonring/serving/versions.py
@@ -2,28 +2,28 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import attrs
 
 from lagoonring.logs import make_logger
-from lagoonring.serving.comparison import Finding, find_difference, is_uneven, judge
+from lagoonring.serving.comparison import judge
 from lagoonring.serving.duties import write_ahead
 from lagoonring.serving.exposure import Exposure, MoveRecord, decode_record
-from lagoonring.serving.moves import MoveOrder, MoveState, MoveView
+from lagoonring.serving.moves import MAX_VIEW_AGE_S, MoveOrder, MoveState, MoveView
 from lagoonring.serving.rollout import (
+    EXPOSURE_BUDGET_SHARE,
+    TESTED_BUDGET_SHARE,
+    LoadTest,
     Progress,
     Step,
     choose_share,
     decide,
     exposure_budget,
+    load_test_s,
 )
-from lagoonring.serving.version_results import (
-    ResultsRow,
-    RouteResults,
-    sum_deviations,
-    sum_rows,
-)
+from lagoonring.serving.running_move import RunningMove
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -37,60 +37,13 @@
     from lagoonring.serving.follower import Follower
     from lagoonring.serving.move_reports import MoveReports
     from lagoonring.serving.moves import MoveGate
-    from lagoonring.serving.version_results import (
-        VersionCounters,
-    )
+    from lagoonring.serving.version_results import ResultsRow, VersionCounters
 
 PART = "moves"
 
 logger = make_logger("moves")
 
 
-@attrs.define
-class RunningMove:
-    """The holder's state of a move.
-
-    ``rows`` holds the newest results by process, and ``routes`` their sums.
-    """
-
-    order: MoveOrder
-    exposure: Exposure
-    n_views: int = 0
-    view: MoveView | None = None
-    rows: dict[tuple[str, int], ResultsRow] = attrs.field(factory=dict)
-    routes: dict[str, RouteResults] = attrs.field(factory=dict)
-    finding: Finding | None = None
-    is_uneven: bool = False
-
-    def update(self, rows: dict[tuple[str, int], ResultsRow]) -> None:
-        """Apply newer results; those of processes that ended remain."""
-        self.rows |= rows
-        self.routes = sum_rows(list(self.rows.values()))
-        self.finding = find_difference(self.routes)
-        self.is_uneven = is_uneven(sum_deviations(list(self.rows.values())))
-
-    def describe(self) -> dict[str, list[int]]:
-        """Return what was counted by route, for the log.
-
-        Each list holds the requests started, answered and failed, first of the old,
-        then of the new version.
-        """
-        return {
-            name: [
-                value
-                for results in (route.old, route.new)
-                for value in (results.n_started, results.n_ok, results.n_failed)
-            ]
-            for name, route in self.routes.items()
-        }
-
-    def count(self) -> tuple[int, int]:
-        """Return the requests sent to all versions and to the new one."""
-        n_new = sum(route.new.n_started for route in self.routes.values())
-        n_old = sum(route.old.n_started for route in self.routes.values())
-        return n_old + n_new, n_new
-
-
 class MovesDuty:
     """The duty of the lease holder that carries out moves.
 
@@ -181,6 +134,10 @@
         step = decide(progress)
         if step is Step.TRY:
             await self._try(lease, move, progress)
+        elif step is Step.TEST_LOAD:
+            await self._test_load(lease, move, progress)
+        elif step is Step.AWAIT_RESULTS:
+            self._publish_test(move, progress)
         elif step is Step.MOVE_ALL:
             self._publish(move, MoveState.RUNNING, 1.0)
         else:
@@ -194,6 +151,9 @@
             progress.n_all,
             exposure_share=self.exposure_share,
             exposure_slack=self.exposure_slack,
+            budget_share=(
+                TESTED_BUDGET_SHARE if progress.can_test_load else EXPOSURE_BUDGET_SHARE
+            ),
         )
         exposure = move.exposure
         share = choose_share(progress, budget) if exposure.is_settled else 0.0
@@ -204,6 +164,44 @@
                 exposure.record = record
         self._publish(move, MoveState.RUNNING, share)
 
+    async def _test_load(
+        self, lease: Lease, move: RunningMove, progress: Progress
+    ) -> None:
+        """Let the new version have all requests for a short time."""
+        for_s = load_test_s(
+            progress,
+            exposure_share=self.exposure_share,
+            exposure_slack=self.exposure_slack,
+        )
+        if not move.exposure.is_settled or not for_s:
+            await self._try(lease, move, progress)
+            return
+        n_more = math.ceil(progress.rate_per_s * for_s)
+        record = move.exposure.grant(move.count()[1], n_more)
+        await write_ahead(lease, PART, move.order.name, record.encode())
+        move.exposure.record = record
+        began_s = self._elapsed_s(move)
+        move.load_test = LoadTest(began_s=began_s, for_s=for_s)
+        logger.info(
+            "Testing a version under full load.",
+            extra={
+                "service": move.order.service,
+                "target": move.order.target,
+                "began_s": round(began_s, 2),
+                "for_s": round(for_s, 2),
+                "n_new": progress.n_new,
+                "n_all": progress.n_all,
+            },
+        )
+        self._publish_test(move, attrs.evolve(progress, elapsed_s=began_s))
+
+    def _publish_test(self, move: RunningMove, progress: Progress) -> None:
+        assert move.load_test is not None
+        left_s = move.load_test.left_s(progress.elapsed_s)
+        share = 1.0 if left_s > 0 else 0.0
+        valid_s = left_s or MAX_VIEW_AGE_S
+        self._publish(move, MoveState.RUNNING, share, valid_s=valid_s)
+
     async def _begin(self, lease: Lease, order: MoveOrder) -> RunningMove | None:
         """Start a move or take it over; a decision of an earlier holder stays valid."""
         record = self._recorded(order)
@@ -241,7 +239,7 @@
             rows["here", own.life] = own
         move.update(rows)
         n_all, n_new = move.count()
-        elapsed_s = max(self.true_time() - move.exposure.record.started_s, 0.0)
+        elapsed_s = self._elapsed_s(move)
         move.exposure.settle(n_new, elapsed_s)
         endpoints = self.table.of_service(order.service)
         return Progress(
@@ -259,8 +257,26 @@
             is_target_present=any(
                 endpoint.record.version == order.target for endpoint in endpoints
             ),
+            load_test=move.load_test,
+            can_test_load=self._can_test_load(order, elapsed_s),
         )
 
+    def _elapsed_s(self, move: RunningMove) -> float:
+        return max(self.true_time() - move.exposure.record.started_s, 0.0)
+
+    def _can_test_load(self, order: MoveOrder, elapsed_s: float) -> bool:
+        """Return whether the service's endpoints can take all requests at once.
+
+        Engines can't: they have cached no prompts yet, and a stream that begins on the
+        new version stays there. Nor can endpoints that are still cold.
+        """
+        configuration = self.follower.configuration
+        entry = configuration.services.get(order.service) if configuration else None
+        if entry is None:
+            return True
+        is_cold = entry.warm_up is not None and elapsed_s < entry.warm_up.duration_s
+        return entry.engine is None and not is_cold
+
     def _recorded(self, order: MoveOrder) -> MoveRecord | None:
         """Return what a holder recorded last of a move."""
         recorded = self.ledger.find(PART, order.name)
@@ -274,7 +290,14 @@
             if endpoint.record.version == order.target
         )
 
-    def _publish(self, move: RunningMove, state: MoveState, share: float) -> None:
+    def _publish(
+        self,
+        move: RunningMove,
+        state: MoveState,
+        share: float,
+        *,
+        valid_s: float = MAX_VIEW_AGE_S,
+    ) -> None:
         move.n_views += 1
         move.view = MoveView(
             offset=move.order.offset,
@@ -282,6 +305,7 @@
             state=state,
             share=round(share, 3),
             revision=(self.fencing_number, move.n_views),
+            valid_s=round(valid_s, 3),
         )
         self.gate.update(move.order.service, move.view)
 
--- a/lagoonring/tests/test_moves_of_many_instances.py
+++ b/lagoonring/tests/test_moves_of_many_instances.py
@@ -136,6 +136,47 @@
     assert service.final_state() is MoveState.COMPLETED
 
 
+def failing_under_load(service, rate_per_s, share):
+    """Return a function for a new version whose endpoints bear a limited rate."""
+
+    def fails(of_version, at_s, rng):
+        _, _, endpoint = service.arrivals[-1]
+        n_recent = sum(
+            one == endpoint and at_s - arrived_s <= 1.0
+            for arrived_s, _, one in service.arrivals[-200:]
+        )
+        return of_version == "v2" and n_recent > rate_per_s and rng.random() < share
+
+    return fails
+
+
+@pytest.mark.parametrize("seed", range(4))
+async def test_a_version_that_fails_under_load_only_is_undone(clock, seed):
+    # Guards against a version that is completed on the results of its trial.
+    service = MovingService(
+        clock=clock, kind=RequestKind.ONCE, rate_per_s=90.0, seed=seed
+    )
+    service.fails = failing_under_load(service, rate_per_s=20, share=0.5)
+    await service.run()
+    check_undone_within_limits(service)
+
+
+async def test_a_good_version_is_completed_after_a_test_under_full_load(clock):
+    service = MovingService(clock=clock, kind=RequestKind.ONCE, rate_per_s=90.0)
+    await service.run()
+    assert service.final_state() is MoveState.COMPLETED
+    assert service.reported[-1][0] < service.duration_s
+
+
+async def test_a_holder_that_takes_over_in_a_load_test_exceeds_no_limit(clock):
+    service = MovingService(clock=clock, kind=RequestKind.ONCE, rate_per_s=90.0)
+    service.fails = failing_under_load(service, rate_per_s=20, share=0.5)
+    await service.run(until_s=10.8)
+    service.take_over()
+    await service.run()
+    check_undone_within_limits(service)
+
+
 def failing_for_both(share, bad_share, period_s):
     """Return a function for both versions that fail in a period, and a bad new one."""
 
--- a/lagoonring/tests/test_moves_on_platform.py
+++ b/lagoonring/tests/test_moves_on_platform.py
@@ -16,11 +16,14 @@
 from lagoonring.serving.move_reports import MoveReports
 from lagoonring.serving.moves import MoveGate, MoveOrder, MoveState, MoveView
 from lagoonring.serving.rollout import (
+    MAX_LOAD_TEST_S,
+    LoadTest,
     Progress,
     Step,
     choose_share,
     decide,
     exposure_budget,
+    load_test_s,
 )
 from lagoonring.serving.version_results import VersionCounters
 from lagoonring.serving.versions import PART, MovesDuty
@@ -34,6 +37,8 @@
 )
 from lagoonring.tests.builders.version_moves import FakeLease, MemoryMoveRecords
 
+WORSE = Verdict.WORSE
+TEST = LoadTest(began_s=6.5, for_s=1.0)
 ORDER = MoveOrder(service="desk", target="v2", duration_s=12.0, offset=5)
 BOTH = ("v1", "v2")
 
@@ -143,6 +148,47 @@
     assert decide(make_progress(**changes)) is step
 
 
+@pytest.mark.parametrize(
+    ("changes", "step"),
+    [
+        ({"elapsed_s": 6.0}, Step.TRY),
+        ({"elapsed_s": 6.5}, Step.TEST_LOAD),
+        ({"elapsed_s": 6.5, "verdict": Verdict.UNDECIDED}, Step.TRY),
+        ({"elapsed_s": 6.5, "is_target_present": False}, Step.TRY),
+        ({"elapsed_s": 8.0, "load_test": TEST}, Step.AWAIT_RESULTS),
+        ({"elapsed_s": 9.0, "load_test": TEST}, Step.TRY),
+        ({"elapsed_s": 8.0, "load_test": TEST, "verdict": WORSE}, Step.ROLL_BACK),
+        # too few results to complete before the last moment
+        ({"elapsed_s": 9.8, "load_test": TEST, "n_old_running": 0}, Step.MOVE_ALL),
+        ({"elapsed_s": 9.8, "n_old_running": 0}, Step.MOVE_ALL),
+        (
+            {"elapsed_s": 9.8, "load_test": TEST, "n_old_running": 0, "n_all": 400},
+            Step.COMPLETE,
+        ),
+    ],
+)
+def test_steps_of_a_move_with_a_load_test(changes, step):
+    assert decide(make_progress(can_test_load=True, **changes)) is step
+
+
+@pytest.mark.parametrize(
+    ("changes", "for_s"),
+    [
+        ({}, 1.15),
+        ({"n_new": 70}, 0.0),
+        ({"n_all": 20, "n_new": 10}, MAX_LOAD_TEST_S),
+        ({"n_all": 1200, "n_new": 280}, 0.0),
+    ],
+)
+def test_a_load_test_lasts_as_long_as_the_exposure_permits(changes, for_s):
+    progress = make_progress(**({"n_new": 40, "counted_s": 4.0} | changes))
+    found_s = load_test_s(progress, exposure_share=0.1, exposure_slack=50)
+    assert found_s == pytest.approx(for_s, abs=0.05)
+    expected = progress.n_new + found_s * progress.rate_per_s
+    n_all = progress.n_all + progress.rate_per_s * 8.0
+    assert not found_s or expected <= 0.1 * n_all + 50
+
+
 @attrs.define(slots=False)
 class Deployment:
     """A service with an endpoint of each version that is moved, without a network."""
