--- a/lagoonring/serving/exchange.py
+++ b/lagoonring/serving/exchange.py
@@ -19,7 +19,8 @@
 from lagoonring.logs import make_logger
 from lagoonring.peers.metrics import PeersMetrics
 from lagoonring.peers.transport import NngTransport
-from lagoonring.serving.members import MEMBER_TIMEOUT_S, Card, Member, Members, cards_of
+from lagoonring.serving.link_watch import LinkWatch
+from lagoonring.serving.members import Card, Member, Members, cards_of
 from lagoonring.serving.messages import (
     DIGEST_KIND,
     INTRODUCTION_KIND,
@@ -98,6 +99,7 @@
         self.state_handler: StateHandler | None = None
         self.n_sent = 0
         self.numbers: dict[str, int] = {}
+        self.links = LinkWatch(self.transport.reconnect)
         self.reachability = Reachability(
             self.members, settings.data_centres, started_s=self.started_s
         )
@@ -139,8 +141,8 @@
 
     def is_settled_hub(self) -> bool:
         """Return whether this instance has been the hub for ``HUB_SETTLED_S``."""
-        age_s = self.app.clock.monotonic() - self.hub_since_s
-        return self.is_hub() and age_s >= HUB_SETTLED_S
+        settled_s = self.hub_since_s + HUB_SETTLED_S
+        return self.is_hub() and self.app.clock.monotonic() >= settled_s
 
     def count_instances(self) -> int:
         """Return the number of known instances, including this one."""
@@ -212,8 +214,8 @@
                 # Spread over the interval: a burst would delay callers' packets.
                 for address, content in messages[step::n_steps]:
                     self.transport.post(address, content)
-                spread = 0.9 + 0.2 * self.app.rng.random()
-                await self.app.clock.sleep(round_s / n_steps * spread)
+                step_s = round_s / n_steps * self.app.rng.uniform(0.9, 1.1)
+                await self.app.clock.sleep(step_s)
 
     def _interval_s(self) -> float:
         """Return the time between two rounds."""
@@ -226,14 +228,12 @@
         self._update_hub(now_s)
         # An instance that is not the hub answers a report with the hub's address.
         addresses = [] if self.reachability.is_complete(now_s) else sorted(self.seeds)
-        messages = []
-        if self.is_hub():
-            messages += self._make_hub_messages(now_s)
-        else:
-            addresses.append(self.hub_address)
+        messages = self._make_hub_messages(now_s) if self.is_hub() else []
+        addresses += [] if self.is_hub() else [self.hub_address]
         if addresses:
             report = encode_report(self)
             messages += [(address, report) for address in addresses]
+        self.links.check([address for address, _ in messages], now_s)
         return messages
 
     def _make_hub_messages(self, now_s: float) -> list[tuple[str, bytes]]:
@@ -262,10 +262,7 @@
                     },
                 )
                 self.members.suspect(self.hub_address)
-        for card in self.members.other_hubs():
-            member = self.members.known[card.address]
-            if now_s - max(member.seen_s or 0.0, member.trusted_s) > MEMBER_TIMEOUT_S:
-                self.members.suspect(card.address)
+        self.members.suspect_silent_hubs(now_s)
         self._apply_hub_change(now_s)
 
     def _apply_hub_change(self, now_s: float) -> None:
@@ -292,6 +289,7 @@
         """Drop instances and data centres that have been silent for ``FORGET_S``."""
         for member in self.members.forget(now_s):
             self.numbers.pop(member.card.address, None)
+            self.links.forget(member.card.address)
             logger.info("Instance dropped.", extra={"address": member.card.address})
         for name in self.reachability.forget_centres():
             logger.info("Data centre dropped.", extra={"data_centre": name})
@@ -366,6 +364,7 @@
     def _handle_introduction(self, message: Introduction) -> None:
         now_s = self.app.clock.monotonic()
         self.members.record_message(message.card, now_s)
+        self.links.confirm(message.card.address, now_s)
         for card in message.cards:
             self.members.record_listed(card, now_s)
             if card.data_centre != self.settings.data_centre:
@@ -373,10 +372,12 @@
         self._apply_hub_change(now_s)
 
     def _record(self, message: Report | Digest | Summary, now_s: float) -> Member:
-        known = self.members.known.get(message.card.address)
-        silent_s = None
-        if known is not None and known.seen_s is not None:
-            silent_s = round(now_s - known.seen_s, 2)
+        address = message.card.address
+        self.links.record(
+            address, message.number, message.arrived_from(self.address), now_s
+        )
+        known = self.members.known.get(address)
+        silent_s = known and known.silent_s(now_s)
         is_new = (
             known is None or not known.is_reachable(now_s) or known.life != message.life
         )
@@ -385,12 +386,12 @@
         if is_new:
             # A connection to the earlier process or from before a partition may hang
             # for seconds until its next retransmission.
-            self.transport.reconnect(message.card.address)
+            self.transport.reconnect(address)
             logger.info(
                 "Instance heard.",
                 extra={
                     "instance": message.instance,
-                    "address": message.card.address,
+                    "address": address,
                     "silent_s": silent_s,
                     "life": message.life,
                 },
--- a/lagoonring/serving/members.py
+++ b/lagoonring/serving/members.py
@@ -66,6 +66,10 @@
         """Return whether a message came within ``MEMBER_TIMEOUT_S``."""
         return self.seen_s is not None and now_s - self.seen_s < MEMBER_TIMEOUT_S
 
+    def silent_s(self, now_s: float) -> float | None:
+        """Return the seconds since the last message; None if there was none."""
+        return None if self.seen_s is None else round(now_s - self.seen_s, 2)
+
 
 class Members:
     """The instances that one instance knows of.
@@ -122,6 +126,13 @@
             member.is_suspected = True
             self.hubs.clear()
 
+    def suspect_silent_hubs(self, now_s: float) -> None:
+        """Suspect the hubs of other data centres that are silent."""
+        for card in self.other_hubs():
+            member = self.known[card.address]
+            if now_s - max(member.seen_s or 0.0, member.trusted_s) > MEMBER_TIMEOUT_S:
+                self.suspect(card.address)
+
     def forget(self, now_s: float) -> list[Member]:
         """Drop and return instances that were not listed for ``FORGET_S``."""
         silent = [
--- a/lagoonring/serving/messages.py
+++ b/lagoonring/serving/messages.py
@@ -76,12 +76,15 @@
     ``suspects`` which requests are blocked and which turned out to be sound,
     ``statements`` what endpoints said of themselves, ``prompts`` what is known of
     parts of prompts that may crash endpoints, ``cold`` which endpoints are cold.
+    ``received`` holds the numbers of the newest messages from those that a report or
+    summary is sent to; None in digests and in messages of earlier releases.
     """
 
     card: Card
     instance: str
     life: int
     number: int
+    received: dict[str, int] | None = None
     time_s: float = 0.0
     read_well_for_s: float = 0.0
     loads: Loads = attrs.field(factory=dict)
@@ -92,6 +95,13 @@
     prompts: SuspectRows = ({}, {}, {})
     cold: dict[str, ColdRow] = attrs.field(factory=dict)
 
+    def arrived_from(self, address: str) -> int | None:
+        """Return the number of the newest message from an address that arrived.
+
+        None if this message doesn't tell, and -1 if there was none.
+        """
+        return None if self.received is None else self.received.get(address, -1)
+
 
 @attrs.define(kw_only=True)
 class Report(StateMessage):
@@ -154,6 +164,10 @@
     typical: dict[str, TypicalRow] = attrs.field(factory=dict)
     relays: RelayRows = attrs.field(factory=dict)
 
+    def arrived_from(self, address: str) -> int | None:
+        """Return the number of the newest report from an address that arrived."""
+        return self.numbers.get(address, -1)
+
 
 @attrs.define(kw_only=True)
 class Introduction:
--- a/lagoonring/serving/outgoing.py
+++ b/lagoonring/serving/outgoing.py
@@ -24,7 +24,8 @@
 
 def encode_report(exchange: Exchange) -> bytes:
     """Return a report of the instance's state."""
-    report = Report(**_header(exchange))
+    received = exchange.links.received_from([exchange.hub_address, *exchange.seeds])
+    report = Report(**_header(exchange), received=received)
     if exchange.state_handler is not None:
         exchange.state_handler.fill_report(report)
     return REPORT_KIND + msgspec.msgpack.encode(report)
@@ -33,11 +34,13 @@
 def encode_summary(exchange: Exchange, now_s: float) -> bytes:
     """Return a summary of the data centre, for the other hubs."""
     n_heard, n_known = exchange.members.count_local(now_s)
+    hubs = exchange.members.other_hubs()
     summary = Summary(
         **_header(exchange),
+        received=exchange.links.received_from(card.address for card in hubs),
         n_heard=n_heard,
         n_known=n_known,
-        hubs=exchange.members.other_hubs(),
+        hubs=hubs,
     )
     if exchange.state_handler is not None:
         exchange.state_handler.fill_summary(summary)
--- a/lagoonring/tests/builders/exchanges.py
+++ b/lagoonring/tests/builders/exchanges.py
@@ -17,12 +17,14 @@
 class Network:
     """Delivers messages immediately, except between blocked pairs, and counts them.
 
-    ``blocked`` holds pairs of sender and receiver address.
+    ``blocked`` holds pairs of sender and receiver address, and ``silent`` those whose
+    connection loses all messages until the sender replaces it.
     """
 
     def __init__(self):
         self.receivers = {}
         self.blocked = set()
+        self.silent = set()
         self.n_sent = {}
         self.n_reconnects = {}
         self.queue = []
@@ -41,7 +43,7 @@
         while self.queue:
             sender, to, content = self.queue.pop(0)
             receive = self.receivers.get(to)
-            if receive is not None and (sender, to) not in self.blocked:
+            if receive is not None and (sender, to) not in self.blocked | self.silent:
                 receive(content)
 
     def isolate(self, addresses, others):
@@ -71,8 +73,9 @@
         self.network.send(self.address, to, frame)
 
     def reconnect(self, address):
-        """Count a reconnect."""
+        """Count a reconnect; messages arrive again."""
         key = (self.address, address)
+        self.network.silent.discard(key)
         self.network.n_reconnects[key] = self.network.n_reconnects.get(key, 0) + 1
 
     async def stop(self):
--- a/lagoonring/tests/test_exchange.py
+++ b/lagoonring/tests/test_exchange.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import random
+
 import msgspec
 import pytest
 
+from lagoonring.serving.link_watch import SILENT_S
 from lagoonring.serving.members import FORGET_S, MEMBER_TIMEOUT_S
 from lagoonring.serving.messages import (
     DIGEST_KIND,
@@ -358,3 +361,32 @@
     for name, exchange in deployment.exchanges.items():
         others = set(deployment.addresses(name.split("-")[0])) - {exchange.address}
         assert set(exchange.local_peers()) == others
+
+
+def choose_silent(deployment, which):
+    """Return pairs of sender and receiver whose connection goes silent."""
+    addresses = [one.address for one in deployment.exchanges.values()]
+    pairs = [(one, other) for one in addresses for other in addresses if one != other]
+    if which == "all":
+        return set(pairs)
+    if which in deployment.exchanges:
+        of = deployment.exchanges[which].address
+        return {pair for pair in pairs if pair[0] == of}
+    return set(random.Random(which).sample(pairs, len(pairs) // 5))
+
+
+@pytest.mark.parametrize("which", ["all", "east-0", "east-1", "west-0", *range(12)])
+async def test_connections_that_go_silent_are_replaced(which):
+    # Guards against several hubs that each give out the whole of a limit.
+    deployment = Deployment(centres=("east", "west", "north"), n_each=3)
+    await deployment.run_for(SETTLE_S)
+    deployment.network.silent = choose_silent(deployment, which)
+    await deployment.run_for(4 * SILENT_S)
+    assert has_one_hub_each(deployment)
+    assert all_have_counts(deployment, 9, 9)
+
+
+async def test_connections_in_use_are_not_replaced(deployment):
+    before = dict(deployment.network.n_reconnects)
+    await deployment.run_for(20 * SILENT_S)
+    assert deployment.network.n_reconnects == before
