--- a/lagoonring/platform/engine_calls.py
+++ b/lagoonring/platform/engine_calls.py
@@ -78,6 +78,14 @@
             return None
         return None if report.leaves_ms is None else report.leaves_ms / 1000
 
+    async def copy(self, source: str, request_id: str, target: str) -> bool:
+        """Copy the KV cache of a run that goes on; return whether there was room.
+
+        The copy holds memory and a slot of the target until the run is continued there.
+        """
+        answer = await self._call_move(source, request_id, target, is_last=False)
+        return answer is not None and answer[0] == 200
+
     async def stop_and_copy(
         self, source: str, request_id: str, target: str
     ) -> MovedRun | None:
@@ -88,7 +96,32 @@
         MovedRun or None
             None if there is no such run, or the call failed with unknown effect.
         """
-        content = {"id": request_id, "target": target, "last": True}
+        answer = await self._call_move(source, request_id, target, is_last=True)
+        if answer is None:
+            return None
+        status, moved = answer
+        logger.info(
+            "Stopped a run to move it to another engine.",
+            extra={
+                "request_id": request_id,
+                "source": source,
+                "target": target,
+                "status": status,
+                "handle": moved.handle,
+            },
+        )
+        if moved.handle is None or status not in (200, 503):
+            return None
+        # Status 503: the target refused the copy, so only the source has the cache.
+        return MovedRun(source, str(moved.handle), is_copied=status == 200)
+
+    async def _call_move(
+        self, source: str, request_id: str, target: str, *, is_last: bool
+    ) -> tuple[int, _MoveResponse] | None:
+        """Return status and answer of a copy, or None if the call failed."""
+        content: dict[str, object] = {"id": request_id, "target": target}
+        if is_last:
+            content["last"] = True
         timeout = aiohttp.ClientTimeout(
             total=MOVE_TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S
         )
@@ -100,7 +133,7 @@
                 timeout=timeout,
             ) as response:
                 status, body = response.status, await read_bounded(response)
-            moved = decode_json(body or b"{}", _MoveResponse)
+            return status, decode_json(body or b"{}", _MoveResponse)
         except (TimeoutError, aiohttp.ClientError, msgspec.MsgspecError) as error:
             logger.warning(
                 "Moving a run to another engine failed.",
@@ -111,17 +144,3 @@
                 },
             )
             return None
-        logger.info(
-            "Stopped a run to move it to another engine.",
-            extra={
-                "request_id": request_id,
-                "source": source,
-                "target": target,
-                "status": status,
-                "handle": moved.handle,
-            },
-        )
-        if moved.handle is None or status not in (200, 503):
-            return None
-        # Status 503: the target refused the copy, so only the source has the cache.
-        return MovedRun(source, str(moved.handle), is_copied=status == 200)
--- a/lagoonring/serving/evacuation.py
+++ b/lagoonring/serving/evacuation.py
@@ -30,6 +30,9 @@
     async def read_time_left(self, address: str) -> float | None:
         """Return the seconds until an engine is taken away, or None if not known."""
 
+    async def copy(self, source: str, request_id: str, target: str) -> bool:
+        """Copy the KV cache of a run that goes on; return whether there was room."""
+
     async def stop_and_copy(
         self, source: str, request_id: str, target: str
     ) -> MovedRun | None:
@@ -86,15 +89,31 @@
         await asyncio.gather(*(self._move(job, endpoint) for job in jobs))
 
     async def _move(self, job: Job, endpoint: Endpoint) -> None:
-        """Stop a stream and copy its run; the request path then continues it."""
+        """Copy a stream's run and stop it; the request path then continues it.
+
+        A run whose copy finds no room goes on while its endpoint lasts: sent back, it
+        would reach an endpoint that is leaving.
+        """
         placement = self.parts.placer.place(job)
         target = self.parts.table.find(placement.name) if placement else None
         if target is None or job.move is not None or not job.may_continue:
             return
+        request_id = job.request.request_id
+        source, to = endpoint.record.address, target.record.address
+        if not await self.engines.copy(source, request_id, to):
+            logger.info(
+                "Stream not moved.",
+                extra={
+                    "request_id": request_id,
+                    "endpoint": endpoint.name,
+                    "target": target.name,
+                },
+            )
+            return
+        if job.move is not None or job not in self.parts.placer.streams_at(endpoint):
+            return
         job.move = asyncio.get_running_loop().create_future()
-        moved = await self.engines.stop_and_copy(
-            endpoint.record.address, job.request.request_id, target.record.address
-        )
+        moved = await self.engines.stop_and_copy(source, request_id, to)
         if job.move.done():
             return
         if moved is None:
--- a/lagoonring/tests/test_serving_path.py
+++ b/lagoonring/tests/test_serving_path.py
@@ -461,13 +461,22 @@
 
 
 class FakeEngines:
-    """Stops runs: their streams are cut, and the KV cache is copied to the target."""
+    """Stops runs: their streams are cut, and the KV cache is copied to the target.
 
-    def __init__(self, cut, moved):
+    Without room for a copy, streams go on until the endpoint is gone.
+    """
+
+    def __init__(self, cut, moved, *, has_room):
         self.cut = cut
         self.moved = moved
+        self.has_room = has_room
         self.calls = []
 
+    async def copy(self, source, request_id, target):
+        if not self.has_room:
+            asyncio.get_running_loop().call_later(0.05, self.cut.set)
+        return self.has_room
+
     async def read_time_left(self, address):
         return 0.9
 
@@ -477,7 +486,7 @@
         return self.moved
 
 
-async def run_reclaim(moved, second, *, route=NO_RESUME):
+async def run_reclaim(moved, second, *, route=NO_RESUME, has_room=True):
     """Serve a stream whose endpoint is reclaimed after its second event."""
     cut, begun = asyncio.Event(), asyncio.Event()
 
@@ -491,7 +500,7 @@
     sender = make_sender(StoppedStream(), second)
     clock = Clock()
     parts = make_parts(sender, configuration=make_configuration(route), clock=clock)
-    engines = FakeEngines(cut, moved)
+    engines = FakeEngines(cut, moved, has_room=has_room)
     evacuation = Evacuation(parts, engines)
     request = make_request(received_s=clock.monotonic())
     sink = CapturingSink()
@@ -544,6 +553,18 @@
     assert sink.is_whole
 
 
+@pytest.mark.parametrize("route", [NO_RESUME, STREAM])
+async def test_a_stream_without_room_elsewhere_is_not_sent_to_its_endpoint_again(route):
+    # Guards against requests that reach an endpoint long after it began to drain.
+    moved = MovedRun("127.0.0.1:9", "h-1", is_copied=False)
+    rest = FakeAnswer([make_event(2)])
+    sink, sender, engines = await run_reclaim(moved, rest, route=route, has_room=False)
+    assert engines.calls == []
+    assert sink.is_whole is (route is STREAM)
+    names = [order.endpoint.endpoint for order in sender.orders]
+    assert len(set(names)) == len(names) == (2 if route is STREAM else 1)
+
+
 async def test_a_stream_that_could_not_be_moved_is_aborted_and_never_restarted():
     sink, sender, _ = await run_reclaim(None, FakeAnswer([make_event(0)]))
     assert sink.is_aborted
