--- a/lagoonring/platform/move_records.py
+++ b/lagoonring/platform/move_records.py
@@ -38,13 +38,19 @@
     async def read_statuses(self) -> dict[str, tuple[str, MoveState]]:
         """Return the target and state last written, by service."""
         snapshot = await self.store.read_newest(STATUS_TOPIC)
-        return {
-            documents.moved_service(record.key): documents.decode_move_status(
-                record.value
-            )
-            for record in snapshot.records
-            if record.value and documents.moved_service(record.key)
-        }
+        statuses = {}
+        for record in snapshot.records:
+            service = documents.moved_service(record.key)
+            if not service or record.value is None:
+                continue
+            try:
+                statuses[service] = documents.decode_move_status(record.value)
+            except documents.UnreadableDocumentError as error:
+                logger.warning(
+                    "Could not decode the status of a move.",
+                    extra={"service": service, "error": str(error)},
+                )
+        return statuses
 
     async def write_end(self, end: MoveEnd, older: Sequence[MoveEnd]) -> None:
         """Record an end, and drop older ones of the service."""
--- a/lagoonring/soak/faults.py
+++ b/lagoonring/soak/faults.py
@@ -380,3 +380,14 @@
 PLANNED_KINDS = tuple(
     name for name in KINDS if "stop" in name or name in ("reload", "add_route")
 )
+
+# What a version move must withstand.
+MOVE_KINDS = (
+    "move",
+    "kill",
+    "kill_all",
+    "pause",
+    "store_executes_late",
+    "store_forgets_log",
+    "store_loses_answers",
+)
--- a/lagoonring/tests/test_move_reports.py
+++ b/lagoonring/tests/test_move_reports.py
@@ -158,6 +158,7 @@
     platform = PlatformStandin()
     await platform.start()
     platform.write(STATUS_TOPIC, "other", {"state": "odd"})
+    platform.write(STATUS_TOPIC, "rollout/odd", {"state": "odd"})
     platform.write(TOPIC, "odd", "not an end")
     async with aiohttp.ClientSession() as session:
         stored = StoredMoves(StoreClient(f"http://{platform.address}", session))
--- a/lagoonring/tests/test_soak.py
+++ b/lagoonring/tests/test_soak.py
@@ -28,7 +28,7 @@
     make_events,
     make_signature,
 )
-from lagoonring.soak.faults import KINDS, PLANNED_KINDS, schedule
+from lagoonring.soak.faults import KINDS, MOVE_KINDS, PLANNED_KINDS, schedule
 from lagoonring.soak.guarantees import RECOVERY_S, SoakRecord, check
 from lagoonring.soak.messages import PlannedWork, WorkKind
 from lagoonring.soak.moves import Operator, Order, Status
@@ -433,3 +433,11 @@
         seed, 15.0, tmp_path, n_per_data_centre=n_instances, kinds=PLANNED_KINDS
     )
     assert result.violations == []
+
+
+@pytest.mark.processes
+@pytest.mark.parametrize("seed", [1, 2])
+async def test_moves_keep_their_end_beside_late_writes_and_restarts(seed, tmp_path):
+    # Guards against a move that is undone once all processes have been replaced.
+    result = await run_soak(seed, 12.0, tmp_path, n_per_data_centre=1, kinds=MOVE_KINDS)
+    assert [item for item in result.violations if item.guarantee == "moved"] == []
