Record the end of a move again at once if the answer is lost

Cause: the one write that the case delays is now the record of the completion, as the trial grants nothing in the last seconds. The answer is waited for during a second, the record was written again at the next step, and the status after that: on a busy machine past the limit.

Change: the end is recorded again in the same step (numbers make a late first record harmless), and a version that has passed a test under full load moves 0.8 s sooner.

Tests: test_an_end_whose_record_is_not_answered_is_recorded_in_the_same_step and a case of test_steps_of_a_move_with_a_load_test failed before.

--- a/lagoonring/serving/rollout.py
+++ b/lagoonring/serving/rollout.py
@@ -24,6 +24,9 @@
 LOAD_RESULTS_S = 1.0  # until the results of a load test have reached the holder
 LOAD_TEST_EXPOSURE_SHARE = 0.85  # of the exposure, with the requests of the trial
 TESTED_BUDGET_SHARE = 0.4  # of the exposure, for the trial before a load test
+# A version that has passed a test moves sooner, which leaves time to record the end
+# again if the store loses an answer.
+TESTED_MOVE_ALL_BEFORE_END_S = 3.4
 MOVE_ALL_BEFORE_END_S = 2.6  # before the limit; lets requests on the old version end
 COMPLETE_BEFORE_END_S = 1.3  # before the time limit; lets the store accept the status
 
@@ -86,7 +89,10 @@
     test, is_good = progress.load_test, progress.verdict is Verdict.AS_GOOD
     if test is not None and test.left_s(progress.elapsed_s - LOAD_RESULTS_S) > 0:
         return Step.AWAIT_RESULTS
-    if left_s > MOVE_ALL_BEFORE_END_S:
+    n_tested = progress.rate_per_s * test.for_s if test is not None else 0.0
+    has_passed = n_tested >= MIN_LOAD_RESULTS and is_good
+    move_all_s = TESTED_MOVE_ALL_BEFORE_END_S if has_passed else MOVE_ALL_BEFORE_END_S
+    if left_s > move_all_s:
         is_due = left_s <= LOAD_TEST_BEFORE_END_S and progress.can_test_load
         if test is None and is_due and is_good and progress.is_target_present:
             return Step.TEST_LOAD
@@ -94,9 +100,8 @@
     if not progress.is_target_present or not is_good:
         return Step.TRY if left_s > COMPLETE_BEFORE_END_S else Step.ROLL_BACK
     # Without a test of that size, more results are awaited as long as possible.
-    n_tested = progress.rate_per_s * test.for_s if test is not None else 0.0
-    is_tested = n_tested >= MIN_LOAD_RESULTS or not progress.can_test_load
-    if left_s <= COMPLETE_BEFORE_END_S or (is_tested and not progress.n_old_running):
+    may_complete = has_passed or not progress.can_test_load
+    if left_s <= COMPLETE_BEFORE_END_S or (may_complete and not progress.n_old_running):
         return Step.COMPLETE
     return Step.MOVE_ALL
 
--- a/lagoonring/serving/versions.py
+++ b/lagoonring/serving/versions.py
@@ -8,6 +8,7 @@
 import attrs
 
 from lagoonring.logs import make_logger
+from lagoonring.platform.log import LogAnswerLostError
 from lagoonring.serving.comparison import judge
 from lagoonring.serving.duties import write_ahead
 from lagoonring.serving.exposure import Exposure, MoveRecord, decode_record
@@ -121,9 +122,9 @@
             self.moves.pop(order.service, None)
 
     async def _advance(self, lease: Lease, order: MoveOrder) -> None:
-        recorded = self._recorded(order)
-        if recorded is not None and recorded.state is not MoveState.RUNNING:
-            self._publish_final(lease, order, recorded.state)
+        state = self._recorded_end(order)
+        if state is not None:
+            self._publish_final(lease, order, state)
             return
         move = self.moves.get(order.service)
         if move is None or move.order.offset != order.offset:
@@ -282,6 +283,13 @@
         recorded = self.ledger.find(PART, order.name)
         return None if recorded is None else decode_record(recorded)
 
+    def _recorded_end(self, order: MoveOrder) -> MoveState | None:
+        """Return the final state that a holder recorded, if there is one."""
+        recorded = self._recorded(order)
+        if recorded is None or recorded.state is MoveState.RUNNING:
+            return None
+        return recorded.state
+
     def _count_running(self, order: MoveOrder) -> int:
         """Return the requests that run on the new version."""
         return sum(
@@ -316,9 +324,14 @@
         if state is MoveState.ROLLED_BACK:
             self._publish(move, MoveState.RUNNING, 0.0)  # also while the store is out
         record = attrs.evolve(move.exposure.record, state=state)
-        await write_ahead(lease, PART, order.name, record.encode())
+        try:
+            await write_ahead(lease, PART, order.name, record.encode())
+        except LogAnswerLostError:
+            # At once: at the next step the time limit may be over.
+            if self._recorded_end(order) is None:
+                await write_ahead(lease, PART, order.name, record.encode())
         # Another final state may have been written before without an answer.
-        state = (self._recorded(order) or record).state
+        state = self._recorded_end(order) or state
         logger.info(
             "Move finished.",
             extra={
--- a/lagoonring/tests/test_moves_on_platform.py
+++ b/lagoonring/tests/test_moves_on_platform.py
@@ -158,6 +158,8 @@
         ({"elapsed_s": 8.0, "load_test": TEST}, Step.AWAIT_RESULTS),
         ({"elapsed_s": 9.0, "load_test": TEST}, Step.TRY),
         ({"elapsed_s": 8.0, "load_test": TEST, "verdict": WORSE}, Step.ROLL_BACK),
+        ({"elapsed_s": 8.7, "load_test": TEST}, Step.TRY),
+        ({"elapsed_s": 8.7, "load_test": TEST, "n_all": 400}, Step.MOVE_ALL),
         # too few results to complete before the last moment
         ({"elapsed_s": 9.8, "load_test": TEST, "n_old_running": 0}, Step.MOVE_ALL),
         ({"elapsed_s": 9.8, "n_old_running": 0}, Step.MOVE_ALL),
@@ -246,9 +248,9 @@
         if recorder is not None:
             recorder.record_end(self.clock.monotonic(), ok=ok)
 
-    async def run(self, seconds=14.0):
+    async def run(self, seconds=14.0, lease=None):
         self.started_s = self.clock.time()
-        lease = FakeLease(self.ledger)
+        lease = lease or FakeLease(self.ledger)
         for step in range(int(seconds * 2)):
             await self.duty.step(lease)
             for number in range(int(self.rate_per_s / 2)):
@@ -318,6 +320,27 @@
     assert deployment.gate.state_of(ORDER) is MoveState.COMPLETED
 
 
+class LosingLease(FakeLease):
+    """A lease that loses the answer of the first append of an end."""
+
+    lost_s = None
+
+    async def append(self, data):
+        if "completed" in str(data) and self.lost_s is None:
+            self.lost_s = self.clock.time()
+            raise LogAnswerLostError("Got no answer, expected one.")
+        return await super().append(data)
+
+
+async def test_an_end_whose_record_is_not_answered_is_recorded_in_the_same_step(clock):
+    # Guards against a good version that is rolled back since its limit passes.
+    deployment = Deployment(clock, lambda at_s, rng: False)
+    lease = LosingLease(deployment.ledger)
+    lease.clock = clock
+    await deployment.run(lease=lease)
+    assert deployment.records.written[-1] == (lease.lost_s, MoveState.COMPLETED)
+
+
 class FailingLease(FakeLease):
     """A lease whose appends about one service are not answered."""
 
