--- a/lagoonring/tests/test_late_appends.py
+++ b/lagoonring/tests/test_late_appends.py
@@ -86,3 +86,19 @@
     words = Words()
     await LeaseStream(log, STREAM, ManualClock(), words).read_to_end()
     assert words.words == ["a", "b"]
+
+
+def test_earlier_releases_find_their_fields_in_a_numbered_record():
+    """They ignore fields that they do not know."""
+    state = LeaseState(epoch=3, renewal=4, holder="a", is_released=False, number=7)
+    record = LeaseRecord(kind="data", token="t", epoch=3, state=state, number=8)
+    written = msgspec.json.decode(encode_record(record))
+    assert written.pop("number") == 8
+    assert written["state"].pop("number") == 7
+    assert set(written) == {
+        *("kind", "token", "holder", "epoch", "state", "at"),
+        *("payload", "group", "part", "n_parts"),
+    }
+    assert set(written["state"]) == {
+        *("epoch", "renewal", "holder", "is_released", "last", "is_known"),
+    }
--- a/lagoonring/tests/test_move_reports.py
+++ b/lagoonring/tests/test_move_reports.py
@@ -124,6 +124,22 @@
     assert len(records.written) == 1
 
 
+@pytest.mark.parametrize("state", ENDS)
+async def test_an_end_that_a_returned_store_lacks_is_written_again(
+    clock, records, state
+):
+    # Guards against a move that runs again after an older copy has come back.
+    await MoveReports(records, clock).report_end(ORDER, state)
+    holder = Holder(clock, records)
+    await holder.run(1.0)
+    records.ends, records.statuses = [], {"desk": ("v2", MoveState.RUNNING)}
+    holder.lease = FakeLease(holder.ledger, fencing_number=2)
+    await holder.run(2.0)
+    assert [end.state for end in records.ends] == [state]
+    assert records.statuses == {"desk": ("v2", state)}
+    assert holder.state is state
+
+
 @pytest.mark.parametrize("state", ENDS)
 async def test_an_end_that_only_the_status_tells_is_adopted(clock, records, state):
     # Earlier releases record nothing else for longer than the log retains records.
