--- a/lagoonring/tests/test_soak.py
+++ b/lagoonring/tests/test_soak.py
@@ -10,31 +10,30 @@
 import attrs
 import pytest
 
-from lagoonring.platform.store import OPERATOR_TOPIC, STATUS_TOPIC
-from lagoonring.serving.moves import MoveState
-from lagoonring.soak.connection import CallerConnection, SentRequest
+from lagoonring.platform.store import OPERATOR_TOPIC
+from lagoonring.soak.connection import CallerConnection
 from lagoonring.soak.deployment import (
     BURST,
     LIMITED_ORGANISATION,
     RATE_PER_S,
-    UNSAFE,
     reserve_network,
 )
 from lagoonring.soak.endpoints import (
-    Run,
     RunEnd,
     SoakEndpoint,
     make_body,
     make_events,
-    make_signature,
 )
-from lagoonring.soak.faults import KINDS, MOVE_KINDS, PLANNED_KINDS, schedule
-from lagoonring.soak.guarantees import RECOVERY_S, SoakRecord, check
+from lagoonring.soak.faults import KINDS, PLANNED_KINDS, schedule
 from lagoonring.soak.messages import PlannedWork, WorkKind
-from lagoonring.soak.moves import Operator, Order, Status
 from lagoonring.soak.run import run_soak
 from lagoonring.standins.platform_standin import DutyCall, PlatformStandin
 from lagoonring.tests.builders.barriers import wait_until
+from lagoonring.tests.builders.soak_records import (
+    find_violations,
+    make_request,
+    make_run,
+)
 
 SHORT_S = 8.0
 SEED = 4
@@ -42,70 +41,6 @@
 REGRESSIONS: dict[int, str] = {}
 
 
-def make_request(request_id="a", **changes):
-    values = {
-        "request_id": request_id,
-        "instance": "east-0",
-        "path": f"{UNSAFE}1",
-        "organisation": "one",
-        "sent_s": 10.0,
-        "written_s": 10.0,
-        "status": 200,
-        "signature": make_signature(request_id, "desk-1"),
-        "answer": make_body(request_id),
-        "is_complete": True,
-        "ended_s": 10.1,
-    }
-    return SentRequest(**(values | changes))
-
-
-def make_run(request_id="a", **changes):
-    values = {
-        "request_id": request_id,
-        "endpoint": "desk-1",
-        "organisation": "one",
-        "path": f"{UNSAFE}1",
-        "version": "v1",
-        "began_s": 10.0,
-        "body": b"",
-    }
-    return Run(**(values | changes))
-
-
-def find_violations(requests=(), runs=(), **changes):
-    """Return the guarantees violated in a record that is otherwise correct."""
-    good = [
-        make_request(
-            f"{n} good",
-            sent_s=100.0 + RECOVERY_S,
-            ended_s=101.0 + RECOVERY_S,
-            signature=make_signature(f"{n} good", "desk-9"),
-            answer=make_body(f"{n} good"),
-        )
-        for n in range(10)
-    ]
-    values = {
-        "requests": [*good, *requests],
-        "runs": [
-            *(make_run(request.request_id, endpoint="desk-9") for request in good),
-            *runs,
-        ],
-        "duty_calls": [],
-        "route_acked_s": {},
-        "route_removed_s": {},
-        "drain_started_s": {},
-        "disrupted_spans": {},
-        "store_disrupted_spans": [],
-        "unplanned_spans": {},
-        "planned_work": [],
-        "unexpected_exits": {},
-        "faults_ended_s": 99.0,
-    }
-    return {
-        violation.guarantee for violation in check(SoakRecord(**(values | changes)))
-    }
-
-
 def test_correct_record_has_no_violations():
     assert find_violations([make_request()], [make_run()]) == set()
 
@@ -263,67 +198,6 @@
     assert find_violations(failed) == {"recover"}
 
 
-def make_status(state, target="v2"):
-    return Status(service="desk", target=target, state=MoveState(state))
-
-
-@pytest.mark.parametrize(
-    ("states", "is_broken"),
-    [
-        ([], True),
-        (["running"], True),
-        (["running", "completed"], False),
-        (["running", "rolled_back", "rolled_back"], False),
-        (["completed", "running"], True),
-        (["completed", "running", "completed"], False),
-        (["completed", "running", "rolled_back"], True),
-    ],
-)
-def test_move_that_is_undone_or_not_ended_is_found(states, is_broken):
-    orders = [Order(service="desk", target="v2", due_s=10.0)]
-    statuses = [make_status(state) for state in states]
-    found = find_violations(orders=orders, statuses=statuses, ended_s=20.0)
-    assert found == ({"moved"} if is_broken else set())
-
-
-def test_move_that_may_still_run_need_not_have_ended():
-    orders = [Order(service="desk", target="v2", due_s=10.0)]
-    assert not find_violations(orders=orders, ended_s=10.5)
-
-
-def test_status_of_an_earlier_move_is_not_that_of_the_last_one():
-    orders = [Order(service="desk", target=f"v{n}", due_s=10.0) for n in (2, 3)]
-    statuses = [make_status("completed", f"v{n}") for n in (2, 3)]
-    assert not find_violations(orders=orders, statuses=statuses)
-    statuses.append(make_status("running", "v2"))
-    assert find_violations(orders=orders, statuses=statuses) == {"moved"}
-
-
-async def test_operator_stops_the_version_that_a_move_leaves():
-    deployment = SimpleNamespace(
-        platform=PlatformStandin(), runs=[], rng=random.Random(1), endpoints=[]
-    )
-    old = SoakEndpoint(
-        "desk-east", "desk", "east", deployment.platform, [], deployment.rng
-    )
-    deployment.endpoints.append(old)
-    await old.start()
-    operator = Operator(deployment)
-    following = asyncio.create_task(operator.follow())
-    await operator.order("desk", 8.0)
-    await operator.order("desk", 8.0)
-    assert [one.target for one in operator.orders] == ["v2"]
-    (new,) = deployment.endpoints[1:]
-    content = {"state": "completed", "target": "v2"}
-    deployment.platform.write(STATUS_TOPIC, "rollout/desk", content)
-    await wait_until(lambda: operator.running is None)
-    following.cancel()
-    assert (old.is_serving("desk"), new.is_serving("desk")) == (False, True)
-    await old.start()
-    assert old.runner is None
-    await new.retire()
-
-
 def test_schedule_is_deterministic_and_covers_all_kinds():
     assert schedule(random.Random(3), 60.0) == schedule(random.Random(3), 60.0)
     played = [schedule(random.Random(seed), 60.0) for seed in range(40)]
@@ -433,13 +307,3 @@
         seed, 15.0, tmp_path, n_per_data_centre=n_instances, kinds=PLANNED_KINDS
     )
     assert result.violations == []
-
-
-@pytest.mark.processes
-# Seeds whose faults include a move, late writes after its order, and kills after them.
-@pytest.mark.parametrize("seed", [12, 215])
-async def test_moves_keep_their_end_beside_late_writes_and_restarts(seed, tmp_path):
-    # Guards against a move that is undone once all processes have been replaced.
-    result = await run_soak(seed, 12.0, tmp_path, n_per_data_centre=1, kinds=MOVE_KINDS)
-    assert "move" in {fault.kind for fault in result.faults}
-    assert [item for item in result.violations if item.guarantee == "moved"] == []
