Compare answers under full load by the old version's own share of slow ones

Cause: the slack was added to the quantile for both versions, so that almost none of the old version's answers counted as slow and a few of the new one's were a difference.

Change: it applies to the new version's answers alone.

--- a/lagoonring/serving/comparison.py
+++ b/lagoonring/serving/comparison.py
@@ -112,8 +112,8 @@
 ) -> Finding | None:
     """Return the least probable difference, or None if nothing can be compared.
 
-    ``slack_buckets`` is by how many buckets of the histograms an answer may be slower
-    than a quantile of the old version's without being slow.
+    ``slack_buckets`` is by how many buckets of the histograms the new version's answers
+    may be slower than the old version's without being slow.
     """
     by_route = {
         name: list(_samples(route, slack_buckets)) for name, route in routes.items()
@@ -258,9 +258,11 @@
 ) -> Sample:
     old, old_waiting = read(route.old)
     new, new_waiting = read(route.new)
-    limit = _quantile(old, quantile) + slack_buckets
-    bad_old, bad_new = _above(old, limit), _above(new, limit)
-    waiting_old, waiting_new = _above(old_waiting, limit), _above(new_waiting, limit)
+    limit = _quantile(old, quantile)
+    new_limit = limit + slack_buckets
+    bad_old, bad_new = _above(old, limit), _above(new, new_limit)
+    waiting_old = _above(old_waiting, limit)
+    waiting_new = _above(new_waiting, new_limit)
     return Sample(
         criterion=f"{criterion} above {quantile:.0%} of the old version's",
         n_old=old.total() + waiting_old,
