Review: case 14, streams cut by a completed roll-out end as complete

Cause: the news that a roll-out has completed is awaited for 1 s after a server closed a channel; after the loss of the zone's hub it takes longer, and the close counts as the stream's regular end.

--- a/review/shared_3/assistant.py
+++ b/review/shared_3/assistant.py
@@ -41,6 +41,7 @@
         *,
         report_lag_s: float,
         copy_s: float,
+        version: str,
     ) -> None:
         self.name = name
         self.process = subprocess.Popen(
@@ -52,7 +53,7 @@
                 *("--report-lag-s", str(report_lag_s)),
                 *("--notice-s", str(NOTICE_S)),
                 *("--n-events", str(N_EVENTS)),
-                *("--copy-s", str(copy_s)),
+                *("--copy-s", str(copy_s), "--version", version),
             ],
             stdout=subprocess.PIPE,
             text=True,
@@ -81,8 +82,10 @@
         *,
         report_lag_s: float,
         copy_s: float = 0.0,
+        n_machines: int = 1,
     ) -> None:
         self.record = record
+        self.n_machines = n_machines
         self.zones = zones
         self.report_lag_s = report_lag_s
         self.copy_s = copy_s
@@ -101,24 +104,33 @@
         self.lines.append(line)
         self.record.write(line)
 
-    def start_server(self, zone: str) -> None:
-        """Start a server of a new id."""
+    def start_server(self, zone: str, version: str = "v1") -> Server:
+        """Start a server of a new id; return it."""
         self.n_servers += 1
         name = f"i-{self.n_servers:04d}"
-        self.servers[zone] = Server(
-            name,
-            zone,
-            self.server_store,
-            self._follow,
-            report_lag_s=self.report_lag_s,
-            copy_s=self.copy_s,
+        server = self.servers[zone if version == "v1" else f"{zone} {version}"] = (
+            Server(
+                name,
+                zone,
+                self.server_store,
+                self._follow,
+                report_lag_s=self.report_lag_s,
+                copy_s=self.copy_s,
+                version=version,
+            )
         )
-        self.record.write(f"{name} is started in {zone}")
+        self.record.write(f"{name} ({version}) is started in {zone}")
+        return server
 
     async def start(self) -> None:
         """Start the stand-ins and the machines."""
         net = free_network()
-        ips = [f"{net}.{number}.1" for number in range(1, len(self.zones) + 1)]
+        ips = {
+            f"front-{zone}-{machine}": f"{net}.{number}.{machine}"
+            for number, zone in enumerate(self.zones, 1)
+            for machine in range(1, self.n_machines + 1)
+        }
+        seeds = [f"{net}.{number}.1" for number in range(1, len(self.zones) + 1)]
         services = [
             {
                 "name": "asistente",
@@ -141,12 +153,12 @@
         self.server_store = await self.store.open("servers")
         for zone in self.zones:
             self.start_server(zone)
-        for zone, ip in zip(self.zones, ips, strict=True):
-            name = f"front-{zone}-1"
+        for name, ip in ips.items():
+            zone = name.split("-")[1]
             instance = Instance(name, zone, ip, self.folder)
             instance.write_settings(
                 self.zones,
-                ips,
+                seeds,
                 await self.store.open(name),
                 await self.cloud.open(name),
             )
@@ -156,15 +168,20 @@
         self.record.write("the machines are ready")
         await asyncio.sleep(2.0)
 
-    async def ask(self) -> None:
-        """Send a request to the next machine and record how its stream ended."""
+    async def ask(
+        self, instance: Instance | None = None, prefix: str = "/guide/"
+    ) -> Outcome:
+        """Send a request to a machine, or to the next one, and record the outcome."""
         self.n_requests += 1
         request_id = f"{self.n_requests:016x}"
-        instance = self.instances[self.n_requests % len(self.instances)]
-        path = f"/guide/{self.n_requests}"
+        if instance is None:
+            instance = self.instances[self.n_requests % len(self.instances)]
+        path = f"{prefix}{self.n_requests}"
         outcome = await ask_stream(instance.front, request_id, path)
-        self.outcomes.append(outcome)
         self.record.write(f"{outcome.describe()}, sent to {instance.name}")
+        if prefix == "/guide/":
+            self.outcomes.append(outcome)
+        return outcome
 
     async def take_away(self, server: Server) -> None:
         """End a server whose time is up, and remove its entry."""
--- a/review/shared_3/deployment.py
+++ b/review/shared_3/deployment.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import json
 import os
 import random
@@ -203,10 +204,10 @@
     for _ in range(100):
         net = f"127.{random.randrange(16, 240)}"
         try:
-            for last in range(1, 4):
+            for zone, machine in itertools.product(range(1, 4), range(1, 4)):
                 for port in (8360, 8365, 7500, 7501, 9464):
                     with socket.socket() as probe:
-                        probe.bind((f"{net}.{last}.1", port))
+                        probe.bind((f"{net}.{zone}.{machine}", port))
         except OSError:
             continue
         return net
--- a/review/shared_3/engine_standin.py
+++ b/review/shared_3/engine_standin.py
@@ -19,6 +19,8 @@
 
 EVENT_S = 0.1
 SLOTS = 24
+SHORT_PREFIX = "/guide/short/"
+N_SHORT_EVENTS = 2
 COPY_PATH = "/standin-copy"  # between servers of this kind only
 
 
@@ -74,7 +76,7 @@
             "service": "asistente",
             "address": self.address,
             "zone": self.options.zone,
-            "version": "v1",
+            "version": self.options.version,
             "slots": SLOTS,
             "state": self.state,
             "coldLeftMs": 0,
@@ -159,7 +161,9 @@
             + b"Connection: close\r\n\r\n"
         )
         try:
-            while run.n_made < self.options.n_events:
+            is_short = request.path.startswith(SHORT_PREFIX)
+            n_events = N_SHORT_EVENTS if is_short else self.options.n_events
+            while run.n_made < n_events:
                 await asyncio.sleep(EVENT_S)
                 if run.is_stopped or connection.writer.is_closing():
                     return
@@ -199,6 +203,7 @@
     parser.add_argument("--notice-s", type=float, required=True)
     parser.add_argument("--n-events", type=int, required=True)
     parser.add_argument("--copy-s", type=float, default=0.0)
+    parser.add_argument("--version", default="v1")
     asyncio.run(Engine(parser.parse_args()).run())
 
 
--- a/review/shared_3/platform_standins.py
+++ b/review/shared_3/platform_standins.py
@@ -25,6 +25,7 @@
     def __init__(self) -> None:
         self.servers: dict[str, HttpServer] = {}
         self.cut: set[str] = set()
+        self.refused: set[str] = set()  # machines that get 503
 
     async def open(self, machine: str) -> str:
         """Return the address at which a machine reaches this stand-in."""
@@ -34,6 +35,9 @@
                 connection.reset()
                 return
             await asyncio.sleep(ANSWER_S)
+            if machine in self.refused:
+                await connection.send_json(503, {"error": "busy"})
+                return
             await self.answer(machine, request, connection)
 
         server = self.servers[machine] = HttpServer(handle)
